--- a/internal/strictyaml/strictyaml.go
+++ b/internal/strictyaml/strictyaml.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -90,7 +91,7 @@
 		return nil, Problems{{File: name, Message: "the file must hold exactly one YAML document"}}
 	}
 	if err := yaml.UnmarshalWithOptions(data, target, yaml.Strict()); err != nil {
-		return nil, Problems{problemOf(name, err)}
+		return nil, Problems{locate(problemOf(name, err), file)}
 	}
 	return &Document{name: name, file: file}, nil
 }
@@ -108,6 +109,36 @@
 	return p
 }
 
+// locate adds line and key to a finding without a line, which decoders of single
+// values (such as durations) report: it takes the first value that the message
+// quotes.
+func locate(p Problem, file *ast.File) Problem {
+	if p.Line == 0 {
+		ast.Walk(&quoteFinder{problem: &p}, file.Docs[0].Body)
+	}
+	return p
+}
+
+// quoteFinder visits nodes until it finds the value that a finding quotes.
+type quoteFinder struct {
+	problem *Problem
+}
+
+// Visit implements ast.Visitor.
+func (f *quoteFinder) Visit(node ast.Node) ast.Visitor {
+	if f.problem.Line > 0 {
+		return nil
+	}
+	if pair, ok := node.(*ast.MappingValueNode); ok {
+		value := pair.Value.GetToken().Value
+		if strings.Contains(f.problem.Message, strconv.Quote(value)) {
+			f.problem.Line = firstLine(pair)
+			f.problem.Key = strings.TrimPrefix(pair.Value.GetPath(), "$.")
+		}
+	}
+	return f
+}
+
 // Line returns the line of the value at a path such as "limits.queue" or
 // "states[2].name". For a path that is absent it returns the line of the
 // nearest enclosing value, and 0 for the whole document.
