--- a/Makefile
+++ b/Makefile
@@ -18,5 +18,10 @@
 race:
 	$(GO) run ./internal/tools/knownred -list KNOWN-RED.txt -- -race -count=1 -timeout 20m ./...
 
+# Runs the fault matrix, prints its counts and writes docs/FAULTS.md.
+faults:
+	@status=0; $(GO) test -count=1 -run 'TestFaultMatrix$$' ./internal/faultmatrix -faults.write || status=$$?; \
+	sed -n '/^## Counts/,/^## Faults/{/^## Faults/!p;}' docs/FAULTS.md; exit $$status
+
 clean:
 	rm -rf bin
