--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BINARIES := dragonfly-entry dragonfly-agent dragonflyctl dragonfly-standin
 
-.PHONY: build test lint race demo faults policy capacity bench clean
+.PHONY: build test lint race demo faults docs policy capacity bench clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -23,5 +23,9 @@
 	@status=0; $(GO) test -count=1 -run 'TestFaultMatrix$$' ./internal/faultmatrix -faults.write || status=$$?; \
 	sed -n '/^## Counts/,/^## Faults/{/^## Faults/!p;}' docs/FAULTS.md; exit $$status
 
+# Rewrites the pages that are generated from code and charts.
+docs: faults
+	$(GO) test -count=1 ./internal/event ./internal/statechart -update
+
 clean:
 	rm -rf bin
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -136,6 +136,8 @@
 	}
 	c.intRange("process.timeline_events", p.TimelineEvents, 16, 1<<20)
 	c.durationRange("process.stop_timeout", p.StopTimeout, time.Second, maxDuration)
+	c.durationRange("process.drain_delay", p.DrainDelay, 0, time.Minute)
+	c.below("process.drain_delay", p.DrainDelay, "process.stop_timeout", p.StopTimeout)
 	c.durationRange("process.clock_skew_bound", p.ClockSkewBound, minDuration, longestSkew)
 	c.intRange("process.ring_capacity", p.RingCapacity, 16, 1<<20)
 }
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -22,6 +22,7 @@
 		LogLevel:       "info",
 		TimelineEvents: 8192,
 		StopTimeout:    30 * time.Second,
+		DrainDelay:     time.Second,
 		ClockSkewBound: 500 * time.Millisecond,
 		RingCapacity:   4096,
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,9 @@
 	TimelineEvents int `yaml:"timeline_events"`
 	// StopTimeout bounds the graceful stop.
 	StopTimeout time.Duration `yaml:"stop_timeout"`
+	// DrainDelay is how long an entry host's health check fails before it refuses
+	// new requests, so that the balancer sends none.
+	DrainDelay time.Duration `yaml:"drain_delay"`
 	// ClockSkewBound is the largest difference between any two processes' clocks.
 	ClockSkewBound time.Duration `yaml:"clock_skew_bound"`
 	// RingCapacity is the room of each ring between two duties.
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -56,6 +56,19 @@
 	Connections int
 }
 
+// Clock carries the sender's hybrid logical clock. It goes in front of each
+// batch of frames, so that the receiver's later events are ordered after all
+// that the sender did before.
+type Clock struct {
+	// WallMS is in milliseconds since the Unix epoch.
+	WallMS int64
+	// Counter orders events within the same millisecond.
+	Counter uint32
+}
+
+// WireType implements Message.
+func (*Clock) WireType() Type { return TypeClock }
+
 // WireType implements Message.
 func (*Hello) WireType() Type { return TypeHello }
 
