Add links between processes and the shared part of a process

Cause: the request and job paths need connections with their own failure detection, and two long-running processes to hang duties onto. Weighed: handing a connection's events to one ring of the process, against calling registered handlers that push onto the ring of their own duty. The second saves one hand-over for each message and keeps the order of one connection. Dropping a message when a ring is full was ruled out: the connection is closed instead, so no message is ever skipped. Change: internal/link (Conn, Hub, heartbeats with acknowledgement, silence, slow readers, reconnect), internal/process (duties, routes, stages of the stop), skeletons of internal/entry and internal/agent with how to hook in. Tests: go test -race -count 5 ./internal/link passes; a middlebox cuts, delays and silences one way and both.

--- /dev/null
+++ b/internal/agent/process.go
@@ -0,0 +1,147 @@
+// Package agent is the shell of dragonfly-agent: the links to the entry hosts,
+// the caller of the backend server beside it, and the duties around the pure
+// decision packages.
+//
+// # How to add to the process
+//
+// A subsystem of the agent lives in its own files of this package and is
+// connected in extensions.go, which New calls before the process runs. There:
+//
+//   - p.HandleHTTP(method, pathPrefix, handler) serves HTTP.
+//   - p.Hub.Handle(wire.RoleEntry, messageType, handler) takes messages of a
+//     type from entry hosts. A handler must not wait: it pushes onto the ring
+//     of its duty and returns false when the ring is full.
+//   - p.Hub.OnState(wire.RoleEntry, handler) learns of connections that came up
+//     (cause nil) or were lost.
+//   - Conn.HeartbeatSentAt(permit.AnsweredHeartbeat) gives the instant from
+//     which a wire.Permit counts.
+//   - p.Send(process, message) queues a message for an entry host by its
+//     process name; p.SendAll(message) does so for each connected one.
+//   - p.AddDuty(name, run) adds a goroutine; p.OnStop(stage, name, step) adds a
+//     step of the graceful stop.
+//   - p.Log, p.Metrics, p.Logger and p.Now are the time line, the metrics
+//     registry, the logger and the clock.
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dragonflyyard/internal/link"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/process"
+	"dragonflyyard/internal/wire"
+)
+
+// Config is what an agent is started with.
+type Config struct {
+	// Backend describes the backend server beside the agent; its ID is the
+	// agent's process name.
+	Backend model.BackendServer
+	// Worker describes the host's worker; nil when there is none.
+	Worker *model.Worker
+	Region model.RegionName
+	// HTTPAddress is listened on for metrics and time line, IP:port.
+	HTTPAddress string
+	// BackendAddress is the backend server's HTTP address, IP:port.
+	BackendAddress string
+	// WorkerAddress is the worker's HTTP address, IP:port; empty for none.
+	WorkerAddress string
+	// EntryHosts are the link addresses of the entry hosts to begin with.
+	EntryHosts []string
+	// StopTimeout bounds the graceful stop as a whole.
+	StopTimeout time.Duration
+	Link        link.Options
+	Logger      *zap.Logger
+	Now         func() time.Time
+}
+
+// Process is one agent.
+type Process struct {
+	*process.Base
+	Config Config
+	Hub    *link.Hub
+
+	rosters chan []string
+}
+
+// New returns an agent that listens on its HTTP address but does not run yet.
+func New(config Config) (*Process, error) {
+	base, err := process.New(process.Options{
+		Name: string(config.Backend.ID), HTTPAddress: config.HTTPAddress,
+		StopTimeout: config.StopTimeout, Logger: config.Logger, Now: config.Now,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{Base: base, Config: config, rosters: make(chan []string, maxEntryHosts)}
+	identity := link.Identity{Process: base.Name, Incarnation: base.Incarnation, Hello: p.hello}
+	p.Hub = link.NewHub(identity, config.Link, base.Log, base.Metrics, base.Now)
+	p.Hub.OnState(wire.RoleEntry, p.noteRoster)
+	p.AddDuty("link dialler", p.runDials)
+	if err := p.registerExtensions(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// Send queues a message for an entry host. It returns false when there is no
+// connection to it or its queue is full.
+func (p *Process) Send(to string, m wire.Message) bool { return p.Hub.Send(to, m) }
+
+// SendAll queues a message for each connected entry host.
+func (p *Process) SendAll(m wire.Message) {
+	for _, c := range p.Hub.Conns(wire.RoleEntry) {
+		c.Send(m)
+	}
+}
+
+// maxEntryHosts bounds the entry hosts that an agent keeps links to.
+const maxEntryHosts = 64
+
+// noteRoster passes the addresses that an entry host told to the dialler. A
+// roster that finds no room is told again with the next connection.
+func (p *Process) noteRoster(c *link.Conn, cause error) bool {
+	if cause == nil && len(c.Peer().Roster) > 0 {
+		select {
+		case p.rosters <- c.Peer().Roster:
+		default:
+		}
+	}
+	return true
+}
+
+func (p *Process) runDials(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
+	known := map[string]bool{}
+	dial := func(addresses []string) {
+		for _, address := range addresses {
+			if known[address] || len(known) >= maxEntryHosts {
+				continue
+			}
+			known[address] = true
+			running.Go(func() { p.Hub.Dial(ctx, address) })
+		}
+	}
+	dial(p.Config.EntryHosts)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case addresses := <-p.rosters:
+			dial(addresses)
+		}
+	}
+}
+
+func (p *Process) hello() wire.Hello {
+	return wire.Hello{
+		Role: wire.RoleAgent, Process: p.Name, Incarnation: p.Incarnation,
+		Region: p.Config.Region, Zone: p.Config.Backend.Zone,
+		Backend: &p.Config.Backend, Worker: p.Config.Worker, Leaving: p.IsStopping(),
+	}
+}
--- /dev/null
+++ b/internal/entry/process.go
@@ -0,0 +1,160 @@
+// Package entry is the shell of dragonfly-entry: the callers' and operators'
+// HTTP front, the links to agents and to other entry hosts, and the duties
+// around the pure decision packages.
+//
+// # How to add to the process
+//
+// A subsystem of the entry host lives in its own files of this package and is
+// connected in extensions.go, which New calls before the process runs. There:
+//
+//   - p.HandleHTTP(method, pathPrefix, handler) serves HTTP; process.WriteJSON
+//     and process.WriteError write the answers.
+//   - p.Hub.Handle(role, messageType, handler) takes messages of a type from
+//     agents (wire.RoleAgent) or entry hosts (wire.RoleEntry). A handler must
+//     not wait: it pushes onto the ring of its duty and returns false when the
+//     ring is full. wire.TypeHeartbeat is delivered as well, so a Permit can
+//     name the heartbeat that it answers.
+//   - p.Hub.OnState(role, handler) learns of connections that came up (cause
+//     nil) or were lost. Conn.Peer().Hello is an agent's announcement.
+//   - p.Send(process, message) queues a message for a peer by its process name.
+//   - p.DialEntry(address) keeps a link to another entry host; p.SetRoster
+//     changes the addresses that Welcome messages carry.
+//   - p.AddDuty(name, run) adds a goroutine; p.OnStop(stage, name, step) adds a
+//     step of the graceful stop.
+//   - p.Log, p.Metrics, p.Logger and p.Now are the time line, the metrics
+//     registry, the logger and the clock.
+package entry
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dragonflyyard/internal/link"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/process"
+	"dragonflyyard/internal/wire"
+)
+
+// Config is what an entry host is started with.
+type Config struct {
+	ID     model.EntryID
+	Region model.RegionName
+	Zone   model.AvailabilityZoneName
+	// HTTPAddress and LinkAddress are listened on, IP:port. Port 0 picks a free one.
+	HTTPAddress string
+	LinkAddress string
+	// EntryHosts are the link addresses of the other entry hosts.
+	EntryHosts []string
+	// DrainDelay is how long the health check fails before new requests are
+	// refused, so that the balancer can take the host out.
+	DrainDelay time.Duration
+	// StopTimeout bounds the graceful stop as a whole.
+	StopTimeout time.Duration
+	Link        link.Options
+	Logger      *zap.Logger
+	Now         func() time.Time
+}
+
+// Process is one entry host.
+type Process struct {
+	*process.Base
+	Config Config
+	Hub    *link.Hub
+
+	linkListener net.Listener
+	dials        chan string
+
+	rosterMu sync.Mutex
+	roster   []string
+}
+
+// New returns an entry host that listens but does not serve yet.
+func New(config Config) (*Process, error) {
+	base, err := process.New(process.Options{
+		Name: string(config.ID), HTTPAddress: config.HTTPAddress,
+		StopTimeout: config.StopTimeout, Logger: config.Logger, Now: config.Now,
+	})
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", config.LinkAddress)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on link address %q", config.LinkAddress)
+	}
+	p := &Process{Base: base, Config: config, linkListener: listener, dials: make(chan string, maxDials)}
+	p.roster = append([]string{p.LinkAddress()}, config.EntryHosts...)
+	identity := link.Identity{Process: base.Name, Incarnation: base.Incarnation, Hello: p.hello, Roster: p.Roster}
+	p.Hub = link.NewHub(identity, config.Link, base.Log, base.Metrics, base.Now)
+	p.AddDuty("link server", func(ctx context.Context) error { return p.Hub.Accept(ctx, p.linkListener) })
+	p.AddDuty("link dialler", p.runDials)
+	if err := p.registerExtensions(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// LinkAddress returns the address that links are accepted on, IP:port.
+func (p *Process) LinkAddress() string { return p.linkListener.Addr().String() }
+
+// Send queues a message for a peer process. It returns false when there is no
+// connection to it or its queue is full.
+func (p *Process) Send(to string, m wire.Message) bool { return p.Hub.Send(to, m) }
+
+// Roster returns the link addresses of all entry hosts known.
+func (p *Process) Roster() []string {
+	p.rosterMu.Lock()
+	defer p.rosterMu.Unlock()
+	return slices.Clone(p.roster)
+}
+
+// SetRoster replaces the link addresses that agents are told.
+func (p *Process) SetRoster(addresses []string) {
+	p.rosterMu.Lock()
+	defer p.rosterMu.Unlock()
+	p.roster = slices.Clone(addresses)
+}
+
+// maxDials bounds the entry hosts that one entry host keeps links to.
+const maxDials = 64
+
+// DialEntry keeps a link to another entry host open from now on. It returns
+// false when too many are asked for at once.
+func (p *Process) DialEntry(address string) bool {
+	select {
+	case p.dials <- address:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *Process) runDials(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
+	known := map[string]bool{p.LinkAddress(): true}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case address := <-p.dials:
+			if known[address] {
+				continue
+			}
+			known[address] = true
+			running.Go(func() { p.Hub.Dial(ctx, address) })
+		}
+	}
+}
+
+func (p *Process) hello() wire.Hello {
+	return wire.Hello{
+		Role: wire.RoleEntry, Process: p.Name, Incarnation: p.Incarnation,
+		Region: p.Config.Region, Zone: p.Config.Zone, Leaving: p.IsStopping(),
+	}
+}
--- /dev/null
+++ b/internal/link/conn.go
@@ -0,0 +1,269 @@
+package link
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fasthttp/websocket"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/ring"
+	"dragonflyyard/internal/wire"
+)
+
+// Peer describes the process at the other end of a connection.
+type Peer struct {
+	Role        wire.Role
+	Process     string
+	Incarnation model.Incarnation
+	// Address is the peer's address as this process sees it, IP:port.
+	Address string
+	// Hello is the peer's own announcement; nil when this process dialled.
+	Hello *wire.Hello
+	// Connection is the number that the answering process gave the connection.
+	Connection uint64
+	// Roster holds the link addresses of the entry hosts, as the answering
+	// process knows them; nil when the peer dialled.
+	Roster []string
+}
+
+// outgoing is one queued message with its charge against the byte bound.
+type outgoing struct {
+	message wire.Message
+	bytes   int64
+}
+
+// Conn is one open connection. Its methods are safe for concurrent use.
+type Conn struct {
+	// id is unique in this process's life and grows with each connection.
+	id      uint64
+	peer    Peer
+	ws      *websocket.Conn
+	options Options
+	now     func() time.Time
+
+	heartbeats *heartbeatTracker
+	out        *ring.Ring[outgoing]
+	queued     atomic.Int64
+	queuedSize atomic.Int64
+
+	closeOnce sync.Once
+	closed    chan struct{}
+	cause     error
+	// finished is closed when the handlers for the loss have returned.
+	finished chan struct{}
+}
+
+func newConn(id uint64, ws *websocket.Conn, peer Peer, options Options, now func() time.Time) *Conn {
+	return &Conn{
+		id: id, peer: peer, ws: ws, options: options, now: now,
+		heartbeats: newHeartbeatTracker(options.Silence, now()),
+		out:        ring.New[outgoing]("link.out", options.OutgoingMessages, nil),
+		closed:     make(chan struct{}),
+		finished:   make(chan struct{}),
+	}
+}
+
+// ID returns the connection's number, unique in this process's life.
+func (c *Conn) ID() uint64 { return c.id }
+
+// Peer describes the other end.
+func (c *Conn) Peer() Peer { return c.peer }
+
+// Send queues a message. It returns false when the connection is closed or
+// when the peer did not drain earlier ones, in which case it is closed: a
+// connection never skips a message.
+func (c *Conn) Send(m wire.Message) bool {
+	if c.isClosed() {
+		return false
+	}
+	item := outgoing{m, messageBytes(m)}
+	if c.queuedSize.Add(item.bytes) > c.options.OutgoingBytes {
+		c.queuedSize.Add(-item.bytes)
+		c.close(ErrSlowReader)
+		return false
+	}
+	c.queued.Add(1)
+	if !c.out.TryPush(item) {
+		c.queued.Add(-1)
+		c.close(ErrSlowReader)
+		return false
+	}
+	return true
+}
+
+// messageBytes estimates a message's size from its body.
+func messageBytes(m wire.Message) int64 {
+	const fixed = 256
+	switch m := m.(type) {
+	case *wire.Dispatch:
+		return fixed + int64(len(m.Body))
+	case *wire.AnswerPart:
+		return fixed + int64(len(m.Body))
+	case *wire.OperatorCall:
+		return fixed + int64(len(m.Body))
+	case *wire.OperatorReply:
+		return fixed + int64(len(m.Body))
+	default:
+		return fixed
+	}
+}
+
+// HeartbeatSentAt returns the instant at which this process sent its heartbeat
+// with number seq, and false when it is not among the last ones. Validity of a
+// wire.Permit counts from the instant of its AnsweredHeartbeat.
+func (c *Conn) HeartbeatSentAt(seq uint64) (time.Time, bool) { return c.heartbeats.sentAt(seq) }
+
+// Flush waits until all queued messages are written, the connection is closed
+// or ctx is done. It reports whether all were written.
+func (c *Conn) Flush(ctx context.Context) bool {
+	const poll = 2 * time.Millisecond
+	ticker := time.NewTicker(poll)
+	defer ticker.Stop()
+	for c.queued.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-c.closed:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// Close ends the connection with ErrClosed as its cause.
+func (c *Conn) Close() { c.close(ErrClosed) }
+
+// Cause returns why the connection ended, or nil while it is open.
+func (c *Conn) Cause() error {
+	if !c.isClosed() {
+		return nil
+	}
+	return c.cause
+}
+
+func (c *Conn) isClosed() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *Conn) close(cause error) {
+	c.closeOnce.Do(func() {
+		c.cause = cause
+		close(c.closed)
+		_ = c.ws.Close()
+	})
+}
+
+// run reads and writes until the connection ends. deliver takes each received
+// message; an error from it ends the connection.
+func (c *Conn) run(deliver func(wire.Message) error) {
+	writer := make(chan struct{})
+	go func() {
+		defer close(writer)
+		c.close(c.write())
+	}()
+	c.close(c.read(deliver))
+	<-writer
+}
+
+func (c *Conn) read(deliver func(wire.Message) error) error {
+	c.ws.SetReadLimit(c.options.MaxFrameBytes)
+	for {
+		if err := c.ws.SetReadDeadline(c.now().Add(c.options.Silence)); err != nil {
+			return err
+		}
+		message, err := readMessage(c.ws)
+		if err != nil {
+			return readError(err)
+		}
+		c.heartbeats.heard(c.now())
+		if h, ok := message.(*wire.Heartbeat); ok {
+			c.heartbeats.received(h)
+		}
+		if err := deliver(message); err != nil {
+			return err
+		}
+	}
+}
+
+func readError(err error) error {
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return ErrSilent
+	}
+	return err
+}
+
+// write sends queued messages and heartbeats until the connection ends.
+func (c *Conn) write() error {
+	ticker := time.NewTicker(c.options.Heartbeat)
+	defer ticker.Stop()
+	if err := c.writeMessage(c.heartbeats.next(c.now())); err != nil {
+		return err
+	}
+	for {
+		var err error
+		select {
+		case item := <-c.out.Out():
+			err = c.writeQueued(item)
+		case <-ticker.C:
+			err = c.writeHeartbeat()
+		case <-c.closed:
+			return ErrClosed
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Conn) writeQueued(item outgoing) error {
+	err := c.writeMessage(item.message)
+	c.queued.Add(-1)
+	c.queuedSize.Add(-item.bytes)
+	return err
+}
+
+func (c *Conn) writeHeartbeat() error {
+	now := c.now()
+	if err := c.heartbeats.check(now); err != nil {
+		return err
+	}
+	return c.writeMessage(c.heartbeats.next(now))
+}
+
+func (c *Conn) writeMessage(m wire.Message) error {
+	frame, err := wire.Encode(m)
+	if err != nil {
+		return err
+	}
+	if err := c.ws.SetWriteDeadline(c.now().Add(c.options.WriteTimeout)); err != nil {
+		return err
+	}
+	err = c.ws.WriteMessage(websocket.BinaryMessage, frame)
+	if err != nil && errors.Is(readError(err), ErrSilent) {
+		return ErrSlowReader
+	}
+	return err
+}
+
+// readMessage reads and decodes one frame.
+func readMessage(ws *websocket.Conn) (wire.Message, error) {
+	kind, frame, err := ws.ReadMessage()
+	if err != nil {
+		return nil, err
+	}
+	if kind != websocket.BinaryMessage {
+		return nil, errors.Wrap(wire.ErrMalformed, "text message")
+	}
+	return wire.Decode(frame)
+}
--- /dev/null
+++ b/internal/link/dial.go
@@ -0,0 +1,109 @@
+package link
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fasthttp/websocket"
+
+	"dragonflyyard/internal/wire"
+)
+
+// Path is the HTTP path at which a process accepts links.
+const Path = "/link"
+
+const socketBufferBytes = 32 << 10
+
+// Dial keeps a connection to address (IP:port) open until ctx is done: after a
+// loss it dials again, at once first, then with growing jittered delays.
+func (h *Hub) Dial(ctx context.Context, address string) {
+	attempt := 0
+	for ctx.Err() == nil {
+		started := h.now()
+		wasUp, _ := h.dialOnce(ctx, address)
+		// A connection that ends soon after it came up, such as one that a
+		// namesake keeps replacing, does not reset the delay.
+		if wasUp && h.now().Sub(started) > h.options.Silence {
+			attempt = 0
+		}
+		delay := reconnectDelay(h.options, attempt, rand.Float64())
+		attempt++
+		select {
+		case <-ctx.Done():
+		case <-time.After(delay):
+		}
+	}
+}
+
+// maxReconnectShift bounds the doublings of the reconnect delay.
+const maxReconnectShift = 10
+
+// reconnectDelay returns the wait before the next attempt: half to all of
+// MinReconnectDelay doubled attempt times, at most MaxReconnectDelay. random is in [0, 1).
+func reconnectDelay(o Options, attempt int, random float64) time.Duration {
+	shift := min(attempt, maxReconnectShift)
+	ceiling := min(o.MinReconnectDelay<<shift, o.MaxReconnectDelay)
+	half := ceiling / 2
+	return half + time.Duration(random*float64(ceiling-half))
+}
+
+// dialOnce opens one connection and serves it until it ends. The flag tells
+// whether the connection came up.
+func (h *Hub) dialOnce(ctx context.Context, address string) (bool, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, h.options.DialTimeout)
+	defer cancel()
+	dialer := websocket.Dialer{
+		NetDialContext:   (&net.Dialer{}).DialContext,
+		HandshakeTimeout: h.options.DialTimeout,
+		ReadBufferSize:   socketBufferBytes,
+		WriteBufferSize:  socketBufferBytes,
+	}
+	ws, _, err := dialer.DialContext(dialCtx, "ws://"+address+Path, nil)
+	if err != nil {
+		return false, err
+	}
+	peer, err := h.greet(ws, address)
+	if err != nil {
+		_ = ws.Close()
+		return false, err
+	}
+	return true, h.serve(ctx, ws, peer, h.lastID.Add(1))
+}
+
+// greet sends Hello and awaits Welcome.
+func (h *Hub) greet(ws *websocket.Conn, address string) (Peer, error) {
+	if err := ws.SetWriteDeadline(h.now().Add(h.options.WriteTimeout)); err != nil {
+		return Peer{}, err
+	}
+	hello := h.identity.Hello()
+	frame, err := wire.Encode(&hello)
+	if err != nil {
+		return Peer{}, err
+	}
+	if err := ws.WriteMessage(websocket.BinaryMessage, frame); err != nil {
+		return Peer{}, err
+	}
+	message, err := readFirst(ws, h.now().Add(h.options.DialTimeout))
+	if err != nil {
+		return Peer{}, err
+	}
+	welcome, ok := message.(*wire.Welcome)
+	if !ok || welcome.Process == "" {
+		return Peer{}, errors.Wrapf(ErrHandshake, "message type %d in place of Welcome", message.WireType())
+	}
+	return Peer{
+		Role: wire.RoleEntry, Process: welcome.Process, Incarnation: welcome.Incarnation,
+		Address: address, Connection: welcome.Connection, Roster: welcome.Roster,
+	}, nil
+}
+
+func readFirst(ws *websocket.Conn, deadline time.Time) (wire.Message, error) {
+	ws.SetReadLimit(wire.MaxFrameBytes)
+	if err := ws.SetReadDeadline(deadline); err != nil {
+		return nil, err
+	}
+	return readMessage(ws)
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,358 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fasthttp/websocket"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/ring"
+	"dragonflyyard/internal/wire"
+)
+
+// limit is the generous bound on every wait of these tests.
+const limit = 20 * time.Second
+
+type observed struct {
+	conn    *Conn
+	message wire.Message
+	cause   error
+}
+
+// node is one process's end of the links under test.
+type node struct {
+	hub    *Hub
+	events *ring.Ring[observed]
+}
+
+func testOptions() Options {
+	return Options{
+		Heartbeat: 20 * time.Millisecond, Silence: 300 * time.Millisecond,
+		WriteTimeout: 300 * time.Millisecond, OwnerPatience: 50 * time.Millisecond,
+		MinReconnectDelay: time.Millisecond, MaxReconnectDelay: 20 * time.Millisecond,
+	}
+}
+
+func newNode(name string, role, peer wire.Role, options Options, capacity int) *node {
+	n := &node{events: ring.New[observed](name, capacity, nil)}
+	identity := Identity{
+		Process: name, Incarnation: 1,
+		Hello: func() wire.Hello {
+			return wire.Hello{Role: role, Process: name, Incarnation: 1, Backend: &model.BackendServer{ID: "b", Slots: 8}}
+		},
+		Roster: func() []string { return []string{"127.0.0.1:1"} },
+	}
+	n.hub = NewHub(identity, options, nil, nil, time.Now)
+	n.hub.OnState(peer, func(c *Conn, cause error) bool {
+		return n.events.TryPush(observed{conn: c, cause: cause})
+	})
+	for _, kind := range []wire.Type{wire.TypeForget, wire.TypeDispatch} {
+		n.hub.Handle(peer, kind, func(c *Conn, m wire.Message) bool {
+			return n.events.TryPush(observed{conn: c, message: m})
+		})
+	}
+	return n
+}
+
+// next returns the next observation.
+func (n *node) next(t *testing.T) observed {
+	t.Helper()
+	select {
+	case o := <-n.events.Out():
+		return o
+	case <-time.After(limit):
+		t.Fatal("no event within the limit")
+		return observed{}
+	}
+}
+
+// nextUp skips to the next connection that came up.
+func (n *node) nextUp(t *testing.T) *Conn {
+	t.Helper()
+	for {
+		if o := n.next(t); o.message == nil && o.cause == nil {
+			return o.conn
+		}
+	}
+}
+
+// nextLoss skips to the next loss.
+func (n *node) nextLoss(t *testing.T) observed {
+	t.Helper()
+	for {
+		if o := n.next(t); o.cause != nil {
+			return o
+		}
+	}
+}
+
+// pair is an answering and a dialling node with a middlebox between them.
+type pair struct {
+	server, client *node
+	box            *middlebox
+}
+
+func newPair(t *testing.T, options Options, capacity int) *pair {
+	t.Helper()
+	server := newNode("entry", wire.RoleEntry, wire.RoleAgent, options, capacity)
+	client := newNode("agent", wire.RoleAgent, wire.RoleEntry, options, capacity)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	box := newMiddlebox(t, listener.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() {
+		if err := server.hub.Accept(ctx, listener); err != nil {
+			t.Error(err)
+		}
+	})
+	running.Go(func() { client.hub.Dial(ctx, box.address()) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return &pair{server, client, box}
+}
+
+func TestMessagesArriveInOrderBothWays(t *testing.T) {
+	p := newPair(t, testOptions(), 4096)
+	fromServer, fromClient := p.server.nextUp(t), p.client.nextUp(t)
+	if got := fromServer.Peer(); got.Process != "agent" || got.Hello.Backend.Slots != 8 {
+		t.Errorf("server sees peer %+v", got)
+	}
+	if got := fromClient.Peer(); got.Process != "entry" || len(got.Roster) != 1 || got.Connection != fromServer.ID() {
+		t.Errorf("client sees peer %+v", got)
+	}
+	const count = 500
+	for i := range count {
+		m := &wire.Forget{Request: model.RequestID(fmt.Sprint(i))}
+		if !p.client.hub.Send("entry", m) || !p.server.hub.Send("agent", m) {
+			t.Fatal("send refused")
+		}
+	}
+	for _, n := range []*node{p.server, p.client} {
+		for i := range count {
+			o := n.next(t)
+			if m, ok := o.message.(*wire.Forget); !ok || string(m.Request) != fmt.Sprint(i) {
+				t.Fatalf("message %d: got %+v", i, o)
+			}
+		}
+	}
+}
+
+func TestCutIsReportedAndReconnected(t *testing.T) {
+	p := newPair(t, testOptions(), 4096)
+	first := p.server.nextUp(t)
+	p.client.nextUp(t)
+	p.box.cut()
+	if o := p.server.nextLoss(t); o.conn != first {
+		t.Errorf("lost connection %d, want %d", o.conn.ID(), first.ID())
+	}
+	p.client.nextLoss(t)
+	if second := p.server.nextUp(t); second.ID() <= first.ID() {
+		t.Errorf("connection numbers %d, %d do not grow", first.ID(), second.ID())
+	}
+	p.client.nextUp(t)
+	if first.Send(&wire.Forget{}) {
+		t.Error("a lost connection took a message")
+	}
+}
+
+func TestSilentConnectionIsReplacedWhileTheSocketStaysOpen(t *testing.T) {
+	cases := []struct {
+		name     string
+		up, down bool
+	}{
+		{"both ways", true, true},
+		{"dialling side unheard", true, false},
+		{"answering side unheard", false, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPair(t, testOptions(), 4096)
+			first := p.client.nextUp(t)
+			p.box.dropUp.Store(c.up)
+			p.box.dropDown.Store(c.down)
+			o := p.client.nextLoss(t)
+			if o.conn != first {
+				t.Errorf("lost connection %d, want %d", o.conn.ID(), first.ID())
+			}
+			p.box.dropUp.Store(false)
+			p.box.dropDown.Store(false)
+			second := p.client.nextUp(t)
+			if !second.Send(&wire.Forget{Request: "r"}) {
+				t.Fatal("send refused")
+			}
+			for {
+				if o := p.server.next(t); o.message != nil {
+					return
+				}
+			}
+		})
+	}
+}
+
+func TestDelayBelowTheSilenceLimitKeepsTheConnection(t *testing.T) {
+	options := testOptions()
+	options.Silence = 10 * time.Second
+	p := newPair(t, options, 4096)
+	p.client.nextUp(t)
+	p.server.nextUp(t)
+	p.box.delay.Store(int64(30 * time.Millisecond))
+	for range 5 {
+		if !p.client.hub.Send("entry", &wire.Forget{Request: "r"}) {
+			t.Fatal("send refused")
+		}
+		if o := p.server.next(t); o.message == nil {
+			t.Fatalf("got %+v, want a message", o)
+		}
+	}
+}
+
+func TestPeerThatDoesNotDrainIsCut(t *testing.T) {
+	options := testOptions()
+	options.Silence = limit
+	options.OutgoingBytes = 64 << 20
+	p := newPair(t, options, 4096)
+	conn := p.client.nextUp(t)
+	p.box.delay.Store(int64(time.Hour))
+	body := make([]byte, wire.MaxPartBytes)
+	sent := 0
+	for conn.Send(&wire.Dispatch{Request: "r", Body: body}) && sent < 1<<20 {
+		sent++
+		if sent%64 == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if o := p.client.nextLoss(t); !errors.Is(o.cause, ErrSlowReader) {
+		t.Errorf("cause %v, want ErrSlowReader", o.cause)
+	}
+}
+
+func TestOwnerThatDoesNotDrainLosesTheConnectionNotAMessage(t *testing.T) {
+	const capacity = 4
+	p := newPair(t, testOptions(), capacity)
+	conn := p.client.nextUp(t)
+	for i := range 100 {
+		if !conn.Send(&wire.Forget{Request: model.RequestID(fmt.Sprint(i))}) {
+			break
+		}
+	}
+	<-conn.closed
+	p.server.nextUp(t)
+	for i := 0; ; i++ {
+		o := p.server.next(t)
+		if o.cause != nil {
+			if !errors.Is(o.cause, ErrOwnerBusy) {
+				t.Errorf("cause %v, want ErrOwnerBusy", o.cause)
+			}
+			return
+		}
+		if m := o.message.(*wire.Forget); string(m.Request) != fmt.Sprint(i) {
+			t.Fatalf("message %s in place of %d", m.Request, i)
+		}
+	}
+}
+
+func TestBadFirstMessagesAreRefused(t *testing.T) {
+	server := newNode("entry", wire.RoleEntry, wire.RoleAgent, testOptions(), 16)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.hub.Accept(ctx, listener) }()
+	encode := func(m wire.Message) []byte {
+		frame, err := wire.Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return frame
+	}
+	cases := []struct {
+		name  string
+		frame []byte
+	}{
+		{"empty", nil},
+		{"other version", []byte{9, 1, 0x80}},
+		{"not Hello", encode(&wire.Heartbeat{Seq: 1})},
+		{"no process name", encode(&wire.Hello{Role: wire.RoleAgent})},
+		{"unknown role", encode(&wire.Hello{Role: 9, Process: "p"})},
+		{"oversized", make([]byte, wire.MaxFrameBytes+1)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ws, _, err := websocket.DefaultDialer.Dial("ws://"+listener.Addr().String()+Path, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = ws.Close() }()
+			_ = ws.WriteMessage(websocket.BinaryMessage, c.frame)
+			_ = ws.SetReadDeadline(time.Now().Add(limit))
+			if _, _, err := ws.ReadMessage(); err == nil || errors.Is(readError(err), ErrSilent) {
+				t.Errorf("connection not closed: %v", err)
+			}
+		})
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if server.events.Len() != 0 {
+		t.Error("a refused connection was reported")
+	}
+}
+
+func TestHeartbeatTracker(t *testing.T) {
+	start := time.UnixMilli(0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	tracker := newHeartbeatTracker(2*time.Second, start)
+	for i := range 4 {
+		tracker.next(at(500 * i))
+	}
+	tracker.received(&wire.Heartbeat{Seq: 7, AckSeq: 2})
+	tracker.heard(at(1600))
+	if sent, ok := tracker.sentAt(2); !ok || !sent.Equal(at(500)) {
+		t.Errorf("heartbeat 2 sent at %v, %v", sent, ok)
+	}
+	for _, seq := range []uint64{0, 5, sentHeartbeats + 1} {
+		if _, ok := tracker.sentAt(seq); ok {
+			t.Errorf("heartbeat %d is remembered", seq)
+		}
+	}
+	cases := []struct {
+		ms   int
+		want error
+	}{{3000, nil}, {3001, ErrUnacknowledged}, {3601, ErrSilent}}
+	for _, c := range cases {
+		if got := tracker.check(at(c.ms)); !errors.Is(got, c.want) {
+			t.Errorf("at %d ms: got %v, want %v", c.ms, got, c.want)
+		}
+	}
+	if got := tracker.next(at(3600)); got.AckSeq != 7 || got.Seq != 5 {
+		t.Errorf("next heartbeat %+v", got)
+	}
+	tracker.received(&wire.Heartbeat{Seq: 3, AckSeq: 99})
+	if got := tracker.check(at(3600)); !errors.Is(got, ErrUnacknowledged) {
+		t.Errorf("an acknowledgement from the future counted: %v", got)
+	}
+}
+
+func TestReconnectDelayGrowsToItsBound(t *testing.T) {
+	o := Options{}.WithDefaults()
+	for attempt := range 40 {
+		low, high := reconnectDelay(o, attempt, 0), reconnectDelay(o, attempt, 0.999)
+		if low < o.MinReconnectDelay/2 || high > o.MaxReconnectDelay || low > high {
+			t.Errorf("attempt %d: %v to %v", attempt, low, high)
+		}
+	}
+}
