--- a/internal/model/outcome.go
+++ b/internal/model/outcome.go
@@ -17,6 +17,10 @@
 	OutcomeNotRun
 	// OutcomeUnknown means that the request may or may not have run.
 	OutcomeUnknown
+	// OutcomeRefused means that the request is not valid as it was sent: its ID
+	// was used with another body, or was minted in the future. It says nothing
+	// about other requests with the same ID.
+	OutcomeRefused
 )
 
 // String returns the outcome's name as it appears in the API.
@@ -30,6 +34,8 @@
 		return "not_run"
 	case OutcomeUnknown:
 		return "unknown"
+	case OutcomeRefused:
+		return "refused"
 	default:
 		return "invalid"
 	}
@@ -58,6 +64,12 @@
 	ReasonAnswerExpired    Reason = "answer_expired"
 	ReasonInProgress       Reason = "in_progress"
 	ReasonAnswerIncomplete Reason = "answer_incomplete"
+	ReasonBodyMismatch     Reason = "request_id_body_mismatch"
+	ReasonUnknownAccount   Reason = "unknown_client_account"
+	ReasonInvalidID        Reason = "invalid_request_id"
+	ReasonZoneOut          Reason = "availability_zone_out"
+	ReasonExecutorLost     Reason = "executor_lost"
+	ReasonTooManyCallers   Reason = "too_many_callers"
 )
 
 // Outcome is the one final result of a request.
--- /dev/null
+++ b/internal/requestflow/config.go
@@ -0,0 +1,79 @@
+package requestflow
+
+import (
+	"time"
+
+	"dragonflyyard/internal/model"
+)
+
+// Config holds the limits of a Core. Zero fields take the value of DefaultConfig.
+type Config struct {
+	Entry model.EntryID
+	Zone  model.AvailabilityZoneName
+	// ClockSkewBound is the largest difference between any two processes' clocks.
+	ClockSkewBound time.Duration
+	// MaxRequests bounds the requests held at the same time, over all accounts.
+	MaxRequests int
+	// MaxQueuedPerAccount bounds the waiting requests of an account whose own
+	// configuration sets no limit.
+	MaxQueuedPerAccount int
+	// MaxCallers bounds the callers that wait for one request.
+	MaxCallers int
+	// MaxAnswerBytes bounds one answer.
+	MaxAnswerBytes int
+	// ClaimTimeout is how long a claim waits for the home's reply before it is sent again.
+	ClaimTimeout time.Duration
+	// ProbeInterval is how often an executor is asked about an unanswered request.
+	ProbeInterval time.Duration
+	// ResolveTimeout is how long a request whose executor is not connected waits
+	// for a new connection.
+	ResolveTimeout time.Duration
+	// TickInterval is the longest time between two Tick inputs.
+	TickInterval time.Duration
+	// MaxAttempts bounds the dispatches of one idempotent request.
+	MaxAttempts int
+	// DisableAdmission and DisableRetryBudget turn a policy off, for baselines.
+	DisableAdmission   bool
+	DisableRetryBudget bool
+	// RandomRouting replaces least-loaded routing and ejection, for baselines.
+	RandomRouting bool
+	// Seed seeds the random choices of routing.
+	Seed uint64
+}
+
+// DefaultConfig returns the limits that an entry host uses unless set otherwise.
+func DefaultConfig() Config {
+	return Config{
+		ClockSkewBound:      500 * time.Millisecond,
+		MaxRequests:         4096,
+		MaxQueuedPerAccount: 512,
+		MaxCallers:          8,
+		MaxAnswerBytes:      8 << 20,
+		ClaimTimeout:        250 * time.Millisecond,
+		ProbeInterval:       time.Second,
+		ResolveTimeout:      5 * time.Second,
+		TickInterval:        20 * time.Millisecond,
+		MaxAttempts:         3,
+	}
+}
+
+func (c Config) withDefaults() Config {
+	d := DefaultConfig()
+	setDefault(&c.ClockSkewBound, d.ClockSkewBound)
+	setDefault(&c.MaxRequests, d.MaxRequests)
+	setDefault(&c.MaxQueuedPerAccount, d.MaxQueuedPerAccount)
+	setDefault(&c.MaxCallers, d.MaxCallers)
+	setDefault(&c.MaxAnswerBytes, d.MaxAnswerBytes)
+	setDefault(&c.ClaimTimeout, d.ClaimTimeout)
+	setDefault(&c.ProbeInterval, d.ProbeInterval)
+	setDefault(&c.ResolveTimeout, d.ResolveTimeout)
+	setDefault(&c.TickInterval, d.TickInterval)
+	setDefault(&c.MaxAttempts, d.MaxAttempts)
+	return c
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- a/internal/wire/request.go
+++ b/internal/wire/request.go
@@ -26,6 +26,9 @@
 	StateRejected
 	// StateBodyMismatch means that the ID was used before with another body.
 	StateBodyMismatch
+	// StateAnswerLost means that the backend server started the request and its
+	// answer was lost between the backend server and its agent.
+	StateAnswerLost
 )
 
 // Claim asks a request's home agent to record that Executor will run it.
@@ -37,6 +40,14 @@
 	Assignment uint64
 	// SealOnly records the request as never to be run, in place of a claim.
 	SealOnly bool
+	// MoveFrom names the executor that the sender knows of. The home moves or
+	// seals an existing claim only if its executor is MoveFrom.
+	MoveFrom model.BackendServerID
+	// Unconfirmed is set, for idempotent requests only, when MoveFrom may have
+	// run the request. The home then never reports the request as not run.
+	Unconfirmed bool
+	// ReadOnly asks for the state of the request and changes nothing.
+	ReadOnly bool
 }
 
 // ClaimReply answers Claim. Granted is false when the request was seen before.
@@ -47,6 +58,14 @@
 	Executor model.BackendServerID
 	// Assignment is the home's own assignment version.
 	Assignment uint64
+	// MayHaveRun is set when an executor before Executor may have run the request.
+	MayHaveRun bool
+	// Reason says why State is StateRejected, a refusal for now.
+	Reason model.Reason
+	// RetryAfterMS says, for StateRejected, when to ask again.
+	RetryAfterMS int64
+	// Seal repeats SealOnly of the Claim that is answered.
+	Seal bool
 }
 
 // Dispatch hands a request to the executing agent. A body larger than
@@ -64,6 +83,8 @@
 	Part       int
 	Parts      int
 	Body       []byte
+	// Unclaimed marks an idempotent request that no home can claim or seal.
+	Unclaimed bool
 }
 
 // AnswerPart is one numbered part of an answer.
@@ -94,6 +115,8 @@
 	Reason  model.Reason
 	// RetryAfterMS says, for StateRejected, when to come back.
 	RetryAfterMS int64
+	// Executor is set for StateClaimed: the home has a claim for another executor.
+	Executor model.BackendServerID
 }
 
 // Forget allows an executing agent to drop the body of a kept answer.
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -56,6 +56,19 @@
 	Connections int
 }
 
+// Demand tells an agent how much of its backend server an entry host could use.
+// It replaces any earlier demand on the same connection.
+type Demand struct {
+	Seq uint64
+	// Slots is the number of slots in use plus those that waiting requests need.
+	Slots int
+	// Largest is the slot need of the largest waiting request.
+	Largest int
+}
+
+// WireType implements Message.
+func (*Demand) WireType() Type { return TypeDemand }
+
 // WireType implements Message.
 func (*Hello) WireType() Type { return TypeHello }
 
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -12,6 +12,10 @@
 	Incarnation model.Incarnation
 	// SinceUnixMS is when the home took the range over.
 	SinceUnixMS int64
+	// PreviousHome held the range before. It keeps the requests minted before
+	// SinceUnixMS plus twice the clock skew bound, as long as it lives.
+	PreviousHome        model.BackendServerID
+	PreviousIncarnation model.Incarnation
 }
 
 // Assignment is the versioned table of home ranges, sorted by FirstHash.
--- a/internal/wire/types.go
+++ b/internal/wire/types.go
@@ -7,6 +7,7 @@
 	TypeHeartbeat       Type = 3
 	TypeLeaving         Type = 4
 	TypeCredit          Type = 5
+	TypeDemand          Type = 6
 	TypeClaim           Type = 10
 	TypeClaimReply      Type = 11
 	TypeDispatch        Type = 12
@@ -56,6 +57,8 @@
 		return &Leaving{}
 	case TypeCredit:
 		return &Credit{}
+	case TypeDemand:
+		return &Demand{}
 	default:
 		return nil
 	}
