--- /dev/null
+++ b/internal/agent/backend.go
@@ -0,0 +1,143 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"dragonflyyard/internal/executor"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/ring"
+)
+
+// Headers of a call of the backend server.
+const (
+	headerRequestID  = "X-Request-Id"
+	headerAccount    = "X-Client-Account"
+	headerIdempotent = "X-Idempotent"
+	headerDeadlineMS = "X-Deadline-Ms"
+)
+
+// backendPath is the path at which a backend server takes requests.
+const backendPath = "/run"
+
+// errNotSent marks an error before the first byte of a call was sent.
+var errNotSent = errors.New("agent: backend server not reached")
+
+// backendCaller calls the backend server, with one goroutine for each of the
+// connections that the backend server allows.
+type backendCaller struct {
+	client  *fasthttp.HostClient
+	uri     string
+	timeout time.Duration
+	now     func() time.Time
+	callers int
+	calls   *ring.Ring[model.Request]
+	results *ring.Ring[executor.BackendDone]
+}
+
+// newBackendCaller returns a caller whose rings hold as many calls as there
+// are connections: the executor starts no more than that at the same time.
+func newBackendCaller(p *Process) *backendCaller {
+	server := p.Config.Settings.BackendServer
+	const dialTimeout = time.Second
+	b := &backendCaller{
+		uri: "http://" + server.Address + backendPath, timeout: server.Timeout, now: p.Now,
+		callers: server.Connections,
+		calls:   ring.New[model.Request]("backend.calls", 2*server.Connections, p.Metrics),
+		results: ring.New[executor.BackendDone]("backend.results", 4*server.Connections, p.Metrics),
+	}
+	b.client = &fasthttp.HostClient{
+		Addr:                server.Address,
+		MaxConns:            server.Connections,
+		MaxResponseBodySize: p.Config.Settings.Limits.MaxAnswerBytes,
+		ReadTimeout:         server.Timeout,
+		WriteTimeout:        server.Timeout,
+		// A call is never repeated by the client: only the executor may do so.
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		NoDefaultUserAgentHeader:  true,
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := net.DialTimeout("tcp", address, dialTimeout)
+			return conn, errors.CombineErrors(wrapNotSent(err), err)
+		},
+	}
+	return b
+}
+
+func wrapNotSent(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errNotSent
+}
+
+// start queues a call. It returns false when the ring is full.
+func (b *backendCaller) start(request model.Request) bool { return b.calls.TryPush(request) }
+
+// run is the duty: it calls until ctx is done.
+func (b *backendCaller) run(ctx context.Context) error {
+	var running sync.WaitGroup
+	for range b.callers {
+		running.Go(func() {
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case request := <-b.calls.Out():
+					b.deliver(ctx, b.call(request))
+				}
+			}
+		})
+	}
+	running.Wait()
+	return nil
+}
+
+// deliver pushes a result; the ring has room for all calls at the same time.
+func (b *backendCaller) deliver(ctx context.Context, done executor.BackendDone) {
+	const retry = time.Millisecond
+	for !b.results.TryPush(done) && ctx.Err() == nil {
+		time.Sleep(retry)
+	}
+}
+
+// call does one call of the backend server.
+func (b *backendCaller) call(request model.Request) executor.BackendDone {
+	call, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(call)
+	defer fasthttp.ReleaseResponse(answer)
+	call.SetRequestURI(b.uri)
+	call.Header.SetMethod(fasthttp.MethodPost)
+	call.Header.Set(headerRequestID, string(request.ID))
+	call.Header.Set(headerAccount, string(request.Account))
+	call.Header.Set(headerIdempotent, strconv.FormatBool(request.Idempotent))
+	call.Header.Set(headerDeadlineMS, strconv.FormatInt(request.Deadline.Sub(b.now()).Milliseconds(), 10))
+	call.SetBodyRaw(request.Body)
+	err := b.client.DoTimeout(call, answer, b.timeout)
+	return backendResult(request.ID, answer, err)
+}
+
+func backendResult(id model.RequestID, answer *fasthttp.Response, err error) executor.BackendDone {
+	done := executor.BackendDone{Request: id}
+	switch {
+	case err == nil && answer.StatusCode() < fasthttp.StatusBadRequest:
+		done.Result = executor.BackendAnswered
+	case err == nil:
+		done.Result = executor.BackendFailed
+	case errors.Is(err, errNotSent), errors.Is(err, fasthttp.ErrNoFreeConns):
+		done.Result = executor.BackendNotStarted
+		return done
+	default:
+		done.Result = executor.BackendLost
+		return done
+	}
+	done.Status = answer.StatusCode()
+	done.Body = answer.SwapBody(nil)
+	return done
+}
