--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -30,56 +30,51 @@
 
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/executor"
 	"dragonflyyard/internal/link"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/process"
+	"dragonflyyard/internal/settings"
 	"dragonflyyard/internal/wire"
 )
 
 // Config is what an agent is started with.
 type Config struct {
-	// Backend describes the backend server beside the agent; its ID is the
-	// agent's process name.
-	Backend model.BackendServer
-	// Worker describes the host's worker; nil when there is none.
-	Worker *model.Worker
-	Region model.RegionName
-	// HTTPAddress is listened on for metrics and time line, IP:port.
-	HTTPAddress string
-	// BackendAddress is the backend server's HTTP address, IP:port.
-	BackendAddress string
-	// WorkerAddress is the worker's HTTP address, IP:port; empty for none.
-	WorkerAddress string
-	// EntryHosts are the link addresses of the entry hosts to begin with.
-	EntryHosts []string
-	// StopTimeout bounds the graceful stop as a whole.
-	StopTimeout time.Duration
-	Link        link.Options
-	Logger      *zap.Logger
-	Now         func() time.Time
+	Settings settings.Agent
+	Logger   *zap.Logger
+	Now      func() time.Time
 }
 
 // Process is one agent.
 type Process struct {
 	*process.Base
-	Config Config
-	Hub    *link.Hub
+	Config   Config
+	Hub      *link.Hub
+	Requests *Requests
 
 	rosters chan []string
 }
 
 // New returns an agent that listens on its HTTP address but does not run yet.
 func New(config Config) (*Process, error) {
+	s := config.Settings
 	base, err := process.New(process.Options{
-		Name: string(config.Backend.ID), HTTPAddress: config.HTTPAddress,
-		StopTimeout: config.StopTimeout, Logger: config.Logger, Now: config.Now,
+		Name: string(s.ID), HTTPAddress: s.HTTPAddress,
+		EventCapacity: s.Process.TimelineEvents, StopTimeout: s.Process.StopTimeout,
+		Logger: config.Logger, Now: config.Now,
 	})
 	if err != nil {
 		return nil, err
 	}
 	p := &Process{Base: base, Config: config, rosters: make(chan []string, maxEntryHosts)}
 	identity := link.Identity{Process: base.Name, Incarnation: base.Incarnation, Hello: p.hello}
-	p.Hub = link.NewHub(identity, config.Link, base.Log, base.Metrics, base.Now)
+	p.Hub = link.NewHub(identity, process.LinkOptions(&s.Links), base.Log, base.Metrics, base.Now)
+	backend := newBackendCaller(p)
+	p.Requests = newRequests(p, p.executorConfig(), backend)
+	p.AddDuty("backend server caller", backend.run)
+	p.AddDuty("executor core", p.Requests.run)
+	p.OnStop(process.StageDrain, "requests", p.Requests.drain)
+	p.OnStop(process.StageHandOver, "flush links", p.Hub.Flush)
 	p.Hub.OnState(wire.RoleEntry, p.noteRoster)
 	p.AddDuty("link dialler", p.runDials)
 	if err := p.registerExtensions(); err != nil {
@@ -127,7 +122,7 @@
 			running.Go(func() { p.Hub.Dial(ctx, address) })
 		}
 	}
-	dial(p.Config.EntryHosts)
+	dial(p.Config.Settings.Entries)
 	for {
 		select {
 		case <-ctx.Done():
@@ -139,9 +134,32 @@
 }
 
 func (p *Process) hello() wire.Hello {
+	s := &p.Config.Settings
 	return wire.Hello{
-		Role: wire.RoleAgent, Process: p.Name, Incarnation: p.Incarnation,
-		Region: p.Config.Region, Zone: p.Config.Backend.Zone,
-		Backend: &p.Config.Backend, Worker: p.Config.Worker, Leaving: p.IsStopping(),
+		Role: wire.RoleAgent, Process: p.Name, Incarnation: p.Incarnation, Region: s.Region, Zone: s.Zone,
+		Backend: &model.BackendServer{
+			ID: s.ID, Zone: s.Zone, Slots: s.BackendServer.Slots, Connections: s.BackendServer.Connections,
+		},
+		Worker: p.worker(), Leaving: p.IsStopping(),
+	}
+}
+
+// worker describes the host's worker, or returns nil when there is none.
+func (p *Process) worker() *model.Worker {
+	s := &p.Config.Settings
+	if s.Worker.Address == "" {
+		return nil
+	}
+	return &model.Worker{ID: s.Worker.ID, Zone: s.Zone, Rack: s.Rack, Capacity: s.Worker.Capacity}
+}
+
+func (p *Process) executorConfig() executor.Config {
+	s := &p.Config.Settings
+	return executor.Config{
+		ID: s.ID, Incarnation: p.Incarnation, Started: p.Now(),
+		Slots: s.BackendServer.Slots, Connections: s.BackendServer.Connections,
+		ClockSkewBound: s.Process.ClockSkewBound, Horizon: s.Limits.Horizon, MaxRecords: s.Limits.MaxRecords,
+		AnswerTTL: s.Limits.AnswerTTL, MaxAnswerBytes: s.Limits.MaxAnswerBytes,
+		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxPartialBytes: s.Limits.MaxPartialBytes,
 	}
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -197,9 +197,9 @@
 // covers the account and the idempotence mark, so that no account is given the
 // answer of another and no request changes its mark.
 func requestHash(account string, idempotent bool, body []byte) uint64 {
-	var stack [maxAccountBytes + 2]byte
+	var stack [maxAccountBytes + len("\x00false")]byte
 	prefix := append(stack[:0], account...)
-	prefix = strconv.AppendBool(append(prefix, 0), idempotent)[:len(account)+2]
+	prefix = strconv.AppendBool(append(prefix, 0), idempotent)
 	digest := sha256.New()
 	_, _ = digest.Write(prefix)
 	_, _ = digest.Write(body)
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -36,36 +36,25 @@
 	"go.uber.org/zap"
 
 	"dragonflyyard/internal/link"
-	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/process"
+	"dragonflyyard/internal/requestflow"
+	"dragonflyyard/internal/settings"
 	"dragonflyyard/internal/wire"
 )
 
 // Config is what an entry host is started with.
 type Config struct {
-	ID     model.EntryID
-	Region model.RegionName
-	Zone   model.AvailabilityZoneName
-	// HTTPAddress and LinkAddress are listened on, IP:port. Port 0 picks a free one.
-	HTTPAddress string
-	LinkAddress string
-	// EntryHosts are the link addresses of the other entry hosts.
-	EntryHosts []string
-	// DrainDelay is how long the health check fails before new requests are
-	// refused, so that the balancer can take the host out.
-	DrainDelay time.Duration
-	// StopTimeout bounds the graceful stop as a whole.
-	StopTimeout time.Duration
-	Link        link.Options
-	Logger      *zap.Logger
-	Now         func() time.Time
+	Settings settings.Entry
+	Logger   *zap.Logger
+	Now      func() time.Time
 }
 
 // Process is one entry host.
 type Process struct {
 	*process.Base
-	Config Config
-	Hub    *link.Hub
+	Config   Config
+	Hub      *link.Hub
+	Requests *Requests
 
 	linkListener net.Listener
 	dials        chan string
@@ -76,21 +65,29 @@
 
 // New returns an entry host that listens but does not serve yet.
 func New(config Config) (*Process, error) {
+	s := config.Settings
 	base, err := process.New(process.Options{
-		Name: string(config.ID), HTTPAddress: config.HTTPAddress,
-		StopTimeout: config.StopTimeout, Logger: config.Logger, Now: config.Now,
+		Name: string(s.ID), HTTPAddress: s.HTTPAddress,
+		EventCapacity: s.Process.TimelineEvents, StopTimeout: s.Process.StopTimeout,
+		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxConnections: s.Limits.MaxHTTPConnections,
+		Logger: config.Logger, Now: config.Now,
 	})
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", config.LinkAddress)
+	listener, err := net.Listen("tcp", s.LinkAddress)
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen on link address %q", config.LinkAddress)
+		return nil, errors.Wrapf(err, "listen on link address %q", s.LinkAddress)
 	}
 	p := &Process{Base: base, Config: config, linkListener: listener, dials: make(chan string, maxDials)}
-	p.roster = append([]string{p.LinkAddress()}, config.EntryHosts...)
+	p.roster = append([]string{p.LinkAddress()}, s.Peers...)
 	identity := link.Identity{Process: base.Name, Incarnation: base.Incarnation, Hello: p.hello, Roster: p.Roster}
-	p.Hub = link.NewHub(identity, config.Link, base.Log, base.Metrics, base.Now)
+	p.Hub = link.NewHub(identity, process.LinkOptions(&s.Links), base.Log, base.Metrics, base.Now)
+	p.Requests = newRequests(requestConfig(&s), s.Process.RingCapacity, base, p.Hub)
+	p.registerCallers()
+	p.AddDuty("request core", p.Requests.run)
+	p.OnStop(process.StageAnnounce, "drain delay", p.waitForBalancer)
+	p.OnStop(process.StageDrain, "requests", p.Requests.drain)
 	p.AddDuty("link server", func(ctx context.Context) error { return p.Hub.Accept(ctx, p.linkListener) })
 	p.AddDuty("link dialler", p.runDials)
 	if err := p.registerExtensions(); err != nil {
@@ -155,6 +152,28 @@
 func (p *Process) hello() wire.Hello {
 	return wire.Hello{
 		Role: wire.RoleEntry, Process: p.Name, Incarnation: p.Incarnation,
-		Region: p.Config.Region, Zone: p.Config.Zone, Leaving: p.IsStopping(),
+		Region: p.Config.Settings.Region, Zone: p.Config.Settings.Zone, Leaving: p.IsStopping(),
+	}
+}
+
+// drainDelay is how long the health check fails before requests are refused.
+const drainDelay = time.Second
+
+// waitForBalancer keeps serving while the health check already fails, so that
+// the balancer takes the host out before requests are refused.
+func (p *Process) waitForBalancer(ctx context.Context) {
+	select {
+	case <-time.After(drainDelay):
+	case <-ctx.Done():
+	}
+}
+
+func requestConfig(s *settings.Entry) requestflow.Config {
+	return requestflow.Config{
+		Entry: s.ID, Zone: s.Zone, ClockSkewBound: s.Process.ClockSkewBound,
+		MaxRequests: s.Limits.MaxRequests, MaxQueuedPerAccount: s.Limits.MaxQueuedPerAccount,
+		MaxCallers: s.Limits.MaxCallersPerRequest, MaxAnswerBytes: s.Limits.MaxAnswerBytes,
+		ClaimTimeout: s.Timeouts.Claim, ProbeInterval: s.Timeouts.Probe, ResolveTimeout: s.Timeouts.Resolve,
+		MaxAttempts: s.Limits.MaxAttempts,
 	}
 }
--- a/internal/process/http.go
+++ b/internal/process/http.go
@@ -51,6 +51,15 @@
 	WriteError(ctx, fasthttp.StatusNotFound, "no_such_path", "There is nothing at this path.")
 }
 
+// serve handles one request. While the process stops, each answer asks the
+// client to open its next connection elsewhere.
+func (b *Base) serve(ctx *fasthttp.RequestCtx) {
+	b.routes.serve(ctx)
+	if b.IsStopping() {
+		ctx.SetConnectionClose()
+	}
+}
+
 // matches reports whether path is the prefix itself or lies below it. A prefix
 // that ends in a slash matches only what lies below it.
 func (r route) matches(path string) bool {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -49,8 +49,10 @@
 	StopTimeout time.Duration
 	// MaxBodyBytes is the largest body of an HTTP request.
 	MaxBodyBytes int
-	Logger       *zap.Logger
-	Now          func() time.Time
+	// MaxConnections bounds the open HTTP connections.
+	MaxConnections int
+	Logger         *zap.Logger
+	Now            func() time.Time
 }
 
 // Defaults of Options.
@@ -192,8 +194,9 @@
 func (b *Base) newServer() *fasthttp.Server {
 	return &fasthttp.Server{
 		Name:                  "dragonflyyard",
-		Handler:               b.routes.serve,
+		Handler:               b.serve,
 		MaxRequestBodySize:    b.options.MaxBodyBytes,
+		Concurrency:           b.options.MaxConnections,
 		NoDefaultServerHeader: true,
 		NoDefaultContentType:  true,
 		CloseOnShutdown:       true,
