Add the stand-in table service and object store

Tests, the demo and the store client need both services with fault switches. A frozen store keeps writes and applies them when it wakes, since a caller that reads back too early must not take absence for a refusal. Row versions come from one counter, so a row that is deleted and made again never has an old version. Checked: go test -race ./internal/standin.

--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,194 @@
+// Package standin provides the small stand-ins that take the platform's place
+// in tests and in the demo: a table service with transactions, an object
+// store, a worker and a backend server. Each has switches for its faults.
+package standin
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dragonflyyard/internal/platform"
+)
+
+// Store is an in-memory table service and object store. It implements
+// platform.Table and platform.ObjectStore in process, and serves both over
+// HTTP with Handle. It is safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	now      func() time.Time
+	revision platform.RowVersion
+	rows     map[string]platform.Row
+	objects  map[string][]byte
+	table    *gate
+	blobs    *gate
+	reads    *rateCounter
+	writes   *rateCounter
+	calls    *rateCounter
+}
+
+// Result is the result of one transaction of a batch.
+type Result struct {
+	Versions []platform.RowVersion `json:"versions,omitempty"`
+	Conflict bool                  `json:"conflict,omitempty"`
+}
+
+// errLost tells the HTTP front that the effect took place and that the answer
+// is not to be sent.
+var errLost = errors.New("answer lost")
+
+// NewStore returns an empty store without faults.
+func NewStore(now func() time.Time) *Store {
+	return &Store{
+		now:     now,
+		rows:    map[string]platform.Row{},
+		objects: map[string][]byte{},
+		table:   newGate(),
+		blobs:   newGate(),
+		reads:   &rateCounter{},
+		writes:  &rateCounter{},
+		calls:   &rateCounter{},
+	}
+}
+
+// Get implements platform.Table.
+func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
+	s.count(s.reads, 1)
+	if err := s.table.enter(ctx); err != nil {
+		return platform.Row{}, readError(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row, ok := s.rows[key]
+	if !ok {
+		return platform.Row{}, errors.Wrapf(platform.ErrNotFound, "row %q", key)
+	}
+	return row, nil
+}
+
+// List implements platform.Table.
+func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	s.count(s.reads, 1)
+	if err := s.table.enter(ctx); err != nil {
+		return nil, readError(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []platform.Row
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows[:min(len(rows), max(limit, 0))], nil
+}
+
+// Commit implements platform.Table.
+func (s *Store) Commit(ctx context.Context, tx platform.Transaction) ([]platform.RowVersion, error) {
+	results, err := s.CommitBatch(ctx, []platform.Transaction{tx})
+	if err != nil {
+		return nil, writeError(err)
+	}
+	if results[0].Conflict {
+		return nil, errors.Wrap(platform.ErrConflict, "check failed")
+	}
+	return results[0].Versions, nil
+}
+
+// CommitBatch applies independent transactions in order. A failed check fails
+// only its own transaction. A frozen store keeps the batch and applies it when
+// it wakes, also when the caller has given up.
+func (s *Store) CommitBatch(ctx context.Context, batch []platform.Transaction) ([]Result, error) {
+	s.count(s.writes, len(batch))
+	s.count(s.calls, 1)
+	var results []Result
+	err := s.table.write(ctx, func() { results = s.applyAll(batch) })
+	return results, err
+}
+
+// PutObject implements platform.ObjectStore.
+func (s *Store) PutObject(ctx context.Context, key string, value []byte) error {
+	s.count(s.writes, 1)
+	s.count(s.calls, 1)
+	kept := append([]byte(nil), value...)
+	err := s.blobs.write(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.objects[key] = kept
+	})
+	return writeError(err)
+}
+
+// GetObject implements platform.ObjectStore.
+func (s *Store) GetObject(ctx context.Context, key string) ([]byte, error) {
+	s.count(s.reads, 1)
+	if err := s.blobs.enter(ctx); err != nil {
+		return nil, readError(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value, ok := s.objects[key]
+	if !ok {
+		return nil, errors.Wrapf(platform.ErrNotFound, "object %q", key)
+	}
+	return append([]byte(nil), value...), nil
+}
+
+func (s *Store) applyAll(batch []platform.Transaction) []Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	results := make([]Result, 0, len(batch))
+	for _, tx := range batch {
+		results = append(results, s.apply(tx))
+	}
+	return results
+}
+
+// apply runs one transaction. Row versions come from one counter over all
+// rows, so a row that was deleted and made again never has an old version.
+func (s *Store) apply(tx platform.Transaction) Result {
+	for _, check := range tx.Checks {
+		if s.rows[check.Key].Version != check.Version {
+			return Result{Conflict: true}
+		}
+	}
+	var versions []platform.RowVersion
+	for _, put := range tx.Puts {
+		s.revision++
+		value := append([]byte(nil), put.Value...)
+		s.rows[put.Key] = platform.Row{Key: put.Key, Value: value, Version: s.revision}
+		versions = append(versions, s.revision)
+	}
+	for _, key := range tx.Deletes {
+		delete(s.rows, key)
+	}
+	return Result{Versions: versions}
+}
+
+func (s *Store) count(counter *rateCounter, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counter.add(s.now(), n)
+}
+
+func readError(err error) error {
+	return errors.Wrapf(platform.ErrUnavailable, "%v", err)
+}
+
+// writeError tells a refused write, which changed nothing, from a write whose
+// effect is not known to the caller.
+func writeError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errDown):
+		return errors.Wrapf(platform.ErrUnavailable, "%v", err)
+	default:
+		return errors.Wrapf(platform.ErrInDoubt, "%v", err)
+	}
+}
