--- /dev/null
+++ b/internal/proctest/cluster_test.go
@@ -0,0 +1,408 @@
+package proctest
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dragonflyyard/internal/standin"
+)
+
+// limit is the generous bound on every wait of these tests.
+const limit = 30 * time.Second
+
+// account is the client account of the test requests.
+const account = "cheese"
+
+var zones = []string{"caruaru", "garanhuns", "quixada"}
+
+// proc is one process under test.
+type proc struct {
+	name     string
+	cmd      *exec.Cmd
+	settings string
+	http     string
+	link     string
+	// backend and worker are the addresses of an agent's stand-ins.
+	backend, worker string
+	output          *lockedBuffer
+	exited          chan struct{}
+}
+
+// lockedBuffer collects the output of a process.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) tail() string {
+	const size = 4 << 10
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	text := b.buf.String()
+	return text[max(0, len(text)-size):]
+}
+
+// cluster is a set of processes of one region.
+type cluster struct {
+	t       *testing.T
+	dir     string
+	standin *proc
+	entries []*proc
+	agents  []*proc
+	client  *http.Client
+}
+
+// startCluster starts the stand-ins, entry hosts and agents, and waits until
+// each entry host is connected to each agent.
+func startCluster(t *testing.T, entries, agents int, serviceTime time.Duration) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), client: &http.Client{
+		Timeout:   limit,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 256},
+	}}
+	ports := reservePorts(t, 2+2*entries+3*agents)
+	table, objects := ports[0], ports[1]
+	ports = ports[2:]
+	for i := range entries {
+		c.entries = append(c.entries, &proc{
+			name: fmt.Sprintf("entry-%d", i+1), http: ports[2*i], link: ports[2*i+1],
+		})
+	}
+	ports = ports[2*entries:]
+	for i := range agents {
+		c.agents = append(c.agents, &proc{
+			name: fmt.Sprintf("backend-%d", i+1), http: ports[3*i], backend: ports[3*i+1], worker: ports[3*i+2],
+		})
+	}
+	c.writeStandIn(table, objects, serviceTime)
+	c.start(c.standin, "dragonfly-standin")
+	for i, p := range c.entries {
+		c.writeEntry(p, zones[i%len(zones)], table, objects)
+		c.start(p, "dragonfly-entry")
+	}
+	for i, p := range c.agents {
+		c.writeAgent(p, i)
+		c.start(p, "dragonfly-agent")
+	}
+	c.awaitReady()
+	return c
+}
+
+// reservePorts returns addresses with ports that the kernel picked as free.
+func reservePorts(t *testing.T, count int) []string {
+	t.Helper()
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+func (c *cluster) writeSettings(p *proc, text string) {
+	p.settings = filepath.Join(c.dir, p.name+".yaml")
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) writeStandIn(table, objects string, serviceTime time.Duration) {
+	c.standin = &proc{name: "standin", http: table}
+	var text strings.Builder
+	fmt.Fprintf(&text, "table_address: %s\nobject_store_address: %s\nbackend_servers:\n", table, objects)
+	for _, p := range c.agents {
+		fmt.Fprintf(&text, "  - {id: %s, address: '%s', service_time: %s}\n", p.name, p.backend, serviceTime)
+	}
+	text.WriteString("workers:\n")
+	for _, p := range c.agents {
+		fmt.Fprintf(&text, "  - {id: w-%s, address: '%s', capacity: {accelerators: 8, cores: 64, memory_mb: 131072}}\n", p.name, p.worker)
+	}
+	c.writeSettings(c.standin, text.String())
+}
+
+func (c *cluster) writeEntry(p *proc, zone, table, objects string) {
+	var peers []string
+	for _, other := range c.entries {
+		if other != p {
+			peers = append(peers, "'"+other.link+"'")
+		}
+	}
+	c.writeSettings(p, fmt.Sprintf(`id: %s
+region: nordeste
+zone: %s
+http_address: %s
+link_address: %s
+peers: [%s]
+table_address: %s
+object_store_address: %s
+`, p.name, zone, p.http, p.link, strings.Join(peers, ", "), table, objects))
+}
+
+func (c *cluster) writeAgent(p *proc, index int) {
+	var entries []string
+	for _, entry := range c.entries {
+		entries = append(entries, "'"+entry.link+"'")
+	}
+	c.writeSettings(p, fmt.Sprintf(`id: %s
+region: nordeste
+zone: %s
+rack: rack-%d
+http_address: %s
+entries: [%s]
+backend_server:
+  address: %s
+  slots: 8
+  connections: 64
+worker:
+  address: %s
+  id: w-%s
+  capacity: {accelerators: 8, cores: 64, memory_mb: 131072}
+`, p.name, zones[index%len(zones)], index/3, p.http, strings.Join(entries, ", "), p.backend, p.worker, p.name))
+}
+
+// start starts a process; it is killed at the end of the test if it still runs.
+func (c *cluster) start(p *proc, program string) {
+	c.t.Helper()
+	p.output = &lockedBuffer{}
+	p.cmd = exec.Command(filepath.Join(binaries, program), "--settings", p.settings)
+	p.cmd.Stdout, p.cmd.Stderr = p.output, p.output
+	if err := p.cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	exited := make(chan struct{})
+	p.exited = exited
+	cmd := p.cmd
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+	c.t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		<-exited
+		if c.t.Failed() {
+			c.t.Logf("last output of %s:\n%s", p.name, p.output.tail())
+		}
+	})
+	if program != "dragonfly-standin" {
+		c.await(p.name+" to be healthy", func() bool { return c.status(p.http, "/healthz") == http.StatusOK })
+		return
+	}
+	c.await("the stand-in", func() bool { return c.status(p.http, "/stats") == http.StatusOK })
+}
+
+// signal sends a signal to a process.
+func (c *cluster) signal(p *proc, signal syscall.Signal) {
+	c.t.Helper()
+	if err := p.cmd.Process.Signal(signal); err != nil {
+		c.t.Fatalf("signal %v to %s: %v", signal, p.name, err)
+	}
+}
+
+// awaitExit waits until a process has ended and returns its exit code.
+func (c *cluster) awaitExit(p *proc) int {
+	c.t.Helper()
+	select {
+	case <-p.exited:
+		return p.cmd.ProcessState.ExitCode()
+	case <-time.After(2 * limit):
+		c.t.Fatalf("%s did not end", p.name)
+		return -1
+	}
+}
+
+// await polls a condition until it holds.
+func (c *cluster) await(what string, condition func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(limit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("waited in vain for %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// awaitReady waits until each entry host answers a request and is connected to
+// each agent.
+func (c *cluster) awaitReady() {
+	c.t.Helper()
+	for _, entry := range c.entries {
+		for _, agent := range c.agents {
+			c.await(entry.name+" to know "+agent.name, func() bool { return c.linked(entry, agent.name) })
+		}
+		c.await(entry.name+" to answer", func() bool {
+			return c.post(entry, newRequest(true)).status == http.StatusOK
+		})
+	}
+}
+
+// linked reports whether an entry host's time line says that a connection to a
+// process is open.
+func (c *cluster) linked(p *proc, peer string) bool {
+	open := false
+	for _, e := range c.timeline(p, "") {
+		if e.Subject != peer {
+			continue
+		}
+		switch e.Code {
+		case codeLinkOpened:
+			open = true
+		case codeLinkLost:
+			open = false
+		}
+	}
+	return open
+}
+
+func (c *cluster) status(address, path string) int {
+	response, err := c.client.Get("http://" + address + path)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+func (c *cluster) getJSON(address, path string, target any) bool {
+	response, err := c.client.Get("http://" + address + path)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return json.NewDecoder(response.Body).Decode(target) == nil
+}
+
+func (c *cluster) setFaults(address string, faults standin.HostFaults) {
+	c.t.Helper()
+	body, err := json.Marshal(faults)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	response, err := c.client.Post("http://"+address+standin.PathFaults, "application/json", bytes.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	_ = response.Body.Close()
+}
+
+// ran counts the starts of each request over all backend servers.
+func (c *cluster) ran() map[string]int {
+	c.t.Helper()
+	starts := map[string]int{}
+	for _, agent := range c.agents {
+		var answer standin.RanResponse
+		c.await("the list of "+agent.name, func() bool { return c.getJSON(agent.backend, standin.PathRan, &answer) })
+		for _, id := range answer.Ran {
+			starts[id]++
+		}
+	}
+	return starts
+}
+
+// request is a caller's request.
+type request struct {
+	id         string
+	idempotent bool
+	body       string
+	deadline   time.Duration
+}
+
+func newRequest(idempotent bool) request {
+	id := uuid.Must(uuid.NewV7()).String()
+	return request{id: id, idempotent: idempotent, body: "body of " + id, deadline: limit}
+}
+
+// answer is what the caller got. Status 0 means that the connection failed.
+type answer struct {
+	status  int
+	outcome string
+	reason  string
+	body    string
+	retry   string
+}
+
+// post sends a request through an entry host.
+func (c *cluster) post(entry *proc, r request) answer {
+	call, err := http.NewRequest(http.MethodPost, "http://"+entry.http+"/v1/requests", strings.NewReader(r.body))
+	if err != nil {
+		return answer{}
+	}
+	// A transport must not repeat the call by itself.
+	call.GetBody = nil
+	call.Header.Set("X-Request-Id", r.id)
+	call.Header.Set("X-Client-Account", account)
+	call.Header.Set("X-Idempotent", fmt.Sprint(r.idempotent))
+	call.Header.Set("X-Deadline-Ms", fmt.Sprint(r.deadline.Milliseconds()))
+	return c.do(call)
+}
+
+func (c *cluster) do(call *http.Request) answer {
+	response, err := c.client.Do(call)
+	if err != nil {
+		return answer{reason: err.Error()}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer{reason: err.Error()}
+	}
+	a := answer{
+		status: response.StatusCode, outcome: response.Header.Get("X-Outcome"),
+		body: string(body), retry: response.Header.Get("Retry-After"),
+	}
+	if a.status != http.StatusOK {
+		var detail struct{ Reason, Code string }
+		_ = json.Unmarshal(body, &detail)
+		a.reason = detail.Reason + detail.Code
+	}
+	return a
+}
+
+// Codes of the time line that the tests look for.
+const (
+	codeLinkOpened = 5000
+	codeLinkLost   = 5001
+)
+
+type timelineEvent struct {
+	Code    int    `json:"code"`
+	Request string `json:"request"`
+	Subject string `json:"subject"`
+	Detail  string `json:"detail"`
+}
+
+func (c *cluster) timeline(p *proc, query string) []timelineEvent {
+	var answer struct {
+		Events []timelineEvent `json:"events"`
+	}
+	if !c.getJSON(p.http, "/v1/timeline"+query, &answer) {
+		return nil
+	}
+	return answer.Events
+}
