Add the API types of the scheduler and gang cores with a first working path

Cause: the shells need the inputs and actions of the job path. TaskSuspended: a task whose lease lapsed is suspended first and stopped later. Ruled out: renewals counted from their arrival, which let a paused agent run on with a grant that waited in its socket buffer.

--- /dev/null
+++ b/internal/scheduler/attempt.go
@@ -0,0 +1,150 @@
+package scheduler
+
+import (
+	"time"
+
+	"dragonflyyard/internal/event"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/wire"
+)
+
+// beginAttempt books a placement and reserves it, at once or after the tasks
+// in its way have ended.
+func (c *Core) beginAttempt(now time.Time, j *JobState, workers []model.WorkerID) {
+	j.Attempt++
+	j.Committed = false
+	j.Waiting = ""
+	j.Tasks = make([]TaskState, len(workers))
+	for i, w := range workers {
+		j.Tasks[i].Worker = w
+		c.book(j, i)
+	}
+	c.record(event.JobReserving, j.Job.ID, string(j.Job.Account), "")
+	c.setPhase(now, j, PhaseReserving)
+	c.sendReserves(now, j)
+}
+
+func (c *Core) sendReserves(now time.Time, j *JobState) {
+	j.ResendAt = now.Add(c.settings.Resend)
+	for i, t := range j.Tasks {
+		if j.Phase == PhaseReserving && t.State == wire.TaskReserved {
+			continue
+		}
+		c.send(t.Worker, &wire.Reserve{
+			Epoch: c.epoch, Job: j.Job.ID, Attempt: j.Attempt, Task: j.Job.Task(i),
+			Needs: j.Job.Shape.PerTask, HoldMS: c.settings.Hold.Milliseconds(),
+		})
+	}
+}
+
+func (c *Core) reserveReply(now time.Time, from model.WorkerID, r *wire.ReserveReply) {
+	j := c.jobs[r.Job]
+	if j == nil || j.Attempt != r.Attempt || j.Phase != PhaseReserving {
+		return
+	}
+	i, ok := j.taskIndex(r.Task)
+	if !ok || j.Tasks[i].Worker != from {
+		return
+	}
+	if !r.OK {
+		c.refused(now, from, r)
+		c.abandon(now, j, string(from)+" refused a reservation: "+r.Reason)
+		return
+	}
+	j.Tasks[i].State = wire.TaskReserved
+	if j.allTasks(wire.TaskReserved) {
+		c.setPhase(now, j, PhaseDeciding)
+		j.ResendAt = now.Add(c.settings.Hold / 3)
+		c.do(WriteDecision{Row: j.row(c.epoch)})
+	}
+}
+
+// refused keeps new attempts off a worker for a moment.
+func (c *Core) refused(now time.Time, from model.WorkerID, r *wire.ReserveReply) {
+	if w := c.workers[from]; w != nil {
+		w.AvoidUntil = now.Add(c.settings.Backoff)
+	}
+	c.record(event.TaskRefused, r.Job, string(from), r.Reason)
+}
+
+// abandon gives up an attempt of which no task was launched.
+func (c *Core) abandon(now time.Time, j *JobState, text string) {
+	for i, t := range j.Tasks {
+		c.send(t.Worker, &wire.Release{Epoch: c.epoch, Job: j.Job.ID, Attempt: j.Attempt, Task: j.Job.Task(i)})
+		c.unbook(j, i)
+	}
+	j.Refusals++
+	delay := min(c.settings.Backoff<<min(j.Refusals-1, 10), c.settings.MaxBackoff)
+	j.NotBefore = now.Add(delay)
+	c.requeue(now, j, text)
+}
+
+// requeue makes a job without tasks wait for its next attempt.
+func (c *Core) requeue(now time.Time, j *JobState, text string) {
+	j.Tasks = nil
+	j.Cell = ""
+	if j.CancelRequested {
+		c.finalize(now, j, PhaseCancelled, "cancelled")
+		return
+	}
+	j.explain(now, "%s; it waits again", text)
+	c.record(event.JobRequeued, j.Job.ID, string(j.Job.Account), text)
+	if j.Committed {
+		c.do(SaveJob{Row: j.row(c.epoch)})
+	}
+	j.Committed = false
+	c.setPhase(now, j, PhaseQueued)
+}
+
+// decided takes the result of a decision row's write over.
+func (c *Core) decided(now time.Time, d Decided) {
+	j := c.jobs[d.Job]
+	if j == nil || j.Attempt != d.Attempt || j.Phase != PhaseDeciding && j.Phase != PhaseInDoubt {
+		return
+	}
+	switch d.Result {
+	case DecisionCommitted:
+		c.committed(now, j)
+	case DecisionRefused:
+		c.abandon(now, j, "the table service refused the decision row")
+	case DecisionUnavailable:
+		if j.Phase == PhaseInDoubt {
+			return
+		}
+		c.abandon(now, j, "the table service was down")
+	case DecisionInDoubt:
+		if j.Phase == PhaseDeciding {
+			j.explain(now, "the result of its decision row's write is not known; it is read back")
+			c.record(event.DecisionInDoubt, j.Job.ID, "", "")
+			c.setPhase(now, j, PhaseInDoubt)
+		}
+	}
+}
+
+func (c *Core) committed(now time.Time, j *JobState) {
+	j.Committed = true
+	if j.CancelRequested {
+		c.endAttempt(now, j, PhaseCancelled, wire.StopCancelled, 0, "cancelled")
+		return
+	}
+	c.record(event.JobPlaced, j.Job.ID, string(j.Job.Account), "")
+	c.setPhase(now, j, PhaseLaunching)
+	c.sendLaunches(now, j)
+}
+
+func (c *Core) sendLaunches(now time.Time, j *JobState) {
+	j.ResendAt = now.Add(c.settings.Resend)
+	for i, t := range j.Tasks {
+		if t.State == wire.TaskRunning || isEnded(t.State) {
+			continue
+		}
+		c.send(t.Worker, &wire.Launch{
+			Epoch: c.epoch, Job: j.Job.ID, Attempt: j.Attempt, Task: j.Job.Task(i),
+			LeaseMS: c.settings.Lease.Milliseconds(), RunMS: max(1, j.Job.DeclaredRunTime.Milliseconds()-j.DoneMS),
+		})
+		if w := c.workers[t.Worker]; w != nil {
+			w.LastGrant = now
+			w.LastRequest = now
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/recover.go
@@ -0,0 +1,107 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"dragonflyyard/internal/event"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/wire"
+)
+
+// becomeOwner rebuilds the state from the job rows and the last snapshot, and
+// waits for the agents' reports before it decides anything.
+func (c *Core) becomeOwner(now time.Time, in BecomeOwner) {
+	if c.owner && in.Epoch <= c.epoch {
+		return
+	}
+	c.reset()
+	c.owner = true
+	c.epoch = in.Epoch
+	if in.Config != nil && (c.config == nil || in.Config.Version >= c.config.Version) {
+		c.config = in.Config
+	}
+	if in.Snapshot != nil {
+		c.restoreKnowledge(in.Snapshot)
+	}
+	for _, row := range in.Rows {
+		c.restoreRow(now, row, in.Snapshot)
+	}
+	c.recoverUntil = now.Add(c.settings.RecoveryWindow)
+	c.record(event.OwnerRecovering, "", "", "waits for the agents' reports")
+}
+
+func (c *Core) restoreRow(now time.Time, row JobRow, snap *Snapshot) {
+	j := &JobState{
+		Job: row.Job, Attempt: row.Attempt, Class: row.Class, Cell: row.Cell, DoneMS: row.DoneMS, Committed: len(row.Allocation) > 0,
+	}
+	if j.Class == "" {
+		j.Class = row.Job.Capacity
+	}
+	if old := snap.job(row.Job.ID); old != nil {
+		j.History = slices.Clone(old.History)
+		j.DoneMS = max(j.DoneMS, old.DoneMS)
+		j.StartedAt = old.StartedAt
+	}
+	c.jobs[row.Job.ID] = j
+	for i, w := range row.Allocation {
+		j.Tasks = append(j.Tasks, TaskState{Worker: w})
+		c.book(j, i)
+	}
+	if j.placed() {
+		c.setPhase(now, j, PhaseRecovering)
+	} else {
+		c.setPhase(now, j, PhaseQueued)
+	}
+}
+
+// finishRecovery decides what became of each gang that was under way.
+func (c *Core) finishRecovery(now time.Time) {
+	c.recoverUntil = time.Time{}
+	c.record(event.OwnerReady, "", "", "")
+	for _, j := range c.inPhase(PhaseRecovering) {
+		c.recoverJob(now, j)
+	}
+}
+
+// recoverJob takes a gang over that is whole, launches one that is reserved on
+// each member, and ends any other.
+func (c *Core) recoverJob(now time.Time, j *JobState) {
+	whole := j.allTasks(wire.TaskReserved, wire.TaskStarting, wire.TaskRunning, wire.TaskSuspended, wire.TaskFinished)
+	if !whole {
+		c.setPhase(now, j, PhaseLaunching)
+		for i := range j.Tasks {
+			if w := c.workers[j.Tasks[i].Worker]; w == nil || !w.Up {
+				j.Tasks[i].GoneAt = now
+			}
+		}
+		c.endAttempt(now, j, PhaseQueued, wire.StopGangMemberLost, c.settings.MemberLostGrace, "a member was missing when the owner changed")
+		return
+	}
+	if j.allTasks(wire.TaskFinished) {
+		c.jobFinished(now, j)
+		return
+	}
+	c.setPhase(now, j, PhaseLaunching)
+	j.explain(now, "taken over by the owner of epoch %d", c.epoch)
+	c.sendLaunches(now, j)
+}
+
+// finishRecoveryEarly ends the wait once every worker with tasks has reported.
+func (c *Core) finishRecoveryEarly(now time.Time) {
+	for _, id := range c.sortedWorkers() {
+		if w := c.workers[id]; !w.Up && len(w.tasks) > 0 {
+			return
+		}
+	}
+	c.finishRecovery(now)
+}
+
+func (c *Core) sortedWorkers() []model.WorkerID {
+	ids := make([]model.WorkerID, 0, len(c.workers))
+	for id := range c.workers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/scheduler/report.go
@@ -0,0 +1,191 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/wire"
+)
+
+// taskReport takes one task's state over. Reports of other attempts count only
+// as a reason to stop the task.
+func (c *Core) taskReport(now time.Time, from model.WorkerID, r *wire.TaskReport) {
+	j := c.jobs[r.Job]
+	if j == nil || r.Attempt != j.Attempt || !j.placed() {
+		c.stopForeign(from, r)
+		return
+	}
+	i, ok := j.taskIndex(r.Task)
+	if !ok || j.Tasks[i].Worker != from {
+		c.stopForeign(from, r)
+		return
+	}
+	t := &j.Tasks[i]
+	if isEnded(t.State) {
+		return
+	}
+	t.DoneMS = max(t.DoneMS, r.DoneMS)
+	t.Checkpointed = t.Checkpointed || r.Checkpointed
+	switch {
+	case isEnded(r.State):
+		c.taskEnded(now, j, i, r)
+	case j.active() && r.State != wire.TaskStopping:
+		t.State = r.State
+		c.checkRunning(now, j)
+	case j.Phase == PhaseRecovering:
+		t.State = r.State
+	}
+}
+
+// stopForeign ends a live task that the owner does not know or no longer wants.
+func (c *Core) stopForeign(from model.WorkerID, r *wire.TaskReport) {
+	if isEnded(r.State) || r.State == wire.TaskStopping {
+		return
+	}
+	if r.State == wire.TaskReserved {
+		c.send(from, &wire.Release{Epoch: c.epoch, Job: r.Job, Attempt: r.Attempt, Task: r.Task})
+		return
+	}
+	c.send(from, &wire.StopTask{Epoch: c.epoch, Job: r.Job, Attempt: r.Attempt, Task: r.Task, Reason: wire.StopGangMemberLost})
+}
+
+func (c *Core) checkRunning(now time.Time, j *JobState) {
+	if j.Phase != PhaseLaunching || !j.allTasks(wire.TaskRunning, wire.TaskFinished) {
+		return
+	}
+	j.StartedAt = now
+	j.Refusals = 0
+	c.setPhase(now, j, PhaseRunning)
+	if j.allTasks(wire.TaskFinished) {
+		c.jobFinished(now, j)
+	}
+}
+
+// taskEnded frees a task's capacity and decides what its end means for the gang.
+func (c *Core) taskEnded(now time.Time, j *JobState, i int, r *wire.TaskReport) {
+	j.Tasks[i].State = r.State
+	c.unbook(j, i)
+	switch {
+	case j.Phase == PhaseStopping:
+		c.checkStopped(now, j)
+	case j.Phase == PhaseReserving || j.Phase == PhaseDeciding || j.Phase == PhaseInDoubt:
+		// A reservation expired: it is asked for again with the next send.
+		j.Tasks[i].State = 0
+		c.book(j, i)
+	case r.State == wire.TaskFinished:
+		c.checkRunning(now, j)
+		if j.Phase == PhaseRunning && j.allTasks(wire.TaskFinished) {
+			c.jobFinished(now, j)
+		}
+	case r.State == wire.TaskFailed:
+		c.taskFailed(now, j, i, r)
+	default:
+		text := fmt.Sprintf("task %d ended on %s: %s", i, j.Tasks[i].Worker, r.Detail)
+		c.endAttempt(now, j, PhaseQueued, wire.StopGangMemberLost, c.settings.MemberLostGrace, text)
+	}
+}
+
+func (c *Core) jobFinished(now time.Time, j *JobState) {
+	c.finalize(now, j, PhaseFinished, "all tasks finished")
+}
+
+func (c *Core) taskFailed(now time.Time, j *JobState, i int, r *wire.TaskReport) {
+	text := fmt.Sprintf("task %d failed on %s: %s", i, j.Tasks[i].Worker, r.Detail)
+	c.endAttempt(now, j, PhaseQueued, wire.StopGangMemberLost, 0, text)
+}
+
+// endAttempt stops all tasks of a job. The job moves to next when all have ended.
+func (c *Core) endAttempt(now time.Time, j *JobState, next Phase, reason wire.StopReason, grace time.Duration, text string) {
+	if j.Phase == PhaseStopping {
+		if next != PhaseQueued {
+			j.Next = next
+		}
+		return
+	}
+	if j.Phase == PhaseReserving || j.Phase == PhaseClearing {
+		j.CancelRequested = j.CancelRequested || next == PhaseCancelled
+		c.abandon(now, j, text)
+		return
+	}
+	j.explain(now, "%s", text)
+	j.Next, j.StopReason, j.StopGrace = next, reason, grace
+	if !j.Job.CanCheckpoint {
+		j.StopGrace = 0
+	}
+	c.setPhase(now, j, PhaseStopping)
+	c.sendStops(now, j)
+	c.checkStopped(now, j)
+}
+
+func (c *Core) sendStops(now time.Time, j *JobState) {
+	j.ResendAt = now.Add(c.settings.Resend)
+	grace := max(0, j.StopGrace-now.Sub(j.PhaseSince))
+	for i, t := range j.Tasks {
+		if isEnded(t.State) {
+			continue
+		}
+		c.send(t.Worker, &wire.StopTask{
+			Epoch: c.epoch, Job: j.Job.ID, Attempt: j.Attempt, Task: j.Job.Task(i),
+			GraceMS: grace.Milliseconds(), Reason: j.StopReason,
+		})
+	}
+}
+
+// checkStopped moves a job on once each task has ended or is gone with its worker.
+func (c *Core) checkStopped(now time.Time, j *JobState) {
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		if !isEnded(t.State) && (t.GoneAt.IsZero() || now.Before(t.GoneAt)) {
+			return
+		}
+		c.unbook(j, i)
+	}
+	c.keepProgress(j)
+	if j.Next != PhaseQueued {
+		c.finalize(now, j, j.Next, string(j.Next))
+		return
+	}
+	c.requeue(now, j, "its tasks were stopped: "+string(j.StopReason))
+}
+
+// keepProgress adds the work of an attempt that every task checkpointed.
+func (c *Core) keepProgress(j *JobState) {
+	done := int64(-1)
+	for _, t := range j.Tasks {
+		if !t.Checkpointed {
+			return
+		}
+		if done < 0 || t.DoneMS < done {
+			done = t.DoneMS
+		}
+	}
+	j.DoneMS += max(0, done)
+}
+
+// workerReport brings a worker up and compares what it holds with the books.
+func (c *Core) workerReport(now time.Time, r *wire.WorkerReport) {
+	w := c.workerUp(now, r.Worker)
+	seen := map[model.TaskID]uint64{}
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		seen[t.Task] = t.Attempt
+		c.taskReport(now, w.Worker.ID, t)
+	}
+	for _, id := range sortedTasks(w) {
+		j := c.jobs[w.tasks[id]]
+		i, _ := j.taskIndex(id)
+		if attempt, ok := seen[id]; ok && attempt == j.Attempt {
+			continue
+		}
+		if j.Phase == PhaseReserving || j.Phase == PhaseDeciding || j.Phase == PhaseInDoubt {
+			continue
+		}
+		c.taskReport(now, w.Worker.ID, &wire.TaskReport{
+			Job: j.Job.ID, Attempt: j.Attempt, Task: j.Job.Task(i), State: wire.TaskStopped, Detail: "the agent does not hold it",
+		})
+	}
+	if !c.recoverUntil.IsZero() {
+		c.finishRecoveryEarly(now)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/settings.go
@@ -0,0 +1,75 @@
+package scheduler
+
+import "time"
+
+// Settings are the owner's time limits and bounds.
+type Settings struct {
+	// Hold is how long an agent keeps a reservation without a Launch.
+	Hold time.Duration
+	// Lease is how long a task runs after the lease request that was granted.
+	Lease time.Duration
+	// SilenceLimit is how long a worker with running tasks may ask for no lease.
+	SilenceLimit time.Duration
+	// Resend is the time between two sends of a message that is not confirmed.
+	Resend time.Duration
+	// ReserveTimeout and LaunchTimeout end an attempt that does not get on.
+	ReserveTimeout time.Duration
+	LaunchTimeout  time.Duration
+	// MemberLostGrace is the time for a checkpoint when a gang lost a member.
+	MemberLostGrace time.Duration
+	// CheckpointGrace is the time for a checkpoint when a gang is preempted.
+	CheckpointGrace time.Duration
+	// RecoveryWindow is how long a new owner waits for the agents' reports.
+	RecoveryWindow time.Duration
+	// Backoff is the first delay after a refused attempt; it doubles up to MaxBackoff.
+	Backoff    time.Duration
+	MaxBackoff time.Duration
+	// MaxStartsPerStep bounds the attempts that one step begins.
+	MaxStartsPerStep int
+	// ZoneDrain is how long running tasks may stay in a zone that is out.
+	ZoneDrain time.Duration
+	// MaxLargeReservations bounds the jobs that capacity is held back for.
+	MaxLargeReservations int
+	// EndedMemory is how many ended jobs are kept for Explain.
+	EndedMemory int
+	Policy      Policy
+}
+
+// Policy switches parts of the policy off, for the baselines of measurements.
+type Policy struct {
+	// FirstInFirstOut orders jobs by submission alone.
+	FirstInFirstOut bool
+	// StrictOrder starts no job while an earlier one waits.
+	StrictOrder bool
+	// FirstFit places tasks on the first workers that fit.
+	FirstFit bool
+	// NoReclaim evicts nothing for guaranteed shapes.
+	NoReclaim bool
+	// NoReservations holds back no capacity for large jobs.
+	NoReservations bool
+	// DeclaredRunTimes trusts the declared run times.
+	DeclaredRunTimes bool
+	// NoQuarantine keeps placing tasks on workers that fail.
+	NoQuarantine bool
+}
+
+// DefaultSettings returns the limits that the bounds of the product follow from.
+func DefaultSettings() Settings {
+	return Settings{
+		Hold:                 3 * time.Second,
+		Lease:                2 * time.Second,
+		SilenceLimit:         1500 * time.Millisecond,
+		Resend:               300 * time.Millisecond,
+		ReserveTimeout:       time.Second,
+		LaunchTimeout:        1500 * time.Millisecond,
+		MemberLostGrace:      time.Second,
+		CheckpointGrace:      10 * time.Second,
+		RecoveryWindow:       3 * time.Second,
+		Backoff:              500 * time.Millisecond,
+		MaxBackoff:           30 * time.Second,
+		MaxStartsPerStep:     16,
+		ZoneDrain:            time.Minute,
+		MaxLargeReservations: 4,
+		EndedMemory:          4096,
+	}
+}
--- /dev/null
+++ b/internal/scheduler/submit.go
@@ -0,0 +1,71 @@
+package scheduler
+
+import (
+	"time"
+
+	"dragonflyyard/internal/event"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/wire"
+)
+
+// submit queues a job, or refuses it with the reason. A job that is known
+// already is not queued again.
+func (c *Core) submit(now time.Time, job model.Job) {
+	if c.jobs[job.ID] != nil {
+		return
+	}
+	if err := c.Admit(job); err != nil {
+		c.record(event.JobRefused, job.ID, string(job.Account), err.Error())
+		c.do(Refuse{Job: job.ID, Reason: err.Error()})
+		return
+	}
+	if job.Submitted.IsZero() {
+		job.Submitted = now
+	}
+	j := &JobState{Job: job, Class: job.Capacity}
+	c.jobs[job.ID] = j
+	j.explain(now, "submitted by %s: %d tasks of %d accelerators", job.Account, job.Shape.Tasks, job.Shape.PerTask.Accelerators)
+	c.record(event.JobSubmitted, job.ID, string(job.Account), "")
+	c.setPhase(now, j, PhaseQueued)
+}
+
+// cancel ends jobs in one pass. Capacity is given out again only after all of
+// them were looked at.
+func (c *Core) cancel(now time.Time, ids []model.JobID) {
+	for _, id := range ids {
+		if j := c.jobs[id]; j != nil {
+			c.cancelJob(now, j)
+		}
+	}
+}
+
+func (c *Core) cancelJob(now time.Time, j *JobState) {
+	switch j.Phase {
+	case PhaseFinished, PhaseFailed, PhaseCancelled:
+	case PhaseInDoubt, PhaseDeciding:
+		j.CancelRequested = true
+		j.explain(now, "cancelled; waits until its decision row is known")
+	case PhaseQueued, PhaseParked:
+		c.finalize(now, j, PhaseCancelled, "cancelled while it waited")
+	default:
+		c.endAttempt(now, j, PhaseCancelled, wire.StopCancelled, 0, "cancelled")
+	}
+}
+
+// finalize ends a job for good.
+func (c *Core) finalize(now time.Time, j *JobState, p Phase, text string) {
+	code := event.JobFinished
+	switch p {
+	case PhaseCancelled:
+		code = event.JobCancelled
+	case PhaseFailed:
+		code = event.JobFailed
+	}
+	j.explain(now, "%s", text)
+	j.Waiting = ""
+	j.Tasks = nil
+	c.record(code, j.Job.ID, string(j.Job.Account), text)
+	c.setPhase(now, j, p)
+	c.do(DeleteRows{Jobs: []model.JobID{j.Job.ID}})
+	c.rememberEnded(j)
+}
--- /dev/null
+++ b/internal/scheduler/tick.go
@@ -0,0 +1,83 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/wire"
+)
+
+// tick sends again what is not confirmed and ends what takes too long.
+func (c *Core) tick(now time.Time) {
+	if !c.recoverUntil.IsZero() && !now.Before(c.recoverUntil) {
+		c.finishRecovery(now)
+	}
+	c.checkSilence(now)
+	for _, j := range c.inPhase(PhaseReserving) {
+		c.tickReserving(now, j)
+	}
+	for _, j := range c.inPhase(PhaseDeciding) {
+		if !now.Before(j.ResendAt) {
+			c.sendReserves(now, j)
+			j.ResendAt = now.Add(c.settings.Hold / 3)
+		}
+	}
+	for _, j := range c.inPhase(PhaseInDoubt) {
+		c.tickInDoubt(now, j)
+	}
+	for _, j := range c.inPhase(PhaseLaunching) {
+		c.tickLaunching(now, j)
+	}
+	for _, j := range c.inPhase(PhaseStopping) {
+		if !now.Before(j.ResendAt) {
+			c.sendStops(now, j)
+		}
+		c.checkStopped(now, j)
+	}
+	c.scheduleDue = true
+}
+
+func (c *Core) tickReserving(now time.Time, j *JobState) {
+	if now.Sub(j.PhaseSince) >= c.settings.ReserveTimeout {
+		c.abandon(now, j, "not all agents answered a reservation")
+		return
+	}
+	if !now.Before(j.ResendAt) {
+		c.sendReserves(now, j)
+	}
+}
+
+func (c *Core) tickInDoubt(now time.Time, j *JobState) {
+	if now.Before(j.ResendAt) {
+		return
+	}
+	j.ResendAt = now.Add(c.settings.Hold / 3)
+	c.do(ReadDecision{Job: j.Job.ID, Attempt: j.Attempt})
+	c.sendReserves(now, j)
+	j.ResendAt = now.Add(c.settings.Hold / 3)
+}
+
+func (c *Core) tickLaunching(now time.Time, j *JobState) {
+	if now.Sub(j.PhaseSince) >= c.settings.LaunchTimeout {
+		c.endAttempt(now, j, PhaseQueued, wire.StopGangMemberLost, 0, "not all tasks started in time")
+		return
+	}
+	if !now.Before(j.ResendAt) {
+		c.sendLaunches(now, j)
+	}
+}
+
+// checkSilence ends the gangs of workers that stopped asking for leases.
+func (c *Core) checkSilence(now time.Time) {
+	ids := make([]model.WorkerID, 0)
+	for id, w := range c.workers {
+		if c.silent(now, w) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		c.tasksGone(now, c.workers[id], "worker "+string(id)+" stopped asking for leases")
+	}
+}
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -14,6 +14,8 @@
 	TaskFinished
 	TaskFailed
 	TaskStopped
+	// TaskSuspended is a task whose lease lapsed: it holds its capacity at zero speed.
+	TaskSuspended
 )
 
 // StopReason says why a task is stopped.
@@ -111,6 +113,35 @@
 	HighestEpoch model.Epoch
 }
 
+// LeaseRequest asks the owner to renew the leases of all tasks of a worker.
+type LeaseRequest struct {
+	Worker model.WorkerID
+	// SentMS is the agent's own clock when it sent the request, in milliseconds.
+	SentMS int64
+}
+
+// LeaseGrant renews task leases. Each lease lasts LeaseMS from SentMS of the
+// answered request, by the agent's clock, so that a grant that was held up on
+// its way is worth no more than its age leaves.
+type LeaseGrant struct {
+	Epoch   model.Epoch
+	SentMS  int64
+	LeaseMS int64
+	Tasks   []TaskLease
+}
+
+// TaskLease names one renewed task.
+type TaskLease struct {
+	Task    model.TaskID
+	Attempt uint64
+}
+
+// WireType implements Message.
+func (*LeaseRequest) WireType() Type { return TypeLeaseRequest }
+
+// WireType implements Message.
+func (*LeaseGrant) WireType() Type { return TypeLeaseGrant }
+
 // WireType implements Message.
 func (*Reserve) WireType() Type { return TypeReserve }
 
--- a/internal/wire/types.go
+++ b/internal/wire/types.go
@@ -26,6 +26,8 @@
 	TypeTaskReport      Type = 35
 	TypeThrottle        Type = 36
 	TypeWorkerReport    Type = 37
+	TypeLeaseRequest    Type = 38
+	TypeLeaseGrant      Type = 39
 	TypeOperatorCall    Type = 40
 	TypeOperatorReply   Type = 41
 	TypeOwnershipNotice Type = 42
@@ -121,6 +123,10 @@
 		return &Throttle{}
 	case TypeWorkerReport:
 		return &WorkerReport{}
+	case TypeLeaseRequest:
+		return &LeaseRequest{}
+	case TypeLeaseGrant:
+		return &LeaseGrant{}
 	default:
 		return nil
 	}
