--- a/internal/wire/types.go
+++ b/internal/wire/types.go
@@ -8,6 +8,7 @@
 	TypeLeaving         Type = 4
 	TypeCredit          Type = 5
 	TypeDemand          Type = 6
+	TypeClock           Type = 7
 	TypeClaim           Type = 10
 	TypeClaimReply      Type = 11
 	TypeDispatch        Type = 12
@@ -61,6 +62,8 @@
 		return &Credit{}
 	case TypeDemand:
 		return &Demand{}
+	case TypeClock:
+		return &Clock{}
 	default:
 		return nil
 	}
