--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,291 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"dragonflyyard/internal/event"
+	"dragonflyyard/internal/model"
+)
+
+const (
+	// sampleSize is how many backend servers are compared for one request when
+	// there are more.
+	sampleSize = 24
+	// crossZonePenalty is added to the load of a backend server in another zone.
+	crossZonePenalty = 0.15
+	// homeBonus is taken off the load of the request's home, since no separate
+	// claim is needed there.
+	homeBonus = 0.1
+)
+
+// Table holds all backend servers that an entry host is connected to.
+type Table struct {
+	zone     model.AvailabilityZoneName
+	servers  map[model.BackendServerID]*server
+	order    []*server
+	zonesOut map[model.AvailabilityZoneName]bool
+	random   *rand.Rand
+	naive    bool
+	events   []event.Event
+}
+
+// NewTable returns an empty table of an entry host in the given zone. With
+// naive set it chooses at random and ejects nothing, as a baseline for
+// measurements.
+func NewTable(zone model.AvailabilityZoneName, seed uint64, naive bool) *Table {
+	return &Table{
+		zone: zone, servers: map[model.BackendServerID]*server{},
+		zonesOut: map[model.AvailabilityZoneName]bool{}, random: rand.New(rand.NewPCG(seed, seed)), naive: naive,
+	}
+}
+
+// Choice is what Pick needs to know of a request.
+type Choice struct {
+	Request    model.RequestID
+	Slots      int
+	Idempotent bool
+	// Home is the request's home, if it is known.
+	Home model.BackendServerID
+	// Excluded are backend servers that rejected or failed this request.
+	Excluded []model.BackendServerID
+}
+
+// LinkUp adds a backend server, or resets its credit on a new connection.
+func (t *Table) LinkUp(b model.BackendServer, leaving bool) {
+	s := t.servers[b.ID]
+	if s == nil {
+		s = &server{state: StateAnnounced}
+		t.servers[b.ID] = s
+		t.order = append(t.order, s)
+	}
+	s.backend = b
+	s.slotCredit, s.connCredit, s.creditSeq = 0, 0, 0
+	s.slotsInUse, s.connsInUse, s.probeBusy = 0, 0, false
+	switch {
+	case leaving:
+		s.state = StateLeaving
+	case s.state == StateAnnounced || s.state == StateLost || s.state == StateLeaving:
+		s.state = StateAvailable
+	}
+	t.sortServers()
+}
+
+// LinkDown marks a backend server as lost and takes its credit away.
+func (t *Table) LinkDown(id model.BackendServerID) {
+	for i, s := range t.order {
+		if s.backend.ID == id {
+			t.order = append(t.order[:i], t.order[i+1:]...)
+			break
+		}
+	}
+	delete(t.servers, id)
+}
+
+// Leaving marks a backend server that takes no new work.
+func (t *Table) Leaving(id model.BackendServerID) {
+	if s := t.servers[id]; s != nil {
+		s.state = StateLeaving
+		s.reservedFor = ""
+	}
+}
+
+// Credit sets the credit of a backend server. Older messages are ignored.
+func (t *Table) Credit(id model.BackendServerID, seq uint64, slots, connections int) {
+	s := t.servers[id]
+	if s == nil || seq <= s.creditSeq {
+		return
+	}
+	s.creditSeq, s.slotCredit, s.connCredit = seq, slots, connections
+}
+
+// SetZonesOut replaces the set of availability zones that take no work.
+func (t *Table) SetZonesOut(zones map[model.AvailabilityZoneName]bool) { t.zonesOut = zones }
+
+// State returns the state of a backend server.
+func (t *Table) State(id model.BackendServerID) ServerState {
+	if s := t.servers[id]; s != nil {
+		return s.state
+	}
+	return StateLost
+}
+
+// Slots returns the sum of the slot credits of usable servers and how many are free.
+func (t *Table) Slots() (total, free int) {
+	for _, s := range t.order {
+		if !s.isUsable() || t.zonesOut[s.backend.Zone] {
+			continue
+		}
+		total += s.slotCredit
+		free += max(0, s.freeSlots())
+	}
+	return total, free
+}
+
+// LargestServer returns the largest number of slots that any usable server has.
+func (t *Table) LargestServer() int {
+	n := 0
+	for _, s := range t.order {
+		if s.state != StateLeaving && !t.zonesOut[s.backend.Zone] {
+			n = max(n, s.backend.Slots)
+		}
+	}
+	return n
+}
+
+// Pick returns the backend server for a request. It returns false when none
+// has room now.
+func (t *Table) Pick(now time.Time, c Choice) (model.BackendServerID, bool) {
+	t.refresh(now)
+	var best *server
+	bestScore := 0.0
+	for _, s := range t.candidates(c) {
+		if !t.allows(s, c) {
+			continue
+		}
+		score := t.score(s, c)
+		if best == nil || score < bestScore {
+			best, bestScore = s, score
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	return best.backend.ID, true
+}
+
+func (t *Table) candidates(c Choice) []*server {
+	if len(t.order) <= sampleSize {
+		return t.order
+	}
+	sample := make([]*server, 0, sampleSize+1)
+	if home := t.servers[c.Home]; home != nil {
+		sample = append(sample, home)
+	}
+	begin := t.random.IntN(len(t.order))
+	for i := 0; i < len(t.order) && len(sample) < sampleSize; i++ {
+		s := t.order[(begin+i)%len(t.order)]
+		if t.allows(s, c) {
+			sample = append(sample, s)
+		}
+	}
+	return sample
+}
+
+func (t *Table) allows(s *server, c Choice) bool {
+	if !s.isUsable() || !s.fits(c.Slots) || t.zonesOut[s.backend.Zone] {
+		return false
+	}
+	if s.reservedFor != "" && s.reservedFor != c.Request {
+		return false
+	}
+	if s.state == StateProbing && (!c.Idempotent || s.probeBusy) {
+		return false
+	}
+	for _, id := range c.Excluded {
+		if id == s.backend.ID {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Table) score(s *server, c Choice) float64 {
+	if t.naive {
+		return t.random.Float64()
+	}
+	load := float64(s.slotsInUse+c.Slots) / float64(max(1, s.slotCredit))
+	if s.samples > 0 {
+		load *= max(0.5, s.slowness)
+	}
+	if s.backend.Zone != t.zone {
+		load += crossZonePenalty
+	}
+	if s.backend.ID == c.Home {
+		load -= homeBonus
+	}
+	if s.state == StateProbing {
+		load -= 1
+	}
+	return load
+}
+
+// Reserve keeps a server's freed slots for one large request, so that small
+// ones do not starve it. It returns the server that is reserved.
+func (t *Table) Reserve(c Choice) (model.BackendServerID, bool) {
+	var best *server
+	for _, s := range t.order {
+		if s.reservedFor == c.Request {
+			return s.backend.ID, true
+		}
+		if s.state != StateAvailable || s.reservedFor != "" || s.backend.Slots < c.Slots || t.zonesOut[s.backend.Zone] {
+			continue
+		}
+		if best == nil || s.freeSlots() > best.freeSlots() {
+			best = s
+		}
+	}
+	if best == nil {
+		return "", false
+	}
+	best.reservedFor = c.Request
+	return best.backend.ID, true
+}
+
+// Unreserve gives up the reservation of a request.
+func (t *Table) Unreserve(id model.RequestID) {
+	for _, s := range t.order {
+		if s.reservedFor == id {
+			s.reservedFor = ""
+		}
+	}
+}
+
+// Take puts a server's slots and one connection into use. In the probing state
+// it makes the request the probe.
+func (t *Table) Take(id model.BackendServerID, slots int) {
+	s := t.servers[id]
+	if s == nil {
+		return
+	}
+	s.slotsInUse += slots
+	s.connsInUse++
+	if s.state == StateProbing {
+		s.probeBusy = true
+		t.note(event.BackendProbed, s, "")
+	}
+}
+
+// Give returns what Take took.
+func (t *Table) Give(id model.BackendServerID, slots int) {
+	s := t.servers[id]
+	if s == nil {
+		return
+	}
+	s.slotsInUse = max(0, s.slotsInUse-slots)
+	s.connsInUse = max(0, s.connsInUse-1)
+}
+
+// Servers calls f for each server in order of ID, with its slots in use and
+// the largest request that it is reserved for.
+func (t *Table) Servers(f func(id model.BackendServerID, slotsInUse int, reservedFor model.RequestID)) {
+	for _, s := range t.order {
+		f(s.backend.ID, s.slotsInUse, s.reservedFor)
+	}
+}
+
+// Events returns, and forgets, the events since the last call.
+func (t *Table) Events() []event.Event {
+	events := t.events
+	t.events = nil
+	return events
+}
+
+func (t *Table) note(code event.Code, s *server, detail string) {
+	t.events = append(t.events, event.Event{Code: code, Subject: string(s.backend.ID), Zone: s.backend.Zone, Detail: detail})
+}
+
+func (t *Table) sortServers() {
+	sort.Slice(t.order, func(i, j int) bool { return t.order[i].backend.ID < t.order[j].backend.ID })
+}
--- a/internal/wire/request.go
+++ b/internal/wire/request.go
@@ -40,11 +40,14 @@
 	Assignment uint64
 	// SealOnly records the request as never to be run, in place of a claim.
 	SealOnly bool
-	// MoveFrom names the executor that the sender knows of. The home moves or
-	// seals an existing claim only if its executor is MoveFrom.
-	MoveFrom model.BackendServerID
-	// Unconfirmed is set, for idempotent requests only, when MoveFrom may have
-	// run the request. The home then never reports the request as not run.
+	// Token numbers the claims of the sending entry host over all its lives. A
+	// claim that is sent again keeps its token.
+	Token uint64
+	// MoveToken is the token of the claim that the sender knows of. The home
+	// moves or seals an existing claim only if it still has this token.
+	MoveToken uint64
+	// Unconfirmed is set, for idempotent requests only, when the executor of the
+	// moved claim may have run the request. The home then never reports it as not run.
 	Unconfirmed bool
 	// ReadOnly asks for the state of the request and changes nothing.
 	ReadOnly bool
@@ -64,8 +67,10 @@
 	Reason model.Reason
 	// RetryAfterMS says, for StateRejected, when to ask again.
 	RetryAfterMS int64
-	// Seal repeats SealOnly of the Claim that is answered.
-	Seal bool
+	// Token repeats the token of the Claim that is answered.
+	Token uint64
+	// Current is the token of the claim in force.
+	Current uint64
 }
 
 // Dispatch hands a request to the executing agent. A body larger than
@@ -85,6 +90,9 @@
 	Body       []byte
 	// Unclaimed marks an idempotent request that no home can claim or seal.
 	Unclaimed bool
+	// Token is the token of the granted claim, or, where the executor is the
+	// home itself, of the claim that the Dispatch makes.
+	Token uint64
 }
 
 // AnswerPart is one numbered part of an answer.
@@ -115,8 +123,6 @@
 	Reason  model.Reason
 	// RetryAfterMS says, for StateRejected, when to come back.
 	RetryAfterMS int64
-	// Executor is set for StateClaimed: the home has a claim for another executor.
-	Executor model.BackendServerID
 }
 
 // Forget allows an executing agent to drop the body of a kept answer.
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -16,6 +16,7 @@
 	// SinceUnixMS plus twice the clock skew bound, as long as it lives.
 	PreviousHome        model.BackendServerID
 	PreviousIncarnation model.Incarnation
+	PreviousSinceUnixMS int64
 }
 
 // Assignment is the versioned table of home ranges, sorted by FirstHash.
