Fill in the request path: claims, credits, routing, admission, retries

Ruled out: a claim held by executor name alone: two entry hosts that choose the same executor would both be granted and an executor restart between their dispatches would run the request twice. Claims therefore carry tokens, and a claim moves only from the token that the mover knows.

--- a/internal/requestflow/config.go
+++ b/internal/requestflow/config.go
@@ -9,7 +9,9 @@
 // Config holds the limits of a Core. Zero fields take the value of DefaultConfig.
 type Config struct {
 	Entry model.EntryID
-	Zone  model.AvailabilityZoneName
+	// Incarnation is the entry host's life. Claim tokens grow with it.
+	Incarnation model.Incarnation
+	Zone        model.AvailabilityZoneName
 	// ClockSkewBound is the largest difference between any two processes' clocks.
 	ClockSkewBound time.Duration
 	// MaxRequests bounds the requests held at the same time, over all accounts.
@@ -28,6 +30,11 @@
 	// ResolveTimeout is how long a request whose executor is not connected waits
 	// for a new connection.
 	ResolveTimeout time.Duration
+	// ReconnectGrace is how long an idempotent request whose executor's connection
+	// was lost waits for a new connection before it is dispatched again.
+	ReconnectGrace time.Duration
+	// SealTimeout is how long a request that is given up waits for its seal.
+	SealTimeout time.Duration
 	// TickInterval is the longest time between two Tick inputs.
 	TickInterval time.Duration
 	// MaxAttempts bounds the dispatches of one idempotent request.
@@ -35,6 +42,8 @@
 	// DisableAdmission and DisableRetryBudget turn a policy off, for baselines.
 	DisableAdmission   bool
 	DisableRetryBudget bool
+	// FIFO serves in order of arrival, whatever the account, for baselines.
+	FIFO bool
 	// RandomRouting replaces least-loaded routing and ejection, for baselines.
 	RandomRouting bool
 	// Seed seeds the random choices of routing.
@@ -52,6 +61,8 @@
 		ClaimTimeout:        250 * time.Millisecond,
 		ProbeInterval:       time.Second,
 		ResolveTimeout:      5 * time.Second,
+		ReconnectGrace:      300 * time.Millisecond,
+		SealTimeout:         300 * time.Millisecond,
 		TickInterval:        20 * time.Millisecond,
 		MaxAttempts:         3,
 	}
@@ -67,6 +78,8 @@
 	setDefault(&c.ClaimTimeout, d.ClaimTimeout)
 	setDefault(&c.ProbeInterval, d.ProbeInterval)
 	setDefault(&c.ResolveTimeout, d.ResolveTimeout)
+	setDefault(&c.ReconnectGrace, d.ReconnectGrace)
+	setDefault(&c.SealTimeout, d.SealTimeout)
 	setDefault(&c.TickInterval, d.TickInterval)
 	setDefault(&c.MaxAttempts, d.MaxAttempts)
 	return c
--- /dev/null
+++ b/internal/requestflow/flight.go
@@ -0,0 +1,243 @@
+package requestflow
+
+import (
+	"container/heap"
+	"time"
+
+	"dragonflyyard/internal/admission"
+	"dragonflyyard/internal/dedup"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/statechart"
+	"dragonflyyard/internal/wire"
+)
+
+// phase says what a request in the state "resolving" or "queued" waits for.
+type phase uint8
+
+const (
+	phaseNone phase = iota
+	// phaseAsking waits for an executor's reply to Lookup.
+	phaseAsking
+	// phaseSealing waits for the home's reply to a seal.
+	phaseSealing
+	// phaseParked waits for the home to be reachable.
+	phaseParked
+)
+
+// flight is one request on this entry host, from Submit to Finish.
+//
+// Invariants: it holds slots of a backend server only between the choice of the
+// executor and the end of the dispatch; not_run is given only on a home's seal
+// of a claim that no executor can have started.
+type flight struct {
+	request model.Request
+	mintMS  int64
+	seq     uint64
+	callers []Caller
+	query   bool
+	machine statechart.Machine
+	phase   phase
+	item    *admission.Item
+
+	// executor is the agent that has, or is about to get, the request.
+	executor     model.BackendServerID
+	executorLife model.Incarnation
+	// holdConnection is the connection on which slots are held, zero if none are.
+	holdConnection uint64
+	// sentConnection is the connection of the last Dispatch or Lookup.
+	sentConnection uint64
+	dispatchedAt   time.Time
+	// foreign: another entry host, or an earlier submission, made the dispatch.
+	foreign  bool
+	attempts int
+	tried    []model.BackendServerID
+
+	// token is the claim being made; claimToken one known not to have started.
+	token       uint64
+	claimToken  uint64
+	unconfirmed bool
+	unclaimed   bool
+	home        model.BackendServerID
+
+	giveUpReason model.Reason
+	retryAfter   time.Duration
+
+	answer    answerAssembly
+	nextProbe time.Time
+	waitUntil time.Time
+	// homeDeadline ends the wait for a home that cannot be asked.
+	homeDeadline time.Time
+	// claimVersion is the assignment version of the claim being made.
+	claimVersion uint64
+	// explicit: the home has another claim, so a Dispatch alone makes none.
+	explicit bool
+	ended    bool
+	timer    int
+	wake     time.Time
+}
+
+// nextWake returns when the next timer of a flight is due.
+func (f *flight) nextWake() time.Time {
+	due := f.request.Deadline
+	if f.phase == phaseSealing {
+		due = f.waitUntil
+	}
+	if !f.waitUntil.IsZero() && f.waitUntil.Before(due) {
+		due = f.waitUntil
+	}
+	if !f.nextProbe.IsZero() && f.nextProbe.Before(due) {
+		due = f.nextProbe
+	}
+	return due
+}
+
+func (f *flight) isTried(id model.BackendServerID) bool {
+	for _, t := range f.tried {
+		if t == id {
+			return true
+		}
+	}
+	return false
+}
+
+// slotTime returns the expected slot time of a request, the unit of fairness.
+func slotTime(service time.Duration, slots int) time.Duration {
+	return service * time.Duration(slots)
+}
+
+// newFlight returns a flight in the chart's initial state.
+func (c *Core) newFlight(request model.Request, caller Caller, mintMS int64) *flight {
+	c.nextSeq++
+	f := &flight{request: request, mintMS: mintMS, seq: c.nextSeq, machine: requestChart.NewMachine(), timer: -1}
+	f.callers = append(f.callers, caller)
+	c.flights[request.ID] = f
+	c.callers[caller] = f
+	return f
+}
+
+// holder returns the home of a flight and how it can be reached.
+func (c *Core) holder(f *flight) (dedup.Holder, homeReach) {
+	h, ok := dedup.HolderOf(c.assignment, f.request.ID, f.mintMS, c.config.ClockSkewBound)
+	if !ok {
+		return h, homeDown
+	}
+	l := c.links[h.Home]
+	switch {
+	case l == nil || l.incarnation < h.Incarnation:
+		return h, homeDown
+	case l.incarnation > h.Incarnation:
+		return h, homeReplaced
+	default:
+		return h, homeUp
+	}
+}
+
+// homeReach says whether the home of a request can be asked.
+type homeReach uint8
+
+const (
+	homeUp homeReach = iota + 1
+	// homeDown means that there is no connection to the home for now.
+	homeDown
+	// homeReplaced means that the life of the home that kept the claims is over:
+	// nobody can claim or seal the request any more.
+	homeReplaced
+)
+
+func (c *Core) nextToken() uint64 {
+	c.lastToken++
+	return c.lastToken
+}
+
+// schedule sets a flight's timer after each change of its state.
+func (c *Core) schedule(f *flight) {
+	if f.ended {
+		if f.timer >= 0 {
+			heap.Remove(&c.timers, f.timer)
+		}
+		return
+	}
+	f.wake = f.nextWake()
+	if f.timer < 0 {
+		heap.Push(&c.timers, f)
+		return
+	}
+	heap.Fix(&c.timers, f.timer)
+}
+
+// timerHeap orders flights by their next wake time, then by arrival.
+type timerHeap []*flight
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	if !h[i].wake.Equal(h[j].wake) {
+		return h[i].wake.Before(h[j].wake)
+	}
+	return h[i].seq < h[j].seq
+}
+func (h timerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].timer, h[j].timer = i, j
+}
+func (h *timerHeap) Push(x any) {
+	f := x.(*flight)
+	f.timer = len(*h)
+	*h = append(*h, f)
+}
+func (h *timerHeap) Pop() any {
+	old := *h
+	f := old[len(old)-1]
+	old[len(old)-1] = nil
+	f.timer = -1
+	*h = old[:len(old)-1]
+	return f
+}
+
+// answerAssembly joins the numbered parts of one answer.
+type answerAssembly struct {
+	parts    [][]byte
+	received int
+	size     int
+	total    int
+	status   int
+	failed   bool
+}
+
+// add takes a part in any order. It returns true once the answer is whole. A
+// part that contradicts the earlier ones starts the assembly anew.
+func (a *answerAssembly) add(m *wire.AnswerPart, maxBytes int) bool {
+	if m.Parts < 1 || m.Part < 0 || m.Part >= m.Parts || m.Total < 0 || m.Total > maxBytes {
+		return false
+	}
+	if m.Parts > 1+m.Total {
+		return false
+	}
+	matches := len(a.parts) == m.Parts && a.total == m.Total && a.status == m.Status && a.failed == m.Failed
+	if !matches {
+		*a = answerAssembly{parts: make([][]byte, m.Parts), total: m.Total, status: m.Status, failed: m.Failed}
+	}
+	if a.parts[m.Part] == nil {
+		a.parts[m.Part] = append([]byte{}, m.Body...)
+		a.received++
+		a.size += len(m.Body)
+	}
+	if a.received < m.Parts {
+		return false
+	}
+	if a.size != a.total {
+		*a = answerAssembly{}
+		return false
+	}
+	return true
+}
+
+func (a *answerAssembly) body() []byte {
+	if len(a.parts) == 1 {
+		return a.parts[0]
+	}
+	body := make([]byte, 0, a.total)
+	for _, part := range a.parts {
+		body = append(body, part...)
+	}
+	return body
+}
--- /dev/null
+++ b/internal/requestflow/query.go
@@ -0,0 +1,130 @@
+package requestflow
+
+import (
+	"time"
+
+	"dragonflyyard/internal/dedup"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/wire"
+)
+
+// queryTimeout bounds a look-up of a request by its ID.
+const queryTimeout = 2 * time.Second
+
+// queryRequest finds a request by its ID: on this entry host, else at its home
+// and then at its executor.
+func (c *Core) queryRequest(now time.Time, in Query) {
+	mintMS, err := dedup.MintTime(in.Request)
+	if err != nil {
+		c.queryResult(in.Request, in.Caller, wire.StateOutsideHorizon, model.Outcome{
+			Kind: model.OutcomeRefused, Reason: model.ReasonInvalidID,
+		})
+		return
+	}
+	if f := c.flights[in.Request]; f != nil && !f.query {
+		c.queryResult(in.Request, in.Caller, wire.StateRunning, model.Outcome{})
+		return
+	}
+	if f := c.flights[in.Request]; f != nil {
+		c.endQuery(f)
+	}
+	if len(c.flights) >= 2*c.config.MaxRequests {
+		c.queryResult(in.Request, in.Caller, wire.StateOutsideHorizon, model.Outcome{
+			Kind: model.OutcomeUnknown, Reason: model.ReasonQueueFull, RetryAfter: noServerRetryAfter,
+		})
+		return
+	}
+	request := model.Request{ID: in.Request, Idempotent: true, Deadline: now.Add(queryTimeout)}
+	f := c.newFlight(request, in.Caller, mintMS)
+	f.query = true
+	c.askHome(now, f)
+	c.schedule(f)
+}
+
+// askHome reads the claim of a queried request.
+func (c *Core) askHome(now time.Time, f *flight) {
+	holder, reach := c.holder(f)
+	switch reach {
+	case homeDown:
+		c.park(now, f)
+	case homeReplaced:
+		c.endQueryWith(f, wire.StateOutsideHorizon, model.ReasonOutsideHorizon)
+	default:
+		f.phase = phaseSealing
+		f.waitUntil = now.Add(queryTimeout)
+		f.nextProbe = now.Add(c.config.ClaimTimeout)
+		f.home = holder.Home
+		f.token = c.nextToken()
+		c.send(c.links[holder.Home], &wire.Claim{
+			Request: f.request.ID, Assignment: c.assignmentVersion(), ReadOnly: true, Token: f.token,
+		})
+	}
+}
+
+func (c *Core) queryHomeReply(now time.Time, f *flight, m *wire.ClaimReply) {
+	switch m.State {
+	case wire.StateClaimed:
+		c.ask(now, f, m.Executor)
+		f.waitUntil = f.request.Deadline
+	case wire.StateRejected:
+		f.nextProbe = now.Add(time.Duration(max(1, m.RetryAfterMS)) * time.Millisecond)
+	default:
+		c.endQueryWith(f, m.State, m.Reason)
+	}
+}
+
+func (c *Core) queryExecutorReply(f *flight, m *wire.LookupReply) {
+	if m.State != wire.StateFinished {
+		c.endQueryWith(f, m.State, m.Reason)
+	}
+}
+
+func (c *Core) queryAnswer(f *flight) {
+	outcome := model.Outcome{Kind: model.OutcomeAnswered, Status: f.answer.status, Body: f.answer.body()}
+	if f.answer.failed {
+		outcome.Kind, outcome.Reason = model.OutcomeBackendFailed, model.ReasonBackendError
+	}
+	for _, caller := range f.callers {
+		c.queryResult(f.request.ID, caller, wire.StateFinished, outcome)
+	}
+	c.forgetQuery(f)
+}
+
+func (c *Core) expireQuery(now time.Time, f *flight, late bool) {
+	switch {
+	case late:
+		c.endQueryWith(f, wire.StateOutsideHorizon, model.ReasonHomeUnreachable)
+	case f.phase == phaseAsking:
+		c.sendLookup(now, f)
+	default:
+		c.askHome(now, f)
+	}
+}
+
+// endQuery ends a query whose request is submitted, or queried again, meanwhile.
+func (c *Core) endQuery(f *flight) { c.endQueryWith(f, wire.StateRunning, model.ReasonInProgress) }
+
+func (c *Core) endQueryWith(f *flight, state wire.RequestState, reason model.Reason) {
+	outcome := model.Outcome{}
+	switch state {
+	case wire.StateSealed:
+		outcome = model.Outcome{Kind: model.OutcomeNotRun, Reason: model.ReasonSealed}
+	case wire.StateRunning, wire.StateClaimed, wire.StateAbsent, wire.StateRejected:
+		outcome.Reason = reason
+	default:
+		outcome = model.Outcome{Kind: model.OutcomeUnknown, Reason: reason}
+	}
+	for _, caller := range f.callers {
+		c.queryResult(f.request.ID, caller, state, outcome)
+	}
+	c.forgetQuery(f)
+}
+
+func (c *Core) forgetQuery(f *flight) {
+	c.fire(f, eventRefused)
+	c.forget(f)
+}
+
+func (c *Core) queryResult(id model.RequestID, caller Caller, state wire.RequestState, outcome model.Outcome) {
+	c.actions = append(c.actions, QueryResult{Request: id, Caller: caller, State: state, Outcome: outcome})
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -33,3 +33,6 @@
 	b.tokens--
 	return true
 }
+
+// HasRetry reports whether TryRetry would succeed.
+func (b *Budget) HasRetry() bool { return b.disabled || b.tokens >= 1 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -123,17 +123,6 @@
 	return total, free
 }
 
-// LargestServer returns the largest number of slots that any usable server has.
-func (t *Table) LargestServer() int {
-	n := 0
-	for _, s := range t.order {
-		if s.state != StateLeaving && !t.zonesOut[s.backend.Zone] {
-			n = max(n, s.backend.Slots)
-		}
-	}
-	return n
-}
-
 // Pick returns the backend server for a request. It returns false when none
 // has room now.
 func (t *Table) Pick(now time.Time, c Choice) (model.BackendServerID, bool) {
@@ -183,12 +172,7 @@
 	if s.state == StateProbing && (!c.Idempotent || s.probeBusy) {
 		return false
 	}
-	for _, id := range c.Excluded {
-		if id == s.backend.ID {
-			return false
-		}
-	}
-	return true
+	return !isExcluded(c, s.backend.ID)
 }
 
 func (t *Table) score(s *server, c Choice) float64 {
@@ -265,6 +249,7 @@
 	}
 	s.slotsInUse = max(0, s.slotsInUse-slots)
 	s.connsInUse = max(0, s.connsInUse-1)
+	s.probeBusy = s.probeBusy && s.connsInUse > 0
 }
 
 // Servers calls f for each server in order of ID, with its slots in use and
@@ -289,3 +274,32 @@
 func (t *Table) sortServers() {
 	sort.Slice(t.order, func(i, j int) bool { return t.order[i].backend.ID < t.order[j].backend.ID })
 }
+
+// HasCandidate reports whether some backend server could take a request, now
+// or once it has room again.
+func (t *Table) HasCandidate(c Choice) bool {
+	for _, s := range t.order {
+		if s.state == StateLeaving || s.backend.Slots < c.Slots || t.zonesOut[s.backend.Zone] {
+			continue
+		}
+		if !isExcluded(c, s.backend.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// IsOpen reports whether a backend server still takes new requests.
+func (t *Table) IsOpen(id model.BackendServerID) bool {
+	s := t.servers[id]
+	return s != nil && s.isUsable() && !t.zonesOut[s.backend.Zone]
+}
+
+func isExcluded(c Choice, id model.BackendServerID) bool {
+	for _, excluded := range c.Excluded {
+		if excluded == id {
+			return true
+		}
+	}
+	return false
+}
