--- /dev/null
+++ b/internal/entry/agentbook.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"sort"
+	"time"
+
+	"dragonflyyard/internal/link"
+	"dragonflyyard/internal/membership"
+	"dragonflyyard/internal/model"
+)
+
+// connectedAgent is one agent as this entry host knows it.
+type connectedAgent struct {
+	conn        *link.Conn
+	zone        model.AvailabilityZoneName
+	incarnation model.Incarnation
+	leaving     bool
+	// acknowledged is the configuration version that the agent acts on.
+	acknowledged model.ConfigVersion
+	configSentAt time.Time
+}
+
+// agentBook holds the agents that are or lately were connected.
+type agentBook struct {
+	detector *membership.Detector
+	agents   map[string]*connectedAgent
+	// workers are the workers announced so far, by the agent's process name.
+	workers map[string]model.Worker
+}
+
+func newAgentBook() *agentBook {
+	return &agentBook{
+		detector: membership.NewDetector(membership.DefaultDetectorLimits()),
+		agents:   map[string]*connectedAgent{},
+		workers:  map[string]model.Worker{},
+	}
+}
+
+func (b *agentBook) connect(now time.Time, c *link.Conn) {
+	hello := c.Peer().Hello
+	b.agents[hello.Process] = &connectedAgent{
+		conn: c, zone: hello.Zone, incarnation: hello.Incarnation, leaving: hello.Leaving,
+	}
+	if hello.Worker != nil {
+		b.workers[hello.Process] = *hello.Worker
+	}
+	b.detector.Heard(now, hello.Process, hello.Incarnation)
+}
+
+// disconnect forgets a connection. Whether the agent is alive is left to the
+// detector, since a new connection usually follows.
+func (b *agentBook) disconnect(c *link.Conn) {
+	if a := b.agents[c.Peer().Process]; a != nil && a.conn == c {
+		delete(b.agents, c.Peer().Process)
+	}
+}
+
+func (b *agentBook) heard(now time.Time, c *link.Conn) *connectedAgent {
+	a := b.agents[c.Peer().Process]
+	if a == nil || a.conn != c {
+		return nil
+	}
+	b.detector.Heard(now, c.Peer().Process, a.incarnation)
+	return a
+}
+
+func (b *agentBook) leave(now time.Time, c *link.Conn) {
+	a := b.agents[c.Peer().Process]
+	if a == nil || a.conn != c {
+		return
+	}
+	a.leaving = true
+	b.detector.Left(now, c.Peer().Process, a.incarnation)
+}
+
+func (b *agentBook) acknowledge(c *link.Conn, version model.ConfigVersion) {
+	if a := b.agents[c.Peer().Process]; a != nil && a.conn == c {
+		a.acknowledged = max(a.acknowledged, version)
+	}
+}
+
+// tick lets time pass. The worker of an agent that is forgotten no longer
+// counts as part of the fleet.
+func (b *agentBook) tick(now time.Time) {
+	for _, change := range b.detector.Tick(now) {
+		if change.To == membership.HealthForgotten {
+			delete(b.workers, change.Process)
+		}
+	}
+}
+
+// homes returns the agents that can be homes of request ranges: those that
+// are alive or merely suspect, and not leaving.
+func (b *agentBook) homes() []membership.HomeAgent {
+	var out []membership.HomeAgent
+	for name := range b.agents {
+		health, incarnation := b.detector.Health(name)
+		if health == membership.HealthAlive || health == membership.HealthSuspect {
+			out = append(out, membership.HomeAgent{ID: model.BackendServerID(name), Incarnation: incarnation})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// fleet returns the workers announced so far, in the order of their IDs.
+func (b *agentBook) fleet() []model.Worker {
+	var out []model.Worker
+	for _, w := range b.workers {
+		out = append(out, w)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
--- /dev/null
+++ b/internal/entry/statecores.go
@@ -0,0 +1,253 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dragonflyyard/internal/configstore"
+	"dragonflyyard/internal/event"
+	"dragonflyyard/internal/membership"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/ownership"
+	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/wire"
+)
+
+// ownerCheck is the precondition of the owner's writes.
+type ownerCheck struct {
+	epoch model.Epoch
+	check platform.Check
+}
+
+// stepConfig steps the configuration core and carries its actions out.
+func (s *State) stepConfig(now time.Time, in configstore.Input) {
+	for _, action := range s.config.Step(now, in) {
+		switch action := action.(type) {
+		case configstore.Publish:
+			s.publish(action)
+		case configstore.PublishAssignment:
+			s.publishAssignment(action.Assignment)
+		case configstore.Answer:
+			s.answerChange(action)
+		case configstore.Resolved:
+			s.p.Log.Record(event.Event{
+				Code: event.ConfigResolved, Subject: string(action.Change), Detail: string(action.Verdict),
+			})
+		default:
+			s.callForConfig(action)
+		}
+	}
+	s.ready.Store(s.config.View().Ready)
+}
+
+func (s *State) publish(action configstore.Publish) {
+	document := s.config.Document()
+	s.document.Store(document)
+	s.pending.document = document
+	s.pending.flush(s.p.Requests)
+	s.p.Scheduler.configure(document)
+	s.broadcastConfig(&wire.ConfigUpdate{From: action.From, To: action.To, Changes: action.Changes})
+	s.p.Log.Record(event.Event{Code: event.ConfigApplied, Subject: versionText(action.To)})
+	for _, change := range action.Changes {
+		if change.Zone == "" {
+			continue
+		}
+		zone := model.AvailabilityZoneName(change.Object[len(configstore.ObjectZone):])
+		s.p.Log.Record(event.Event{Code: event.ZoneChanged, Zone: zone, Detail: string(change.Zone)})
+	}
+}
+
+func (s *State) publishAssignment(assignment wire.Assignment) {
+	s.pending.assignment = &assignment
+	s.pending.flush(s.p.Requests)
+	version := s.config.Document().Version
+	s.broadcastConfig(&wire.ConfigUpdate{From: version, To: version, Assignment: &assignment})
+	s.p.Log.Record(event.Event{Code: event.AssignmentApplied, Subject: versionText(model.ConfigVersion(assignment.Version))})
+}
+
+// callForConfig makes a platform call that the configuration core asks for.
+func (s *State) callForConfig(action configstore.Action) {
+	switch action := action.(type) {
+	case configstore.ListRows:
+		s.call(func(ctx context.Context) stateInput {
+			rows, err := s.calls.table.List(ctx, action.Prefix, action.After, action.Limit)
+			return stateInput{config: configstore.RowsListed{Call: action.Call, Result: configResult(err), Rows: rows}}
+		}, stateInput{config: configstore.RowsListed{Call: action.Call, Result: configstore.ResultUnavailable}})
+	case configstore.ReadRow:
+		s.call(func(ctx context.Context) stateInput {
+			row, err := s.calls.table.Get(ctx, action.Key)
+			return stateInput{config: configstore.RowRead{Call: action.Call, Result: configResult(err), Row: row}}
+		}, stateInput{config: configstore.RowRead{Call: action.Call, Result: configstore.ResultUnavailable}})
+	case configstore.Commit:
+		s.call(func(ctx context.Context) stateInput {
+			versions, err := s.calls.table.Commit(ctx, action.Transaction)
+			return stateInput{config: configstore.Committed{Call: action.Call, Result: configResult(err), Versions: versions}}
+		}, stateInput{config: configstore.Committed{Call: action.Call, Result: configstore.ResultUnavailable}})
+	case configstore.ReadObject:
+		s.call(func(ctx context.Context) stateInput {
+			value, err := s.calls.objects.GetObject(ctx, action.Key)
+			return stateInput{config: configstore.ObjectRead{Call: action.Call, Result: configResult(err), Value: value}}
+		}, stateInput{config: configstore.ObjectRead{Call: action.Call, Result: configstore.ResultUnavailable}})
+	case configstore.WriteObject:
+		s.call(func(ctx context.Context) stateInput {
+			err := s.calls.objects.PutObject(ctx, action.Key, action.Value)
+			return stateInput{config: configstore.ObjectWritten{Call: action.Call, Result: configResult(err)}}
+		}, stateInput{config: configstore.ObjectWritten{Call: action.Call, Result: configstore.ResultUnavailable}})
+	}
+}
+
+// call makes a platform call and feeds its result back. Refused is the result
+// of a call that could not be queued; it is fed back through the ring as well,
+// so that a core is never stepped from within its own step.
+func (s *State) call(run func(ctx context.Context) stateInput, refused stateInput) {
+	s.calls.start(
+		func(ctx context.Context) { pushUntil(ctx, s.inputs, run(ctx)) },
+		func(error) {
+			if !s.inputs.TryPush(refused) {
+				s.p.Log.Record(event.Event{Code: event.StateOverloaded})
+			}
+		},
+	)
+}
+
+func configResult(err error) configstore.Result {
+	switch {
+	case err == nil:
+		return configstore.ResultOK
+	case errors.Is(err, platform.ErrNotFound):
+		return configstore.ResultNotFound
+	case errors.Is(err, platform.ErrConflict):
+		return configstore.ResultConflict
+	case errors.Is(err, platform.ErrUnavailable):
+		return configstore.ResultUnavailable
+	default:
+		return configstore.ResultInDoubt
+	}
+}
+
+// stepOwner steps the candidate for the region lease.
+func (s *State) stepOwner(now time.Time, in ownership.Input) {
+	for _, action := range s.owner.Step(now, in) {
+		switch action := action.(type) {
+		case ownership.ReadRow:
+			s.call(func(ctx context.Context) stateInput {
+				row, err := s.calls.table.Get(ctx, action.Key)
+				if errors.Is(err, platform.ErrNotFound) {
+					row, err = platform.Row{Key: action.Key}, nil
+				}
+				return stateInput{owner: ownership.RowRead{Call: action.Call, Result: ownershipResult(err), Row: row}}
+			}, stateInput{owner: ownership.RowRead{Call: action.Call, Result: ownership.ResultUnavailable}})
+		case ownership.CommitRow:
+			s.call(func(ctx context.Context) stateInput {
+				versions, err := s.calls.table.Commit(ctx, action.Transaction)
+				return stateInput{owner: ownership.RowCommitted{Call: action.Call, Result: ownershipResult(err), Versions: versions}}
+			}, stateInput{owner: ownership.RowCommitted{Call: action.Call, Result: ownership.ResultUnavailable}})
+		case ownership.HandedOver:
+			close(s.handedOff)
+		default:
+			s.takeOwnership(now, action)
+		}
+	}
+}
+
+// takeOwnership takes in a change of the region lease.
+func (s *State) takeOwnership(now time.Time, action ownership.Action) {
+	self := s.p.Config.Settings.ID
+	switch action := action.(type) {
+	case ownership.Acquired:
+		s.ownerNow.Store(&ownerView{Owner: self, Epoch: action.Epoch, Mine: true, ValidUntil: action.ValidUntil})
+		s.check.Store(&ownerCheck{epoch: action.Epoch, check: s.owner.Check()})
+		s.ownerAt = now
+		s.p.Log.Record(event.Event{Code: event.OwnerElected, Subject: string(self), Detail: versionText(model.ConfigVersion(action.Epoch))})
+		s.broadcastOwner()
+		s.p.Scheduler.acquire(action.Epoch)
+	case ownership.Extended:
+		s.ownerNow.Store(&ownerView{Owner: self, Epoch: action.Epoch, Mine: true, ValidUntil: action.ValidUntil})
+	case ownership.Lost:
+		s.ownerNow.Store(&ownerView{Epoch: action.Epoch})
+		s.p.Log.Record(event.Event{Code: event.OwnerLost, Subject: string(self), Detail: string(action.Reason)})
+		s.p.Scheduler.lose()
+	case ownership.Observed:
+		if view := s.Owner(); !view.Mine && action.Lease.Epoch >= view.Epoch {
+			s.ownerNow.Store(&ownerView{Owner: action.Lease.Owner, Epoch: action.Lease.Epoch})
+		}
+	}
+}
+
+func ownershipResult(err error) ownership.Result {
+	switch {
+	case err == nil:
+		return ownership.ResultOK
+	case errors.Is(err, platform.ErrConflict):
+		return ownership.ResultConflict
+	case errors.Is(err, platform.ErrUnavailable):
+		return ownership.ResultUnavailable
+	default:
+		return ownership.ResultInDoubt
+	}
+}
+
+// stepRoster steps this host's part in the roster of entry hosts.
+func (s *State) stepRoster(now time.Time, in membership.RosterInput) {
+	for _, action := range s.roster.Step(now, in) {
+		switch action := action.(type) {
+		case membership.ListRoster:
+			s.call(func(ctx context.Context) stateInput {
+				rows, err := s.calls.list(ctx, membership.RosterPrefix)
+				return stateInput{roster: membership.RosterListed{Call: action.Call, Result: rosterResult(err), Rows: rows}}
+			}, stateInput{roster: membership.RosterListed{Call: action.Call, Result: membership.RosterUnavailable}})
+		case membership.CommitRoster:
+			s.call(func(ctx context.Context) stateInput {
+				versions, err := s.calls.table.Commit(ctx, action.Transaction)
+				return stateInput{roster: membership.RosterCommitted{Call: action.Call, Result: rosterResult(err), Versions: versions}}
+			}, stateInput{roster: membership.RosterCommitted{Call: action.Call, Result: membership.RosterUnavailable}})
+		case membership.RosterChanged:
+			s.takeRoster(now, action.View)
+		}
+	}
+}
+
+func (s *State) takeRoster(now time.Time, view membership.RosterView) {
+	s.setRoster(view)
+	s.stepConfig(now, configstore.Admit{Allowed: view.Established, Member: view.Check})
+	if view.Left && !s.leftRoster {
+		s.leftRoster = true
+		close(s.rosterOff)
+	}
+}
+
+func rosterResult(err error) membership.RosterResult {
+	switch ownershipResult(err) {
+	case ownership.ResultOK:
+		return membership.RosterOK
+	case ownership.ResultConflict:
+		return membership.RosterConflict
+	case ownership.ResultUnavailable:
+		return membership.RosterUnavailable
+	default:
+		return membership.RosterInDoubt
+	}
+}
+
+// homeSettle is how long a new owner waits for agents to connect before it
+// plans the home assignment.
+const homeSettle = time.Second
+
+// planHomes proposes a new home assignment when agents came or went.
+func (s *State) planHomes(now time.Time) {
+	if _, mine := s.holdsLease(now); !mine || now.Sub(s.ownerAt) < homeSettle {
+		return
+	}
+	view := s.config.View()
+	if !view.Ready || view.AssignmentInDoubt {
+		return
+	}
+	plan, changed := membership.PlanHomes(s.config.Assignment(), s.agents.homes(), now.UnixMilli(), s.limits.Validity)
+	if !changed || now.Before(s.nextPlan) {
+		return
+	}
+	s.nextPlan = now.Add(homeSettle)
+	s.stepConfig(now, configstore.Propose{Assignment: plan, Fence: s.owner.Check()})
+}
