Add ownership, configuration, permit and membership cores

The entry shell needs the state decisions as inputs and actions. Each core is pure: its caller passes the time and results of store calls.

Found while designing: a permit of 2.5 s that rests on a read up to 1 s old lets a task start 3.5 s after a take-out. Permits are therefore bounded from the start of the read (or of the question to the roster), not from the heartbeat. A new entry host is unknown to hosts cut off from the store, so it writes configuration only after an established member said it knows it.

Checked: go test -race ./internal/ownership ./internal/configstore ./internal/permit ./internal/membership ./internal/standin.

--- /dev/null
+++ b/internal/configstore/catchup.go
@@ -0,0 +1,202 @@
+package configstore
+
+import (
+	"time"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/platform"
+)
+
+func (c *Core) onRowsListed(in RowsListed) []Action {
+	if c.read.step == readNothing || in.Call != c.read.call {
+		return nil
+	}
+	if in.Result != ResultOK {
+		return c.stopRead()
+	}
+	if c.read.step == readHeads {
+		return c.onHeads(in.Rows)
+	}
+	return c.onChanges(in.Rows)
+}
+
+// onHeads takes in the head rows and begins to catch up with them.
+func (c *Core) onHeads(rows []platform.Row) []Action {
+	var headRow, assignmentRow platform.Row
+	for _, row := range rows {
+		switch row.Key {
+		case HeadKey:
+			headRow = row
+		case AssignmentHeadKey(c.region):
+			assignmentRow = row
+		}
+	}
+	head, err := DecodeHead(headRow)
+	if err != nil || head.Version < c.document.Version {
+		// A head below what is in force is never acted upon.
+		return c.stopRead()
+	}
+	assignmentHead, err := decodeAssignmentHead(assignmentRow)
+	if err != nil || assignmentHead.Version < c.assignment.Version {
+		return c.stopRead()
+	}
+	c.read.head, c.read.headRow = head, headRow.Version
+	c.read.assignment, c.read.assignmentRow = assignmentHead.Version, assignmentRow.Version
+	return c.catchUp()
+}
+
+// catchUp makes the next read that leads to what the head rows showed, or ends
+// the read when the core has all of it.
+func (c *Core) catchUp() []Action {
+	behind := c.read.head.Version - min(c.document.Version, c.read.head.Version)
+	late := !c.ready || int(behind) > c.limits.Retention/2
+	switch {
+	case late && !c.read.triedSnapshot && c.document.Version < c.read.head.Snapshot:
+		return c.loadSnapshot()
+	case behind > 0:
+		return c.listChanges()
+	case c.read.assignment > c.assignment.Version:
+		c.read.step, c.read.call = readAssignment, c.newCall()
+		return []Action{ReadRow{Call: c.read.call, Key: AssignmentKey(c.region, c.read.assignment)}}
+	default:
+		return c.caughtUp()
+	}
+}
+
+func (c *Core) listChanges() []Action {
+	c.read.step, c.read.call = readChanges, c.newCall()
+	return []Action{ListRows{
+		Call:   c.read.call,
+		Prefix: changePrefix,
+		After:  ChangeKey(c.document.Version),
+		Limit:  c.limits.PageRows,
+	}}
+}
+
+// onChanges applies change rows in order. Rows past the head that was read are
+// applied too, since a change row exists only once its change is accepted.
+func (c *Core) onChanges(rows []platform.Row) []Action {
+	var actions []Action
+	for _, row := range rows {
+		change, err := DecodeChange(row)
+		if err != nil || change.Version != c.document.Version+1 {
+			break
+		}
+		actions = append(actions, c.advance(change))
+	}
+	if len(actions) == 0 {
+		// The rows needed are gone or cannot be read: start over from a snapshot.
+		return c.fallBackToSnapshot()
+	}
+	return append(actions, c.catchUp()...)
+}
+
+func (c *Core) fallBackToSnapshot() []Action {
+	if c.read.triedSnapshot || c.read.head.Snapshot <= c.document.Version {
+		return c.stopRead()
+	}
+	return c.loadSnapshot()
+}
+
+func (c *Core) loadSnapshot() []Action {
+	c.read.triedSnapshot = true
+	c.read.step, c.read.call = readSnapshot, c.newCall()
+	return []Action{ReadObject{Call: c.read.call, Key: SnapshotKey(c.read.head.Snapshot)}}
+}
+
+func (c *Core) onObjectRead(in ObjectRead) []Action {
+	if c.read.step != readSnapshot || in.Call != c.read.call {
+		return nil
+	}
+	if in.Result != ResultOK {
+		return c.listAllChanges()
+	}
+	document, err := DecodeSnapshot(in.Value)
+	if err != nil || document.Version <= c.document.Version {
+		return c.listAllChanges()
+	}
+	c.snapshot = max(c.snapshot, document.Version)
+	return append([]Action{c.replace(document)}, c.catchUp()...)
+}
+
+// listAllChanges is the way around a snapshot that cannot be had: change rows
+// alone, as long as none was deleted.
+func (c *Core) listAllChanges() []Action {
+	if int(c.read.head.Version) > c.limits.Retention {
+		return c.stopRead()
+	}
+	return c.listChanges()
+}
+
+func (c *Core) onRowRead(now time.Time, in RowRead) []Action {
+	if in.Call != c.read.call {
+		return nil
+	}
+	switch c.read.step {
+	case readAssignment:
+		return c.onAssignmentRow(in)
+	case readChangeID:
+		return c.onChangeIDRow(now, in)
+	default:
+		return nil
+	}
+}
+
+func (c *Core) onAssignmentRow(in RowRead) []Action {
+	if in.Result != ResultOK {
+		return c.stopRead()
+	}
+	assignment, err := DecodeAssignment(in.Row)
+	if err != nil || assignment.Version != c.read.assignment {
+		return c.stopRead()
+	}
+	return append([]Action{c.takeAssignment(assignment)}, c.catchUp()...)
+}
+
+// caughtUp ends a read after which the core has all that the head rows showed.
+func (c *Core) caughtUp() []Action {
+	if c.document.Version >= c.read.head.Version && c.assignment.Version >= c.read.assignment {
+		c.ready = true
+		c.currentSince = c.read.startedAt
+	}
+	if c.document.Version == c.read.head.Version {
+		c.head, c.headRow = c.read.head, c.read.headRow
+		c.snapshot = max(c.snapshot, c.head.Snapshot)
+	}
+	if c.assignment.Version == c.read.assignment {
+		c.assignmentRow = c.read.assignmentRow
+	}
+	startedAt := c.read.startedAt
+	c.read = readState{}
+	return c.resolveWrite(startedAt)
+}
+
+// stopRead gives the outstanding read up until the next poll.
+func (c *Core) stopRead() []Action {
+	c.read = readState{}
+	return nil
+}
+
+// findChange returns the kept change with an ID.
+func (c *Core) findChange(id model.ChangeID) *model.ConfigChange {
+	for i := len(c.history) - 1; i >= 0; i-- {
+		if c.history[i].ID == id {
+			found := c.history[i]
+			return &found
+		}
+	}
+	return nil
+}
+
+// findVersion returns the kept change that made a version.
+func (c *Core) findVersion(version model.ConfigVersion) *model.ConfigChange {
+	if len(c.history) == 0 || version < c.history[0].Version {
+		return nil
+	}
+	i := int(version - c.history[0].Version)
+	if i >= len(c.history) {
+		return nil
+	}
+	found := c.history[i]
+	return &found
+}
--- /dev/null
+++ b/internal/configstore/core.go
@@ -0,0 +1,247 @@
+package configstore
+
+import (
+	"sort"
+	"time"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/wire"
+)
+
+// Core is one entry host's view of the configuration and its writer. At most
+// one read and one write are outstanding at any time.
+type Core struct {
+	limits   Limits
+	region   model.RegionName
+	validate Validator
+
+	document *model.ConfigDocument
+	// history holds the latest changes by version; it has no gaps.
+	history    []model.ConfigChange
+	assignment wire.Assignment
+
+	ready        bool
+	currentSince time.Time
+	head         Head
+	headRow      platform.RowVersion
+	// assignmentRow is the version of the head row of the home assignment.
+	assignmentRow platform.RowVersion
+
+	lastCall uint64
+	read     readState
+	nextRead time.Time
+
+	allowed bool
+	member  platform.Check
+	queue   []submission
+	write   *pendingWrite
+	// snapshot is the version of the snapshot that was stored last.
+	snapshot     model.ConfigVersion
+	snapshotCall uint64
+	snapshotting model.ConfigVersion
+}
+
+// readStep is what the outstanding read is for.
+type readStep uint8
+
+const (
+	readNothing readStep = iota
+	readHeads
+	readChanges
+	readSnapshot
+	readAssignment
+	readChangeID
+)
+
+// readState is the outstanding read. A catch-up is several reads under one
+// startedAt, which is when the read of the head rows began.
+type readState struct {
+	step      readStep
+	call      uint64
+	startedAt time.Time
+	// head and assignment are what the head rows showed.
+	head          Head
+	headRow       platform.RowVersion
+	assignment    uint64
+	assignmentRow platform.RowVersion
+	// triedSnapshot is set once the snapshot was asked for.
+	triedSnapshot bool
+}
+
+// New returns a core that has read nothing. The validator may be nil.
+func New(limits Limits, region model.RegionName, validate Validator) *Core {
+	if validate == nil {
+		validate = func(*model.ConfigDocument, model.ConfigChange) error { return nil }
+	}
+	return &Core{limits: limits, region: region, validate: validate, document: NewDocument()}
+}
+
+// Document returns the configuration that is in force here. It is never
+// changed; a later version is another document.
+func (c *Core) Document() *model.ConfigDocument { return c.document }
+
+// Assignment returns the home assignment that is in force here.
+func (c *Core) Assignment() wire.Assignment { return c.assignment }
+
+// View returns what the core knows.
+func (c *Core) View() View {
+	return View{
+		Ready:             c.ready,
+		Config:            c.document.Version,
+		Assignment:        c.assignment.Version,
+		CurrentSince:      c.currentSince,
+		ZonesOut:          c.zonesOut(),
+		AssignmentInDoubt: c.write != nil && c.write.assignment != nil,
+	}
+}
+
+// zonesOut lists the zones that are out, and the one whose take-out was sent
+// and is not yet known to have failed.
+func (c *Core) zonesOut() []model.AvailabilityZoneName {
+	var out []model.AvailabilityZoneName
+	for zone, state := range c.document.Zones {
+		if state == model.ZoneOut {
+			out = append(out, zone)
+		}
+	}
+	if c.write != nil && c.write.sent && c.write.change.Zone == model.ZoneOut {
+		_, name := splitObject(c.write.change.Object)
+		zone := model.AvailabilityZoneName(name)
+		if c.document.Zones[zone] != model.ZoneOut {
+			out = append(out, zone)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// History returns at most limit of the latest changes, latest first.
+func (c *Core) History(limit int) []model.ConfigChange {
+	var changes []model.ConfigChange
+	for i := len(c.history) - 1; i >= 0 && len(changes) < limit; i-- {
+		changes = append(changes, c.history[i])
+	}
+	return changes
+}
+
+// UpdateFrom returns what brings a process from a version to the present one:
+// the changes between, or the whole document when they are not all kept.
+// The assignment is added when the process has another version of it.
+func (c *Core) UpdateFrom(version model.ConfigVersion, assignment uint64) wire.ConfigUpdate {
+	update := wire.ConfigUpdate{From: version, To: c.document.Version}
+	if assignment != c.assignment.Version {
+		current := c.assignment
+		update.Assignment = &current
+	}
+	if version >= c.document.Version {
+		update.From, update.To = c.document.Version, c.document.Version
+		return update
+	}
+	missing := int(c.document.Version - version)
+	if missing > len(c.history) {
+		update.Document = c.document
+		return update
+	}
+	update.Changes = append(update.Changes, c.history[len(c.history)-missing:]...)
+	return update
+}
+
+// Follow applies an update to a document, as an agent does. It returns the
+// same document when the update does not lead to a higher version from it.
+func Follow(d *model.ConfigDocument, update wire.ConfigUpdate) *model.ConfigDocument {
+	if update.Document != nil && update.Document.Version > d.Version {
+		return normalize(update.Document)
+	}
+	for _, change := range update.Changes {
+		if change.Version == d.Version+1 {
+			d = apply(d, change)
+		}
+	}
+	return d
+}
+
+// Step takes one input and returns the actions to do, in order.
+func (c *Core) Step(now time.Time, in Input) []Action {
+	var actions []Action
+	switch in := in.(type) {
+	case Submit:
+		actions = c.onSubmit(now, in)
+	case Propose:
+		c.onPropose(in)
+	case Admit:
+		c.allowed, c.member = in.Allowed, in.Member
+	case Learned:
+		actions = c.onLearned(in.Update)
+	case RowsListed:
+		actions = c.onRowsListed(in)
+	case RowRead:
+		actions = c.onRowRead(now, in)
+	case ObjectRead:
+		actions = c.onObjectRead(in)
+	case Committed:
+		actions = c.onCommitted(now, in)
+	case ObjectWritten:
+		c.onObjectWritten(in)
+	}
+	actions = append(actions, c.expire(now)...)
+	actions = append(actions, c.advanceWrite(now)...)
+	return append(actions, c.poll(now)...)
+}
+
+// poll reads the head rows when that is due and nothing else is being read.
+func (c *Core) poll(now time.Time) []Action {
+	if c.read.step != readNothing || now.Before(c.nextRead) {
+		return nil
+	}
+	c.nextRead = now.Add(c.limits.PollEvery)
+	c.read = readState{step: readHeads, call: c.newCall(), startedAt: now}
+	return []Action{ListRows{Call: c.read.call, Prefix: HeadPrefix, Limit: c.limits.PageRows}}
+}
+
+func (c *Core) newCall() uint64 {
+	c.lastCall++
+	return c.lastCall
+}
+
+// advance puts a change into force that leads to the next version.
+func (c *Core) advance(change model.ConfigChange) Action {
+	from := c.document.Version
+	c.document = apply(c.document, change)
+	c.history = append(c.history, change)
+	if excess := len(c.history) - c.limits.Retention; excess > 0 {
+		c.history = append([]model.ConfigChange(nil), c.history[excess:]...)
+	}
+	return Publish{From: from, To: c.document.Version, Changes: []model.ConfigChange{change}}
+}
+
+// replace puts a document of a higher version into force.
+func (c *Core) replace(d *model.ConfigDocument) Action {
+	from := c.document.Version
+	c.document = d
+	c.history = nil
+	return Publish{From: from, To: d.Version}
+}
+
+// onLearned takes in what another entry host knows to be accepted. It does not
+// make the core current: only a read of the table service does.
+func (c *Core) onLearned(update wire.ConfigUpdate) []Action {
+	var actions []Action
+	if update.Document != nil && update.Document.Version > c.document.Version {
+		actions = append(actions, c.replace(normalize(update.Document)))
+	}
+	for _, change := range update.Changes {
+		if change.Version == c.document.Version+1 {
+			actions = append(actions, c.advance(change))
+		}
+	}
+	if update.Assignment != nil && update.Assignment.Version > c.assignment.Version {
+		actions = append(actions, c.takeAssignment(*update.Assignment))
+	}
+	return actions
+}
+
+func (c *Core) takeAssignment(a wire.Assignment) Action {
+	c.assignment = a
+	return PublishAssignment{Assignment: a}
+}
--- /dev/null
+++ b/internal/configstore/harness_test.go
@@ -0,0 +1,125 @@
+package configstore
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/standin"
+)
+
+const tickEvery = 50 * time.Millisecond
+
+var start = time.Unix(1_000_000, 0)
+
+// host drives one core against a store, with the answers done at once.
+type host struct {
+	t       *testing.T
+	store   *standin.Store
+	core    *Core
+	token   uint64
+	answers map[uint64]Answer
+	log     []Action
+	// highest is the highest version that was in force.
+	highest model.ConfigVersion
+}
+
+func newHost(t *testing.T, store *standin.Store, limits Limits, validate Validator) *host {
+	h := &host{t: t, store: store, core: New(limits, "r", validate), answers: map[uint64]Answer{}}
+	h.step(start, Admit{Allowed: true})
+	return h
+}
+
+func newFleet(t *testing.T, count int) (*time.Time, *standin.Store, []*host) {
+	now := start
+	store := standin.NewStore(func() time.Time { return now })
+	var hosts []*host
+	for range count {
+		hosts = append(hosts, newHost(t, store, DefaultLimits(), nil))
+	}
+	return &now, store, hosts
+}
+
+func run(now *time.Time, length time.Duration, hosts ...*host) {
+	for end := now.Add(length); now.Before(end); *now = now.Add(tickEvery) {
+		for _, h := range hosts {
+			h.step(*now, Tick{})
+		}
+	}
+}
+
+func (h *host) submit(now time.Time, change model.ConfigChange) uint64 {
+	h.token++
+	token := h.token
+	h.step(now, Submit{Token: token, Change: change})
+	return token
+}
+
+func (h *host) step(now time.Time, in Input) {
+	for _, action := range h.core.Step(now, in) {
+		h.log = append(h.log, action)
+		if reply := h.perform(action); reply != nil {
+			h.step(now, reply)
+		}
+	}
+	if version := h.core.Document().Version; version < h.highest {
+		h.t.Fatalf("version went from %d to %d", h.highest, version)
+	} else {
+		h.highest = version
+	}
+}
+
+func (h *host) perform(action Action) Input {
+	switch a := action.(type) {
+	case ListRows:
+		rows, err := h.store.List(cancelled(), a.Prefix, a.After, a.Limit)
+		return RowsListed{Call: a.Call, Result: resultOf(err), Rows: rows}
+	case ReadRow:
+		row, err := h.store.Get(cancelled(), a.Key)
+		return RowRead{Call: a.Call, Result: resultOf(err), Row: row}
+	case Commit:
+		versions, err := h.store.Commit(cancelled(), a.Transaction)
+		return Committed{Call: a.Call, Result: resultOf(err), Versions: versions}
+	case ReadObject:
+		value, err := h.store.GetObject(cancelled(), a.Key)
+		return ObjectRead{Call: a.Call, Result: resultOf(err), Value: value}
+	case WriteObject:
+		return ObjectWritten{Call: a.Call, Result: resultOf(h.store.PutObject(cancelled(), a.Key, a.Value))}
+	case Answer:
+		if before, answered := h.answers[a.Token]; answered {
+			h.t.Fatalf("token %d answered twice: %+v, %+v", a.Token, before, a)
+		}
+		h.answers[a.Token] = a
+	}
+	return nil
+}
+
+// cancelled returns a context that gives up at once where a call would wait.
+func cancelled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+func resultOf(err error) Result {
+	switch {
+	case err == nil:
+		return ResultOK
+	case errors.Is(err, platform.ErrNotFound):
+		return ResultNotFound
+	case errors.Is(err, platform.ErrConflict):
+		return ResultConflict
+	case errors.Is(err, platform.ErrInDoubt):
+		return ResultInDoubt
+	default:
+		return ResultUnavailable
+	}
+}
+
+func zoneChange(id string, expected model.ConfigVersion, state model.ZoneState) model.ConfigChange {
+	return model.ConfigChange{ID: model.ChangeID(id), Object: "zone/z", ExpectedVersion: expected, Zone: state}
+}
--- /dev/null
+++ b/internal/membership/roster.go
@@ -0,0 +1,187 @@
+package membership
+
+import (
+	"encoding/json"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/platform"
+)
+
+// Keys of the roster's rows. Both prefixes are followed by the entry host's ID.
+const (
+	RosterPrefix = "roster/"
+
+	rosterMemberPrefix = RosterPrefix + "member/"
+	rosterBeatPrefix   = RosterPrefix + "beat/"
+)
+
+// ErrMalformedRow means that a roster row does not hold an entry host.
+var ErrMalformedRow = errors.New("malformed roster row")
+
+// RosterLimits are the times of the roster.
+type RosterLimits struct {
+	// ReadEvery is the interval of reads of the roster.
+	ReadEvery time.Duration
+	// BeatEvery is the interval at which a member renews its beat row.
+	BeatEvery time.Duration
+	// RemoveAfter is how long a beat row stays unchanged until its member is
+	// removed. It is longer than the time for which a member may rest start
+	// permits on the statements of others after its last confirmed beat.
+	RemoveAfter time.Duration
+}
+
+// DefaultRosterLimits returns the limits of the product.
+func DefaultRosterLimits() RosterLimits {
+	return RosterLimits{ReadEvery: time.Second, BeatEvery: 30 * time.Second, RemoveAfter: 11 * time.Minute}
+}
+
+// EntryHost is one member of the roster.
+type EntryHost struct {
+	ID          model.EntryID     `json:"id"`
+	Incarnation model.Incarnation `json:"incarnation"`
+	// Address is the IP:port that agents and other entry hosts connect to.
+	Address string `json:"address"`
+}
+
+// RosterResult is the result of a call to the table service.
+type RosterResult string
+
+// Results of a call.
+const (
+	RosterOK          RosterResult = "ok"
+	RosterConflict    RosterResult = "conflict"
+	RosterUnavailable RosterResult = "unavailable"
+	RosterInDoubt     RosterResult = "in_doubt"
+)
+
+// RosterInput is one of RosterTick, RosterListed, RosterCommitted, PeerStated and RosterStop.
+type RosterInput interface{ isRosterInput() }
+
+// RosterTick tells that time has passed.
+type RosterTick struct{}
+
+// RosterListed is the result of ListRoster.
+type RosterListed struct {
+	Call   uint64
+	Result RosterResult
+	Rows   []platform.Row
+}
+
+// RosterCommitted is the result of CommitRoster.
+type RosterCommitted struct {
+	Call     uint64
+	Result   RosterResult
+	Versions []platform.RowVersion
+}
+
+// PeerStated is what another entry host said in answer to a question that was
+// asked at AskedAt: the members that it knows, and whether it is established.
+type PeerStated struct {
+	Peer        model.EntryID
+	AskedAt     time.Time
+	Roster      []model.EntryID
+	Established bool
+}
+
+// RosterStop tells that the process is stopping.
+type RosterStop struct{}
+
+func (RosterTick) isRosterInput()      {}
+func (RosterListed) isRosterInput()    {}
+func (RosterCommitted) isRosterInput() {}
+func (PeerStated) isRosterInput()      {}
+func (RosterStop) isRosterInput()      {}
+
+// RosterAction is one of ListRoster, CommitRoster and RosterChanged.
+type RosterAction interface{ isRosterAction() }
+
+// ListRoster asks for all rows under RosterPrefix; the answer is RosterListed.
+type ListRoster struct{ Call uint64 }
+
+// CommitRoster asks for a transaction; the answer is RosterCommitted.
+type CommitRoster struct {
+	Call        uint64
+	Transaction platform.Transaction
+}
+
+// RosterChanged tells that the roster's view is another one.
+type RosterChanged struct{ View RosterView }
+
+func (ListRoster) isRosterAction()    {}
+func (CommitRoster) isRosterAction()  {}
+func (RosterChanged) isRosterAction() {}
+
+// RosterView is what an entry host knows of the roster.
+type RosterView struct {
+	// Others are the other members, sorted by ID.
+	Others []EntryHost
+	// Member is set while this host's own row exists, as last read or written.
+	Member bool
+	// Check is the precondition that this host's row still exists.
+	Check platform.Check
+	// ConfirmedAt is when the last confirmed write of this host's beat was sent.
+	ConfirmedAt time.Time
+	// Established is set while this host may write configuration.
+	Established bool
+	// Left is set when a stopping host's rows are gone, or were given up.
+	Left bool
+}
+
+// rosterMember is one member as its rows were last read.
+type rosterMember struct {
+	host   EntryHost
+	row    platform.RowVersion
+	beat   platform.RowVersion
+	stable time.Time
+}
+
+func decodeMember(row platform.Row) (EntryHost, error) {
+	var host EntryHost
+	if err := json.Unmarshal(row.Value, &host); err != nil {
+		return EntryHost{}, errors.CombineErrors(ErrMalformedRow, err)
+	}
+	if string(host.ID) != strings.TrimPrefix(row.Key, rosterMemberPrefix) {
+		return EntryHost{}, errors.Wrapf(ErrMalformedRow, "row %q holds %q", row.Key, host.ID)
+	}
+	return host, nil
+}
+
+// decodeRoster returns the members of the roster's rows. Rows that cannot be
+// read keep their place: their member is nobody's, and is removed in time.
+func decodeRoster(rows []platform.Row) map[model.EntryID]*rosterMember {
+	members := map[model.EntryID]*rosterMember{}
+	for _, row := range rows {
+		if !strings.HasPrefix(row.Key, rosterMemberPrefix) {
+			continue
+		}
+		id := model.EntryID(strings.TrimPrefix(row.Key, rosterMemberPrefix))
+		host, err := decodeMember(row)
+		if err != nil {
+			host = EntryHost{ID: id}
+		}
+		members[id] = &rosterMember{host: host, row: row.Version}
+	}
+	for _, row := range rows {
+		id := model.EntryID(strings.TrimPrefix(row.Key, rosterBeatPrefix))
+		if m := members[id]; m != nil && strings.HasPrefix(row.Key, rosterBeatPrefix) {
+			m.beat = row.Version
+		}
+	}
+	return members
+}
+
+func sortedHosts(members map[model.EntryID]*rosterMember, without model.EntryID) []EntryHost {
+	var hosts []EntryHost
+	for id, m := range members {
+		if id != without {
+			hosts = append(hosts, m.host)
+		}
+	}
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].ID < hosts[j].ID })
+	return hosts
+}
--- /dev/null
+++ b/internal/membership/roster_test.go
@@ -0,0 +1,176 @@
+package membership
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/standin"
+)
+
+// rosterHost drives one roster against a store, with the answers done at once.
+type rosterHost struct {
+	id     model.EntryID
+	store  *standin.Store
+	roster *Roster
+}
+
+func newRosterHost(store *standin.Store, id model.EntryID, incarnation model.Incarnation) *rosterHost {
+	host := EntryHost{ID: id, Incarnation: incarnation, Address: "127.0.0.1:1"}
+	return &rosterHost{id: id, store: store, roster: NewRoster(DefaultRosterLimits(), host)}
+}
+
+func (h *rosterHost) step(now time.Time, in RosterInput) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, action := range h.roster.Step(now, in) {
+		switch a := action.(type) {
+		case ListRoster:
+			rows, err := h.store.List(ctx, RosterPrefix, "", 1000)
+			h.step(now, RosterListed{Call: a.Call, Result: rosterResult(err), Rows: rows})
+		case CommitRoster:
+			versions, err := h.store.Commit(ctx, a.Transaction)
+			h.step(now, RosterCommitted{Call: a.Call, Result: rosterResult(err), Versions: versions})
+		}
+	}
+}
+
+func rosterResult(err error) RosterResult {
+	switch {
+	case err == nil:
+		return RosterOK
+	case errors.Is(err, platform.ErrConflict):
+		return RosterConflict
+	case errors.Is(err, platform.ErrInDoubt):
+		return RosterInDoubt
+	default:
+		return RosterUnavailable
+	}
+}
+
+// known returns what the host tells others of the roster.
+func (h *rosterHost) known() []model.EntryID {
+	known := []model.EntryID{h.id}
+	for _, other := range h.roster.View().Others {
+		known = append(known, other.ID)
+	}
+	return known
+}
+
+// runRoster ticks the hosts and lets each state its roster to the others.
+func runRoster(now *time.Time, length time.Duration, hosts ...*rosterHost) {
+	for end := now.Add(length); now.Before(end); *now = now.Add(100 * time.Millisecond) {
+		for _, h := range hosts {
+			h.step(*now, RosterTick{})
+			for _, peer := range hosts {
+				if peer != h {
+					view := peer.roster.View()
+					h.step(*now, PeerStated{Peer: peer.id, AskedAt: *now, Roster: peer.known(), Established: view.Established})
+				}
+			}
+		}
+	}
+}
+
+func newRosterFleet(ids ...model.EntryID) (*time.Time, *standin.Store, []*rosterHost) {
+	now := start
+	store := standin.NewStore(func() time.Time { return now })
+	var hosts []*rosterHost
+	for _, id := range ids {
+		hosts = append(hosts, newRosterHost(store, id, 1))
+	}
+	return &now, store, hosts
+}
+
+func TestRosterFormsAndIsEstablished(t *testing.T) {
+	now, _, hosts := newRosterFleet("e1", "e2", "e3")
+	runRoster(now, 3*time.Second, hosts...)
+	for _, h := range hosts {
+		view := h.roster.View()
+		if !view.Established || !view.Member || len(view.Others) != 2 {
+			t.Errorf("%s: %+v", h.id, view)
+		}
+	}
+}
+
+func TestNewMemberWaitsUntilItIsKnown(t *testing.T) {
+	now, store, hosts := newRosterFleet("e1", "e2")
+	runRoster(now, 3*time.Second, hosts...)
+	fresh := newRosterHost(store, "e3", 1)
+	runRoster(now, 5*time.Second, fresh)
+	if fresh.roster.View().Established {
+		t.Fatal("established although no other member said that it knows the host")
+	}
+	runRoster(now, 3*time.Second, fresh, hosts[0])
+	if !fresh.roster.View().Established {
+		t.Error("not established although an established member knows the host")
+	}
+}
+
+func TestNewMembersAfterAllOthersDied(t *testing.T) {
+	now, store, hosts := newRosterFleet("e1", "e2")
+	runRoster(now, 3*time.Second, hosts...)
+	fresh := newRosterHost(store, "e3", 1)
+	limits := DefaultRosterLimits()
+	runRoster(now, limits.RemoveAfter-5*time.Second, fresh)
+	if fresh.roster.View().Established {
+		t.Fatal("established while the dead hosts might still rest permits on each other")
+	}
+	runRoster(now, 30*time.Second, fresh)
+	if view := fresh.roster.View(); !view.Established || len(view.Others) != 0 {
+		t.Errorf("after the dead hosts were removed: %+v", view)
+	}
+}
+
+func TestRemovedMemberIsFencedAndJoinsAgain(t *testing.T) {
+	now, store, hosts := newRosterFleet("e1", "e2")
+	runRoster(now, 3*time.Second, hosts...)
+	check := hosts[1].roster.View().Check
+	runRoster(now, DefaultRosterLimits().RemoveAfter+5*time.Second, hosts[0])
+	write := platform.Transaction{Checks: []platform.Check{check}, Puts: []platform.Put{{Key: "config"}}}
+	if _, err := store.Commit(context.Background(), write); !errors.Is(err, platform.ErrConflict) {
+		t.Errorf("a removed member's write: %v, want a conflict", err)
+	}
+	runRoster(now, 3*time.Second, hosts...)
+	view := hosts[1].roster.View()
+	if !view.Established || view.Check == check {
+		t.Errorf("the member that came back: %+v", view)
+	}
+}
+
+func TestRestartedMemberReplacesItsFormerLife(t *testing.T) {
+	now, store, hosts := newRosterFleet("e1", "e2")
+	runRoster(now, 3*time.Second, hosts...)
+	again := newRosterHost(store, "e2", 2)
+	runRoster(now, 3*time.Second, hosts[0], again)
+	runRoster(now, 3*time.Second, hosts[0], hosts[1], again)
+	if view := again.roster.View(); !view.Established {
+		t.Errorf("new life: %+v", view)
+	}
+	if view := hosts[1].roster.View(); view.Member || view.Established {
+		t.Errorf("former life: %+v", view)
+	}
+}
+
+func TestStoppingMemberLeavesTheRoster(t *testing.T) {
+	for name, faults := range map[string]standin.Faults{"answered": {}, "answer lost": {LoseAnswers: 1}} {
+		t.Run(name, func(t *testing.T) {
+			now, store, hosts := newRosterFleet("e1", "e2")
+			runRoster(now, 3*time.Second, hosts...)
+			store.SetFaults(standin.ServiceTable, faults)
+			hosts[1].step(*now, RosterStop{})
+			runRoster(now, 3*time.Second, hosts...)
+			if view := hosts[1].roster.View(); !view.Left || view.Established {
+				t.Errorf("leaving host: %+v", view)
+			}
+			if slices.Contains(hosts[0].known(), "e2") {
+				t.Error("the other host still knows the one that left")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/ownership/candidate_test.go
@@ -0,0 +1,186 @@
+package ownership
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/standin"
+)
+
+// tickEvery is the interval of the tests' ticks.
+const tickEvery = 50 * time.Millisecond
+
+var start = time.Unix(1_000_000, 0)
+
+// run ticks all hosts until the time has passed. It fails the test when two of
+// them hold the lease at the same time.
+func run(t *testing.T, now *time.Time, length time.Duration, hosts ...*host) {
+	t.Helper()
+	for end := now.Add(length); now.Before(end); *now = now.Add(tickEvery) {
+		holders := 0
+		for _, h := range hosts {
+			h.step(*now, Tick{})
+			if _, holds := h.candidate.Holds(*now); holds {
+				holders++
+			}
+		}
+		if holders > 1 {
+			t.Fatalf("at %v: %d holders", now.Sub(start), holders)
+		}
+	}
+}
+
+func newPair(t *testing.T) (*time.Time, *standin.Store, *host, *host) {
+	now := start
+	store := standin.NewStore(func() time.Time { return now })
+	return &now, store, newHost(t, store, "a"), newHost(t, store, "b")
+}
+
+func TestOneCandidateAcquiresAndRenews(t *testing.T) {
+	now, _, a, b := newPair(t)
+	run(t, now, 30*time.Second, a, b)
+	epoch, holds := a.candidate.Holds(*now)
+	if !holds || epoch != 1 {
+		t.Errorf("got epoch %d, holds %v; want epoch 1 held", epoch, holds)
+	}
+	if lost := a.lost(); lost != nil {
+		t.Errorf("lost the lease: %v", lost)
+	}
+}
+
+func TestTakeOverAfterTheHolderDied(t *testing.T) {
+	now, _, a, b := newPair(t)
+	run(t, now, 5*time.Second, a, b)
+	died := *now
+	limits := DefaultLimits()
+	bound := limits.Duration + limits.Margin + limits.PollEvery + 2*tickEvery
+	for now.Sub(died) <= bound {
+		run(t, now, tickEvery, b)
+		if epoch, holds := b.candidate.Holds(*now); holds {
+			t.Logf("take-over after %v in epoch %d", now.Sub(died), epoch)
+			return
+		}
+	}
+	t.Errorf("no take-over within %v", bound)
+}
+
+func TestGracefulStopHandsOverAtOnce(t *testing.T) {
+	now, _, a, b := newPair(t)
+	run(t, now, 5*time.Second, a, b)
+	a.step(*now, Stop{})
+	if _, holds := a.candidate.Holds(*now); holds || a.candidate.State() != StateStopped {
+		t.Fatalf("state %s, holds %v after the stop", a.candidate.State(), holds)
+	}
+	run(t, now, DefaultLimits().PollEvery+2*tickEvery, a, b)
+	if epoch, holds := b.candidate.Holds(*now); !holds || epoch != 2 {
+		t.Errorf("got epoch %d, holds %v; want epoch 2 held by the successor", epoch, holds)
+	}
+}
+
+func TestFencingCheckChangesOnlyWithTheEpoch(t *testing.T) {
+	now, store, a, b := newPair(t)
+	run(t, now, 2*time.Second, a, b)
+	check := a.candidate.Check()
+	run(t, now, 5*time.Second, a, b)
+	write := platform.Transaction{Checks: []platform.Check{check}, Puts: []platform.Put{{Key: "decision"}}}
+	if _, err := store.Commit(cancelled(), write); err != nil {
+		t.Fatalf("the owner's fenced write failed after renewals: %v", err)
+	}
+	a.paused = true
+	run(t, now, 5*time.Second, b)
+	if _, err := store.Commit(cancelled(), write); resultOf(err) != ResultConflict {
+		t.Errorf("the deposed owner's write: got %v, want a conflict", err)
+	}
+}
+
+// TestFaults drives a holder and a follower through each fault.
+func TestFaults(t *testing.T) {
+	frozen := standin.Faults{Freeze: true}
+	cases := []struct {
+		name  string
+		fault func(store *standin.Store, a, b *host)
+		heal  func(store *standin.Store, a, b *host)
+		// during and after are the faults' length and the time given to recover.
+		during, after time.Duration
+		lost          []LossReason
+		holder        string
+		maxEpoch      uint64
+	}{
+		{
+			name:   "store down for less than the lease",
+			fault:  func(s *standin.Store, _, _ *host) { s.SetFaults(standin.ServiceTable, standin.Faults{Down: true}) },
+			heal:   func(s *standin.Store, _, _ *host) { s.SetFaults(standin.ServiceTable, standin.Faults{}) },
+			during: 1500 * time.Millisecond, after: 3 * time.Second, holder: "a", maxEpoch: 1,
+		},
+		{
+			name:   "store down for longer than the lease",
+			fault:  func(s *standin.Store, _, _ *host) { s.SetFaults(standin.ServiceTable, standin.Faults{Down: true}) },
+			heal:   func(s *standin.Store, _, _ *host) { s.SetFaults(standin.ServiceTable, standin.Faults{}) },
+			during: 20 * time.Second, after: 5 * time.Second, lost: []LossReason{LossLapsed}, holder: "any", maxEpoch: 2,
+		},
+		{
+			name:   "answers of writes lost",
+			fault:  func(s *standin.Store, _, _ *host) { s.SetFaults(standin.ServiceTable, standin.Faults{LoseAnswers: -1}) },
+			heal:   func(s *standin.Store, _, _ *host) { s.SetFaults(standin.ServiceTable, standin.Faults{}) },
+			during: 20 * time.Second, after: 5 * time.Second, holder: "a", maxEpoch: 1,
+		},
+		{
+			name:   "store frozen, held writes take effect late",
+			fault:  func(s *standin.Store, _, _ *host) { s.SetFaults(standin.ServiceTable, frozen) },
+			heal:   func(s *standin.Store, _, _ *host) { s.SetFaults(standin.ServiceTable, standin.Faults{}) },
+			during: 20 * time.Second, after: 5 * time.Second, lost: []LossReason{LossLapsed}, holder: "any", maxEpoch: 4,
+		},
+		{
+			name:   "holder paused past its lease",
+			fault:  func(_ *standin.Store, a, _ *host) { a.paused = true },
+			heal:   func(_ *standin.Store, a, _ *host) { a.paused = false },
+			during: 10 * time.Second, after: 5 * time.Second, lost: []LossReason{LossLapsed}, holder: "b", maxEpoch: 2,
+		},
+		{
+			name:   "follower paused",
+			fault:  func(_ *standin.Store, _, b *host) { b.paused = true },
+			heal:   func(_ *standin.Store, _, b *host) { b.paused = false },
+			during: 10 * time.Second, after: 5 * time.Second, holder: "a", maxEpoch: 1,
+		},
+		{
+			name: "deposed by another writer of the row",
+			fault: func(s *standin.Store, _, _ *host) {
+				lease := Lease{Owner: "c", Incarnation: 9, Epoch: 7, Write: 1}
+				_, _ = s.Commit(cancelled(), platform.Transaction{Puts: []platform.Put{{Key: RowKey("r"), Value: EncodeLease(lease)}}})
+			},
+			heal:   func(_ *standin.Store, _, _ *host) {},
+			during: time.Second, after: 10 * time.Second, lost: []LossReason{LossDeposed}, holder: "any", maxEpoch: 8,
+		},
+		{
+			name: "row overwritten with what is no lease",
+			fault: func(s *standin.Store, _, _ *host) {
+				_, _ = s.Commit(cancelled(), platform.Transaction{Puts: []platform.Put{{Key: RowKey("r"), Value: []byte("{")}}})
+			},
+			heal:   func(_ *standin.Store, _, _ *host) {},
+			during: time.Second, after: 10 * time.Second, lost: []LossReason{LossDeposed}, holder: "any", maxEpoch: 2,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now, store, a, b := newPair(t)
+			run(t, now, 5*time.Second, a, b)
+			c.fault(store, a, b)
+			run(t, now, c.during, a, b)
+			c.heal(store, a, b)
+			run(t, now, c.after, a, b)
+			if got := a.lost(); !reflect.DeepEqual(got, c.lost) {
+				t.Errorf("holder lost its lease for %v, want %v", got, c.lost)
+			}
+			epochA, holdsA := a.candidate.Holds(*now)
+			epochB, holdsB := b.candidate.Holds(*now)
+			if !holdsA && !holdsB || (c.holder == "a" && !holdsA) || (c.holder == "b" && !holdsB) {
+				t.Errorf("holders a %v, b %v; want %s", holdsA, holdsB, c.holder)
+			}
+			if uint64(max(epochA, epochB)) > c.maxEpoch {
+				t.Errorf("epochs %d and %d, want at most %d", epochA, epochB, c.maxEpoch)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/permit/issuer.go
@@ -0,0 +1,210 @@
+package permit
+
+import (
+	"slices"
+	"time"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/wire"
+)
+
+// State is what an entry host knows of the state that permits name.
+type State struct {
+	// Ready is false until the entry host has read the head rows once.
+	Ready      bool
+	Config     model.ConfigVersion
+	Assignment uint64
+	OwnerEpoch model.Epoch
+	// CurrentSince is the start of the last read that showed Config and
+	// Assignment to be the latest.
+	CurrentSince time.Time
+	// ZonesOut lists the zones that are out, or whose take-out is in doubt.
+	ZonesOut []model.AvailabilityZoneName
+	// InDoubt is set while a home assignment is being written or is in doubt.
+	InDoubt bool
+}
+
+// statement is the last status that another entry host gave.
+type statement struct {
+	askedAt time.Time
+	status  wire.StoreStatus
+}
+
+// asked is a question to another entry host that waits for its answer.
+type asked struct {
+	seq uint64
+	at  time.Time
+}
+
+// maxAsked bounds the questions that wait for an answer, for each entry host.
+const maxAsked = 16
+
+// Issuer issues an entry host's permits.
+type Issuer struct {
+	limits Limits
+	self   model.EntryID
+	state  State
+	// roster holds the other members of the roster.
+	roster      []model.EntryID
+	rosterSince time.Time
+	established bool
+	asked       map[model.EntryID][]asked
+	statements  map[model.EntryID]statement
+	lastSeq     uint64
+}
+
+// NewIssuer returns an issuer that knows nothing and issues nothing.
+func NewIssuer(limits Limits, self model.EntryID) *Issuer {
+	return &Issuer{
+		limits:     limits,
+		self:       self,
+		asked:      map[model.EntryID][]asked{},
+		statements: map[model.EntryID]statement{},
+	}
+}
+
+// SetState takes in what the entry host knows now. It is called after each
+// change and before each batch of permits.
+func (i *Issuer) SetState(state State) { i.state = state }
+
+// SetRoster takes in the roster that was read last: its other members, when
+// this host's own row was last confirmed (the time that write was sent), and
+// whether this host may write configuration.
+func (i *Issuer) SetRoster(others []model.EntryID, confirmedAt time.Time, established bool) {
+	i.roster = slices.Clone(others)
+	i.rosterSince, i.established = confirmedAt, established
+	for peer := range i.statements {
+		if !slices.Contains(i.roster, peer) {
+			delete(i.statements, peer)
+			delete(i.asked, peer)
+		}
+	}
+}
+
+// Asked records that a heartbeat was sent to another entry host, which answers
+// it with its StoreStatus.
+func (i *Issuer) Asked(now time.Time, peer model.EntryID, seq uint64) {
+	waiting := append(i.asked[peer], asked{seq: seq, at: now})
+	if len(waiting) > maxAsked {
+		waiting = waiting[len(waiting)-maxAsked:]
+	}
+	i.asked[peer] = waiting
+}
+
+// Disconnected drops the questions on a lost connection.
+func (i *Issuer) Disconnected(peer model.EntryID) { delete(i.asked, peer) }
+
+// Answered takes in another entry host's status. A status that answers no
+// question of the present connection, or an older one, is ignored.
+func (i *Issuer) Answered(peer model.EntryID, status wire.StoreStatus) {
+	waiting := i.asked[peer]
+	at := slices.IndexFunc(waiting, func(a asked) bool { return a.seq == status.Seq })
+	if at < 0 {
+		return
+	}
+	i.statements[peer] = statement{askedAt: waiting[at].at, status: status}
+	i.asked[peer] = slices.Clone(waiting[at+1:])
+}
+
+// Status returns this entry host's own status, in answer to a heartbeat. A
+// host without a configuration says that it is in doubt, so that no permit
+// rests on it.
+func (i *Issuer) Status(now time.Time, seq uint64) wire.StoreStatus {
+	return wire.StoreStatus{
+		Reachable:   i.state.Ready && now.Sub(i.state.CurrentSince) < i.limits.Validity/2,
+		InDoubt:     i.state.InDoubt || !i.state.Ready,
+		Config:      i.state.Config,
+		OwnerEpoch:  i.state.OwnerEpoch,
+		Seq:         seq,
+		Assignment:  i.state.Assignment,
+		ZonesOut:    slices.Clone(i.state.ZonesOut),
+		Roster:      append(slices.Clone(i.roster), i.self),
+		Established: i.established,
+	}
+}
+
+// Issue returns the permit that answers an agent's heartbeat, or why there is
+// none. receivedAt is when the heartbeat was received, heartbeat its number.
+func (i *Issuer) Issue(now, receivedAt time.Time, heartbeat uint64, zone model.AvailabilityZoneName) (wire.Permit, Reason) {
+	if !i.state.Ready {
+		return wire.Permit{}, ReasonNotReady
+	}
+	basis, zoneOut, reason := i.basis(now, zone)
+	if reason != ReasonNone {
+		return wire.Permit{}, reason
+	}
+	// The agent counts from when it sent the heartbeat, which is before
+	// receivedAt, so the permit ends before basis plus Validity.
+	valid := min(i.limits.Validity, basis.Add(i.limits.Validity).Sub(receivedAt))
+	if valid < i.limits.MinValidity {
+		return wire.Permit{}, ReasonStale
+	}
+	i.lastSeq++
+	return wire.Permit{
+		Seq:               i.lastSeq,
+		ValidMS:           valid.Milliseconds(),
+		AnsweredHeartbeat: heartbeat,
+		Config:            i.state.Config,
+		ZoneOut:           zoneOut,
+		OwnerEpoch:        i.state.OwnerEpoch,
+		Assignment:        i.state.Assignment,
+	}, ReasonNone
+}
+
+// basis returns the later of the two instants that a permit can rest on, and
+// whether the zone is out.
+func (i *Issuer) basis(now time.Time, zone model.AvailabilityZoneName) (time.Time, bool, Reason) {
+	zoneOut := slices.Contains(i.state.ZonesOut, zone)
+	read := i.state.CurrentSince
+	if now.Sub(read) < i.limits.Validity/2 {
+		return read, zoneOut, ReasonNone
+	}
+	agreed, peerOut, reason := i.agreement(now, zone)
+	if reason != ReasonNone {
+		return time.Time{}, false, reason
+	}
+	return agreed, zoneOut || peerOut, ReasonNone
+}
+
+// agreement returns the instant since which the whole roster stated that it
+// accepted nothing that this host does not know, and whether a member treats
+// the zone as out.
+func (i *Issuer) agreement(now time.Time, zone model.AvailabilityZoneName) (time.Time, bool, Reason) {
+	if i.state.InDoubt {
+		return time.Time{}, false, ReasonInDoubt
+	}
+	if now.Sub(i.rosterSince) >= i.limits.OutageLimit {
+		return time.Time{}, false, ReasonStale
+	}
+	oldest, zoneOut := now, false
+	for _, peer := range i.roster {
+		stated, given := i.statements[peer]
+		if !given {
+			return time.Time{}, false, ReasonStale
+		}
+		if reason := i.judge(stated.status); reason != ReasonNone {
+			return time.Time{}, false, reason
+		}
+		if stated.askedAt.Before(oldest) {
+			oldest = stated.askedAt
+		}
+		zoneOut = zoneOut || slices.Contains(stated.status.ZonesOut, zone)
+	}
+	return oldest, zoneOut, ReasonNone
+}
+
+// judge reports why a statement does not support a permit.
+func (i *Issuer) judge(status wire.StoreStatus) Reason {
+	switch {
+	case status.InDoubt:
+		return ReasonInDoubt
+	case status.Config > i.state.Config, status.Assignment > i.state.Assignment:
+		return ReasonBehind
+	}
+	for _, member := range status.Roster {
+		if member != i.self && !slices.Contains(i.roster, member) {
+			return ReasonBehind
+		}
+	}
+	return ReasonNone
+}
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -62,6 +62,15 @@
 	OwnerEpoch model.Epoch
 	// Seq is the Heartbeat number that the status answers.
 	Seq uint64
+	// Assignment is the version of the home assignment that the sender knows.
+	Assignment uint64
+	// ZonesOut lists the zones that the sender treats as out, those with a
+	// take-out in doubt included. Such a take-out does not set InDoubt.
+	ZonesOut []model.AvailabilityZoneName
+	// Roster lists the entry hosts that the sender knows as members.
+	Roster []model.EntryID
+	// Established is set while the sender may write configuration.
+	Established bool
 }
 
 // OwnershipNotice tells who owns the region's scheduler.
