--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -10,16 +10,28 @@
 
 // beginAttempt books a placement and reserves it, at once or after the tasks
 // in its way have ended.
-func (c *Core) beginAttempt(now time.Time, j *JobState, workers []model.WorkerID) {
+func (c *Core) beginAttempt(now time.Time, j *JobState, workers []model.WorkerID, why string) {
 	j.Attempt++
 	j.Committed = false
-	j.Waiting = ""
 	j.Tasks = make([]TaskState, len(workers))
 	for i, w := range workers {
 		j.Tasks[i].Worker = w
 		c.book(j, i)
 	}
+	j.explain(now, "attempt %d placed on %s: %s", j.Attempt, workerList(workers), why)
 	c.record(event.JobReserving, j.Job.ID, string(j.Job.Account), "")
+	c.setPhase(now, j, PhaseClearing)
+	c.checkCleared(now, j)
+}
+
+// checkCleared reserves a gang's places once no other task is in them.
+func (c *Core) checkCleared(now time.Time, j *JobState) {
+	for _, t := range j.Tasks {
+		w := c.workers[t.Worker]
+		if !w.Used.Fits(w.Worker.Capacity) {
+			return
+		}
+	}
 	c.setPhase(now, j, PhaseReserving)
 	c.sendReserves(now, j)
 }
@@ -62,7 +74,8 @@
 // refused keeps new attempts off a worker for a moment.
 func (c *Core) refused(now time.Time, from model.WorkerID, r *wire.ReserveReply) {
 	if w := c.workers[from]; w != nil {
-		w.AvoidUntil = now.Add(c.settings.Backoff)
+		w.AvoidUntil = now.Add(c.settings.Avoid)
+		c.refreshWorker(now, w)
 	}
 	c.record(event.TaskRefused, r.Job, string(from), r.Reason)
 }
@@ -74,15 +87,17 @@
 		c.unbook(j, i)
 	}
 	j.Refusals++
-	delay := min(c.settings.Backoff<<min(j.Refusals-1, 10), c.settings.MaxBackoff)
+	delay := min(c.settings.Backoff<<min(j.Refusals-1, 16), c.settings.MaxBackoff)
 	j.NotBefore = now.Add(delay)
 	c.requeue(now, j, text)
 }
 
 // requeue makes a job without tasks wait for its next attempt.
 func (c *Core) requeue(now time.Time, j *JobState, text string) {
+	c.leaveCell(j)
 	j.Tasks = nil
-	j.Cell = ""
+	j.StopAfterDecision = false
+	j.StartedAt = time.Time{}
 	if j.CancelRequested {
 		c.finalize(now, j, PhaseCancelled, "cancelled")
 		return
@@ -96,6 +111,16 @@
 	c.setPhase(now, j, PhaseQueued)
 }
 
+// leaveCell frees the cell that an attempt occupied.
+func (c *Core) leaveCell(j *JobState) {
+	if j.Cell != "" {
+		c.ledger.Vacate(j.Cell, j.Job.ID)
+		j.Cell = ""
+		c.coverDue = true
+	}
+	j.Class = j.Job.Capacity
+}
+
 // decided takes the result of a decision row's write over.
 func (c *Core) decided(now time.Time, d Decided) {
 	j := c.jobs[d.Job]
@@ -127,6 +152,11 @@
 		c.endAttempt(now, j, PhaseCancelled, wire.StopCancelled, 0, "cancelled")
 		return
 	}
+	if j.StopAfterDecision {
+		c.setPhase(now, j, PhaseLaunching)
+		c.endAttempt(now, j, PhaseQueued, wire.StopReclaimed, 0, "stopped before its launch")
+		return
+	}
 	c.record(event.JobPlaced, j.Job.ID, string(j.Job.Account), "")
 	c.setPhase(now, j, PhaseLaunching)
 	c.sendLaunches(now, j)
--- /dev/null
+++ b/internal/scheduler/backfill.go
@@ -0,0 +1,234 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/placement"
+)
+
+// planInterval is how long a plan for a large job is kept before it is made anew.
+const planInterval = 5 * time.Second
+
+// maxPlanWorkers bounds the workers that one plan looks at.
+const maxPlanWorkers = 384
+
+// Reservation holds capacity back for a job that does not fit yet.
+type Reservation struct {
+	Job     model.JobID
+	Workers []model.WorkerID
+	// Shadow is when the capacity is expected to be free.
+	Shadow time.Time
+	Since  time.Time
+	Made   time.Time
+	// ForMove is set when the job is still running in a zone that is out.
+	ForMove bool
+}
+
+// heldBack is what reservations hold back on a worker.
+func (c *Core) heldBack(id model.WorkerID) model.Resources {
+	var sum model.Resources
+	for job := range c.reservations {
+		for _, w := range c.reservations[job].Workers {
+			if w == id {
+				sum = sum.Add(c.jobs[job].Job.Shape.PerTask)
+			}
+		}
+	}
+	return sum
+}
+
+// reserveFor holds capacity back for the first waiting job of an account.
+func (c *Core) reserveFor(now time.Time, j *JobState) {
+	if c.settings.Policy.NoReservations || len(c.reservations) >= c.settings.MaxLargeReservations {
+		return
+	}
+	if len(c.account(j.Job.Account).queue) > 0 && c.hasReservation(j.Job.Account) {
+		return
+	}
+	if j.Job.Shape.Accelerators() < c.settings.LargeAccelerators {
+		return
+	}
+	c.plan(now, j, now)
+}
+
+func (c *Core) hasReservation(account model.ClientAccountID) bool {
+	for id := range c.reservations {
+		if c.jobs[id].Job.Account == account {
+			return true
+		}
+	}
+	return false
+}
+
+// tryReserved starts a job that capacity is held back for, or brings its plan up to date.
+func (c *Core) tryReserved(now time.Time, j *JobState, r *Reservation) bool {
+	if workers := c.books.free.Place(c.request(j)); workers != nil && c.onlyOwnHold(j, workers) {
+		c.startBorrowed(now, j, workers, "the capacity held back for it")
+		return true
+	}
+	overdue := now.After(r.Shadow) || now.Sub(r.Since) >= c.settings.LargeWait
+	if overdue && c.preemptFor(now, j, nil) {
+		return true
+	}
+	if now.Sub(r.Made) >= planInterval {
+		since := r.Since
+		c.dropReservation(j.Job.ID)
+		c.plan(now, j, since)
+	}
+	return false
+}
+
+// onlyOwnHold reports whether workers are free of what is held back for other jobs.
+func (c *Core) onlyOwnHold(j *JobState, workers []model.WorkerID) bool {
+	r := c.reservations[j.Job.ID]
+	need := map[model.WorkerID]model.Resources{}
+	for _, w := range workers {
+		need[w] = need[w].Add(j.Job.Shape.PerTask)
+	}
+	for id, n := range need {
+		open, _ := c.books.open.Free(id)
+		for _, w := range r.Workers {
+			if w == id {
+				open = open.Add(j.Job.Shape.PerTask)
+			}
+		}
+		if !n.Fits(open) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) dropReservation(id model.JobID) {
+	r := c.reservations[id]
+	if r == nil {
+		return
+	}
+	delete(c.reservations, id)
+	per := c.jobs[id].Job.Shape.PerTask
+	for _, w := range r.Workers {
+		c.books.open.Give(w, per)
+	}
+	c.afterReservation()
+}
+
+func (c *Core) addReservation(r *Reservation) {
+	c.reservations[r.Job] = r
+	per := c.jobs[r.Job].Job.Shape.PerTask
+	for _, w := range r.Workers {
+		c.books.open.Take(w, per)
+	}
+	c.afterReservation()
+}
+
+func (c *Core) afterReservation() {
+	clear(c.blocked)
+	c.nextShadow = time.Time{}
+	for _, r := range c.reservations {
+		if c.nextShadow.IsZero() || r.Shadow.Before(c.nextShadow) {
+			c.nextShadow = r.Shadow
+		}
+	}
+}
+
+// release is capacity that is expected to become free at a time.
+type release struct {
+	at     time.Time
+	worker model.WorkerID
+	amount model.Resources
+}
+
+// plan finds the earliest time at which a job fits and holds that place back.
+func (c *Core) plan(now time.Time, j *JobState, since time.Time) {
+	workers := c.planWorkers(j)
+	releases := c.releases(now, workers)
+	ends := []time.Time{now}
+	for _, r := range releases {
+		if !r.at.Equal(ends[len(ends)-1]) {
+			ends = append(ends, r.at)
+		}
+	}
+	at, _ := slices.BinarySearchFunc(ends, true, func(t time.Time, _ bool) int {
+		if c.placeAt(j, workers, releases, t) == nil {
+			return -1
+		}
+		return 1
+	})
+	if at == len(ends) {
+		return
+	}
+	place := c.placeAt(j, workers, releases, ends[at])
+	c.addReservation(&Reservation{Job: j.Job.ID, Workers: place, Shadow: ends[at], Since: since, Made: now})
+}
+
+// planWorkers returns the workers in service with the most free capacity.
+func (c *Core) planWorkers(j *JobState) []*workerState {
+	var out []*workerState
+	for _, id := range c.books.open.Emptiest(maxPlanWorkers) {
+		w := c.workers[id]
+		if j.Job.Shape.PerTask.Fits(w.Worker.Capacity) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// releases lists when borrowed and guaranteed work on the workers should end, in order.
+func (c *Core) releases(now time.Time, workers []*workerState) []release {
+	var out []release
+	for _, w := range workers {
+		for _, id := range sortedTasks(w) {
+			v := c.jobs[w.tasks[id]]
+			at := now.Add(c.expectedRest(now, v))
+			if v.Phase == PhaseStopping {
+				at = now.Add(v.StopGrace)
+			}
+			out = append(out, release{at, w.Worker.ID, v.Job.Shape.PerTask})
+		}
+	}
+	slices.SortStableFunc(out, func(a, b release) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.worker, b.worker))
+	})
+	return out
+}
+
+// placeAt returns a place for a job at a later time, beside other reservations.
+func (c *Core) placeAt(j *JobState, workers []*workerState, releases []release, at time.Time) []model.WorkerID {
+	index := placement.NewIndex()
+	for _, w := range workers {
+		open, usable := c.books.open.Free(w.Worker.ID)
+		index.SetWorker(w.Worker, open, usable)
+	}
+	for _, r := range releases {
+		if r.at.After(at) {
+			break
+		}
+		index.Give(r.worker, r.amount)
+	}
+	return index.Place(c.request(j))
+}
+
+// refreshReservations drops plans on workers that are out of service.
+func (c *Core) refreshReservations(now time.Time) {
+	for _, id := range c.sortedReservations() {
+		r := c.reservations[id]
+		for _, w := range r.Workers {
+			if !c.inService(now, c.workers[w]) {
+				c.dropReservation(id)
+				break
+			}
+		}
+	}
+}
+
+func (c *Core) sortedReservations() []model.JobID {
+	ids := make([]model.JobID, 0, len(c.reservations))
+	for id := range c.reservations {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/scheduler/borrowed.go
@@ -0,0 +1,204 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/placement"
+	"dragonflyyard/internal/wire"
+)
+
+// maxTriesPerAccount bounds the waiting jobs of an account that one pass looks at.
+const maxTriesPerAccount = 64
+
+// backfillSafety is how much longer than expected a job may run and still be
+// sure to end before capacity is needed for a large one.
+const backfillSafety = 1.5
+
+// blockedKey names what does not fit at present.
+type blockedKey struct {
+	shape model.Shape
+	// long jobs may not use what is held back for large ones.
+	long bool
+}
+
+// turn is an account's place in one pass.
+type turn struct {
+	account *accountState
+	next    int
+	share   float64
+}
+
+// placeBorrowed starts waiting jobs on borrowed capacity, always for the
+// account that holds the least of it for its weight.
+func (c *Core) placeBorrowed(now time.Time) {
+	if c.settings.Policy.FirstInFirstOut {
+		c.placeInOrder(now)
+		return
+	}
+	turns := c.turns()
+	for len(turns) > 0 && c.starts > 0 {
+		t := &turns[0]
+		if t.next >= min(len(t.account.queue), maxTriesPerAccount) {
+			turns = turns[1:]
+			continue
+		}
+		j := c.jobs[t.account.queue[t.next].job]
+		if !c.tryBorrowed(now, j) {
+			t.next++
+			continue
+		}
+		t.share = c.share(t.account.id)
+		slices.SortStableFunc(turns, compareTurn)
+	}
+}
+
+func (c *Core) turns() []turn {
+	var turns []turn
+	for _, a := range c.accounts {
+		if len(a.queue) > 0 {
+			turns = append(turns, turn{account: a, share: c.share(a.id)})
+		}
+	}
+	slices.SortFunc(turns, compareTurn)
+	return turns
+}
+
+func compareTurn(a, b turn) int {
+	switch {
+	case a.share < b.share:
+		return -1
+	case a.share > b.share:
+		return 1
+	case a.account.id < b.account.id:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// tryBorrowed starts a job on free capacity, or holds capacity back for it.
+func (c *Core) tryBorrowed(now time.Time, j *JobState) bool {
+	if now.Before(j.NotBefore) {
+		return false
+	}
+	if r := c.reservations[j.Job.ID]; r != nil {
+		return c.tryReserved(now, j, r)
+	}
+	long := c.isLong(now, j)
+	key := blockedKey{j.Job.Shape, long}
+	if _, blocked := c.blocked[key]; !blocked {
+		index := c.books.free
+		if long {
+			index = c.books.open
+		}
+		if workers := index.Place(c.request(j)); workers != nil {
+			c.startBorrowed(now, j, workers, "the fullest place that takes it")
+			return true
+		}
+		c.blocked[key] = struct{}{}
+	}
+	if j.Job.Urgent && c.preemptFor(now, j, nil) {
+		return true
+	}
+	c.reserveFor(now, j)
+	return false
+}
+
+// isLong reports whether a job may still run when held back capacity is needed.
+func (c *Core) isLong(now time.Time, j *JobState) bool {
+	if c.nextShadow.IsZero() {
+		return false
+	}
+	rest := time.Duration(backfillSafety * float64(c.expectedRest(now, j)))
+	return now.Add(rest).After(c.nextShadow)
+}
+
+func (c *Core) request(j *JobState) placement.Request {
+	r := placement.Request{Shape: j.Job.Shape}
+	if c.settings.Policy.FirstFit {
+		r.Fit = placement.FirstFit
+	}
+	if bad := c.tracker.FailedOn(j.Job.ID); len(bad) > 0 && !c.settings.Policy.NoQuarantine {
+		r.Limit = func(id model.WorkerID) int {
+			if slices.Contains(bad, id) {
+				return 0
+			}
+			return model.MaxGangSize
+		}
+	}
+	return r
+}
+
+func (c *Core) startBorrowed(now time.Time, j *JobState, workers []model.WorkerID, why string) {
+	c.dropReservation(j.Job.ID)
+	j.Class = model.CapacityBorrowed
+	j.Cell = ""
+	c.starts--
+	c.beginAttempt(now, j, workers, why)
+}
+
+// preemptFor stops borrowed gangs that may yield to a job. A nil place is chosen here.
+func (c *Core) preemptFor(now time.Time, j *JobState, place []model.WorkerID) bool {
+	may := c.mayYield(now, j)
+	if place == nil {
+		r := c.request(j)
+		limit := r.Limit
+		r.Limit = func(id model.WorkerID) int {
+			if limit != nil && limit(id) == 0 {
+				return 0
+			}
+			return c.slotsIfYielded(id, j, may)
+		}
+		place = c.books.fleet.Place(r)
+	}
+	if place == nil {
+		return false
+	}
+	victims, ok := c.victimsFor(now, j, place, may)
+	if !ok {
+		return false
+	}
+	c.evict(now, j, victims, wire.StopReclaimed)
+	c.startBorrowed(now, j, place, "where the least work was in its way")
+	return true
+}
+
+// slotsIfYielded returns how many of a job's tasks a worker would take without
+// the gangs that may yield.
+func (c *Core) slotsIfYielded(id model.WorkerID, j *JobState, may func(*JobState) bool) int {
+	free, usable := c.books.free.Free(id)
+	if !usable {
+		return 0
+	}
+	for _, job := range c.workers[id].tasks {
+		if v := c.jobs[job]; may(v) {
+			free = free.Add(v.Job.Shape.PerTask)
+		}
+	}
+	return placement.Slots(free, j.Job.Shape.PerTask)
+}
+
+// placeInOrder is the order of the baselines: by submission over all accounts.
+func (c *Core) placeInOrder(now time.Time) {
+	var ranks []rank
+	for _, a := range c.accounts {
+		ranks = append(ranks, a.queue...)
+	}
+	slices.SortFunc(ranks, compareRank)
+	for _, r := range ranks {
+		j := c.jobs[r.job]
+		key := blockedKey{shape: j.Job.Shape}
+		if _, blocked := c.blocked[key]; !blocked && !now.Before(j.NotBefore) && c.starts > 0 {
+			if workers := c.books.free.Place(c.request(j)); workers != nil {
+				c.startBorrowed(now, j, workers, "the first place that takes it")
+				continue
+			}
+			c.blocked[key] = struct{}{}
+		}
+		if c.settings.Policy.StrictOrder {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/claims.go
@@ -0,0 +1,141 @@
+package scheduler
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"dragonflyyard/internal/event"
+	"dragonflyyard/internal/guarantee"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/placement"
+	"dragonflyyard/internal/wire"
+)
+
+// placeClaims puts jobs of the guaranteed class into their accounts' cells and
+// evicts the borrowed work in the way.
+func (c *Core) placeClaims(now time.Time) {
+	for _, r := range slices.Clone(c.claims) {
+		j := c.jobs[r.job]
+		if now.Before(j.NotBefore) {
+			continue
+		}
+		c.claim(now, j)
+	}
+}
+
+func (c *Core) claim(now time.Time, j *JobState) bool {
+	claim, ok := c.ledger.Find(j.Job, c.coster(now, j))
+	if !ok {
+		return false
+	}
+	victims, ok := c.victimsFor(now, j, claim.Workers, c.isBorrowed)
+	if !ok || len(victims) > 0 && c.settings.Policy.NoReclaim {
+		return false
+	}
+	c.ledger.Occupy(claim, j.Job.ID)
+	j.Class = model.CapacityGuaranteed
+	j.Cell = claim.Key
+	c.evict(now, j, victims, wire.StopReclaimed)
+	c.beginAttempt(now, j, claim.Workers, "in its guaranteed cell "+claim.Key)
+	return true
+}
+
+// coster compares places by the work lost there.
+func (c *Core) coster(now time.Time, j *JobState) guarantee.Coster {
+	per := j.Job.Shape.PerTask
+	return guarantee.Coster{
+		Limits: []func(model.WorkerID) int{
+			func(id model.WorkerID) int {
+				free, _ := c.books.free.Free(id)
+				return placement.Slots(free, per)
+			},
+			func(id model.WorkerID) int { return placement.Slots(c.cheaplyFree(id), per) },
+		},
+		Cost: func(workers []model.WorkerID) float64 { return c.costOf(now, j, workers) },
+	}
+}
+
+// cheaplyFree is what would be free without the borrowed tasks that lose no work.
+func (c *Core) cheaplyFree(id model.WorkerID) model.Resources {
+	free, _ := c.books.free.Free(id)
+	for _, job := range c.workers[id].tasks {
+		if j := c.jobs[job]; c.isBorrowed(j) && j.Job.CanCheckpoint {
+			free = free.Add(j.Job.Shape.PerTask)
+		}
+	}
+	return free
+}
+
+func (c *Core) costOf(now time.Time, j *JobState, workers []model.WorkerID) float64 {
+	victims, ok := c.victimsFor(now, j, workers, c.isBorrowed)
+	if !ok {
+		return math.MaxFloat64
+	}
+	cost := 0.0
+	for _, id := range victims {
+		cost += c.lostWork(now, c.jobs[id])
+	}
+	return cost
+}
+
+// evict stops the victims for a job.
+func (c *Core) evict(now time.Time, j *JobState, victims []model.JobID, reason wire.StopReason) {
+	if len(victims) == 0 {
+		return
+	}
+	names := make([]string, len(victims))
+	for i, id := range victims {
+		names[i] = string(id)
+		v := c.jobs[id]
+		v.Moved = true
+		v.Preemptions++
+		c.record(event.JobPreempted, id, string(j.Job.ID), string(reason))
+		c.stopVictim(now, v, reason, "stopped for job "+string(j.Job.ID)+" of account "+string(j.Job.Account))
+	}
+	j.explain(now, "evicts %s, the choice that loses least work", strings.Join(names, ", "))
+}
+
+// stopVictim ends a gang; one whose decision is not known yet ends right after it is.
+func (c *Core) stopVictim(now time.Time, v *JobState, reason wire.StopReason, text string) {
+	if v.Phase == PhaseDeciding || v.Phase == PhaseInDoubt {
+		v.StopAfterDecision = true
+		v.explain(now, "%s, as soon as its decision row is known", text)
+		return
+	}
+	c.endAttempt(now, v, PhaseQueued, reason, c.settings.CheckpointGrace, text)
+}
+
+// cover gives cells their places and tells operators what changed.
+func (c *Core) cover(now time.Time) {
+	c.coverDue = false
+	c.ledger.Cover()
+	uncovered := c.ledger.Uncovered()
+	for _, key := range uncovered {
+		if _, told := c.alarmed[key]; told {
+			continue
+		}
+		c.alarmed[key] = now
+		why := c.ledger.Why(key)
+		c.record(event.GuaranteeUncovered, "", key, why)
+		c.do(Notify{Alarm: AlarmGuaranteeUncovered, Subject: key, Text: why})
+	}
+	for _, key := range sortedKeys(c.alarmed) {
+		if slices.Contains(uncovered, key) {
+			continue
+		}
+		delete(c.alarmed, key)
+		c.record(event.GuaranteeCovered, "", key, "")
+		c.do(Notify{Alarm: AlarmGuaranteeCovered, Subject: key, Text: key + " can be claimed again"})
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -4,8 +4,11 @@
 	"slices"
 	"time"
 
+	"dragonflyyard/internal/estimate"
 	"dragonflyyard/internal/event"
+	"dragonflyyard/internal/guarantee"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/quarantine"
 	"dragonflyyard/internal/wire"
 )
 
@@ -17,29 +20,37 @@
 	config   *model.ConfigDocument
 	jobs     map[model.JobID]*JobState
 	workers  map[model.WorkerID]*workerState
+	accounts map[model.ClientAccountID]*accountState
+	books    *books
+	ledger   *guarantee.Ledger
+	// predictor learns run times, tracker finds bad workers and jobs.
+	predictor *estimate.Predictor
+	tracker   *quarantine.Tracker
 	// phases holds the IDs of the jobs in each phase, so that a tick looks
 	// only at the jobs that something is due for.
 	phases map[Phase]map[model.JobID]struct{}
+	// claims are the waiting jobs of the guaranteed class.
+	claims       []rank
+	reservations map[model.JobID]*Reservation
+	// nextShadow is the earliest time at which held back capacity is needed.
+	nextShadow time.Time
+	// blocked are the shapes that fit nowhere until capacity grows.
+	blocked      map[blockedKey]struct{}
+	avoided      map[model.WorkerID]struct{}
+	alarmed      map[string]time.Time
+	zoneOutSince map[model.AvailabilityZoneName]time.Time
+	// ended are the ended jobs that Explain still knows, oldest first.
+	ended []model.JobID
 	// recoverUntil is when a new owner stops waiting for reports; zero after.
 	recoverUntil time.Time
 	lastStep     time.Time
-	scheduleDue  bool
-	out          []Action
-}
-
-// workerState is what the owner knows of one worker.
-type workerState struct {
-	Worker model.Worker
-	Up     bool
-	// LastRequest is when the worker last asked for leases.
-	LastRequest time.Time
-	// LastGrant is when leases were last granted to the worker.
-	LastGrant time.Time
-	// AvoidUntil keeps new attempts off a worker that refused one.
-	AvoidUntil time.Time
-	Used       model.Resources
-	// tasks are the booked tasks of the worker.
-	tasks map[model.TaskID]model.JobID
+	lastTick     time.Time
+	// starts is how many attempts may begin before the next tick.
+	starts      int
+	scheduleDue bool
+	clearingDue bool
+	coverDue    bool
+	out         []Action
 }
 
 // New returns a core that owns nothing yet.
@@ -52,7 +63,21 @@
 func (c *Core) reset() {
 	c.jobs = map[model.JobID]*JobState{}
 	c.workers = map[model.WorkerID]*workerState{}
+	c.accounts = map[model.ClientAccountID]*accountState{}
+	c.books = newBooks()
+	c.ledger = guarantee.NewLedger()
+	c.predictor = estimate.NewPredictor(nil)
+	c.tracker = quarantine.NewTracker(c.settings.Quarantine, quarantine.State{})
 	c.phases = map[Phase]map[model.JobID]struct{}{}
+	c.claims = nil
+	c.reservations = map[model.JobID]*Reservation{}
+	c.nextShadow = time.Time{}
+	c.blocked = map[blockedKey]struct{}{}
+	c.avoided = map[model.WorkerID]struct{}{}
+	c.alarmed = map[string]time.Time{}
+	c.zoneOutSince = map[model.AvailabilityZoneName]time.Time{}
+	c.ended = nil
+	c.starts = c.settings.MaxStartsPerTick
 }
 
 // Owner returns the epoch under which the core is the owner.
@@ -90,21 +115,39 @@
 		c.owner = false
 		return c.out
 	}
-	if c.scheduleDue && c.recoverUntil.IsZero() {
-		c.scheduleDue = false
-		c.schedule(now)
-	}
+	c.settle(now)
 	c.lastStep = now
 	return c.out
 }
 
+// settle carries out what the input made due.
+func (c *Core) settle(now time.Time) {
+	if !c.recoverUntil.IsZero() {
+		return
+	}
+	if c.coverDue {
+		c.cover(now)
+	}
+	if c.clearingDue {
+		c.clearingDue = false
+		for _, j := range c.inPhase(PhaseClearing) {
+			c.checkCleared(now, j)
+		}
+	}
+	if c.scheduleDue {
+		c.scheduleDue = false
+		c.placeClaims(now)
+		c.placeBorrowed(now)
+	}
+}
+
 func (c *Core) stepIdle(now time.Time, in Input) {
 	switch in := in.(type) {
 	case BecomeOwner:
 		c.becomeOwner(now, in)
 		c.lastStep = now
 	case ConfigUpdate:
-		if c.config == nil || in.Document.Version > c.config.Version {
+		if in.Document != nil && (c.config == nil || in.Document.Version > c.config.Version) {
 			c.config = in.Document
 		}
 	}
@@ -137,12 +180,18 @@
 // setPhase moves a job to a phase and keeps the phase index.
 func (c *Core) setPhase(now time.Time, j *JobState, p Phase) {
 	delete(c.phases[j.Phase], j.Job.ID)
+	if j.Phase == PhaseQueued {
+		c.dequeue(j)
+	}
 	if c.phases[p] == nil {
 		c.phases[p] = map[model.JobID]struct{}{}
 	}
 	c.phases[p][j.Job.ID] = struct{}{}
 	j.setPhase(now, p)
-	c.scheduleDue = true
+	if p == PhaseQueued {
+		c.enqueue(j)
+		c.scheduleDue = true
+	}
 }
 
 // inPhase returns the jobs of a phase in the order of their IDs.
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -1,24 +1,27 @@
 package scheduler
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/placement"
 )
 
-// Explain returns what was decided about a job, oldest first, in sentences;
-// false when the job is not known.
-func (c *Core) Explain(id model.JobID) ([]string, bool) {
+// Explain returns what was decided about a job, oldest first, and, while it
+// waits, why; false when the job is not known.
+func (c *Core) Explain(now time.Time, id model.JobID) ([]string, bool) {
 	j := c.jobs[id]
 	if j == nil {
 		return nil, false
 	}
 	var out []string
 	for _, e := range j.History {
-		out = append(out, e.Time.UTC().Format(time.RFC3339Nano)+" "+e.Text)
+		out = append(out, e.Time.UTC().Format(time.RFC3339)+" "+e.Text)
 	}
-	if j.Waiting != "" {
-		out = append(out, "it waits: "+j.Waiting)
+	if why := c.whyWaiting(now, j); why != "" {
+		out = append(out, why)
 	}
 	return out, true
 }
@@ -32,5 +35,107 @@
 	return *j, true
 }
 
-// rememberEnded keeps an ended job for Explain.
-func (c *Core) rememberEnded(*JobState) {}
+func (c *Core) whyWaiting(now time.Time, j *JobState) string {
+	switch j.Phase {
+	case PhaseClearing:
+		return "it waits until the tasks in its place have checkpointed and ended"
+	case PhaseReserving:
+		return "it waits for its agents to confirm their reservations"
+	case PhaseDeciding, PhaseInDoubt:
+		return "it waits for the table service to confirm its decision row"
+	case PhaseRecovering:
+		return "it waits for its agents to report to the new scheduler owner"
+	case PhaseQueued:
+		return "it waits: " + c.whyQueued(now, j)
+	default:
+		return ""
+	}
+}
+
+func (c *Core) whyQueued(now time.Time, j *JobState) string {
+	if now.Before(j.NotBefore) {
+		return fmt.Sprintf("its last attempt was refused; the next one is in %s", j.NotBefore.Sub(now).Round(time.Millisecond))
+	}
+	if !c.recoverUntil.IsZero() {
+		return "the scheduler owner changed and waits for the agents' reports"
+	}
+	if place := c.wholeFleet(j); place != "" {
+		return place
+	}
+	if j.Job.Capacity == model.CapacityGuaranteed {
+		return c.whyNoCell(j)
+	}
+	if r := c.reservations[j.Job.ID]; r != nil {
+		return fmt.Sprintf("capacity on %s is held back for it, expected to be free at %s", workerList(r.Workers), r.Shadow.UTC().Format(time.RFC3339))
+	}
+	return fmt.Sprintf("no place for %s is free; account %s holds %d borrowed accelerators at weight %d",
+		describe(j.Job.Shape), j.Job.Account, c.account(j.Job.Account).Borrowed, c.weight(j.Job.Account))
+}
+
+// wholeFleet says whether a job fits only when zones or workers are back.
+func (c *Core) wholeFleet(j *JobState) string {
+	now := placement.NewIndex()
+	for _, id := range c.sortedWorkers() {
+		w := c.workers[id]
+		now.SetWorker(w.Worker, w.Worker.Capacity, w.Up && !c.zoneIsOut(w.Worker.Zone))
+	}
+	if now.Place(placement.Request{Shape: j.Job.Shape}) != nil {
+		return ""
+	}
+	var zones []string
+	for _, zone := range sortedZones(c.zoneOutSince) {
+		zones = append(zones, string(zone))
+	}
+	if len(zones) > 0 {
+		return describe(j.Job.Shape) + " fit only when these zones are back in service: " + strings.Join(zones, ", ")
+	}
+	return describe(j.Job.Shape) + " fit only when workers that are lost come back"
+}
+
+func (c *Core) whyNoCell(j *JobState) string {
+	var used []string
+	for _, key := range c.ledger.Keys() {
+		cell := c.ledger.Cell(key)
+		if cell.Account != j.Job.Account {
+			continue
+		}
+		if why := c.ledger.Why(key); why != "" {
+			return why
+		}
+		used = append(used, key)
+	}
+	return "all guaranteed cells of its account that could take it are in use: " + strings.Join(used, ", ")
+}
+
+func describe(s model.Shape) string {
+	text := fmt.Sprintf("%d tasks of %d accelerators", s.Tasks, s.PerTask.Accelerators)
+	if s.Topology == model.TopologyAny {
+		return text
+	}
+	return text + " within one " + string(s.Topology)
+}
+
+func workerList(workers []model.WorkerID) string {
+	var names []string
+	for _, w := range workers {
+		if len(names) == 0 || names[len(names)-1] != string(w) {
+			names = append(names, string(w))
+		}
+	}
+	const shown = 8
+	if len(names) > shown {
+		return strings.Join(names[:shown], ", ") + fmt.Sprintf(" and %d more", len(names)-shown)
+	}
+	return strings.Join(names, ", ")
+}
+
+// rememberEnded keeps an ended job for Explain and forgets the oldest.
+func (c *Core) rememberEnded(j *JobState) {
+	c.ended = append(c.ended, j.Job.ID)
+	for len(c.ended) > c.settings.EndedMemory {
+		old := c.ended[0]
+		c.ended = c.ended[1:]
+		delete(c.phases[c.jobs[old].Phase], old)
+		delete(c.jobs, old)
+	}
+}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -80,18 +80,30 @@
 	DoneMS    int64
 	StartedAt time.Time
 	// Moved is set while the job waits after it was moved out of a zone or preempted.
-	Moved   bool
-	History []Explanation
-	Waiting string
+	Moved bool
+	// Preemptions counts how often the job was stopped for another one.
+	Preemptions int
+	// StopAfterDecision ends the attempt as soon as its decision row is known.
+	StopAfterDecision bool
+	History           []Explanation
+	// rank is the job's place in its account's queue.
+	rank rank
 }
 
-// Row returns the job's durable state.
+// row returns the job's durable state.
 func (j *JobState) row(epoch model.Epoch) JobRow {
 	row := JobRow{Job: j.Job, Attempt: j.Attempt, Class: j.Class, Cell: j.Cell, Epoch: epoch, DoneMS: j.DoneMS}
+	row.Allocation = j.workers()
+	return row
+}
+
+// workers returns the worker of each task of the current attempt.
+func (j *JobState) workers() []model.WorkerID {
+	var out []model.WorkerID
 	for _, t := range j.Tasks {
-		row.Allocation = append(row.Allocation, t.Worker)
+		out = append(out, t.Worker)
 	}
-	return row
+	return out
 }
 
 func (j *JobState) explain(now time.Time, format string, args ...any) {
--- /dev/null
+++ b/internal/scheduler/preempt.go
@@ -0,0 +1,116 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/preemption"
+)
+
+// undecidedCost keeps gangs whose decision row is being written from being
+// chosen as victims while there are others, in accelerator-seconds.
+const undecidedCost = 1e9
+
+// isBorrowed reports whether a gang may be stopped for a guaranteed shape.
+func (c *Core) isBorrowed(j *JobState) bool {
+	if j.Class == model.CapacityGuaranteed || j.StopAfterDecision {
+		return false
+	}
+	switch j.Phase {
+	case PhaseClearing, PhaseReserving, PhaseDeciding, PhaseInDoubt, PhaseLaunching, PhaseRunning:
+		return true
+	default:
+		return false
+	}
+}
+
+// lostWork is the work that stopping a gang costs, in accelerator-seconds.
+func (c *Core) lostWork(now time.Time, j *JobState) float64 {
+	accelerators := float64(max(1, j.Job.Shape.Accelerators()))
+	switch j.Phase {
+	case PhaseDeciding, PhaseInDoubt:
+		return undecidedCost
+	case PhaseRunning, PhaseLaunching:
+	default:
+		return 0
+	}
+	restart := c.settings.RestartCost.Seconds()
+	if j.Job.CanCheckpoint || j.StartedAt.IsZero() {
+		return restart * accelerators
+	}
+	return (restart + now.Sub(j.StartedAt).Seconds()) * accelerators
+}
+
+// victimsFor chooses the gangs to stop so that a job's tasks fit on workers,
+// and reports whether that is possible at all.
+func (c *Core) victimsFor(now time.Time, j *JobState, workers []model.WorkerID, may func(*JobState) bool) ([]model.JobID, bool) {
+	needs := map[model.WorkerID]model.Resources{}
+	for _, w := range workers {
+		needs[w] = needs[w].Add(j.Job.Shape.PerTask)
+	}
+	deficits := map[model.WorkerID]model.Resources{}
+	short := false
+	for id, need := range needs {
+		missing := c.overbooked(id, true).Add(need)
+		if missing.Accelerators > 0 || missing.Cores > 0 || missing.MemoryMB > 0 {
+			deficits[id] = missing
+			short = true
+		}
+	}
+	if !short {
+		return nil, true
+	}
+	order := preemption.LeastLostWork
+	if c.settings.Policy.EvictNewest {
+		order = preemption.AsGiven
+	}
+	return preemption.Choose(deficits, c.victims(now, deficits, may), order)
+}
+
+// victims lists the gangs with tasks on the given workers that may be stopped.
+func (c *Core) victims(now time.Time, on map[model.WorkerID]model.Resources, may func(*JobState) bool) []preemption.Victim {
+	held := map[model.JobID][]preemption.Use{}
+	for id := range on {
+		for _, job := range c.workers[id].tasks {
+			if may(c.jobs[job]) {
+				held[job] = append(held[job], preemption.Use{Worker: id, Amount: c.jobs[job].Job.Shape.PerTask})
+			}
+		}
+	}
+	ids := make([]model.JobID, 0, len(held))
+	for id := range held {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	if c.settings.Policy.EvictNewest {
+		slices.SortStableFunc(ids, func(a, b model.JobID) int { return c.jobs[b].StartedAt.Compare(c.jobs[a].StartedAt) })
+	}
+	out := make([]preemption.Victim, len(ids))
+	for i, id := range ids {
+		out[i] = preemption.Victim{Job: id, Cost: c.lostWork(now, c.jobs[id]), Uses: held[id]}
+	}
+	return out
+}
+
+// mayYield reports whether a borrowed gang may be stopped for another borrowed
+// job: one that loses no work, of the same account for urgent jobs, otherwise
+// of an account above the waiting one's share.
+func (c *Core) mayYield(now time.Time, waiting *JobState) func(*JobState) bool {
+	mine := (float64(c.account(waiting.Job.Account).Borrowed + waiting.Job.Shape.Accelerators())) / float64(c.weight(waiting.Job.Account))
+	return func(v *JobState) bool {
+		if !c.isBorrowed(v) || v.Job.Urgent || v.Phase == PhaseDeciding || v.Phase == PhaseInDoubt {
+			return false
+		}
+		if waiting.Job.Urgent && v.Job.Account == waiting.Job.Account {
+			return true
+		}
+		if !v.Job.CanCheckpoint || v.Preemptions >= c.settings.MaxPreemptions {
+			return false
+		}
+		if now.Sub(v.StartedAt) < c.settings.MinRunBeforeYield && !waiting.Job.Urgent {
+			return false
+		}
+		return c.share(v.Job.Account) > mine
+	}
+}
--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -24,6 +24,7 @@
 	if in.Snapshot != nil {
 		c.restoreKnowledge(in.Snapshot)
 	}
+	c.restoreZones(now, in.Snapshot)
 	for _, row := range in.Rows {
 		c.restoreRow(now, row, in.Snapshot)
 	}
@@ -55,13 +56,41 @@
 	}
 }
 
+// restoreZones notes the zones that are out.
+func (c *Core) restoreZones(now time.Time, snap *Snapshot) {
+	if c.config == nil {
+		return
+	}
+	c.ledger.SetGuarantees(c.config.Guarantees)
+	for zone, state := range c.config.Zones {
+		if state == model.ZoneOut {
+			c.zoneOutSince[zone] = now
+		}
+	}
+	if snap == nil {
+		return
+	}
+	for _, z := range snap.ZoneOutSince {
+		if _, out := c.zoneOutSince[z.Zone]; out {
+			c.zoneOutSince[z.Zone] = z.Since
+		}
+	}
+}
+
 // finishRecovery decides what became of each gang that was under way.
 func (c *Core) finishRecovery(now time.Time) {
 	c.recoverUntil = time.Time{}
 	c.record(event.OwnerReady, "", "", "")
-	for _, j := range c.inPhase(PhaseRecovering) {
+	recovering := c.inPhase(PhaseRecovering)
+	for _, j := range recovering {
+		if j.Cell != "" && !c.ledger.Pin(j.Cell, j.Job, j.workers()) {
+			c.displaced(now, j)
+		}
+	}
+	for _, j := range recovering {
 		c.recoverJob(now, j)
 	}
+	c.coverDue = true
 }
 
 // recoverJob takes a gang over that is whole, launches one that is reserved on
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/wire"
 )
@@ -87,12 +88,44 @@
 }
 
 func (c *Core) jobFinished(now time.Time, j *JobState) {
+	c.predictor.Observe(j.Job, time.Duration(j.DoneMS)*time.Millisecond+now.Sub(j.StartedAt))
+	for _, t := range j.Tasks {
+		if c.tracker.Probing(t.Worker) {
+			c.tracker.Succeeded(t.Worker)
+			c.refreshWorker(now, c.workers[t.Worker])
+			c.record(event.WorkerReturned, j.Job.ID, string(t.Worker), "")
+		}
+	}
 	c.finalize(now, j, PhaseFinished, "all tasks finished")
 }
 
+// taskFailed ends a gang whose task failed, and counts the failure against the
+// worker and the job.
 func (c *Core) taskFailed(now time.Time, j *JobState, i int, r *wire.TaskReport) {
-	text := fmt.Sprintf("task %d failed on %s: %s", i, j.Tasks[i].Worker, r.Detail)
-	c.endAttempt(now, j, PhaseQueued, wire.StopGangMemberLost, 0, text)
+	worker := j.Tasks[i].Worker
+	text := fmt.Sprintf("task %d failed on %s: %s", i, worker, r.Detail)
+	verdict := c.tracker.Failed(now, worker, j.Job.ID)
+	if verdict.Quarantined && !c.settings.Policy.NoQuarantine {
+		c.refreshWorker(now, c.workers[worker])
+		c.record(event.WorkerQuarantined, j.Job.ID, string(worker), "until "+verdict.Until.UTC().Format(time.RFC3339))
+		c.do(Notify{Alarm: AlarmWorkerQuarantined, Subject: string(worker), Text: "distinct jobs failed on it"})
+	}
+	next := PhaseQueued
+	if verdict.Park {
+		next = PhaseParked
+	}
+	c.endAttempt(now, j, next, wire.StopGangMemberLost, 0, text)
+}
+
+// park sets a job aside that failed on several distinct workers.
+func (c *Core) park(now time.Time, j *JobState) {
+	c.leaveCell(j)
+	j.Tasks = nil
+	text := fmt.Sprintf("parked: it failed on %s; submit it again under a new ID when it is mended", workerList(c.tracker.FailedOn(j.Job.ID)))
+	j.explain(now, "%s", text)
+	c.record(event.JobParked, j.Job.ID, string(j.Job.Account), text)
+	c.do(Notify{Alarm: AlarmJobParked, Subject: string(j.Job.ID), Text: text})
+	c.setPhase(now, j, PhaseParked)
 }
 
 // endAttempt stops all tasks of a job. The job moves to next when all have ended.
@@ -142,7 +175,12 @@
 		c.unbook(j, i)
 	}
 	c.keepProgress(j)
-	if j.Next != PhaseQueued {
+	switch j.Next {
+	case PhaseQueued:
+	case PhaseParked:
+		c.park(now, j)
+		return
+	default:
 		c.finalize(now, j, j.Next, string(j.Next))
 		return
 	}
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"dragonflyyard/internal/quarantine"
+)
 
 // Settings are the owner's time limits and bounds.
 type Settings struct {
@@ -24,12 +28,28 @@
 	// Backoff is the first delay after a refused attempt; it doubles up to MaxBackoff.
 	Backoff    time.Duration
 	MaxBackoff time.Duration
-	// MaxStartsPerStep bounds the attempts that one step begins.
-	MaxStartsPerStep int
+	// Avoid is how long a worker that refused a reservation gets no new ones.
+	Avoid time.Duration
+	// MaxStartsPerTick bounds the attempts on borrowed capacity that begin
+	// between two ticks, so that capacity that comes back is not filled with
+	// more decision rows than the table service takes.
+	MaxStartsPerTick int
 	// ZoneDrain is how long running tasks may stay in a zone that is out.
 	ZoneDrain time.Duration
 	// MaxLargeReservations bounds the jobs that capacity is held back for.
 	MaxLargeReservations int
+	// LargeAccelerators is the size from which capacity is held back for a job.
+	LargeAccelerators int
+	// LargeWait is how long capacity is held back for a job before borrowed
+	// work of accounts above their share has to yield to it.
+	LargeWait time.Duration
+	// RestartCost is the time that a stopped gang loses besides its work.
+	RestartCost time.Duration
+	// MaxPreemptions is how often a gang yields to other borrowed work, and
+	// MinRunBeforeYield how long it runs before it does.
+	MaxPreemptions    int
+	MinRunBeforeYield time.Duration
+	Quarantine        quarantine.Settings
 	// EndedMemory is how many ended jobs are kept for Explain.
 	EndedMemory int
 	Policy      Policy
@@ -49,6 +69,9 @@
 	NoReservations bool
 	// DeclaredRunTimes trusts the declared run times.
 	DeclaredRunTimes bool
+	// EvictNewest evicts the gangs that started last in place of those that
+	// lose least work.
+	EvictNewest bool
 	// NoQuarantine keeps placing tasks on workers that fail.
 	NoQuarantine bool
 }
@@ -65,9 +88,16 @@
 		MemberLostGrace:      time.Second,
 		CheckpointGrace:      10 * time.Second,
 		RecoveryWindow:       3 * time.Second,
-		Backoff:              500 * time.Millisecond,
+		Backoff:              100 * time.Millisecond,
 		MaxBackoff:           30 * time.Second,
-		MaxStartsPerStep:     16,
+		Avoid:                500 * time.Millisecond,
+		MaxStartsPerTick:     8,
+		LargeAccelerators:    8,
+		LargeWait:            time.Minute,
+		RestartCost:          30 * time.Second,
+		MaxPreemptions:       3,
+		MinRunBeforeYield:    time.Minute,
+		Quarantine:           quarantine.DefaultSettings(),
 		ZoneDrain:            time.Minute,
 		MaxLargeReservations: 4,
 		EndedMemory:          4096,
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -2,51 +2,146 @@
 
 import (
 	"slices"
+	"time"
 
+	"dragonflyyard/internal/estimate"
+	"dragonflyyard/internal/guarantee"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/quarantine"
 )
 
-// Snapshot is the owner's whole state, for the object store.
+// Snapshot is the owner's whole state, for the object store. Lists are sorted by ID.
 type Snapshot struct {
-	Epoch   model.Epoch
-	Jobs    []JobState
-	Workers []WorkerSnapshot
+	Epoch        model.Epoch
+	Jobs         []JobState
+	Workers      []WorkerSnapshot
+	Cells        []guarantee.Cell
+	Reservations []Reservation
+	Estimates    []estimate.Samples
+	Quarantine   quarantine.State
+	// Ended are the ended jobs, oldest first.
+	Ended []model.JobID
+	// ZoneOutSince tells when each zone that is out was taken out.
+	ZoneOutSince []ZoneSince
+}
+
+// ZoneSince is a zone and when it was taken out.
+type ZoneSince struct {
+	Zone  model.AvailabilityZoneName
+	Since time.Time
 }
 
 // WorkerSnapshot is what a snapshot keeps of one worker.
 type WorkerSnapshot struct {
-	Worker model.Worker
-	Up     bool
+	Worker      model.Worker
+	Up          bool
+	LastRequest time.Time
+	LastGrant   time.Time
+	AvoidUntil  time.Time
 }
 
-// Snapshot returns a copy of the state. Jobs and workers are sorted by ID.
+// Snapshot returns a copy of the state.
 func (c *Core) Snapshot() *Snapshot {
-	s := &Snapshot{Epoch: c.epoch}
+	s := &Snapshot{Epoch: c.epoch, Estimates: c.predictor.State(), Quarantine: c.tracker.State(), Ended: slices.Clone(c.ended)}
 	for _, id := range c.sortedJobs() {
-		j := *c.jobs[id]
-		j.Tasks = slices.Clone(j.Tasks)
-		j.History = slices.Clone(j.History)
-		s.Jobs = append(s.Jobs, j)
+		s.Jobs = append(s.Jobs, c.jobs[id].clone())
 	}
 	for _, id := range c.sortedWorkers() {
 		w := c.workers[id]
-		s.Workers = append(s.Workers, WorkerSnapshot{Worker: w.Worker, Up: w.Up})
+		s.Workers = append(s.Workers, WorkerSnapshot{w.Worker, w.Up, w.LastRequest, w.LastGrant, w.AvoidUntil})
+	}
+	for _, key := range c.ledger.Keys() {
+		cell := *c.ledger.Cell(key)
+		cell.Workers = slices.Clone(cell.Workers)
+		cell.Users = slices.Clone(cell.Users)
+		s.Cells = append(s.Cells, cell)
+	}
+	for _, id := range c.sortedReservations() {
+		s.Reservations = append(s.Reservations, *c.reservations[id])
+	}
+	for _, zone := range sortedZones(c.zoneOutSince) {
+		s.ZoneOutSince = append(s.ZoneOutSince, ZoneSince{zone, c.zoneOutSince[zone]})
 	}
 	return s
 }
 
+func (j *JobState) clone() JobState {
+	out := *j
+	out.rank = rank{}
+	out.Tasks = slices.Clone(j.Tasks)
+	out.History = slices.Clone(j.History)
+	return out
+}
+
+// Restore returns a core that goes on from a snapshot as the same owner, for
+// instance after its process was handed over without a change of ownership.
+func Restore(settings Settings, config *model.ConfigDocument, s *Snapshot) *Core {
+	c := New(settings)
+	c.owner = true
+	c.epoch = s.Epoch
+	c.config = config
+	c.restoreKnowledge(s)
+	for _, z := range s.ZoneOutSince {
+		c.zoneOutSince[z.Zone] = z.Since
+	}
+	for _, w := range s.Workers {
+		state := c.workers[w.Worker.ID]
+		state.Up, state.LastRequest, state.LastGrant, state.AvoidUntil = w.Up, w.LastRequest, w.LastGrant, w.AvoidUntil
+		if now := w.LastRequest; c.lastStep.Before(now) {
+			c.lastStep = now
+		}
+	}
+	for _, id := range c.sortedWorkers() {
+		c.refreshWorker(c.lastStep, c.workers[id])
+	}
+	if config != nil {
+		c.ledger.SetGuarantees(config.Guarantees)
+	}
+	c.ledger.RestoreCells(s.Cells)
+	for _, saved := range s.Jobs {
+		c.restoreJob(saved)
+	}
+	for _, r := range s.Reservations {
+		c.addReservation(&r)
+	}
+	c.coverDue = false
+	for _, key := range c.ledger.Uncovered() {
+		c.alarmed[key] = c.lastStep
+	}
+	return c
+}
+
+func (c *Core) restoreJob(saved JobState) {
+	j := saved.clone()
+	c.jobs[j.Job.ID] = &j
+	for i, t := range j.Tasks {
+		if t.Booked {
+			j.Tasks[i].Booked = false
+			c.book(&j, i)
+		}
+	}
+	if c.phases[j.Phase] == nil {
+		c.phases[j.Phase] = map[model.JobID]struct{}{}
+	}
+	c.phases[j.Phase][j.Job.ID] = struct{}{}
+	if j.Phase == PhaseQueued {
+		c.enqueue(&j)
+	}
+}
+
 func (s *Snapshot) job(id model.JobID) *JobState {
 	if s == nil {
 		return nil
 	}
 	at, ok := slices.BinarySearchFunc(s.Jobs, id, func(j JobState, id model.JobID) int {
-		if j.Job.ID < id {
+		switch {
+		case j.Job.ID < id:
 			return -1
-		}
-		if j.Job.ID > id {
+		case j.Job.ID > id:
 			return 1
+		default:
+			return 0
 		}
-		return 0
 	})
 	if !ok {
 		return nil
@@ -56,9 +151,13 @@
 
 // restoreKnowledge takes over what the rows do not hold.
 func (c *Core) restoreKnowledge(s *Snapshot) {
+	c.predictor = estimate.NewPredictor(s.Estimates)
+	c.tracker = quarantine.NewTracker(c.settings.Quarantine, s.Quarantine)
 	for _, w := range s.Workers {
-		c.workers[w.Worker.ID] = &workerState{Worker: w.Worker, tasks: map[model.TaskID]model.JobID{}}
+		c.workers[w.Worker.ID] = newWorkerState(w.Worker)
+		c.books.fleet.SetWorker(w.Worker, w.Worker.Capacity, true)
 	}
+	c.ended = slices.Clone(s.Ended)
 }
 
 func (c *Core) sortedJobs() []model.JobID {
@@ -69,3 +168,12 @@
 	slices.Sort(ids)
 	return ids
 }
+
+func sortedZones[V any](m map[model.AvailabilityZoneName]V) []model.AvailabilityZoneName {
+	zones := make([]model.AvailabilityZoneName, 0, len(m))
+	for zone := range m {
+		zones = append(zones, zone)
+	}
+	slices.Sort(zones)
+	return zones
+}
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -24,7 +24,7 @@
 	}
 	j := &JobState{Job: job, Class: job.Capacity}
 	c.jobs[job.ID] = j
-	j.explain(now, "submitted by %s: %d tasks of %d accelerators", job.Account, job.Shape.Tasks, job.Shape.PerTask.Accelerators)
+	j.explain(now, "submitted by account %s: %s", job.Account, describe(job.Shape))
 	c.record(event.JobSubmitted, job.ID, string(job.Account), "")
 	c.setPhase(now, j, PhaseQueued)
 }
@@ -62,10 +62,12 @@
 		code = event.JobFailed
 	}
 	j.explain(now, "%s", text)
-	j.Waiting = ""
+	c.dropReservation(j.Job.ID)
+	c.leaveCell(j)
 	j.Tasks = nil
 	c.record(code, j.Job.ID, string(j.Job.Account), text)
 	c.setPhase(now, j, p)
+	c.tracker.JobEnded(j.Job.ID)
 	c.do(DeleteRows{Jobs: []model.JobID{j.Job.ID}})
 	c.rememberEnded(j)
 }
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -13,7 +13,11 @@
 	if !c.recoverUntil.IsZero() && !now.Before(c.recoverUntil) {
 		c.finishRecovery(now)
 	}
+	c.starts = c.settings.MaxStartsPerTick
+	c.refreshAvoided(now)
+	c.refreshReservations(now)
 	c.checkSilence(now)
+	c.drain(now)
 	for _, j := range c.inPhase(PhaseReserving) {
 		c.tickReserving(now, j)
 	}
@@ -35,6 +39,7 @@
 		}
 		c.checkStopped(now, j)
 	}
+	c.lastTick = now
 	c.scheduleDue = true
 }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -8,11 +8,32 @@
 	"dragonflyyard/internal/wire"
 )
 
+// workerState is what the owner knows of one worker.
+type workerState struct {
+	Worker model.Worker
+	Up     bool
+	// LastRequest is when the worker last asked for leases.
+	LastRequest time.Time
+	// LastGrant is when leases were last granted to the worker.
+	LastGrant time.Time
+	// AvoidUntil keeps new attempts off a worker that refused one.
+	AvoidUntil time.Time
+	// Used is what booked tasks hold. It is more than the capacity while a
+	// gang waits for tasks in its place to end.
+	Used model.Resources
+	// tasks are the booked tasks of the worker.
+	tasks map[model.TaskID]model.JobID
+}
+
+func newWorkerState(w model.Worker) *workerState {
+	return &workerState{Worker: w, tasks: map[model.TaskID]model.JobID{}}
+}
+
 // workerUp adds a worker or makes it usable again.
 func (c *Core) workerUp(now time.Time, worker model.Worker) *workerState {
 	w := c.workers[worker.ID]
 	if w == nil {
-		w = &workerState{tasks: map[model.TaskID]model.JobID{}}
+		w = newWorkerState(worker)
 		c.workers[worker.ID] = w
 	}
 	w.Worker = worker
@@ -23,7 +44,7 @@
 		i, _ := j.taskIndex(id)
 		j.Tasks[i].GoneAt = time.Time{}
 	}
-	c.scheduleDue = true
+	c.refreshWorker(now, w)
 	return w
 }
 
@@ -34,8 +55,8 @@
 		return
 	}
 	w.Up = false
+	c.refreshWorker(now, w)
 	c.tasksGone(now, w, "worker "+string(id)+" was lost")
-	c.scheduleDue = true
 }
 
 // tasksGone marks the worker's tasks as ending with their leases and ends their gangs.
@@ -90,33 +111,6 @@
 	return false
 }
 
-func (c *Core) book(j *JobState, i int) {
-	t := &j.Tasks[i]
-	if t.Booked {
-		return
-	}
-	t.Booked = true
-	w := c.workers[t.Worker]
-	if w == nil {
-		w = &workerState{Worker: model.Worker{ID: t.Worker}, tasks: map[model.TaskID]model.JobID{}}
-		c.workers[t.Worker] = w
-	}
-	w.Used = w.Used.Add(j.Job.Shape.PerTask)
-	w.tasks[j.Job.Task(i)] = j.Job.ID
-}
-
-func (c *Core) unbook(j *JobState, i int) {
-	t := &j.Tasks[i]
-	if !t.Booked {
-		return
-	}
-	t.Booked = false
-	w := c.workers[t.Worker]
-	w.Used = w.Used.Sub(j.Job.Shape.PerTask)
-	delete(w.tasks, j.Job.Task(i))
-	c.scheduleDue = true
-}
-
 func sortedTasks(w *workerState) []model.TaskID {
 	ids := make([]model.TaskID, 0, len(w.tasks))
 	for id := range w.tasks {
