--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -56,6 +56,31 @@
 	Connections int
 }
 
+// Demand tells an agent how much of its backend server an entry host could use.
+// It replaces any earlier demand on the same connection.
+type Demand struct {
+	Seq uint64
+	// Slots is the number of slots in use plus those that waiting requests need.
+	Slots int
+	// Largest is the slot need of the largest waiting request.
+	Largest int
+}
+
+// WireType implements Message.
+func (*Demand) WireType() Type { return TypeDemand }
+// Clock carries the sender's hybrid logical clock. It goes in front of each
+// batch of frames, so that the receiver's later events are ordered after all
+// that the sender did before.
+type Clock struct {
+	// WallMS is in milliseconds since the Unix epoch.
+	WallMS int64
+	// Counter orders events within the same millisecond.
+	Counter uint32
+}
+
+// WireType implements Message.
+func (*Clock) WireType() Type { return TypeClock }
+
 // WireType implements Message.
 func (*Hello) WireType() Type { return TypeHello }
 
--- a/internal/wire/types.go
+++ b/internal/wire/types.go
@@ -7,6 +7,8 @@
 	TypeHeartbeat       Type = 3
 	TypeLeaving         Type = 4
 	TypeCredit          Type = 5
+	TypeDemand          Type = 6
+	TypeClock           Type = 7
 	TypeClaim           Type = 10
 	TypeClaimReply      Type = 11
 	TypeDispatch        Type = 12
@@ -58,6 +60,10 @@
 		return &Leaving{}
 	case TypeCredit:
 		return &Credit{}
+	case TypeDemand:
+		return &Demand{}
+	case TypeClock:
+		return &Clock{}
 	default:
 		return nil
 	}
