Add the client of the table service and the object store

Each call has a deadline, retries come out of a shared budget, a breaker bounds calls to a service that is down, and a share of the rates keeps all processes within 300 writes and 2,000 reads a second. Rate and burst of a process add up to its share, so full buckets at the return of the store stay within it; a waiting call asks the bucket again after it woke, so a paused process cannot send its waiting calls at once. A reader never joins a call that began before it asked.

The contract of both services runs against the stand-in in process and against the client over HTTP.

--- /dev/null
+++ b/internal/tablestore/client_test.go
@@ -0,0 +1,206 @@
+package tablestore
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/standin"
+)
+
+// together runs count calls at the same time.
+func together(count int, call func(i int)) {
+	var group sync.WaitGroup
+	for i := range count {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			call(i)
+		}()
+	}
+	group.Wait()
+}
+
+func TestCommitsShareCalls(t *testing.T) {
+	store := standin.NewStore(time.Now)
+	client := newTestClient(t, store, generous)
+	client.writes = NewBucket(MaxWrites)
+	store.SetFaults(standin.ServiceTable, standin.Faults{DelayMS: 20})
+	together(40, func(i int) {
+		if _, err := client.Commit(context.Background(), put(fmt.Sprint(i), "v")); err != nil {
+			t.Errorf("commit %d: %v", i, err)
+		}
+	})
+	stats := store.Stats()
+	t.Logf("%d transactions in %d calls", stats.Writes.Total, stats.WriteCalls.Total)
+	if stats.Writes.Total != 40 || stats.WriteCalls.Total > 20 {
+		t.Errorf("%d transactions in %d calls", stats.Writes.Total, stats.WriteCalls.Total)
+	}
+}
+
+func TestReadsOfOneRowShareCalls(t *testing.T) {
+	store := standin.NewStore(time.Now)
+	client := newTestClient(t, store, generous)
+	if _, err := client.Commit(context.Background(), put("k", "v")); err != nil {
+		t.Fatal(err)
+	}
+	store.SetFaults(standin.ServiceTable, standin.Faults{DelayMS: 50})
+	together(100, func(int) {
+		if _, err := client.Get(context.Background(), "k"); err != nil {
+			t.Error(err)
+		}
+	})
+	if got := store.Stats().Reads.Total; got >= 100 {
+		t.Errorf("%d calls for 100 readers", got)
+	}
+}
+
+func TestReadSeesWhatWasWrittenBeforeItBegan(t *testing.T) {
+	store := standin.NewStore(time.Now)
+	client := newTestClient(t, store, generous)
+	together(4, func(reader int) {
+		key := "k"
+		for i := range 25 {
+			versions, err := client.Commit(context.Background(), put(key, fmt.Sprint(reader, i)))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			row, err := client.Get(context.Background(), key)
+			if err != nil || row.Version < versions[0] {
+				t.Errorf("read version %d, %v after writing version %d", row.Version, err, versions[0])
+			}
+		}
+	})
+}
+
+func TestRefusedConnectionIsNotInDoubt(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := "http://" + listener.Addr().String()
+	_ = listener.Close()
+	client := New(DefaultOptions(address, address))
+	defer client.Close()
+	if _, err := client.Commit(context.Background(), put("k", "v")); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("commit: %v", err)
+	}
+	if err := client.PutObject(context.Background(), "k", nil); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("put object: %v", err)
+	}
+}
+
+func TestTransactionThatWasNotSentIsNotInDoubt(t *testing.T) {
+	store := standin.NewStore(time.Now)
+	client := newTestClient(t, store, generous)
+	for range newcomerWrites * 100 {
+		client.writes.Take(time.Now())
+	}
+	client.mu.Lock()
+	client.writes.SetShare(2)
+	client.writes.tokens = -100
+	client.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), brief)
+	defer cancel()
+	if _, err := client.Commit(ctx, put("k", "v")); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("got %v, want unavailable", err)
+	}
+	if got := store.Stats().Writes.Total; got != 0 {
+		t.Errorf("%d transactions were sent", got)
+	}
+}
+
+func TestBreakerBoundsCallsToAServiceThatIsDown(t *testing.T) {
+	store := standin.NewStore(time.Now)
+	client := newTestClient(t, store, generous)
+	store.SetFaults(standin.ServiceTable, standin.Faults{Down: true})
+	for range 200 {
+		if _, err := client.Get(context.Background(), "k"); !errors.Is(err, platform.ErrUnavailable) {
+			t.Fatalf("got %v, want unavailable", err)
+		}
+	}
+	if got := store.Stats().Reads.Total; got > 50 {
+		t.Errorf("%d calls reached a service that is down, for 200 reads", got)
+	}
+	store.SetFaults(standin.ServiceTable, standin.Faults{})
+	for deadline := time.Now().Add(generous); ; time.Sleep(10 * time.Millisecond) {
+		_, err := client.Get(context.Background(), "k")
+		if errors.Is(err, platform.ErrNotFound) {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("no call succeeded after the service came back: %v", err)
+		}
+	}
+}
+
+// TestReturnOfTheStore has three members of a roster of four, with far more
+// work than their share, wait for a store that is down, and counts the calls
+// when it comes back. The fourth member is idle: its share is left over for
+// calls that the machine delays and then makes at once.
+func TestReturnOfTheStore(t *testing.T) {
+	const clients, workers = 3, 60
+	store := standin.NewStore(time.Now)
+	var all []*Client
+	for range clients {
+		client := newTestClient(t, store, time.Second)
+		client.SetRoster(clients+1, true)
+		all = append(all, client)
+	}
+	store.SetFaults(standin.ServiceTable, standin.Faults{Down: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for i, client := range all {
+		for worker := range workers {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				for n := 0; ctx.Err() == nil; n++ {
+					_, _ = client.Commit(ctx, put(fmt.Sprint(i, "/", worker), fmt.Sprint(n)))
+					_, _ = client.Get(ctx, fmt.Sprint(i, "/", worker, "/", n%10))
+				}
+			}()
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	store.SetFaults(standin.ServiceTable, standin.Faults{})
+	for deadline := time.Now().Add(generous); store.Stats().Writes.Total < 500 && time.Now().Before(deadline); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	cancel()
+	group.Wait()
+	stats := store.Stats()
+	t.Logf("peak %d writes and %d reads a second; %d writes in %d calls",
+		stats.Writes.Peak, stats.Reads.Peak, stats.Writes.Total, stats.WriteCalls.Total)
+	if stats.Writes.Total < 500 {
+		t.Errorf("only %d writes after the store came back", stats.Writes.Total)
+	}
+	if stats.Writes.Peak > MaxWrites || stats.Reads.Peak > MaxReads {
+		t.Errorf("peak %d writes and %d reads a second", stats.Writes.Peak, stats.Reads.Peak)
+	}
+}
+
+func FuzzDecodeCommit(f *testing.F) {
+	f.Add([]byte(`{"results":[{"versions":[1,2]}]}`))
+	f.Add([]byte(`{"results":[{"conflict":true}]}`))
+	f.Add([]byte(`{"results":[]}`))
+	f.Add([]byte(`{"results":null`))
+	f.Fuzz(func(t *testing.T, reply []byte) {
+		batch := []*queuedCommit{{tx: platform.Transaction{Puts: []platform.Put{{Key: "a"}, {Key: "b"}}}}}
+		var answer commitAnswer
+		if err := decodeCommit(reply, batch, &answer); err != nil {
+			return
+		}
+		result := answer.Results[0]
+		if !result.Conflict && len(result.Versions) != 2 {
+			t.Errorf("accepted %d versions for two puts", len(result.Versions))
+		}
+	})
+}
--- /dev/null
+++ b/internal/tablestore/contract_test.go
@@ -0,0 +1,348 @@
+package tablestore
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/standin"
+)
+
+// generous bounds calls that are expected to be answered.
+const generous = 30 * time.Second
+
+// brief bounds calls that are expected to get no answer.
+const brief = 100 * time.Millisecond
+
+// service is an implementation under test, with the store behind it.
+type service struct {
+	platform.Table
+	platform.ObjectStore
+	store *standin.Store
+}
+
+// implementations returns the constructors of all implementations.
+func implementations() map[string]func(t *testing.T, callTimeout time.Duration) service {
+	return map[string]func(t *testing.T, callTimeout time.Duration) service{
+		"in process": func(_ *testing.T, _ time.Duration) service {
+			store := standin.NewStore(time.Now)
+			return service{store, store, store}
+		},
+		"client over HTTP": func(t *testing.T, callTimeout time.Duration) service {
+			store := standin.NewStore(time.Now)
+			client := newTestClient(t, store, callTimeout)
+			return service{client, client, store}
+		},
+	}
+}
+
+func newTestClient(t *testing.T, store *standin.Store, callTimeout time.Duration) *Client {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: store.Serve, Logger: silentLogger{}}
+	go func() { _ = server.Serve(listener) }()
+	options := DefaultOptions("http://"+listener.Addr().String(), "http://"+listener.Addr().String())
+	options.CallTimeout, options.Timeout = callTimeout, 4*callTimeout
+	client := New(options)
+	client.SetRoster(1, true)
+	t.Cleanup(func() {
+		client.Close()
+		store.SetFaults(standin.ServiceTable, standin.Faults{})
+		store.SetFaults(standin.ServiceObjects, standin.Faults{})
+		_ = listener.Close()
+	})
+	return client
+}
+
+type silentLogger struct{}
+
+func (silentLogger) Printf(string, ...any) {}
+
+// contractCase is one case of the contract of both services.
+type contractCase struct {
+	name string
+	// before runs without faults; then the faults are set and run runs.
+	before func(t *testing.T, s service)
+	table  standin.Faults
+	blobs  standin.Faults
+	run    func(t *testing.T, s service)
+	// healed runs after the faults were cleared.
+	healed func(t *testing.T, s service)
+}
+
+func (c contractCase) callTimeout() time.Duration {
+	if c.table.Freeze || c.table.Silent || c.table.DelayMS > 0 || c.blobs != (standin.Faults{}) {
+		return brief
+	}
+	return generous
+}
+
+func put(key, value string, checks ...platform.Check) platform.Transaction {
+	return platform.Transaction{Checks: checks, Puts: []platform.Put{{Key: key, Value: []byte(value)}}}
+}
+
+func commit(t *testing.T, s service, tx platform.Transaction, want error) []platform.RowVersion {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), generous)
+	if want != nil && !errors.Is(want, platform.ErrConflict) {
+		cancel()
+		ctx, cancel = context.WithTimeout(context.Background(), 4*brief)
+	}
+	defer cancel()
+	versions, err := s.Commit(ctx, tx)
+	if !errors.Is(err, want) {
+		t.Fatalf("commit: got %v, want %v", err, want)
+	}
+	return versions
+}
+
+func mustGet(t *testing.T, s service, key, value string) platform.Row {
+	t.Helper()
+	row, err := s.Get(context.Background(), key)
+	if err != nil || string(row.Value) != value || row.Key != key {
+		t.Fatalf("row %q: got %+v, %v; want value %q", key, row, err, value)
+	}
+	return row
+}
+
+func wantReadError(t *testing.T, s service, key string, want error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), generous)
+	if errors.Is(want, platform.ErrUnavailable) {
+		cancel()
+		ctx, cancel = context.WithTimeout(context.Background(), 4*brief)
+	}
+	defer cancel()
+	if _, err := s.Get(ctx, key); !errors.Is(err, want) {
+		t.Fatalf("row %q: got %v, want %v", key, err, want)
+	}
+}
+
+func TestContract(t *testing.T) {
+	var cases []contractCase
+	cases = append(cases, tableCases()...)
+	cases = append(cases, tableFaultCases()...)
+	cases = append(cases, objectCases()...)
+	for name, construct := range implementations() {
+		for _, c := range cases {
+			t.Run(name+"/"+c.name, func(t *testing.T) {
+				t.Parallel()
+				s := construct(t, c.callTimeout())
+				if c.before != nil {
+					c.before(t, s)
+				}
+				s.store.SetFaults(standin.ServiceTable, c.table)
+				s.store.SetFaults(standin.ServiceObjects, c.blobs)
+				c.run(t, s)
+				s.store.SetFaults(standin.ServiceTable, standin.Faults{})
+				s.store.SetFaults(standin.ServiceObjects, standin.Faults{})
+				if c.healed != nil {
+					s.Table, s.ObjectStore = s.store, s.store
+					c.healed(t, s)
+				}
+			})
+		}
+	}
+}
+
+func tableCases() []contractCase {
+	return []contractCase{
+		{name: "absent row", run: func(t *testing.T, s service) { wantReadError(t, s, "k", platform.ErrNotFound) }},
+		{name: "put and get", run: func(t *testing.T, s service) {
+			versions := commit(t, s, put("k", "v"), nil)
+			if row := mustGet(t, s, "k", "v"); row.Version != versions[0] {
+				t.Errorf("read version %d, written %d", row.Version, versions[0])
+			}
+		}},
+		{name: "keys and values of any bytes", run: func(t *testing.T, s service) {
+			for _, key := range []string{"a/b c", "a?b&c=d", "a%2Fb", "é+#", "k\x01"} {
+				commit(t, s, put(key, "\x00\xff"+key), nil)
+				mustGet(t, s, key, "\x00\xff"+key)
+			}
+		}},
+		{name: "check of absence", run: func(t *testing.T, s service) {
+			commit(t, s, put("k", "v", platform.Check{Key: "k"}), nil)
+			commit(t, s, put("k", "w", platform.Check{Key: "k"}), platform.ErrConflict)
+			mustGet(t, s, "k", "v")
+		}},
+		{name: "failed check changes nothing", run: func(t *testing.T, s service) {
+			tx := platform.Transaction{
+				Checks:  []platform.Check{{Key: "x", Version: 99}},
+				Puts:    []platform.Put{{Key: "a"}, {Key: "b"}},
+				Deletes: []string{"k"},
+			}
+			commit(t, s, put("k", "v"), nil)
+			commit(t, s, tx, platform.ErrConflict)
+			wantReadError(t, s, "a", platform.ErrNotFound)
+			mustGet(t, s, "k", "v")
+		}},
+		{name: "row made again has another version", run: func(t *testing.T, s service) {
+			first := commit(t, s, put("k", "v"), nil)
+			commit(t, s, platform.Transaction{Deletes: []string{"k"}}, nil)
+			commit(t, s, put("k", "v"), nil)
+			commit(t, s, put("k", "w", platform.Check{Key: "k", Version: first[0]}), platform.ErrConflict)
+		}},
+		{name: "list", run: testList},
+		{name: "racing transactions", run: testRace},
+	}
+}
+
+func testList(t *testing.T, s service) {
+	for _, key := range []string{"p/3", "p/1", "q/1", "p/2", "p"} {
+		commit(t, s, put(key, key), nil)
+	}
+	cases := []struct {
+		prefix, after string
+		limit         int
+		want          string
+	}{
+		{"p/", "", 10, "[p/1 p/2 p/3]"}, {"p/", "p/1", 10, "[p/2 p/3]"}, {"p/", "", 2, "[p/1 p/2]"},
+		{"p/", "p/3", 10, "[]"}, {"none", "", 10, "[]"}, {"", "", 10, "[p p/1 p/2 p/3 q/1]"}, {"p/", "", 0, "[]"},
+	}
+	for _, c := range cases {
+		rows, err := s.List(context.Background(), c.prefix, c.after, c.limit)
+		keys := []string{}
+		for _, row := range rows {
+			keys = append(keys, row.Key)
+		}
+		if got := fmt.Sprint(keys); err != nil || got != c.want {
+			t.Errorf("list %+v: got %s, %v", c, got, err)
+		}
+	}
+}
+
+// testRace lets transactions race for each of several rows: one wins a row,
+// and a failed check fails only its own transaction.
+func testRace(t *testing.T, s service) {
+	const rows, racers = 8, 5
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	wins, conflicts := map[string]int{}, 0
+	for i := range rows * racers {
+		key := fmt.Sprint("r", i%rows)
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			_, err := s.Commit(context.Background(), put(key, fmt.Sprint(i), platform.Check{Key: key}))
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err == nil:
+				wins[key]++
+			case errors.Is(err, platform.ErrConflict):
+				conflicts++
+			default:
+				t.Errorf("row %s: %v", key, err)
+			}
+		}()
+	}
+	group.Wait()
+	for key, count := range wins {
+		if count != 1 {
+			t.Errorf("row %s was won %d times", key, count)
+		}
+	}
+	if len(wins) != rows || conflicts != rows*(racers-1) {
+		t.Errorf("%d rows won, %d conflicts", len(wins), conflicts)
+	}
+}
+
+func tableFaultCases() []contractCase {
+	return []contractCase{
+		{
+			name: "down", table: standin.Faults{Down: true},
+			before: func(t *testing.T, s service) { commit(t, s, put("k", "v"), nil) },
+			run: func(t *testing.T, s service) {
+				commit(t, s, put("k", "w"), platform.ErrUnavailable)
+				wantReadError(t, s, "k", platform.ErrUnavailable)
+			},
+			healed: func(t *testing.T, s service) { mustGet(t, s, "k", "v") },
+		},
+		{
+			name: "answer lost after the write took effect", table: standin.Faults{LoseAnswers: 1},
+			run:    func(t *testing.T, s service) { commit(t, s, put("k", "v"), platform.ErrInDoubt) },
+			healed: func(t *testing.T, s service) { mustGet(t, s, "k", "v") },
+		},
+		{
+			name: "answer lost, then the same transaction again", table: standin.Faults{LoseAnswers: 1},
+			run: func(t *testing.T, s service) {
+				tx := put("k", "v", platform.Check{Key: "k"})
+				commit(t, s, tx, platform.ErrInDoubt)
+				commit(t, s, tx, platform.ErrConflict)
+			},
+		},
+		{
+			name: "frozen: the write takes effect when the service wakes", table: standin.Faults{Freeze: true},
+			run:    func(t *testing.T, s service) { commit(t, s, put("k", "v"), platform.ErrInDoubt) },
+			healed: func(t *testing.T, s service) { mustGet(t, s, "k", "v") },
+		},
+		{
+			name: "frozen: reads", table: standin.Faults{Freeze: true},
+			run: func(t *testing.T, s service) { wantReadError(t, s, "k", platform.ErrUnavailable) },
+		},
+		{
+			name: "silent connection: no effect", table: standin.Faults{Silent: true},
+			run: func(t *testing.T, s service) {
+				commit(t, s, put("k", "v"), platform.ErrInDoubt)
+				wantReadError(t, s, "k", platform.ErrUnavailable)
+			},
+			healed: func(t *testing.T, s service) { wantReadError(t, s, "k", platform.ErrNotFound) },
+		},
+		{
+			name: "slower than the deadline", table: standin.Faults{DelayMS: 3000},
+			run: func(t *testing.T, s service) { commit(t, s, put("k", "v"), platform.ErrInDoubt) },
+		},
+		{
+			name: "object store down: the table service goes on", blobs: standin.Faults{Down: true},
+			run: func(t *testing.T, s service) { commit(t, s, put("k", "v"), nil) },
+		},
+	}
+}
+
+func objectCases() []contractCase {
+	value := bytes.Repeat([]byte{0, 1, 255}, 50_000)
+	store := func(t *testing.T, s service) {
+		if err := s.PutObject(context.Background(), "a/b c", value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	fetch := func(t *testing.T, s service) {
+		got, err := s.GetObject(context.Background(), "a/b c")
+		if err != nil || !bytes.Equal(got, value) {
+			t.Fatalf("got %d bytes, %v", len(got), err)
+		}
+	}
+	fails := func(want error) func(t *testing.T, s service) {
+		return func(t *testing.T, s service) {
+			ctx, cancel := context.WithTimeout(context.Background(), 4*brief)
+			defer cancel()
+			if err := s.PutObject(ctx, "a/b c", value); !errors.Is(err, want) {
+				t.Fatalf("put: got %v, want %v", err, want)
+			}
+		}
+	}
+	return []contractCase{
+		{name: "object put and get", run: func(t *testing.T, s service) { store(t, s); fetch(t, s) }},
+		{name: "object absent", run: func(t *testing.T, s service) {
+			if _, err := s.GetObject(context.Background(), "a"); !errors.Is(err, platform.ErrNotFound) {
+				t.Errorf("got %v", err)
+			}
+		}},
+		{name: "objects down", blobs: standin.Faults{Down: true}, run: fails(platform.ErrUnavailable)},
+		{name: "objects frozen", blobs: standin.Faults{Freeze: true}, run: fails(platform.ErrInDoubt), healed: fetch},
+		{name: "answers of objects lost", blobs: standin.Faults{LoseAnswers: -1}, run: fails(platform.ErrInDoubt), healed: fetch},
+		{name: "table service down: objects go on", table: standin.Faults{Down: true},
+			run: func(t *testing.T, s service) { store(t, s); fetch(t, s) }},
+	}
+}
--- /dev/null
+++ b/internal/tablestore/options.go
@@ -0,0 +1,69 @@
+package tablestore
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Limits of the platform's services for all processes together, in calls a second.
+const (
+	// MaxWrites bounds transactions and stored objects.
+	MaxWrites = 300
+	// MaxReads bounds reads of rows, lists and objects.
+	MaxReads = 2000
+)
+
+// Shares of a process that is not yet a confirmed member of the roster, in
+// calls a second.
+const (
+	newcomerWrites = 5
+	newcomerReads  = 30
+)
+
+// Options are the settings of a Client.
+type Options struct {
+	// TableURL and ObjectURL are the base URLs of the two services.
+	TableURL  string
+	ObjectURL string
+	// CallTimeout bounds one call; Timeout bounds an operation with its retries.
+	CallTimeout time.Duration
+	Timeout     time.Duration
+	Breaker     BreakerLimits
+	Retry       RetryLimits
+	// MaxBatch bounds the transactions in one commit call.
+	MaxBatch int
+	// MaxCommits bounds the commit calls under way at the same time.
+	MaxCommits int
+	// MaxQueued bounds the transactions that wait for a commit call.
+	MaxQueued int
+	// Random returns a number from 0 up to 1.
+	Random func() float64
+	Now    func() time.Time
+	// Metrics takes the client's counters; it may be nil.
+	Metrics metrics.Registry
+}
+
+// DefaultOptions returns the options of the product for two base URLs.
+func DefaultOptions(tableURL, objectURL string) Options {
+	return Options{
+		TableURL:    tableURL,
+		ObjectURL:   objectURL,
+		CallTimeout: 500 * time.Millisecond,
+		Timeout:     1500 * time.Millisecond,
+		Breaker:     BreakerLimits{Failures: 5, OpenFor: 600 * time.Millisecond},
+		Retry: RetryLimits{
+			First:       50 * time.Millisecond,
+			Longest:     400 * time.Millisecond,
+			MaxTries:    3,
+			BudgetRatio: 0.1,
+			BudgetMax:   10,
+		},
+		MaxBatch:   64,
+		MaxCommits: 4,
+		MaxQueued:  1024,
+		Random:     rand.Float64,
+		Now:        time.Now,
+	}
+}
--- /dev/null
+++ b/internal/tablestore/pure_test.go
@@ -0,0 +1,191 @@
+package tablestore
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// at returns an instant of the tests' clock.
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func half() float64 { return 0.5 }
+
+func TestBreaker(t *testing.T) {
+	b := NewBreaker(BreakerLimits{Failures: 3, OpenFor: 400 * time.Millisecond}, half)
+	steps := []struct {
+		ms    int
+		do    string
+		allow bool
+		state BreakerState
+	}{
+		{0, "failure", true, BreakerClosed}, {1, "failure", true, BreakerClosed}, {2, "success", true, BreakerClosed},
+		{3, "failure", true, BreakerClosed}, {4, "failure", true, BreakerClosed}, {5, "failure", true, BreakerOpen},
+		{100, "", false, BreakerOpen}, {304, "", false, BreakerOpen},
+		{305, "none", true, BreakerProbing}, {306, "", false, BreakerProbing}, {704, "", false, BreakerProbing},
+		{705, "failure", true, BreakerOpen}, {800, "", false, BreakerOpen},
+		{1005, "success", true, BreakerClosed}, {1006, "failure", true, BreakerClosed},
+	}
+	for i, s := range steps {
+		if got := b.Allow(at(s.ms)); got != s.allow {
+			t.Fatalf("step %d: allowed %v, want %v", i, got, s.allow)
+		}
+		switch s.do {
+		case "failure":
+			b.Failure(at(s.ms))
+		case "success":
+			b.Success()
+		}
+		if b.State() != s.state {
+			t.Fatalf("step %d: state %s, want %s", i, b.State(), s.state)
+		}
+	}
+}
+
+func TestRetryBudget(t *testing.T) {
+	limits := RetryLimits{First: 50 * time.Millisecond, Longest: 150 * time.Millisecond, MaxTries: 4, BudgetRatio: 0.1, BudgetMax: 3}
+	r := NewRetryBudget(limits, half)
+	var waits []time.Duration
+	for tries := 1; ; tries++ {
+		wait, again := r.Next(tries)
+		if !again {
+			break
+		}
+		waits = append(waits, wait)
+	}
+	want := []time.Duration{37500 * time.Microsecond, 75 * time.Millisecond, 112500 * time.Microsecond}
+	if !reflect.DeepEqual(waits, want) {
+		t.Errorf("waits %v, want %v", waits, want)
+	}
+	retries := 0
+	for range 1000 {
+		r.Began()
+		if _, again := r.Next(1); again {
+			retries++
+		}
+	}
+	if retries > 100 {
+		t.Errorf("%d retries for 1000 failing calls, want at most 100", retries)
+	}
+}
+
+func TestCoalescerSharesOnlyCallsThatBeganLater(t *testing.T) {
+	c := NewCoalescer[int]()
+	if !c.Join("k", 1) || c.Join("k", 2) || c.Join("k", 3) || !c.Join("other", 9) {
+		t.Fatal("exactly the first reader of a key starts a call")
+	}
+	first, again := c.Done("k")
+	if !reflect.DeepEqual(first, []int{1}) || !again {
+		t.Errorf("first call answers %v, another call %v", first, again)
+	}
+	c.Join("k", 4)
+	second, again := c.Done("k")
+	if !reflect.DeepEqual(second, []int{2, 3}) || !again {
+		t.Errorf("second call answers %v, another call %v", second, again)
+	}
+	if third, again := c.Done("k"); !reflect.DeepEqual(third, []int{4}) || again {
+		t.Errorf("third call answers %v, another call %v", third, again)
+	}
+	if none, again := c.Done("k"); none != nil || again {
+		t.Errorf("a call that nobody made answers %v", none)
+	}
+}
+
+// window counts the highest number of instants within any one second.
+type window struct {
+	times []time.Time
+	peak  int
+}
+
+func (w *window) add(now time.Time) {
+	w.times = append(w.times, now)
+	for now.Sub(w.times[0]) >= time.Second {
+		w.times = w.times[1:]
+	}
+	w.peak = max(w.peak, len(w.times))
+}
+
+// TestAllProcessesStayWithinTheLimits lets every process want more than it may
+// at every moment, with idle times, so that all full buckets are used at once,
+// as when the store comes back. Newcomers join meanwhile.
+func TestAllProcessesStayWithinTheLimits(t *testing.T) {
+	cases := []struct {
+		limit, newcomer float64
+		members, fresh  int
+	}{
+		{MaxWrites, newcomerWrites, 2, 1}, {MaxWrites, newcomerWrites, 3, 6}, {MaxWrites, newcomerWrites, 36, 6},
+		{MaxReads, newcomerReads, 3, 6}, {MaxReads, newcomerReads, 36, 6}, {MaxReads, newcomerReads, 120, 0},
+	}
+	for _, c := range cases {
+		random := rand.New(rand.NewPCG(3, uint64(c.members)))
+		var buckets []*Bucket
+		for i := range c.members + c.fresh {
+			buckets = append(buckets, NewBucket(Share(c.limit, c.members, i < c.members, c.newcomer)))
+		}
+		var all window
+		taken := 0
+		now := start
+		for range 8000 {
+			now = now.Add(time.Millisecond)
+			if random.IntN(2000) == 0 {
+				now = now.Add(5 * time.Second)
+			}
+			for _, i := range random.Perm(len(buckets)) {
+				for {
+					if _, ok := buckets[i].Take(now); !ok {
+						break
+					}
+					taken++
+					all.add(now)
+				}
+			}
+		}
+		t.Logf("limit %.0f, %d members, %d newcomers: peak %d in a second", c.limit, c.members, c.fresh, all.peak)
+		if float64(all.peak) > c.limit {
+			t.Errorf("limit %.0f, %d members, %d newcomers: peak %d", c.limit, c.members, c.fresh, all.peak)
+		}
+		if taken == 0 {
+			t.Error("no call was made")
+		}
+	}
+}
+
+func TestChangeOfShareKeepsTheBound(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 5))
+	b := NewBucket(100)
+	var w window
+	now := start
+	for range 20000 {
+		now = now.Add(time.Millisecond)
+		if random.IntN(300) == 0 {
+			b.SetShare(Share(300, 3+random.IntN(5), true, 5))
+		}
+		if _, ok := b.Take(now); ok {
+			w.add(now)
+		}
+	}
+	if w.peak > 100 {
+		t.Errorf("peak %d in a second, want at most 100", w.peak)
+	}
+}
+
+func TestWaitEndsWithATakenCall(t *testing.T) {
+	b := NewBucket(20)
+	now := start
+	for range 100 {
+		wait, ok := b.Take(now)
+		for !ok {
+			now = now.Add(wait)
+			wait, ok = b.Take(now)
+			if wait > time.Second {
+				t.Fatalf("a wait of %v at 15 calls a second", wait)
+			}
+		}
+	}
+	if took := now.Sub(start); took < 6*time.Second || took > 7*time.Second {
+		t.Errorf("100 calls took %v, want 95 calls at 15 a second", took)
+	}
+}
--- /dev/null
+++ b/internal/tablestore/retry.go
@@ -0,0 +1,50 @@
+package tablestore
+
+import "time"
+
+// RetryLimits are the bounds of retries.
+type RetryLimits struct {
+	// First and Longest bound the wait before a retry. It doubles with each try
+	// and is drawn between half of its value and all of it.
+	First   time.Duration
+	Longest time.Duration
+	// MaxTries bounds the calls for one operation, the first included.
+	MaxTries int
+	// BudgetRatio is how many retries each first call allows, on average.
+	BudgetRatio float64
+	// BudgetMax is how many retries can be saved up.
+	BudgetMax float64
+}
+
+// RetryBudget decides whether a failed call is made again. All operations of a
+// client share it, so that retries multiply the load by at most
+// 1 + BudgetRatio for long.
+type RetryBudget struct {
+	limits RetryLimits
+	random func() float64
+	saved  float64
+}
+
+// NewRetryBudget returns a full budget.
+func NewRetryBudget(limits RetryLimits, random func() float64) *RetryBudget {
+	return &RetryBudget{limits: limits, random: random, saved: limits.BudgetMax}
+}
+
+// Began counts a first call.
+func (r *RetryBudget) Began() {
+	r.saved = min(r.limits.BudgetMax, r.saved+r.limits.BudgetRatio)
+}
+
+// Next returns how long to wait before the next try of an operation that
+// failed tries times, and false when there is to be none.
+func (r *RetryBudget) Next(tries int) (time.Duration, bool) {
+	if tries >= r.limits.MaxTries || r.saved < 1 {
+		return 0, false
+	}
+	r.saved--
+	wait := r.limits.Longest
+	if shift := tries - 1; shift < 16 {
+		wait = min(wait, r.limits.First<<shift)
+	}
+	return time.Duration(float64(wait) * (0.5 + 0.5*r.random())), true
+}
