--- a/internal/wire/request.go
+++ b/internal/wire/request.go
@@ -26,6 +26,9 @@
 	StateRejected
 	// StateBodyMismatch means that the ID was used before with another body.
 	StateBodyMismatch
+	// StateAnswerLost means that the backend server started the request and its
+	// answer was lost between the backend server and its agent.
+	StateAnswerLost
 )
 
 // Claim asks a request's home agent to record that Executor will run it.
@@ -37,6 +40,17 @@
 	Assignment uint64
 	// SealOnly records the request as never to be run, in place of a claim.
 	SealOnly bool
+	// Token numbers the claims of the sending entry host over all its lives. A
+	// claim that is sent again keeps its token.
+	Token uint64
+	// MoveToken is the token of the claim that the sender knows of. The home
+	// moves or seals an existing claim only if it still has this token.
+	MoveToken uint64
+	// Unconfirmed is set, for idempotent requests only, when the executor of the
+	// moved claim may have run the request. The home then never reports it as not run.
+	Unconfirmed bool
+	// ReadOnly asks for the state of the request and changes nothing.
+	ReadOnly bool
 }
 
 // ClaimReply answers Claim. Granted is false when the request was seen before.
@@ -47,6 +61,16 @@
 	Executor model.BackendServerID
 	// Assignment is the home's own assignment version.
 	Assignment uint64
+	// MayHaveRun is set when an executor before Executor may have run the request.
+	MayHaveRun bool
+	// Reason says why State is StateRejected, a refusal for now.
+	Reason model.Reason
+	// RetryAfterMS says, for StateRejected, when to ask again.
+	RetryAfterMS int64
+	// Token repeats the token of the Claim that is answered.
+	Token uint64
+	// Current is the token of the claim in force.
+	Current uint64
 }
 
 // Dispatch hands a request to the executing agent. A body larger than
@@ -64,6 +88,11 @@
 	Part       int
 	Parts      int
 	Body       []byte
+	// Unclaimed marks an idempotent request that no home can claim or seal.
+	Unclaimed bool
+	// Token is the token of the granted claim, or, where the executor is the
+	// home itself, of the claim that the Dispatch makes.
+	Token uint64
 }
 
 // AnswerPart is one numbered part of an answer.
