--- a/internal/wire/types.go
+++ b/internal/wire/types.go
@@ -7,6 +7,7 @@
 	TypeHeartbeat       Type = 3
 	TypeLeaving         Type = 4
 	TypeCredit          Type = 5
+	TypeDemand          Type = 6
 	TypeClock           Type = 7
 	TypeClaim           Type = 10
 	TypeClaimReply      Type = 11
@@ -27,9 +28,12 @@
 	TypeTaskReport      Type = 35
 	TypeThrottle        Type = 36
 	TypeWorkerReport    Type = 37
+	TypeLeaseRequest    Type = 38
+	TypeLeaseGrant      Type = 39
 	TypeOperatorCall    Type = 40
 	TypeOperatorReply   Type = 41
 	TypeOwnershipNotice Type = 42
+	TypeRosterNotice    Type = 43
 )
 
 func newMessage(t Type) Message {
@@ -57,6 +61,8 @@
 		return &Leaving{}
 	case TypeCredit:
 		return &Credit{}
+	case TypeDemand:
+		return &Demand{}
 	case TypeClock:
 		return &Clock{}
 	default:
@@ -101,6 +107,8 @@
 		return &OperatorReply{}
 	case TypeOwnershipNotice:
 		return &OwnershipNotice{}
+	case TypeRosterNotice:
+		return &RosterNotice{}
 	default:
 		return nil
 	}
@@ -124,6 +132,10 @@
 		return &Throttle{}
 	case TypeWorkerReport:
 		return &WorkerReport{}
+	case TypeLeaseRequest:
+		return &LeaseRequest{}
+	case TypeLeaseGrant:
+		return &LeaseGrant{}
 	default:
 		return nil
 	}
