--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -80,7 +80,10 @@
 		return nil, errors.Wrapf(err, "listen on link address %q", s.LinkAddress)
 	}
 	p := &Process{Base: base, Config: config, linkListener: listener, dials: make(chan string, maxDials)}
-	p.roster = append([]string{p.LinkAddress()}, s.Peers...)
+	p.roster = s.Peers
+	if isReachable(listener.Addr()) {
+		p.roster = append([]string{p.LinkAddress()}, s.Peers...)
+	}
 	identity := link.Identity{Process: base.Name, Incarnation: base.Incarnation, Hello: p.hello, Roster: p.Roster}
 	p.Hub = link.NewHub(identity, process.LinkOptions(&s.Links), base.Log, base.Metrics, base.Now)
 	p.Requests = newRequests(requestConfig(&s), s.Process.RingCapacity, base, p.Hub)
@@ -96,6 +99,13 @@
 	return p, nil
 }
 
+// isReachable reports whether others can dial the address: not one that
+// stands for all of the host's own.
+func isReachable(address net.Addr) bool {
+	tcp, ok := address.(*net.TCPAddr)
+	return ok && !tcp.IP.IsUnspecified()
+}
+
 // LinkAddress returns the address that links are accepted on, IP:port.
 func (p *Process) LinkAddress() string { return p.linkListener.Addr().String() }
 
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,22 +20,66 @@
 
 // Dial keeps a connection to address (IP:port) open until ctx is done: after a
 // loss it dials again, at once first, then with growing jittered delays.
+//
+// Several addresses may lead to the same process. Only one of them is dialled
+// or connected at a time, once they are known to do so.
 func (h *Hub) Dial(ctx context.Context, address string) {
 	attempt := 0
+	process := ""
 	for ctx.Err() == nil {
+		if process != "" && !h.seats.take(process, address) {
+			h.pause(ctx, h.options.MaxReconnectDelay)
+			continue
+		}
 		started := h.now()
-		wasUp, _ := h.dialOnce(ctx, address)
+		name, wasUp := h.dialOnce(ctx, address)
+		h.seats.release(process, address)
+		if name != "" {
+			h.seats.release(name, address)
+			process = name
+		}
 		// A connection that ends soon after it came up, such as one that a
 		// namesake keeps replacing, does not reset the delay.
 		if wasUp && h.now().Sub(started) > h.options.Silence {
 			attempt = 0
 		}
-		delay := reconnectDelay(h.options, attempt, rand.Float64())
+		h.pause(ctx, reconnectDelay(h.options, attempt, rand.Float64()))
 		attempt++
-		select {
-		case <-ctx.Done():
-		case <-time.After(delay):
-		}
+	}
+}
+
+func (h *Hub) pause(ctx context.Context, delay time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(delay):
+	}
+}
+
+// seats holds, for each peer process, the one address that is being dialled or
+// is connected.
+type seats struct {
+	mu      sync.Mutex
+	holders map[string]string
+}
+
+// take gives the seat of a process to an address. It returns false when
+// another address has it.
+func (s *seats) take(process, address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	holder, taken := s.holders[process]
+	if taken && holder != address {
+		return false
+	}
+	s.holders[process] = address
+	return true
+}
+
+func (s *seats) release(process, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.holders[process] == address {
+		delete(s.holders, process)
 	}
 }
 
@@ -50,9 +95,11 @@
 	return half + time.Duration(random*float64(ceiling-half))
 }
 
-// dialOnce opens one connection and serves it until it ends. The flag tells
-// whether the connection came up.
-func (h *Hub) dialOnce(ctx context.Context, address string) (bool, error) {
+// dialOnce opens one connection and serves it until it ends. It returns the
+// name of the process at the address, where that answered, and whether the
+// connection came up. A second connection to a process that is connected
+// through another address does not come up.
+func (h *Hub) dialOnce(ctx context.Context, address string) (process string, wasUp bool) {
 	dialCtx, cancel := context.WithTimeout(ctx, h.options.DialTimeout)
 	defer cancel()
 	dialer := websocket.Dialer{
@@ -63,14 +110,19 @@
 	}
 	ws, _, err := dialer.DialContext(dialCtx, "ws://"+address+Path, nil)
 	if err != nil {
-		return false, err
+		return "", false
 	}
 	peer, err := h.greet(ws, address)
 	if err != nil {
 		_ = ws.Close()
-		return false, err
+		return "", false
+	}
+	if !h.seats.take(peer.Process, address) {
+		_ = ws.Close()
+		return peer.Process, false
 	}
-	return true, h.serve(ctx, ws, peer, h.lastID.Add(1))
+	_ = h.serve(ctx, ws, peer, h.lastID.Add(1))
+	return peer.Process, true
 }
 
 // greet sends Hello and awaits Welcome.
--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -56,6 +56,7 @@
 	lost     metrics.Counter
 	received metrics.Counter
 	lastID   atomic.Uint64
+	seats    seats
 
 	mu    sync.RWMutex
 	conns map[string]*Conn
@@ -71,6 +72,7 @@
 		opened:   metrics.NewCounter(),
 		lost:     metrics.NewCounter(),
 		received: metrics.NewCounter(),
+		seats:    seats{holders: map[string]string{}},
 		conns:    map[string]*Conn{},
 	}
 	if registry != nil {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -262,6 +262,30 @@
 	}
 }
 
+func TestTwoAddressesOfOneProcessSettleOnOneConnection(t *testing.T) {
+	options := testOptions()
+	options.Silence = time.Second
+	p := newPair(t, options, 4096)
+	p.client.nextUp(t)
+	second := newMiddlebox(t, p.box.target)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { p.client.hub.Dial(ctx, second.address()) })
+	defer running.Wait()
+	defer cancel()
+	// The second address takes the first one's place at most once before it is
+	// known to lead to the same process.
+	p.client.nextLoss(t)
+	conn := p.client.nextUp(t)
+	deadline := time.Now().Add(2 * options.Silence)
+	for time.Now().Before(deadline) {
+		if conn.Cause() != nil {
+			t.Fatalf("connection %d ended: %v", conn.ID(), conn.Cause())
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func TestBadFirstMessagesAreRefused(t *testing.T) {
 	server := newNode("entry", wire.RoleEntry, wire.RoleAgent, testOptions(), 16)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
