--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BINARIES := dragonfly-entry dragonfly-agent dragonflyctl dragonfly-standin
 
-.PHONY: build test lint race demo faults policy capacity bench clean
+.PHONY: build test lint race demo faults docs policy capacity bench clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -18,5 +18,14 @@
 race:
 	$(GO) run ./internal/tools/knownred -list KNOWN-RED.txt -- -race -count=1 -timeout 20m ./...
 
+# Runs the fault matrix, prints its counts and writes docs/FAULTS.md.
+faults:
+	@status=0; $(GO) test -count=1 -run 'TestFaultMatrix$$' ./internal/faultmatrix -faults.write || status=$$?; \
+	sed -n '/^## Counts/,/^## Faults/{/^## Faults/!p;}' docs/FAULTS.md; exit $$status
+
+# Rewrites the pages that are generated from code and charts.
+docs: faults
+	$(GO) test -count=1 ./internal/event ./internal/statechart -update
+
 clean:
 	rm -rf bin
--- a/internal/wire/types.go
+++ b/internal/wire/types.go
@@ -8,6 +8,7 @@
 	TypeLeaving         Type = 4
 	TypeCredit          Type = 5
 	TypeDemand          Type = 6
+	TypeClock           Type = 7
 	TypeClaim           Type = 10
 	TypeClaimReply      Type = 11
 	TypeDispatch        Type = 12
@@ -27,6 +28,8 @@
 	TypeTaskReport      Type = 35
 	TypeThrottle        Type = 36
 	TypeWorkerReport    Type = 37
+	TypeLeaseRequest    Type = 38
+	TypeLeaseGrant      Type = 39
 	TypeOperatorCall    Type = 40
 	TypeOperatorReply   Type = 41
 	TypeOwnershipNotice Type = 42
@@ -59,6 +62,8 @@
 		return &Credit{}
 	case TypeDemand:
 		return &Demand{}
+	case TypeClock:
+		return &Clock{}
 	default:
 		return nil
 	}
@@ -124,6 +129,10 @@
 		return &Throttle{}
 	case TypeWorkerReport:
 		return &WorkerReport{}
+	case TypeLeaseRequest:
+		return &LeaseRequest{}
+	case TypeLeaseGrant:
+		return &LeaseGrant{}
 	default:
 		return nil
 	}
