Gather frames into one write, reuse codec buffers, carry clocks on links

Cause: each frame cost a system call and a new codec; the time line of several processes could show a cause after its effect. Change: the writing goroutine sends what waits as one batch, behind one wire.Clock; wire.Encoder and wire.Decoder keep their buffers; the log sink is internal/logging's; drain_delay comes from the settings.

--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -86,7 +86,7 @@
 	}
 	identity := link.Identity{Process: base.Name, Incarnation: base.Incarnation, Hello: p.hello, Roster: p.Roster}
 	p.Hub = link.NewHub(identity, process.LinkOptions(&s.Links), base.Log, base.Metrics, base.Now)
-	p.Requests = newRequests(requestConfig(&s), s.Process.RingCapacity, base, p.Hub)
+	p.Requests = newRequests(p.requestConfig(), s.Process.RingCapacity, base, p.Hub)
 	p.registerCallers()
 	p.AddDuty("request core", p.Requests.run)
 	p.OnStop(process.StageAnnounce, "drain delay", p.waitForBalancer)
@@ -166,21 +166,19 @@
 	}
 }
 
-// drainDelay is how long the health check fails before requests are refused.
-const drainDelay = time.Second
-
 // waitForBalancer keeps serving while the health check already fails, so that
 // the balancer takes the host out before requests are refused.
 func (p *Process) waitForBalancer(ctx context.Context) {
 	select {
-	case <-time.After(drainDelay):
+	case <-time.After(p.Config.Settings.Process.DrainDelay):
 	case <-ctx.Done():
 	}
 }
 
-func requestConfig(s *settings.Entry) requestflow.Config {
+func (p *Process) requestConfig() requestflow.Config {
+	s := &p.Config.Settings
 	return requestflow.Config{
-		Entry: s.ID, Zone: s.Zone, ClockSkewBound: s.Process.ClockSkewBound,
+		Entry: s.ID, Incarnation: p.Incarnation, Zone: s.Zone, ClockSkewBound: s.Process.ClockSkewBound,
 		MaxRequests: s.Limits.MaxRequests, MaxQueuedPerAccount: s.Limits.MaxQueuedPerAccount,
 		MaxCallers: s.Limits.MaxCallersPerRequest, MaxAnswerBytes: s.Limits.MaxAnswerBytes,
 		ClaimTimeout: s.Timeouts.Claim, ProbeInterval: s.Timeouts.Probe, ResolveTimeout: s.Timeouts.Resolve,
--- a/internal/link/accept.go
+++ b/internal/link/accept.go
@@ -36,7 +36,7 @@
 		CloseOnShutdown:       true,
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	go func() { failed <- server.Serve(batchListener{listener}) }()
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "link: accept")
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -6,9 +6,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/websocket"
 
+	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ring"
 	"dragonflyyard/internal/wire"
@@ -30,6 +30,14 @@
 	Roster []string
 }
 
+// Clock is the process's clock of events, which links carry to their peers.
+type Clock interface {
+	// Now returns a fresh reading.
+	Now() event.Timestamp
+	// Observe moves the clock past a peer's reading.
+	Observe(remote event.Timestamp)
+}
+
 // outgoing is one queued message with its charge against the byte bound.
 type outgoing struct {
 	message wire.Message
@@ -44,6 +52,7 @@
 	ws      *websocket.Conn
 	options Options
 	now     func() time.Time
+	clock   Clock
 
 	heartbeats *heartbeatTracker
 	out        *ring.Ring[outgoing]
@@ -57,9 +66,9 @@
 	finished chan struct{}
 }
 
-func newConn(id uint64, ws *websocket.Conn, peer Peer, options Options, now func() time.Time) *Conn {
+func newConn(id uint64, ws *websocket.Conn, peer Peer, options Options, now func() time.Time, clock Clock) *Conn {
 	return &Conn{
-		id: id, peer: peer, ws: ws, options: options, now: now,
+		id: id, peer: peer, ws: ws, options: options, now: now, clock: clock,
 		heartbeats: newHeartbeatTracker(options.Silence, now()),
 		out:        ring.New[outgoing]("link.out", options.OutgoingMessages, nil),
 		closed:     make(chan struct{}),
@@ -174,96 +183,3 @@
 	c.close(c.read(deliver))
 	<-writer
 }
-
-func (c *Conn) read(deliver func(wire.Message) error) error {
-	c.ws.SetReadLimit(c.options.MaxFrameBytes)
-	for {
-		if err := c.ws.SetReadDeadline(c.now().Add(c.options.Silence)); err != nil {
-			return err
-		}
-		message, err := readMessage(c.ws)
-		if err != nil {
-			return readError(err)
-		}
-		c.heartbeats.heard(c.now())
-		if h, ok := message.(*wire.Heartbeat); ok {
-			c.heartbeats.received(h)
-		}
-		if err := deliver(message); err != nil {
-			return err
-		}
-	}
-}
-
-func readError(err error) error {
-	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return ErrSilent
-	}
-	return err
-}
-
-// write sends queued messages and heartbeats until the connection ends.
-func (c *Conn) write() error {
-	ticker := time.NewTicker(c.options.Heartbeat)
-	defer ticker.Stop()
-	if err := c.writeMessage(c.heartbeats.next(c.now())); err != nil {
-		return err
-	}
-	for {
-		var err error
-		select {
-		case item := <-c.out.Out():
-			err = c.writeQueued(item)
-		case <-ticker.C:
-			err = c.writeHeartbeat()
-		case <-c.closed:
-			return ErrClosed
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
-func (c *Conn) writeQueued(item outgoing) error {
-	err := c.writeMessage(item.message)
-	c.queued.Add(-1)
-	c.queuedSize.Add(-item.bytes)
-	return err
-}
-
-func (c *Conn) writeHeartbeat() error {
-	now := c.now()
-	if err := c.heartbeats.check(now); err != nil {
-		return err
-	}
-	return c.writeMessage(c.heartbeats.next(now))
-}
-
-func (c *Conn) writeMessage(m wire.Message) error {
-	frame, err := wire.Encode(m)
-	if err != nil {
-		return err
-	}
-	if err := c.ws.SetWriteDeadline(c.now().Add(c.options.WriteTimeout)); err != nil {
-		return err
-	}
-	err = c.ws.WriteMessage(websocket.BinaryMessage, frame)
-	if err != nil && errors.Is(readError(err), ErrSilent) {
-		return ErrSlowReader
-	}
-	return err
-}
-
-// readMessage reads and decodes one frame.
-func readMessage(ws *websocket.Conn) (wire.Message, error) {
-	kind, frame, err := ws.ReadMessage()
-	if err != nil {
-		return nil, err
-	}
-	if kind != websocket.BinaryMessage {
-		return nil, errors.Wrap(wire.ErrMalformed, "text message")
-	}
-	return wire.Decode(frame)
-}
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -103,7 +103,7 @@
 	dialCtx, cancel := context.WithTimeout(ctx, h.options.DialTimeout)
 	defer cancel()
 	dialer := websocket.Dialer{
-		NetDialContext:   (&net.Dialer{}).DialContext,
+		NetDialContext:   dialBatched,
 		HandshakeTimeout: h.options.DialTimeout,
 		ReadBufferSize:   socketBufferBytes,
 		WriteBufferSize:  socketBufferBytes,
@@ -125,6 +125,14 @@
 	return peer.Process, true
 }
 
+func dialBatched(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &batchConn{Conn: c}, nil
+}
+
 // greet sends Hello and awaits Welcome.
 func (h *Hub) greet(ws *websocket.Conn, address string) (Peer, error) {
 	if err := ws.SetWriteDeadline(h.now().Add(h.options.WriteTimeout)); err != nil {
@@ -157,5 +165,5 @@
 	if err := ws.SetReadDeadline(deadline); err != nil {
 		return nil, err
 	}
-	return readMessage(ws)
+	return newFrameReader(ws).next()
 }
--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -144,7 +144,7 @@
 // serve runs a connection whose handshake is done, until it ends. It returns
 // the cause of the end.
 func (h *Hub) serve(ctx context.Context, ws *websocket.Conn, peer Peer, id uint64) error {
-	c := newConn(id, ws, peer, h.options, h.now)
+	c := newConn(id, ws, peer, h.options, h.now, h.clock())
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	if !h.enter(c) {
@@ -164,6 +164,14 @@
 	return c.cause
 }
 
+// clock returns the clock of the time line, or nil when there is none.
+func (h *Hub) clock() Clock {
+	if h.log == nil {
+		return nil
+	}
+	return h.log
+}
+
 // enter makes c the connection of its peer process, after an earlier one has
 // ended and its loss was handled. It returns false when the peer process has a
 // connection from a later incarnation.
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/websocket"
 
+	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ring"
 	"dragonflyyard/internal/wire"
@@ -28,6 +29,7 @@
 // node is one process's end of the links under test.
 type node struct {
 	hub    *Hub
+	log    *event.Log
 	events *ring.Ring[observed]
 }
 
@@ -40,7 +42,7 @@
 }
 
 func newNode(name string, role, peer wire.Role, options Options, capacity int) *node {
-	n := &node{events: ring.New[observed](name, capacity, nil)}
+	n := &node{events: ring.New[observed](name, capacity, nil), log: event.NewLog(name, 64, time.Now)}
 	identity := Identity{
 		Process: name, Incarnation: 1,
 		Hello: func() wire.Hello {
@@ -48,7 +50,7 @@
 		},
 		Roster: func() []string { return []string{"127.0.0.1:1"} },
 	}
-	n.hub = NewHub(identity, options, nil, nil, time.Now)
+	n.hub = NewHub(identity, options, n.log, nil, time.Now)
 	n.hub.OnState(peer, func(c *Conn, cause error) bool {
 		return n.events.TryPush(observed{conn: c, cause: cause})
 	})
@@ -322,7 +324,7 @@
 			defer func() { _ = ws.Close() }()
 			_ = ws.WriteMessage(websocket.BinaryMessage, c.frame)
 			_ = ws.SetReadDeadline(time.Now().Add(limit))
-			if _, _, err := ws.ReadMessage(); err == nil || errors.Is(readError(err), ErrSilent) {
+			if _, _, err := ws.ReadMessage(); err == nil || isTimeout(err) {
 				t.Errorf("connection not closed: %v", err)
 			}
 		})
@@ -336,6 +338,23 @@
 	}
 }
 
+func TestMessagesCarryTheSendersClock(t *testing.T) {
+	p := newPair(t, testOptions(), 4096)
+	p.server.nextUp(t)
+	p.client.nextUp(t)
+	ahead := event.Timestamp{WallMS: time.Now().Add(time.Hour).UnixMilli()}
+	p.server.log.Observe(ahead)
+	if !p.server.hub.Send("agent", &wire.Forget{Request: "r"}) {
+		t.Fatal("send refused")
+	}
+	for p.client.next(t).message == nil {
+		continue
+	}
+	if got := p.client.log.Now(); !ahead.Less(got) {
+		t.Errorf("receiver's clock %+v is not after the sender's %+v", got, ahead)
+	}
+}
+
 func TestHeartbeatTracker(t *testing.T) {
 	start := time.UnixMilli(0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dragonflyyard/internal/event"
+	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
 )
 
@@ -120,13 +121,13 @@
 		Incarnation: model.Incarnation(o.Now().UnixMilli()),
 		Log:         event.NewLog(o.Name, o.EventCapacity, o.Now),
 		Metrics:     metrics.NewRegistry(),
-		Logger:      o.Logger.With(zap.String("process", o.Name)),
+		Logger:      o.Logger,
 		Now:         o.Now,
 		options:     o,
 		listener:    listener,
 		stop:        make(chan struct{}),
 	}
-	b.Log.AddSink(b.logEvent)
+	b.Log.AddSink(logging.Sink(b.Logger))
 	b.registerCommonRoutes()
 	return b, nil
 }
@@ -225,38 +226,3 @@
 		b.Logger.Warn("HTTP connections were open at the stop", zap.Error(err))
 	}
 }
-
-func (b *Base) logEvent(e event.Event) {
-	fields := []zap.Field{zap.Int("code", int(e.Code))}
-	fields = appendField(fields, "request", string(e.Request))
-	fields = appendField(fields, "job", string(e.Job))
-	fields = appendField(fields, "zone", string(e.Zone))
-	fields = appendField(fields, "subject", e.Subject)
-	fields = appendField(fields, "detail", e.Detail)
-	entry := eventEntries[e.Code]
-	switch entry.Level {
-	case "error":
-		b.Logger.Error(entry.Name, fields...)
-	case "warn":
-		b.Logger.Warn(entry.Name, fields...)
-	default:
-		b.Logger.Info(entry.Name, fields...)
-	}
-}
-
-func appendField(fields []zap.Field, key, value string) []zap.Field {
-	if value == "" {
-		return fields
-	}
-	return append(fields, zap.String(key, value))
-}
-
-var eventEntries = indexCatalogue()
-
-func indexCatalogue() map[event.Code]event.Entry {
-	index := map[event.Code]event.Entry{}
-	for _, e := range event.Catalogue() {
-		index[e.Code] = e
-	}
-	return index
-}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -14,7 +14,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
+
+	"dragonflyyard/internal/logging"
 )
 
 // Exit codes of the programs.
@@ -98,7 +99,7 @@
 		_, err := fmt.Fprintf(c.Root().Writer, "%s: settings are valid\n", path)
 		return err
 	}
-	logger, err := newLogger(spec.LogLevel(settings), c.Root().ErrWriter)
+	logger, err := logging.NewLogger(spec.LogLevel(settings))
 	if err != nil {
 		return errors.Mark(err, ErrUsage)
 	}
@@ -132,17 +133,6 @@
 	return Version
 }
 
-func newLogger(level string, out io.Writer) (*zap.Logger, error) {
-	parsed, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, errors.Wrapf(err, "log level %q", level)
-	}
-	encoder := zap.NewProductionEncoderConfig()
-	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.Lock(zapcore.AddSync(out)), parsed)
-	return zap.New(core), nil
-}
-
 func exitCode(err error, errOut io.Writer) int {
 	if err == nil {
 		return ExitOK
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,58 @@
+package wire
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/ugorji/go/codec"
+)
+
+// maxKeptBytes is the largest buffer that an Encoder keeps for its next frame.
+const maxKeptBytes = 64 << 10
+
+// Encoder makes frames in a buffer that it uses again. It is not safe for
+// concurrent use.
+type Encoder struct {
+	buffer []byte
+	cbor   *codec.Encoder
+}
+
+// NewEncoder returns an Encoder.
+func NewEncoder() *Encoder { return &Encoder{cbor: codec.NewEncoderBytes(nil, cborHandle)} }
+
+// Encode returns the frame of a message. The frame is valid until the next call.
+func (e *Encoder) Encode(m Message) ([]byte, error) {
+	if cap(e.buffer) > maxKeptBytes {
+		e.buffer = nil
+	}
+	// The CBOR encoder writes from the start of the slice that it is given.
+	e.buffer = append(e.buffer[:0], ProtocolVersion, byte(m.WireType()))
+	body := e.buffer[headerBytes:]
+	e.cbor.ResetBytes(&body)
+	if err := e.cbor.Encode(m); err != nil {
+		return nil, errors.Wrapf(err, "encode message type %d", m.WireType())
+	}
+	if len(body)+headerBytes > MaxFrameBytes {
+		return nil, errors.Wrapf(ErrFrameSize, "message type %d has %d bytes", m.WireType(), len(body))
+	}
+	e.buffer = append(e.buffer, body...)
+	return e.buffer, nil
+}
+
+// Decoder reads frames. It is not safe for concurrent use.
+type Decoder struct{ cbor *codec.Decoder }
+
+// NewDecoder returns a Decoder.
+func NewDecoder() *Decoder { return &Decoder{cbor: codec.NewDecoderBytes(nil, cborHandle)} }
+
+// Decode returns the message of a frame, as a pointer to its struct. The
+// message keeps no part of the frame.
+func (d *Decoder) Decode(frame []byte) (Message, error) {
+	m, err := messageOf(frame)
+	if err != nil {
+		return nil, err
+	}
+	d.cbor.ResetBytes(frame[headerBytes:])
+	if err := d.cbor.Decode(m); err != nil {
+		return nil, errors.CombineErrors(errors.Wrapf(ErrMalformed, "type %d", frame[1]), err)
+	}
+	return m, nil
+}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -68,6 +68,7 @@
 
 // WireType implements Message.
 func (*Demand) WireType() Type { return TypeDemand }
+
 // Clock carries the sender's hybrid logical clock. It goes in front of each
 // batch of frames, so that the receiver's later events are ordered after all
 // that the sender did before.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -54,21 +54,13 @@
 }
 
 // Encode returns the frame of a message.
-func Encode(m Message) ([]byte, error) {
-	body := make([]byte, 0, 64)
-	if err := codec.NewEncoderBytes(&body, cborHandle).Encode(m); err != nil {
-		return nil, errors.Wrapf(err, "encode message type %d", m.WireType())
-	}
-	if len(body)+headerBytes > MaxFrameBytes {
-		return nil, errors.Wrapf(ErrFrameSize, "message type %d has %d bytes", m.WireType(), len(body))
-	}
-	frame := make([]byte, 0, len(body)+headerBytes)
-	frame = append(frame, ProtocolVersion, byte(m.WireType()))
-	return append(frame, body...), nil
-}
+func Encode(m Message) ([]byte, error) { return NewEncoder().Encode(m) }
 
 // Decode returns the message of a frame, as a pointer to its struct.
-func Decode(frame []byte) (Message, error) {
+func Decode(frame []byte) (Message, error) { return NewDecoder().Decode(frame) }
+
+// messageOf checks a frame's header and returns an empty message of its type.
+func messageOf(frame []byte) (Message, error) {
 	if len(frame) < headerBytes || len(frame) > MaxFrameBytes {
 		return nil, errors.Wrapf(ErrFrameSize, "%d bytes", len(frame))
 	}
@@ -79,8 +71,5 @@
 	if m == nil {
 		return nil, errors.Wrapf(ErrUnknownType, "type %d", frame[1])
 	}
-	if err := codec.NewDecoderBytes(frame[headerBytes:], cborHandle).Decode(m); err != nil {
-		return nil, errors.CombineErrors(errors.Wrapf(ErrMalformed, "type %d", frame[1]), err)
-	}
 	return m, nil
 }
