--- a/internal/strictyaml/strictyaml.go
+++ b/internal/strictyaml/strictyaml.go
@@ -14,7 +14,7 @@
 )
 
 // MaxDocumentBytes is the largest document that Decode accepts.
-const MaxDocumentBytes = 4 << 20
+const MaxDocumentBytes = 1 << 20
 
 // Problem is one finding in a YAML document.
 type Problem struct {
@@ -83,19 +83,62 @@
 		return nil, Problems{{File: name, Message: fmt.Sprintf("the document has %d bytes", len(data)),
 			Allowed: fmt.Sprintf("at most %d", MaxDocumentBytes)}}
 	}
-	file, err := parser.ParseBytes(data, 0)
+	file, err := parseFile(data)
 	if err != nil {
 		return nil, Problems{problemOf(name, err)}
 	}
 	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
 		return nil, Problems{{File: name, Message: "the file must hold exactly one YAML document"}}
 	}
-	if err := yaml.UnmarshalWithOptions(data, target, yaml.Strict()); err != nil {
+	finder := &indirectionFinder{name: name}
+	ast.Walk(finder, file.Docs[0].Body)
+	if len(finder.problems) > 0 {
+		return nil, finder.problems
+	}
+	if err := unmarshal(data, target); err != nil {
 		return nil, Problems{locate(problemOf(name, err), file)}
 	}
 	return &Document{name: name, file: file}, nil
 }
 
+// parseFile parses a document. The parser panics on some malformed documents;
+// that is reported as an error, like any other malformed document.
+func parseFile(data []byte) (file *ast.File, err error) {
+	defer recoverAs(&err)
+	return parser.ParseBytes(data, 0)
+}
+
+// unmarshal decodes a document, with the same care as parseFile.
+func unmarshal(data []byte, target any) (err error) {
+	defer recoverAs(&err)
+	return yaml.UnmarshalWithOptions(data, target, yaml.Strict())
+}
+
+func recoverAs(err *error) {
+	if recover() != nil {
+		*err = errors.New("the document is malformed")
+	}
+}
+
+// indirectionFinder visits nodes and reports tags, anchors, aliases and merge
+// keys. Settings need none of them, and with aliases a short document can
+// stand for a very large one.
+type indirectionFinder struct {
+	name     string
+	problems Problems
+}
+
+// Visit implements ast.Visitor.
+func (f *indirectionFinder) Visit(node ast.Node) ast.Visitor {
+	switch node.Type() {
+	case ast.TagType, ast.AnchorType, ast.AliasType, ast.MergeKeyType:
+		f.problems = append(f.problems, Problem{File: f.name, Line: node.GetToken().Position.Line,
+			Message: "tags, anchors, aliases and merge keys are not allowed"})
+		return nil
+	}
+	return f
+}
+
 // problemOf keeps the line and the first sentence of a decoder's error.
 func problemOf(name string, err error) Problem {
 	p := Problem{File: name, Message: err.Error()}
--- a/internal/strictyaml/strictyaml_test.go
+++ b/internal/strictyaml/strictyaml_test.go
@@ -54,6 +54,11 @@
 		{"syntax", "name: [a\n", "f.yaml:1:"},
 		{"empty", "", "f.yaml: the file must hold exactly one YAML document"},
 		{"two documents", "name: a\n---\nname: b\n", "exactly one"},
+		{"tag", "name: !!str a\n", "f.yaml:1: tags, anchors, aliases and merge keys are not allowed"},
+		{"anchor", "name: &x a\n", "f.yaml:1: tags, anchors"},
+		{"alias", "inner: &x\n  count: 3\nlist: [*x]\n", "f.yaml:3: tags, anchors"},
+		{"merge key", "inner:\n  <<: {count: 1}\n", "f.yaml:2: tags, anchors"},
+		{"tag that the decoder panics on", "list: !0\n  0: 0\n", "f.yaml:1: tags, anchors"},
 		{"too large", strings.Repeat("#", MaxDocumentBytes+1), "at most"},
 	}
 	for _, c := range cases {
