--- a/internal/dedup/claims.go
+++ b/internal/dedup/claims.go
@@ -13,8 +13,7 @@
 // claim is the record of one request at its home. Once sealed it never changes.
 type claim struct {
 	executor   model.BackendServerID
-	claimant   model.EntryID
-	token      uint64
+	ref        wire.ClaimRef
 	bodyHash   uint64
 	sealed     bool
 	mayHaveRun bool
@@ -76,12 +75,6 @@
 // Len returns the number of claims kept.
 func (c *Claims) Len() int { return c.window.Len() }
 
-// IsHome reports whether this agent is the home of a request.
-func (c *Claims) IsHome(id model.RequestID, mintMS int64) bool {
-	h, ok := HolderOf(c.assignment, id, mintMS, c.skew)
-	return ok && h.Home == c.self && h.Incarnation == c.incarnation
-}
-
 // Handle answers a claim of an entry host.
 func (c *Claims) Handle(now time.Time, from model.EntryID, m *wire.Claim) *wire.ClaimReply {
 	reply := &wire.ClaimReply{Request: m.Request, Assignment: c.Version(), Token: m.Token}
@@ -101,7 +94,7 @@
 		return describe(reply, record, found)
 	}
 	if !found {
-		record = claim{bodyHash: m.BodyHash, claimant: from, token: m.Token, executor: m.Executor}
+		record = claim{bodyHash: m.BodyHash, ref: wire.ClaimRef{Claimant: from, Token: m.Token}, executor: m.Executor}
 		record.sealed = m.SealOnly
 		record.mayHaveRun = m.Unconfirmed
 		c.window.Put(m.Request, mintMS, record)
@@ -122,15 +115,14 @@
 
 // transition returns the claim after m, if m may change or repeat it.
 func transition(record claim, from model.EntryID, m *wire.Claim) (claim, bool) {
-	repeated := record.claimant == from && record.token == m.Token
-	if repeated {
+	ref := wire.ClaimRef{Claimant: from, Token: m.Token}
+	if record.ref == ref {
 		return record, record.sealed == m.SealOnly
 	}
-	if record.sealed || m.MoveToken == 0 || m.MoveToken != record.token {
+	if record.sealed || m.Move != record.ref {
 		return record, false
 	}
-	record.claimant = from
-	record.token = m.Token
+	record.ref = ref
 	record.sealed = m.SealOnly
 	record.mayHaveRun = record.mayHaveRun || m.Unconfirmed
 	if !m.SealOnly {
@@ -177,6 +169,6 @@
 	}
 	reply.Executor = record.executor
 	reply.MayHaveRun = record.mayHaveRun
-	reply.Current = record.token
+	reply.Current = record.ref
 	return reply
 }
--- a/internal/executor/credit.go
+++ b/internal/executor/credit.go
@@ -86,6 +86,11 @@
 	for _, l := range order {
 		free -= l.accounted(now)
 	}
+	for _, l := range order {
+		if l.sent.Connections > c.config.Connections/len(order) {
+			c.sendCredit(l, l.sent.Slots, len(order))
+		}
+	}
 	for i, l := range order {
 		grant := min(targets[i], l.accounted(now)+max(0, free))
 		if grant <= l.sent.Slots {
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -54,7 +54,7 @@
 		c.reject(l, m, mintMS, reason)
 		return
 	}
-	if isUnclaimed(m) || !c.claims.IsHome(m.Request, mintMS) {
+	if isUnclaimed(m) || !m.MakeClaim {
 		c.start(l, m, whole, mintMS)
 		return
 	}
--- a/internal/requestflow/chart.go
+++ b/internal/requestflow/chart.go
@@ -2,6 +2,7 @@
 
 import (
 	"dragonflyyard/internal/event"
+	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/statechart"
 )
 
@@ -9,43 +10,46 @@
 var (
 	requestChart = statechart.MustLoad("request")
 
-	stateQueued     = mustState("queued")
-	stateClaiming   = mustState("claiming")
-	stateDispatched = mustState("dispatched")
-	stateResolving  = mustState("resolving")
+	stateQueued     = requestChart.MustState("queued")
+	stateClaiming   = requestChart.MustState("claiming")
+	stateDispatched = requestChart.MustState("dispatched")
+	stateResolving  = requestChart.MustState("resolving")
 
-	eventAdmitted         = mustEvent("admitted")
-	eventRefused          = mustEvent("refused")
-	eventGivenUp          = mustEvent("given_up")
-	eventExecutorChosen   = mustEvent("executor_chosen")
-	eventHomeIsExecutor   = mustEvent("home_is_executor")
-	eventClaimGranted     = mustEvent("claim_granted")
-	eventClaimRefused     = mustEvent("claim_refused")
-	eventClaimUnanswered  = mustEvent("claim_unanswered")
-	eventAnswerWhole      = mustEvent("answer_whole")
-	eventBackendFailed    = mustEvent("backend_failed")
-	eventExecutorRejected = mustEvent("executor_rejected")
-	eventConnectionLost   = mustEvent("connection_lost")
-	eventStillRunning     = mustEvent("still_running")
-	eventRetryAllowed     = mustEvent("retry_allowed")
-	eventSealed           = mustEvent("sealed")
-	eventUnresolved       = mustEvent("unresolved")
+	eventAdmitted         = requestChart.MustEvent("admitted")
+	eventRefused          = requestChart.MustEvent("refused")
+	eventGivenUp          = requestChart.MustEvent("given_up")
+	eventExecutorChosen   = requestChart.MustEvent("executor_chosen")
+	eventHomeIsExecutor   = requestChart.MustEvent("home_is_executor")
+	eventClaimGranted     = requestChart.MustEvent("claim_granted")
+	eventClaimRefused     = requestChart.MustEvent("claim_refused")
+	eventClaimUnanswered  = requestChart.MustEvent("claim_unanswered")
+	eventAnswerWhole      = requestChart.MustEvent("answer_whole")
+	eventBackendFailed    = requestChart.MustEvent("backend_failed")
+	eventExecutorRejected = requestChart.MustEvent("executor_rejected")
+	eventConnectionLost   = requestChart.MustEvent("connection_lost")
+	eventStillRunning     = requestChart.MustEvent("still_running")
+	eventRetryAllowed     = requestChart.MustEvent("retry_allowed")
+	eventSealed           = requestChart.MustEvent("sealed")
+	eventUnresolved       = requestChart.MustEvent("unresolved")
 )
 
-func mustState(name string) statechart.State {
-	s, ok := requestChart.State(name)
-	if !ok {
-		panic("requestflow: the request chart has no state " + name)
-	}
-	return s
+// TraceStep is one transition of a request or of a backend server.
+type TraceStep struct {
+	// Chart is "request" or "backend".
+	Chart   string
+	Request model.RequestID
+	// Backend is the request's executor, or the backend server itself.
+	Backend model.BackendServerID
+	Home    model.BackendServerID
+	From    string
+	Event   string
 }
 
-func mustEvent(name string) statechart.Event {
-	e, ok := requestChart.Event(name)
-	if !ok {
-		panic("requestflow: the request chart has no event " + name)
+// traceBackend passes a transition of a backend server on to Config.Trace.
+func (c *Core) traceBackend(id model.BackendServerID, from, event string) {
+	if c.config.Trace != nil {
+		c.config.Trace(TraceStep{Chart: "backend", Backend: id, From: from, Event: event})
 	}
-	return e
 }
 
 // recordedStates are the states whose entry is put on the time line.
@@ -63,6 +67,12 @@
 	if outcome != statechart.Moved {
 		return
 	}
+	if c.config.Trace != nil {
+		c.config.Trace(TraceStep{
+			Chart: requestChart.Name(), Request: f.request.ID, Backend: f.executor, Home: f.home,
+			From: requestChart.StateName(step.From), Event: requestChart.EventName(step.Event),
+		})
+	}
 	if code, ok := recordedStates[step.To]; ok {
 		c.record(code, f, string(f.executor))
 	}
--- a/internal/requestflow/claim.go
+++ b/internal/requestflow/claim.go
@@ -21,8 +21,8 @@
 		Request: f.request.ID, BodyHash: f.request.BodyHash, Executor: f.executor,
 		Assignment: f.claimVersion, SealOnly: seal, Token: f.token, Unconfirmed: f.unconfirmed,
 	}
-	if f.claimToken != f.token {
-		claim.MoveToken = f.claimToken
+	if f.claim != c.ownClaim(f) {
+		claim.Move = f.claim
 	}
 	c.send(c.links[holder.Home], claim)
 	return true
@@ -99,7 +99,7 @@
 	l := c.links[f.executor]
 	if l == nil || l.connection != f.holdConnection || !c.table.IsOpen(f.executor) {
 		c.release(f)
-		f.claimToken = f.token
+		f.claim = c.ownClaim(f)
 		c.fire(f, eventClaimUnanswered)
 		c.fire(f, eventRetryAllowed)
 		c.enqueue(f, true)
@@ -130,7 +130,7 @@
 	}
 	c.release(f)
 	c.fire(f, eventClaimRefused)
-	f.claimToken = m.Current
+	f.claim = m.Current
 	c.ask(now, f, m.Executor)
 }
 
@@ -143,7 +143,7 @@
 			c.finishUnknown(f, model.ReasonInProgress)
 			return
 		}
-		f.claimToken = m.Current
+		f.claim = m.Current
 		c.ask(now, f, m.Executor)
 	case wire.StateRejected:
 		f.nextProbe = now.Add(time.Duration(max(1, m.RetryAfterMS)) * time.Millisecond)
--- a/internal/requestflow/config.go
+++ b/internal/requestflow/config.go
@@ -46,6 +46,8 @@
 	FIFO bool
 	// RandomRouting replaces least-loaded routing and ejection, for baselines.
 	RandomRouting bool
+	// Trace, if set, is told each transition of the request and backend charts.
+	Trace func(TraceStep)
 	// Seed seeds the random choices of routing.
 	Seed uint64
 }
--- a/internal/requestflow/core.go
+++ b/internal/requestflow/core.go
@@ -64,7 +64,7 @@
 // New returns a Core without connections.
 func New(config Config) *Core {
 	config = config.withDefaults()
-	return &Core{
+	c := &Core{
 		config:     config,
 		links:      map[model.BackendServerID]*link{},
 		flights:    map[model.RequestID]*flight{},
@@ -76,6 +76,8 @@
 		budget:     retry.NewBudget(config.DisableRetryBudget),
 		lastToken:  uint64(config.Incarnation) * tokensPerMillisecond,
 	}
+	c.table.SetTrace(c.traceBackend)
+	return c
 }
 
 // Step handles one input and returns what has to be done, in order.
--- a/internal/requestflow/dispatch.go
+++ b/internal/requestflow/dispatch.go
@@ -61,14 +61,16 @@
 	}
 	c.dequeue(f)
 	c.take(f, executor)
-	if f.unclaimed || (executor == holder.Home && f.claimToken == 0 && !f.explicit) {
+	if f.unclaimed || (executor == holder.Home && f.claim.Token == 0 && !f.explicit) {
 		f.token = c.nextToken()
 		f.claimVersion = c.assignmentVersion()
+		f.makeClaim = !f.unclaimed
 		c.fire(f, eventHomeIsExecutor)
 		c.dispatch(now, f)
 		return true
 	}
 	f.token = c.nextToken()
+	f.makeClaim = false
 	c.fire(f, eventExecutorChosen)
 	f.waitUntil = now.Add(c.config.ResolveTimeout)
 	c.sendClaim(now, f, false)
@@ -116,6 +118,9 @@
 		c.askHome(now, f)
 		return
 	}
+	if f.machine.State() == stateQueued {
+		f.homeDeadline = time.Time{}
+	}
 	c.fire(f, eventRetryAllowed)
 	c.enqueue(f, true)
 }
@@ -149,7 +154,7 @@
 		c.budget.OnFirst()
 	}
 	f.phase = phaseNone
-	f.claimToken = f.token
+	f.claim = c.ownClaim(f)
 	f.homeDeadline = time.Time{}
 	f.sentConnection = l.connection
 	f.dispatchedAt = now
@@ -165,7 +170,7 @@
 			Request: f.request.ID, Account: f.request.Account, Idempotent: f.request.Idempotent,
 			BodyHash: f.request.BodyHash, Slots: f.request.Slots, DeadlineUnixMS: f.request.Deadline.UnixMilli(),
 			Assignment: f.claimVersion, Part: part, Parts: parts, Body: body[begin:end],
-			Unclaimed: f.unclaimed, Token: f.token,
+			Unclaimed: f.unclaimed, Token: f.token, MakeClaim: f.makeClaim,
 		})
 	}
 }
--- a/internal/requestflow/finish.go
+++ b/internal/requestflow/finish.go
@@ -1,6 +1,8 @@
 package requestflow
 
 import (
+	"time"
+
 	"dragonflyyard/internal/admission"
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
@@ -17,7 +19,7 @@
 	c.fire(f, eventUnresolved)
 	c.record(event.RequestFinished, f, outcome.Kind.String()+" "+string(outcome.Reason))
 	if len(f.callers) > 0 {
-		c.actions = append(c.actions, Finish{Request: f.request.ID, Callers: f.callers, Outcome: outcome})
+		c.actions = append(c.actions, Finish{Request: f.request.ID, Callers: callersOf(f), Outcome: outcome})
 	}
 	c.forget(f)
 }
@@ -26,13 +28,38 @@
 func (c *Core) forget(f *flight) {
 	c.release(f)
 	f.ended = true
-	if !f.machine.Done() {
+	if !f.machine.Done() && !f.query {
 		c.unfinished++
 	}
 	c.table.Unreserve(f.request.ID)
 	delete(c.flights, f.request.ID)
 	for _, caller := range f.callers {
-		delete(c.callers, caller)
+		delete(c.callers, caller.caller)
 	}
 	c.schedule(f)
 }
+
+func callersOf(f *flight) []Caller {
+	callers := make([]Caller, len(f.callers))
+	for i, w := range f.callers {
+		callers[i] = w.caller
+	}
+	return callers
+}
+
+// expireCallers ends the wait of callers whose deadline lies before the
+// request's, which another caller set.
+func (c *Core) expireCallers(now time.Time, f *flight) {
+	kept := f.callers[:0]
+	for _, w := range f.callers {
+		if now.Before(w.deadline) || !w.deadline.Before(f.request.Deadline) {
+			kept = append(kept, w)
+			continue
+		}
+		delete(c.callers, w.caller)
+		c.answerCaller(f.request.ID, w.caller, model.Outcome{
+			Kind: model.OutcomeUnknown, Reason: model.ReasonDeadline, RetryAfter: noServerRetryAfter,
+		})
+	}
+	f.callers = kept
+}
--- a/internal/requestflow/flight.go
+++ b/internal/requestflow/flight.go
@@ -24,6 +24,12 @@
 	phaseParked
 )
 
+// waitingCaller is a caller and the end of its own patience.
+type waitingCaller struct {
+	caller   Caller
+	deadline time.Time
+}
+
 // flight is one request on this entry host, from Submit to Finish.
 //
 // Invariants: it holds slots of a backend server only between the choice of the
@@ -33,7 +39,7 @@
 	request model.Request
 	mintMS  int64
 	seq     uint64
-	callers []Caller
+	callers []waitingCaller
 	query   bool
 	machine statechart.Machine
 	phase   phase
@@ -52,9 +58,9 @@
 	attempts int
 	tried    []model.BackendServerID
 
-	// token is the claim being made; claimToken one known not to have started.
+	// token is of the claim being made; claim is the last one known to be in force.
 	token       uint64
-	claimToken  uint64
+	claim       wire.ClaimRef
 	unconfirmed bool
 	unclaimed   bool
 	home        model.BackendServerID
@@ -71,14 +77,21 @@
 	claimVersion uint64
 	// explicit: the home has another claim, so a Dispatch alone makes none.
 	explicit bool
-	ended    bool
-	timer    int
-	wake     time.Time
+	// makeClaim: the Dispatch itself makes the claim.
+	makeClaim bool
+	ended     bool
+	timer     int
+	wake      time.Time
 }
 
 // nextWake returns when the next timer of a flight is due.
 func (f *flight) nextWake() time.Time {
 	due := f.request.Deadline
+	for _, w := range f.callers {
+		if w.deadline.Before(due) {
+			due = w.deadline
+		}
+	}
 	if f.phase == phaseSealing {
 		due = f.waitUntil
 	}
@@ -109,7 +122,7 @@
 func (c *Core) newFlight(request model.Request, caller Caller, mintMS int64) *flight {
 	c.nextSeq++
 	f := &flight{request: request, mintMS: mintMS, seq: c.nextSeq, machine: requestChart.NewMachine(), timer: -1}
-	f.callers = append(f.callers, caller)
+	f.callers = append(f.callers, waitingCaller{caller, request.Deadline})
 	c.flights[request.ID] = f
 	c.callers[caller] = f
 	return f
@@ -149,6 +162,11 @@
 	return c.lastToken
 }
 
+// ownClaim names the claim that a flight is making or has made.
+func (c *Core) ownClaim(f *flight) wire.ClaimRef {
+	return wire.ClaimRef{Claimant: c.config.Entry, Token: f.token}
+}
+
 // schedule sets a flight's timer after each change of its state.
 func (c *Core) schedule(f *flight) {
 	if f.ended {
--- a/internal/requestflow/query.go
+++ b/internal/requestflow/query.go
@@ -84,7 +84,7 @@
 	if f.answer.failed {
 		outcome.Kind, outcome.Reason = model.OutcomeBackendFailed, model.ReasonBackendError
 	}
-	for _, caller := range f.callers {
+	for _, caller := range callersOf(f) {
 		c.queryResult(f.request.ID, caller, wire.StateFinished, outcome)
 	}
 	c.forgetQuery(f)
@@ -114,14 +114,13 @@
 	default:
 		outcome = model.Outcome{Kind: model.OutcomeUnknown, Reason: reason}
 	}
-	for _, caller := range f.callers {
+	for _, caller := range callersOf(f) {
 		c.queryResult(f.request.ID, caller, state, outcome)
 	}
 	c.forgetQuery(f)
 }
 
 func (c *Core) forgetQuery(f *flight) {
-	c.fire(f, eventRefused)
 	c.forget(f)
 }
 
--- /dev/null
+++ b/internal/requestflow/requesttest/bag.go
@@ -0,0 +1,260 @@
+// Package requesttest joins real request path cores of several entry hosts and
+// agents by a bag of messages under a simulated clock, so that tests can drop,
+// duplicate, reorder, delay, kill and pause at any step. It checks the promises
+// of the request path while it runs. Only tests import it.
+package requesttest
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"dragonflyyard/internal/dedup"
+	"dragonflyyard/internal/executor"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/requestflow"
+	"dragonflyyard/internal/wire"
+)
+
+// Times of the simulated system.
+const (
+	// Latency is the one-way delay of a message.
+	Latency = time.Millisecond
+	// HeartbeatTimeout is when an end declares a silent connection dead.
+	HeartbeatTimeout = time.Second
+	// ReconnectDelay is how long a lost connection takes to be opened again.
+	ReconnectDelay = 50 * time.Millisecond
+	// PermitValidity is the longest permit, and HeadFreshness how old an entry
+	// host's view of the assignment may be when it issues one.
+	PermitValidity = 2 * time.Second
+	HeadFreshness  = time.Second
+	// SkewBound is the largest difference between two clocks.
+	SkewBound = 200 * time.Millisecond
+
+	permitInterval   = 500 * time.Millisecond
+	reassignInterval = time.Second
+	tickInterval     = 20 * time.Millisecond
+)
+
+// Epoch is when each simulation begins.
+var Epoch = time.UnixMilli(1_800_000_000_000)
+
+// Options say what a Bag holds.
+type Options struct {
+	Seed            uint64
+	Entries, Agents int
+	// Drop, Duplicate and Reorder are probabilities for each message.
+	Drop, Duplicate, Reorder float64
+	// Service returns how long a request takes on a backend server; nil means 20 ms.
+	Service func(r *rand.Rand) time.Duration
+	// Skew gives each process a clock offset inside SkewBound.
+	Skew bool
+}
+
+// Direction says which way a message goes.
+type Direction uint8
+
+// Directions of a message.
+const (
+	ToAgent Direction = iota + 1
+	ToEntry
+)
+
+// Message is a message on its way.
+type Message struct {
+	Direction Direction
+	Entry     int
+	Agent     int
+	Body      wire.Message
+}
+
+// Verdict is what happens to a message. The zero Verdict delivers it.
+type Verdict struct {
+	Drop      bool
+	Duplicate bool
+	Delay     time.Duration
+}
+
+// Bag is the simulated system.
+type Bag struct {
+	Random *rand.Rand
+	// Filter, if set, decides about each message.
+	Filter func(Message) Verdict
+	// OnTransition, if set, is told each transition of a chart on an entry host.
+	OnTransition func(entry int, step requestflow.TraceStep)
+	// Result, if set, says how a backend server ends a request; nil means an answer.
+	Result func(agent int, r model.Request) executor.BackendResult
+	// Violations lists each broken promise.
+	Violations []string
+	// Log lists what happened, for the report of a failure.
+	Log []string
+
+	options    Options
+	now        time.Time
+	seq        uint64
+	events     eventHeap
+	entries    []*entryHost
+	agents     []*agentHost
+	conns      map[[2]int]*conn
+	nextConn   uint64
+	assignment wire.Assignment
+	former     wire.Assignment
+	storeDown  time.Time
+	ownerDown  time.Time
+	readDown   time.Time
+	ledger     ledger
+	minted     uint64
+}
+
+// New returns a bag whose processes are up and connected.
+func New(o Options) *Bag {
+	b := &Bag{
+		Random: rand.New(rand.NewPCG(o.Seed, 1)), options: o, now: Epoch,
+		conns: map[[2]int]*conn{}, ledger: newLedger(),
+	}
+	for i := range o.Agents {
+		b.agents = append(b.agents, &agentHost{index: i, offset: b.offset()})
+		b.startAgent(i)
+	}
+	b.assignment = dedup.NewAssignment(b.members(), b.now.Add(-time.Minute).UnixMilli())
+	for i := range o.Entries {
+		b.entries = append(b.entries, &entryHost{index: i, offset: b.offset()})
+		b.startEntry(i)
+	}
+	for i := range o.Agents {
+		b.giveAssignmentToAgent(i)
+	}
+	for e := range o.Entries {
+		for a := range o.Agents {
+			b.connect(e, a)
+		}
+	}
+	b.at(reassignInterval, b.reassign)
+	b.Run(100 * time.Millisecond)
+	return b
+}
+
+func (b *Bag) offset() time.Duration {
+	if !b.options.Skew {
+		return 0
+	}
+	return time.Duration(b.Random.Int64N(int64(SkewBound))) - SkewBound/2
+}
+
+// Now returns the simulated time.
+func (b *Bag) Now() time.Time { return b.now }
+
+// Run lets simulated time pass.
+func (b *Bag) Run(d time.Duration) {
+	until := b.now.Add(d)
+	for len(b.events) > 0 && !b.events[0].when.After(until) {
+		e := heap.Pop(&b.events).(*simEvent)
+		b.now = e.when
+		e.run()
+	}
+	b.now = until
+}
+
+// At runs a function after a delay.
+func (b *Bag) At(delay time.Duration, run func()) { b.at(delay, run) }
+
+func (b *Bag) at(delay time.Duration, run func()) {
+	b.seq++
+	heap.Push(&b.events, &simEvent{when: b.now.Add(delay), seq: b.seq, run: run})
+}
+
+func (b *Bag) logf(format string, args ...any) {
+	const maxLog = 4000
+	if len(b.Log) < maxLog {
+		b.Log = append(b.Log, fmt.Sprintf("%8.3fs ", b.now.Sub(Epoch).Seconds())+fmt.Sprintf(format, args...))
+	}
+}
+
+func (b *Bag) violate(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	b.logf("VIOLATION %s", text)
+	b.Violations = append(b.Violations, text)
+}
+
+// members returns the agents as the owner of the assignment sees them.
+func (b *Bag) members() []dedup.Member {
+	var members []dedup.Member
+	for _, a := range b.agents {
+		if a.core != nil && !a.suspected {
+			members = append(members, dedup.Member{ID: a.id(), Incarnation: a.incarnation, Leaving: a.leaving})
+		}
+	}
+	return members
+}
+
+// reassign plays the owner of the home assignment.
+func (b *Bag) reassign() {
+	b.at(reassignInterval, b.reassign)
+	if b.now.Before(b.storeDown) || b.now.Before(b.ownerDown) {
+		return
+	}
+	since := b.now.Add(HeadFreshness + PermitValidity + SkewBound).UnixMilli()
+	next, changed := dedup.Reassign(&b.assignment, b.members(), since)
+	if !changed {
+		return
+	}
+	b.former = b.assignment
+	b.assignment = next
+	b.logf("assignment version %d", next.Version)
+	for i := range b.entries {
+		b.at(time.Duration(b.Random.Int64N(int64(300*time.Millisecond))), func() { b.giveAssignmentToEntry(i) })
+	}
+	for i := range b.agents {
+		b.at(time.Duration(b.Random.Int64N(int64(300*time.Millisecond))), func() { b.giveAssignmentToAgent(i) })
+	}
+}
+
+// StopStore keeps the table service down for a while: the assignment cannot
+// change, and entry hosts go on issuing permits for it.
+func (b *Bag) StopStore(d time.Duration) { b.storeDown = b.now.Add(d) }
+
+// StopOwner leaves the assignment without an owner for a while.
+func (b *Bag) StopOwner(d time.Duration) { b.ownerDown = b.now.Add(d) }
+
+// StopReads lets writes of the assignment take effect while entry hosts cannot
+// read it back: they issue no permits meanwhile.
+func (b *Bag) StopReads(d time.Duration) { b.readDown = b.now.Add(d) }
+
+// ResendFormerAssignment delivers the assignment before the current one again,
+// as a deposed owner would.
+func (b *Bag) ResendFormerAssignment() {
+	if b.former.Version == 0 {
+		return
+	}
+	for i, e := range b.entries {
+		b.stepEntry(i, e.core, requestflow.AssignmentUpdate{Assignment: b.former})
+	}
+	for i, a := range b.agents {
+		b.stepAgent(i, a.core, executor.AssignmentUpdate{Assignment: b.former})
+	}
+}
+
+type simEvent struct {
+	when time.Time
+	seq  uint64
+	run  func()
+}
+
+type eventHeap []*simEvent
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].when.Equal(h[j].when) {
+		return h[i].when.Before(h[j].when)
+	}
+	return h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(*simEvent)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/requestflow/requesttest/hosts.go
@@ -0,0 +1,231 @@
+package requesttest
+
+import (
+	"fmt"
+	"time"
+
+	"dragonflyyard/internal/executor"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/requestflow"
+	"dragonflyyard/internal/wire"
+)
+
+// Slots and Connections of each simulated backend server.
+const (
+	Slots       = 8
+	Connections = 64
+)
+
+// entryHost is one entry host; core is nil while it is down.
+type entryHost struct {
+	index       int
+	offset      time.Duration
+	core        *requestflow.Core
+	incarnation model.Incarnation
+	frozenUntil time.Time
+	version     uint64
+	stopped     bool
+}
+
+// agentHost is one agent with its backend server; core is nil while it is down.
+type agentHost struct {
+	index       int
+	offset      time.Duration
+	core        *executor.Core
+	incarnation model.Incarnation
+	frozenUntil time.Time
+	suspected   bool
+	leaving     bool
+	stopped     bool
+	running     map[model.RequestID]int
+	credits     map[int]wire.Credit
+}
+
+func (e *entryHost) id() model.EntryID         { return model.EntryID(fmt.Sprintf("entry-%d", e.index)) }
+func (a *agentHost) id() model.BackendServerID { return AgentID(a.index) }
+
+// AgentID returns the ID of an agent by its index.
+func AgentID(index int) model.BackendServerID {
+	return model.BackendServerID(fmt.Sprintf("backend-%d", index))
+}
+
+func (b *Bag) startEntry(i int) {
+	e := b.entries[i]
+	e.incarnation = model.Incarnation(b.now.UnixMilli())
+	e.frozenUntil, e.stopped, e.version = time.Time{}, false, 0
+	e.core = requestflow.New(requestflow.Config{
+		Entry: e.id(), Incarnation: e.incarnation, Zone: zoneOf(i), ClockSkewBound: SkewBound,
+		Seed: b.options.Seed + uint64(i), ProbeInterval: 300 * time.Millisecond,
+		Trace: func(step requestflow.TraceStep) { b.traced(i, step) },
+	})
+	b.giveAssignmentToEntry(i)
+	b.tickEntry(i, e.core)
+	b.permits(i, e.core)
+}
+
+func (b *Bag) traced(entry int, step requestflow.TraceStep) {
+	if b.OnTransition != nil {
+		b.OnTransition(entry, step)
+	}
+}
+
+func (b *Bag) startAgent(i int) {
+	a := b.agents[i]
+	a.incarnation = model.Incarnation(b.now.UnixMilli())
+	a.frozenUntil, a.stopped, a.leaving, a.suspected = time.Time{}, false, false, false
+	a.running = map[model.RequestID]int{}
+	a.credits = map[int]wire.Credit{}
+	a.core = executor.New(executor.Config{
+		ID: a.id(), Incarnation: a.incarnation, Started: b.now.Add(a.offset), Slots: Slots, Connections: Connections,
+		ClockSkewBound: SkewBound,
+	})
+	b.giveAssignmentToAgent(i)
+	b.tickAgent(i, a.core)
+}
+
+func zoneOf(i int) model.AvailabilityZoneName {
+	return model.AvailabilityZoneName(fmt.Sprintf("zone-%d", i%3))
+}
+
+func (b *Bag) tickEntry(i int, core *requestflow.Core) {
+	e := b.entries[i]
+	if e.core != core {
+		return
+	}
+	b.at(tickInterval, func() { b.tickEntry(i, core) })
+	b.stepEntry(i, core, requestflow.Tick{})
+}
+
+func (b *Bag) tickAgent(i int, core *executor.Core) {
+	if b.agents[i].core != core {
+		return
+	}
+	b.at(tickInterval, func() { b.tickAgent(i, core) })
+	b.stepAgent(i, core, executor.Tick{})
+}
+
+// stepEntry passes an input to an entry host, later if it is frozen.
+func (b *Bag) stepEntry(i int, core *requestflow.Core, in requestflow.Input) {
+	e := b.entries[i]
+	if e.core != core || core == nil {
+		return
+	}
+	if b.now.Before(e.frozenUntil) {
+		if _, isTick := in.(requestflow.Tick); !isTick {
+			b.at(e.frozenUntil.Sub(b.now), func() { b.stepEntry(i, core, in) })
+		}
+		return
+	}
+	for _, action := range core.Step(b.now.Add(e.offset), in) {
+		b.performEntry(i, action)
+	}
+}
+
+func (b *Bag) performEntry(i int, action requestflow.Action) {
+	switch action := action.(type) {
+	case requestflow.Send:
+		b.transmit(ToAgent, i, agentIndex(action.To), action.Connection, action.Message)
+	case requestflow.Finish:
+		b.finished(i, action)
+	case requestflow.ReadyToStop:
+		b.entries[i].stopped = true
+		b.logf("entry %d ready to stop", i)
+	}
+}
+
+// stepAgent passes an input to an agent, later if it is frozen.
+func (b *Bag) stepAgent(i int, core *executor.Core, in executor.Input) {
+	a := b.agents[i]
+	if a.core != core || core == nil {
+		return
+	}
+	if b.now.Before(a.frozenUntil) {
+		if _, isTick := in.(executor.Tick); !isTick {
+			b.at(a.frozenUntil.Sub(b.now), func() { b.stepAgent(i, core, in) })
+		}
+		return
+	}
+	for _, action := range core.Step(b.now.Add(a.offset), in) {
+		b.performAgent(i, core, action)
+	}
+}
+
+func (b *Bag) performAgent(i int, core *executor.Core, action executor.Action) {
+	a := b.agents[i]
+	switch action := action.(type) {
+	case executor.Send:
+		entry := entryIndex(action.To)
+		if credit, ok := action.Message.(*wire.Credit); ok {
+			b.checkCredit(i, entry, *credit)
+		}
+		b.transmit(ToEntry, entry, i, action.Connection, action.Message)
+	case executor.StartBackend:
+		b.started(i, core, action.Request)
+	case executor.ReadyToStop:
+		if len(a.running) > 0 {
+			b.violate("agent %d is ready to stop while %d requests run", i, len(a.running))
+		}
+		a.stopped = true
+		b.logf("agent %d ready to stop", i)
+	}
+}
+
+// permits plays the entry host's permits for as long as the core lives.
+func (b *Bag) permits(i int, core *requestflow.Core) {
+	e := b.entries[i]
+	if e.core != core {
+		return
+	}
+	b.at(permitInterval, func() { b.permits(i, core) })
+	if b.now.Before(e.frozenUntil) || b.now.Before(b.readDown) {
+		return
+	}
+	b.refresh(i)
+	for a := range b.agents {
+		c := b.conns[[2]int{i, a}]
+		if c == nil || c.silent || !c.agentUp {
+			continue
+		}
+		agent := b.agents[a]
+		until := b.now.Add(agent.offset + PermitValidity)
+		version, agentCore := e.version, agent.core
+		delay := Latency + time.Duration(b.Random.Int64N(int64(50*time.Millisecond)))
+		b.at(delay, func() {
+			b.stepAgent(a, agentCore, executor.PermitGranted{Assignment: version, ValidUntil: until})
+		})
+	}
+}
+
+// refresh reads the assignment row; an entry host never issues permits on a
+// view older than HeadFreshness.
+func (b *Bag) refresh(i int) {
+	if b.entries[i].version < b.assignment.Version {
+		b.giveAssignmentToEntry(i)
+	}
+}
+
+func (b *Bag) giveAssignmentToEntry(i int) {
+	e := b.entries[i]
+	if e.core == nil || b.now.Before(e.frozenUntil) || b.now.Before(b.readDown) {
+		return
+	}
+	e.version = max(e.version, b.assignment.Version)
+	b.stepEntry(i, e.core, requestflow.AssignmentUpdate{Assignment: b.assignment})
+}
+
+func (b *Bag) giveAssignmentToAgent(i int) {
+	a := b.agents[i]
+	b.stepAgent(i, a.core, executor.AssignmentUpdate{Assignment: b.assignment})
+}
+
+func agentIndex(id model.BackendServerID) int {
+	var i int
+	_, _ = fmt.Sscanf(string(id), "backend-%d", &i)
+	return i
+}
+
+func entryIndex(id model.EntryID) int {
+	var i int
+	_, _ = fmt.Sscanf(string(id), "entry-%d", &i)
+	return i
+}
--- /dev/null
+++ b/internal/requestflow/requesttest/ledger.go
@@ -0,0 +1,237 @@
+package requesttest
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"dragonflyyard/internal/executor"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/requestflow"
+	"dragonflyyard/internal/wire"
+)
+
+// outcomeGrace is how long after its deadline a request may get its outcome:
+// the seal's timeout and the tick.
+const outcomeGrace = 500 * time.Millisecond
+
+// Submission is one caller's request and what became of it.
+type Submission struct {
+	Request model.Request
+	Entry   int
+	Caller  requestflow.Caller
+	At      time.Time
+	// Gone is set when the entry host died, so that no outcome can arrive.
+	Gone     bool
+	Finished bool
+	EndedAt  time.Time
+	Outcome  model.Outcome
+}
+
+// ledger keeps what truly ran and which outcomes were given.
+type ledger struct {
+	submissions []*Submission
+	byCaller    map[requestflow.Caller]*Submission
+	starts      map[model.RequestID]int
+	notRun      map[model.RequestID]bool
+	sideEffects map[model.RequestID]bool
+}
+
+func newLedger() ledger {
+	return ledger{
+		byCaller: map[requestflow.Caller]*Submission{}, starts: map[model.RequestID]int{},
+		notRun: map[model.RequestID]bool{}, sideEffects: map[model.RequestID]bool{},
+	}
+}
+
+func (l *ledger) callersGone(entry int) {
+	for _, s := range l.submissions {
+		if s.Entry == entry && !s.Finished {
+			s.Gone = true
+		}
+	}
+}
+
+// hasOpenSubmission reports whether a caller that was not given not_run still
+// waits for a request, or lost its entry host while it waited. An idempotent
+// request may run under such a submission after another one got not_run, once
+// the home that kept the seal is lost.
+func (l *ledger) hasOpenSubmission(id model.RequestID) bool {
+	for _, s := range l.submissions {
+		if s.Request.ID == id && (!s.Finished || s.Outcome.Kind == model.OutcomeUnknown) {
+			return true
+		}
+	}
+	return false
+}
+
+// Mint returns a new request ID with the current simulated time.
+func (b *Bag) Mint() model.RequestID {
+	b.minted++
+	ms := b.now.UnixMilli()
+	return model.RequestID(fmt.Sprintf("%08x-%04x-7%03x-8%03x-%012x",
+		ms>>16, ms&0xffff, b.Random.IntN(1<<12), b.Random.IntN(1<<12), b.minted))
+}
+
+// NewRequest returns a request with a fresh ID and the given deadline from now.
+func (b *Bag) NewRequest(idempotent bool, deadline time.Duration) model.Request {
+	id := b.Mint()
+	return model.Request{
+		ID: id, Account: "account", Idempotent: idempotent, Deadline: b.now.Add(deadline),
+		BodyHash: 7, Slots: 1, Body: []byte("body of " + id),
+	}
+}
+
+// Submit hands a request to an entry host.
+func (b *Bag) Submit(entry int, request model.Request) *Submission {
+	s := &Submission{Request: request, Entry: entry, Caller: requestflow.Caller(len(b.ledger.submissions) + 1), At: b.now}
+	b.ledger.submissions = append(b.ledger.submissions, s)
+	b.ledger.byCaller[s.Caller] = s
+	if !request.Idempotent {
+		b.ledger.sideEffects[request.ID] = true
+	}
+	e := b.entries[entry]
+	if e.core == nil {
+		s.Gone = true
+		return s
+	}
+	b.logf("submit %s idempotent=%v entry %d", request.ID, request.Idempotent, entry)
+	b.stepEntry(entry, e.core, requestflow.Submit{Request: request, Caller: s.Caller})
+	return s
+}
+
+// Starts returns how often a backend server started a request.
+func (b *Bag) Starts(id model.RequestID) int { return b.ledger.starts[id] }
+
+// Submissions returns all submissions so far.
+func (b *Bag) Submissions() []*Submission { return b.ledger.submissions }
+
+// AnswerOf returns the body with which each backend server answers a request.
+func AnswerOf(r model.Request) []byte { return append([]byte("answer to "), r.Body...) }
+
+func (b *Bag) started(agent int, core *executor.Core, r model.Request) {
+	a := b.agents[agent]
+	b.logf("start %s agent %d", r.ID, agent)
+	b.ledger.starts[r.ID]++
+	a.running[r.ID] = r.Slots
+	b.checkStart(a, r)
+	service := 20 * time.Millisecond
+	if b.options.Service != nil {
+		service = b.options.Service(b.Random)
+	}
+	b.at(service, func() {
+		if a.core == core {
+			delete(a.running, r.ID)
+		}
+		result := executor.BackendAnswered
+		if b.Result != nil {
+			result = b.Result(agent, r)
+		}
+		b.stepAgent(agent, core, executor.BackendDone{Request: r.ID, Result: result, Status: 200, Body: AnswerOf(r)})
+	})
+}
+
+func (b *Bag) checkStart(a *agentHost, r model.Request) {
+	if b.ledger.notRun[r.ID] && (!r.Idempotent || !b.ledger.hasOpenSubmission(r.ID)) {
+		b.violate("%s was started after not_run was given", r.ID)
+	}
+	if b.ledger.sideEffects[r.ID] && b.ledger.starts[r.ID] > 1 {
+		b.violate("%s is not idempotent and was started %d times", r.ID, b.ledger.starts[r.ID])
+	}
+	if a.stopped {
+		b.violate("%s was started on agent %d after it was ready to stop", r.ID, a.index)
+	}
+	slots := 0
+	for _, n := range a.running {
+		slots += n
+	}
+	if slots > Slots || len(a.running) > Connections {
+		b.violate("agent %d runs %d requests on %d slots", a.index, len(a.running), slots)
+	}
+}
+
+func (b *Bag) checkCredit(agent, entry int, credit wire.Credit) {
+	a := b.agents[agent]
+	a.credits[entry] = credit
+	slots, connections := 0, 0
+	for e, c := range a.credits {
+		if link := b.conns[[2]int{e, agent}]; link != nil && link.agentUp {
+			slots += c.Slots
+			connections += c.Connections
+		}
+	}
+	if slots > Slots || connections > Connections {
+		b.violate("agent %d gave credits for %d slots and %d connections", agent, slots, connections)
+	}
+}
+
+func (b *Bag) finished(entry int, f requestflow.Finish) {
+	for _, caller := range f.Callers {
+		s := b.ledger.byCaller[caller]
+		b.logf("finish %s entry %d: %s %s", f.Request, entry, f.Outcome.Kind, f.Outcome.Reason)
+		if s == nil || s.Request.ID != f.Request {
+			b.violate("%s was finished for a caller that did not submit it", f.Request)
+			continue
+		}
+		if s.Finished {
+			b.violate("%s got a second outcome", f.Request)
+		}
+		s.Finished, s.Outcome, s.EndedAt = true, f.Outcome, b.now
+		b.checkOutcome(s)
+	}
+}
+
+func (b *Bag) checkOutcome(s *Submission) {
+	id := s.Request.ID
+	switch s.Outcome.Kind {
+	case model.OutcomeNotRun:
+		b.ledger.notRun[id] = true
+		if b.ledger.starts[id] > 0 {
+			b.violate("%s got not_run and was started", id)
+		}
+	case model.OutcomeAnswered:
+		if !bytes.Equal(s.Outcome.Body, AnswerOf(s.Request)) {
+			b.violate("%s got another answer: %q", id, s.Outcome.Body)
+		}
+		if b.ledger.starts[id] == 0 {
+			b.violate("%s was answered and never started", id)
+		}
+	case model.OutcomeUnknown:
+		if s.Outcome.RetryAfter <= 0 {
+			b.violate("%s got unknown without a time to come back", id)
+		}
+	}
+	if late := b.now.Sub(s.Request.Deadline); late > outcomeGrace+SkewBound && !b.wasFrozen(s.Entry) {
+		b.violate("%s got its outcome %s after its deadline", id, late)
+	}
+}
+
+// wasFrozen reports whether an entry host was frozen a moment ago.
+func (b *Bag) wasFrozen(entry int) bool {
+	return !b.entries[entry].frozenUntil.IsZero()
+}
+
+// Settle runs until all submissions must have their outcome and reports those
+// that have none, and tables that are not empty.
+func (b *Bag) Settle() {
+	b.Run(30 * time.Second)
+	for _, s := range b.ledger.submissions {
+		if !s.Finished && !s.Gone {
+			b.violate("%s on entry %d has no outcome", s.Request.ID, s.Entry)
+		}
+	}
+	for _, e := range b.entries {
+		if e.core == nil {
+			continue
+		}
+		stats := e.core.Stats()
+		if stats.Requests != 0 || stats.Queued != 0 || stats.Unfinished != 0 {
+			b.violate("entry %d keeps %+v", e.index, stats)
+		}
+	}
+	for _, a := range b.agents {
+		if a.core != nil && a.core.Stats().SlotsInUse != 0 {
+			b.violate("agent %d keeps %+v", a.index, a.core.Stats())
+		}
+	}
+}
--- /dev/null
+++ b/internal/requestflow/requesttest/network.go
@@ -0,0 +1,273 @@
+package requesttest
+
+import (
+	"time"
+
+	"dragonflyyard/internal/executor"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/requestflow"
+	"dragonflyyard/internal/wire"
+)
+
+// conn is one connection between an entry host and an agent.
+type conn struct {
+	id      uint64
+	entry   int
+	agent   int
+	silent  bool
+	entryUp bool
+	agentUp bool
+}
+
+// connect opens a new connection, if both ends are up and none is open.
+func (b *Bag) connect(entry, agent int) {
+	e, a := b.entries[entry], b.agents[agent]
+	key := [2]int{entry, agent}
+	if e.core == nil || a.core == nil || a.stopped {
+		return
+	}
+	if old := b.conns[key]; old != nil && old.entryUp && old.agentUp {
+		return
+	}
+	frozen := e.frozenUntil
+	if a.frozenUntil.After(frozen) {
+		frozen = a.frozenUntil
+	}
+	if b.now.Before(frozen) {
+		b.at(frozen.Sub(b.now)+time.Millisecond, func() { b.connect(entry, agent) })
+		return
+	}
+	b.nextConn++
+	c := &conn{id: b.nextConn, entry: entry, agent: agent, entryUp: true, agentUp: true}
+	b.conns[key] = c
+	delete(a.credits, entry)
+	b.stepAgent(agent, a.core, executor.LinkUp{Entry: e.id(), Incarnation: e.incarnation, Connection: c.id})
+	b.stepEntry(entry, e.core, requestflow.LinkUp{
+		Backend:     model.BackendServer{ID: a.id(), Zone: zoneOf(agent), Slots: Slots, Connections: Connections},
+		Incarnation: a.incarnation, Connection: c.id, Leaving: a.leaving,
+	})
+}
+
+func (b *Bag) transmit(d Direction, entry, agent int, connection uint64, m wire.Message) {
+	c := b.conns[[2]int{entry, agent}]
+	if c == nil || c.id != connection || c.silent {
+		return
+	}
+	verdict := b.verdict(Message{Direction: d, Entry: entry, Agent: agent, Body: m})
+	if verdict.Drop {
+		b.logf("drop %T %s entry %d agent %d", m, requestOf(m), entry, agent)
+		return
+	}
+	entryCore, agentCore := b.entries[entry].core, b.agents[agent].core
+	deliver := func() {
+		if c.silent {
+			return
+		}
+		if d == ToAgent {
+			b.stepAgent(agent, agentCore, executor.Receive{From: b.entries[entry].id(), Connection: connection, Message: m})
+			return
+		}
+		b.stepEntry(entry, entryCore, requestflow.Receive{From: AgentID(agent), Connection: connection, Message: m})
+	}
+	b.at(Latency+verdict.Delay, deliver)
+	if verdict.Duplicate {
+		b.logf("duplicate %T %s entry %d agent %d", m, requestOf(m), entry, agent)
+		b.at(Latency+verdict.Delay+time.Duration(b.Random.Int64N(int64(30*time.Millisecond))), deliver)
+	}
+}
+
+// verdict decides about a message by the filter, then by chance.
+func (b *Bag) verdict(m Message) Verdict {
+	var v Verdict
+	if b.Filter != nil {
+		v = b.Filter(m)
+	}
+	if requestOf(m.Body) == "" {
+		return v
+	}
+	v.Drop = v.Drop || b.chance(b.options.Drop)
+	v.Duplicate = v.Duplicate || b.chance(b.options.Duplicate)
+	if b.chance(b.options.Reorder) {
+		v.Delay += time.Duration(b.Random.Int64N(int64(20 * time.Millisecond)))
+	}
+	return v
+}
+
+func (b *Bag) chance(p float64) bool { return p > 0 && b.Random.Float64() < p }
+
+// requestOf returns the request that a message is about, if any.
+func requestOf(m wire.Message) model.RequestID {
+	switch m := m.(type) {
+	case *wire.Claim:
+		return m.Request
+	case *wire.ClaimReply:
+		return m.Request
+	case *wire.Dispatch:
+		return m.Request
+	case *wire.Lookup:
+		return m.Request
+	case *wire.LookupReply:
+		return m.Request
+	case *wire.AnswerPart:
+		return m.Request
+	default:
+		return ""
+	}
+}
+
+// Cut closes a connection; both ends notice and a new one is opened.
+func (b *Bag) Cut(entry, agent int) {
+	b.logf("cut entry %d agent %d", entry, agent)
+	c := b.conns[[2]int{entry, agent}]
+	if c == nil {
+		return
+	}
+	b.endConn(c)
+	b.at(ReconnectDelay, func() { b.connect(entry, agent) })
+}
+
+func (b *Bag) endConn(c *conn) {
+	c.silent = true
+	b.downAtEntry(c)
+	b.downAtAgent(c)
+}
+
+func (b *Bag) downAtEntry(c *conn) {
+	if !c.entryUp {
+		return
+	}
+	c.entryUp = false
+	b.stepEntry(c.entry, b.entries[c.entry].core, requestflow.LinkDown{Backend: AgentID(c.agent), Connection: c.id})
+}
+
+func (b *Bag) downAtAgent(c *conn) {
+	if !c.agentUp {
+		return
+	}
+	c.agentUp = false
+	a := b.agents[c.agent]
+	if b.conns[[2]int{c.entry, c.agent}] == c {
+		delete(a.credits, c.entry)
+	}
+	b.stepAgent(c.agent, a.core, executor.LinkDown{Entry: b.entries[c.entry].id(), Connection: c.id})
+}
+
+// Silence loses all that is sent on a connection. Each end notices by itself
+// after the heartbeat timeout; then a new connection is opened.
+func (b *Bag) Silence(entry, agent int) {
+	b.logf("silence entry %d agent %d", entry, agent)
+	c := b.conns[[2]int{entry, agent}]
+	if c == nil || c.silent {
+		return
+	}
+	c.silent = true
+	jitter := time.Duration(b.Random.Int64N(int64(200 * time.Millisecond)))
+	b.at(HeartbeatTimeout, func() { b.downAtEntry(c) })
+	b.at(HeartbeatTimeout+jitter, func() { b.downAtAgent(c) })
+	b.at(HeartbeatTimeout+jitter+ReconnectDelay, func() { b.connect(entry, agent) })
+}
+
+// KillEntry ends an entry host at once. Its callers get no outcome any more.
+func (b *Bag) KillEntry(i int) {
+	b.logf("kill entry %d", i)
+	b.entries[i].core = nil
+	b.ledger.callersGone(i)
+	for a := range b.agents {
+		if c := b.conns[[2]int{i, a}]; c != nil {
+			b.endConn(c)
+		}
+	}
+}
+
+// KillAgent ends an agent at once. Its backend server finishes what it started
+// and nobody hears of it.
+func (b *Bag) KillAgent(i int) {
+	b.logf("kill agent %d", i)
+	a := b.agents[i]
+	a.core = nil
+	for e := range b.entries {
+		if c := b.conns[[2]int{e, i}]; c != nil {
+			b.endConn(c)
+		}
+	}
+}
+
+// RestartEntry starts a new life of an entry host that is down.
+func (b *Bag) RestartEntry(i int) {
+	if b.entries[i].core != nil {
+		return
+	}
+	b.logf("restart entry %d", i)
+	b.startEntry(i)
+	for a := range b.agents {
+		b.connect(i, a)
+	}
+}
+
+// RestartAgent starts a new life of an agent that is down.
+func (b *Bag) RestartAgent(i int) {
+	if b.agents[i].core != nil {
+		return
+	}
+	b.logf("restart agent %d", i)
+	b.startAgent(i)
+	for e := range b.entries {
+		b.connect(e, i)
+	}
+}
+
+// PauseEntry freezes an entry host. Its agents close its connections if the
+// pause is longer than the heartbeat timeout.
+func (b *Bag) PauseEntry(i int, d time.Duration) {
+	b.logf("pause entry %d for %s", i, d)
+	b.entries[i].frozenUntil = b.now.Add(d)
+	for a := range b.agents {
+		b.pauseConn(b.conns[[2]int{i, a}], d, func(c *conn) { b.downAtAgent(c) })
+	}
+}
+
+// PauseAgent freezes an agent. Its entry hosts close its connections, and the
+// owner suspects it, if the pause is longer than the heartbeat timeout.
+func (b *Bag) PauseAgent(i int, d time.Duration) {
+	b.logf("pause agent %d for %s", i, d)
+	a := b.agents[i]
+	a.frozenUntil = b.now.Add(d)
+	for e := range b.entries {
+		b.pauseConn(b.conns[[2]int{e, i}], d, func(c *conn) { b.downAtEntry(c) })
+	}
+	if d > HeartbeatTimeout {
+		b.at(HeartbeatTimeout, func() { a.suspected = true })
+		b.at(d+ReconnectDelay, func() { a.suspected = false })
+	}
+}
+
+func (b *Bag) pauseConn(c *conn, d time.Duration, first func(*conn)) {
+	if c == nil || d <= HeartbeatTimeout {
+		return
+	}
+	b.at(HeartbeatTimeout, func() { first(c) })
+	b.at(d, func() { b.endConn(c) })
+	b.at(d+ReconnectDelay, func() { b.connect(c.entry, c.agent) })
+}
+
+// StopAgent begins the graceful stop of an agent.
+func (b *Bag) StopAgent(i int) {
+	b.logf("stop agent %d", i)
+	a := b.agents[i]
+	a.leaving = true
+	b.stepAgent(i, a.core, executor.Stop{})
+}
+
+// StopEntry begins the graceful stop of an entry host.
+func (b *Bag) StopEntry(i int) {
+	b.logf("stop entry %d", i)
+	b.stepEntry(i, b.entries[i].core, requestflow.Stop{})
+}
+
+// IsStopped reports whether an agent, or entry host, is ready to stop.
+func (b *Bag) IsStopped(entry bool, i int) bool {
+	if entry {
+		return b.entries[i].stopped
+	}
+	return b.agents[i].stopped
+}
--- a/internal/requestflow/resolve.go
+++ b/internal/requestflow/resolve.go
@@ -122,7 +122,7 @@
 		return
 	}
 	f.explicit = true
-	f.claimToken = 0
+	f.claim = wire.ClaimRef{}
 	f.attempts = max(0, f.attempts-1)
 	c.fire(f, eventRetryAllowed)
 	c.enqueue(f, true)
@@ -134,6 +134,7 @@
 	atHome := !f.foreign && f.executor == f.home && f.request.Idempotent && !f.unclaimed
 	if atHome && f.machine.State() == stateDispatched {
 		f.unclaimed = true
+		f.makeClaim = false
 		f.attempts--
 		c.dispatch(now, f)
 		return
@@ -206,6 +207,7 @@
 
 // expire handles a flight's timer.
 func (c *Core) expire(now time.Time, f *flight) {
+	c.expireCallers(now, f)
 	late := !now.Before(f.request.Deadline)
 	waited := !f.waitUntil.IsZero() && !now.Before(f.waitUntil)
 	switch {
@@ -244,7 +246,7 @@
 	case f.machine.State() == stateQueued || f.machine.State() == stateClaiming || f.phase == phaseParked:
 		c.dequeue(f)
 		if f.machine.State() == stateClaiming {
-			f.claimToken = f.token
+			f.claim = c.ownClaim(f)
 		}
 		c.giveUp(now, f, model.ReasonDeadline, noServerRetryAfter)
 	default:
@@ -260,7 +262,7 @@
 	case f.phase == phaseParked:
 		c.giveUp(now, f, model.ReasonHomeUnreachable, noServerRetryAfter)
 	case f.machine.State() == stateClaiming:
-		f.claimToken = f.token
+		f.claim = c.ownClaim(f)
 		c.giveUp(now, f, model.ReasonHomeUnreachable, noServerRetryAfter)
 	case f.phase == phaseAsking:
 		c.again(now, f, false, model.ReasonConnectionLost)
@@ -289,7 +291,7 @@
 // was sent to the executor under the claim.
 func (c *Core) claimUnanswered(now time.Time, f *flight) {
 	c.release(f)
-	f.claimToken = f.token
+	f.claim = c.ownClaim(f)
 	c.fire(f, eventClaimUnanswered)
 	c.park(now, f)
 }
--- a/internal/requestflow/submit.go
+++ b/internal/requestflow/submit.go
@@ -73,12 +73,18 @@
 			Kind: model.OutcomeUnknown, Reason: model.ReasonTooManyCallers, RetryAfter: noServerRetryAfter,
 		})
 	default:
-		f.callers = append(f.callers, caller)
+		f.callers = append(f.callers, waitingCaller{caller, request.Deadline})
 		c.callers[caller] = f
+		if request.Deadline.After(f.request.Deadline) {
+			f.request.Deadline = request.Deadline
+		}
+		c.schedule(f)
 	}
 }
 
 func (c *Core) refuse(id model.RequestID, caller Caller, reason model.Reason) {
+	refused := &flight{request: model.Request{ID: id}, machine: requestChart.NewMachine()}
+	c.fire(refused, eventRefused)
 	c.answerCaller(id, caller, model.Outcome{Kind: model.OutcomeRefused, Reason: reason})
 }
 
@@ -92,15 +98,18 @@
 		c.giveUp(now, f, model.ReasonEntryStopping, noServerRetryAfter)
 		return
 	}
+	if len(c.links) == 0 {
+		c.fire(f, eventAdmitted)
+		c.newItem(f)
+		f.homeDeadline = now.Add(c.config.ReconnectGrace)
+		c.park(now, f)
+		return
+	}
 	if !c.table.HasCandidate(c.choice(f)) {
 		c.giveUp(now, f, model.ReasonNoBackendServer, noServerRetryAfter)
 		return
 	}
-	mean, _ := c.controller.ServiceTime(f.request.Account, f.request.Slots)
-	f.item = &admission.Item{
-		ID: f.request.ID, Account: f.request.Account, Slots: f.request.Slots,
-		Deadline: f.request.Deadline, Cost: slotTime(mean, f.request.Slots),
-	}
+	c.newItem(f)
 	total, free := c.table.Slots()
 	decision := c.controller.Admit(now, f.item, admission.State{
 		Queue: c.queue, TotalSlots: total, FreeSlots: free, MaxQueued: c.maxQueued(f.request.Account),
@@ -116,6 +125,15 @@
 	}
 }
 
+// newItem prices a request for the queue.
+func (c *Core) newItem(f *flight) {
+	mean, _ := c.controller.ServiceTime(f.request.Account, f.request.Slots)
+	f.item = &admission.Item{
+		ID: f.request.ID, Account: f.request.Account, Slots: f.request.Slots,
+		Deadline: f.request.Deadline, Cost: slotTime(mean, f.request.Slots),
+	}
+}
+
 func (c *Core) maxQueued(account model.ClientAccountID) int {
 	if c.document != nil && c.document.Accounts[account].MaxQueued > 0 {
 		return c.document.Accounts[account].MaxQueued
@@ -160,7 +178,7 @@
 	}
 	delete(c.callers, in.Caller)
 	for i, caller := range f.callers {
-		if caller == in.Caller {
+		if caller.caller == in.Caller {
 			f.callers = append(f.callers[:i], f.callers[i+1:]...)
 			break
 		}
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -48,7 +48,7 @@
 	if s == nil || t.naive {
 		return
 	}
-	wasProbe := s.state == StateProbing
+	wasProbe := s.is(StateProbing)
 	if wasProbe {
 		s.probeBusy = false
 	}
@@ -67,7 +67,7 @@
 		t.afterProbe(now, s, result)
 		return
 	}
-	if s.state != StateAvailable {
+	if !s.is(StateAvailable) {
 		return
 	}
 	switch {
@@ -113,14 +113,14 @@
 func (t *Table) eject(now time.Time, s *server, why string) {
 	out := 0
 	for _, o := range t.order {
-		if o.state == StateEjected || o.state == StateProbing {
+		if o.is(StateEjected) || o.is(StateProbing) {
 			out++
 		}
 	}
 	if float64(out+1) > max(1, maxEjectedShare*float64(len(t.order))) || len(t.order) < 2 {
 		return
 	}
-	s.state = StateEjected
+	t.fire(s, eventFailureStreak)
 	s.reservedFor = ""
 	s.ejectedUntil = now.Add(min(baseEjection<<min(s.ejections, 5), maxEjection))
 	s.ejections++
@@ -130,7 +130,7 @@
 
 func (t *Table) afterProbe(now time.Time, s *server, result Result) {
 	if result == ResultFailed || t.isSlow(s) {
-		s.state = StateEjected
+		t.fire(s, eventProbeFailed)
 		s.ejectedUntil = now.Add(min(baseEjection<<min(s.ejections, 5), maxEjection))
 		s.ejections++
 		s.probeOK = 0
@@ -140,7 +140,7 @@
 	if s.probeOK < probesToReturn {
 		return
 	}
-	s.state = StateAvailable
+	t.fire(s, eventProbeSucceeded)
 	s.window = outcomeWindow{}
 	s.ejections = max(0, s.ejections-1)
 	t.note(event.BackendReturned, s, "")
@@ -149,10 +149,10 @@
 // refresh moves servers whose ejection is over to the probing state.
 func (t *Table) refresh(now time.Time) {
 	for _, s := range t.order {
-		if s.state != StateEjected || now.Before(s.ejectedUntil) {
+		if !s.is(StateEjected) || now.Before(s.ejectedUntil) {
 			continue
 		}
-		s.state = StateProbing
+		t.fire(s, eventProbeDue)
 		s.probeBusy = false
 		// Earlier samples of a server that was slow must not outweigh the probes.
 		s.samples, s.slowness = 0, 0
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/statechart"
 )
 
-// ServerState is a backend server's state as an entry host sees it. It matches
-// the states of the chart "backend".
+// ServerState is the name of a state of the chart "backend".
 type ServerState string
 
 // States of a backend server.
@@ -27,7 +27,7 @@
 // server is one backend server's credit, load and health.
 type server struct {
 	backend     model.BackendServer
-	state       ServerState
+	machine     statechart.Machine
 	slotCredit  int
 	connCredit  int
 	creditSeq   uint64
@@ -72,6 +72,8 @@
 	return n
 }
 
+func (s *server) is(state ServerState) bool { return s.machine.StateName() == string(state) }
+
 func (s *server) freeSlots() int { return s.slotCredit - s.slotsInUse }
 
 func (s *server) fits(slots int) bool {
@@ -80,5 +82,5 @@
 
 // isUsable reports whether the server takes new requests of any kind.
 func (s *server) isUsable() bool {
-	return s.state == StateAvailable || s.state == StateProbing
+	return s.is(StateAvailable) || s.is(StateProbing)
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -7,6 +7,7 @@
 
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/statechart"
 )
 
 const (
@@ -18,6 +19,22 @@
 	// homeBonus is taken off the load of the request's home, since no separate
 	// claim is needed there.
 	homeBonus = 0.1
+	// probeBonus makes a backend server that has to be probed the first choice.
+	probeBonus = 1
+)
+
+// The backend chart of internal/statechart/charts/backend.yaml.
+var (
+	backendChart = statechart.MustLoad("backend")
+
+	eventCreditReceived   = backendChart.MustEvent("credit_received")
+	eventFailureStreak    = backendChart.MustEvent("failure_streak")
+	eventProbeDue         = backendChart.MustEvent("probe_due")
+	eventProbeSucceeded   = backendChart.MustEvent("probe_succeeded")
+	eventProbeFailed      = backendChart.MustEvent("probe_failed")
+	eventLeavingAnnounced = backendChart.MustEvent("leaving_announced")
+	eventDrained          = backendChart.MustEvent("drained")
+	eventConnectionLost   = backendChart.MustEvent("connection_lost")
 )
 
 // Table holds all backend servers that an entry host is connected to.
@@ -29,6 +46,7 @@
 	random   *rand.Rand
 	naive    bool
 	events   []event.Event
+	trace    func(id model.BackendServerID, from, event string)
 }
 
 // NewTable returns an empty table of an entry host in the given zone. With
@@ -52,30 +70,46 @@
 	Excluded []model.BackendServerID
 }
 
-// LinkUp adds a backend server, or resets its credit on a new connection.
+// SetTrace sets a function that is told each transition of the backend chart.
+func (t *Table) SetTrace(trace func(id model.BackendServerID, from, event string)) { t.trace = trace }
+
+// fire applies an event of the backend chart. It reports whether the state moved.
+func (t *Table) fire(s *server, e statechart.Event) bool {
+	step, outcome := s.machine.Fire(e)
+	if outcome != statechart.Moved {
+		return false
+	}
+	if t.trace != nil {
+		t.trace(s.backend.ID, backendChart.StateName(step.From), backendChart.EventName(step.Event))
+	}
+	return true
+}
+
+// LinkUp adds a backend server without credit. A new connection begins a new life.
 func (t *Table) LinkUp(b model.BackendServer, leaving bool) {
-	s := t.servers[b.ID]
-	if s == nil {
-		s = &server{state: StateAnnounced}
-		t.servers[b.ID] = s
-		t.order = append(t.order, s)
-	}
-	s.backend = b
-	s.slotCredit, s.connCredit, s.creditSeq = 0, 0, 0
-	s.slotsInUse, s.connsInUse, s.probeBusy = 0, 0, false
-	switch {
-	case leaving:
-		s.state = StateLeaving
-	case s.state == StateAnnounced || s.state == StateLost || s.state == StateLeaving:
-		s.state = StateAvailable
-	}
-	t.sortServers()
+	t.LinkDown(b.ID)
+	s := &server{backend: b, machine: backendChart.NewMachine()}
+	t.servers[b.ID] = s
+	t.order = append(t.order, s)
+	sort.Slice(t.order, func(i, j int) bool { return t.order[i].backend.ID < t.order[j].backend.ID })
+	if leaving {
+		t.fire(s, eventLeavingAnnounced)
+	}
 }
 
-// LinkDown marks a backend server as lost and takes its credit away.
+// LinkDown forgets a backend server.
 func (t *Table) LinkDown(id model.BackendServerID) {
-	for i, s := range t.order {
-		if s.backend.ID == id {
+	s := t.servers[id]
+	if s == nil {
+		return
+	}
+	if s.is(StateLeaving) && s.slotsInUse == 0 {
+		t.fire(s, eventDrained)
+	} else {
+		t.fire(s, eventConnectionLost)
+	}
+	for i := range t.order {
+		if t.order[i] == s {
 			t.order = append(t.order[:i], t.order[i+1:]...)
 			break
 		}
@@ -86,7 +120,7 @@
 // Leaving marks a backend server that takes no new work.
 func (t *Table) Leaving(id model.BackendServerID) {
 	if s := t.servers[id]; s != nil {
-		s.state = StateLeaving
+		t.fire(s, eventLeavingAnnounced)
 		s.reservedFor = ""
 	}
 }
@@ -98,6 +132,7 @@
 		return
 	}
 	s.creditSeq, s.slotCredit, s.connCredit = seq, slots, connections
+	t.fire(s, eventCreditReceived)
 }
 
 // SetZonesOut replaces the set of availability zones that take no work.
@@ -106,7 +141,7 @@
 // State returns the state of a backend server.
 func (t *Table) State(id model.BackendServerID) ServerState {
 	if s := t.servers[id]; s != nil {
-		return s.state
+		return ServerState(s.machine.StateName())
 	}
 	return StateLost
 }
@@ -169,7 +204,7 @@
 	if s.reservedFor != "" && s.reservedFor != c.Request {
 		return false
 	}
-	if s.state == StateProbing && (!c.Idempotent || s.probeBusy) {
+	if s.is(StateProbing) && (!c.Idempotent || s.probeBusy) {
 		return false
 	}
 	return !isExcluded(c, s.backend.ID)
@@ -189,8 +224,8 @@
 	if s.backend.ID == c.Home {
 		load -= homeBonus
 	}
-	if s.state == StateProbing {
-		load -= 1
+	if s.is(StateProbing) {
+		load -= probeBonus
 	}
 	return load
 }
@@ -203,7 +238,7 @@
 		if s.reservedFor == c.Request {
 			return s.backend.ID, true
 		}
-		if s.state != StateAvailable || s.reservedFor != "" || s.backend.Slots < c.Slots || t.zonesOut[s.backend.Zone] {
+		if !s.is(StateAvailable) || s.reservedFor != "" || s.backend.Slots < c.Slots || t.zonesOut[s.backend.Zone] {
 			continue
 		}
 		if best == nil || s.freeSlots() > best.freeSlots() {
@@ -235,7 +270,7 @@
 	}
 	s.slotsInUse += slots
 	s.connsInUse++
-	if s.state == StateProbing {
+	if s.is(StateProbing) {
 		s.probeBusy = true
 		t.note(event.BackendProbed, s, "")
 	}
@@ -271,15 +306,11 @@
 	t.events = append(t.events, event.Event{Code: code, Subject: string(s.backend.ID), Zone: s.backend.Zone, Detail: detail})
 }
 
-func (t *Table) sortServers() {
-	sort.Slice(t.order, func(i, j int) bool { return t.order[i].backend.ID < t.order[j].backend.ID })
-}
-
 // HasCandidate reports whether some backend server could take a request, now
 // or once it has room again.
 func (t *Table) HasCandidate(c Choice) bool {
 	for _, s := range t.order {
-		if s.state == StateLeaving || s.backend.Slots < c.Slots || t.zonesOut[s.backend.Zone] {
+		if s.is(StateLeaving) || s.backend.Slots < c.Slots || t.zonesOut[s.backend.Zone] {
 			continue
 		}
 		if !isExcluded(c, s.backend.ID) {
--- a/internal/wire/request.go
+++ b/internal/wire/request.go
@@ -31,6 +31,12 @@
 	StateAnswerLost
 )
 
+// ClaimRef names one claim of a request: tokens are unique for each claimant only.
+type ClaimRef struct {
+	Claimant model.EntryID
+	Token    uint64
+}
+
 // Claim asks a request's home agent to record that Executor will run it.
 type Claim struct {
 	Request  model.RequestID
@@ -43,9 +49,9 @@
 	// Token numbers the claims of the sending entry host over all its lives. A
 	// claim that is sent again keeps its token.
 	Token uint64
-	// MoveToken is the token of the claim that the sender knows of. The home
-	// moves or seals an existing claim only if it still has this token.
-	MoveToken uint64
+	// Move is the claim that the sender knows of, if any. The home moves or seals
+	// an existing claim only if it is still this one.
+	Move ClaimRef
 	// Unconfirmed is set, for idempotent requests only, when the executor of the
 	// moved claim may have run the request. The home then never reports it as not run.
 	Unconfirmed bool
@@ -69,8 +75,8 @@
 	RetryAfterMS int64
 	// Token repeats the token of the Claim that is answered.
 	Token uint64
-	// Current is the token of the claim in force.
-	Current uint64
+	// Current is the claim in force.
+	Current ClaimRef
 }
 
 // Dispatch hands a request to the executing agent. A body larger than
@@ -90,9 +96,11 @@
 	Body       []byte
 	// Unclaimed marks an idempotent request that no home can claim or seal.
 	Unclaimed bool
-	// Token is the token of the granted claim, or, where the executor is the
-	// home itself, of the claim that the Dispatch makes.
+	// Token is the token of the granted claim, or of the claim that the Dispatch makes.
 	Token uint64
+	// MakeClaim is set where the executor is the home itself: the Dispatch makes
+	// the claim, and is rejected by an agent that is not the home.
+	MakeClaim bool
 }
 
 // AnswerPart is one numbered part of an answer.
