--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -67,6 +67,15 @@
 	OwnerEpoch model.Epoch
 	// Seq is the Heartbeat number that the status answers.
 	Seq uint64
+	// Assignment is the version of the home assignment that the sender knows.
+	Assignment uint64
+	// ZonesOut lists the zones that the sender treats as out, those with a
+	// take-out in doubt included. Such a take-out does not set InDoubt.
+	ZonesOut []model.AvailabilityZoneName
+	// Roster lists the entry hosts that the sender knows as members.
+	Roster []model.EntryID
+	// Established is set while the sender may write configuration.
+	Established bool
 }
 
 // OwnershipNotice tells who owns the region's scheduler.
@@ -75,6 +84,11 @@
 	Epoch model.Epoch
 }
 
+// RosterNotice tells an agent the link addresses (IP:port) of all entry hosts.
+type RosterNotice struct {
+	Addresses []string
+}
+
 // OperatorCall forwards an operator's HTTP call to the scheduler's owner.
 type OperatorCall struct {
 	Call   uint64
@@ -107,6 +121,9 @@
 // WireType implements Message.
 func (*OwnershipNotice) WireType() Type { return TypeOwnershipNotice }
 
+// WireType implements Message.
+func (*RosterNotice) WireType() Type { return TypeRosterNotice }
+
 // WireType implements Message.
 func (*OperatorCall) WireType() Type { return TypeOperatorCall }
 
--- a/internal/wire/types.go
+++ b/internal/wire/types.go
@@ -8,6 +8,7 @@
 	TypeLeaving         Type = 4
 	TypeCredit          Type = 5
 	TypeDemand          Type = 6
+	TypeClock           Type = 7
 	TypeClaim           Type = 10
 	TypeClaimReply      Type = 11
 	TypeDispatch        Type = 12
@@ -32,6 +33,7 @@
 	TypeOperatorCall    Type = 40
 	TypeOperatorReply   Type = 41
 	TypeOwnershipNotice Type = 42
+	TypeRosterNotice    Type = 43
 )
 
 func newMessage(t Type) Message {
@@ -61,6 +63,8 @@
 		return &Credit{}
 	case TypeDemand:
 		return &Demand{}
+	case TypeClock:
+		return &Clock{}
 	default:
 		return nil
 	}
@@ -103,6 +107,8 @@
 		return &OperatorReply{}
 	case TypeOwnershipNotice:
 		return &OwnershipNotice{}
+	case TypeRosterNotice:
+		return &RosterNotice{}
 	default:
 		return nil
 	}
