--- a/internal/requestflow/random_test.go
+++ b/internal/requestflow/random_test.go
@@ -14,6 +14,8 @@
 const (
 	entries = 2
 	agents  = 3
+	// settleTime is longer than any deadline, pause and graceful stop drawn here.
+	settleTime = 30 * time.Second
 )
 
 // fault is one fault that a random sequence may draw.
@@ -66,7 +68,7 @@
 		b.At(at, func() { f.put(b, r) })
 	}
 	b.Run(10 * time.Second)
-	b.Settle()
+	b.Settle(settleTime)
 	return b
 }
 
@@ -130,7 +132,7 @@
 		})
 	}
 	b.Run(2 * time.Second)
-	b.Settle()
+	b.Settle(settleTime)
 	report(t, b, "no fault")
 	for _, s := range b.Submissions() {
 		if s.Outcome.Kind != model.OutcomeAnswered {
--- a/internal/requestflow/requesttest/hosts.go
+++ b/internal/requestflow/requesttest/hosts.go
@@ -36,6 +36,7 @@
 	frozenUntil time.Time
 	suspected   bool
 	leaving     bool
+	leftAt      time.Time
 	stopped     bool
 	running     map[model.RequestID]int
 	credits     map[int]wire.Credit
--- a/internal/requestflow/requesttest/ledger.go
+++ b/internal/requestflow/requesttest/ledger.go
@@ -35,6 +35,13 @@
 	starts      map[model.RequestID]int
 	notRun      map[model.RequestID]bool
 	sideEffects map[model.RequestID]bool
+	// leavingStarts are starts on agents that had been told to stop.
+	leavingStarts []lateStart
+}
+
+type lateStart struct {
+	id    model.RequestID
+	after time.Duration
 }
 
 func newLedger() ledger {
@@ -103,6 +110,18 @@
 // Starts returns how often a backend server started a request.
 func (b *Bag) Starts(id model.RequestID) int { return b.ledger.starts[id] }
 
+// LateStarts returns the requests that an agent started later than the given
+// time after it was told to stop.
+func (b *Bag) LateStarts(after time.Duration) []model.RequestID {
+	var late []model.RequestID
+	for _, s := range b.ledger.leavingStarts {
+		if s.after > after {
+			late = append(late, s.id)
+		}
+	}
+	return late
+}
+
 // Submissions returns all submissions so far.
 func (b *Bag) Submissions() []*Submission { return b.ledger.submissions }
 
@@ -113,6 +132,9 @@
 	a := b.agents[agent]
 	b.logf("start %s agent %d", r.ID, agent)
 	b.ledger.starts[r.ID]++
+	if a.leaving {
+		b.ledger.leavingStarts = append(b.ledger.leavingStarts, lateStart{r.ID, b.now.Sub(a.leftAt)})
+	}
 	a.running[r.ID] = r.Slots
 	b.checkStart(a, r)
 	service := 20 * time.Millisecond
@@ -211,10 +233,10 @@
 	return !b.entries[entry].frozenUntil.IsZero()
 }
 
-// Settle runs until all submissions must have their outcome and reports those
-// that have none, and tables that are not empty.
-func (b *Bag) Settle() {
-	b.Run(30 * time.Second)
+// Settle runs for d, in which all submissions must get their outcome, and
+// reports those that have none, and tables that are not empty.
+func (b *Bag) Settle(d time.Duration) {
+	b.Run(d)
 	for _, s := range b.ledger.submissions {
 		if !s.Finished && !s.Gone {
 			b.violate("%s on entry %d has no outcome", s.Request.ID, s.Entry)
--- a/internal/requestflow/requesttest/network.go
+++ b/internal/requestflow/requesttest/network.go
@@ -55,7 +55,7 @@
 	}
 	verdict := b.verdict(Message{Direction: d, Entry: entry, Agent: agent, Body: m})
 	if verdict.Drop {
-		b.logf("drop %T %s entry %d agent %d", m, requestOf(m), entry, agent)
+		b.logf("drop %T %s entry %d agent %d", m, RequestOf(m), entry, agent)
 		return
 	}
 	entryCore, agentCore := b.entries[entry].core, b.agents[agent].core
@@ -71,7 +71,7 @@
 	}
 	b.at(Latency+verdict.Delay, deliver)
 	if verdict.Duplicate {
-		b.logf("duplicate %T %s entry %d agent %d", m, requestOf(m), entry, agent)
+		b.logf("duplicate %T %s entry %d agent %d", m, RequestOf(m), entry, agent)
 		b.at(Latency+verdict.Delay+time.Duration(b.Random.Int64N(int64(30*time.Millisecond))), deliver)
 	}
 }
@@ -82,7 +82,7 @@
 	if b.Filter != nil {
 		v = b.Filter(m)
 	}
-	if requestOf(m.Body) == "" {
+	if RequestOf(m.Body) == "" {
 		return v
 	}
 	v.Drop = v.Drop || b.chance(b.options.Drop)
@@ -95,8 +95,8 @@
 
 func (b *Bag) chance(p float64) bool { return p > 0 && b.Random.Float64() < p }
 
-// requestOf returns the request that a message is about, if any.
-func requestOf(m wire.Message) model.RequestID {
+// RequestOf returns the request that a message is about, if any.
+func RequestOf(m wire.Message) model.RequestID {
 	switch m := m.(type) {
 	case *wire.Claim:
 		return m.Request
@@ -255,6 +255,7 @@
 	b.logf("stop agent %d", i)
 	a := b.agents[i]
 	a.leaving = true
+	a.leftAt = b.now
 	b.stepAgent(i, a.core, executor.Stop{})
 }
 
