Bound the time that a part of a gang runs alone, under two faults at once

Change: a gang's leases end a fixed time after the owner last heard of its most silent member; a Launch answers one reservation and lapses with it; a task on a lost worker counts as ended only when its lease, launch and checkpoint times are over; a lease grant for an ended task is answered with its last report. Ruled out: a shorter lease alone, which only moves the bound.

--- a/internal/gang/action.go
+++ b/internal/gang/action.go
@@ -18,6 +18,8 @@
 // StartTask starts a task at the worker. The worker ends it by itself at
 // LeaseUntil unless ExtendLease moves that time.
 type StartTask struct {
+	Job        model.JobID
+	Attempt    uint64
 	Task       model.TaskID
 	Needs      model.Resources
 	RunMS      int64
--- a/internal/gang/receive.go
+++ b/internal/gang/receive.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"dragonflyyard/internal/event"
@@ -18,7 +19,7 @@
 		return
 	}
 	if epoch < m.highestEpoch {
-		m.refuseStale(msg, epoch)
+		m.refuseStale(now, msg, epoch)
 		return
 	}
 	m.highestEpoch = epoch
@@ -57,15 +58,15 @@
 	}
 }
 
-func (m *Member) refuseStale(msg wire.Message, epoch model.Epoch) {
+func (m *Member) refuseStale(now time.Time, msg wire.Message, epoch model.Epoch) {
 	m.record(event.StaleEpoch, "", string(m.worker.ID), fmt.Sprintf("epoch %d, seen %d", epoch, m.highestEpoch))
 	if r, ok := msg.(*wire.Reserve); ok {
-		m.replyReserve(r, "stale epoch")
+		m.replyReserve(now, r, "stale epoch")
 	}
 }
 
 func (m *Member) reserve(now time.Time, r *wire.Reserve) {
-	m.replyReserve(r, m.tryReserve(now, r))
+	m.replyReserve(now, r, m.tryReserve(now, r))
 }
 
 // tryReserve returns an empty string or the reason of the refusal.
@@ -117,12 +118,13 @@
 	return busy
 }
 
-func (m *Member) replyReserve(r *wire.Reserve, reason string) {
+func (m *Member) replyReserve(now time.Time, r *wire.Reserve, reason string) {
 	if reason != "" {
 		m.record(event.TaskRefused, r.Job, string(r.Task), reason)
 	}
 	m.send(&wire.ReserveReply{
 		Epoch: m.highestEpoch, Job: r.Job, Attempt: r.Attempt, Task: r.Task, OK: reason == "", Reason: reason,
+		SentMS: now.UnixMilli(),
 	})
 }
 
@@ -136,7 +138,11 @@
 		return
 	}
 	if t.state == wire.TaskReserved && !l.Renew {
-		if reason := m.mayStart(now); reason != "" {
+		reason := m.mayStart(now)
+		if now.UnixMilli()-l.AnsweredMS > l.StartWithinMS {
+			reason = "launch came too late"
+		}
+		if reason != "" {
 			m.record(event.TaskRefused, t.job, string(t.id), reason)
 			m.end(now, t, wire.TaskStopped, reason)
 		} else {
@@ -149,35 +155,60 @@
 func (m *Member) start(now time.Time, t *task, l *wire.Launch) {
 	t.state = wire.TaskStarting
 	t.until = now.Add(time.Duration(l.LeaseMS) * time.Millisecond)
-	m.do(StartTask{Task: t.id, Needs: t.needs, RunMS: l.RunMS, LeaseUntil: t.until.Add(m.settings.WorkerLeaseMargin)})
+	m.do(StartTask{
+		Job: t.job, Attempt: t.attempt, Task: t.id, Needs: t.needs, RunMS: l.RunMS,
+		LeaseUntil: t.until.Add(m.settings.WorkerLeaseMargin),
+	})
 	m.record(event.TaskStarted, t.job, string(t.id), "")
 }
 
-// renew moves leases to LeaseMS after the answered request was sent.
+// renew moves leases to the granted time after the answered request was sent.
+// A task that is not running any more is reported again, as the owner does not
+// know of its end.
 func (m *Member) renew(now time.Time, g *wire.LeaseGrant) {
-	until := time.UnixMilli(g.SentMS).Add(time.Duration(g.LeaseMS) * time.Millisecond)
-	if g.SentMS > now.UnixMilli() || !now.Before(until) {
+	if g.SentMS > now.UnixMilli() {
 		return
 	}
 	for _, lease := range g.Tasks {
 		t := m.tasks[lease.Task]
-		if t == nil || t.attempt != lease.Attempt || !t.leased() {
-			continue
-		}
-		if t.state == wire.TaskSuspended {
-			t.state = wire.TaskRunning
-			t.until = until
-			m.do(ThrottleTask{Task: t.id, Percent: 100})
-			m.record(event.TaskResumed, t.job, string(t.id), "")
+		switch {
+		case t == nil || t.attempt < lease.Attempt:
+			m.send(&wire.TaskReport{
+				Job: jobOf(lease.Task), Attempt: lease.Attempt, Task: lease.Task, State: wire.TaskStopped,
+				Detail: "attempt is not known",
+			})
+		case t.attempt == lease.Attempt && t.ended():
 			m.sendReport(t)
+		case t.attempt == lease.Attempt && t.leased():
+			m.extend(now, t, time.UnixMilli(g.SentMS+lease.LeaseMS))
 		}
-		if until.After(t.until) {
-			t.until = until
-		}
-		m.do(ExtendLease{Task: t.id, LeaseUntil: t.until.Add(m.settings.WorkerLeaseMargin)})
 	}
 }
 
+// jobOf returns the job part of a task ID.
+func jobOf(id model.TaskID) model.JobID {
+	at := strings.LastIndexByte(string(id), '/')
+	return model.JobID(id[:max(at, 0)])
+}
+
+// extend moves a task's lease. A suspended task runs again.
+func (m *Member) extend(now time.Time, t *task, until time.Time) {
+	if !now.Before(until) {
+		return
+	}
+	if t.state == wire.TaskSuspended {
+		t.state = wire.TaskRunning
+		t.until = until
+		m.do(ThrottleTask{Task: t.id, Percent: 100})
+		m.record(event.TaskResumed, t.job, string(t.id), "")
+		m.sendReport(t)
+	}
+	if until.After(t.until) {
+		t.until = until
+	}
+	m.do(ExtendLease{Task: t.id, LeaseUntil: t.until.Add(m.settings.WorkerLeaseMargin)})
+}
+
 func (m *Member) release(now time.Time, r *wire.Release) {
 	t := m.tasks[r.Task]
 	if t == nil || t.attempt < r.Attempt && t.ended() {
--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -51,13 +51,20 @@
 
 func (c *Core) reserveReply(now time.Time, from model.WorkerID, r *wire.ReserveReply) {
 	j := c.jobs[r.Job]
-	if j == nil || j.Attempt != r.Attempt || j.Phase != PhaseReserving {
+	if j == nil || j.Attempt != r.Attempt {
 		return
 	}
 	i, ok := j.taskIndex(r.Task)
 	if !ok || j.Tasks[i].Worker != from {
 		return
 	}
+	if r.OK && r.SentMS > j.Tasks[i].ReplyMS {
+		j.Tasks[i].ReplyMS = r.SentMS
+		j.Tasks[i].ReplyAt = now
+	}
+	if j.Phase != PhaseReserving {
+		return
+	}
 	if !r.OK {
 		c.refused(now, from, r)
 		c.abandon(now, j, string(from)+" refused a reservation: "+r.Reason)
@@ -171,9 +178,9 @@
 		c.send(t.Worker, &wire.Launch{
 			Epoch: c.epoch, Job: j.Job.ID, Attempt: j.Attempt, Task: j.Job.Task(i),
 			LeaseMS: c.settings.Lease.Milliseconds(), RunMS: max(1, j.Job.DeclaredRunTime.Milliseconds()-j.DoneMS),
+			AnsweredMS: t.ReplyMS, StartWithinMS: c.settings.Hold.Milliseconds(),
 		})
-		if w := c.workers[t.Worker]; w != nil {
-			w.LastGrant = now
+		if w := c.workers[t.Worker]; w != nil && j.ResendAt.Sub(j.PhaseSince) == c.settings.Resend {
 			w.LastRequest = now
 		}
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -46,7 +46,11 @@
 	Booked bool
 	// GoneAt is when a task on a lost worker has ended for certain.
 	GoneAt time.Time
-	DoneMS int64
+	// ReplyMS is the agent's clock at its last confirmed reservation, and
+	// ReplyAt when that confirmation arrived.
+	ReplyMS int64
+	ReplyAt time.Time
+	DoneMS  int64
 	// Checkpointed is set when the task's work so far is kept.
 	Checkpointed bool
 }
--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -96,14 +96,19 @@
 // recoverJob takes a gang over that is whole, launches one that is reserved on
 // each member, and ends any other.
 func (c *Core) recoverJob(now time.Time, j *JobState) {
+	for i := range j.Tasks {
+		if w := c.workers[j.Tasks[i].Worker]; w == nil || !w.Up {
+			j.Tasks[i].GoneAt = now
+		}
+	}
+	if j.CancelRequested {
+		c.setPhase(now, j, PhaseLaunching)
+		c.endAttempt(now, j, PhaseCancelled, wire.StopCancelled, 0, "cancelled")
+		return
+	}
 	whole := j.allTasks(wire.TaskReserved, wire.TaskStarting, wire.TaskRunning, wire.TaskSuspended, wire.TaskFinished)
 	if !whole {
 		c.setPhase(now, j, PhaseLaunching)
-		for i := range j.Tasks {
-			if w := c.workers[j.Tasks[i].Worker]; w == nil || !w.Up {
-				j.Tasks[i].GoneAt = now
-			}
-		}
 		c.endAttempt(now, j, PhaseQueued, wire.StopGangMemberLost, c.settings.MemberLostGrace, "a member was missing when the owner changed")
 		return
 	}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -29,13 +29,13 @@
 	t.DoneMS = max(t.DoneMS, r.DoneMS)
 	t.Checkpointed = t.Checkpointed || r.Checkpointed
 	switch {
+	case j.Phase == PhaseRecovering:
+		t.State = r.State
 	case isEnded(r.State):
 		c.taskEnded(now, j, i, r)
 	case j.active() && r.State != wire.TaskStopping:
 		t.State = r.State
 		c.checkRunning(now, j)
-	case j.Phase == PhaseRecovering:
-		t.State = r.State
 	}
 }
 
@@ -211,7 +211,11 @@
 		c.taskReport(now, w.Worker.ID, t)
 	}
 	for _, id := range sortedTasks(w) {
-		j := c.jobs[w.tasks[id]]
+		job, booked := w.tasks[id]
+		if !booked {
+			continue
+		}
+		j := c.jobs[job]
 		i, _ := j.taskIndex(id)
 		if attempt, ok := seen[id]; ok && attempt == j.Attempt {
 			continue
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -12,6 +12,9 @@
 	Hold time.Duration
 	// Lease is how long a task runs after the lease request that was granted.
 	Lease time.Duration
+	// LapseMargin is how long after its lease a task has ended for certain,
+	// also when its agent is paused.
+	LapseMargin time.Duration
 	// SilenceLimit is how long a worker with running tasks may ask for no lease.
 	SilenceLimit time.Duration
 	// Resend is the time between two sends of a message that is not confirmed.
@@ -81,6 +84,7 @@
 	return Settings{
 		Hold:                 3 * time.Second,
 		Lease:                2 * time.Second,
+		LapseMargin:          700 * time.Millisecond,
 		SilenceLimit:         1500 * time.Millisecond,
 		Resend:               300 * time.Millisecond,
 		ReserveTimeout:       time.Second,
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -42,9 +42,9 @@
 func (c *Core) cancelJob(now time.Time, j *JobState) {
 	switch j.Phase {
 	case PhaseFinished, PhaseFailed, PhaseCancelled:
-	case PhaseInDoubt, PhaseDeciding:
+	case PhaseInDoubt, PhaseDeciding, PhaseRecovering:
 		j.CancelRequested = true
-		j.explain(now, "cancelled; waits until its decision row is known")
+		j.explain(now, "cancelled; it ends as soon as its decision row and its tasks are known")
 	case PhaseQueued, PhaseParked:
 		c.finalize(now, j, PhaseCancelled, "cancelled while it waited")
 	default:
@@ -63,6 +63,9 @@
 	}
 	j.explain(now, "%s", text)
 	c.dropReservation(j.Job.ID)
+	for i := range j.Tasks {
+		c.unbook(j, i)
+	}
 	c.leaveCell(j)
 	j.Tasks = nil
 	c.record(code, j.Job.ID, string(j.Job.Account), text)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -61,23 +61,44 @@
 
 // tasksGone marks the worker's tasks as ending with their leases and ends their gangs.
 func (c *Core) tasksGone(now time.Time, w *workerState, text string) {
-	gone := w.LastGrant.Add(c.settings.Lease + c.settings.Resend)
-	if gone.Before(now) {
-		gone = now
-	}
 	for _, id := range sortedTasks(w) {
-		j := c.jobs[w.tasks[id]]
+		job, booked := w.tasks[id]
+		if !booked {
+			continue
+		}
+		j := c.jobs[job]
 		i, _ := j.taskIndex(id)
-		j.Tasks[i].GoneAt = gone
+		j.Tasks[i].GoneAt = c.goneAt(now, w, j, i)
 		switch j.Phase {
-		case PhaseDeciding, PhaseInDoubt:
-			// The decision row's result comes first; the launch then times out.
+		case PhaseDeciding, PhaseInDoubt, PhaseRecovering:
+			// The decision row's result or the end of the recovery comes first.
 		default:
 			c.endAttempt(now, j, PhaseQueued, wire.StopGangMemberLost, c.settings.MemberLostGrace, text)
 		}
 	}
 }
 
+// goneAt is when a task on a worker that is not reached has ended for certain:
+// its lease lapsed, a launch under way came too late, a checkpoint's time is over.
+func (c *Core) goneAt(now time.Time, w *workerState, j *JobState, i int) time.Time {
+	gone := now
+	if at := w.LastGrant.Add(c.settings.Lease + c.settings.LapseMargin); at.After(gone) {
+		gone = at
+	}
+	t := j.Tasks[i]
+	if j.Phase == PhaseLaunching && t.State == wire.TaskReserved {
+		if at := t.ReplyAt.Add(c.settings.Hold + c.settings.Lease + c.settings.LapseMargin); at.After(gone) {
+			gone = at
+		}
+	}
+	if j.Phase == PhaseStopping {
+		if at := j.PhaseSince.Add(j.StopGrace + c.settings.LapseMargin); at.After(gone) {
+			gone = at
+		}
+	}
+	return gone
+}
+
 // leaseRequest renews the leases of the worker's tasks whose gangs are whole.
 func (c *Core) leaseRequest(now time.Time, from model.WorkerID, r *wire.LeaseRequest) {
 	w := c.workers[from]
@@ -85,10 +106,11 @@
 		return
 	}
 	w.LastRequest = now
-	grant := &wire.LeaseGrant{Epoch: c.epoch, SentMS: r.SentMS, LeaseMS: c.settings.Lease.Milliseconds()}
+	grant := &wire.LeaseGrant{Epoch: c.epoch, SentMS: r.SentMS}
 	for _, id := range sortedTasks(w) {
-		if j := c.jobs[w.tasks[id]]; j.active() {
-			grant.Tasks = append(grant.Tasks, wire.TaskLease{Task: id, Attempt: j.Attempt})
+		j := c.jobs[w.tasks[id]]
+		if lease := c.gangLease(now, j); lease > 0 {
+			grant.Tasks = append(grant.Tasks, wire.TaskLease{Task: id, Attempt: j.Attempt, LeaseMS: lease.Milliseconds()})
 		}
 	}
 	if len(grant.Tasks) == 0 {
@@ -98,6 +120,29 @@
 	c.send(from, grant)
 }
 
+// gangLease is how long the tasks of a gang may run from now on: until a fixed
+// time after the last word of the member that is silent for longest. So the
+// members stop in time after one of them is lost, also when the owner is lost
+// before it notices.
+func (c *Core) gangLease(now time.Time, j *JobState) time.Duration {
+	if !j.active() {
+		return 0
+	}
+	oldest := now
+	for i := range j.Tasks {
+		switch j.Tasks[i].State {
+		case wire.TaskStarting, wire.TaskRunning, wire.TaskSuspended:
+			if at := c.workers[j.Tasks[i].Worker].LastRequest; at.Before(oldest) {
+				oldest = at
+			}
+		case wire.TaskFinished:
+		default:
+			return 0
+		}
+	}
+	return c.settings.Lease - now.Sub(oldest)
+}
+
 // silent reports whether a worker with leased tasks stopped asking for leases.
 func (c *Core) silent(now time.Time, w *workerState) bool {
 	if !w.Up || now.Sub(w.LastRequest) <= c.settings.SilenceLimit {
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -50,6 +50,8 @@
 	Task    model.TaskID
 	OK      bool
 	Reason  string
+	// SentMS is the agent's own clock when it sent the reply, in milliseconds.
+	SentMS int64
 }
 
 // Launch starts a reserved task, after the gang's decision row is written.
@@ -62,8 +64,14 @@
 	LeaseMS int64
 	// RunMS is the run time handed to the worker.
 	RunMS int64
-	// Renew marks a lease renewal of a task that was launched before.
+	// Renew marks a lease renewal of a task that was launched before. Leases
+	// are renewed by LeaseGrant; a Launch with Renew set starts nothing.
 	Renew bool
+	// AnsweredMS is SentMS of the ReserveReply that the launch follows. The
+	// agent refuses a launch more than StartWithinMS after it, by its own
+	// clock, so that a launch that waited in a paused agent starts nothing.
+	AnsweredMS    int64
+	StartWithinMS int64
 }
 
 // Release gives a reservation back.
@@ -120,20 +128,22 @@
 	SentMS int64
 }
 
-// LeaseGrant renews task leases. Each lease lasts LeaseMS from SentMS of the
-// answered request, by the agent's clock, so that a grant that was held up on
-// its way is worth no more than its age leaves.
+// LeaseGrant renews task leases. Each lease counts from SentMS of the answered
+// request, by the agent's clock, so that a grant that was held up on its way is
+// worth no more than its age leaves.
 type LeaseGrant struct {
-	Epoch   model.Epoch
-	SentMS  int64
-	LeaseMS int64
-	Tasks   []TaskLease
+	Epoch  model.Epoch
+	SentMS int64
+	Tasks  []TaskLease
 }
 
-// TaskLease names one renewed task.
+// TaskLease renews one task for LeaseMS. The owner gives all members of a gang
+// leases that end a fixed time after it last heard of the member that it has
+// not heard of for longest.
 type TaskLease struct {
 	Task    model.TaskID
 	Attempt uint64
+	LeaseMS int64
 }
 
 // WireType implements Message.
