--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,6 @@
 
 demo: build
 	$(GO) run ./internal/tools/demo
+
+capacity: build
+	$(GO) run ./internal/tools/capacity
--- /dev/null
+++ b/internal/tools/capacity/main.go
@@ -0,0 +1,35 @@
+// Command capacity measures the cost of each role and its slope over the size
+// of the fleet: first with the real codec and decision packages, then with
+// regions of real processes that have nothing to do but control. It prints the
+// tables from which docs/CAPACITY.md is written, and stops all that it started.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"dragonflyyard/internal/capacity"
+	"dragonflyyard/internal/settings"
+)
+
+func main() {
+	deployment := flag.String("deployment", "samples/nordeste.yaml", "description of the region")
+	binaries := flag.String("binaries", "bin", "folder with the built programs")
+	flag.Parse()
+	if err := run(*deployment, *binaries); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+}
+
+func run(path, binaries string) error {
+	if err := capacity.Report(os.Stdout); err != nil {
+		return err
+	}
+	d, err := settings.LoadDeployment(path)
+	if err != nil {
+		return err
+	}
+	return measureProcesses(os.Stdout, d, binaries)
+}
--- a/internal/tools/demo/jobs.go
+++ b/internal/tools/demo/jobs.go
@@ -11,7 +11,7 @@
 
 // submit submits a job with dragonflyctl.
 func (s *show) submit(id string, args ...string) error {
-	_, err := s.region.ctl(append([]string{"job", "submit", "--id", id}, args...)...)
+	_, err := s.region.Ctl(append([]string{"job", "submit", "--id", id}, args...)...)
 	if err == nil {
 		s.jobs = append(s.jobs, id)
 	}
@@ -21,7 +21,7 @@
 // statuses returns all jobs as the scheduler's owner lists them.
 func (s *show) statuses() map[string]operatorapi.JobStatus {
 	found := map[string]operatorapi.JobStatus{}
-	out, err := s.region.ctl("--json", "job", "list")
+	out, err := s.region.Ctl("--json", "job", "list")
 	if err != nil {
 		return found
 	}
@@ -60,12 +60,12 @@
 // startsInZone counts the tasks that workers of a zone started after an instant.
 func (s *show) startsInZone(zone string, after time.Time) (int, error) {
 	starts := 0
-	for i := range s.region.d.Agents {
-		if string(s.region.d.AgentSettings(i).Zone) != zone {
+	for i := range s.region.Deployment.Agents {
+		if string(s.region.Deployment.AgentSettings(i).Zone) != zone {
 			continue
 		}
 		var history standin.HistoryResponse
-		if err := s.region.get("http://"+s.region.d.WorkerAddress(i)+standin.PathHistory, &history); err != nil {
+		if err := s.load.get("http://"+s.region.Deployment.WorkerAddress(i)+standin.PathHistory, &history); err != nil {
 			return 0, err
 		}
 		for _, entry := range history.History {
--- a/internal/tools/demo/load.go
+++ b/internal/tools/demo/load.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"dragonflyyard/internal/callerapi"
+	"dragonflyyard/internal/tools/localregion"
 )
 
 // sent is one request with what its caller was told.
@@ -28,7 +29,7 @@
 
 // load sends requests with a number of callers at the same time.
 type load struct {
-	r        *region
+	r        *localregion.Region
 	accounts []string
 	mu       sync.Mutex
 	requests []*sent
@@ -69,7 +70,7 @@
 // cannot be read counts as "cut off".
 func (l *load) post(s *sent, entry int) {
 	const deadlineMS = "8000"
-	url := "http://" + l.r.d.EntryHTTPAddress(entry) + callerapi.PathRequests
+	url := "http://" + l.r.Deployment.EntryHTTPAddress(entry) + callerapi.PathRequests
 	request, err := http.NewRequest(http.MethodPost, url, bytes.NewBufferString(s.body))
 	if err != nil {
 		s.outcome = "cut off"
@@ -79,7 +80,7 @@
 	request.Header.Set(callerapi.HeaderAccount, s.account)
 	request.Header.Set(callerapi.HeaderIdempotent, fmt.Sprint(s.idempotent))
 	request.Header.Set(callerapi.HeaderDeadlineMS, deadlineMS)
-	response, err := l.r.http.Do(request)
+	response, err := l.r.HTTP.Do(request)
 	if err != nil {
 		s.outcome, s.reason = "cut off", err.Error()
 		return
@@ -102,13 +103,13 @@
 }
 
 // ran returns how often the backend servers truly ran each request.
-func (r *region) ran() (map[string]int, error) {
+func (l *load) ran() (map[string]int, error) {
 	counts := map[string]int{}
-	for i := range r.d.Agents {
+	for i := range l.r.Deployment.Agents {
 		var list struct {
 			Ran []string `json:"ran"`
 		}
-		if err := r.get("http://"+r.d.BackendServerAddress(i)+"/ran", &list); err != nil {
+		if err := l.get("http://"+l.r.Deployment.BackendServerAddress(i)+"/ran", &list); err != nil {
 			return nil, err
 		}
 		for _, id := range list.Ran {
@@ -118,8 +119,8 @@
 	return counts, nil
 }
 
-func (r *region) get(url string, into any) error {
-	response, err := r.http.Get(url)
+func (l *load) get(url string, into any) error {
+	response, err := l.r.HTTP.Get(url)
 	if err != nil {
 		return err
 	}
@@ -163,7 +164,7 @@
 
 // waitFor sends requests one by one until one is answered.
 func (l *load) waitFor(entry int, limit time.Duration) error {
-	return await("a first answer through each entry host", limit, func() bool {
+	return localregion.Await("a first answer through each entry host", limit, func() bool {
 		s := &sent{id: uuid.Must(uuid.NewV7()).String(), account: l.accounts[0], body: "first"}
 		l.post(s, entry)
 		return s.outcome == "answered"
--- a/internal/tools/demo/main.go
+++ b/internal/tools/demo/main.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"dragonflyyard/internal/settings"
+	"dragonflyyard/internal/tools/localregion"
 )
 
 // demoLimit bounds the demo as a whole.
@@ -38,17 +39,17 @@
 		return err
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	r, err := newRegion(d, binaries, folder)
+	r, err := localregion.New(d, binaries, folder)
 	if err != nil {
 		return err
 	}
 	timer := time.AfterFunc(demoLimit, func() {
 		fmt.Fprintln(os.Stderr, "demo: took longer than", demoLimit)
-		r.stopAll()
+		r.StopAll()
 		os.Exit(1)
 	})
 	defer timer.Stop()
-	defer r.stopAll()
+	defer r.StopAll()
 	s := &show{region: r, answers: filepath.Join(filepath.Dir(path), d.Answers), began: time.Now()}
 	return s.run()
 }
--- a/internal/tools/demo/show.go
+++ b/internal/tools/demo/show.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"dragonflyyard/internal/tools/localregion"
 )
 
 // Bounds that the demo holds the system to.
@@ -24,7 +26,7 @@
 
 // show is the sequence of the demo's steps.
 type show struct {
-	region  *region
+	region  *localregion.Region
 	answers string
 	began   time.Time
 	load    *load
@@ -74,34 +76,34 @@
 }
 
 func (s *show) startRegion() error {
-	if err := s.region.start(); err != nil {
+	if err := s.region.Start(); err != nil {
 		return err
 	}
-	config := filepath.Join(s.region.folder, "config.yaml")
-	if _, err := s.region.ctl("questionnaire", "--answers", s.answers, "--output", config); err != nil {
+	config := filepath.Join(s.region.Folder, "config.yaml")
+	if _, err := s.region.Ctl("questionnaire", "--answers", s.answers, "--output", config); err != nil {
 		return err
 	}
-	err := await("the region takes a configuration", startLimit, func() bool {
-		_, err := s.region.ctl("config", "set", config)
+	err := localregion.Await("the region takes a configuration", startLimit, func() bool {
+		_, err := s.region.Ctl("config", "set", config)
 		return err == nil
 	})
 	if err != nil {
-		_, err = s.region.ctl("config", "set", config)
+		_, err = s.region.Ctl("config", "set", config)
 		return err
 	}
 	s.load = &load{r: s.region, accounts: []string{"judges", "cooperatives", "producers", "organisers"}}
-	for entry := range s.region.d.Entries {
+	for entry := range s.region.Deployment.Entries {
 		if err := s.load.waitFor(entry, startLimit); err != nil {
 			return err
 		}
 	}
-	s.say("%d entry hosts and %d agents in zones %s serve", s.region.d.Entries, s.region.d.Agents, join(s.region.d.Zones))
+	s.say("%d entry hosts and %d agents in zones %s serve", s.region.Deployment.Entries, s.region.Deployment.Agents, join(s.region.Deployment.Zones))
 	return nil
 }
 
 func (s *show) allEntries() []int {
 	var all []int
-	for i := range s.region.d.Entries {
+	for i := range s.region.Deployment.Entries {
 		all = append(all, i)
 	}
 	return all
@@ -115,7 +117,7 @@
 	first := s.load.requests[0]
 	again := &sent{id: first.id, account: first.account, idempotent: first.idempotent, body: first.body}
 	s.load.post(again, 1)
-	ran, err := s.region.ran()
+	ran, err := s.load.ran()
 	if err != nil {
 		return err
 	}
@@ -125,14 +127,14 @@
 
 // runGang fills the fleet with borrowed work and then claims a guaranteed shape.
 func (s *show) runGang() error {
-	for i := range s.region.d.Agents {
+	for i := range s.region.Deployment.Agents {
 		if err := s.submit(fmt.Sprintf("borrowed-%d", i+1), "--account", "organisers", "--accelerators", "8", "--cores", "32",
 			"--memory-mb", "65536", "--run-time", "8s", "--checkpoint"); err != nil {
 			return err
 		}
 	}
-	full := func() bool { return s.countRunning() == s.region.d.Agents }
-	if err := await("borrowed work fills the fleet", startLimit, full); err != nil {
+	full := func() bool { return s.countRunning() == s.region.Deployment.Agents }
+	if err := localregion.Await("borrowed work fills the fleet", startLimit, full); err != nil {
 		return err
 	}
 	began := time.Now()
@@ -140,7 +142,7 @@
 		"--memory-mb", "65536", "--topology", "rack", "--run-time", "4s"); err != nil {
 		return err
 	}
-	if err := await("the gang runs", startLimit, func() bool { return s.state("scoring") == "running" }); err != nil {
+	if err := localregion.Await("the gang runs", startLimit, func() bool { return s.state("scoring") == "running" }); err != nil {
 		return err
 	}
 	took := time.Since(began)
@@ -149,8 +151,8 @@
 }
 
 func (s *show) changeZone() error {
-	zone := string(s.region.d.Zones[1])
-	if _, err := s.region.ctl("zone", "out", zone); err != nil {
+	zone := string(s.region.Deployment.Zones[1])
+	if _, err := s.region.Ctl("zone", "out", zone); err != nil {
 		return err
 	}
 	out := time.Now()
@@ -166,11 +168,11 @@
 		return err
 	}
 	s.promise(late == 0, "no task started in %s more than %s after it was taken out (%d did)", zone, zoneBound, late)
-	if _, err := s.region.ctl("zone", "in", zone); err != nil {
+	if _, err := s.region.Ctl("zone", "in", zone); err != nil {
 		return err
 	}
 	back := time.Now()
-	resumed := await("work resumes in "+zone, startLimit, func() bool {
+	resumed := localregion.Await("work resumes in "+zone, startLimit, func() bool {
 		starts, err := s.startsInZone(zone, back)
 		return err == nil && starts > 0
 	})
@@ -180,25 +182,25 @@
 
 func (s *show) killAgent() error {
 	const count, callers = 300, 32
-	victim := s.region.agents[s.region.d.Agents-1]
+	victim := s.region.Agents[s.region.Deployment.Agents-1]
 	s.load.run(count, callers, s.allEntries(), func() {
-		victim.signal(syscall.SIGKILL)
-		s.say("killed %s", victim.name)
+		victim.Signal(syscall.SIGKILL)
+		s.say("killed %s", victim.Name)
 	})
 	return s.checkLoad()
 }
 
 func (s *show) stopEntry() error {
 	const count, callers = 300, 32
-	last := s.region.d.Entries - 1
+	last := s.region.Deployment.Entries - 1
 	others := s.allEntries()[:last]
 	before := len(s.load.requests)
-	stopping := s.region.entries[last]
+	stopping := s.region.Entries[last]
 	// The balancer sends nothing to a host once its health check fails, so the
 	// requests of this host end with the signal.
 	s.load.run(count, callers, s.allEntries(), nil)
-	s.load.run(count, callers, others, func() { stopping.signal(syscall.SIGTERM) })
-	s.promise(stopping.awaitExit(startLimit), "%s stopped by itself", stopping.name)
+	s.load.run(count, callers, others, func() { stopping.Signal(syscall.SIGTERM) })
+	s.promise(stopping.AwaitExit(startLimit), "%s stopped by itself", stopping.Name)
 	cut := 0
 	for _, r := range s.load.requests[before:] {
 		if r.outcome == "cut off" {
@@ -211,7 +213,7 @@
 
 // checkLoad compares all outcomes so far with what the backend servers ran.
 func (s *show) checkLoad() error {
-	ran, err := s.region.ran()
+	ran, err := s.load.ran()
 	if err != nil {
 		return err
 	}
@@ -224,14 +226,14 @@
 }
 
 func (s *show) report() error {
-	ended := await("all jobs end", startLimit, func() bool { return s.countEnded() == len(s.jobs) })
-	list, err := s.region.ctl("job", "list")
+	ended := localregion.Await("all jobs end", startLimit, func() bool { return s.countEnded() == len(s.jobs) })
+	list, err := s.region.Ctl("job", "list")
 	if err != nil {
 		return err
 	}
 	fmt.Println("\nJobs:\n" + list)
 	s.promise(ended == nil, "%d of %d jobs ended", s.countEnded(), len(s.jobs))
-	explained, err := s.region.ctl("job", "explain", "scoring")
+	explained, err := s.region.Ctl("job", "explain", "scoring")
 	if err != nil {
 		return err
 	}
@@ -252,13 +254,13 @@
 // timeline prints the merged time line of the gang and of the zone that left.
 func (s *show) timeline() error {
 	args := []string{"timeline"}
-	for i := range s.region.d.Agents {
-		if i != s.region.d.Agents-1 {
-			args = append(args, "--process", s.region.d.AgentHTTPAddress(i))
+	for i := range s.region.Deployment.Agents {
+		if i != s.region.Deployment.Agents-1 {
+			args = append(args, "--process", s.region.Deployment.AgentHTTPAddress(i))
 		}
 	}
-	for _, filter := range [][]string{{"--job", "scoring"}, {"--zone", string(s.region.d.Zones[1])}} {
-		lines, err := s.region.ctl(append(append([]string{}, args...), filter...)...)
+	for _, filter := range [][]string{{"--job", "scoring"}, {"--zone", string(s.region.Deployment.Zones[1])}} {
+		lines, err := s.region.Ctl(append(append([]string{}, args...), filter...)...)
 		if err != nil && lines == "" {
 			return err
 		}
--- a/internal/tools/demo/region.go
+++ b/internal/tools/localregion/region.go
@@ -1,4 +1,7 @@
-package main
+// Package localregion starts and stops all processes of a region on this
+// machine, with stand-ins for the platform. The demo and the measurements use
+// it; the product's own programs start no process.
+package localregion
 
 import (
 	"bytes"
@@ -18,34 +21,38 @@
 	"dragonflyyard/internal/settings"
 )
 
-// child is one process that the demo started.
-type child struct {
-	name   string
+// Child is one process of a region.
+type Child struct {
+	Name   string
 	cmd    *exec.Cmd
 	log    *os.File
 	exited chan struct{}
 	err    error
 }
 
-// region is the set of processes of the demo.
-type region struct {
-	d        settings.Deployment
+// Region is the set of processes of one region. Its folder holds their settings
+// and logs.
+type Region struct {
+	Deployment settings.Deployment
+	Folder     string
+	Entries    []*Child
+	Agents     []*Child
+	HTTP       *http.Client
+
 	binaries string
-	folder   string
-	standin  *child
-	entries  []*child
-	agents   []*child
-	http     *http.Client
+	standin  *Child
 }
 
-func newRegion(d settings.Deployment, binaries, folder string) (*region, error) {
+// New returns a region whose ports are free from the deployment's first one on.
+// Programs are taken from the folder binaries.
+func New(d settings.Deployment, binaries, folder string) (*Region, error) {
 	first, err := freePorts(d.Host, d.FirstPort, d.Ports())
 	if err != nil {
 		return nil, err
 	}
 	d.FirstPort = first
 	transport := &http.Transport{MaxIdleConnsPerHost: 256}
-	return &region{d: d, binaries: binaries, folder: folder, http: &http.Client{Transport: transport, Timeout: 15 * time.Second}}, nil
+	return &Region{Deployment: d, binaries: binaries, Folder: folder, HTTP: &http.Client{Transport: transport, Timeout: 15 * time.Second}}, nil
 }
 
 // freePorts returns the first port from start on that count free ports follow.
@@ -67,45 +74,45 @@
 	return 0, errors.Newf("no %d free ports in a row from %d on", count, start)
 }
 
-// start starts every process of the region.
-func (r *region) start() error {
+// Start starts every process of the region.
+func (r *Region) Start() error {
 	var err error
-	if r.standin, err = r.launch("standin", "dragonfly-standin", r.d.StandInSettings()); err != nil {
+	if r.standin, err = r.launch("standin", "dragonfly-standin", r.Deployment.StandInSettings()); err != nil {
 		return err
 	}
-	for i := range r.d.Entries {
-		s := r.d.EntrySettings(i)
+	for i := range r.Deployment.Entries {
+		s := r.Deployment.EntrySettings(i)
 		c, err := r.launch(string(s.ID), "dragonfly-entry", s)
 		if err != nil {
 			return err
 		}
-		r.entries = append(r.entries, c)
+		r.Entries = append(r.Entries, c)
 	}
-	for i := range r.d.Agents {
-		s := r.d.AgentSettings(i)
+	for i := range r.Deployment.Agents {
+		s := r.Deployment.AgentSettings(i)
 		c, err := r.launch(string(s.ID), "dragonfly-agent", s)
 		if err != nil {
 			return err
 		}
-		r.agents = append(r.agents, c)
+		r.Agents = append(r.Agents, c)
 	}
 	return nil
 }
 
-func (r *region) launch(name, program string, config any) (*child, error) {
+func (r *Region) launch(name, program string, config any) (*Child, error) {
 	encoded, err := yaml.Marshal(config)
 	if err != nil {
 		return nil, errors.Wrapf(err, "encode settings of %s", name)
 	}
-	path := filepath.Join(r.folder, name+".yaml")
+	path := filepath.Join(r.Folder, name+".yaml")
 	if err := os.WriteFile(path, encoded, 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(r.folder, name+".log"))
+	log, err := os.Create(filepath.Join(r.Folder, name+".log"))
 	if err != nil {
 		return nil, err
 	}
-	c := &child{name: name, log: log, exited: make(chan struct{})}
+	c := &Child{Name: name, log: log, exited: make(chan struct{})}
 	c.cmd = exec.Command(filepath.Join(r.binaries, program), "--settings", path)
 	c.cmd.Stdout, c.cmd.Stderr = log, log
 	if err := c.cmd.Start(); err != nil {
@@ -119,10 +126,14 @@
 	return c, nil
 }
 
-func (c *child) signal(s syscall.Signal) { _ = c.cmd.Process.Signal(s) }
+// PID returns the process's ID.
+func (c *Child) PID() int { return c.cmd.Process.Pid }
+
+// Signal sends a signal to the process.
+func (c *Child) Signal(s syscall.Signal) { _ = c.cmd.Process.Signal(s) }
 
-// awaitExit waits for the process's end and returns false when it takes too long.
-func (c *child) awaitExit(limit time.Duration) bool {
+// AwaitExit waits for the process's end and returns false when it takes too long.
+func (c *Child) AwaitExit(limit time.Duration) bool {
 	select {
 	case <-c.exited:
 		return true
@@ -131,31 +142,31 @@
 	}
 }
 
-// stopAll ends all processes: gracefully first, by force when that takes too long.
-func (r *region) stopAll() {
+// StopAll ends all processes: gracefully first, by force when that takes too long.
+func (r *Region) StopAll() {
 	const patience = 5 * time.Second
-	all := append(append([]*child{}, r.agents...), r.entries...)
+	all := append(append([]*Child{}, r.Agents...), r.Entries...)
 	for _, c := range all {
-		c.signal(syscall.SIGTERM)
+		c.Signal(syscall.SIGTERM)
 	}
 	deadline := time.Now().Add(patience)
 	for _, c := range all {
-		if !c.awaitExit(time.Until(deadline)) {
-			c.signal(syscall.SIGKILL)
+		if !c.AwaitExit(time.Until(deadline)) {
+			c.Signal(syscall.SIGKILL)
 			<-c.exited
 		}
 	}
 	if r.standin != nil {
-		r.standin.signal(syscall.SIGKILL)
+		r.standin.Signal(syscall.SIGKILL)
 		<-r.standin.exited
 	}
 }
 
-// ctl runs dragonflyctl against all entry hosts and returns its output.
-func (r *region) ctl(args ...string) (string, error) {
+// Ctl runs dragonflyctl against all entry hosts and returns its output.
+func (r *Region) Ctl(args ...string) (string, error) {
 	var all []string
-	for i := range r.d.Entries {
-		all = append(all, "--entry", r.d.EntryHTTPAddress(i))
+	for i := range r.Deployment.Entries {
+		all = append(all, "--entry", r.Deployment.EntryHTTPAddress(i))
 	}
 	cmd := exec.Command(filepath.Join(r.binaries, "dragonflyctl"), append(all, args...)...)
 	var out, errOut bytes.Buffer
@@ -167,8 +178,8 @@
 	return out.String(), nil
 }
 
-// await polls a condition until it holds.
-func await(what string, limit time.Duration, condition func() bool) error {
+// Await polls a condition until it holds.
+func Await(what string, limit time.Duration, condition func() bool) error {
 	deadline := time.Now().Add(limit)
 	for !condition() {
 		if time.Now().After(deadline) {
