Drive jobs and tasks by their state charts

Cause: the cores kept their own phases beside charts/gang.yaml and task.yaml. An event that a state does not know changes nothing. PhaseFailed is gone: a job that fails is tried again or parked. Ruled out: worker_lost as an event of a task, since an agent cannot tell it from a failure; the owner sees it as member_lost.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -219,7 +219,7 @@
 		Tasks: j.Job.Shape.Tasks, Attempt: j.Attempt, Submitted: j.Job.Submitted,
 	}
 	switch j.Phase {
-	case scheduler.PhaseFinished, scheduler.PhaseFailed, scheduler.PhaseCancelled:
+	case scheduler.PhaseFinished, scheduler.PhaseCancelled:
 		status.Ended = string(j.Phase)
 	}
 	return status
--- a/internal/gang/member.go
+++ b/internal/gang/member.go
@@ -165,7 +165,7 @@
 func (m *Member) stopAll(now time.Time, grace time.Duration) {
 	m.stopping = true
 	for _, id := range slices.Clone(m.order) {
-		m.beginStop(now, m.tasks[id], grace, wire.StopReason("agent_stopping"))
+		m.beginStop(now, m.tasks[id], eventStopOrdered, grace, wire.StopReason("agent_stopping"))
 	}
 }
 
--- a/internal/gang/receive.go
+++ b/internal/gang/receive.go
@@ -112,7 +112,7 @@
 		if t.job != job || t.attempt >= attempt || t.ended() {
 			continue
 		}
-		m.beginStop(now, t, 0, wire.StopGangMemberLost)
+		m.beginStop(now, t, eventStopOrdered, 0, wire.StopGangMemberLost)
 		busy = busy || t.holdsCapacity()
 	}
 	return busy
@@ -144,7 +144,7 @@
 		}
 		if reason != "" {
 			m.record(event.TaskRefused, t.job, string(t.id), reason)
-			m.end(now, t, wire.TaskStopped, reason)
+			m.end(now, t, eventLaunchRefused, reason)
 		} else {
 			m.start(now, t, l)
 		}
@@ -153,7 +153,7 @@
 }
 
 func (m *Member) start(now time.Time, t *task, l *wire.Launch) {
-	t.state = wire.TaskStarting
+	t.fire(eventLaunched)
 	t.until = now.Add(time.Duration(l.LeaseMS) * time.Millisecond)
 	m.do(StartTask{
 		Job: t.job, Attempt: t.attempt, Task: t.id, Needs: t.needs, RunMS: l.RunMS,
@@ -196,8 +196,11 @@
 	if !now.Before(until) {
 		return
 	}
-	if t.state == wire.TaskSuspended {
-		t.state = wire.TaskRunning
+	suspended := t.state == wire.TaskSuspended
+	if !t.fire(eventLeaseRenewed) {
+		return
+	}
+	if suspended {
 		t.until = until
 		m.do(ThrottleTask{Task: t.id, Percent: 100})
 		m.record(event.TaskResumed, t.job, string(t.id), "")
@@ -216,14 +219,14 @@
 		return
 	}
 	if t.attempt == r.Attempt && t.state == wire.TaskReserved {
-		m.end(now, t, wire.TaskStopped, "reservation released")
+		m.end(now, t, eventReleased, "reservation released")
 	}
 }
 
 // remember keeps an attempt as ended, so that a reservation that arrives late is refused.
 func (m *Member) remember(now time.Time, job model.JobID, attempt uint64, id model.TaskID, detail string) *task {
-	t := &task{id: id, job: job, attempt: attempt}
-	m.end(now, t, wire.TaskStopped, detail)
+	t := &task{id: id, job: job, attempt: attempt, state: wire.TaskReserved}
+	m.end(now, t, eventReleased, detail)
 	m.insert(t)
 	return t
 }
@@ -239,7 +242,7 @@
 		})
 		return
 	}
-	m.beginStop(now, t, time.Duration(s.GraceMS)*time.Millisecond, s.Reason)
+	m.beginStop(now, t, eventStopOrdered, time.Duration(s.GraceMS)*time.Millisecond, s.Reason)
 	if t.ended() {
 		m.sendReport(t)
 	}
--- a/internal/gang/task.go
+++ b/internal/gang/task.go
@@ -6,6 +6,7 @@
 
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/statechart"
 	"dragonflyyard/internal/wire"
 )
 
@@ -69,11 +70,11 @@
 		switch t.state {
 		case wire.TaskReserved:
 			m.record(event.ReservationExpired, t.job, string(id), "")
-			m.end(now, t, wire.TaskStopped, "reservation expired")
+			m.end(now, t, eventHoldExpired, "reservation expired")
 		case wire.TaskStarting, wire.TaskRunning:
 			m.suspend(now, t)
 		case wire.TaskSuspended:
-			m.beginStop(now, t, m.settings.LapseGrace, wire.StopLeaseLapsed)
+			m.beginStop(now, t, eventSuspensionExpired, m.settings.LapseGrace, wire.StopLeaseLapsed)
 		case wire.TaskStopping:
 			t.until = now.Add(time.Second)
 			m.do(StopTask{Task: id})
@@ -84,7 +85,7 @@
 }
 
 func (m *Member) suspend(now time.Time, t *task) {
-	t.state = wire.TaskSuspended
+	t.fire(eventLeaseLapsed)
 	t.until = now.Add(m.settings.SuspendHold)
 	m.do(ThrottleTask{Task: t.id, Percent: 0})
 	m.do(ExtendLease{Task: t.id, LeaseUntil: m.workerLease(now)})
@@ -93,23 +94,25 @@
 }
 
 // end keeps only the memory of a task, so that late messages about it are refused.
-func (m *Member) end(now time.Time, t *task, state wire.TaskState, detail string) {
-	t.state = state
+func (m *Member) end(now time.Time, t *task, e statechart.Event, detail string) {
+	t.fire(e)
 	t.detail = detail
 	t.until = now.Add(m.settings.TombstoneHold)
 }
 
 // beginStop ends a task: a reservation at once, a running one after a checkpoint.
-func (m *Member) beginStop(now time.Time, t *task, grace time.Duration, reason wire.StopReason) {
+func (m *Member) beginStop(now time.Time, t *task, e statechart.Event, grace time.Duration, reason wire.StopReason) {
 	switch {
 	case t.ended() || t.state == wire.TaskStopping && grace > 0:
 		return
 	case t.state == wire.TaskReserved:
-		m.end(now, t, wire.TaskStopped, string(reason))
+		m.end(now, t, e, string(reason))
 		m.sendReport(t)
 		return
 	}
-	t.state = wire.TaskStopping
+	if !t.fire(e) {
+		return
+	}
 	t.reason = reason
 	m.record(event.TaskStopping, t.job, string(t.id), string(reason))
 	if grace <= 0 {
@@ -138,16 +141,15 @@
 	}
 	t.doneMS = max(t.doneMS, in.DoneMS)
 	t.checkpointed = t.checkpointed || in.Checkpointed
-	switch in.State {
-	case wire.TaskRunning:
-		if t.state == wire.TaskStarting {
-			t.state = wire.TaskRunning
-		}
-	case wire.TaskFinished, wire.TaskFailed, wire.TaskStopped:
-		m.end(now, t, in.State, in.Detail)
-		m.record(event.TaskEnded, t.job, string(t.id), in.Detail)
-	default:
+	e, known := workerEvents[in.State]
+	if !known {
 		return
 	}
+	if e == eventWorkerStarted {
+		t.fire(e)
+	} else {
+		m.end(now, t, e, in.Detail)
+		m.record(event.TaskEnded, t.job, string(t.id), in.Detail)
+	}
 	m.sendReport(t)
 }
--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -5,6 +5,7 @@
 
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/statechart"
 	"dragonflyyard/internal/wire"
 )
 
@@ -20,7 +21,7 @@
 	}
 	j.explain(now, "attempt %d placed on %s: %s", j.Attempt, workerList(workers), why)
 	c.record(event.JobReserving, j.Job.ID, string(j.Job.Account), "")
-	c.setPhase(now, j, PhaseClearing)
+	c.fire(now, j, eventPlaced)
 	c.checkCleared(now, j)
 }
 
@@ -32,7 +33,7 @@
 			return
 		}
 	}
-	c.setPhase(now, j, PhaseReserving)
+	c.fire(now, j, eventCleared)
 	c.sendReserves(now, j)
 }
 
@@ -67,12 +68,12 @@
 	}
 	if !r.OK {
 		c.refused(now, from, r)
-		c.abandon(now, j, string(from)+" refused a reservation: "+r.Reason)
+		c.abandon(now, j, eventReserveRefused, string(from)+" refused a reservation: "+r.Reason)
 		return
 	}
 	j.Tasks[i].State = wire.TaskReserved
 	if j.allTasks(wire.TaskReserved) {
-		c.setPhase(now, j, PhaseDeciding)
+		c.fire(now, j, eventAllReserved)
 		j.ResendAt = now.Add(c.settings.Hold / 3)
 		c.do(WriteDecision{Row: j.row(c.epoch)})
 	}
@@ -88,7 +89,7 @@
 }
 
 // abandon gives up an attempt of which no task was launched.
-func (c *Core) abandon(now time.Time, j *JobState, text string) {
+func (c *Core) abandon(now time.Time, j *JobState, e statechart.Event, text string) {
 	for i, t := range j.Tasks {
 		c.send(t.Worker, &wire.Release{Epoch: c.epoch, Job: j.Job.ID, Attempt: j.Attempt, Task: j.Job.Task(i)})
 		c.unbook(j, i)
@@ -96,17 +97,24 @@
 	j.Refusals++
 	delay := min(c.settings.Backoff<<min(j.Refusals-1, 16), c.settings.MaxBackoff)
 	j.NotBefore = now.Add(delay)
-	c.requeue(now, j, text)
+	c.requeue(now, j, e, text)
 }
 
 // requeue makes a job without tasks wait for its next attempt.
-func (c *Core) requeue(now time.Time, j *JobState, text string) {
+func (c *Core) requeue(now time.Time, j *JobState, e statechart.Event, text string) {
 	c.leaveCell(j)
 	j.Tasks = nil
 	j.StopAfterDecision = false
 	j.StartedAt = time.Time{}
 	if j.CancelRequested {
-		c.finalize(now, j, PhaseCancelled, "cancelled")
+		if e == eventStoppedForRetry {
+			e = eventStoppedForGood
+		}
+		if e != eventStoppedForGood && e != eventCancelled {
+			c.fire(now, j, e)
+			e = eventCancelled
+		}
+		c.finalize(now, j, e, "cancelled")
 		return
 	}
 	j.explain(now, "%s; it waits again", text)
@@ -115,7 +123,7 @@
 		c.do(SaveJob{Row: j.row(c.epoch)})
 	}
 	j.Committed = false
-	c.setPhase(now, j, PhaseQueued)
+	c.fire(now, j, e)
 }
 
 // leaveCell frees the cell that an attempt occupied.
@@ -138,34 +146,33 @@
 	case DecisionCommitted:
 		c.committed(now, j)
 	case DecisionRefused:
-		c.abandon(now, j, "the table service refused the decision row")
+		c.abandon(now, j, eventDecisionRefused, "the table service refused the decision row")
 	case DecisionUnavailable:
 		if j.Phase == PhaseInDoubt {
 			return
 		}
-		c.abandon(now, j, "the table service was down")
+		c.abandon(now, j, eventDecisionRefused, "the table service was down")
 	case DecisionInDoubt:
 		if j.Phase == PhaseDeciding {
 			j.explain(now, "the result of its decision row's write is not known; it is read back")
 			c.record(event.DecisionInDoubt, j.Job.ID, "", "")
-			c.setPhase(now, j, PhaseInDoubt)
+			c.fire(now, j, eventDecisionInDoubt)
 		}
 	}
 }
 
 func (c *Core) committed(now time.Time, j *JobState) {
 	j.Committed = true
+	c.fire(now, j, eventDecisionAccepted)
 	if j.CancelRequested {
-		c.endAttempt(now, j, PhaseCancelled, wire.StopCancelled, 0, "cancelled")
+		c.endAttempt(now, j, eventCancelled, PhaseCancelled, wire.StopCancelled, 0, "cancelled")
 		return
 	}
 	if j.StopAfterDecision {
-		c.setPhase(now, j, PhaseLaunching)
-		c.endAttempt(now, j, PhaseQueued, wire.StopReclaimed, 0, "stopped before its launch")
+		c.endAttempt(now, j, eventReclaimed, PhaseQueued, wire.StopReclaimed, 0, "stopped before its launch")
 		return
 	}
 	c.record(event.JobPlaced, j.Job.ID, string(j.Job.Account), "")
-	c.setPhase(now, j, PhaseLaunching)
 	c.sendLaunches(now, j)
 }
 
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -104,7 +104,7 @@
 		v.explain(now, "%s, as soon as its decision row is known", text)
 		return
 	}
-	c.endAttempt(now, v, PhaseQueued, reason, c.settings.CheckpointGrace, text)
+	c.endAttempt(now, v, eventReclaimed, PhaseQueued, reason, c.settings.CheckpointGrace, text)
 }
 
 // cover gives cells their places and tells operators what changed.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -177,23 +177,6 @@
 	}
 }
 
-// setPhase moves a job to a phase and keeps the phase index.
-func (c *Core) setPhase(now time.Time, j *JobState, p Phase) {
-	delete(c.phases[j.Phase], j.Job.ID)
-	if j.Phase == PhaseQueued {
-		c.dequeue(j)
-	}
-	if c.phases[p] == nil {
-		c.phases[p] = map[model.JobID]struct{}{}
-	}
-	c.phases[p][j.Job.ID] = struct{}{}
-	j.setPhase(now, p)
-	if p == PhaseQueued {
-		c.enqueue(j)
-		c.scheduleDue = true
-	}
-}
-
 // inPhase returns the jobs of a phase in the order of their IDs.
 func (c *Core) inPhase(p Phase) []*JobState {
 	ids := make([]model.JobID, 0, len(c.phases[p]))
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -24,7 +24,6 @@
 	PhaseRecovering Phase = "recovering"
 	PhaseParked     Phase = "parked"
 	PhaseFinished   Phase = "finished"
-	PhaseFailed     Phase = "failed"
 	PhaseCancelled  Phase = "cancelled"
 )
 
@@ -117,12 +116,6 @@
 	}
 }
 
-func (j *JobState) setPhase(now time.Time, p Phase) {
-	j.Phase = p
-	j.PhaseSince = now
-	j.ResendAt = now
-}
-
 // placed reports whether the job has an attempt under way.
 func (j *JobState) placed() bool { return len(j.Tasks) > 0 }
 
--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -49,10 +49,9 @@
 		j.Tasks = append(j.Tasks, TaskState{Worker: w})
 		c.book(j, i)
 	}
+	c.enter(now, j, PhaseQueued)
 	if j.placed() {
-		c.setPhase(now, j, PhaseRecovering)
-	} else {
-		c.setPhase(now, j, PhaseQueued)
+		c.fire(now, j, eventRowFound)
 	}
 }
 
@@ -102,21 +101,20 @@
 		}
 	}
 	if j.CancelRequested {
-		c.setPhase(now, j, PhaseLaunching)
-		c.endAttempt(now, j, PhaseCancelled, wire.StopCancelled, 0, "cancelled")
+		c.fire(now, j, eventOwnerChanged)
+		c.endAttempt(now, j, eventCancelled, PhaseCancelled, wire.StopCancelled, 0, "cancelled")
 		return
 	}
 	whole := j.allTasks(wire.TaskReserved, wire.TaskStarting, wire.TaskRunning, wire.TaskSuspended, wire.TaskFinished)
 	if !whole {
-		c.setPhase(now, j, PhaseLaunching)
-		c.endAttempt(now, j, PhaseQueued, wire.StopGangMemberLost, c.settings.MemberLostGrace, "a member was missing when the owner changed")
+		c.endAttempt(now, j, eventMemberLost, PhaseQueued, wire.StopGangMemberLost, c.settings.MemberLostGrace, "a member was missing when the owner changed")
 		return
 	}
+	c.fire(now, j, eventOwnerChanged)
 	if j.allTasks(wire.TaskFinished) {
-		c.jobFinished(now, j)
+		c.checkRunning(now, j)
 		return
 	}
-	c.setPhase(now, j, PhaseLaunching)
 	j.explain(now, "taken over by the owner of epoch %d", c.epoch)
 	c.sendLaunches(now, j)
 }
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -6,6 +6,7 @@
 
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/statechart"
 	"dragonflyyard/internal/wire"
 )
 
@@ -57,7 +58,7 @@
 	}
 	j.StartedAt = now
 	j.Refusals = 0
-	c.setPhase(now, j, PhaseRunning)
+	c.fire(now, j, eventAllStarted)
 	if j.allTasks(wire.TaskFinished) {
 		c.jobFinished(now, j)
 	}
@@ -83,7 +84,7 @@
 		c.taskFailed(now, j, i, r)
 	default:
 		text := fmt.Sprintf("task %d ended on %s: %s", i, j.Tasks[i].Worker, r.Detail)
-		c.endAttempt(now, j, PhaseQueued, wire.StopGangMemberLost, c.settings.MemberLostGrace, text)
+		c.endAttempt(now, j, eventMemberLost, PhaseQueued, wire.StopGangMemberLost, c.settings.MemberLostGrace, text)
 	}
 }
 
@@ -96,7 +97,7 @@
 			c.record(event.WorkerReturned, j.Job.ID, string(t.Worker), "")
 		}
 	}
-	c.finalize(now, j, PhaseFinished, "all tasks finished")
+	c.finalize(now, j, eventAllFinished, "all tasks finished")
 }
 
 // taskFailed ends a gang whose task failed, and counts the failure against the
@@ -114,7 +115,7 @@
 	if verdict.Park {
 		next = PhaseParked
 	}
-	c.endAttempt(now, j, next, wire.StopGangMemberLost, 0, text)
+	c.endAttempt(now, j, eventMemberFailed, next, wire.StopGangMemberLost, 0, text)
 }
 
 // park sets a job aside that failed on several distinct workers.
@@ -125,11 +126,12 @@
 	j.explain(now, "%s", text)
 	c.record(event.JobParked, j.Job.ID, string(j.Job.Account), text)
 	c.do(Notify{Alarm: AlarmJobParked, Subject: string(j.Job.ID), Text: text})
-	c.setPhase(now, j, PhaseParked)
+	c.fire(now, j, eventStoppedAndParked)
 }
 
-// endAttempt stops all tasks of a job. The job moves to next when all have ended.
-func (c *Core) endAttempt(now time.Time, j *JobState, next Phase, reason wire.StopReason, grace time.Duration, text string) {
+// endAttempt stops all tasks of a job after an event. The job moves to next when
+// all have ended.
+func (c *Core) endAttempt(now time.Time, j *JobState, e statechart.Event, next Phase, reason wire.StopReason, grace time.Duration, text string) {
 	if j.Phase == PhaseStopping {
 		if next != PhaseQueued {
 			j.Next = next
@@ -138,7 +140,10 @@
 	}
 	if j.Phase == PhaseReserving || j.Phase == PhaseClearing {
 		j.CancelRequested = j.CancelRequested || next == PhaseCancelled
-		c.abandon(now, j, text)
+		c.abandon(now, j, e, text)
+		return
+	}
+	if !c.fire(now, j, e) {
 		return
 	}
 	j.explain(now, "%s", text)
@@ -146,7 +151,6 @@
 	if !j.Job.CanCheckpoint {
 		j.StopGrace = 0
 	}
-	c.setPhase(now, j, PhaseStopping)
 	c.sendStops(now, j)
 	c.checkStopped(now, j)
 }
@@ -181,10 +185,10 @@
 		c.park(now, j)
 		return
 	default:
-		c.finalize(now, j, j.Next, string(j.Next))
+		c.finalize(now, j, eventStoppedForGood, "cancelled; all its tasks have ended")
 		return
 	}
-	c.requeue(now, j, "its tasks were stopped: "+string(j.StopReason))
+	c.requeue(now, j, eventStoppedForRetry, "its tasks were stopped: "+string(j.StopReason))
 }
 
 // keepProgress adds the work of an attempt that every task checkpointed.
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -5,6 +5,7 @@
 
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/statechart"
 	"dragonflyyard/internal/wire"
 )
 
@@ -26,7 +27,7 @@
 	c.jobs[job.ID] = j
 	j.explain(now, "submitted by account %s: %s", job.Account, describe(job.Shape))
 	c.record(event.JobSubmitted, job.ID, string(job.Account), "")
-	c.setPhase(now, j, PhaseQueued)
+	c.enter(now, j, PhaseQueued)
 }
 
 // cancel ends jobs in one pass. Capacity is given out again only after all of
@@ -41,25 +42,23 @@
 
 func (c *Core) cancelJob(now time.Time, j *JobState) {
 	switch j.Phase {
-	case PhaseFinished, PhaseFailed, PhaseCancelled:
+	case PhaseFinished, PhaseCancelled:
 	case PhaseInDoubt, PhaseDeciding, PhaseRecovering:
+		c.fire(now, j, eventCancelled)
 		j.CancelRequested = true
 		j.explain(now, "cancelled; it ends as soon as its decision row and its tasks are known")
 	case PhaseQueued, PhaseParked:
-		c.finalize(now, j, PhaseCancelled, "cancelled while it waited")
+		c.finalize(now, j, eventCancelled, "cancelled while it waited")
 	default:
-		c.endAttempt(now, j, PhaseCancelled, wire.StopCancelled, 0, "cancelled")
+		c.endAttempt(now, j, eventCancelled, PhaseCancelled, wire.StopCancelled, 0, "cancelled")
 	}
 }
 
 // finalize ends a job for good.
-func (c *Core) finalize(now time.Time, j *JobState, p Phase, text string) {
-	code := event.JobFinished
-	switch p {
-	case PhaseCancelled:
-		code = event.JobCancelled
-	case PhaseFailed:
-		code = event.JobFailed
+func (c *Core) finalize(now time.Time, j *JobState, e statechart.Event, text string) {
+	code := event.JobCancelled
+	if e == eventAllFinished {
+		code = event.JobFinished
 	}
 	j.explain(now, "%s", text)
 	c.dropReservation(j.Job.ID)
@@ -69,7 +68,7 @@
 	c.leaveCell(j)
 	j.Tasks = nil
 	c.record(code, j.Job.ID, string(j.Job.Account), text)
-	c.setPhase(now, j, p)
+	c.fire(now, j, e)
 	c.tracker.JobEnded(j.Job.ID)
 	c.do(DeleteRows{Jobs: []model.JobID{j.Job.ID}})
 	c.rememberEnded(j)
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -45,7 +45,7 @@
 
 func (c *Core) tickReserving(now time.Time, j *JobState) {
 	if now.Sub(j.PhaseSince) >= c.settings.ReserveTimeout {
-		c.abandon(now, j, "not all agents answered a reservation")
+		c.abandon(now, j, eventReserveTimedOut, "not all agents answered a reservation")
 		return
 	}
 	if !now.Before(j.ResendAt) {
@@ -65,7 +65,7 @@
 
 func (c *Core) tickLaunching(now time.Time, j *JobState) {
 	if now.Sub(j.PhaseSince) >= c.settings.LaunchTimeout {
-		c.endAttempt(now, j, PhaseQueued, wire.StopGangMemberLost, 0, "not all tasks started in time")
+		c.endAttempt(now, j, eventLaunchTimedOut, PhaseQueued, wire.StopGangMemberLost, 0, "not all tasks started in time")
 		return
 	}
 	if !now.Before(j.ResendAt) {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -73,7 +73,7 @@
 		case PhaseDeciding, PhaseInDoubt, PhaseRecovering:
 			// The decision row's result or the end of the recovery comes first.
 		default:
-			c.endAttempt(now, j, PhaseQueued, wire.StopGangMemberLost, c.settings.MemberLostGrace, text)
+			c.endAttempt(now, j, eventMemberLost, PhaseQueued, wire.StopGangMemberLost, c.settings.MemberLostGrace, text)
 		}
 	}
 }
--- a/internal/scheduler/zone.go
+++ b/internal/scheduler/zone.go
@@ -92,7 +92,7 @@
 	deadline := since.Add(c.settings.ZoneDrain)
 	switch {
 	case j.Phase == PhaseClearing || j.Phase == PhaseReserving:
-		c.endAttempt(now, j, PhaseQueued, wire.StopZoneOut, 0, "a zone of its place was taken out")
+		c.endAttempt(now, j, eventZoneOut, PhaseQueued, wire.StopZoneOut, 0, "a zone of its place was taken out")
 	case !j.Job.CanCheckpoint:
 		if !now.Before(deadline) {
 			c.moveOut(now, j)
@@ -121,5 +121,5 @@
 
 func (c *Core) moveOut(now time.Time, j *JobState) {
 	j.Moved = true
-	c.endAttempt(now, j, PhaseQueued, wire.StopZoneOut, c.settings.CheckpointGrace, "moved out of a zone that is out of service")
+	c.endAttempt(now, j, eventZoneOut, PhaseQueued, wire.StopZoneOut, c.settings.CheckpointGrace, "moved out of a zone that is out of service")
 }
