Count link traffic; test the request path over cut and silent connections

Cause: docs/CAPACITY.md needs bytes and frames of links; the shells' behaviour under faults of connections was not shown. Change: link.bytes_in, bytes_out, frames_in, frames_out (WebSocket payloads); the middlebox is a stand-in of internal/standin; an entry host can be told the address at which others reach its links. Tests run two entry hosts, agents, backend servers and the platform's stand-in in one process over real sockets: whole answers, bodies in parts, the same ID through another entry host, cuts under load, silence one way and both; each checks not_run and at most once against what the backend servers ran. Tests: go test -race ./internal/link ./internal/entry passes (51 s for entry). Seen and not in this commit: a stop of two of four agents at the same time within seconds of the start gives 'unknown request_id_outside_horizon' for non-idempotent requests; reported to the lead.

--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -31,6 +31,7 @@
 	s.HTTPAddress, s.LinkAddress = "127.0.0.1:0", "127.0.0.1:0"
 	s.TableAddress, s.ObjectStoreAddress = "127.0.0.1:1", "127.0.0.1:1"
 	s.Limits.MaxBodyBytes = 1 << 10
+	s.Process.DrainDelay, s.Process.StopTimeout = 500*time.Millisecond, time.Second
 	return s
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -45,8 +45,11 @@
 // Config is what an entry host is started with.
 type Config struct {
 	Settings settings.Entry
-	Logger   *zap.Logger
-	Now      func() time.Time
+	// LinkAddress is the address (IP:port) at which others reach the links; the
+	// one that is listened on where it is empty.
+	LinkAddress string
+	Logger      *zap.Logger
+	Now         func() time.Time
 }
 
 // Process is one entry host.
@@ -83,10 +86,7 @@
 		return nil, errors.Wrapf(err, "listen on link address %q", s.LinkAddress)
 	}
 	p := &Process{Base: base, Config: config, linkListener: listener, dials: make(chan string, maxDials)}
-	p.roster = s.Peers
-	if isReachable(listener.Addr()) {
-		p.roster = append([]string{p.LinkAddress()}, s.Peers...)
-	}
+	p.roster = append([]string{p.LinkAddress()}, s.Peers...)
 	identity := link.Identity{Process: base.Name, Incarnation: base.Incarnation, Hello: p.hello, Roster: p.Roster}
 	p.Hub = link.NewHub(identity, process.LinkOptions(&s.Links), base.Log, base.Metrics, base.Now)
 	p.Requests = newRequests(p.requestConfig(), s.Process.RingCapacity, base, p.Hub)
@@ -102,15 +102,16 @@
 	return p, nil
 }
 
-// isReachable reports whether others can dial the address: not one that
-// stands for all of the host's own.
-func isReachable(address net.Addr) bool {
-	tcp, ok := address.(*net.TCPAddr)
-	return ok && !tcp.IP.IsUnspecified()
+// LinkAddress returns the address at which others reach the links, IP:port.
+func (p *Process) LinkAddress() string {
+	if p.Config.LinkAddress != "" {
+		return p.Config.LinkAddress
+	}
+	return p.ListenAddress()
 }
 
-// LinkAddress returns the address that links are accepted on, IP:port.
-func (p *Process) LinkAddress() string { return p.linkListener.Addr().String() }
+// ListenAddress returns the address that links are accepted on, IP:port.
+func (p *Process) ListenAddress() string { return p.linkListener.Addr().String() }
 
 // Send queues a message for a peer process. It returns false when there is no
 // connection to it or its queue is full.
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -53,6 +53,7 @@
 	options Options
 	now     func() time.Time
 	clock   Clock
+	traffic traffic
 
 	heartbeats *heartbeatTracker
 	out        *ring.Ring[outgoing]
@@ -66,9 +67,9 @@
 	finished chan struct{}
 }
 
-func newConn(id uint64, ws *websocket.Conn, peer Peer, options Options, now func() time.Time, clock Clock) *Conn {
+func newConn(id uint64, ws *websocket.Conn, peer Peer, options Options, now func() time.Time, clock Clock, counted traffic) *Conn {
 	return &Conn{
-		id: id, peer: peer, ws: ws, options: options, now: now, clock: clock,
+		id: id, peer: peer, ws: ws, options: options, now: now, clock: clock, traffic: counted,
 		heartbeats: newHeartbeatTracker(options.Silence, now()),
 		out:        ring.New[outgoing]("link.out", options.OutgoingMessages, nil),
 		closed:     make(chan struct{}),
--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -52,11 +52,11 @@
 	handlers map[handlerKey][]Handler
 	states   map[wire.Role][]StateHandler
 
-	opened   metrics.Counter
-	lost     metrics.Counter
-	received metrics.Counter
-	lastID   atomic.Uint64
-	seats    seats
+	opened  metrics.Counter
+	lost    metrics.Counter
+	traffic traffic
+	lastID  atomic.Uint64
+	seats   seats
 
 	mu    sync.RWMutex
 	conns map[string]*Conn
@@ -71,14 +71,14 @@
 		states:   map[wire.Role][]StateHandler{},
 		opened:   metrics.NewCounter(),
 		lost:     metrics.NewCounter(),
-		received: metrics.NewCounter(),
+		traffic:  newTraffic(),
 		seats:    seats{holders: map[string]string{}},
 		conns:    map[string]*Conn{},
 	}
 	if registry != nil {
 		_ = registry.Register("link.opened", h.opened)
 		_ = registry.Register("link.lost", h.lost)
-		_ = registry.Register("link.received", h.received)
+		h.traffic.register(registry)
 	}
 	return h
 }
@@ -144,7 +144,7 @@
 // serve runs a connection whose handshake is done, until it ends. It returns
 // the cause of the end.
 func (h *Hub) serve(ctx context.Context, ws *websocket.Conn, peer Peer, id uint64) error {
-	c := newConn(id, ws, peer, h.options, h.now, h.clock())
+	c := newConn(id, ws, peer, h.options, h.now, h.clock(), h.traffic)
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	if !h.enter(c) {
@@ -224,7 +224,6 @@
 }
 
 func (h *Hub) deliver(c *Conn, m wire.Message) error {
-	h.received.Inc(1)
 	for _, handler := range h.handlers[handlerKey{c.peer.Role, m.WireType()}] {
 		if !h.offer(c, func() bool { return handler(c, m) }) {
 			return errors.Wrapf(ErrOwnerBusy, "message type %d", m.WireType())
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -14,6 +14,7 @@
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ring"
+	"dragonflyyard/internal/standin"
 	"dragonflyyard/internal/wire"
 )
 
@@ -94,10 +95,21 @@
 	}
 }
 
+func newMiddlebox(t *testing.T, target string) *standin.Middlebox {
+	t.Helper()
+	box, err := standin.NewMiddlebox()
+	if err != nil {
+		t.Fatal(err)
+	}
+	box.SetTarget(target)
+	t.Cleanup(box.Close)
+	return box
+}
+
 // pair is an answering and a dialling node with a middlebox between them.
 type pair struct {
 	server, client *node
-	box            *middlebox
+	box            *standin.Middlebox
 }
 
 func newPair(t *testing.T, options Options, capacity int) *pair {
@@ -116,7 +128,7 @@
 			t.Error(err)
 		}
 	})
-	running.Go(func() { client.hub.Dial(ctx, box.address()) })
+	running.Go(func() { client.hub.Dial(ctx, box.Address()) })
 	t.Cleanup(func() {
 		cancel()
 		running.Wait()
@@ -154,7 +166,7 @@
 	p := newPair(t, testOptions(), 4096)
 	first := p.server.nextUp(t)
 	p.client.nextUp(t)
-	p.box.cut()
+	p.box.Cut()
 	if o := p.server.nextLoss(t); o.conn != first {
 		t.Errorf("lost connection %d, want %d", o.conn.ID(), first.ID())
 	}
@@ -181,14 +193,11 @@
 		t.Run(c.name, func(t *testing.T) {
 			p := newPair(t, testOptions(), 4096)
 			first := p.client.nextUp(t)
-			p.box.dropUp.Store(c.up)
-			p.box.dropDown.Store(c.down)
+			p.box.Silence(c.up, c.down)
 			o := p.client.nextLoss(t)
 			if o.conn != first {
 				t.Errorf("lost connection %d, want %d", o.conn.ID(), first.ID())
 			}
-			p.box.dropUp.Store(false)
-			p.box.dropDown.Store(false)
 			second := p.client.nextUp(t)
 			if !second.Send(&wire.Forget{Request: "r"}) {
 				t.Fatal("send refused")
@@ -208,7 +217,7 @@
 	p := newPair(t, options, 4096)
 	p.client.nextUp(t)
 	p.server.nextUp(t)
-	p.box.delay.Store(int64(30 * time.Millisecond))
+	p.box.SetDelay(30 * time.Millisecond)
 	for range 5 {
 		if !p.client.hub.Send("entry", &wire.Forget{Request: "r"}) {
 			t.Fatal("send refused")
@@ -225,7 +234,7 @@
 	options.OutgoingBytes = 64 << 20
 	p := newPair(t, options, 4096)
 	conn := p.client.nextUp(t)
-	p.box.delay.Store(int64(time.Hour))
+	p.box.SetDelay(time.Hour)
 	body := make([]byte, wire.MaxPartBytes)
 	sent := 0
 	for conn.Send(&wire.Dispatch{Request: "r", Body: body}) && sent < 1<<20 {
@@ -269,10 +278,10 @@
 	options.Silence = time.Second
 	p := newPair(t, options, 4096)
 	p.client.nextUp(t)
-	second := newMiddlebox(t, p.box.target)
+	second := newMiddlebox(t, p.box.Target())
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { p.client.hub.Dial(ctx, second.address()) })
+	running.Go(func() { p.client.hub.Dial(ctx, second.Address()) })
 	defer running.Wait()
 	defer cancel()
 	// The second address takes the first one's place at most once before it is
@@ -350,6 +359,10 @@
 	for p.client.next(t).message == nil {
 		continue
 	}
+	sent, received := p.server.hub.traffic, p.client.hub.traffic
+	if received.framesIn.Count() < 2 || received.bytesIn.Count() > sent.bytesOut.Count() {
+		t.Errorf("%d bytes of %d in %d frames counted", received.bytesIn.Count(), sent.bytesOut.Count(), received.framesIn.Count())
+	}
 	if got := p.client.log.Now(); !ahead.Less(got) {
 		t.Errorf("receiver's clock %+v is not after the sender's %+v", got, ahead)
 	}
--- a/internal/link/reader.go
+++ b/internal/link/reader.go
@@ -74,6 +74,7 @@
 		if err != nil {
 			return silent(err)
 		}
+		c.traffic.countIn(len(reader.buffer))
 		c.heartbeats.heard(c.now())
 		switch message := message.(type) {
 		case *wire.Clock:
--- a/internal/link/writer.go
+++ b/internal/link/writer.go
@@ -120,6 +120,7 @@
 	if err != nil {
 		return err
 	}
+	w.traffic.countOut(len(frame))
 	return w.ws.WriteMessage(websocket.BinaryMessage, frame)
 }
 
