Bound the start of a task at the worker itself

Cause: between the agent's look at its permit and the worker's start lies a call that a pause or a frozen worker can hold up, so a task could start in a zone later than 3 s after it was taken out. Ruled out: a relative bound, which counts from the worker's receipt; the lease, which ends later than the permit. Change: the order to start names the instant at which the permit ends; worker and agent share a host and so a clock. The stand-in worker refuses a late start. Test: TestWorkerRefusesAStartThatComesTooLate.

--- a/internal/agent/permits.go
+++ b/internal/agent/permits.go
@@ -71,10 +71,11 @@
 	return cause == nil || d.inputs.TryPush(permitInput{conn: c, lost: true})
 }
 
-// mayStartTask reports whether a task may start at this moment.
-func (d *Permits) mayStartTask(now time.Time) bool {
+// mayStartTask returns until when a task may start, and whether it may start
+// at this moment.
+func (d *Permits) mayStartTask(now time.Time) (time.Time, bool) {
 	update := d.current.Load()
-	return !update.ZoneOut && now.Before(update.ValidUntil)
+	return update.ValidUntil, !update.ZoneOut && now.Before(update.ValidUntil)
 }
 
 // run is the duty.
--- a/internal/agent/workercaller.go
+++ b/internal/agent/workercaller.go
@@ -104,6 +104,8 @@
 	Needs   model.Resources `json:"needs"`
 	RunMS   int64           `json:"run_ms"`
 	LeaseMS int64           `json:"lease_ms"`
+	// NotAfterUnixMS ends the start permit, for a start that is held up on its way.
+	NotAfterUnixMS int64 `json:"not_after_unix_ms"`
 }
 
 type leaseBody struct {
@@ -121,12 +123,13 @@
 		c.fail(ctx, workerFailure{task: start.Task, detail: "the lease ended before the start", start: true})
 		return
 	}
-	if !c.w.p.Permits.mayStartTask(c.now()) {
+	notAfter, permitted := c.w.p.Permits.mayStartTask(c.now())
+	if !permitted {
 		c.fail(ctx, workerFailure{task: start.Task, detail: "the start permit ended before the start", start: true})
 		return
 	}
 	c.known[start.Task] = &knownTask{state: wire.TaskStarting}
-	body := startBody{ID: start.Task, Needs: start.Needs, RunMS: start.RunMS, LeaseMS: lease.Milliseconds()}
+	body := startBody{ID: start.Task, Needs: start.Needs, RunMS: start.RunMS, LeaseMS: lease.Milliseconds(), NotAfterUnixMS: notAfter.UnixMilli()}
 	status, err := c.call(fasthttp.MethodPost, "/tasks", body, nil)
 	switch {
 	case err != nil:
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -20,6 +20,9 @@
 	DoneMS int64 `json:"done_ms"`
 	// LeaseMS is how long the task may run without a renewal.
 	LeaseMS int64 `json:"lease_ms"`
+	// NotAfterUnixMS is the instant after which the task must not start; zero
+	// for none. Worker and agent share one host and so one clock.
+	NotAfterUnixMS int64 `json:"not_after_unix_ms"`
 }
 
 // WorkerTaskState is a task's state on a worker.
@@ -122,6 +125,9 @@
 	if start.ID == "" || start.RunMS <= 0 || start.LeaseMS <= 0 || start.DoneMS < 0 {
 		return "id, run_ms and lease_ms must be given"
 	}
+	if start.NotAfterUnixMS != 0 && now.UnixMilli() > start.NotAfterUnixMS {
+		return "the start came too late"
+	}
 	if t := w.tasks[start.ID]; t != nil && t.State == WorkerTaskRunning {
 		return "the task is running"
 	}
