--- a/internal/configstore/harness_test.go
+++ b/internal/configstore/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -26,6 +27,17 @@
 	log     []Action
 	// highest is the highest version that was in force.
 	highest model.ConfigVersion
+	// afterCommit runs once, between a commit and its result.
+	afterCommit func()
+	// late draws the delay of each result; nil gives results at once.
+	late    *rand.Rand
+	waiting []lateResult
+}
+
+// lateResult is a result on its way to the core.
+type lateResult struct {
+	at time.Time
+	in Input
 }
 
 func newHost(t *testing.T, store *standin.Store, limits Limits, validate Validator) *host {
@@ -47,11 +59,25 @@
 func run(now *time.Time, length time.Duration, hosts ...*host) {
 	for end := now.Add(length); now.Before(end); *now = now.Add(tickEvery) {
 		for _, h := range hosts {
+			h.deliver(*now)
 			h.step(*now, Tick{})
 		}
 	}
 }
 
+// deliver hands the core the results that have arrived.
+func (h *host) deliver(now time.Time) {
+	waiting := h.waiting
+	h.waiting = nil
+	for _, result := range waiting {
+		if result.at.After(now) {
+			h.waiting = append(h.waiting, result)
+			continue
+		}
+		h.step(now, result.in)
+	}
+}
+
 func (h *host) submit(now time.Time, change model.ConfigChange) uint64 {
 	h.token++
 	token := h.token
@@ -62,7 +88,11 @@
 func (h *host) step(now time.Time, in Input) {
 	for _, action := range h.core.Step(now, in) {
 		h.log = append(h.log, action)
-		if reply := h.perform(action); reply != nil {
+		reply := h.perform(action)
+		if reply != nil && h.late != nil {
+			delay := time.Duration(h.late.IntN(400)) * time.Millisecond
+			h.waiting = append(h.waiting, lateResult{at: now.Add(delay), in: reply})
+		} else if reply != nil {
 			h.step(now, reply)
 		}
 	}
@@ -83,6 +113,10 @@
 		return RowRead{Call: a.Call, Result: resultOf(err), Row: row}
 	case Commit:
 		versions, err := h.store.Commit(cancelled(), a.Transaction)
+		if h.afterCommit != nil {
+			h.afterCommit()
+			h.afterCommit = nil
+		}
 		return Committed{Call: a.Call, Result: resultOf(err), Versions: versions}
 	case ReadObject:
 		value, err := h.store.GetObject(cancelled(), a.Key)
