Keep permits over harmless configuration changes; plan homes with previous homes

Each configuration change made all permits of the former version useless until the next heartbeat's answer. A permit's end alone keeps the promise, so the holder now drops it for tasks only when a known later version has the zone out, and for requests only when a later assignment is known.

Found in the agent: a permit of assignment 2 was handed to the executor as one of the assignment whose ranges had arrived, say 1, so claims under 1 could start until the end of a permit for 2. The holder now names the assignment.

PlanHomes gives a restarted agent its ranges back, passes over leaving agents and keeps a live previous home, so that dedup.Reassign can go.

--- a/internal/agent/permits.go
+++ b/internal/agent/permits.go
@@ -37,7 +37,8 @@
 	// assignment is the home assignment in force here.
 	assignment wire.Assignment
 	// told is what the other duties were told last.
-	told gang.PermitUpdate
+	told    gang.PermitUpdate
+	granted executor.PermitGranted
 	// held is set while the agent holds a permit that was recorded.
 	held bool
 	// current is read by the caller of the worker right before a start.
@@ -116,7 +117,8 @@
 func (d *Permits) follow(c *link.Conn, update *wire.ConfigUpdate) {
 	before := d.document.Version
 	d.document = configstore.Follow(d.document, *update)
-	d.holder.SeeConfig(d.document.Version)
+	zone := d.p.Config.Settings.Zone
+	d.holder.SeeConfig(d.document.Version, d.document.Zones[zone] == model.ZoneOut)
 	if d.document.Version != before {
 		d.p.Log.Record(event.Event{Code: event.ConfigApplied, Subject: d.document.Version.String()})
 	}
@@ -134,20 +136,23 @@
 	if d.unsentAssignment && d.p.Requests.Push(executor.AssignmentUpdate{Assignment: d.assignment}) {
 		d.unsentAssignment = false
 	}
-	update := gang.PermitUpdate{
-		ValidUntil: d.holder.ValidUntil(now),
-		ZoneOut:    d.holder.StartTask(now, d.holder.Epoch()) == permit.ReasonZoneOut,
-		OwnerEpoch: d.holder.Epoch(),
-	}
+	until, zoneOut := d.holder.TaskPermit(now)
+	update := gang.PermitUpdate{ValidUntil: until, ZoneOut: zoneOut, OwnerEpoch: d.holder.Epoch()}
 	d.current.Store(&update)
 	if update != d.told {
 		d.record(now, update)
 		d.told, d.unsentPermit = update, true
 	}
+	// The assignment is the permit's, not the one whose ranges are in force
+	// here: a claim under an older one must not start under a newer permit.
+	assignment, requestsUntil := d.holder.RequestPermit(now)
+	granted := executor.PermitGranted{Assignment: assignment, ValidUntil: requestsUntil, ZoneOut: zoneOut}
+	if granted != d.granted {
+		d.granted, d.unsentPermit = granted, true
+	}
 	if !d.unsentPermit {
 		return
 	}
-	granted := executor.PermitGranted{Assignment: d.assignment.Version, ValidUntil: update.ValidUntil, ZoneOut: update.ZoneOut}
 	pushed := d.p.Requests.Push(granted)
 	if d.p.Worker != nil {
 		pushed = d.p.Worker.push(update) && pushed
--- a/internal/membership/homes.go
+++ b/internal/membership/homes.go
@@ -18,22 +18,28 @@
 	rangesPerAgent = 4
 )
 
-// HomeAgent is an agent that can be the home of ranges.
+// HomeAgent is an agent that is alive.
 type HomeAgent struct {
 	ID          model.BackendServerID
 	Incarnation model.Incarnation
+	// Leaving agents get no ranges, but still answer for those they had.
+	Leaving bool
 }
 
-// PlanHomes returns an assignment in which each range has a live home, and
-// whether it differs from the present one. It moves as few ranges as it can: those
-// of homes that are gone or have a new incarnation, and as many as it takes
-// for no agent to hold more than its even share rounded up. A moved range
-// starts at nowUnixMS plus settle, which is at least the longest permit.
+// PlanHomes returns an assignment in which each range has a live home that
+// stays, and whether it differs from the present one. It moves as few ranges as
+// it can: those of homes that are gone or leaving, and as many as it takes for
+// no agent to hold more than its even share rounded up. An agent in a new
+// incarnation gets its ranges back, as it knows nothing of its former ones. A
+// range that moves away from a live home keeps that one as its previous home.
+// A moved range starts at nowUnixMS plus settle, which is at least the longest
+// permit.
 func PlanHomes(present wire.Assignment, agents []HomeAgent, nowUnixMS int64, settle time.Duration) (wire.Assignment, bool) {
-	if len(agents) == 0 {
+	plan := newHomePlan(agents, nowUnixMS+settle.Milliseconds())
+	if len(plan.agents) == 0 {
 		return present, false
 	}
-	plan := newHomePlan(present, agents, nowUnixMS+settle.Milliseconds())
+	plan.cut(present, rangeCount(len(plan.agents)))
 	plan.dropLost()
 	plan.shedExcess()
 	plan.fill()
@@ -53,7 +59,8 @@
 }
 
 type homePlan struct {
-	ranges  []wire.HomeRange
+	ranges []wire.HomeRange
+	// agents are those that stay, sorted by ID; live holds the leaving ones too.
 	agents  []HomeAgent
 	live    map[model.BackendServerID]model.Incarnation
 	load    map[model.BackendServerID]int
@@ -62,18 +69,19 @@
 	changed bool
 }
 
-func newHomePlan(present wire.Assignment, agents []HomeAgent, since int64) *homePlan {
+func newHomePlan(agents []HomeAgent, since int64) *homePlan {
 	p := &homePlan{
-		agents: append([]HomeAgent(nil), agents...),
-		live:   map[model.BackendServerID]model.Incarnation{},
-		load:   map[model.BackendServerID]int{},
-		since:  since,
+		live:  map[model.BackendServerID]model.Incarnation{},
+		load:  map[model.BackendServerID]int{},
+		since: since,
 	}
-	sort.Slice(p.agents, func(i, j int) bool { return p.agents[i].ID < p.agents[j].ID })
-	for _, agent := range p.agents {
+	for _, agent := range agents {
 		p.live[agent.ID] = agent.Incarnation
+		if !agent.Leaving {
+			p.agents = append(p.agents, agent)
+		}
 	}
-	p.cut(present, rangeCount(len(agents)))
+	sort.Slice(p.agents, func(i, j int) bool { return p.agents[i].ID < p.agents[j].ID })
 	return p
 }
 
@@ -100,17 +108,46 @@
 	}
 }
 
+// dropLost opens the ranges whose home is gone or leaves, and gives those of an
+// agent in a new incarnation back to it.
 func (p *homePlan) dropLost() {
+	stays := map[model.BackendServerID]HomeAgent{}
+	for _, agent := range p.agents {
+		stays[agent.ID] = agent
+	}
 	for i, r := range p.ranges {
-		incarnation, alive := p.live[r.Home]
-		if !alive || incarnation != r.Incarnation {
+		agent, staying := stays[r.Home]
+		switch {
+		case !staying:
 			p.open = append(p.open, i)
-			continue
+		case agent.Incarnation != r.Incarnation:
+			p.move(i, agent)
+		default:
+			p.load[r.Home]++
 		}
-		p.load[r.Home]++
 	}
 }
 
+// move gives a range to an agent. A home that is still alive in the same
+// incarnation is kept as the previous one.
+func (p *homePlan) move(i int, agent HomeAgent) {
+	old := p.ranges[i]
+	next := wire.HomeRange{
+		FirstHash:   old.FirstHash,
+		Home:        agent.ID,
+		Incarnation: agent.Incarnation,
+		SinceUnixMS: p.since,
+	}
+	if incarnation, alive := p.live[old.Home]; alive && incarnation == old.Incarnation {
+		next.PreviousHome = old.Home
+		next.PreviousIncarnation = old.Incarnation
+		next.PreviousSinceUnixMS = old.SinceUnixMS
+	}
+	p.ranges[i] = next
+	p.load[agent.ID]++
+	p.changed = true
+}
+
 // shedExcess opens the ranges that agents hold above the even share rounded
 // up, and as many more as agents below the share rounded down need.
 func (p *homePlan) shedExcess() {
@@ -124,20 +161,24 @@
 	p.shed(floor, wanted)
 }
 
-// shed opens at most count ranges of agents that hold more than limit.
+// shed opens at most count ranges of agents that hold more than limit. Ranges
+// without a previous home go first, as a range remembers only one.
 func (p *homePlan) shed(limit, count int) {
 	opened := map[int]bool{}
 	for _, i := range p.open {
 		opened[i] = true
 	}
-	for i := len(p.ranges) - 1; i >= 0 && count > 0; i-- {
-		home := p.ranges[i].Home
-		if opened[i] || p.load[home] <= limit {
-			continue
+	for _, withPrevious := range []bool{false, true} {
+		for i := len(p.ranges) - 1; i >= 0 && count > 0; i-- {
+			r := p.ranges[i]
+			if opened[i] || p.load[r.Home] <= limit || (r.PreviousHome != "") != withPrevious {
+				continue
+			}
+			opened[i] = true
+			p.load[r.Home]--
+			p.open = append(p.open, i)
+			count--
 		}
-		p.load[home]--
-		p.open = append(p.open, i)
-		count--
 	}
 }
 
@@ -145,12 +186,7 @@
 func (p *homePlan) fill() {
 	sort.Ints(p.open)
 	for _, i := range p.open {
-		agent := p.leastLoaded()
-		p.load[agent.ID]++
-		p.ranges[i].Home = agent.ID
-		p.ranges[i].Incarnation = agent.Incarnation
-		p.ranges[i].SinceUnixMS = p.since
-		p.changed = true
+		p.move(i, p.leastLoaded())
 	}
 }
 
--- a/internal/membership/homes_test.go
+++ b/internal/membership/homes_test.go
@@ -91,6 +91,48 @@
 	}
 }
 
+func TestRestartedAgentGetsItsRangesBack(t *testing.T) {
+	agents := homeAgents(5)
+	first, _ := PlanHomes(wire.Assignment{}, agents, 0, time.Second)
+	agents[2].Incarnation = 2
+	agents = agents[:4]
+	next, _ := PlanHomes(first, agents, 9000, time.Second)
+	for i, r := range next.Ranges {
+		old := first.Ranges[i]
+		if old.Home == agents[2].ID && (r.Home != old.Home || r.Incarnation != 2 || r.SinceUnixMS != 10_000 || r.PreviousHome != "") {
+			t.Errorf("range %d went from %+v to %+v", i, old, r)
+		}
+	}
+}
+
+func TestMovedRangeKeepsALivePreviousHome(t *testing.T) {
+	agents := homeAgents(4)
+	first, _ := PlanHomes(wire.Assignment{}, agents, 0, time.Second)
+	leaving := append([]HomeAgent(nil), agents...)
+	leaving[0].Leaving = true
+	dead := agents[1:]
+	for name, c := range map[string]struct {
+		agents   []HomeAgent
+		previous model.BackendServerID
+	}{"leaving": {leaving, "a0000"}, "dead": {dead, ""}} {
+		next, _ := PlanHomes(first, c.agents, 9000, time.Second)
+		for i, r := range next.Ranges {
+			if first.Ranges[i].Home != "a0000" {
+				continue
+			}
+			if r.Home == "a0000" || r.PreviousHome != c.previous || c.previous != "" && r.PreviousSinceUnixMS != 1000 {
+				t.Errorf("%s: range %d is %+v", name, i, r)
+			}
+		}
+	}
+	for i := range leaving {
+		leaving[i].Leaving = true
+	}
+	if _, changed := PlanHomes(first, leaving, 9000, 0); changed {
+		t.Error("ranges moved although no agent stays")
+	}
+}
+
 func TestPlanHomesRandomSequence(t *testing.T) {
 	random := rand.New(rand.NewPCG(7, 11))
 	agents := homeAgents(3)
--- a/internal/permit/holder.go
+++ b/internal/permit/holder.go
@@ -15,12 +15,21 @@
 
 // Holder keeps an agent's permits. Its times are those of the agent's own
 // monotonic clock.
+//
+// A permit is good until its end whatever was accepted meanwhile, since its end
+// is at most Validity after its basis. The holder ends it earlier where it can:
+// a task does not start once the agent knows that its zone is out, and a
+// request does not start once it knows of a later home assignment. A later
+// configuration in which the zone is in ends no permit.
 type Holder struct {
 	limits  Limits
 	sent    map[model.EntryID][]asked
 	permits map[model.EntryID]held
 
+	// config is the highest configuration version that the agent knows of, and
+	// zoneOut whether its zone is out there.
 	config     model.ConfigVersion
+	zoneOut    bool
 	epoch      model.Epoch
 	assignment uint64
 }
@@ -52,13 +61,12 @@
 }
 
 // Received takes in a permit. It returns false for one that is of no use: it
-// answers no heartbeat of this connection, has ended, or names a state older
-// than the agent has seen.
+// answers no heartbeat of this connection, has ended, or is not the latest.
 func (h *Holder) Received(now time.Time, entry model.EntryID, permit wire.Permit) bool {
-	sentAt, known := h.sentAt(entry, permit.AnsweredHeartbeat)
-	h.SeeConfig(permit.Config)
+	h.SeeConfig(permit.Config, permit.ZoneOut)
 	h.SeeEpoch(permit.OwnerEpoch)
 	h.SeeAssignment(permit.Assignment)
+	sentAt, known := h.sentAt(entry, permit.AnsweredHeartbeat)
 	if !known {
 		return false
 	}
@@ -68,7 +76,7 @@
 		return false
 	}
 	h.permits[entry] = held{permit: permit, until: until}
-	return h.isUsable(now, h.permits[entry])
+	return now.Before(until)
 }
 
 func (h *Holder) sentAt(entry model.EntryID, seq uint64) (time.Time, bool) {
@@ -80,9 +88,19 @@
 	return time.Time{}, false
 }
 
-// SeeConfig takes in a configuration version that the agent received. Permits
-// of a lower version are of no use from then on.
-func (h *Holder) SeeConfig(version model.ConfigVersion) { h.config = max(h.config, version) }
+// SeeConfig takes in the state of the agent's zone at a configuration version,
+// from the agent's own document or from a permit. An entry host with a
+// take-out in doubt says at the present version that the zone is out; this
+// counts while its permit lasts. That the zone is in at the present version is
+// certain, since no entry host says so of an accepted take-out.
+func (h *Holder) SeeConfig(version model.ConfigVersion, zoneOut bool) {
+	switch {
+	case version > h.config:
+		h.config, h.zoneOut = version, zoneOut
+	case version == h.config && !zoneOut:
+		h.zoneOut = false
+	}
+}
 
 // SeeEpoch takes in an epoch of the scheduler's owner.
 func (h *Holder) SeeEpoch(epoch model.Epoch) { h.epoch = max(h.epoch, epoch) }
@@ -96,55 +114,60 @@
 // StartTask reports why a task must not start at this moment under a command
 // of the given epoch, or ReasonNone.
 func (h *Holder) StartTask(now time.Time, epoch model.Epoch) Reason {
-	if epoch < h.epoch {
+	until, zoneOut := h.TaskPermit(now)
+	switch {
+	case epoch < h.epoch:
 		return ReasonOldEpoch
-	}
-	if h.zoneOut(now) {
+	case zoneOut:
 		return ReasonZoneOut
-	}
-	if !now.Before(h.ValidUntil(now)) {
+	case !now.Before(until):
 		return ReasonNoPermit
+	default:
+		return ReasonNone
 	}
-	return ReasonNone
 }
 
 // StartRequest reports why a non-idempotent request must not start at this
 // moment under a claim of the given home assignment, or ReasonNone.
 func (h *Holder) StartRequest(now time.Time, assignment uint64) Reason {
-	if !now.Before(h.ValidUntil(now)) {
+	permitted, until := h.RequestPermit(now)
+	switch {
+	case !now.Before(until):
 		return ReasonNoPermit
-	}
-	if assignment != h.assignment {
+	case assignment != permitted:
 		return ReasonOtherAssignment
+	default:
+		return ReasonNone
 	}
-	return ReasonNone
 }
 
-// ValidUntil returns the end of the latest permit that can be used now, or the
-// zero time.
-func (h *Holder) ValidUntil(now time.Time) time.Time {
-	var until time.Time
+// TaskPermit returns until when tasks may start, or the zero time, and whether
+// the agent's zone is out: at the highest configuration version known, or by
+// an unexpired permit of that version or a later one, which may tell of a
+// take-out in doubt.
+func (h *Holder) TaskPermit(now time.Time) (until time.Time, zoneOut bool) {
+	zoneOut = h.zoneOut
 	for _, kept := range h.permits {
-		if h.isUsable(now, kept) && kept.until.After(until) {
+		switch {
+		case !now.Before(kept.until):
+		case kept.permit.ZoneOut:
+			zoneOut = zoneOut || kept.permit.Config >= h.config
+		case kept.until.After(until):
 			until = kept.until
 		}
 	}
-	return until
+	return until, zoneOut
 }
 
-// zoneOut reports whether any unexpired permit says that the zone is out. One
-// entry host may know of a take-out that others cannot see yet.
-func (h *Holder) zoneOut(now time.Time) bool {
+// RequestPermit returns the one home assignment under which non-idempotent
+// requests may start, and until when. The time is zero while no permit names
+// the latest assignment that the agent knows of.
+func (h *Holder) RequestPermit(now time.Time) (assignment uint64, until time.Time) {
 	for _, kept := range h.permits {
-		if kept.permit.ZoneOut && h.isUsable(now, kept) {
-			return true
+		current := now.Before(kept.until) && kept.permit.Assignment == h.assignment
+		if current && kept.until.After(until) {
+			until = kept.until
 		}
 	}
-	return false
-}
-
-// isUsable reports whether a permit has not ended and names the highest state seen.
-func (h *Holder) isUsable(now time.Time, kept held) bool {
-	p := kept.permit
-	return now.Before(kept.until) && p.Config >= h.config && p.Assignment >= h.assignment
+	return h.assignment, until
 }
--- a/internal/permit/processes_test.go
+++ b/internal/permit/processes_test.go
@@ -287,6 +287,10 @@
 					got.ValidMS = permit.DefaultLimits().Validity.Milliseconds()
 				}
 				e.w.send(e.name(), a.id, func() { a.do(func() { a.onPermit(e.id, connection, got) }) })
+				document := e.core.Document()
+				e.w.send(e.name(), a.id, func() {
+					a.do(func() { a.holder.SeeConfig(document.Version, document.Zones[zone] == model.ZoneOut) })
+				})
 			})
 		})
 	}
