--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -69,18 +69,17 @@
 	switch {
 	case reply.Granted && reply.Executor == c.config.ID:
 		c.start(l, m, body, mintMS)
-	case reply.State == wire.StateRejected:
-		c.reject(l, m, mintMS, reply.Reason)
-	case reply.State == wire.StateSealed:
-		// The home's reply to an explicit claim tells whether an earlier executor
-		// may have run the request, so the sender is made to ask.
-		c.reply(l, m.Request, wire.StateClaimed, model.ReasonSealed)
+	case reply.State == wire.StateRejected || reply.State == wire.StateSealed:
+		// The sender has to ask by an explicit Claim: its reply tells whether an
+		// earlier executor may have run the request, and when to ask again.
+		c.reply(l, m.Request, wire.StateClaimed, reply.Reason)
 	default:
 		c.reply(l, m.Request, reply.State, reply.Reason)
 	}
 }
 
-// refusal says why new work cannot start now.
+// refusal says why new work cannot start now. The fence against former homes is
+// the home's own permit check: there is at most one home that grants an ID.
 func (c *Core) refusal(now time.Time, m *wire.Dispatch) model.Reason {
 	valid := c.permit.IsValid(now)
 	switch {
@@ -90,7 +89,7 @@
 		return model.ReasonDeadline
 	case c.permit.ZoneOut && (valid || !m.Idempotent):
 		return model.ReasonZoneOut
-	case !m.Idempotent && (!valid || m.Assignment != c.permit.Assignment):
+	case !m.Idempotent && !valid:
 		return model.ReasonPermitExpired
 	case c.slotsInUse+slotsOf(m) > c.config.Slots:
 		return model.ReasonAgentRejected
--- a/internal/requestflow/requesttest/bag.go
+++ b/internal/requestflow/requesttest/bag.go
@@ -5,7 +5,6 @@
 package requesttest
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -14,6 +13,7 @@
 	"dragonflyyard/internal/executor"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/requestflow"
+	"dragonflyyard/internal/simclock"
 	"dragonflyyard/internal/wire"
 )
 
@@ -91,9 +91,7 @@
 	Log []string
 
 	options    Options
-	now        time.Time
-	seq        uint64
-	events     eventHeap
+	clock      *simclock.Clock
 	entries    []*entryHost
 	agents     []*agentHost
 	conns      map[[2]int]*conn
@@ -110,14 +108,14 @@
 // New returns a bag whose processes are up and connected.
 func New(o Options) *Bag {
 	b := &Bag{
-		Random: rand.New(rand.NewPCG(o.Seed, 1)), options: o, now: Epoch,
+		Random: rand.New(rand.NewPCG(o.Seed, 1)), options: o, clock: simclock.New(Epoch),
 		conns: map[[2]int]*conn{}, ledger: newLedger(),
 	}
 	for i := range o.Agents {
 		b.agents = append(b.agents, &agentHost{index: i, offset: b.offset()})
 		b.startAgent(i)
 	}
-	b.assignment = dedup.NewAssignment(b.members(), b.now.Add(-time.Minute).UnixMilli())
+	b.assignment = dedup.NewAssignment(b.members(), b.Now().Add(-time.Minute).UnixMilli())
 	for i := range o.Entries {
 		b.entries = append(b.entries, &entryHost{index: i, offset: b.offset()})
 		b.startEntry(i)
@@ -130,7 +128,7 @@
 			b.connect(e, a)
 		}
 	}
-	b.at(reassignInterval, b.reassign)
+	b.At(reassignInterval, b.reassign)
 	b.Run(100 * time.Millisecond)
 	return b
 }
@@ -143,31 +141,18 @@
 }
 
 // Now returns the simulated time.
-func (b *Bag) Now() time.Time { return b.now }
+func (b *Bag) Now() time.Time { return b.clock.Now() }
 
 // Run lets simulated time pass.
-func (b *Bag) Run(d time.Duration) {
-	until := b.now.Add(d)
-	for len(b.events) > 0 && !b.events[0].when.After(until) {
-		e := heap.Pop(&b.events).(*simEvent)
-		b.now = e.when
-		e.run()
-	}
-	b.now = until
-}
+func (b *Bag) Run(d time.Duration) { b.clock.Run(d) }
 
 // At runs a function after a delay.
-func (b *Bag) At(delay time.Duration, run func()) { b.at(delay, run) }
-
-func (b *Bag) at(delay time.Duration, run func()) {
-	b.seq++
-	heap.Push(&b.events, &simEvent{when: b.now.Add(delay), seq: b.seq, run: run})
-}
+func (b *Bag) At(delay time.Duration, run func()) { b.clock.At(delay, run) }
 
 func (b *Bag) logf(format string, args ...any) {
 	const maxLog = 4000
 	if len(b.Log) < maxLog {
-		b.Log = append(b.Log, fmt.Sprintf("%8.3fs ", b.now.Sub(Epoch).Seconds())+fmt.Sprintf(format, args...))
+		b.Log = append(b.Log, fmt.Sprintf("%8.3fs ", b.Now().Sub(Epoch).Seconds())+fmt.Sprintf(format, args...))
 	}
 }
 
@@ -190,11 +175,11 @@
 
 // reassign plays the owner of the home assignment.
 func (b *Bag) reassign() {
-	b.at(reassignInterval, b.reassign)
-	if b.now.Before(b.storeDown) || b.now.Before(b.ownerDown) {
+	b.At(reassignInterval, b.reassign)
+	if b.Now().Before(b.storeDown) || b.Now().Before(b.ownerDown) {
 		return
 	}
-	since := b.now.Add(HeadFreshness + PermitValidity + SkewBound).UnixMilli()
+	since := b.Now().Add(HeadFreshness + PermitValidity + SkewBound).UnixMilli()
 	next, changed := dedup.Reassign(&b.assignment, b.members(), since)
 	if !changed {
 		return
@@ -203,23 +188,30 @@
 	b.assignment = next
 	b.logf("assignment version %d", next.Version)
 	for i := range b.entries {
-		b.at(time.Duration(b.Random.Int64N(int64(300*time.Millisecond))), func() { b.giveAssignmentToEntry(i) })
+		b.At(time.Duration(b.Random.Int64N(int64(300*time.Millisecond))), func() { b.giveAssignmentToEntry(i) })
 	}
 	for i := range b.agents {
-		b.at(time.Duration(b.Random.Int64N(int64(300*time.Millisecond))), func() { b.giveAssignmentToAgent(i) })
+		b.At(time.Duration(b.Random.Int64N(int64(300*time.Millisecond))), func() { b.giveAssignmentToAgent(i) })
 	}
 }
 
 // StopStore keeps the table service down for a while: the assignment cannot
 // change, and entry hosts go on issuing permits for it.
-func (b *Bag) StopStore(d time.Duration) { b.storeDown = b.now.Add(d) }
+func (b *Bag) StopStore(d time.Duration) { b.storeDown = b.Now().Add(d) }
 
 // StopOwner leaves the assignment without an owner for a while.
-func (b *Bag) StopOwner(d time.Duration) { b.ownerDown = b.now.Add(d) }
+func (b *Bag) StopOwner(d time.Duration) { b.ownerDown = b.Now().Add(d) }
+
+// KeepStale lets an entry host and an agent hear of no new assignment for a while.
+func (b *Bag) KeepStale(entry, agent int, d time.Duration) {
+	b.logf("entry %d and agent %d hear of no assignment for %s", entry, agent, d)
+	b.entries[entry].staleUntil = b.Now().Add(d)
+	b.agents[agent].staleUntil = b.Now().Add(d)
+}
 
 // StopReads lets writes of the assignment take effect while entry hosts cannot
 // read it back: they issue no permits meanwhile.
-func (b *Bag) StopReads(d time.Duration) { b.readDown = b.now.Add(d) }
+func (b *Bag) StopReads(d time.Duration) { b.readDown = b.Now().Add(d) }
 
 // ResendFormerAssignment delivers the assignment before the current one again,
 // as a deposed owner would.
@@ -234,27 +226,3 @@
 		b.stepAgent(i, a.core, executor.AssignmentUpdate{Assignment: b.former})
 	}
 }
-
-type simEvent struct {
-	when time.Time
-	seq  uint64
-	run  func()
-}
-
-type eventHeap []*simEvent
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if !h[i].when.Equal(h[j].when) {
-		return h[i].when.Before(h[j].when)
-	}
-	return h[i].seq < h[j].seq
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(*simEvent)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
--- a/internal/requestflow/requesttest/hosts.go
+++ b/internal/requestflow/requesttest/hosts.go
@@ -24,7 +24,9 @@
 	incarnation model.Incarnation
 	frozenUntil time.Time
 	version     uint64
-	stopped     bool
+	// staleUntil: the entry host reads no assignment and so issues no permits.
+	staleUntil time.Time
+	stopped    bool
 }
 
 // agentHost is one agent with its backend server; core is nil while it is down.
@@ -35,6 +37,7 @@
 	incarnation model.Incarnation
 	frozenUntil time.Time
 	suspected   bool
+	staleUntil  time.Time
 	leaving     bool
 	leftAt      time.Time
 	stopped     bool
@@ -52,7 +55,7 @@
 
 func (b *Bag) startEntry(i int) {
 	e := b.entries[i]
-	e.incarnation = model.Incarnation(b.now.UnixMilli())
+	e.incarnation = model.Incarnation(b.Now().UnixMilli())
 	e.frozenUntil, e.stopped, e.version = time.Time{}, false, 0
 	e.core = requestflow.New(requestflow.Config{
 		Entry: e.id(), Incarnation: e.incarnation, Zone: zoneOf(i), ClockSkewBound: SkewBound,
@@ -72,12 +75,12 @@
 
 func (b *Bag) startAgent(i int) {
 	a := b.agents[i]
-	a.incarnation = model.Incarnation(b.now.UnixMilli())
+	a.incarnation = model.Incarnation(b.Now().UnixMilli())
 	a.frozenUntil, a.stopped, a.leaving, a.suspected = time.Time{}, false, false, false
 	a.running = map[model.RequestID]int{}
 	a.credits = map[int]wire.Credit{}
 	a.core = executor.New(executor.Config{
-		ID: a.id(), Incarnation: a.incarnation, Started: b.now.Add(a.offset), Slots: Slots, Connections: Connections,
+		ID: a.id(), Incarnation: a.incarnation, Started: b.Now().Add(a.offset), Slots: Slots, Connections: Connections,
 		ClockSkewBound: SkewBound,
 	})
 	b.giveAssignmentToAgent(i)
@@ -93,7 +96,7 @@
 	if e.core != core {
 		return
 	}
-	b.at(tickInterval, func() { b.tickEntry(i, core) })
+	b.At(tickInterval, func() { b.tickEntry(i, core) })
 	b.stepEntry(i, core, requestflow.Tick{})
 }
 
@@ -101,7 +104,7 @@
 	if b.agents[i].core != core {
 		return
 	}
-	b.at(tickInterval, func() { b.tickAgent(i, core) })
+	b.At(tickInterval, func() { b.tickAgent(i, core) })
 	b.stepAgent(i, core, executor.Tick{})
 }
 
@@ -111,13 +114,13 @@
 	if e.core != core || core == nil {
 		return
 	}
-	if b.now.Before(e.frozenUntil) {
+	if b.Now().Before(e.frozenUntil) {
 		if _, isTick := in.(requestflow.Tick); !isTick {
-			b.at(e.frozenUntil.Sub(b.now), func() { b.stepEntry(i, core, in) })
+			b.At(e.frozenUntil.Sub(b.Now()), func() { b.stepEntry(i, core, in) })
 		}
 		return
 	}
-	for _, action := range core.Step(b.now.Add(e.offset), in) {
+	for _, action := range core.Step(b.Now().Add(e.offset), in) {
 		b.performEntry(i, action)
 	}
 }
@@ -140,13 +143,13 @@
 	if a.core != core || core == nil {
 		return
 	}
-	if b.now.Before(a.frozenUntil) {
+	if b.Now().Before(a.frozenUntil) {
 		if _, isTick := in.(executor.Tick); !isTick {
-			b.at(a.frozenUntil.Sub(b.now), func() { b.stepAgent(i, core, in) })
+			b.At(a.frozenUntil.Sub(b.Now()), func() { b.stepAgent(i, core, in) })
 		}
 		return
 	}
-	for _, action := range core.Step(b.now.Add(a.offset), in) {
+	for _, action := range core.Step(b.Now().Add(a.offset), in) {
 		b.performAgent(i, core, action)
 	}
 }
@@ -177,8 +180,8 @@
 	if e.core != core {
 		return
 	}
-	b.at(permitInterval, func() { b.permits(i, core) })
-	if b.now.Before(e.frozenUntil) || b.now.Before(b.readDown) {
+	b.At(permitInterval, func() { b.permits(i, core) })
+	if b.Now().Before(e.frozenUntil) || b.Now().Before(b.readDown) || b.Now().Before(e.staleUntil) {
 		return
 	}
 	b.refresh(i)
@@ -188,10 +191,10 @@
 			continue
 		}
 		agent := b.agents[a]
-		until := b.now.Add(agent.offset + PermitValidity)
+		until := b.Now().Add(agent.offset + PermitValidity)
 		version, agentCore := e.version, agent.core
 		delay := Latency + time.Duration(b.Random.Int64N(int64(50*time.Millisecond)))
-		b.at(delay, func() {
+		b.At(delay, func() {
 			b.stepAgent(a, agentCore, executor.PermitGranted{Assignment: version, ValidUntil: until})
 		})
 	}
@@ -207,7 +210,7 @@
 
 func (b *Bag) giveAssignmentToEntry(i int) {
 	e := b.entries[i]
-	if e.core == nil || b.now.Before(e.frozenUntil) || b.now.Before(b.readDown) {
+	if e.core == nil || b.Now().Before(e.frozenUntil) || b.Now().Before(b.readDown) || b.Now().Before(e.staleUntil) {
 		return
 	}
 	e.version = max(e.version, b.assignment.Version)
@@ -216,6 +219,10 @@
 
 func (b *Bag) giveAssignmentToAgent(i int) {
 	a := b.agents[i]
+	if b.Now().Before(a.staleUntil) {
+		b.At(a.staleUntil.Sub(b.Now()), func() { b.giveAssignmentToAgent(i) })
+		return
+	}
 	b.stepAgent(i, a.core, executor.AssignmentUpdate{Assignment: b.assignment})
 }
 
--- a/internal/requestflow/requesttest/ledger.go
+++ b/internal/requestflow/requesttest/ledger.go
@@ -75,7 +75,7 @@
 // Mint returns a new request ID with the current simulated time.
 func (b *Bag) Mint() model.RequestID {
 	b.minted++
-	ms := b.now.UnixMilli()
+	ms := b.Now().UnixMilli()
 	return model.RequestID(fmt.Sprintf("%08x-%04x-7%03x-8%03x-%012x",
 		ms>>16, ms&0xffff, b.Random.IntN(1<<12), b.Random.IntN(1<<12), b.minted))
 }
@@ -84,14 +84,14 @@
 func (b *Bag) NewRequest(idempotent bool, deadline time.Duration) model.Request {
 	id := b.Mint()
 	return model.Request{
-		ID: id, Account: "account", Idempotent: idempotent, Deadline: b.now.Add(deadline),
+		ID: id, Account: "account", Idempotent: idempotent, Deadline: b.Now().Add(deadline),
 		BodyHash: 7, Slots: 1, Body: []byte("body of " + id),
 	}
 }
 
 // Submit hands a request to an entry host.
 func (b *Bag) Submit(entry int, request model.Request) *Submission {
-	s := &Submission{Request: request, Entry: entry, Caller: requestflow.Caller(len(b.ledger.submissions) + 1), At: b.now}
+	s := &Submission{Request: request, Entry: entry, Caller: requestflow.Caller(len(b.ledger.submissions) + 1), At: b.Now()}
 	b.ledger.submissions = append(b.ledger.submissions, s)
 	b.ledger.byCaller[s.Caller] = s
 	if !request.Idempotent {
@@ -133,7 +133,7 @@
 	b.logf("start %s agent %d", r.ID, agent)
 	b.ledger.starts[r.ID]++
 	if a.leaving {
-		b.ledger.leavingStarts = append(b.ledger.leavingStarts, lateStart{r.ID, b.now.Sub(a.leftAt)})
+		b.ledger.leavingStarts = append(b.ledger.leavingStarts, lateStart{r.ID, b.Now().Sub(a.leftAt)})
 	}
 	a.running[r.ID] = r.Slots
 	b.checkStart(a, r)
@@ -141,7 +141,7 @@
 	if b.options.Service != nil {
 		service = b.options.Service(b.Random)
 	}
-	b.at(service, func() {
+	b.At(service, func() {
 		if a.core == core {
 			delete(a.running, r.ID)
 		}
@@ -198,7 +198,7 @@
 		if s.Finished {
 			b.violate("%s got a second outcome", f.Request)
 		}
-		s.Finished, s.Outcome, s.EndedAt = true, f.Outcome, b.now
+		s.Finished, s.Outcome, s.EndedAt = true, f.Outcome, b.Now()
 		b.checkOutcome(s)
 	}
 }
@@ -223,7 +223,7 @@
 			b.violate("%s got unknown without a time to come back", id)
 		}
 	}
-	if late := b.now.Sub(s.Request.Deadline); late > outcomeGrace+SkewBound && !b.wasFrozen(s.Entry) {
+	if late := b.Now().Sub(s.Request.Deadline); late > outcomeGrace+SkewBound && !b.wasFrozen(s.Entry) {
 		b.violate("%s got its outcome %s after its deadline", id, late)
 	}
 }
--- a/internal/requestflow/requesttest/network.go
+++ b/internal/requestflow/requesttest/network.go
@@ -33,8 +33,8 @@
 	if a.frozenUntil.After(frozen) {
 		frozen = a.frozenUntil
 	}
-	if b.now.Before(frozen) {
-		b.at(frozen.Sub(b.now)+time.Millisecond, func() { b.connect(entry, agent) })
+	if b.Now().Before(frozen) {
+		b.At(frozen.Sub(b.Now())+time.Millisecond, func() { b.connect(entry, agent) })
 		return
 	}
 	b.nextConn++
@@ -69,10 +69,10 @@
 		}
 		b.stepEntry(entry, entryCore, requestflow.Receive{From: AgentID(agent), Connection: connection, Message: m})
 	}
-	b.at(Latency+verdict.Delay, deliver)
+	b.At(Latency+verdict.Delay, deliver)
 	if verdict.Duplicate {
 		b.logf("duplicate %T %s entry %d agent %d", m, RequestOf(m), entry, agent)
-		b.at(Latency+verdict.Delay+time.Duration(b.Random.Int64N(int64(30*time.Millisecond))), deliver)
+		b.At(Latency+verdict.Delay+time.Duration(b.Random.Int64N(int64(30*time.Millisecond))), deliver)
 	}
 }
 
@@ -123,7 +123,7 @@
 		return
 	}
 	b.endConn(c)
-	b.at(ReconnectDelay, func() { b.connect(entry, agent) })
+	b.At(ReconnectDelay, func() { b.connect(entry, agent) })
 }
 
 func (b *Bag) endConn(c *conn) {
@@ -162,9 +162,9 @@
 	}
 	c.silent = true
 	jitter := time.Duration(b.Random.Int64N(int64(200 * time.Millisecond)))
-	b.at(HeartbeatTimeout, func() { b.downAtEntry(c) })
-	b.at(HeartbeatTimeout+jitter, func() { b.downAtAgent(c) })
-	b.at(HeartbeatTimeout+jitter+ReconnectDelay, func() { b.connect(entry, agent) })
+	b.At(HeartbeatTimeout, func() { b.downAtEntry(c) })
+	b.At(HeartbeatTimeout+jitter, func() { b.downAtAgent(c) })
+	b.At(HeartbeatTimeout+jitter+ReconnectDelay, func() { b.connect(entry, agent) })
 }
 
 // KillEntry ends an entry host at once. Its callers get no outcome any more.
@@ -220,7 +220,7 @@
 // pause is longer than the heartbeat timeout.
 func (b *Bag) PauseEntry(i int, d time.Duration) {
 	b.logf("pause entry %d for %s", i, d)
-	b.entries[i].frozenUntil = b.now.Add(d)
+	b.entries[i].frozenUntil = b.Now().Add(d)
 	for a := range b.agents {
 		b.pauseConn(b.conns[[2]int{i, a}], d, func(c *conn) { b.downAtAgent(c) })
 	}
@@ -231,13 +231,13 @@
 func (b *Bag) PauseAgent(i int, d time.Duration) {
 	b.logf("pause agent %d for %s", i, d)
 	a := b.agents[i]
-	a.frozenUntil = b.now.Add(d)
+	a.frozenUntil = b.Now().Add(d)
 	for e := range b.entries {
 		b.pauseConn(b.conns[[2]int{e, i}], d, func(c *conn) { b.downAtEntry(c) })
 	}
 	if d > HeartbeatTimeout {
-		b.at(HeartbeatTimeout, func() { a.suspected = true })
-		b.at(d+ReconnectDelay, func() { a.suspected = false })
+		b.At(HeartbeatTimeout, func() { a.suspected = true })
+		b.At(d+ReconnectDelay, func() { a.suspected = false })
 	}
 }
 
@@ -245,9 +245,9 @@
 	if c == nil || d <= HeartbeatTimeout {
 		return
 	}
-	b.at(HeartbeatTimeout, func() { first(c) })
-	b.at(d, func() { b.endConn(c) })
-	b.at(d+ReconnectDelay, func() { b.connect(c.entry, c.agent) })
+	b.At(HeartbeatTimeout, func() { first(c) })
+	b.At(d, func() { b.endConn(c) })
+	b.At(d+ReconnectDelay, func() { b.connect(c.entry, c.agent) })
 }
 
 // StopAgent begins the graceful stop of an agent.
@@ -255,7 +255,7 @@
 	b.logf("stop agent %d", i)
 	a := b.agents[i]
 	a.leaving = true
-	a.leftAt = b.now
+	a.leftAt = b.Now()
 	b.stepAgent(i, a.core, executor.Stop{})
 }
 
