--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -42,6 +42,10 @@
 	ready bool
 	// waiting holds the calls of operators that wait for a row's write.
 	waiting map[model.JobID][]*operatorCall
+	// nextSnapshot is when the state is stored next.
+	nextSnapshot time.Time
+	// snapshots counts the snapshots that this process stored.
+	snapshots uint64
 	// remote holds calls that were forwarded to the owner.
 	remote *forwardedCalls
 }
@@ -116,6 +120,7 @@
 			s.takeDocument()
 			s.followLease(s.p.Now())
 			s.step(scheduler.Tick{})
+			s.saveSnapshot(s.p.Now())
 		case <-ctx.Done():
 			return nil
 		}
--- a/internal/entry/schedulerrows.go
+++ b/internal/entry/schedulerrows.go
@@ -43,7 +43,9 @@
 type loadResult struct {
 	epoch model.Epoch
 	rows  []scheduler.JobRow
-	err   error
+	// snapshot is nil when there is none.
+	snapshot *scheduler.Snapshot
+	err      error
 }
 
 // rowWriter keeps the operations on one job's row in order: at most one for
@@ -251,6 +253,8 @@
 		}
 		if err != nil {
 			sleep(ctx, loadRetry)
+		} else {
+			result.snapshot = s.loadSnapshot(ctx)
 		}
 		s.inputs.Push(ctx, schedulerInput{load: &result})
 	}, func(err error) {
@@ -281,6 +285,8 @@
 	document, _ := s.state.Document()
 	s.loading, s.ready = 0, true
 	s.rows.reset()
-	s.perform(s.core.Step(s.p.Now(), scheduler.BecomeOwner{Epoch: result.epoch, Rows: result.rows, Config: document}))
+	owner := scheduler.BecomeOwner{Epoch: result.epoch, Rows: result.rows, Snapshot: result.snapshot, Config: document}
+	s.perform(s.core.Step(s.p.Now(), owner))
+	s.nextSnapshot = s.p.Now().Add(snapshotInterval)
 	s.state.broadcastOwner()
 }
--- a/internal/event/catalogue_state.go
+++ b/internal/event/catalogue_state.go
@@ -17,6 +17,7 @@
 	PermitLapsed      Code = 4108
 	PermitZoneOut     Code = 4109
 	WorkerCallFailed  Code = 4110
+	SnapshotFailed    Code = 4111
 )
 
 var stateCatalogue = []Entry{
@@ -35,4 +36,5 @@
 	{PermitLapsed, "permit.lapsed", "warn", "An agent's start permits ended; it starts nothing."},
 	{PermitZoneOut, "permit.zone_out", "info", "An agent was told that its availability zone is out."},
 	{WorkerCallFailed, "worker.call_failed", "warn", "A call of the worker beside an agent failed."},
+	{SnapshotFailed, "snapshot.failed", "warn", "The scheduler's state could not be stored in or read from the object store."},
 }
