Interpret the lease chart and drive it through every fault

Cause: the lease ran on a state field of its own, and its row of the fault matrix was empty. Change: the chart is rewritten to what the candidate does, and the candidate fires it; an event that the state does not know, as the late result of a write after the lease has lapsed, changes nothing. Cells: three candidates against one table service with late, lost, doubled and refused calls; checked are one holder at a time, growing epochs, fenced decisions in order of epochs, one holder after healing. Cells of a chart run four at a time.

--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 
 	"dragonflyyard/internal/statechart"
@@ -87,16 +88,8 @@
 	charts := loadCharts(t)
 	columns := Columns(charts)
 	matrix := NewMatrix(charts)
-	for _, c := range registered {
-		p := place(t, columns, c)
-		record := Record{Result: Impossible, Promise: c.Promise, Reason: c.Impossible}
-		if c.Run != nil {
-			record.Result = Failed
-			if t.Run(strings.Join([]string{c.Chart, c.From, c.Event, string(c.Fault)}, "/"), c.Run) {
-				record.Result = Passed
-			}
-		}
-		matrix.Set(p, record)
+	for _, chart := range charts {
+		t.Run(chart.Name(), func(t *testing.T) { runCells(t, chart.Name(), columns, matrix) })
 	}
 	fillEmptyRows(matrix)
 	if testing.Verbose() {
@@ -108,6 +101,44 @@
 	t.Run("page", func(t *testing.T) { checkPage(t, matrix.Page()) })
 }
 
+// cellsAtOnce bounds the cells that run at the same time.
+const cellsAtOnce = 4
+
+// runCells runs the cells of a chart, a few at a time, and returns when all
+// have ended.
+func runCells(t *testing.T, chart string, columns []Column, matrix *Matrix) {
+	var mu sync.Mutex
+	set := func(p Place, r Record) {
+		mu.Lock()
+		defer mu.Unlock()
+		matrix.Set(p, r)
+	}
+	free := make(chan struct{}, cellsAtOnce)
+	for _, c := range registered {
+		if c.Chart != chart {
+			continue
+		}
+		p := place(t, columns, c)
+		if c.Run == nil {
+			set(p, Record{Result: Impossible, Promise: c.Promise, Reason: c.Impossible})
+			continue
+		}
+		t.Run(strings.Join([]string{c.From, c.Event, string(c.Fault)}, "/"), func(t *testing.T) {
+			t.Parallel()
+			t.Cleanup(func() {
+				result := Passed
+				if t.Failed() || t.Skipped() {
+					result = Failed
+				}
+				set(p, Record{Result: result, Promise: c.Promise})
+			})
+			free <- struct{}{}
+			defer func() { <-free }()
+			c.Run(t)
+		})
+	}
+}
+
 // checkPage holds docs/FAULTS.md to the page of this run, or writes it.
 func checkPage(t *testing.T, page string) {
 	if *writePage {
--- a/internal/ownership/candidate.go
+++ b/internal/ownership/candidate.go
@@ -5,6 +5,7 @@
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/statechart"
 )
 
 // Candidate is one entry host's part in the ownership of a region's scheduler.
@@ -16,7 +17,9 @@
 	id          model.EntryID
 	incarnation model.Incarnation
 
-	state State
+	machine statechart.Machine
+	// trace is told of each transition; nil for none.
+	trace func(statechart.Transition)
 	epoch model.Epoch
 	// epochVersion is the version of the row that the start of the epoch wrote.
 	epochVersion platform.RowVersion
@@ -55,7 +58,7 @@
 		epochKey:    EpochKey(region),
 		id:          id,
 		incarnation: incarnation,
-		state:       StateFollowing,
+		machine:     leaseChart.NewMachine(),
 	}
 }
 
@@ -67,7 +70,10 @@
 func EpochKey(region model.RegionName) string { return "head/epoch/" + string(region) }
 
 // State returns the candidate's state as of its last input.
-func (c *Candidate) State() State { return c.state }
+func (c *Candidate) State() State { return stateOf(c.machine.State()) }
+
+// Trace registers a function that is told of each transition of the candidate.
+func (c *Candidate) Trace(trace func(statechart.Transition)) { c.trace = trace }
 
 // Key returns the key of the lease row.
 func (c *Candidate) Key() string { return c.key }
@@ -75,7 +81,7 @@
 // Holds returns the epoch under which the candidate may act at the given time.
 // A process asks again before each act, since it may have been paused.
 func (c *Candidate) Holds(now time.Time) (model.Epoch, bool) {
-	held := c.state == StateHolding && now.Before(c.validUntil)
+	held := c.State() == StateHolding && now.Before(c.validUntil)
 	return c.epoch, held
 }
 
@@ -104,10 +110,10 @@
 
 // lapse ends a lease whose time has passed.
 func (c *Candidate) lapse(now time.Time) []Action {
-	if c.state != StateHolding || now.Before(c.validUntil) {
+	if c.State() != StateHolding || now.Before(c.validUntil) {
 		return nil
 	}
-	c.state = StateFollowing
+	c.fire(validityPassed)
 	return []Action{Lost{Epoch: c.epoch, Reason: LossLapsed}}
 }
 
@@ -146,13 +152,11 @@
 
 // deposed ends a held lease after another owner's write was seen.
 func (c *Candidate) deposed() []Action {
-	if c.state == StateAcquiring {
-		c.state = StateFollowing
-	}
-	if c.state != StateHolding {
+	held := c.State() == StateHolding
+	c.fire(otherOwner)
+	if !held {
 		return nil
 	}
-	c.state = StateFollowing
 	return []Action{Lost{Epoch: c.epoch, Reason: LossDeposed}}
 }
 
@@ -172,15 +176,18 @@
 		return c.confirmed(now, write.sentAt)
 	case ResultUnavailable:
 		c.writes = c.writes[:len(c.writes)-1]
-		return c.backOff()
+		c.fire(storeDown)
+		return nil
 	case ResultConflict:
 		// The row has another version than the one known. It is either another
 		// owner's, or one of this candidate's writes that was in doubt.
 		c.writes = c.writes[:len(c.writes)-1]
+		c.fire(checkFailed)
 		return c.readNow()
 	default:
 		// The write may still take effect. Reading back tells when it did; a
 		// further write under the same check settles it.
+		c.fire(writeInDoubt)
 		return c.readNow()
 	}
 }
@@ -189,8 +196,8 @@
 // An acquisition does not, as the version of its epoch row is not known: the
 // candidate holds the row and begins the next epoch at once.
 func (c *Candidate) landed(now, sentAt time.Time) []Action {
-	renewed := c.state == StateHolding && c.lease.Epoch == c.epoch
-	if renewed || c.lease.Released {
+	isRenewal := c.State() == StateHolding && c.lease.Epoch == c.epoch
+	if isRenewal || c.lease.Released {
 		return c.confirmed(now, sentAt)
 	}
 	c.nextCall = now
@@ -200,7 +207,7 @@
 // confirmed takes in a write of this candidate that took effect.
 func (c *Candidate) confirmed(now, sentAt time.Time) []Action {
 	if c.lease.Released {
-		c.state = StateStopped
+		c.fire(releaseConfirmed)
 		return []Action{HandedOver{Confirmed: true}}
 	}
 	until := sentAt.Add(c.limits.Duration)
@@ -209,10 +216,12 @@
 	}
 	c.validUntil = until
 	c.nextCall = sentAt.Add(c.limits.RenewEvery)
-	if c.state == StateHolding && c.epoch == c.lease.Epoch {
+	if c.State() == StateHolding && c.epoch == c.lease.Epoch {
+		c.fire(renewed)
 		return []Action{Extended{Epoch: c.epoch, ValidUntil: until}}
 	}
-	c.state, c.epoch = StateHolding, c.lease.Epoch
+	c.fire(acquired)
+	c.epoch = c.lease.Epoch
 	return []Action{Acquired{Epoch: c.epoch, ValidUntil: until}}
 }
 
@@ -224,27 +233,27 @@
 	}
 	c.stopping = true
 	c.nextCall = now
-	if c.state != StateHolding {
-		if len(c.writes) == 0 {
-			c.state = StateStopped
-			return []Action{HandedOver{Confirmed: true}}
-		}
-		c.state = StateHandingOver
+	held := c.State() == StateHolding
+	if !held && len(c.writes) == 0 {
+		c.fire(stoppedIdle)
+		return []Action{HandedOver{Confirmed: true}}
+	}
+	c.fire(stopOrdered)
+	if !held {
 		return nil
 	}
-	c.state = StateHandingOver
 	return []Action{Lost{Epoch: c.epoch, Reason: LossHandedOver}}
 }
 
 // next returns the next call to the table service, when one is due.
 func (c *Candidate) next(now time.Time) []Action {
-	if c.pending != 0 || c.state == StateStopped || now.Before(c.nextCall) {
+	if c.pending != 0 || c.machine.Done() || now.Before(c.nextCall) {
 		return nil
 	}
 	if !c.rowKnown {
 		return c.read(now)
 	}
-	switch c.state {
+	switch c.State() {
 	case StateHolding:
 		return c.renew(now)
 	case StateHandingOver:
@@ -255,6 +264,7 @@
 }
 
 func (c *Candidate) renew(now time.Time) []Action {
+	c.fire(renewalDue)
 	c.nextCall = now.Add(c.limits.RenewEvery)
 	return c.write(now, Lease{Epoch: c.epoch})
 }
@@ -262,7 +272,7 @@
 func (c *Candidate) release(now time.Time) []Action {
 	mine := c.lease.Owner == c.id && c.lease.Incarnation == c.incarnation
 	if c.tries >= c.limits.HandOverTries || (!mine && len(c.writes) == 0) {
-		c.state = StateStopped
+		c.fire(givenUp)
 		return []Action{HandedOver{Confirmed: !mine}}
 	}
 	c.tries++
@@ -275,7 +285,7 @@
 	if !c.isFree(now) {
 		return c.read(now)
 	}
-	c.state = StateAcquiring
+	c.fire(candidateDue)
 	c.nextCall = now.Add(c.limits.PollEvery)
 	return c.write(now, Lease{Epoch: c.lease.Epoch + 1})
 }
@@ -302,13 +312,6 @@
 	return []Action{ReadRow{Call: c.newCall(), Key: c.key}}
 }
 
-func (c *Candidate) backOff() []Action {
-	if c.state == StateAcquiring {
-		c.state = StateFollowing
-	}
-	return nil
-}
-
 func (c *Candidate) write(now time.Time, lease Lease) []Action {
 	c.lastWrite++
 	lease.Owner, lease.Incarnation, lease.Write = c.id, c.incarnation, c.lastWrite
