--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -185,7 +185,8 @@
 		t.Errorf("got %+v", got)
 	}
 	page := m.Page()
-	for _, text := range []string{"| a on e | 5 | ? |", "| F |", "| a on f | - |", "- no host (a)"} {
+	for _, text := range []string{"| a on e | 5 | ? |", "| F |", "| a on f | - |", "- no host (a)",
+		"- c: a on f: process_frozen,"} {
 		if !strings.Contains(page, text) {
 			t.Errorf("the page has no %q:\n%s", text, page)
 		}
