Stop asking silent agents before their connection is lost

Cause: with three backend servers lost, 10 % of the requests were refused and first-in-first-out refused none: requests whose home was dead held slots of live executors while their claim was sent again, up to their deadline. Change: an agent that sent nothing since an unanswered claim or look-up is suspect: it gets no new requests, and requests whose home it is wait without slots; a look-up without an ID every 100 ms finds out when it answers again. Not mended here: requests of the lost homes' ranges wait for new homes.

--- a/internal/requestflow/claim.go
+++ b/internal/requestflow/claim.go
@@ -17,6 +17,7 @@
 	f.home = holder.Home
 	f.claimVersion = c.assignmentVersion()
 	f.nextProbe = now.Add(c.config.ClaimTimeout)
+	f.askedAt = now
 	claim := &wire.Claim{
 		Request: f.request.ID, BodyHash: f.request.BodyHash, Executor: f.executor,
 		Assignment: f.claimVersion, SealOnly: seal, Token: f.token, Unconfirmed: f.unconfirmed,
--- a/internal/requestflow/config.go
+++ b/internal/requestflow/config.go
@@ -60,7 +60,7 @@
 		MaxQueuedPerAccount: 512,
 		MaxCallers:          8,
 		MaxAnswerBytes:      8 << 20,
-		ClaimTimeout:        250 * time.Millisecond,
+		ClaimTimeout:        100 * time.Millisecond,
 		ProbeInterval:       time.Second,
 		ResolveTimeout:      5 * time.Second,
 		ReconnectGrace:      300 * time.Millisecond,
--- a/internal/requestflow/core.go
+++ b/internal/requestflow/core.go
@@ -20,8 +20,12 @@
 	backend     model.BackendServer
 	incarnation model.Incarnation
 	connection  uint64
-	demandSeq   uint64
-	demand      wire.Demand
+	// heard is when the last message came. suspect is set while a claim or
+	// look-up went unanswered and nothing was heard since it was sent.
+	heard     time.Time
+	suspect   bool
+	demandSeq uint64
+	demand    wire.Demand
 }
 
 // hold is slots of a finished flight whose executor still runs the request.
@@ -136,6 +140,7 @@
 	if l == nil || l.connection != in.Connection {
 		return
 	}
+	c.heardFrom(now, l)
 	switch m := in.Message.(type) {
 	case *wire.Credit:
 		c.table.Credit(in.From, m.Seq, m.Slots, m.Connections)
--- a/internal/requestflow/flight.go
+++ b/internal/requestflow/flight.go
@@ -68,7 +68,9 @@
 	giveUpReason model.Reason
 	retryAfter   time.Duration
 
-	answer    answerAssembly
+	answer answerAssembly
+	// askedAt is when the last claim or look-up was sent.
+	askedAt   time.Time
 	nextProbe time.Time
 	waitUntil time.Time
 	// homeDeadline ends the wait for a home that cannot be asked.
@@ -136,7 +138,7 @@
 	}
 	l := c.links[h.Home]
 	switch {
-	case l == nil || l.incarnation < h.Incarnation:
+	case l == nil || l.incarnation < h.Incarnation || l.suspect:
 		return h, homeDown
 	case l.incarnation > h.Incarnation:
 		return h, homeReplaced
--- a/internal/requestflow/links.go
+++ b/internal/requestflow/links.go
@@ -55,6 +55,29 @@
 	c.sendLookup(now, f)
 }
 
+// heardFrom notes a message of an agent, which ends any suspicion.
+func (c *Core) heardFrom(now time.Time, l *link) {
+	l.heard = now
+	if !l.suspect {
+		return
+	}
+	l.suspect = false
+	c.table.SetSuspect(l.backend.ID, false)
+	c.unpark(now)
+}
+
+// suspectSilent suspects an agent that was asked and has sent nothing since. A
+// suspect agent gets no new requests, and requests whose home it is wait without
+// holding slots, until a message comes or the connection is declared lost.
+func (c *Core) suspectSilent(id model.BackendServerID, askedAt time.Time) {
+	l := c.links[id]
+	if l == nil || !l.heard.Before(askedAt) {
+		return
+	}
+	l.suspect = true
+	c.table.SetSuspect(id, true)
+}
+
 func (c *Core) linkDown(now time.Time, in LinkDown) {
 	l := c.links[in.Backend]
 	if l == nil || l.connection != in.Connection {
@@ -142,6 +165,10 @@
 		if l == nil {
 			return
 		}
+		if l.suspect {
+			// Any reply ends the suspicion; a look-up without an ID changes nothing.
+			c.send(l, &wire.Lookup{})
+		}
 		demand := wire.Demand{}
 		if c.queuedSlots > 0 {
 			demand.Slots = min(l.backend.Slots, inUse+c.queuedSlots)
--- a/internal/requestflow/resolve.go
+++ b/internal/requestflow/resolve.go
@@ -39,6 +39,7 @@
 		return
 	}
 	f.sentConnection = l.connection
+	f.askedAt = now
 	c.send(l, &wire.Lookup{Request: f.request.ID, Seal: !f.query})
 }
 
@@ -277,10 +278,14 @@
 	case f.phase == phaseParked:
 		c.unparkOne(now, f)
 	case f.machine.State() == stateClaiming:
+		c.suspectSilent(f.home, f.askedAt)
 		if !c.sendClaim(now, f, false) {
 			c.claimUnanswered(now, f)
 		}
 	case f.isWaitingForExecutor():
+		if f.askedAt.After(f.dispatchedAt) {
+			c.suspectSilent(f.executor, f.askedAt)
+		}
 		c.sendLookup(now, f)
 	default:
 		f.nextProbe = time.Time{}
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -44,6 +44,7 @@
 	ejectedUntil time.Time
 	ejections    int
 	probeBusy    bool
+	suspect      bool
 	probeOK      int
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -135,6 +135,14 @@
 	t.fire(s, eventCreditReceived)
 }
 
+// SetSuspect marks a backend server whose agent does not answer: it gets no new
+// requests meanwhile.
+func (t *Table) SetSuspect(id model.BackendServerID, suspect bool) {
+	if s := t.servers[id]; s != nil {
+		s.suspect = suspect
+	}
+}
+
 // SetZonesOut replaces the set of availability zones that take no work.
 func (t *Table) SetZonesOut(zones map[model.AvailabilityZoneName]bool) { t.zonesOut = zones }
 
@@ -149,7 +157,7 @@
 // Slots returns the sum of the slot credits of usable servers and how many are free.
 func (t *Table) Slots() (total, free int) {
 	for _, s := range t.order {
-		if !s.isUsable() || t.zonesOut[s.backend.Zone] {
+		if !s.isUsable() || s.suspect || t.zonesOut[s.backend.Zone] {
 			continue
 		}
 		total += s.slotCredit
@@ -198,7 +206,7 @@
 }
 
 func (t *Table) allows(s *server, c Choice) bool {
-	if !s.isUsable() || !s.fits(c.Slots) || t.zonesOut[s.backend.Zone] {
+	if !s.isUsable() || s.suspect || !s.fits(c.Slots) || t.zonesOut[s.backend.Zone] {
 		return false
 	}
 	if s.reservedFor != "" && s.reservedFor != c.Request {
