--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -24,7 +24,6 @@
 	PhaseRecovering Phase = "recovering"
 	PhaseParked     Phase = "parked"
 	PhaseFinished   Phase = "finished"
-	PhaseFailed     Phase = "failed"
 	PhaseCancelled  Phase = "cancelled"
 )
 
@@ -46,7 +45,11 @@
 	Booked bool
 	// GoneAt is when a task on a lost worker has ended for certain.
 	GoneAt time.Time
-	DoneMS int64
+	// ReplyMS is the agent's clock at its last confirmed reservation, and
+	// ReplyAt when that confirmation arrived.
+	ReplyMS int64
+	ReplyAt time.Time
+	DoneMS  int64
 	// Checkpointed is set when the task's work so far is kept.
 	Checkpointed bool
 }
@@ -113,12 +116,6 @@
 	}
 }
 
-func (j *JobState) setPhase(now time.Time, p Phase) {
-	j.Phase = p
-	j.PhaseSince = now
-	j.ResendAt = now
-}
-
 // placed reports whether the job has an attempt under way.
 func (j *JobState) placed() bool { return len(j.Tasks) > 0 }
 
--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -49,10 +49,9 @@
 		j.Tasks = append(j.Tasks, TaskState{Worker: w})
 		c.book(j, i)
 	}
+	c.enter(now, j, PhaseQueued)
 	if j.placed() {
-		c.setPhase(now, j, PhaseRecovering)
-	} else {
-		c.setPhase(now, j, PhaseQueued)
+		c.fire(now, j, eventRowFound)
 	}
 }
 
@@ -96,22 +95,26 @@
 // recoverJob takes a gang over that is whole, launches one that is reserved on
 // each member, and ends any other.
 func (c *Core) recoverJob(now time.Time, j *JobState) {
+	for i := range j.Tasks {
+		if w := c.workers[j.Tasks[i].Worker]; w == nil || !w.Up {
+			j.Tasks[i].GoneAt = now
+		}
+	}
+	if j.CancelRequested {
+		c.fire(now, j, eventOwnerChanged)
+		c.endAttempt(now, j, eventCancelled, PhaseCancelled, wire.StopCancelled, 0, "cancelled")
+		return
+	}
 	whole := j.allTasks(wire.TaskReserved, wire.TaskStarting, wire.TaskRunning, wire.TaskSuspended, wire.TaskFinished)
 	if !whole {
-		c.setPhase(now, j, PhaseLaunching)
-		for i := range j.Tasks {
-			if w := c.workers[j.Tasks[i].Worker]; w == nil || !w.Up {
-				j.Tasks[i].GoneAt = now
-			}
-		}
-		c.endAttempt(now, j, PhaseQueued, wire.StopGangMemberLost, c.settings.MemberLostGrace, "a member was missing when the owner changed")
+		c.endAttempt(now, j, eventMemberLost, PhaseQueued, wire.StopGangMemberLost, c.settings.MemberLostGrace, "a member was missing when the owner changed")
 		return
 	}
+	c.fire(now, j, eventOwnerChanged)
 	if j.allTasks(wire.TaskFinished) {
-		c.jobFinished(now, j)
+		c.checkRunning(now, j)
 		return
 	}
-	c.setPhase(now, j, PhaseLaunching)
 	j.explain(now, "taken over by the owner of epoch %d", c.epoch)
 	c.sendLaunches(now, j)
 }
