--- a/internal/faultmatrix/page.go
+++ b/internal/faultmatrix/page.go
@@ -23,6 +23,7 @@
 	var b strings.Builder
 	b.WriteString(pageIntroduction)
 	b.WriteString("## Counts\n\n" + m.Summary())
+	m.writeMissing(&b)
 	b.WriteString("\n## Faults\n\n| column | fault | meaning |\n| --- | --- | --- |\n")
 	for i, f := range Faults() {
 		fmt.Fprintf(&b, "| %s | %s | %s |\n", faultLetter(i), f.Fault, f.Meaning)
@@ -33,6 +34,26 @@
 	return b.String()
 }
 
+// writeMissing lists the places without a cell, a line for each transition.
+func (m *Matrix) writeMissing(b *strings.Builder) {
+	b.WriteString("\n## Not covered\n\n")
+	faults := map[Column][]string{}
+	for _, p := range m.Missing() {
+		faults[p.Column] = append(faults[p.Column], string(p.Fault))
+	}
+	if len(faults) == 0 {
+		b.WriteString("Every place has a cell.\n")
+	}
+	for _, column := range m.columns {
+		switch missing := faults[column]; {
+		case len(missing) == len(Faults()):
+			fmt.Fprintf(b, "- %s: every fault\n", column)
+		case len(missing) > 0:
+			fmt.Fprintf(b, "- %s: %s\n", column, strings.Join(missing, ", "))
+		}
+	}
+}
+
 // faultLetter is the heading of a fault's column on the page.
 func faultLetter(index int) string { return string(rune('a' + index)) }
 
