List the processes of a region on each entry host

Cause: dragonflyctl timeline has to find all processes by itself. Change: Hello and Welcome carry the HTTP address, Welcome also the zone; entry hosts serve GET /v1/processes.

--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -153,7 +153,7 @@
 		Backend: &model.BackendServer{
 			ID: s.ID, Zone: s.Zone, Slots: s.BackendServer.Slots, Connections: s.BackendServer.Connections,
 		},
-		Worker: p.worker(), Leaving: p.IsStopping(),
+		Worker: p.worker(), Leaving: p.IsStopping(), HTTPAddress: p.HTTPAddress(),
 	}
 }
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -33,9 +33,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"dragonflyyard/internal/link"
+	"dragonflyyard/internal/operatorapi"
 	"dragonflyyard/internal/process"
 	"dragonflyyard/internal/requestflow"
 	"dragonflyyard/internal/settings"
@@ -87,10 +89,12 @@
 	}
 	p := &Process{Base: base, Config: config, linkListener: listener, dials: make(chan string, maxDials)}
 	p.roster = append([]string{p.LinkAddress()}, s.Peers...)
-	identity := link.Identity{Process: base.Name, Incarnation: base.Incarnation, Hello: p.hello, Roster: p.Roster}
+	identity := link.Identity{Process: base.Name, Incarnation: base.Incarnation, Hello: p.hello, Roster: p.Roster,
+		HTTPAddress: p.HTTPAddress(), Zone: s.Zone}
 	p.Hub = link.NewHub(identity, process.LinkOptions(&s.Links), base.Log, base.Metrics, base.Now)
 	p.Requests = newRequests(p.requestConfig(), s.Process.RingCapacity, base, p.Hub)
 	p.registerCallers()
+	p.HandleHTTP(fasthttp.MethodGet, operatorapi.PathProcesses, p.serveProcesses)
 	p.AddDuty("request core", p.Requests.run)
 	p.OnStop(process.StageAnnounce, "drain delay", p.waitForBalancer)
 	p.OnStop(process.StageDrain, "requests", p.Requests.drain)
@@ -167,6 +171,7 @@
 	return wire.Hello{
 		Role: wire.RoleEntry, Process: p.Name, Incarnation: p.Incarnation,
 		Region: p.Config.Settings.Region, Zone: p.Config.Settings.Zone, Leaving: p.IsStopping(),
+		HTTPAddress: p.HTTPAddress(),
 	}
 }
 
--- a/internal/link/accept.go
+++ b/internal/link/accept.go
@@ -75,12 +75,16 @@
 	peer := Peer{
 		Role: hello.Role, Process: hello.Process, Incarnation: hello.Incarnation,
 		Address: ws.RemoteAddr().String(), Hello: hello, Connection: id,
+		HTTPAddress: hello.HTTPAddress, Zone: hello.Zone,
 	}
 	_ = h.serve(ctx, ws, peer, id)
 }
 
 func (h *Hub) welcome(ws *websocket.Conn, id uint64) error {
-	welcome := &wire.Welcome{Process: h.identity.Process, Incarnation: h.identity.Incarnation, Connection: id}
+	welcome := &wire.Welcome{
+		Process: h.identity.Process, Incarnation: h.identity.Incarnation, Connection: id,
+		HTTPAddress: h.identity.HTTPAddress, Zone: h.identity.Zone,
+	}
 	if h.identity.Roster != nil {
 		welcome.Roster = h.identity.Roster()
 	}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -21,6 +21,9 @@
 	Incarnation model.Incarnation
 	// Address is the peer's address as this process sees it, IP:port.
 	Address string
+	// HTTPAddress is where the peer serves its time line and metrics, IP:port.
+	HTTPAddress string
+	Zone        model.AvailabilityZoneName
 	// Hello is the peer's own announcement; nil when this process dialled.
 	Hello *wire.Hello
 	// Connection is the number that the answering process gave the connection.
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -157,6 +157,7 @@
 	return Peer{
 		Role: wire.RoleEntry, Process: welcome.Process, Incarnation: welcome.Incarnation,
 		Address: address, Connection: welcome.Connection, Roster: welcome.Roster,
+		HTTPAddress: welcome.HTTPAddress, Zone: welcome.Zone,
 	}, nil
 }
 
--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -34,6 +34,9 @@
 	Hello func() wire.Hello
 	// Roster returns the link addresses of all entry hosts known; nil for none.
 	Roster func() []string
+	// HTTPAddress and Zone are told to processes that dial this one.
+	HTTPAddress string
+	Zone        model.AvailabilityZoneName
 }
 
 type handlerKey struct {
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -19,6 +19,7 @@
 	PathJobsCancel      = "/v1/jobs/cancel"
 	PathGuaranteesCheck = "/v1/guarantees/check"
 	PathTimeline        = "/v1/timeline"
+	PathProcesses       = "/v1/processes"
 	PathStop            = "/v1/stop"
 	// ExplainSuffix follows PathJobs, a slash and the job's ID.
 	ExplainSuffix = "/explain"
@@ -194,3 +195,28 @@
 	Clock  event.Timestamp `json:"clock"`
 	Events []event.Event   `json:"events"`
 }
+
+// ProcessRole is the role of a process of the system.
+type ProcessRole string
+
+// Roles of a process.
+const (
+	ProcessEntryHost ProcessRole = "entry"
+	ProcessAgent     ProcessRole = "agent"
+)
+
+// ProcessInfo describes one process of the system.
+type ProcessInfo struct {
+	Name string      `json:"name"`
+	Role ProcessRole `json:"role"`
+	// Zone is empty where the process that answers does not know it.
+	Zone model.AvailabilityZoneName `json:"zone,omitempty"`
+	// HTTPAddress is the process's HTTP address, IP:port.
+	HTTPAddress string `json:"http_address"`
+}
+
+// ProcessList is the answer of GET PathProcesses: the entry host itself and
+// the agents and entry hosts that are connected to it, ordered by name.
+type ProcessList struct {
+	Processes []ProcessInfo `json:"processes"`
+}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -23,6 +23,8 @@
 	Worker  *model.Worker
 	// Leaving is set when the backend server is already on its way out.
 	Leaving bool
+	// HTTPAddress is where the process serves its time line and metrics, IP:port.
+	HTTPAddress string
 }
 
 // Welcome answers Hello.
@@ -34,6 +36,9 @@
 	Connection uint64
 	// Roster holds the link addresses (IP:port) of all entry hosts known.
 	Roster []string
+	// HTTPAddress is where the process serves its time line and metrics, IP:port.
+	HTTPAddress string
+	Zone        model.AvailabilityZoneName
 }
 
 // Heartbeat is sent both ways at a fixed interval. Seq grows by one with each.
