--- a/internal/link/reader.go
+++ b/internal/link/reader.go
@@ -100,6 +100,9 @@
 }
 
 func isTimeout(err error) bool {
+	if err == nil {
+		return false
+	}
 	var timeout interface{ Timeout() bool }
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/internal/link/writer.go
+++ b/internal/link/writer.go
@@ -17,6 +17,7 @@
 	*Conn
 	encoder *wire.Encoder
 	batch   *batchConn
+	stamp   wire.Clock
 }
 
 // write sends queued messages and heartbeats until the connection ends.
@@ -99,8 +100,9 @@
 	if w.clock == nil {
 		return nil
 	}
-	stamp := w.clock.Now()
-	return w.writeMessage(&wire.Clock{WallMS: stamp.WallMS, Counter: stamp.Counter})
+	now := w.clock.Now()
+	w.stamp = wire.Clock{WallMS: now.WallMS, Counter: now.Counter}
+	return w.writeMessage(&w.stamp)
 }
 
 func (w *writer) end() error {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -5,6 +5,7 @@
 
 import (
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -13,14 +14,23 @@
 	"dragonflyyard/internal/event"
 )
 
+// Lines are gathered before they are written, as a request makes several.
+const (
+	bufferBytes   = 256 << 10
+	flushInterval = 200 * time.Millisecond
+)
+
 // NewLogger returns a logger that writes JSON lines of the given level and
-// above ("debug", "info", "warn" or "error") to standard error.
+// above ("debug", "info", "warn" or "error") to standard error, at most
+// flushInterval late. Sync writes what is gathered; a process that is killed
+// loses it.
 func NewLogger(level string) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, errors.Wrap(err, "log level")
 	}
-	return New(zapcore.Lock(os.Stderr), parsed), nil
+	out := &zapcore.BufferedWriteSyncer{WS: zapcore.Lock(os.Stderr), Size: bufferBytes, FlushInterval: flushInterval}
+	return New(out, parsed), nil
 }
 
 // New returns a logger that writes JSON lines of the given level and above.
--- a/internal/process/http.go
+++ b/internal/process/http.go
@@ -136,6 +136,7 @@
 }
 
 func (b *Base) serveMetrics(ctx *fasthttp.RequestCtx) {
+	b.usage.update()
 	ctx.SetContentType("application/json")
 	metrics.WriteJSONOnce(b.Metrics, ctx.Response.BodyWriter())
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -88,6 +88,7 @@
 	routes   routeTable
 	duties   []duty
 	steps    [stageCount][]stopStep
+	usage    usage
 	stopping atomic.Bool
 	stopOnce sync.Once
 	stop     chan struct{}
@@ -127,6 +128,7 @@
 		listener:    listener,
 		stop:        make(chan struct{}),
 	}
+	b.usage = newUsage(b.Metrics)
 	b.Log.AddSink(logging.Sink(b.Logger))
 	b.registerCommonRoutes()
 	return b, nil
--- a/internal/proctest/cluster_test.go
+++ b/internal/proctest/cluster_test.go
@@ -66,19 +66,27 @@
 
 // cluster is a set of processes of one region.
 type cluster struct {
-	t       *testing.T
-	dir     string
-	standin *proc
-	entries []*proc
-	agents  []*proc
-	client  *http.Client
+	t   testing.TB
+	dir string
+	// logLevel is that of all processes; the settings' default where it is empty.
+	logLevel string
+	standin  *proc
+	entries  []*proc
+	agents   []*proc
+	client   *http.Client
 }
 
 // startCluster starts the stand-ins, entry hosts and agents, and waits until
 // each entry host is connected to each agent.
-func startCluster(t *testing.T, entries, agents int, serviceTime time.Duration) *cluster {
+func startCluster(t testing.TB, entries, agents int, serviceTime time.Duration) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir(), client: &http.Client{
+	return startClusterAt(t, "", entries, agents, serviceTime)
+}
+
+// startClusterAt starts a cluster with a log level.
+func startClusterAt(t testing.TB, logLevel string, entries, agents int, serviceTime time.Duration) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), logLevel: logLevel, client: &http.Client{
 		Timeout:   limit,
 		Transport: &http.Transport{MaxIdleConnsPerHost: 256},
 	}}
@@ -111,7 +119,7 @@
 }
 
 // reservePorts returns addresses with ports that the kernel picked as free.
-func reservePorts(t *testing.T, count int) []string {
+func reservePorts(t testing.TB, count int) []string {
 	t.Helper()
 	var addresses []string
 	for range count {
@@ -161,7 +169,7 @@
 peers: [%s]
 table_address: %s
 object_store_address: %s
-`, p.name, zone, p.http, p.link, strings.Join(peers, ", "), table, objects))
+%s`, p.name, zone, p.http, p.link, strings.Join(peers, ", "), table, objects, c.processSettings()))
 }
 
 func (c *cluster) writeAgent(p *proc, index int) {
@@ -183,7 +191,15 @@
   address: %s
   id: w-%s
   capacity: {accelerators: 8, cores: 64, memory_mb: 131072}
-`, p.name, zones[index%len(zones)], index/3, p.http, strings.Join(entries, ", "), p.backend, p.worker, p.name))
+%s`, p.name, zones[index%len(zones)], index/3, p.http, strings.Join(entries, ", "), p.backend, p.worker, p.name, c.processSettings()))
+}
+
+// processSettings returns the settings that all processes share.
+func (c *cluster) processSettings() string {
+	if c.logLevel == "" {
+		return ""
+	}
+	return "process: {log_level: " + c.logLevel + "}\n"
 }
 
 // start starts a process; it is killed at the end of the test if it still runs.
