Let the last owner go on in a store outage under the roster's agreement

Cause: with the table service down the owner's lease lapsed after 4 s, no task lease was granted any more, and all running tasks were suspended and later stopped; running work did not go on. Ruled out: longer leases (an outage lasts longer than any of them, and a take-over would wait as long); agents that run on without leases (a gang that lost its owner for another reason would never be ended). Change: within 1 s of the statement of each member of the roster that it knows no later epoch, the last owner acts on; only established members may take the lease over, and a successor waits 3 s for reports, so nothing it decides overlaps. No home assignment is planned while the table service seems out of reach: a plan in doubt would end all permits. Before: a 25 s job was suspended 6 s into an outage and resumed after it.

--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -100,6 +100,8 @@
 	case holds && s.loading != epoch && !s.owns(epoch):
 		s.loading, s.ready = epoch, false
 		s.loadRows(epoch)
+	case s.state.isDormant(now):
+		// The core keeps its state until the agreement is fresh again.
 	case !holds && (owner || s.loading != 0):
 		s.loading, s.ready = 0, false
 		s.step(scheduler.LoseOwnership{})
@@ -164,6 +166,9 @@
 // the core is told so first and takes nothing else.
 func (s *Scheduler) step(in scheduler.Input) {
 	now := s.p.Now()
+	if s.state.isDormant(now) {
+		return
+	}
 	if _, owner := s.core.Owner(); owner {
 		if epoch, holds := s.state.holdsLease(now); !holds || !s.owns(epoch) {
 			s.ready = false
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -52,6 +52,9 @@
 	// Mine is set while this entry host holds the lease, until ValidUntil.
 	Mine       bool
 	ValidUntil time.Time
+	// Outage is set while the lease itself lapsed since the table service was
+	// out of reach, and the roster's agreement takes its place.
+	Outage bool
 }
 
 // State is the duty that owns configuration, membership, the region lease and
@@ -76,6 +79,9 @@
 	// homes again.
 	ownerAt  time.Time
 	nextPlan time.Time
+	// ownEpoch is the epoch of this host's lease, also after it lapsed while no
+	// later owner was known; zero while there is none.
+	ownEpoch model.Epoch
 	// permitRefused is why the last permit was refused.
 	permitRefused permit.Reason
 	leftRoster    bool
@@ -113,6 +119,7 @@
 		rosterOff: make(chan struct{}),
 		onRoster:  func(int, bool) {},
 	}
+	state.owner.Bar(true)
 	state.config = configstore.New(configLimits, s.Region, state.validateGuarantee)
 	state.document.Store(state.config.Document())
 	state.ownerNow.Store(&ownerView{})
@@ -131,6 +138,7 @@
 	hub.Handle(wire.RoleAgent, wire.TypeConfigAck, s.noteMessage)
 	hub.Handle(wire.RoleAgent, wire.TypeLeaving, s.noteMessage)
 	hub.Handle(wire.RoleEntry, wire.TypeStoreStatus, s.noteMessage)
+	hub.Handle(wire.RoleEntry, wire.TypeOwnershipNotice, s.noteMessage)
 	hub.Handle(wire.RoleEntry, wire.TypeConfigUpdate, s.noteMessage)
 }
 
@@ -164,6 +172,7 @@
 	s.stepOwner(now, ownership.Tick{})
 	s.stepRoster(now, membership.RosterTick{})
 	s.agents.tick(now)
+	s.extendOwnership(now)
 	s.planHomes(now)
 	s.pending.flush(s.p.Requests)
 }
@@ -204,6 +213,14 @@
 	return view.Epoch, view.Mine && now.Before(view.ValidUntil)
 }
 
+// isDormant reports whether this entry host was the last known owner and must
+// not act at this moment: its lease ended, and the roster's agreement is not
+// fresh.
+func (s *State) isDormant(now time.Time) bool {
+	view := s.Owner()
+	return view.Mine && !now.Before(view.ValidUntil)
+}
+
 // handOver gives the region lease and the roster row back.
 func (s *State) handOver(ctx context.Context) {
 	s.inputs.Push(ctx, stateInput{stopOwner: true})
--- a/internal/entry/statecores.go
+++ b/internal/entry/statecores.go
@@ -164,6 +164,7 @@
 	self := s.p.Config.Settings.ID
 	switch action := action.(type) {
 	case ownership.Acquired:
+		s.ownEpoch = action.Epoch
 		s.ownerNow.Store(&ownerView{Owner: self, Epoch: action.Epoch, Mine: true, ValidUntil: action.ValidUntil})
 		s.check.Store(&ownerCheck{epoch: action.Epoch, check: s.owner.Check()})
 		s.ownerAt = now
@@ -172,13 +173,53 @@
 	case ownership.Extended:
 		s.ownerNow.Store(&ownerView{Owner: self, Epoch: action.Epoch, Mine: true, ValidUntil: action.ValidUntil})
 	case ownership.Lost:
-		s.ownerNow.Store(&ownerView{Epoch: action.Epoch})
 		s.p.Log.Record(event.Event{Code: event.OwnerLost, Subject: string(self), Detail: string(action.Reason)})
-	case ownership.Observed:
-		if view := s.Owner(); !view.Mine && action.Lease.Epoch >= view.Epoch {
-			s.ownerNow.Store(&ownerView{Owner: action.Lease.Owner, Epoch: action.Lease.Epoch})
+		if action.Reason != ownership.LossLapsed {
+			s.ownEpoch = 0
+			s.ownerNow.Store(&ownerView{Epoch: action.Epoch})
 		}
+	case ownership.Observed:
+		s.noteOwner(action.Lease.Owner, action.Lease.Epoch)
+	}
+}
+
+// noteOwner takes in that an entry host owns the region under an epoch. A later
+// epoch than this host's own ends its ownership.
+func (s *State) noteOwner(owner model.EntryID, epoch model.Epoch) {
+	view := s.Owner()
+	if epoch < view.Epoch || epoch == view.Epoch && (view.Mine || owner == "") {
+		return
 	}
+	s.ownEpoch = 0
+	s.ownerNow.Store(&ownerView{Owner: owner, Epoch: epoch})
+}
+
+// outageHold is how long an owner may act after the roster stated that it
+// knows no later one. With the lease of a task (2 s) it ends before a successor
+// that began right after the statement ends its wait for the agents' reports
+// (3 s) and decides anything.
+const outageHold = time.Second
+
+// extendBefore is how long before the end of its lease an owner asks for the
+// roster's agreement.
+const extendBefore = 500 * time.Millisecond
+
+// extendOwnership lets the last owner go on while the table service is out of
+// reach and no later owner began, so that running work goes on. Its writes
+// still fail, and are fenced once the service is back.
+func (s *State) extendOwnership(now time.Time) {
+	view := s.Owner()
+	if s.ownEpoch == 0 || view.Epoch != s.ownEpoch || now.Before(view.ValidUntil.Add(-extendBefore)) {
+		return
+	}
+	since, agreed := s.issuer.OwnerAgreement(now, s.ownEpoch)
+	until := since.Add(outageHold)
+	if !agreed || !until.After(view.ValidUntil) {
+		return
+	}
+	s.ownerNow.Store(&ownerView{
+		Owner: s.p.Config.Settings.ID, Epoch: s.ownEpoch, Mine: true, ValidUntil: until, Outage: true,
+	})
 }
 
 func ownershipResult(err error) ownership.Result {
@@ -217,6 +258,7 @@
 func (s *State) takeRoster(now time.Time, view membership.RosterView) {
 	s.setRoster(view)
 	s.onRoster(len(view.Others)+1, view.Established)
+	s.owner.Bar(!view.Established)
 	s.stepConfig(now, configstore.Admit{Allowed: view.Established, Member: view.Check})
 	if view.Left && !s.leftRoster {
 		s.leftRoster = true
@@ -241,13 +283,18 @@
 // plans the home assignment.
 const homeSettle = time.Second
 
+// planFreshness is how old the last read of the table service may be when a
+// plan is written. A write that ends in doubt stops all permits until it is
+// resolved, so none is begun while the service seems out of reach.
+const planFreshness = time.Second
+
 // planHomes proposes a new home assignment when agents came or went.
 func (s *State) planHomes(now time.Time) {
-	if _, mine := s.holdsLease(now); !mine || now.Sub(s.ownerAt) < homeSettle {
+	if _, mine := s.holdsLease(now); !mine || s.Owner().Outage || now.Sub(s.ownerAt) < homeSettle {
 		return
 	}
 	view := s.config.View()
-	if !view.Ready || view.AssignmentInDoubt {
+	if !view.Ready || view.AssignmentInDoubt || now.Sub(view.CurrentSince) > planFreshness {
 		return
 	}
 	plan, changed := membership.PlanHomes(s.config.Assignment(), s.agents.homes(), now.UnixMilli(), s.limits.Validity)
--- a/internal/entry/statelinks.go
+++ b/internal/entry/statelinks.go
@@ -52,6 +52,8 @@
 		s.agents.leave(now, m.conn)
 	case *wire.StoreStatus:
 		s.takeStatus(now, m.conn, body)
+	case *wire.OwnershipNotice:
+		s.noteOwner(body.Owner, body.Epoch)
 	case *wire.ConfigUpdate:
 		if peer.Role == wire.RoleEntry {
 			s.stepConfig(now, configstore.Learned{Update: *body})
@@ -71,6 +73,8 @@
 	s.stepRoster(now, membership.PeerStated{
 		Peer: id, AskedAt: sentAt, Roster: status.Roster, Established: status.Established,
 	})
+	s.noteOwner("", status.OwnerEpoch)
+	s.extendOwnership(now)
 	if status.Config < s.config.Document().Version || status.Assignment < s.config.Assignment().Version {
 		s.sendConfig(c, status.Config, status.Assignment)
 	}
--- a/internal/ownership/candidate.go
+++ b/internal/ownership/candidate.go
@@ -16,6 +16,8 @@
 	epochKey    string
 	id          model.EntryID
 	incarnation model.Incarnation
+	// barred keeps the candidate from taking the lease over.
+	barred bool
 
 	machine statechart.Machine
 	// trace is told of each transition; nil for none.
@@ -94,6 +96,11 @@
 // LastLease returns the lease that was last read or written, and whether any was.
 func (c *Candidate) LastLease() (Lease, bool) { return c.lease, c.rowKnown }
 
+// Bar keeps the candidate from taking the lease over, or lifts that. Only
+// established members of the roster may own the region: an owner that cannot
+// reach the table service relies on the statements of the members it knows.
+func (c *Candidate) Bar(barred bool) { c.barred = barred }
+
 // Step takes one input and returns the actions to do, in order.
 func (c *Candidate) Step(now time.Time, in Input) []Action {
 	actions := c.lapse(now)
@@ -282,7 +289,7 @@
 
 // follow reads the row, or takes the lease when it is free.
 func (c *Candidate) follow(now time.Time) []Action {
-	if !c.isFree(now) {
+	if c.barred || !c.isFree(now) {
 		return c.read(now)
 	}
 	c.fire(candidateDue)
--- a/internal/permit/issuer.go
+++ b/internal/permit/issuer.go
@@ -201,10 +201,19 @@
 	case status.Config > i.state.Config, status.Assignment > i.state.Assignment:
 		return ReasonBehind
 	}
-	for _, member := range status.Roster {
+	if !i.knowsMembers(status.Roster) {
+		return ReasonBehind
+	}
+	return ReasonNone
+}
+
+// knowsMembers reports whether all members of another host's roster are
+// members of this host's, or this host itself.
+func (i *Issuer) knowsMembers(members []model.EntryID) bool {
+	for _, member := range members {
 		if member != i.self && !slices.Contains(i.roster, member) {
-			return ReasonBehind
+			return false
 		}
 	}
-	return ReasonNone
+	return true
 }
--- /dev/null
+++ b/internal/permit/owner.go
@@ -0,0 +1,29 @@
+package permit
+
+import (
+	"time"
+
+	"dragonflyyard/internal/model"
+)
+
+// OwnerAgreement returns the instant since which the whole roster stated that
+// it knows no later owner of the region's scheduler than the given epoch. It
+// returns false when a member did not say so lately, knows a later owner, or
+// knows a member that this host does not. Only established members of the
+// roster take the lease over, so until that instant no other owner began.
+func (i *Issuer) OwnerAgreement(now time.Time, epoch model.Epoch) (time.Time, bool) {
+	if now.Sub(i.rosterSince) >= i.limits.OutageLimit {
+		return time.Time{}, false
+	}
+	oldest := now
+	for _, peer := range i.roster {
+		stated, given := i.statements[peer]
+		if !given || stated.status.OwnerEpoch > epoch || !i.knowsMembers(stated.status.Roster) {
+			return time.Time{}, false
+		}
+		if stated.askedAt.Before(oldest) {
+			oldest = stated.askedAt
+		}
+	}
+	return oldest, true
+}
--- a/internal/tools/demo/show.go
+++ b/internal/tools/demo/show.go
@@ -60,6 +60,7 @@
 		{"take a zone out and back", s.changeZone},
 		{"kill an agent during the work", s.killAgent},
 		{"stop an entry host gracefully under load", s.stopEntry},
+		{"stop an agent gracefully under load", s.stopAgent},
 		{"report", s.report},
 	}
 	for _, step := range steps {
@@ -211,6 +212,26 @@
 	return s.checkLoad()
 }
 
+// stopAgent stops an agent while requests come in, and expects that each of
+// them is answered as if nothing had happened.
+func (s *show) stopAgent() error {
+	const count, callers = 600, 16
+	others := s.allEntries()[:s.region.Deployment.Entries-1]
+	stopping := s.region.Agents[0]
+	before := len(s.load.requests)
+	s.load.run(count, callers, others, func() { stopping.Signal(syscall.SIGTERM) })
+	s.promise(stopping.AwaitExit(startLimit), "%s stopped by itself", stopping.Name)
+	s.load.run(count, callers, others, nil)
+	answered := 0
+	for _, r := range s.load.requests[before:] {
+		if r.outcome == "answered" {
+			answered++
+		}
+	}
+	s.promise(answered == 2*count, "%d of %d requests were answered around an agent's planned stop", answered, 2*count)
+	return s.checkLoad()
+}
+
 // checkLoad compares all outcomes so far with what the backend servers ran.
 func (s *show) checkLoad() error {
 	ran, err := s.load.ran()
