Let state cores recover from lost results; never hold a lost epoch again

A core whose call got no result waited for it for good. Each core now gives a call up after 10 s (30 s for a catch-up); a write stays in doubt.

The seeded ownership test (new) found two faults: a renewal confirmed after the lapse made the candidate hold the epoch that it had reported as lost, and the check of a former owner changed when a later acquisition was confirmed too late to be used.

--- a/internal/configstore/catchup.go
+++ b/internal/configstore/catchup.go
@@ -7,7 +7,7 @@
 	"dragonflyyard/internal/platform"
 )
 
-func (c *Core) onRowsListed(in RowsListed) []Action {
+func (c *Core) onRowsListed(now time.Time, in RowsListed) []Action {
 	if c.read.step == readNothing || in.Call != c.read.call {
 		return nil
 	}
@@ -15,13 +15,13 @@
 		return c.stopRead()
 	}
 	if c.read.step == readHeads {
-		return c.onHeads(in.Rows)
+		return c.onHeads(now, in.Rows)
 	}
-	return c.onChanges(in.Rows)
+	return c.onChanges(now, in.Rows)
 }
 
 // onHeads takes in the head rows and begins to catch up with them.
-func (c *Core) onHeads(rows []platform.Row) []Action {
+func (c *Core) onHeads(now time.Time, rows []platform.Row) []Action {
 	var headRow, assignmentRow platform.Row
 	for _, row := range rows {
 		switch row.Key {
@@ -42,12 +42,12 @@
 	}
 	c.read.head, c.read.headRow = head, headRow.Version
 	c.read.assignment, c.read.assignmentRow = assignmentHead.Version, assignmentRow.Version
-	return c.catchUp()
+	return c.catchUp(now)
 }
 
 // catchUp makes the next read that leads to what the head rows showed, or ends
 // the read when the core has all of it.
-func (c *Core) catchUp() []Action {
+func (c *Core) catchUp(now time.Time) []Action {
 	behind := c.read.head.Version - min(c.document.Version, c.read.head.Version)
 	late := !c.ready || int(behind) > c.limits.Retention/2
 	switch {
@@ -59,7 +59,7 @@
 		c.read.step, c.read.call = readAssignment, c.newCall()
 		return []Action{ReadRow{Call: c.read.call, Key: AssignmentKey(c.region, c.read.assignment)}}
 	default:
-		return c.caughtUp()
+		return c.caughtUp(now)
 	}
 }
 
@@ -75,7 +75,7 @@
 
 // onChanges applies change rows in order. Rows past the head that was read are
 // applied too, since a change row exists only once its change is accepted.
-func (c *Core) onChanges(rows []platform.Row) []Action {
+func (c *Core) onChanges(now time.Time, rows []platform.Row) []Action {
 	var actions []Action
 	for _, row := range rows {
 		change, err := DecodeChange(row)
@@ -88,7 +88,7 @@
 		// The rows needed are gone or cannot be read: start over from a snapshot.
 		return c.fallBackToSnapshot()
 	}
-	return append(actions, c.catchUp()...)
+	return append(actions, c.catchUp(now)...)
 }
 
 func (c *Core) fallBackToSnapshot() []Action {
@@ -104,7 +104,7 @@
 	return []Action{ReadObject{Call: c.read.call, Key: SnapshotKey(c.read.head.Snapshot)}}
 }
 
-func (c *Core) onObjectRead(in ObjectRead) []Action {
+func (c *Core) onObjectRead(now time.Time, in ObjectRead) []Action {
 	if c.read.step != readSnapshot || in.Call != c.read.call {
 		return nil
 	}
@@ -116,7 +116,7 @@
 		return c.listAllChanges()
 	}
 	c.snapshot = max(c.snapshot, document.Version)
-	return append([]Action{c.replace(document)}, c.catchUp()...)
+	return append([]Action{c.replace(document)}, c.catchUp(now)...)
 }
 
 // listAllChanges is the way around a snapshot that cannot be had: change rows
@@ -134,7 +134,7 @@
 	}
 	switch c.read.step {
 	case readAssignment:
-		return c.onAssignmentRow(in)
+		return c.onAssignmentRow(now, in)
 	case readChangeID:
 		return c.onChangeIDRow(now, in)
 	default:
@@ -142,7 +142,7 @@
 	}
 }
 
-func (c *Core) onAssignmentRow(in RowRead) []Action {
+func (c *Core) onAssignmentRow(now time.Time, in RowRead) []Action {
 	if in.Result != ResultOK {
 		return c.stopRead()
 	}
@@ -150,11 +150,11 @@
 	if err != nil || assignment.Version != c.read.assignment {
 		return c.stopRead()
 	}
-	return append([]Action{c.takeAssignment(assignment)}, c.catchUp()...)
+	return append([]Action{c.takeAssignment(assignment)}, c.catchUp(now)...)
 }
 
 // caughtUp ends a read after which the core has all that the head rows showed.
-func (c *Core) caughtUp() []Action {
+func (c *Core) caughtUp(now time.Time) []Action {
 	if c.document.Version >= c.read.head.Version && c.assignment.Version >= c.read.assignment {
 		c.ready = true
 		c.currentSince = c.read.startedAt
@@ -168,7 +168,7 @@
 	}
 	startedAt := c.read.startedAt
 	c.read = readState{}
-	return c.resolveWrite(startedAt)
+	return c.resolveWrite(now, startedAt)
 }
 
 // stopRead gives the outstanding read up until the next poll.
--- a/internal/configstore/core.go
+++ b/internal/configstore/core.go
@@ -9,6 +9,10 @@
 	"dragonflyyard/internal/wire"
 )
 
+// callLimit is how long a core waits for the result of a call, or for the end
+// of a catch-up. It is far longer than the deadline of any call.
+const callLimit = 30 * time.Second
+
 // Core is one entry host's view of the configuration and its writer. At most
 // one read and one write are outstanding at any time.
 type Core struct {
@@ -39,6 +43,7 @@
 	// snapshot is the version of the snapshot that was stored last.
 	snapshot     model.ConfigVersion
 	snapshotCall uint64
+	snapshotAt   time.Time
 	snapshotting model.ConfigVersion
 }
 
@@ -174,21 +179,35 @@
 	case Learned:
 		actions = c.onLearned(in.Update)
 	case RowsListed:
-		actions = c.onRowsListed(in)
+		actions = c.onRowsListed(now, in)
 	case RowRead:
 		actions = c.onRowRead(now, in)
 	case ObjectRead:
-		actions = c.onObjectRead(in)
+		actions = c.onObjectRead(now, in)
 	case Committed:
 		actions = c.onCommitted(now, in)
 	case ObjectWritten:
 		c.onObjectWritten(in)
 	}
+	c.giveUpCalls(now)
 	actions = append(actions, c.expire(now)...)
 	actions = append(actions, c.advanceWrite(now)...)
 	return append(actions, c.poll(now)...)
 }
 
+// giveUpCalls ends calls whose results never came. A write stays in doubt.
+func (c *Core) giveUpCalls(now time.Time) {
+	if c.read.step != readNothing && now.Sub(c.read.startedAt) >= callLimit {
+		c.read = readState{}
+	}
+	if w := c.write; w != nil && w.call != 0 && now.Sub(w.calledAt) >= callLimit {
+		w.call, w.doubt, w.unresolvedSince = 0, true, now
+	}
+	if c.snapshotCall != 0 && now.Sub(c.snapshotAt) >= callLimit {
+		c.snapshotCall = 0
+	}
+}
+
 // poll reads the head rows when that is due and nothing else is being read.
 func (c *Core) poll(now time.Time) []Action {
 	if c.read.step != readNothing || now.Before(c.nextRead) {
--- a/internal/configstore/doubt.go
+++ b/internal/configstore/doubt.go
@@ -4,7 +4,7 @@
 
 // resolveWrite judges a write in doubt, or one that failed a check, after a
 // complete read of the head rows.
-func (c *Core) resolveWrite(startedAt time.Time) []Action {
+func (c *Core) resolveWrite(now, startedAt time.Time) []Action {
 	w := c.write
 	if w == nil || w.call != 0 || !w.sent || startedAt.Before(w.unresolvedSince) {
 		return nil
@@ -15,13 +15,13 @@
 	}
 	if made := c.findChange(w.change.ID); made != nil && sameChange(*made, w.change) {
 		c.write = nil
-		return append([]Action{c.verdict(w, Answer{Verdict: VerdictAccepted, Version: made.Version})}, c.takeSnapshot()...)
+		return append([]Action{c.verdict(w, Answer{Verdict: VerdictAccepted, Version: made.Version})}, c.takeSnapshot(now)...)
 	}
 	if c.headRow != w.expected && c.head.Version == c.document.Version {
 		return c.failed()
 	}
 	if w.refused && c.headRow == w.expected {
-		return c.readChangeID()
+		return c.readChangeID(now)
 	}
 	return nil
 }
@@ -49,8 +49,8 @@
 
 // readChangeID tells why a transaction failed although the head row kept its
 // version: the change ID was used before, or this host left the roster.
-func (c *Core) readChangeID() []Action {
-	c.read = readState{step: readChangeID, call: c.newCall()}
+func (c *Core) readChangeID(now time.Time) []Action {
+	c.read = readState{step: readChangeID, call: c.newCall(), startedAt: now}
 	return []Action{ReadRow{Call: c.read.call, Key: idKey(c.write.change.ID)}}
 }
 
--- a/internal/configstore/harness_test.go
+++ b/internal/configstore/harness_test.go
@@ -30,7 +30,9 @@
 	// afterCommit runs once, between a commit and its result.
 	afterCommit func()
 	// late draws the delay of each result; nil gives results at once.
-	late    *rand.Rand
+	late *rand.Rand
+	// lossy loses all results.
+	lossy   bool
 	waiting []lateResult
 }
 
@@ -89,6 +91,9 @@
 	for _, action := range h.core.Step(now, in) {
 		h.log = append(h.log, action)
 		reply := h.perform(action)
+		if reply != nil && h.lossy {
+			continue
+		}
 		if reply != nil && h.late != nil {
 			delay := time.Duration(h.late.IntN(400)) * time.Millisecond
 			h.waiting = append(h.waiting, lateResult{at: now.Add(delay), in: reply})
--- a/internal/configstore/write.go
+++ b/internal/configstore/write.go
@@ -34,8 +34,9 @@
 
 	tx       platform.Transaction
 	expected platform.RowVersion
-	// call is the outstanding commit, zero for none.
-	call uint64
+	// call is the outstanding commit, zero for none, and calledAt its start.
+	call     uint64
+	calledAt time.Time
 	// sent is set once the present transaction was sent.
 	sent bool
 	// doubt is set once a commit was left without an answer.
@@ -128,7 +129,7 @@
 		return nil
 	}
 	w.nextTry = now.Add(c.limits.RetryEvery)
-	w.call = c.newCall()
+	w.call, w.calledAt = c.newCall(), now
 	return []Action{Commit{Call: w.call, Transaction: w.tx}}
 }
 
@@ -137,7 +138,7 @@
 func (c *Core) begin(now time.Time) ([]Action, bool) {
 	w := c.write
 	if w.assignment != nil {
-		return c.beginAssignment()
+		return c.beginAssignment(now)
 	}
 	if !c.ready || !c.allowed {
 		return []Action{c.verdict(w, Answer{Verdict: VerdictUnavailable, RetryAfter: c.limits.AnswerAfter})}, true
@@ -151,7 +152,7 @@
 		return nil, false
 	}
 	w.tx, w.expected = c.changeTransaction(w.change), c.headRow
-	w.sent, w.call = true, c.newCall()
+	w.sent, w.call, w.calledAt = true, c.newCall(), now
 	return []Action{Commit{Call: w.call, Transaction: w.tx}}, false
 }
 
@@ -261,7 +262,7 @@
 	return append(checks, check)
 }
 
-func (c *Core) beginAssignment() ([]Action, bool) {
+func (c *Core) beginAssignment(now time.Time) ([]Action, bool) {
 	w := c.write
 	if w.assignment.Version != c.assignment.Version+1 || !c.allowed {
 		return nil, true
@@ -280,7 +281,7 @@
 	if version > assignmentsKept {
 		w.tx.Deletes = []string{AssignmentKey(c.region, version-assignmentsKept)}
 	}
-	w.sent, w.call = true, c.newCall()
+	w.sent, w.call, w.calledAt = true, c.newCall(), now
 	return []Action{Commit{Call: w.call, Transaction: w.tx}}, false
 }
 
@@ -292,7 +293,7 @@
 	w.call, w.unresolvedSince = 0, now
 	switch in.Result {
 	case ResultOK:
-		return c.accept(in.Versions)
+		return c.accept(now, in.Versions)
 	case ResultConflict:
 		w.refused = true
 		c.nextRead = now
@@ -316,7 +317,7 @@
 }
 
 // accept puts a confirmed write into force.
-func (c *Core) accept(versions []platform.RowVersion) []Action {
+func (c *Core) accept(now time.Time, versions []platform.RowVersion) []Action {
 	w := c.write
 	c.write = nil
 	if w.assignment != nil {
@@ -338,16 +339,16 @@
 		c.head, c.headRow = head, versions[0]
 	}
 	actions = append(actions, c.verdict(w, Answer{Verdict: VerdictAccepted, Version: head.Version}))
-	return append(actions, c.takeSnapshot()...)
+	return append(actions, c.takeSnapshot(now)...)
 }
 
 // takeSnapshot stores a snapshot when enough changes were made since the last.
-func (c *Core) takeSnapshot() []Action {
+func (c *Core) takeSnapshot(now time.Time) []Action {
 	due := c.document.Version >= c.snapshot+model.ConfigVersion(c.limits.SnapshotEvery)
 	if !due || c.snapshotCall != 0 {
 		return nil
 	}
-	c.snapshotCall, c.snapshotting = c.newCall(), c.document.Version
+	c.snapshotCall, c.snapshotAt, c.snapshotting = c.newCall(), now, c.document.Version
 	return []Action{WriteObject{
 		Call:  c.snapshotCall,
 		Key:   SnapshotKey(c.document.Version),
--- a/internal/membership/roster_test.go
+++ b/internal/membership/roster_test.go
@@ -174,3 +174,20 @@
 		})
 	}
 }
+
+func FuzzDecodeRoster(f *testing.F) {
+	f.Add("e1", []byte(`{"id":"e1","incarnation":1,"address":"127.0.0.1:1"}`))
+	f.Add("e1", []byte(`{"id":"e2"}`))
+	f.Add("", []byte(`{`))
+	f.Fuzz(func(t *testing.T, id string, value []byte) {
+		rows := []platform.Row{
+			{Key: rosterBeatPrefix + id, Version: 2},
+			{Key: rosterMemberPrefix + id, Value: value, Version: 1},
+		}
+		members := decodeRoster(rows)
+		m := members[model.EntryID(id)]
+		if m == nil || string(m.host.ID) != id || m.row != 1 || m.beat != 2 {
+			t.Errorf("member %+v", m)
+		}
+	})
+}
--- a/internal/membership/rostercore.go
+++ b/internal/membership/rostercore.go
@@ -86,6 +86,7 @@
 		r.view.Established = false
 	}
 	r.establish()
+	r.giveUpCalls(now)
 	actions := r.next(now)
 	if !reflect.DeepEqual(before, r.view) {
 		actions = append([]RosterAction{RosterChanged{View: r.view}}, actions...)
@@ -179,6 +180,20 @@
 	}
 }
 
+// callLimit is how long a roster waits for the result of a call. It is far
+// longer than the deadline of any call.
+const callLimit = 10 * time.Second
+
+// giveUpCalls ends calls whose results never came.
+func (r *Roster) giveUpCalls(now time.Time) {
+	if r.listCall != 0 && now.Sub(r.listStarted) >= callLimit {
+		r.listCall = 0
+	}
+	if r.commitCall != 0 && now.Sub(r.commit.sentAt) >= callLimit {
+		r.commitCall = 0
+	}
+}
+
 // next returns the calls that are due.
 func (r *Roster) next(now time.Time) []RosterAction {
 	var actions []RosterAction
--- a/internal/ownership/candidate.go
+++ b/internal/ownership/candidate.go
@@ -7,6 +7,10 @@
 	"dragonflyyard/internal/platform"
 )
 
+// callLimit is how long a candidate waits for the result of a call. It is far
+// longer than the deadline of any call.
+const callLimit = 10 * time.Second
+
 // Candidate is one entry host's part in the ownership of a region's scheduler.
 // At most one call to the table service is outstanding at any time.
 type Candidate struct {
@@ -31,10 +35,11 @@
 
 	lastCall uint64
 	// pending is the number of the outstanding call, zero for none.
-	pending  uint64
-	nextCall time.Time
-	stopping bool
-	tries    int
+	pending   uint64
+	pendingAt time.Time
+	nextCall  time.Time
+	stopping  bool
+	tries     int
 
 	lastWrite uint64
 	// writes holds the writes whose effect is not known, with their send times.
@@ -91,6 +96,7 @@
 // Step takes one input and returns the actions to do, in order.
 func (c *Candidate) Step(now time.Time, in Input) []Action {
 	actions := c.lapse(now)
+	c.giveUpCall(now)
 	switch in := in.(type) {
 	case RowRead:
 		actions = append(actions, c.onRead(now, in)...)
@@ -135,7 +141,10 @@
 	c.row, c.lease, c.rowKnown = row, lease, true
 	c.unchangedSince = now
 	if sentAt, mine := c.takeWrite(lease); mine {
-		return c.landed(now, sentAt)
+		// A renewal in doubt counts from when it was sent. An acquisition in
+		// doubt does not count, as the version of its epoch row is not known:
+		// the candidate has the row and begins the next epoch at once.
+		return c.confirmed(now, sentAt, 0)
 	}
 	c.writes = nil
 	if c.isFree(now) {
@@ -166,10 +175,11 @@
 		c.writes = nil
 		c.row = platform.Row{Key: c.key, Value: EncodeLease(write.lease), Version: in.Versions[0]}
 		c.lease, c.rowKnown, c.unchangedSince = write.lease, true, now
+		var epochVersion platform.RowVersion
 		if len(in.Versions) > 1 {
-			c.epochVersion = in.Versions[1]
+			epochVersion = in.Versions[1]
 		}
-		return c.confirmed(now, write.sentAt)
+		return c.confirmed(now, write.sentAt, epochVersion)
 	case ResultUnavailable:
 		c.writes = c.writes[:len(c.writes)-1]
 		return c.backOff()
@@ -177,42 +187,37 @@
 		// The row has another version than the one known. It is either another
 		// owner's, or one of this candidate's writes that was in doubt.
 		c.writes = c.writes[:len(c.writes)-1]
-		return c.readNow()
+		return c.readNow(now)
 	default:
 		// The write may still take effect. Reading back tells when it did; a
 		// further write under the same check settles it.
-		return c.readNow()
+		return c.readNow(now)
 	}
 }
 
-// landed takes in a write in doubt that was found in the row. A renewal counts.
-// An acquisition does not, as the version of its epoch row is not known: the
-// candidate holds the row and begins the next epoch at once.
-func (c *Candidate) landed(now, sentAt time.Time) []Action {
-	renewed := c.state == StateHolding && c.lease.Epoch == c.epoch
-	if renewed || c.lease.Released {
-		return c.confirmed(now, sentAt)
-	}
-	c.nextCall = now
-	return nil
-}
-
-// confirmed takes in a write of this candidate that took effect.
-func (c *Candidate) confirmed(now, sentAt time.Time) []Action {
+// confirmed takes in a write of this candidate that took effect. An epoch that
+// was lost is not held again: a renewal that is confirmed after the lapse leads
+// to the next epoch.
+func (c *Candidate) confirmed(now, sentAt time.Time, epochVersion platform.RowVersion) []Action {
 	if c.lease.Released {
 		c.state = StateStopped
 		return []Action{HandedOver{Confirmed: true}}
 	}
 	until := sentAt.Add(c.limits.Duration)
-	if c.stopping || !now.Before(until) {
+	if c.stopping {
+		return nil
+	}
+	renewed := c.state == StateHolding && c.epoch == c.lease.Epoch
+	if !now.Before(until) || (!renewed && epochVersion == 0) {
+		c.nextCall = now
 		return nil
 	}
 	c.validUntil = until
 	c.nextCall = sentAt.Add(c.limits.RenewEvery)
-	if c.state == StateHolding && c.epoch == c.lease.Epoch {
+	if renewed {
 		return []Action{Extended{Epoch: c.epoch, ValidUntil: until}}
 	}
-	c.state, c.epoch = StateHolding, c.lease.Epoch
+	c.state, c.epoch, c.epochVersion = StateHolding, c.lease.Epoch, epochVersion
 	return []Action{Acquired{Epoch: c.epoch, ValidUntil: until}}
 }
 
@@ -294,12 +299,12 @@
 
 func (c *Candidate) read(now time.Time) []Action {
 	c.nextCall = now.Add(c.limits.PollEvery)
-	return []Action{ReadRow{Call: c.newCall(), Key: c.key}}
+	return []Action{ReadRow{Call: c.newCall(now), Key: c.key}}
 }
 
 // readNow reads without waiting for the next poll.
-func (c *Candidate) readNow() []Action {
-	return []Action{ReadRow{Call: c.newCall(), Key: c.key}}
+func (c *Candidate) readNow(now time.Time) []Action {
+	return []Action{ReadRow{Call: c.newCall(now), Key: c.key}}
 }
 
 func (c *Candidate) backOff() []Action {
@@ -320,7 +325,7 @@
 	if lease.Epoch != c.lease.Epoch {
 		tx.Puts = append(tx.Puts, platform.Put{Key: c.epochKey, Value: EncodeLease(lease)})
 	}
-	return []Action{CommitRow{Call: c.newCall(), Transaction: tx}}
+	return []Action{CommitRow{Call: c.newCall(now), Transaction: tx}}
 }
 
 // takeWrite finds the write in doubt that made a lease.
@@ -334,12 +339,19 @@
 	return time.Time{}, false
 }
 
-func (c *Candidate) newCall() uint64 {
+func (c *Candidate) newCall(now time.Time) uint64 {
 	c.lastCall++
-	c.pending = c.lastCall
+	c.pending, c.pendingAt = c.lastCall, now
 	return c.pending
 }
 
+// giveUpCall ends a call whose result never came. A write stays in doubt.
+func (c *Candidate) giveUpCall(now time.Time) {
+	if c.pending != 0 && now.Sub(c.pendingAt) >= callLimit {
+		c.pending = 0
+	}
+}
+
 // finish ends the outstanding call. It returns false for any other call.
 func (c *Candidate) finish(call uint64) bool {
 	if c.pending == 0 || c.pending != call {
--- a/internal/ownership/candidate_test.go
+++ b/internal/ownership/candidate_test.go
@@ -1,6 +1,8 @@
 package ownership
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"reflect"
 	"testing"
 	"time"
@@ -21,6 +23,7 @@
 	for end := now.Add(length); now.Before(end); *now = now.Add(tickEvery) {
 		holders := 0
 		for _, h := range hosts {
+			h.deliver(*now)
 			h.step(*now, Tick{})
 			if _, holds := h.candidate.Holds(*now); holds {
 				holders++
@@ -184,3 +187,119 @@
 		})
 	}
 }
+
+// TestRandomSequences lets three candidates with late and lost results compete
+// while they are paused and the store fails. At no time do two hold the lease,
+// a fenced write of a former owner fails, and epochs only grow.
+func TestRandomSequences(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { runRandomSequence(t, rand.New(rand.NewPCG(seed, 2))) })
+	}
+}
+
+func runRandomSequence(t *testing.T, random *rand.Rand) {
+	now := start
+	store := standin.NewStore(func() time.Time { return now })
+	hosts := []*host{newHost(t, store, "a"), newHost(t, store, "b"), newHost(t, store, "c")}
+	for _, h := range hosts {
+		h.lateBy = func() time.Duration {
+			switch random.IntN(60) {
+			case 0:
+				return -1
+			case 1, 2:
+				return time.Duration(random.IntN(4000)) * time.Millisecond
+			default:
+				return time.Duration(random.IntN(150)) * time.Millisecond
+			}
+		}
+	}
+	faults := []standin.Faults{{}, {}, {}, {Down: true}, {LoseAnswers: -1}, {Freeze: true}, {Silent: true}}
+	held := time.Duration(0)
+	for range 80 {
+		store.SetFaults(standin.ServiceTable, faults[random.IntN(len(faults))])
+		hosts[random.IntN(len(hosts))].paused = random.IntN(3) == 0
+		length := time.Duration(random.IntN(4000)) * time.Millisecond
+		run(t, &now, length, hosts...)
+		held += checkFence(t, now, store, hosts, length)
+	}
+	if held == 0 {
+		t.Error("nobody ever held the lease")
+	}
+	checkEpochs(t, hosts)
+}
+
+// checkFence fails the test when a write of a former owner passes the fence
+// after a later epoch was acquired.
+func checkFence(t *testing.T, now time.Time, store *standin.Store, hosts []*host, length time.Duration) time.Duration {
+	t.Helper()
+	store.SetFaults(standin.ServiceTable, standin.Faults{})
+	var latest *host
+	for _, h := range hosts {
+		if h.candidate.epochVersion != 0 && (latest == nil || h.candidate.epoch > latest.candidate.epoch) {
+			latest = h
+		}
+	}
+	held := time.Duration(0)
+	for _, h := range hosts {
+		if _, holds := h.candidate.Holds(now); holds {
+			held = length
+		}
+		if h.candidate.epochVersion == 0 || h == latest {
+			continue
+		}
+		write := platform.Transaction{Checks: []platform.Check{h.candidate.Check()}, Puts: []platform.Put{{Key: "decision"}}}
+		if _, err := store.Commit(cancelled(), write); resultOf(err) != ResultConflict {
+			t.Fatalf("a write under epoch %d passed although epoch %d began", h.candidate.epoch, latest.candidate.epoch)
+		}
+	}
+	return held
+}
+
+// checkEpochs fails the test when two hosts acquired the same epoch, or a host
+// acquired a lower one than before.
+func checkEpochs(t *testing.T, hosts []*host) {
+	t.Helper()
+	owners := map[uint64]int{}
+	for i, h := range hosts {
+		last := uint64(0)
+		for _, action := range h.log {
+			acquired, ok := action.(Acquired)
+			if !ok {
+				continue
+			}
+			epoch := uint64(acquired.Epoch)
+			if owner, taken := owners[epoch]; epoch <= last || taken && owner != i {
+				t.Errorf("host %d acquired epoch %d after %d, taken before: %v", i, epoch, last, taken)
+			}
+			last, owners[epoch] = epoch, i
+		}
+	}
+}
+
+func TestCandidateRecoversFromLostResults(t *testing.T) {
+	now, _, a, b := newPair(t)
+	run(t, now, 5*time.Second, a, b)
+	for _, h := range []*host{a, b} {
+		h.lateBy = func() time.Duration { return -1 }
+	}
+	run(t, now, 5*time.Second, a, b)
+	a.lateBy, b.lateBy = nil, nil
+	run(t, now, callLimit+5*time.Second, a, b)
+	_, holdsA := a.candidate.Holds(*now)
+	_, holdsB := b.candidate.Holds(*now)
+	if !holdsA && !holdsB {
+		t.Error("nobody holds the lease after results were lost")
+	}
+}
+
+func FuzzDecodeLease(f *testing.F) {
+	f.Add(EncodeLease(Lease{Owner: "a", Epoch: 1}))
+	f.Add([]byte(`{"owner":"a"}`))
+	f.Add([]byte(`{`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		lease, err := DecodeLease(platform.Row{Key: "k", Value: value, Version: 1})
+		if err == nil && (lease.Owner == "" || lease.Epoch == 0) {
+			t.Errorf("accepted %+v", lease)
+		}
+	})
+}
