Let a stopping entry host leave the roster without the table service

A host that never read the roster, or whose table service is down, waited for the end of the shell's stop time.

--- a/internal/membership/roster_test.go
+++ b/internal/membership/roster_test.go
@@ -175,6 +175,23 @@
 	}
 }
 
+func TestStoppingHostEndsWithoutTheTableService(t *testing.T) {
+	for name, joined := range map[string]bool{"member": true, "never joined": false} {
+		t.Run(name, func(t *testing.T) {
+			now, store, hosts := newRosterFleet("e1")
+			if joined {
+				runRoster(now, 3*time.Second, hosts...)
+			}
+			store.SetFaults(standin.ServiceTable, standin.Faults{Down: true})
+			hosts[0].step(*now, RosterStop{})
+			runRoster(now, 5*time.Second, hosts...)
+			if view := hosts[0].roster.View(); !view.Left || view.Established {
+				t.Errorf("after the stop: %+v", view)
+			}
+		})
+	}
+}
+
 func FuzzDecodeRoster(f *testing.F) {
 	f.Add("e1", []byte(`{"id":"e1","incarnation":1,"address":"127.0.0.1:1"}`))
 	f.Add("e1", []byte(`{"id":"e2"}`))
--- a/internal/membership/rostercore.go
+++ b/internal/membership/rostercore.go
@@ -41,8 +41,12 @@
 	listStarted time.Time
 	knownBy     map[model.EntryID]bool
 	stopping    bool
+	leaveTries  int
 }
 
+// maxLeaveTries bounds how often a stopping host tries to remove its rows.
+const maxLeaveTries = 3
+
 // rosterCommit is the outstanding write.
 type rosterCommit struct {
 	kind   commitKind
@@ -210,10 +214,12 @@
 
 func (r *Roster) nextCommit(now time.Time) []RosterAction {
 	switch {
-	case r.view.Left || r.listedSince.IsZero():
+	case r.view.Left:
 		return nil
 	case r.stopping:
 		return r.leave(now)
+	case r.listedSince.IsZero():
+		return nil
 	case !r.view.Member:
 		return r.join(now)
 	case !now.Before(r.nextBeat):
@@ -255,14 +261,17 @@
 	})
 }
 
+// leave removes the own rows. After a few failed tries the rows are left to the
+// other members, who remove them once they did not change for long.
 func (r *Roster) leave(now time.Time) []RosterAction {
-	if !r.view.Member {
+	if !r.view.Member || r.leaveTries >= maxLeaveTries {
 		r.view.Left = true
 		return nil
 	}
 	if r.commit.kind == commitLeave && now.Sub(r.commit.sentAt) < r.limits.ReadEvery {
 		return nil
 	}
+	r.leaveTries++
 	return r.send(now, commitLeave, platform.Transaction{
 		Checks:  []platform.Check{r.view.Check},
 		Deletes: []string{r.view.Check.Key, rosterBeatPrefix + string(r.self.ID)},
