--- a/internal/membership/rostercore.go
+++ b/internal/membership/rostercore.go
@@ -41,8 +41,12 @@
 	listStarted time.Time
 	knownBy     map[model.EntryID]bool
 	stopping    bool
+	leaveTries  int
 }
 
+// maxLeaveTries bounds how often a stopping host tries to remove its rows.
+const maxLeaveTries = 3
+
 // rosterCommit is the outstanding write.
 type rosterCommit struct {
 	kind   commitKind
@@ -86,6 +90,7 @@
 		r.view.Established = false
 	}
 	r.establish()
+	r.giveUpCalls(now)
 	actions := r.next(now)
 	if !reflect.DeepEqual(before, r.view) {
 		actions = append([]RosterAction{RosterChanged{View: r.view}}, actions...)
@@ -179,6 +184,20 @@
 	}
 }
 
+// callLimit is how long a roster waits for the result of a call. It is far
+// longer than the deadline of any call.
+const callLimit = 10 * time.Second
+
+// giveUpCalls ends calls whose results never came.
+func (r *Roster) giveUpCalls(now time.Time) {
+	if r.listCall != 0 && now.Sub(r.listStarted) >= callLimit {
+		r.listCall = 0
+	}
+	if r.commitCall != 0 && now.Sub(r.commit.sentAt) >= callLimit {
+		r.commitCall = 0
+	}
+}
+
 // next returns the calls that are due.
 func (r *Roster) next(now time.Time) []RosterAction {
 	var actions []RosterAction
@@ -195,10 +214,12 @@
 
 func (r *Roster) nextCommit(now time.Time) []RosterAction {
 	switch {
-	case r.view.Left || r.listedSince.IsZero():
+	case r.view.Left:
 		return nil
 	case r.stopping:
 		return r.leave(now)
+	case r.listedSince.IsZero():
+		return nil
 	case !r.view.Member:
 		return r.join(now)
 	case !now.Before(r.nextBeat):
@@ -240,14 +261,17 @@
 	})
 }
 
+// leave removes the own rows. After a few failed tries the rows are left to the
+// other members, who remove them once they did not change for long.
 func (r *Roster) leave(now time.Time) []RosterAction {
-	if !r.view.Member {
+	if !r.view.Member || r.leaveTries >= maxLeaveTries {
 		r.view.Left = true
 		return nil
 	}
 	if r.commit.kind == commitLeave && now.Sub(r.commit.sentAt) < r.limits.ReadEvery {
 		return nil
 	}
+	r.leaveTries++
 	return r.send(now, commitLeave, platform.Transaction{
 		Checks:  []platform.Check{r.view.Check},
 		Deletes: []string{r.view.Check.Key, rosterBeatPrefix + string(r.self.ID)},
