Interpret the charts of changes and zones, drive changes through every fault

Cause: configuration changes and zones ran on flags of the pending write, and their rows of the fault matrix were empty. Change: the chart of changes is rewritten to what the core does (19 transitions); the core fires it, and the zone chart with it: a zone counts as out while its take-out is in state leaving, in place of a test of two flags. Core.Trace tells of each transition. Cells: three entry hosts, operators that race, resend and reuse IDs, links that pass accepted changes on; checked are one answer a submission, true answers, no change made twice, versions that never fall, and the same document everywhere 7 s after healing.

--- a/internal/configstore/core.go
+++ b/internal/configstore/core.go
@@ -6,6 +6,7 @@
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/statechart"
 	"dragonflyyard/internal/wire"
 )
 
@@ -39,6 +40,8 @@
 	// snapshot is the version of the snapshot that was stored last.
 	snapshot     model.ConfigVersion
 	snapshotCall uint64
+	// trace is told of each transition; nil for none.
+	trace        func(*statechart.Chart, statechart.Transition)
 	snapshotting model.ConfigVersion
 }
 
@@ -77,6 +80,10 @@
 	return &Core{limits: limits, region: region, validate: validate, document: NewDocument()}
 }
 
+// Trace registers a function that is told of each transition of a change and of
+// the availability zone that a change moves.
+func (c *Core) Trace(trace func(*statechart.Chart, statechart.Transition)) { c.trace = trace }
+
 // Document returns the configuration that is in force here. It is never
 // changed; a later version is another document.
 func (c *Core) Document() *model.ConfigDocument { return c.document }
@@ -105,10 +112,8 @@
 			out = append(out, zone)
 		}
 	}
-	if c.write != nil && c.write.sent && c.write.change.Zone == model.ZoneOut {
-		_, name := splitObject(c.write.change.Object)
-		zone := model.AvailabilityZoneName(name)
-		if c.document.Zones[zone] != model.ZoneOut {
+	if w := c.write; w != nil && w.isTakingOut() {
+		if zone := w.zoneName(); c.document.Zones[zone] != model.ZoneOut {
 			out = append(out, zone)
 		}
 	}
--- a/internal/configstore/doubt.go
+++ b/internal/configstore/doubt.go
@@ -14,6 +14,7 @@
 		return nil
 	}
 	if made := c.findChange(w.change.ID); made != nil && sameChange(*made, w.change) {
+		c.fire(w, found)
 		c.write = nil
 		return append([]Action{c.verdict(w, Answer{Verdict: VerdictAccepted, Version: made.Version})}, c.takeSnapshot()...)
 	}
@@ -32,9 +33,11 @@
 func (c *Core) failed() []Action {
 	w := c.write
 	if w.answered {
+		c.fire(w, absent)
 		c.write = nil
 		return []Action{c.verdict(w, Answer{Verdict: VerdictUnavailable})}
 	}
+	c.fire(w, judgedAnew)
 	w.sent, w.refused, w.doubt = false, false, false
 	return nil
 }
@@ -65,13 +68,17 @@
 		var made changeID
 		c.write = nil
 		if err := decode(in.Row.Value, &made); err != nil || made.Digest != digestOf(w.change) {
+			c.fire(w, idReused)
 			return []Action{c.verdict(w, reusedID(w.change.ID, made.Version))}
 		}
+		c.fire(w, found)
 		return []Action{c.verdict(w, Answer{Verdict: VerdictAccepted, Version: made.Version})}
 	case ResultNotFound:
+		c.fire(w, absent)
 		c.write = nil
 		return []Action{c.verdict(w, Answer{Verdict: VerdictUnavailable, RetryAfter: c.limits.AnswerAfter})}
 	default:
+		c.fire(w, unreadable)
 		c.nextRead = now.Add(c.limits.PollEvery)
 		return nil
 	}
--- a/internal/configstore/write.go
+++ b/internal/configstore/write.go
@@ -7,6 +7,7 @@
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/statechart"
 	"dragonflyyard/internal/wire"
 )
 
@@ -47,6 +48,11 @@
 	unresolvedSince time.Time
 	nextTry         time.Time
 	answered        bool
+	// machine runs through the chart of the change; zone through that of the
+	// availability zone that the change moves, where movesZone is set.
+	machine   statechart.Machine
+	zone      statechart.Machine
+	movesZone bool
 }
 
 func (c *Core) onSubmit(now time.Time, in Submit) []Action {
@@ -86,6 +92,7 @@
 		return actions
 	}
 	if !w.sent && !w.doubt {
+		c.fire(w, expired)
 		c.write = nil
 		return append(actions, c.unavailable(w.token))
 	}
@@ -102,7 +109,7 @@
 	var actions []Action
 	for {
 		if c.write == nil && len(c.queue) > 0 {
-			c.write = &pendingWrite{submission: c.queue[0]}
+			c.write = &pendingWrite{submission: c.queue[0], machine: changeChart.NewMachine()}
 			c.queue = c.queue[1:]
 		}
 		w := c.write
@@ -140,6 +147,7 @@
 		return c.beginAssignment()
 	}
 	if !c.ready || !c.allowed {
+		c.fire(w, notReady)
 		return []Action{c.verdict(w, Answer{Verdict: VerdictUnavailable, RetryAfter: c.limits.AnswerAfter})}, true
 	}
 	if answer, decided := c.judge(w); decided {
@@ -152,6 +160,7 @@
 	}
 	w.tx, w.expected = c.changeTransaction(w.change), c.headRow
 	w.sent, w.call = true, c.newCall()
+	c.fire(w, valid)
 	return []Action{Commit{Call: w.call, Transaction: w.tx}}, false
 }
 
@@ -161,11 +170,14 @@
 	change := w.change
 	if made := c.findChange(change.ID); made != nil {
 		if !sameChange(*made, change) {
+			c.fire(w, changeInvalid)
 			return c.verdict(w, reusedID(change.ID, made.Version)), true
 		}
+		c.fire(w, alreadyMade)
 		return c.verdict(w, Answer{Verdict: VerdictAccepted, Version: made.Version}), true
 	}
 	if change.ExpectedVersion != c.document.ObjectVersions[change.Object] {
+		c.fire(w, stale)
 		return c.verdict(w, Answer{Verdict: VerdictConflict, Winner: c.lastChange(change.Object)}), true
 	}
 	next, reason := Apply(c.document, change)
@@ -173,6 +185,7 @@
 		reason = c.runValidator(next, change)
 	}
 	if reason != nil {
+		c.fire(w, changeInvalid)
 		return c.verdict(w, Answer{Verdict: VerdictInvalid, Invalid: reason}), true
 	}
 	return nil, false
@@ -295,9 +308,11 @@
 		return c.accept(in.Versions)
 	case ResultConflict:
 		w.refused = true
+		c.fire(w, checkFailed)
 		c.nextRead = now
 		return nil
 	case ResultUnavailable:
+		c.fire(w, storeDown)
 		if w.doubt {
 			w.nextTry = now.Add(c.limits.RetryEvery)
 			return nil
@@ -309,6 +324,7 @@
 		return []Action{c.verdict(w, Answer{Verdict: VerdictUnavailable, RetryAfter: c.limits.AnswerAfter})}
 	default:
 		w.doubt = true
+		c.fire(w, answerLost)
 		w.nextTry = now.Add(c.limits.RetryEvery)
 		c.nextRead = now
 		return nil
@@ -318,6 +334,7 @@
 // accept puts a confirmed write into force.
 func (c *Core) accept(versions []platform.RowVersion) []Action {
 	w := c.write
+	c.fire(w, committed)
 	c.write = nil
 	if w.assignment != nil {
 		if w.assignment.Version <= c.assignment.Version {
--- a/internal/faultmatrix/world_test.go
+++ b/internal/faultmatrix/world_test.go
@@ -126,6 +126,8 @@
 	silentUntil, slowUntil time.Time
 	// loseNext is how many of the next calls are lost on either way.
 	loseNext int
+	// loseAt is which of the coming calls is lost, counted from 1; 0 for none.
+	loseAt int
 	// duplicateUntil delivers results twice; lateUntil delivers the result of a
 	// call that was given up as well, behind later ones.
 	duplicateUntil, lateUntil time.Time
@@ -178,7 +180,7 @@
 
 func (p *callPath) heal() {
 	p.silentUntil, p.slowUntil, p.duplicateUntil, p.lateUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
-	p.loseNext, p.timeout, p.fixedDelay = 0, callTimeout, 0
+	p.loseNext, p.loseAt, p.timeout, p.fixedDelay = 0, 0, callTimeout, 0
 }
 
 // send makes a call. effect applies it to the store and returns what delivers
@@ -230,6 +232,9 @@
 	if isWrite && w.now.Before(w.answersLost) {
 		return false, true
 	}
+	if p.loseAt--; p.loseAt == 0 {
+		return true, false
+	}
 	if w.now.Before(p.silentUntil) || p.loseNext > 0 {
 		p.loseNext--
 		lostOnTheWay := w.random.IntN(2) == 0
