--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -19,6 +19,7 @@
 	PathJobsCancel      = "/v1/jobs/cancel"
 	PathGuaranteesCheck = "/v1/guarantees/check"
 	PathTimeline        = "/v1/timeline"
+	PathProcesses       = "/v1/processes"
 	PathStop            = "/v1/stop"
 	// ExplainSuffix follows PathJobs, a slash and the job's ID.
 	ExplainSuffix = "/explain"
@@ -194,3 +195,25 @@
 	Clock  event.Timestamp `json:"clock"`
 	Events []event.Event   `json:"events"`
 }
+
+// Roles of a process in a ProcessList.
+const (
+	RoleEntry = "entry"
+	RoleAgent = "agent"
+)
+
+// ProcessInfo is one process that an entry host knows.
+type ProcessInfo struct {
+	Name string `json:"name"`
+	// Role is RoleEntry or RoleAgent.
+	Role string                     `json:"role"`
+	Zone model.AvailabilityZoneName `json:"zone"`
+	// HTTPAddress (IP:port) is where the process serves its time line.
+	HTTPAddress string `json:"http_address"`
+}
+
+// ProcessList answers GET /v1/processes: the answering entry host itself, the
+// other entry hosts and the agents that it is connected to.
+type ProcessList struct {
+	Processes []ProcessInfo `json:"processes"`
+}
