Bound what a home grants by when it heard of its range

Change: a home's floor is the later of the range's start and of the time it first heard of it plus the longest permit, plus twice the skew bound, kept over versions while home, life and start stay the same (executor.Config.LongestPermit).

--- a/internal/dedup/claims.go
+++ b/internal/dedup/claims.go
@@ -30,29 +30,93 @@
 // IsValid reports whether the permit holds at the given time.
 func (p Permit) IsValid(now time.Time) bool { return now.Before(p.ValidUntil) }
 
+// tenure is one agent's hold of one range, over all assignment versions.
+type tenure struct {
+	firstHash uint64
+	since     int64
+}
+
 // Claims is a home agent's side of the claim protocol.
 type Claims struct {
 	self        model.BackendServerID
 	incarnation model.Incarnation
 	skew        time.Duration
-	assignment  *wire.Assignment
-	permit      Permit
-	window      *Window[claim]
+	// longestPermit bounds how long starts go on under a former assignment.
+	longestPermit time.Duration
+	assignment    *wire.Assignment
+	// received is when this agent first heard that it holds a range, in
+	// milliseconds since the Unix epoch by its own clock.
+	received map[tenure]int64
+	permit   Permit
+	window   *Window[claim]
+}
+
+// Limits are the identity and bounds of Claims.
+type Limits struct {
+	Self        model.BackendServerID
+	Incarnation model.Incarnation
+	// ClockSkewBound is the largest difference between any two processes' clocks.
+	ClockSkewBound time.Duration
+	// LongestPermit is the longest validity of a permit.
+	LongestPermit time.Duration
+	// Horizon is how long a claim is remembered, MaxRecords how many are.
+	Horizon    time.Duration
+	MaxRecords int
 }
 
 // NewClaims returns the claims of one life of an agent.
-func NewClaims(self model.BackendServerID, incarnation model.Incarnation, skew, horizon time.Duration, maxRecords int) *Claims {
+func NewClaims(limits Limits) *Claims {
 	return &Claims{
-		self: self, incarnation: incarnation, skew: skew,
-		window: NewWindow[claim](horizon, maxRecords, 0),
+		self: limits.Self, incarnation: limits.Incarnation, skew: limits.ClockSkewBound,
+		longestPermit: limits.LongestPermit, received: map[tenure]int64{},
+		window: NewWindow[claim](limits.Horizon, limits.MaxRecords, 0),
+	}
+}
+
+// SetAssignment replaces the home ranges unless the version is not higher. It
+// remembers when the agent first heard that it holds each range: the write of an
+// assignment may take effect long after SinceUnixMS, and until then the former
+// home has granted claims.
+func (c *Claims) SetAssignment(now time.Time, a wire.Assignment) {
+	if c.assignment != nil && a.Version <= c.assignment.Version {
+		return
+	}
+	c.assignment = &a
+	kept := map[tenure]int64{}
+	for i := range a.Ranges {
+		held, ok := c.tenureOf(&a.Ranges[i])
+		if !ok {
+			continue
+		}
+		kept[held] = unixMS(now)
+		if first, known := c.received[held]; known {
+			kept[held] = first
+		}
+	}
+	c.received = kept
+}
+
+// tenureOf returns this agent's hold of a range, as its home or previous home.
+func (c *Claims) tenureOf(r *wire.HomeRange) (tenure, bool) {
+	switch {
+	case r.Home == c.self && r.Incarnation == c.incarnation:
+		return tenure{r.FirstHash, r.SinceUnixMS}, true
+	case r.PreviousHome == c.self && r.PreviousIncarnation == c.incarnation:
+		return tenure{r.FirstHash, r.PreviousSinceUnixMS}, true
+	default:
+		return tenure{}, false
 	}
 }
 
-// SetAssignment replaces the home ranges unless the version is not higher.
-func (c *Claims) SetAssignment(a wire.Assignment) {
-	if c.assignment == nil || a.Version > c.assignment.Version {
-		c.assignment = &a
+// floor returns the mint time up to which this home cannot know a request.
+func (c *Claims) floor(id model.RequestID, holder Holder) int64 {
+	floor := max(holder.FloorUnixMS, c.window.Floor())
+	held, ok := c.tenureOf(rangeOf(c.assignment, Hash(id)))
+	if !ok {
+		return floor
 	}
+	granted := c.received[held] + (c.longestPermit + 2*c.skew).Milliseconds()
+	return max(floor, granted)
 }
 
 // SetPermit replaces the permit.
@@ -143,7 +207,7 @@
 	if mintMS > unixMS(now)+c.skew.Milliseconds() {
 		return wire.StateRejected, model.ReasonOutsideHorizon
 	}
-	if mintMS <= max(holder.FloorUnixMS, c.window.Floor()) {
+	if mintMS <= c.floor(m.Request, holder) {
 		if _, found := c.window.Get(m.Request); !found {
 			return wire.StateOutsideHorizon, model.ReasonOutsideHorizon
 		}
--- a/internal/executor/config.go
+++ b/internal/executor/config.go
@@ -18,6 +18,8 @@
 	Connections int
 	// ClockSkewBound is the largest difference between any two processes' clocks.
 	ClockSkewBound time.Duration
+	// LongestPermit is the longest validity of a permit that entry hosts issue.
+	LongestPermit time.Duration
 	// Horizon is how long claims and requests are remembered after their ID was minted.
 	Horizon time.Duration
 	// MaxRecords bounds the claims and, apart from them, the requests remembered.
@@ -42,6 +44,7 @@
 		Slots:           8,
 		Connections:     64,
 		ClockSkewBound:  500 * time.Millisecond,
+		LongestPermit:   2500 * time.Millisecond,
 		Horizon:         5 * time.Minute,
 		MaxRecords:      200_000,
 		AnswerTTL:       time.Minute,
@@ -59,6 +62,7 @@
 	setDefault(&c.Slots, d.Slots)
 	setDefault(&c.Connections, d.Connections)
 	setDefault(&c.ClockSkewBound, d.ClockSkewBound)
+	setDefault(&c.LongestPermit, d.LongestPermit)
 	setDefault(&c.Horizon, d.Horizon)
 	setDefault(&c.MaxRecords, d.MaxRecords)
 	setDefault(&c.AnswerTTL, d.AnswerTTL)
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -39,8 +39,11 @@
 func New(config Config) *Core {
 	config = config.withDefaults()
 	return &Core{
-		config:  config,
-		claims:  dedup.NewClaims(config.ID, config.Incarnation, config.ClockSkewBound, config.Horizon, config.MaxRecords),
+		config: config,
+		claims: dedup.NewClaims(dedup.Limits{
+			Self: config.ID, Incarnation: config.Incarnation, ClockSkewBound: config.ClockSkewBound,
+			LongestPermit: config.LongestPermit, Horizon: config.Horizon, MaxRecords: config.MaxRecords,
+		}),
 		runs:    dedup.NewWindow[*run](config.Horizon, config.MaxRecords, 0),
 		running: map[model.RequestID]*run{},
 		links:   map[model.EntryID]*link{},
@@ -68,7 +71,7 @@
 	case PermitRevoked:
 		c.setPermit(dedup.Permit{Assignment: c.permit.Assignment})
 	case AssignmentUpdate:
-		c.claims.SetAssignment(in.Assignment)
+		c.claims.SetAssignment(now, in.Assignment)
 	case Tick:
 		c.tick(now)
 	case Stop:
--- a/internal/requestflow/dispatch.go
+++ b/internal/requestflow/dispatch.go
@@ -1,8 +1,10 @@
 package requestflow
 
 import (
+	"slices"
 	"time"
 
+	"dragonflyyard/internal/admission"
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/wire"
@@ -26,7 +28,11 @@
 // placeOne tries the first request of each account in fair order. It reports
 // whether one left the queue.
 func (c *Core) placeOne(now time.Time) bool {
-	for _, item := range c.queue.Heads(maxHeads) {
+	heads := c.queue.Heads(maxHeads)
+	c.table.DropReservations(func(id model.RequestID) bool {
+		return !slices.ContainsFunc(heads, func(item *admission.Item) bool { return item.ID == id })
+	})
+	for _, item := range heads {
 		f := c.flights[item.ID]
 		if c.place(now, f) {
 			c.schedule(f)
--- a/internal/requestflow/fence_test.go
+++ b/internal/requestflow/fence_test.go
@@ -98,3 +98,28 @@
 		})
 	}
 }
+
+// An assignment that takes effect long after it was planned must not let the
+// new home claim again what the former home let run in between.
+func TestAssignmentAcceptedLateClaimsNothingAgain(t *testing.T) {
+	b := requesttest.New(requesttest.Options{Seed: 11, Entries: entries, Agents: agents, Skew: true})
+	b.Run(4 * time.Second)
+	b.DelayNextAssignment(10 * time.Second)
+	b.PauseAgent(0, 2500*time.Millisecond)
+	b.Run(6 * time.Second)
+	var sent []model.Request
+	for i := range 200 {
+		b.At(time.Duration(i*30)*time.Millisecond, func() {
+			request := b.NewRequest(false, 20*time.Second)
+			sent = append(sent, request)
+			b.Submit(i%entries, request)
+		})
+	}
+	b.Run(8 * time.Second)
+	for _, request := range sent {
+		b.Submit(1, request)
+	}
+	b.Run(5 * time.Second)
+	b.Settle(settleTime)
+	report(t, b, "late acceptance")
+}
--- a/internal/requestflow/requesttest/bag.go
+++ b/internal/requestflow/requesttest/bag.go
@@ -101,8 +101,10 @@
 	storeDown  time.Time
 	ownerDown  time.Time
 	readDown   time.Time
-	ledger     ledger
-	minted     uint64
+	// acceptDelay is how long the next assignment takes from its plan to its effect.
+	acceptDelay time.Duration
+	ledger      ledger
+	minted      uint64
 }
 
 // New returns a bag whose processes are up and connected.
@@ -184,6 +186,19 @@
 	if !changed {
 		return
 	}
+	if b.acceptDelay > 0 {
+		delay := b.acceptDelay
+		b.acceptDelay = 0
+		b.storeDown = b.Now().Add(delay)
+		b.logf("assignment version %d is planned and takes effect in %s", next.Version, delay)
+		b.At(delay, func() { b.accept(next) })
+		return
+	}
+	b.accept(next)
+}
+
+// accept makes an assignment the current one and tells all processes.
+func (b *Bag) accept(next wire.Assignment) {
 	b.former = b.assignment
 	b.assignment = next
 	b.logf("assignment version %d", next.Version)
@@ -209,6 +224,10 @@
 	b.agents[agent].staleUntil = b.Now().Add(d)
 }
 
+// DelayNextAssignment makes the write of the next assignment take effect long
+// after it was planned, as by a table service that was frozen.
+func (b *Bag) DelayNextAssignment(d time.Duration) { b.acceptDelay = d }
+
 // StopReads lets writes of the assignment take effect while entry hosts cannot
 // read it back: they issue no permits meanwhile.
 func (b *Bag) StopReads(d time.Duration) { b.readDown = b.Now().Add(d) }
--- a/internal/requestflow/requesttest/hosts.go
+++ b/internal/requestflow/requesttest/hosts.go
@@ -81,7 +81,7 @@
 	a.credits = map[int]wire.Credit{}
 	a.core = executor.New(executor.Config{
 		ID: a.id(), Incarnation: a.incarnation, Started: b.Now().Add(a.offset), Slots: Slots, Connections: Connections,
-		ClockSkewBound: SkewBound,
+		ClockSkewBound: SkewBound, LongestPermit: PermitValidity,
 	})
 	b.giveAssignmentToAgent(i)
 	b.tickAgent(i, a.core)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -19,6 +19,8 @@
 	// homeBonus is taken off the load of the request's home, since no separate
 	// claim is needed there.
 	homeBonus = 0.1
+	// maxReservedShare bounds the share of servers kept for large requests.
+	maxReservedShare = 1.0 / 3
 	// probeBonus makes a backend server that has to be probed the first choice.
 	probeBonus = 1
 )
@@ -242,10 +244,14 @@
 // ones do not starve it. It returns the server that is reserved.
 func (t *Table) Reserve(c Choice) (model.BackendServerID, bool) {
 	var best *server
+	reserved := 0
 	for _, s := range t.order {
 		if s.reservedFor == c.Request {
 			return s.backend.ID, true
 		}
+		if s.reservedFor != "" {
+			reserved++
+		}
 		if !s.is(StateAvailable) || s.reservedFor != "" || s.backend.Slots < c.Slots || t.zonesOut[s.backend.Zone] {
 			continue
 		}
@@ -253,13 +259,22 @@
 			best = s
 		}
 	}
-	if best == nil {
+	if best == nil || float64(reserved+1) > max(1, maxReservedShare*float64(len(t.order))) {
 		return "", false
 	}
 	best.reservedFor = c.Request
 	return best.backend.ID, true
 }
 
+// DropReservations gives up the reservations for which drop reports true.
+func (t *Table) DropReservations(drop func(id model.RequestID) bool) {
+	for _, s := range t.order {
+		if s.reservedFor != "" && drop(s.reservedFor) {
+			s.reservedFor = ""
+		}
+	}
+}
+
 // Unreserve gives up the reservation of a request.
 func (t *Table) Unreserve(id model.RequestID) {
 	for _, s := range t.order {
