--- /dev/null
+++ b/internal/dedup/dedup_test.go
@@ -0,0 +1,129 @@
+package dedup
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/wire"
+)
+
+func TestMintTime(t *testing.T) {
+	cases := []struct {
+		id   model.RequestID
+		want int64
+		ok   bool
+	}{
+		{"01a3185c-7792-7242-802c-000000000002", 0x01a3185c7792, true},
+		{"01a3185c-7792-4242-802c-000000000002", 0, false},
+		{"01A3185C-7792-7242-802C-000000000002", 0, false},
+		{"{1a3185c-7792-7242-802c-00000000000}", 0, false},
+		{"", 0, false},
+	}
+	for _, c := range cases {
+		got, err := MintTime(c.id)
+		if got != c.want || (err == nil) != c.ok {
+			t.Errorf("%q: got %d, %v", c.id, got, err)
+		}
+	}
+}
+
+func TestWindowKnowsHowFarItHasForgotten(t *testing.T) {
+	w := NewWindow[int](time.Second, 3, 0)
+	for i := range 5 {
+		w.Put(model.RequestID(fmt.Sprint(i)), int64(1000+i), i)
+	}
+	if w.Len() != 3 || w.Floor() != 1001 {
+		t.Errorf("got %d records, floor %d", w.Len(), w.Floor())
+	}
+	w.Advance(2003)
+	if _, ok := w.Get("3"); ok || w.Len() != 1 || w.Floor() != 1003 {
+		t.Errorf("got %d records, floor %d", w.Len(), w.Floor())
+	}
+	w.Advance(1500)
+	if w.Floor() != 1003 {
+		t.Errorf("the floor went back to %d", w.Floor())
+	}
+}
+
+// Over a random sequence of joins, losses and stops, each ID has at most one
+// holder that may know it, in every version and over all versions.
+func TestReassignKeepsOneHolderForEachID(t *testing.T) {
+	const skew = 100 * time.Millisecond
+	for seed := uint64(1); seed <= 20; seed++ {
+		r := rand.New(rand.NewPCG(seed, 1))
+		members := map[model.BackendServerID]*Member{}
+		current := &wire.Assignment{}
+		now := int64(1_000_000)
+		granted := map[model.RequestID]Holder{}
+		for range 60 {
+			now += int64(r.IntN(8000))
+			changeMembers(r, members)
+			next, changed := Reassign(current, memberList(members), now+3000)
+			if changed && next.Version != current.Version+1 {
+				t.Fatalf("version %d follows %d", next.Version, current.Version)
+			}
+			current = &next
+			for range 20 {
+				checkHolder(t, r, current, members, granted, now)
+			}
+		}
+	}
+}
+
+func changeMembers(r *rand.Rand, members map[model.BackendServerID]*Member) {
+	id := model.BackendServerID(fmt.Sprint("b", r.IntN(6)))
+	m := members[id]
+	switch {
+	case m == nil:
+		members[id] = &Member{ID: id, Incarnation: model.Incarnation(1 + r.IntN(1_000_000))}
+	case r.IntN(2) == 0:
+		m.Leaving = true
+	default:
+		delete(members, id)
+	}
+}
+
+func memberList(members map[model.BackendServerID]*Member) []Member {
+	var list []Member
+	for _, m := range members {
+		list = append(list, *m)
+	}
+	return list
+}
+
+// checkHolder lets the holder of a random earlier or new ID grant it, if it is
+// alive and may know it, and wants the same holder ever after.
+func checkHolder(t *testing.T, r *rand.Rand, a *wire.Assignment, members map[model.BackendServerID]*Member,
+	granted map[model.RequestID]Holder, now int64,
+) {
+	t.Helper()
+	mint := now - int64(r.IntN(12_000))
+	id := model.RequestID(fmt.Sprintf("%08x-%04x-7000-8000-%012x", mint>>16, mint&0xffff, r.IntN(3)))
+	h, ok := HolderOf(a, id, mint, 100*time.Millisecond)
+	if !ok || mint <= h.FloorUnixMS {
+		return
+	}
+	if m := members[h.Home]; m == nil || m.Incarnation != h.Incarnation {
+		return
+	}
+	if before, seen := granted[id]; seen && (before.Home != h.Home || before.Incarnation != h.Incarnation) {
+		t.Fatalf("%s was granted by %+v and now by %+v", id, before, h)
+	}
+	granted[id] = h
+}
+
+func BenchmarkClaim(b *testing.B) {
+	c := NewClaims(Limits{Self: "a", Incarnation: 1, Horizon: time.Minute, MaxRecords: 100_000})
+	c.SetAssignment(time.UnixMilli(0), NewAssignment([]Member{{ID: "a", Incarnation: 1}}, 0))
+	now := time.UnixMilli(1_800_000_000_000)
+	c.SetPermit(Permit{Assignment: 1, ValidUntil: now.Add(time.Hour)})
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		ms := now.UnixMilli()
+		id := model.RequestID(fmt.Sprintf("%08x-%04x-7000-8000-%012x", ms>>16, ms&0xffff, n))
+		c.Handle(now, "e", &wire.Claim{Request: id, Executor: "a", Assignment: 1, Token: uint64(n)})
+	}
+}
--- a/internal/faultmatrix/request_cells_test.go
+++ b/internal/faultmatrix/request_cells_test.go
@@ -92,15 +92,6 @@
 		b.Cut(entry, agent)
 	case ConnectionSlow, MessageDuplicated, MessageReordered, MessageLost:
 		disturbMessages(b, f, taken)
-	case TableDown:
-		b.StopStore(longPause)
-		killAgent(b, home)
-	case TableSlow:
-		b.StopStore(shortPause)
-		killAgent(b, home)
-	case TableAnswerLost:
-		b.StopReads(longPause)
-		killAgent(b, home)
 	case LeaseLapsed:
 		b.PauseAgent(agent, longPause)
 	case EntryKilled:
@@ -108,17 +99,30 @@
 		b.At(longPause, func() { b.RestartEntry(entry) })
 	case AgentKilled:
 		killAgent(b, home)
+	case SecondFault:
+		b.Silence(entry, agent)
+		b.At(shortPause, func() { killAgent(b, home) })
+		b.At(2*shortPause, func() { b.PauseEntry(entry, longPause) })
+	default:
+		killAgent(b, home)
+		disturbAssignment(b, f)
+	}
+}
+
+// disturbAssignment hinders the move of a dead home's ranges.
+func disturbAssignment(b *requesttest.Bag, f Fault) {
+	switch f {
+	case TableDown:
+		b.StopStore(longPause)
+	case TableSlow:
+		b.DelayNextAssignment(longPause)
+	case TableAnswerLost:
+		b.StopReads(longPause)
 	case OwnerKilled:
 		b.StopOwner(longPause)
-		killAgent(b, home)
 	case OwnerDeposed:
-		killAgent(b, home)
 		b.At(longPause/2, b.ResendFormerAssignment)
 		b.At(longPause, b.ResendFormerAssignment)
-	case SecondFault:
-		b.Silence(entry, agent)
-		b.At(shortPause, func() { killAgent(b, home) })
-		b.At(2*shortPause, func() { b.PauseEntry(entry, longPause) })
 	}
 }
 
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,149 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dragonflyyard/internal/model"
+)
+
+var begin = time.UnixMilli(1_800_000_000_000)
+
+func id(i int) model.BackendServerID { return model.BackendServerID(fmt.Sprintf("b%03d", i)) }
+
+func newTable(n int) *Table {
+	t := NewTable("z0", 1, false)
+	for i := range n {
+		zone := model.AvailabilityZoneName(fmt.Sprint("z", i%3))
+		t.LinkUp(model.BackendServer{ID: id(i), Zone: zone, Slots: 8, Connections: 64}, false)
+		t.Credit(id(i), 1, 4, 32)
+	}
+	return t
+}
+
+func TestPick(t *testing.T) {
+	cases := []struct {
+		name   string
+		put    func(t *Table)
+		choice Choice
+		want   model.BackendServerID
+	}{
+		{"own zone first", func(*Table) {}, Choice{Slots: 1}, id(0)},
+		{"the home in another zone", func(*Table) {}, Choice{Slots: 1, Home: id(1)}, id(0)},
+		{"the home in the own zone", func(*Table) {}, Choice{Slots: 1, Home: id(3)}, id(3)},
+		{"loaded", func(t *Table) { t.Take(id(0), 2); t.Take(id(3), 2) }, Choice{Slots: 1}, id(1)},
+		{"excluded", func(*Table) {}, Choice{Slots: 1, Excluded: []model.BackendServerID{id(0)}}, id(3)},
+		{"slow", func(t *Table) { t.Observe(begin, id(0), ResultOK, 2*time.Second, time.Second) }, Choice{Slots: 1}, id(3)},
+		{"zone out", func(t *Table) { t.SetZonesOut(map[model.AvailabilityZoneName]bool{"z0": true}) }, Choice{Slots: 1}, id(1)},
+		{"leaving", func(t *Table) { t.Leaving(id(0)) }, Choice{Slots: 1}, id(3)},
+		{"silent agent", func(t *Table) { t.SetSuspect(id(0), true) }, Choice{Slots: 1}, id(3)},
+		{"kept for a large request", func(t *Table) { t.Reserve(Choice{Request: "r", Slots: 8}) }, Choice{Slots: 1}, id(3)},
+		{"larger than any credit", func(*Table) {}, Choice{Slots: 5}, ""},
+		{"old credit ignored", func(t *Table) { t.Credit(id(0), 2, 0, 0); t.Credit(id(0), 1, 8, 64) }, Choice{Slots: 1}, id(3)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTable(6)
+			c.put(table)
+			if got, _ := table.Pick(begin, c.choice); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestEjectedShareIsCapped(t *testing.T) {
+	table := newTable(9)
+	for i := range 9 {
+		for range windowSize {
+			table.Observe(begin, id(i), ResultFailed, 0, 0)
+		}
+	}
+	ejected := 0
+	for i := range 9 {
+		if table.State(id(i)) == StateEjected {
+			ejected++
+		}
+	}
+	if ejected != 3 {
+		t.Errorf("%d of 9 ejected", ejected)
+	}
+}
+
+func TestEjectedServerIsProbedBack(t *testing.T) {
+	table := newTable(6)
+	for range maxConsecutiveFailures {
+		table.Observe(begin, id(0), ResultFailed, 0, 0)
+	}
+	if _, ok := table.Pick(begin, Choice{Slots: 1, Home: id(0)}); !ok || table.State(id(0)) != StateEjected {
+		t.Fatalf("state %q", table.State(id(0)))
+	}
+	due := begin.Add(baseEjection)
+	if got, _ := table.Pick(due, Choice{Slots: 1}); got == id(0) {
+		t.Error("a request that is not idempotent is the probe")
+	}
+	for i := range probesToReturn {
+		got, _ := table.Pick(due, Choice{Slots: 1, Idempotent: true})
+		if got != id(0) {
+			t.Fatalf("probe %d went to %q", i, got)
+		}
+		table.Take(got, 1)
+		if second, _ := table.Pick(due, Choice{Slots: 1, Idempotent: true}); second == id(0) {
+			t.Error("two probes at the same time")
+		}
+		table.Observe(due, got, ResultOK, time.Second, time.Second)
+		table.Give(got, 1)
+	}
+	if got := table.State(id(0)); got != StateAvailable {
+		t.Errorf("state %q after the probes", got)
+	}
+}
+
+func TestFailedProbeLengthensTheEjection(t *testing.T) {
+	table := newTable(6)
+	for range maxConsecutiveFailures {
+		table.Observe(begin, id(0), ResultFailed, 0, 0)
+	}
+	due := begin.Add(baseEjection)
+	table.Pick(due, Choice{Slots: 1, Idempotent: true})
+	table.Observe(due, id(0), ResultFailed, 0, 0)
+	table.Pick(due.Add(baseEjection), Choice{Slots: 1})
+	if got := table.State(id(0)); got != StateEjected {
+		t.Errorf("state %q", got)
+	}
+	table.Pick(due.Add(2*baseEjection), Choice{Slots: 1})
+	if got := table.State(id(0)); got != StateProbing {
+		t.Errorf("state %q", got)
+	}
+}
+
+func TestSlowServerIsEjected(t *testing.T) {
+	table := newTable(6)
+	for range 2 * minSlowSamples {
+		for i := range 6 {
+			service := time.Second
+			if i == 2 {
+				service = 5 * time.Second
+			}
+			table.Observe(begin, id(i), ResultOK, service, time.Second)
+		}
+	}
+	for i := range 6 {
+		if got := table.State(id(i)); (got == StateEjected) != (i == 2) {
+			t.Errorf("server %d: state %q", i, got)
+		}
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{11, 200, 1600} {
+		b.Run(fmt.Sprint(n, " servers"), func(b *testing.B) {
+			table := newTable(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Pick(begin, Choice{Slots: 1, Idempotent: true})
+			}
+		})
+	}
+}
