Keep the sums that each decision needs, and let stopped agents go in the bag

Cause: an entry host with 1,600 agents spent 46 us on a request, most of it on sums over all servers and accounts; the fair queue's virtual time did not advance when a request was served, so idle accounts saved up service; the bag let a stopped agent answer claims for ever. Change: kept sums of slots, queued cost and weight, a heap of waiting accounts, reservations in a file of their own; virtual time is the lowest start among the served and all first requests; a large request is kept the server that drains first; an agent that is ready to stop leaves the bag. Ruled out: virtual time as the start of the request served (SFQ as written): a request served before its turn moved it ahead by up to 960 ms of virtual time, and the p99 of an account inside its share rose to 1.7 times the quiet one.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -16,12 +16,22 @@
 	}
 }
 
+// first returns the next request to serve, nil if none waits.
+func first(q *Queue) *Item {
+	var head *Item
+	q.Each(1, func(item *Item) bool {
+		head = item
+		return true
+	})
+	return head
+}
+
 // serve takes n requests off the queue in fair order and counts the cost by account.
 func serve(q *Queue, n int) map[model.ClientAccountID]time.Duration {
 	served := map[model.ClientAccountID]time.Duration{}
 	for range n {
-		head := q.Heads(1)[0]
-		q.PopHead(head.Account)
+		head := first(q)
+		q.Serve(head)
 		served[head.Account] += head.Cost
 	}
 	return served
@@ -65,13 +75,13 @@
 	a, b := item("x", 1, time.Millisecond), item("x", 2, time.Millisecond)
 	q.Push(a)
 	q.Push(b)
-	q.PopHead("x")
+	q.Serve(a)
 	q.PushFront(a)
-	if !q.Remove("x", b.ID) || q.Remove("x", b.ID) || q.Len() != 1 || q.Heads(9)[0] != a {
-		t.Errorf("got %d waiting, heads %v", q.Len(), q.Heads(9))
+	if !q.Remove("x", b.ID) || q.Remove("x", b.ID) || q.Len() != 1 || first(q) != a {
+		t.Errorf("got %d waiting, head %v", q.Len(), first(q))
 	}
-	q.PopHead("x")
-	if q.Len() != 0 || len(q.Heads(9)) != 0 || q.PopHead("x") != nil {
+	q.Serve(a)
+	if q.Len() != 0 || first(q) != nil {
 		t.Error("the queue is not empty")
 	}
 }
@@ -122,8 +132,8 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				head := q.Heads(1)[0]
-				q.PopHead(head.Account)
+				head := first(q)
+				q.Serve(head)
 				q.Push(head)
 			}
 		})
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -5,7 +5,7 @@
 package admission
 
 import (
-	"sort"
+	"container/heap"
 	"time"
 
 	"dragonflyyard/internal/model"
@@ -31,8 +31,39 @@
 	finish float64
 	// queued is the summed cost of the items in slot seconds.
 	queued float64
-	// served is the summed cost of the items dispatched and not yet ended.
-	served float64
+	// index is the flow's place in the heap of waiting flows, -1 while it has none.
+	index int
+	// visited is set while Each holds the flow outside the heap.
+	visited bool
+}
+
+// flowHeap orders the waiting flows by the virtual start of their first item.
+type flowHeap []*flow
+
+func (h flowHeap) Len() int { return len(h) }
+func (h flowHeap) Less(i, j int) bool {
+	a, b := h[i], h[j]
+	if a.items[0].start != b.items[0].start {
+		return a.items[0].start < b.items[0].start
+	}
+	return a.account < b.account
+}
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.index = len(*h)
+	*h = append(*h, f)
+}
+func (h *flowHeap) Pop() any {
+	old := *h
+	f := old[len(old)-1]
+	old[len(old)-1] = nil
+	f.index = -1
+	*h = old[:len(old)-1]
+	return f
 }
 
 // Queue is a weighted fair queue over client accounts (start-time fair
@@ -40,11 +71,15 @@
 // the virtual time advances with the cost of what is served, by weight.
 type Queue struct {
 	flows   map[model.ClientAccountID]*flow
-	active  []*flow
+	waiting flowHeap
+	visits  []*flow
 	virtual float64
 	length  int
 	fifo    bool
 	arrival float64
+	// queued and weight are sums over the flows with waiting requests.
+	queued float64
+	weight float64
 }
 
 // NewQueue returns an empty queue. With fifo set it serves in order of arrival
@@ -55,7 +90,12 @@
 
 // SetWeight sets an account's weight, at least 1.
 func (q *Queue) SetWeight(account model.ClientAccountID, weight int) {
-	q.flow(account).weight = float64(max(1, weight))
+	f := q.flow(account)
+	next := float64(max(1, weight))
+	if len(f.items) > 0 {
+		q.weight += next - f.weight
+	}
+	f.weight = next
 }
 
 // Len returns the number of waiting requests of all accounts.
@@ -92,41 +132,63 @@
 func (q *Queue) added(f *flow, item *Item) {
 	q.length++
 	f.queued += item.Cost.Seconds()
+	q.queued += item.Cost.Seconds()
 	if len(f.items) == 1 {
-		q.active = append(q.active, f)
+		q.weight += f.weight
+	}
+	switch {
+	case f.index >= 0:
+		heap.Fix(&q.waiting, f.index)
+	case !f.visited:
+		heap.Push(&q.waiting, f)
 	}
 }
 
-// Heads returns the first request of up to limit accounts, the next one to
-// serve first.
-func (q *Queue) Heads(limit int) []*Item {
-	sort.Slice(q.active, func(i, j int) bool {
-		a, b := q.active[i], q.active[j]
-		if a.items[0].start != b.items[0].start {
-			return a.items[0].start < b.items[0].start
+// Each calls visit with the first request of each account, the next one to
+// serve first, until visit returns true or limit accounts were visited. Visit
+// may add and remove requests. Each reports whether visit returned true.
+func (q *Queue) Each(limit int, visit func(*Item) bool) bool {
+	done := false
+	q.visits = q.visits[:0]
+	for !done && len(q.visits) < limit && len(q.waiting) > 0 {
+		f := heap.Pop(&q.waiting).(*flow)
+		f.visited = true
+		q.visits = append(q.visits, f)
+		done = visit(f.items[0])
+	}
+	for _, f := range q.visits {
+		f.visited = false
+		if len(f.items) > 0 && f.index < 0 {
+			heap.Push(&q.waiting, f)
 		}
-		return a.account < b.account
-	})
-	n := min(limit, len(q.active))
-	heads := make([]*Item, n)
-	for i := range n {
-		heads[i] = q.active[i].items[0]
 	}
-	return heads
+	return done
 }
 
-// PopHead removes the first request of an account.
-func (q *Queue) PopHead(account model.ClientAccountID) *Item {
-	f := q.flows[account]
-	if f == nil || len(f.items) == 0 {
-		return nil
+// IsHead reports whether a request is the first one of its account.
+func (q *Queue) IsHead(item *Item) bool {
+	f := q.flows[item.Account]
+	return f != nil && len(f.items) > 0 && f.items[0] == item
+}
+
+// Serve takes a waiting request out to be dispatched and advances the virtual
+// time, so that accounts without waiting requests save up nothing. The virtual
+// time is the lowest start among this and all first requests: one that is
+// served before its turn, as others found no room, does not move it ahead.
+func (q *Queue) Serve(item *Item) {
+	if !q.Remove(item.Account, item.ID) {
+		return
+	}
+	lowest := item.start
+	if len(q.waiting) > 0 {
+		lowest = min(lowest, q.waiting[0].items[0].start)
+	}
+	for _, f := range q.visits {
+		if f.visited && len(f.items) > 0 {
+			lowest = min(lowest, f.items[0].start)
+		}
 	}
-	item := f.items[0]
-	f.items[0] = nil
-	f.items = f.items[1:]
-	q.removed(f, item)
-	q.virtual = max(q.virtual, item.start)
-	return item
+	q.virtual = max(q.virtual, lowest)
 }
 
 // Remove takes a waiting request out. It reports whether the request waited.
@@ -136,11 +198,17 @@
 		return false
 	}
 	for i, item := range f.items {
-		if item.ID == id {
+		if item.ID != id {
+			continue
+		}
+		if i == 0 {
+			f.items[0] = nil
+			f.items = f.items[1:]
+		} else {
 			f.items = append(f.items[:i:i], f.items[i+1:]...)
-			q.removed(f, item)
-			return true
 		}
+		q.removed(f, item)
+		return true
 	}
 	return false
 }
@@ -148,50 +216,43 @@
 func (q *Queue) removed(f *flow, item *Item) {
 	q.length--
 	f.queued -= item.Cost.Seconds()
-	if len(f.items) > 0 {
-		return
+	q.queued -= item.Cost.Seconds()
+	if len(f.items) == 0 {
+		f.queued = 0
+		q.weight -= f.weight
 	}
-	f.queued = 0
-	for i := range q.active {
-		if q.active[i] == f {
-			q.active = append(q.active[:i], q.active[i+1:]...)
-			return
-		}
+	if q.length == 0 {
+		q.queued, q.weight = 0, 0
+	}
+	switch {
+	case f.index < 0:
+	case len(f.items) == 0:
+		heap.Remove(&q.waiting, f.index)
+	default:
+		heap.Fix(&q.waiting, f.index)
 	}
-}
-
-// Served tells the queue that slot time of an account came into use (positive)
-// or ended (negative).
-func (q *Queue) Served(account model.ClientAccountID, cost time.Duration) {
-	f := q.flow(account)
-	f.served = max(0, f.served+cost.Seconds())
 }
 
 // Share returns the share of the capacity that an account gets while all
 // accounts with waiting requests, and this one, compete.
 func (q *Queue) Share(account model.ClientAccountID) float64 {
 	own := q.flow(account)
-	total := own.weight
-	for _, f := range q.active {
-		if f != own {
-			total += f.weight
-		}
+	total := q.weight
+	if len(own.items) == 0 {
+		total += own.weight
 	}
 	return own.weight / total
 }
 
 // QueuedSeconds returns the waiting slot seconds of one account and of all.
 func (q *Queue) QueuedSeconds(account model.ClientAccountID) (own, all float64) {
-	for _, f := range q.active {
-		all += f.queued
-	}
-	return q.flow(account).queued, all
+	return q.flow(account).queued, q.queued
 }
 
 func (q *Queue) flow(account model.ClientAccountID) *flow {
 	f := q.flows[account]
 	if f == nil {
-		f = &flow{account: account, weight: 1}
+		f = &flow{account: account, weight: 1, index: -1}
 		q.flows[account] = f
 	}
 	return f
--- a/internal/dedup/dedup_test.go
+++ b/internal/dedup/dedup_test.go
@@ -51,7 +51,6 @@
 // Over a random sequence of joins, losses and stops, each ID has at most one
 // holder that may know it, in every version and over all versions.
 func TestReassignKeepsOneHolderForEachID(t *testing.T) {
-	const skew = 100 * time.Millisecond
 	for seed := uint64(1); seed <= 20; seed++ {
 		r := rand.New(rand.NewPCG(seed, 1))
 		members := map[model.BackendServerID]*Member{}
--- a/internal/replay/requests/fleet.go
+++ b/internal/replay/requests/fleet.go
@@ -55,6 +55,7 @@
 	faulty   bool
 	arrivals map[model.RequestID]*arrival
 	starts   int
+	claims   int
 	onFinish func(requestflow.Finish)
 }
 
@@ -162,6 +163,9 @@
 
 func (f *fleet) toAgent(entry int, send requestflow.Send) {
 	agent := serverIndex(send.To)
+	if _, ok := send.Message.(*wire.Claim); ok {
+		f.claims++
+	}
 	f.clock.At(latency(entry, agent), func() {
 		f.stepAgent(agent, executor.Receive{From: entryID(entry), Connection: send.Connection, Message: send.Message})
 	})
--- a/internal/replay/requests/run.go
+++ b/internal/replay/requests/run.go
@@ -49,7 +49,9 @@
 type result struct {
 	accounts map[model.ClientAccountID]*accountResult
 	starts   int
+	claims   int
 	requests int
+	offered  int
 }
 
 func (r *result) total() *accountResult {
@@ -88,6 +90,8 @@
 	f.clock.At(faultAt, f.fail)
 	f.clock.Run(listLength + largeFactor*time.Second)
 	out.starts = f.starts
+	out.claims = f.claims
+	out.offered = len(arrivals)
 	return out
 }
 
@@ -194,7 +198,7 @@
 	fmt.Fprintf(w, "Request path: %d backend servers of %d slots, %d entry hosts, %d seeds, %.0f requests a second at capacity\n",
 		serverCount, serverSlots, entryCount, Seeds, capacity())
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "scenario\tpolicy\tgoodput/s\tmin\tmax\tp50 ms\tp99 ms\tnot run %\tunknown %\tfailed %\tidempotent lost %\tstarts/request\t")
+	fmt.Fprintln(t, "scenario\tpolicy\tgoodput/s\tmin\tmax\tp50 ms\tp99 ms\tnot run %\tunknown %\tfailed %\tidempotent lost %\tstarts/request\tclaims/request\t")
 	for _, s := range scenarios() {
 		for _, p := range policies() {
 			writeRow(t, key{s.name, p.name}, results[key{s.name, p.name}])
@@ -209,18 +213,20 @@
 func writeRow(w io.Writer, k key, runs []*result) {
 	sum := &accountResult{}
 	var goodput []float64
-	starts, requests := 0, 0
+	starts, claims, requests, offered := 0, 0, 0, 0
 	for _, r := range runs {
 		sum.add(r.total())
 		goodput = append(goodput, r.goodput())
 		starts += r.starts
+		claims += r.claims
+		offered += r.offered
 		requests += r.requests
 	}
 	sort.Float64s(goodput)
-	fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%.2f\t%.3f\t\n", k.scenario, k.policy,
+	fmt.Fprintf(w, "%s\t%s\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%.2f\t%.3f\t%.2f\t\n", k.scenario, k.policy,
 		mean(goodput), goodput[0], goodput[len(goodput)-1], ms(sum.quantile(0.5)), ms(sum.quantile(0.99)),
 		percent(sum.notRun, sum.offered), percent(sum.unknown, sum.offered), percent(sum.failed, sum.offered),
-		percent(sum.idempotentLost, sum.idempotent), float64(starts)/float64(max(1, requests)))
+		percent(sum.idempotentLost, sum.idempotent), float64(starts)/float64(max(1, requests)), float64(claims)/float64(max(1, offered)))
 }
 
 // writeAccounts prints the figures of each account where one floods and at overload.
--- a/internal/requestflow/dispatch.go
+++ b/internal/requestflow/dispatch.go
@@ -1,7 +1,6 @@
 package requestflow
 
 import (
-	"slices"
 	"time"
 
 	"dragonflyyard/internal/admission"
@@ -28,18 +27,18 @@
 // placeOne tries the first request of each account in fair order. It reports
 // whether one left the queue.
 func (c *Core) placeOne(now time.Time) bool {
-	heads := c.queue.Heads(maxHeads)
 	c.table.DropReservations(func(id model.RequestID) bool {
-		return !slices.ContainsFunc(heads, func(item *admission.Item) bool { return item.ID == id })
+		f := c.flights[id]
+		return f == nil || f.item == nil || !c.queue.IsHead(f.item)
 	})
-	for _, item := range heads {
+	return c.queue.Each(maxHeads, func(item *admission.Item) bool {
 		f := c.flights[item.ID]
-		if c.place(now, f) {
+		placed := c.place(now, f)
+		if placed {
 			c.schedule(f)
-			return true
 		}
-	}
-	return false
+		return placed
+	})
 }
 
 // place moves a waiting request on if it can. It reports whether the request
@@ -65,7 +64,8 @@
 	if !ok {
 		return c.placeLater(now, f)
 	}
-	c.dequeue(f)
+	c.queue.Serve(f.item)
+	c.dequeued(f)
 	c.take(f, executor)
 	if f.unclaimed || (executor == holder.Home && f.claim.Token == 0 && !f.explicit) {
 		f.token = c.nextToken()
--- a/internal/requestflow/requesttest/hosts.go
+++ b/internal/requestflow/requesttest/hosts.go
@@ -171,6 +171,7 @@
 		}
 		a.stopped = true
 		b.logf("agent %d ready to stop", i)
+		b.At(0, func() { b.exitAgent(i, core) })
 	}
 }
 
--- a/internal/requestflow/requesttest/network.go
+++ b/internal/requestflow/requesttest/network.go
@@ -192,6 +192,13 @@
 	}
 }
 
+// exitAgent ends an agent that is ready to stop.
+func (b *Bag) exitAgent(i int, core *executor.Core) {
+	if b.agents[i].core == core {
+		b.KillAgent(i)
+	}
+}
+
 // RestartEntry starts a new life of an entry host that is down.
 func (b *Bag) RestartEntry(i int) {
 	if b.entries[i].core != nil {
--- a/internal/requestflow/resolve.go
+++ b/internal/requestflow/resolve.go
@@ -70,7 +70,7 @@
 	case wire.StateRejected, wire.StateSealed, wire.StateAbsent:
 		c.rejected(now, l, f, m)
 	case wire.StateClaimed:
-		c.claimExplicitly(now, f)
+		c.claimExplicitly(f)
 	case wire.StateExpired:
 		c.release(f)
 		c.toResolving(f)
@@ -115,7 +115,7 @@
 
 // claimExplicitly handles a home that is the executor and has another claim:
 // only the home's reply to a Claim names its executor.
-func (c *Core) claimExplicitly(now time.Time, f *flight) {
+func (c *Core) claimExplicitly(f *flight) {
 	c.release(f)
 	c.toResolving(f)
 	if f.foreign || f.item == nil {
@@ -127,7 +127,6 @@
 	f.attempts = max(0, f.attempts-1)
 	c.fire(f, eventRetryAllowed)
 	c.enqueue(f, true)
-	c.place(now, f)
 }
 
 // executorCannotKnow handles an executor that may have forgotten the request.
--- a/internal/requestflow/submit.go
+++ b/internal/requestflow/submit.go
@@ -160,6 +160,10 @@
 	if f.item == nil || !c.queue.Remove(f.request.Account, f.request.ID) {
 		return
 	}
+	c.dequeued(f)
+}
+
+func (c *Core) dequeued(f *flight) {
 	c.queuedSlots -= f.request.Slots
 	c.table.Unreserve(f.request.ID)
 }
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -121,7 +121,7 @@
 		return
 	}
 	t.fire(s, eventFailureStreak)
-	s.reservedFor = ""
+	t.reserve(s, "")
 	s.ejectedUntil = now.Add(min(baseEjection<<min(s.ejections, 5), maxEjection))
 	s.ejections++
 	s.probeOK = 0
@@ -148,6 +148,9 @@
 
 // refresh moves servers whose ejection is over to the probing state.
 func (t *Table) refresh(now time.Time) {
+	if t.ejected == 0 {
+		return
+	}
 	for _, s := range t.order {
 		if !s.is(StateEjected) || now.Before(s.ejectedUntil) {
 			continue
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -77,6 +77,15 @@
 
 func (s *server) freeSlots() int { return s.slotCredit - s.slotsInUse }
 
+// drainsBefore reports whether s is expected to have room for a large request
+// sooner than o: it has more free slots, or no large request that runs long.
+func (s *server) drainsBefore(o *server) bool {
+	if s.freeSlots() != o.freeSlots() {
+		return s.freeSlots() > o.freeSlots()
+	}
+	return s.slotsInUse-s.connsInUse < o.slotsInUse-o.connsInUse
+}
+
 func (s *server) fits(slots int) bool {
 	return s.freeSlots() >= slots && s.connsInUse < s.connCredit
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -19,8 +19,6 @@
 	// homeBonus is taken off the load of the request's home, since no separate
 	// claim is needed there.
 	homeBonus = 0.1
-	// maxReservedShare bounds the share of servers kept for large requests.
-	maxReservedShare = 1.0 / 3
 	// probeBonus makes a backend server that has to be probed the first choice.
 	probeBonus = 1
 )
@@ -29,6 +27,8 @@
 var (
 	backendChart = statechart.MustLoad("backend")
 
+	stateEjected = backendChart.MustState(string(StateEjected))
+
 	eventCreditReceived   = backendChart.MustEvent("credit_received")
 	eventFailureStreak    = backendChart.MustEvent("failure_streak")
 	eventProbeDue         = backendChart.MustEvent("probe_due")
@@ -48,7 +48,12 @@
 	random   *rand.Rand
 	naive    bool
 	events   []event.Event
-	trace    func(id model.BackendServerID, from, event string)
+	// total and free are the sums of Slots, unless stale is set.
+	total, free int
+	stale       bool
+	ejected     int
+	reserved    int
+	trace       func(id model.BackendServerID, from, event string)
 }
 
 // NewTable returns an empty table of an entry host in the given zone. With
@@ -81,6 +86,13 @@
 	if outcome != statechart.Moved {
 		return false
 	}
+	t.stale = true
+	if step.From == stateEjected {
+		t.ejected--
+	}
+	if step.To == stateEjected {
+		t.ejected++
+	}
 	if t.trace != nil {
 		t.trace(s.backend.ID, backendChart.StateName(step.From), backendChart.EventName(step.Event))
 	}
@@ -116,6 +128,8 @@
 			break
 		}
 	}
+	t.reserve(s, "")
+	t.stale = true
 	delete(t.servers, id)
 }
 
@@ -123,7 +137,7 @@
 func (t *Table) Leaving(id model.BackendServerID) {
 	if s := t.servers[id]; s != nil {
 		t.fire(s, eventLeavingAnnounced)
-		s.reservedFor = ""
+		t.reserve(s, "")
 	}
 }
 
@@ -134,6 +148,7 @@
 		return
 	}
 	s.creditSeq, s.slotCredit, s.connCredit = seq, slots, connections
+	t.stale = true
 	t.fire(s, eventCreditReceived)
 }
 
@@ -142,11 +157,15 @@
 func (t *Table) SetSuspect(id model.BackendServerID, suspect bool) {
 	if s := t.servers[id]; s != nil {
 		s.suspect = suspect
+		t.stale = true
 	}
 }
 
 // SetZonesOut replaces the set of availability zones that take no work.
-func (t *Table) SetZonesOut(zones map[model.AvailabilityZoneName]bool) { t.zonesOut = zones }
+func (t *Table) SetZonesOut(zones map[model.AvailabilityZoneName]bool) {
+	t.zonesOut = zones
+	t.stale = true
+}
 
 // State returns the state of a backend server.
 func (t *Table) State(id model.BackendServerID) ServerState {
@@ -158,14 +177,32 @@
 
 // Slots returns the sum of the slot credits of usable servers and how many are free.
 func (t *Table) Slots() (total, free int) {
+	if !t.stale {
+		return t.total, t.free
+	}
+	t.stale, t.total, t.free = false, 0, 0
 	for _, s := range t.order {
-		if !s.isUsable() || s.suspect || t.zonesOut[s.backend.Zone] {
-			continue
+		if t.isOpen(s) {
+			t.total += s.slotCredit
+			t.free += max(0, s.freeSlots())
 		}
-		total += s.slotCredit
-		free += max(0, s.freeSlots())
 	}
-	return total, free
+	return t.total, t.free
+}
+
+// isOpen reports whether a server takes new requests, given room.
+func (t *Table) isOpen(s *server) bool {
+	return s.isUsable() && !s.suspect && !t.zonesOut[s.backend.Zone]
+}
+
+// use changes a server's slots and connections in use.
+func (t *Table) use(s *server, slots, connections int) {
+	before := max(0, s.freeSlots())
+	s.slotsInUse = max(0, s.slotsInUse+slots)
+	s.connsInUse = max(0, s.connsInUse+connections)
+	if !t.stale && t.isOpen(s) {
+		t.free += max(0, s.freeSlots()) - before
+	}
 }
 
 // Pick returns the backend server for a request. It returns false when none
@@ -208,7 +245,7 @@
 }
 
 func (t *Table) allows(s *server, c Choice) bool {
-	if !s.isUsable() || s.suspect || !s.fits(c.Slots) || t.zonesOut[s.backend.Zone] {
+	if !t.isOpen(s) || !s.fits(c.Slots) {
 		return false
 	}
 	if s.reservedFor != "" && s.reservedFor != c.Request {
@@ -240,50 +277,6 @@
 	return load
 }
 
-// Reserve keeps a server's freed slots for one large request, so that small
-// ones do not starve it. It returns the server that is reserved.
-func (t *Table) Reserve(c Choice) (model.BackendServerID, bool) {
-	var best *server
-	reserved := 0
-	for _, s := range t.order {
-		if s.reservedFor == c.Request {
-			return s.backend.ID, true
-		}
-		if s.reservedFor != "" {
-			reserved++
-		}
-		if !s.is(StateAvailable) || s.reservedFor != "" || s.backend.Slots < c.Slots || t.zonesOut[s.backend.Zone] {
-			continue
-		}
-		if best == nil || s.freeSlots() > best.freeSlots() {
-			best = s
-		}
-	}
-	if best == nil || float64(reserved+1) > max(1, maxReservedShare*float64(len(t.order))) {
-		return "", false
-	}
-	best.reservedFor = c.Request
-	return best.backend.ID, true
-}
-
-// DropReservations gives up the reservations for which drop reports true.
-func (t *Table) DropReservations(drop func(id model.RequestID) bool) {
-	for _, s := range t.order {
-		if s.reservedFor != "" && drop(s.reservedFor) {
-			s.reservedFor = ""
-		}
-	}
-}
-
-// Unreserve gives up the reservation of a request.
-func (t *Table) Unreserve(id model.RequestID) {
-	for _, s := range t.order {
-		if s.reservedFor == id {
-			s.reservedFor = ""
-		}
-	}
-}
-
 // Take puts a server's slots and one connection into use. In the probing state
 // it makes the request the probe.
 func (t *Table) Take(id model.BackendServerID, slots int) {
@@ -291,8 +284,7 @@
 	if s == nil {
 		return
 	}
-	s.slotsInUse += slots
-	s.connsInUse++
+	t.use(s, slots, 1)
 	if s.is(StateProbing) {
 		s.probeBusy = true
 		t.note(event.BackendProbed, s, "")
@@ -305,8 +297,7 @@
 	if s == nil {
 		return
 	}
-	s.slotsInUse = max(0, s.slotsInUse-slots)
-	s.connsInUse = max(0, s.connsInUse-1)
+	t.use(s, -slots, -1)
 	s.probeBusy = s.probeBusy && s.connsInUse > 0
 }
 
@@ -346,7 +337,7 @@
 // IsOpen reports whether a backend server still takes new requests.
 func (t *Table) IsOpen(id model.BackendServerID) bool {
 	s := t.servers[id]
-	return s != nil && s.isUsable() && !t.zonesOut[s.backend.Zone]
+	return s != nil && t.isOpen(s)
 }
 
 func isExcluded(c Choice, id model.BackendServerID) bool {
