Plan home ranges in tests and replays by membership.PlanHomes

Cause: dedup.Reassign stood beside membership.PlanHomes, and the tests did not exercise the planner that runs. The planned stop test runs for twelve seconds under load, past the start of the moved ranges. Conclusion: the settle time needs a margin for the delivery of the assignment.

--- a/internal/dedup/dedup_test.go
+++ b/internal/dedup/dedup_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"dragonflyyard/internal/membership"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/wire"
 )
@@ -48,36 +49,36 @@
 	}
 }
 
-// Over a random sequence of joins, losses and stops, each ID has at most one
+// Over a random sequence of joins, losses and stops, planned by membership, each ID has at most one
 // holder that may know it, in every version and over all versions.
-func TestReassignKeepsOneHolderForEachID(t *testing.T) {
+func TestPlannedHomesKeepOneHolderForEachID(t *testing.T) {
 	for seed := uint64(1); seed <= 20; seed++ {
 		r := rand.New(rand.NewPCG(seed, 1))
-		members := map[model.BackendServerID]*Member{}
-		current := &wire.Assignment{}
+		members := map[model.BackendServerID]*membership.HomeAgent{}
+		current := wire.Assignment{}
 		now := int64(1_000_000)
 		granted := map[model.RequestID]Holder{}
 		for range 60 {
 			now += int64(r.IntN(8000))
 			changeMembers(r, members)
-			next, changed := Reassign(current, memberList(members), now+3000)
+			next, changed := membership.PlanHomes(current, memberList(members), now, 3*time.Second)
 			if changed && next.Version != current.Version+1 {
 				t.Fatalf("version %d follows %d", next.Version, current.Version)
 			}
-			current = &next
+			current = next
 			for range 20 {
-				checkHolder(t, r, current, members, granted, now)
+				checkHolder(t, r, &current, members, granted, now)
 			}
 		}
 	}
 }
 
-func changeMembers(r *rand.Rand, members map[model.BackendServerID]*Member) {
+func changeMembers(r *rand.Rand, members map[model.BackendServerID]*membership.HomeAgent) {
 	id := model.BackendServerID(fmt.Sprint("b", r.IntN(6)))
 	m := members[id]
 	switch {
 	case m == nil:
-		members[id] = &Member{ID: id, Incarnation: model.Incarnation(1 + r.IntN(1_000_000))}
+		members[id] = &membership.HomeAgent{ID: id, Incarnation: model.Incarnation(1 + r.IntN(1_000_000))}
 	case r.IntN(2) == 0:
 		m.Leaving = true
 	default:
@@ -85,8 +86,8 @@
 	}
 }
 
-func memberList(members map[model.BackendServerID]*Member) []Member {
-	var list []Member
+func memberList(members map[model.BackendServerID]*membership.HomeAgent) []membership.HomeAgent {
+	var list []membership.HomeAgent
 	for _, m := range members {
 		list = append(list, *m)
 	}
@@ -95,7 +96,7 @@
 
 // checkHolder lets the holder of a random earlier or new ID grant it, if it is
 // alive and may know it, and wants the same holder ever after.
-func checkHolder(t *testing.T, r *rand.Rand, a *wire.Assignment, members map[model.BackendServerID]*Member,
+func checkHolder(t *testing.T, r *rand.Rand, a *wire.Assignment, members map[model.BackendServerID]*membership.HomeAgent,
 	granted map[model.RequestID]Holder, now int64,
 ) {
 	t.Helper()
@@ -116,7 +117,7 @@
 
 func BenchmarkClaim(b *testing.B) {
 	c := NewClaims(Limits{Self: "a", Incarnation: 1, Horizon: time.Minute, MaxRecords: 100_000})
-	c.SetAssignment(time.UnixMilli(0), NewAssignment([]Member{{ID: "a", Incarnation: 1}}, 0))
+	c.SetAssignment(time.UnixMilli(0), wire.Assignment{Version: 1, Ranges: []wire.HomeRange{{Home: "a", Incarnation: 1}}})
 	now := time.UnixMilli(1_800_000_000_000)
 	c.SetPermit(Permit{Assignment: 1, ValidUntil: now.Add(time.Hour)})
 	b.ReportAllocs()
--- a/internal/replay/requests/fleet.go
+++ b/internal/replay/requests/fleet.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"dragonflyyard/internal/dedup"
 	"dragonflyyard/internal/executor"
+	"dragonflyyard/internal/membership"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/requestflow"
 	"dragonflyyard/internal/simclock"
@@ -64,7 +64,7 @@
 		clock: simclock.New(replayEpoch), scenario: s, lost: make([]bool, serverCount),
 		arrivals: map[model.RequestID]*arrival{},
 	}
-	assignment := dedup.NewAssignment(f.members(), replayEpoch.Add(-time.Minute).UnixMilli())
+	assignment := firstAssignment()
 	for i := range serverCount {
 		f.agents = append(f.agents, executor.New(executor.Config{
 			ID: serverID(i), Incarnation: 1, Started: replayEpoch.Add(-time.Minute), Slots: serverSlots, Connections: serverConns,
@@ -112,11 +112,11 @@
 	return model.BackendServer{ID: serverID(i), Zone: zone(i), Slots: serverSlots, Connections: serverConns}
 }
 
-func (f *fleet) members() []dedup.Member {
-	var members []dedup.Member
+func (f *fleet) members() []membership.HomeAgent {
+	var members []membership.HomeAgent
 	for i := range serverCount {
 		if !f.lost[i] {
-			members = append(members, dedup.Member{ID: serverID(i), Incarnation: 1})
+			members = append(members, membership.HomeAgent{ID: serverID(i), Incarnation: 1})
 		}
 	}
 	return members
@@ -237,8 +237,7 @@
 }
 
 func (f *fleet) reassign() {
-	first := dedup.NewAssignment(allMembers(), replayEpoch.Add(-time.Minute).UnixMilli())
-	next, _ := dedup.Reassign(&first, f.members(), f.clock.Now().Add(permitValidity+time.Second).UnixMilli())
+	next, _ := membership.PlanHomes(firstAssignment(), f.members(), f.clock.Now().UnixMilli(), permitValidity+time.Second)
 	for i := range f.entries {
 		f.stepEntry(i, requestflow.AssignmentUpdate{Assignment: next})
 	}
@@ -248,4 +247,8 @@
 	}
 }
 
-func allMembers() []dedup.Member { return (&fleet{lost: make([]bool, serverCount)}).members() }
+func firstAssignment() wire.Assignment {
+	all := (&fleet{lost: make([]bool, serverCount)}).members()
+	first, _ := membership.PlanHomes(wire.Assignment{}, all, replayEpoch.Add(-time.Minute).UnixMilli(), 0)
+	return first
+}
--- a/internal/requestflow/bench_test.go
+++ b/internal/requestflow/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"dragonflyyard/internal/dedup"
+	"dragonflyyard/internal/membership"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/wire"
 )
@@ -21,14 +21,15 @@
 func benchmarkRequest(b *testing.B, agents int) {
 	now := time.UnixMilli(1_800_000_000_000)
 	core := New(Config{Entry: "e", Incarnation: 1})
-	var members []dedup.Member
+	var members []membership.HomeAgent
 	for i := range agents {
 		id := model.BackendServerID(fmt.Sprintf("b%04d", i))
-		members = append(members, dedup.Member{ID: id, Incarnation: 1})
+		members = append(members, membership.HomeAgent{ID: id, Incarnation: 1})
 		core.Step(now, LinkUp{Backend: model.BackendServer{ID: id, Slots: 8, Connections: 64}, Incarnation: 1, Connection: 1})
 		core.Step(now, Receive{From: id, Connection: 1, Message: &wire.Credit{Seq: 1, Slots: 4, Connections: 32}})
 	}
-	core.Step(now, AssignmentUpdate{Assignment: dedup.NewAssignment(members, 0)})
+	assignment, _ := membership.PlanHomes(wire.Assignment{}, members, 0, 0)
+	core.Step(now, AssignmentUpdate{Assignment: assignment})
 	ms := now.UnixMilli()
 	body := []byte("body")
 	b.ReportAllocs()
--- a/internal/requestflow/fence_test.go
+++ b/internal/requestflow/fence_test.go
@@ -82,11 +82,11 @@
 			b := requesttest.New(requesttest.Options{Seed: 5, Entries: entries, Agents: agents, Skew: true,
 				Service: nil})
 			b.Run(4 * time.Second)
-			for i := range 300 {
+			for i := range 1200 {
 				b.At(time.Duration(i*10)*time.Millisecond, func() { b.Submit(i%entries, b.NewRequest(i%2 == 0, time.Second)) })
 			}
 			b.At(time.Second, func() { stop.put(b) })
-			b.Run(3 * time.Second)
+			b.Run(12 * time.Second)
 			b.Settle(settleTime)
 			report(t, b, stop.name)
 			for _, s := range b.Submissions() {
--- a/internal/requestflow/requesttest/bag.go
+++ b/internal/requestflow/requesttest/bag.go
@@ -9,8 +9,8 @@
 	"math/rand/v2"
 	"time"
 
-	"dragonflyyard/internal/dedup"
 	"dragonflyyard/internal/executor"
+	"dragonflyyard/internal/membership"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/requestflow"
 	"dragonflyyard/internal/simclock"
@@ -32,6 +32,10 @@
 	// SkewBound is the largest difference between two clocks.
 	SkewBound = 200 * time.Millisecond
 
+	// settleTime is from the plan of an assignment to the start of moved ranges:
+	// the longest permit and the time until every process has the assignment.
+	settleTime = HeadFreshness + PermitValidity + SkewBound
+
 	permitInterval   = 500 * time.Millisecond
 	reassignInterval = time.Second
 	tickInterval     = 20 * time.Millisecond
@@ -117,7 +121,7 @@
 		b.agents = append(b.agents, &agentHost{index: i, offset: b.offset()})
 		b.startAgent(i)
 	}
-	b.assignment = dedup.NewAssignment(b.members(), b.Now().Add(-time.Minute).UnixMilli())
+	b.assignment = b.firstAssignment()
 	for i := range o.Entries {
 		b.entries = append(b.entries, &entryHost{index: i, offset: b.offset()})
 		b.startEntry(i)
@@ -164,12 +168,17 @@
 	b.Violations = append(b.Violations, text)
 }
 
+func (b *Bag) firstAssignment() wire.Assignment {
+	first, _ := membership.PlanHomes(wire.Assignment{}, b.members(), b.Now().Add(-time.Minute).UnixMilli(), 0)
+	return first
+}
+
 // members returns the agents as the owner of the assignment sees them.
-func (b *Bag) members() []dedup.Member {
-	var members []dedup.Member
+func (b *Bag) members() []membership.HomeAgent {
+	var members []membership.HomeAgent
 	for _, a := range b.agents {
 		if a.core != nil && !a.suspected {
-			members = append(members, dedup.Member{ID: a.id(), Incarnation: a.incarnation, Leaving: a.leaving})
+			members = append(members, membership.HomeAgent{ID: a.id(), Incarnation: a.incarnation, Leaving: a.leaving})
 		}
 	}
 	return members
@@ -181,8 +190,7 @@
 	if b.Now().Before(b.storeDown) || b.Now().Before(b.ownerDown) {
 		return
 	}
-	since := b.Now().Add(HeadFreshness + PermitValidity + SkewBound).UnixMilli()
-	next, changed := dedup.Reassign(&b.assignment, b.members(), since)
+	next, changed := membership.PlanHomes(b.assignment, b.members(), b.Now().UnixMilli(), settleTime)
 	if !changed {
 		return
 	}
