--- a/internal/entry/processes.go
+++ b/internal/entry/processes.go
@@ -14,10 +14,10 @@
 // serveProcesses lists this entry host and the processes connected to it.
 func (p *Process) serveProcesses(ctx *fasthttp.RequestCtx) {
 	list := operatorapi.ProcessList{Processes: []operatorapi.ProcessInfo{{
-		Name: p.Name, Role: operatorapi.ProcessEntryHost, Zone: p.Config.Settings.Zone, HTTPAddress: p.HTTPAddress(),
+		Name: p.Name, Role: operatorapi.RoleEntry, Zone: p.Config.Settings.Zone, HTTPAddress: p.HTTPAddress(),
 	}}}
-	roles := map[wire.Role]operatorapi.ProcessRole{
-		wire.RoleEntry: operatorapi.ProcessEntryHost, wire.RoleAgent: operatorapi.ProcessAgent,
+	roles := map[wire.Role]string{
+		wire.RoleEntry: operatorapi.RoleEntry, wire.RoleAgent: operatorapi.RoleAgent,
 	}
 	for role, name := range roles {
 		for _, c := range p.Hub.Conns(role) {
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -196,27 +196,24 @@
 	Events []event.Event   `json:"events"`
 }
 
-// ProcessRole is the role of a process of the system.
-type ProcessRole string
-
-// Roles of a process.
+// Roles of a process in a ProcessList.
 const (
-	ProcessEntryHost ProcessRole = "entry"
-	ProcessAgent     ProcessRole = "agent"
+	RoleEntry = "entry"
+	RoleAgent = "agent"
 )
 
-// ProcessInfo describes one process of the system.
+// ProcessInfo is one process that an entry host knows.
 type ProcessInfo struct {
-	Name string      `json:"name"`
-	Role ProcessRole `json:"role"`
-	// Zone is empty where the process that answers does not know it.
-	Zone model.AvailabilityZoneName `json:"zone,omitempty"`
-	// HTTPAddress is the process's HTTP address, IP:port.
+	Name string `json:"name"`
+	// Role is RoleEntry or RoleAgent.
+	Role string                     `json:"role"`
+	Zone model.AvailabilityZoneName `json:"zone"`
+	// HTTPAddress (IP:port) is where the process serves its time line.
 	HTTPAddress string `json:"http_address"`
 }
 
-// ProcessList is the answer of GET PathProcesses: the entry host itself and
-// the agents and entry hosts that are connected to it, ordered by name.
+// ProcessList answers GET /v1/processes: the answering entry host itself, the
+// other entry hosts and the agents that it is connected to.
 type ProcessList struct {
 	Processes []ProcessInfo `json:"processes"`
 }
