--- a/internal/link/accept.go
+++ b/internal/link/accept.go
@@ -60,16 +60,20 @@
 // accepted does the answering side of the handshake and serves the connection.
 func (h *Hub) accepted(ctx context.Context, ws *websocket.Conn) {
 	defer func() { _ = ws.Close() }()
+	life := newAcceptedLifecycle(h.options.Trace)
 	message, err := readFirst(ws, h.now().Add(h.options.DialTimeout))
 	if err != nil {
+		life.greetingFailed(err)
 		return
 	}
 	hello, ok := message.(*wire.Hello)
 	if !ok || hello.Process == "" || (hello.Role != wire.RoleAgent && hello.Role != wire.RoleEntry) {
+		life.greetingFailed(ErrHandshake)
 		return
 	}
 	id := h.lastID.Add(1)
 	if err := h.welcome(ws, id); err != nil {
+		life.greetingFailed(err)
 		return
 	}
 	peer := Peer{
@@ -77,7 +81,7 @@
 		Address: ws.RemoteAddr().String(), Hello: hello, Connection: id,
 		HTTPAddress: hello.HTTPAddress, Zone: hello.Zone,
 	}
-	_ = h.serve(ctx, ws, peer, id)
+	_ = h.serve(ctx, ws, peer, id, life)
 }
 
 func (h *Hub) welcome(ws *websocket.Conn, id uint64) error {
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -57,6 +57,7 @@
 	now     func() time.Time
 	clock   Clock
 	traffic traffic
+	life    *lifecycle
 
 	heartbeats *heartbeatTracker
 	out        *ring.Ring[outgoing]
@@ -70,9 +71,11 @@
 	finished chan struct{}
 }
 
-func newConn(id uint64, ws *websocket.Conn, peer Peer, options Options, now func() time.Time, clock Clock, counted traffic) *Conn {
+// newConn returns a connection of the hub whose greeting is done.
+func (h *Hub) newConn(id uint64, ws *websocket.Conn, peer Peer, life *lifecycle) *Conn {
+	options, now := h.options, h.now
 	return &Conn{
-		id: id, peer: peer, ws: ws, options: options, now: now, clock: clock, traffic: counted,
+		id: id, peer: peer, ws: ws, options: options, now: now, clock: h.clock(), traffic: h.traffic, life: life,
 		heartbeats: newHeartbeatTracker(options.Silence, now()),
 		out:        ring.New[outgoing]("link.out", options.OutgoingMessages, nil),
 		closed:     make(chan struct{}),
@@ -130,6 +133,10 @@
 // wire.Permit counts from the instant of its AnsweredHeartbeat.
 func (c *Conn) HeartbeatSentAt(seq uint64) (time.Time, bool) { return c.heartbeats.sentAt(seq) }
 
+// IsSuspect reports whether a heartbeat of the peer is overdue, so that new
+// work should go elsewhere.
+func (c *Conn) IsSuspect() bool { return c.life.isSuspect() }
+
 // Flush waits until all queued messages are written, the connection is closed
 // or ctx is done. It reports whether all were written.
 func (c *Conn) Flush(ctx context.Context) bool {
@@ -173,6 +180,7 @@
 		c.cause = cause
 		close(c.closed)
 		_ = c.ws.Close()
+		c.life.end(cause)
 	})
 }
 
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -108,20 +108,25 @@
 		ReadBufferSize:   socketBufferBytes,
 		WriteBufferSize:  socketBufferBytes,
 	}
+	life := newLifecycle(h.options.Trace)
 	ws, _, err := dialer.DialContext(dialCtx, "ws://"+address+Path, nil)
 	if err != nil {
+		life.fire(eventDialFailed)
 		return "", false
 	}
+	life.fire(eventConnected)
 	peer, err := h.greet(ws, address)
 	if err != nil {
 		_ = ws.Close()
+		life.greetingFailed(err)
 		return "", false
 	}
 	if !h.seats.take(peer.Process, address) {
 		_ = ws.Close()
+		life.fire(eventCut)
 		return peer.Process, false
 	}
-	_ = h.serve(ctx, ws, peer, h.lastID.Add(1))
+	_ = h.serve(ctx, ws, peer, h.lastID.Add(1), life)
 	return peer.Process, true
 }
 
--- a/internal/link/heartbeat.go
+++ b/internal/link/heartbeat.go
@@ -74,6 +74,13 @@
 	return nil
 }
 
+// isOverdue reports whether the peer has not been heard for longer than limit.
+func (t *heartbeatTracker) isOverdue(now time.Time, limit time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.heardAt) > limit
+}
+
 // sentAt returns when the heartbeat with the given number was made, and false
 // when it is not remembered.
 func (t *heartbeatTracker) sentAt(seq uint64) (time.Time, bool) {
--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -146,8 +146,10 @@
 
 // serve runs a connection whose handshake is done, until it ends. It returns
 // the cause of the end.
-func (h *Hub) serve(ctx context.Context, ws *websocket.Conn, peer Peer, id uint64) error {
-	c := newConn(id, ws, peer, h.options, h.now, h.clock(), h.traffic)
+func (h *Hub) serve(ctx context.Context, ws *websocket.Conn, peer Peer, id uint64, life *lifecycle) error {
+	life.setPeer(peer.Process)
+	life.fire(eventWelcomed)
+	c := h.newConn(id, ws, peer, life)
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
 	if !h.enter(c) {
--- a/internal/link/options.go
+++ b/internal/link/options.go
@@ -63,6 +63,9 @@
 	// MinReconnectDelay and MaxReconnectDelay bound the delay between attempts to dial.
 	MinReconnectDelay time.Duration
 	MaxReconnectDelay time.Duration
+	// Trace learns of each transition of each connection, when it is set. It
+	// must not wait.
+	Trace func(Step)
 }
 
 // Defaults of Options.
--- a/internal/link/reader.go
+++ b/internal/link/reader.go
@@ -76,6 +76,7 @@
 		}
 		c.traffic.countIn(len(reader.buffer))
 		c.heartbeats.heard(c.now())
+		c.life.fire(eventMessageReceived)
 		switch message := message.(type) {
 		case *wire.Clock:
 			if c.clock != nil {
@@ -99,6 +100,11 @@
 	return err
 }
 
+// isMalformed reports whether a peer sent what is not a frame of this protocol.
+func isMalformed(err error) bool {
+	return errors.IsAny(err, wire.ErrFrameSize, wire.ErrVersion, wire.ErrUnknownType, wire.ErrMalformed)
+}
+
 func isTimeout(err error) bool {
 	if err == nil {
 		return false
--- a/internal/link/writer.go
+++ b/internal/link/writer.go
@@ -12,6 +12,10 @@
 // maxBatchMessages bounds the messages that are written together.
 const maxBatchMessages = 64
 
+// overdueIntervals is how many heartbeat intervals may pass without a message
+// before the peer is suspect.
+const overdueIntervals = 2
+
 // writer is the writing goroutine's part of a connection.
 type writer struct {
 	*Conn
@@ -79,6 +83,9 @@
 // writeHeartbeat sends a heartbeat unless the peer is silent.
 func (w *writer) writeHeartbeat() error {
 	now := w.now()
+	if w.heartbeats.isOverdue(now, overdueIntervals*w.options.Heartbeat) {
+		w.life.fire(eventHeartbeatOverdue)
+	}
 	if err := w.heartbeats.check(now); err != nil {
 		return err
 	}
