Bound the hand-over of a stopping entry host

Cause: with the table service out of reach a stop waited the whole stop_timeout (30 s) for the lease's release (found by the process tests). Change: 4 s; after that the lease lapses by itself.

--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -221,8 +221,14 @@
 	return view.Mine && !now.Before(view.ValidUntil)
 }
 
+// handOverLimit bounds the time for which a stopping entry host tries to give
+// its lease and its roster row back. After that the lease lapses by itself.
+const handOverLimit = 4 * time.Second
+
 // handOver gives the region lease and the roster row back.
 func (s *State) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverLimit)
+	defer cancel()
 	s.inputs.Push(ctx, stateInput{stopOwner: true})
 	for _, done := range []chan struct{}{s.handedOff, s.rosterOff} {
 		select {
