--- a/internal/guarantee/claim.go
+++ b/internal/guarantee/claim.go
@@ -62,6 +62,9 @@
 	return best, found
 }
 
+// Claimable reports whether a cell can take a job now.
+func (l *Ledger) Claimable(job model.Job) bool { return len(l.candidates(job)) > 0 }
+
 // candidates returns the cells that can take a job now, the tightest first.
 func (l *Ledger) candidates(job model.Job) []*Cell {
 	var out []*Cell
--- a/internal/replay/jobs/driver.go
+++ b/internal/replay/jobs/driver.go
@@ -46,7 +46,7 @@
 // longer leases and fewer ticks, since a replay of the policy loses no messages.
 func ReplayOptions() Options {
 	o := DefaultOptions()
-	o.OwnerTick = 500 * time.Millisecond
+	o.OwnerTick = time.Second
 	o.MemberTick = 30 * time.Second
 	o.PermitInterval = time.Minute
 	o.PermitValid = 10 * time.Minute
@@ -71,7 +71,7 @@
 	// Started is called when a task is started on a worker.
 	Started func(*Host, model.TaskID)
 	// Ended is called when a task ends on a worker.
-	Ended func(*FakeTask, wire.TaskState)
+	Ended func(task *FakeTask, state wire.TaskState, checkpointed bool)
 }
 
 // Truth is what only the workers know of a job.
@@ -108,7 +108,7 @@
 	Config     *model.ConfigDocument
 	Truths     map[model.JobID]*Truth
 	order      []model.WorkerID
-	events     events
+	queue      eventQueue
 	sequence   uint64
 }
 
@@ -294,7 +294,7 @@
 // After runs f after a delay.
 func (d *Driver) After(delay time.Duration, f func()) {
 	d.sequence++
-	heap.Push(&d.events, timed{at: d.Now.Add(delay), sequence: d.sequence, run: f})
+	heap.Push(&d.queue, timed{at: d.Now.Add(delay), sequence: d.sequence, run: f})
 }
 
 func (d *Driver) repeat(interval time.Duration, f func()) {
@@ -306,8 +306,8 @@
 
 // RunUntil runs all events up to a time.
 func (d *Driver) RunUntil(end time.Time) {
-	for len(d.events) > 0 && !d.events[0].at.After(end) {
-		e := heap.Pop(&d.events).(timed)
+	for len(d.queue) > 0 && !d.queue[0].at.After(end) {
+		e := heap.Pop(&d.queue).(timed)
 		d.Now = e.at
 		e.run()
 	}
@@ -321,23 +321,23 @@
 	run      func()
 }
 
-// events is a heap of events by time and sequence.
-type events []timed
+// eventQueue is a heap of events by time and sequence.
+type eventQueue []timed
 
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
+func (e eventQueue) Len() int { return len(e) }
+func (e eventQueue) Less(i, j int) bool {
 	if !e[i].at.Equal(e[j].at) {
 		return e[i].at.Before(e[j].at)
 	}
 	return e[i].sequence < e[j].sequence
 }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e eventQueue) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
 
 // Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(timed)) }
+func (e *eventQueue) Push(x any) { *e = append(*e, x.(timed)) }
 
 // Pop implements heap.Interface.
-func (e *events) Pop() any {
+func (e *eventQueue) Pop() any {
 	old := *e
 	last := old[len(old)-1]
 	*e = old[:len(old)-1]
--- a/internal/replay/jobs/host.go
+++ b/internal/replay/jobs/host.go
@@ -246,7 +246,7 @@
 	h.settle(t)
 	delete(h.Tasks, id)
 	if h.d.Hooks.Ended != nil {
-		h.d.Hooks.Ended(t, state)
+		h.d.Hooks.Ended(t, state, checkpointed)
 	}
 	h.changed()
 	h.report(t, state, checkpointed, detail)
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -74,3 +74,12 @@
 		return errors.Wrapf(ErrRefused, "capacity class %q is not known", job.Capacity)
 	}
 }
+
+// Claimable reports whether a job of the guaranteed class has a cell that is
+// covered and free now.
+func (c *Core) Claimable(job model.Job) bool { return c.ledger.Claimable(job) }
+
+// Unfinished returns how many jobs have not ended and are not parked.
+func (c *Core) Unfinished() int {
+	return len(c.jobs) - len(c.phases[PhaseFinished]) - len(c.phases[PhaseCancelled]) - len(c.phases[PhaseParked])
+}
--- a/internal/scheduler/backfill.go
+++ b/internal/scheduler/backfill.go
@@ -10,7 +10,7 @@
 )
 
 // planInterval is how long a plan for a large job is kept before it is made anew.
-const planInterval = 5 * time.Second
+const planInterval = 10 * time.Second
 
 // maxPlanWorkers bounds the workers that one plan looks at.
 const maxPlanWorkers = 384
@@ -40,27 +40,40 @@
 	return sum
 }
 
-// reserveFor holds capacity back for the first waiting job of an account.
+// reserveFor holds capacity back for the first large job of an account that
+// waits. A job that comes after it in the account's order gives its own up.
 func (c *Core) reserveFor(now time.Time, j *JobState) {
-	if c.settings.Policy.NoReservations || len(c.reservations) >= c.settings.MaxLargeReservations {
+	if c.settings.Policy.NoReservations || j.Job.Shape.Accelerators() < c.settings.LargeAccelerators {
 		return
 	}
-	if len(c.account(j.Job.Account).queue) > 0 && c.hasReservation(j.Job.Account) {
+	if c.fillsDuringZoneChange() {
 		return
 	}
-	if j.Job.Shape.Accelerators() < c.settings.LargeAccelerators {
-		return
+	if other := c.reservationOf(j.Job.Account); other != nil {
+		if compareRank(c.jobs[other.Job].rank, j.rank) < 0 {
+			return
+		}
+		c.dropReservation(other.Job)
+	}
+	if len(c.reservations) < c.settings.MaxLargeReservations {
+		c.plan(now, j, now)
 	}
-	c.plan(now, j, now)
 }
 
-func (c *Core) hasReservation(account model.ClientAccountID) bool {
-	for id := range c.reservations {
-		if c.jobs[id].Job.Account == account {
-			return true
+// fillsDuringZoneChange reports whether all capacity is to be used at once while
+// a zone is out, which does more work in that time and lets large jobs wait.
+func (c *Core) fillsDuringZoneChange() bool {
+	return len(c.zoneOutSince) > 0 && c.weights().WorkInZoneChange > c.weights().CompletionTime
+}
+
+// reservationOf returns what is held back for a waiting job of an account, or nil.
+func (c *Core) reservationOf(account model.ClientAccountID) *Reservation {
+	for id, r := range c.reservations {
+		if j := c.jobs[id]; j.Job.Account == account && !r.ForMove {
+			return r
 		}
 	}
-	return false
+	return nil
 }
 
 // tryReserved starts a job that capacity is held back for, or brings its plan up to date.
@@ -69,8 +82,7 @@
 		c.startBorrowed(now, j, workers, "the capacity held back for it")
 		return true
 	}
-	overdue := now.After(r.Shadow) || now.Sub(r.Since) >= c.settings.LargeWait
-	if overdue && c.preemptFor(now, j, nil) {
+	if c.mayPreempt(now, j) && c.preemptFor(now, j) {
 		return true
 	}
 	if now.Sub(r.Made) >= planInterval {
@@ -183,8 +195,11 @@
 		for _, id := range sortedTasks(w) {
 			v := c.jobs[w.tasks[id]]
 			at := now.Add(c.expectedRest(now, v))
-			if v.Phase == PhaseStopping {
+			switch {
+			case v.Phase == PhaseStopping:
 				at = now.Add(v.StopGrace)
+			case c.isYielding(v):
+				at = now
 			}
 			out = append(out, release{at, w.Worker.ID, v.Job.Shape.PerTask})
 		}
@@ -215,6 +230,10 @@
 func (c *Core) refreshReservations(now time.Time) {
 	for _, id := range c.sortedReservations() {
 		r := c.reservations[id]
+		if c.fillsDuringZoneChange() && !r.ForMove {
+			c.dropReservation(id)
+			continue
+		}
 		for _, w := range r.Workers {
 			if !c.inService(now, c.workers[w]) {
 				c.dropReservation(id)
--- a/internal/scheduler/books.go
+++ b/internal/scheduler/books.go
@@ -105,6 +105,9 @@
 	need := j.Job.Shape.PerTask
 	w.Used = w.Used.Add(need)
 	w.tasks[j.Job.Task(i)] = j.Job.ID
+	if !j.Job.CanCheckpoint {
+		w.pinned++
+	}
 	c.books.free.Take(t.Worker, need)
 	c.books.open.Take(t.Worker, need)
 	if j.Class != model.CapacityGuaranteed {
@@ -123,6 +126,9 @@
 	need := j.Job.Shape.PerTask
 	w.Used = w.Used.Sub(need)
 	delete(w.tasks, j.Job.Task(i))
+	if !j.Job.CanCheckpoint {
+		w.pinned--
+	}
 	c.books.free.Give(t.Worker, need)
 	c.books.open.Give(t.Worker, need)
 	if j.Class != model.CapacityGuaranteed {
--- a/internal/scheduler/borrowed.go
+++ b/internal/scheduler/borrowed.go
@@ -16,6 +16,13 @@
 // sure to end before capacity is needed for a large one.
 const backfillSafety = 1.5
 
+// preemptRetry and urgentRetry are the times between two searches for work that
+// may yield to the same job.
+const (
+	preemptRetry = 5 * time.Second
+	urgentRetry  = 200 * time.Millisecond
+)
+
 // blockedKey names what does not fit at present.
 type blockedKey struct {
 	shape model.Shape
@@ -93,24 +100,64 @@
 		if long {
 			index = c.books.open
 		}
-		if workers := index.Place(c.request(j)); workers != nil {
-			c.startBorrowed(now, j, workers, "the fullest place that takes it")
+		if workers, why := c.bestPlace(index, j); workers != nil {
+			c.startBorrowed(now, j, workers, why)
 			return true
 		}
 		c.blocked[key] = struct{}{}
 	}
-	if j.Job.Urgent && c.preemptFor(now, j, nil) {
+	if c.mayPreempt(now, j) && c.preemptFor(now, j) {
 		return true
 	}
 	c.reserveFor(now, j)
 	return false
 }
 
-// isLong reports whether a job may still run when held back capacity is needed.
+// bestPlace returns the fullest place that takes a job. A job that cannot
+// checkpoint is put beside others like it, so that the rest of the fleet stays
+// free of work that cannot move.
+func (c *Core) bestPlace(index *placement.Index, j *JobState) ([]model.WorkerID, string) {
+	if !j.Job.CanCheckpoint && !c.settings.Policy.MixPinned {
+		r := c.request(j)
+		limit := r.Limit
+		r.Limit = func(id model.WorkerID) int {
+			if c.workers[id].pinned == 0 {
+				return 0
+			}
+			if limit != nil {
+				return limit(id)
+			}
+			return model.MaxGangSize
+		}
+		if workers := index.Place(r); workers != nil {
+			return workers, "the fullest place that takes it, beside other work that cannot checkpoint"
+		}
+	}
+	return index.Place(c.request(j)), "the fullest place that takes it"
+}
+
+// mayPreempt reports whether borrowed work has to yield to a waiting job: to
+// urgent work at once, to a large job after a while.
+func (c *Core) mayPreempt(now time.Time, j *JobState) bool {
+	if now.Before(j.preemptAt) {
+		return false
+	}
+	if j.Job.Urgent {
+		return true
+	}
+	return !c.settings.Policy.NoReservations && j.Job.Shape.Accelerators() >= c.settings.LargeAccelerators &&
+		now.Sub(j.PhaseSince) >= c.settings.LargeWait
+}
+
+// isLong reports whether a job may be in the way when held back capacity is
+// needed: it may still run then, and would not yield.
 func (c *Core) isLong(now time.Time, j *JobState) bool {
 	if c.nextShadow.IsZero() {
 		return false
 	}
+	if c.isYielding(j) {
+		return false
+	}
 	rest := time.Duration(backfillSafety * float64(c.expectedRest(now, j)))
 	return now.Add(rest).After(c.nextShadow)
 }
@@ -139,21 +186,15 @@
 	c.beginAttempt(now, j, workers, why)
 }
 
-// preemptFor stops borrowed gangs that may yield to a job. A nil place is chosen here.
-func (c *Core) preemptFor(now time.Time, j *JobState, place []model.WorkerID) bool {
+// preemptFor stops borrowed gangs that may yield to a job.
+func (c *Core) preemptFor(now time.Time, j *JobState) bool {
 	may := c.mayYield(now, j)
+	place := c.placeIfYielded(j, may)
 	if place == nil {
-		r := c.request(j)
-		limit := r.Limit
-		r.Limit = func(id model.WorkerID) int {
-			if limit != nil && limit(id) == 0 {
-				return 0
-			}
-			return c.slotsIfYielded(id, j, may)
+		j.preemptAt = now.Add(preemptRetry)
+		if j.Job.Urgent {
+			j.preemptAt = now.Add(urgentRetry)
 		}
-		place = c.books.fleet.Place(r)
-	}
-	if place == nil {
 		return false
 	}
 	victims, ok := c.victimsFor(now, j, place, may)
@@ -165,6 +206,28 @@
 	return true
 }
 
+// yieldSizes are the sizes of gangs, in accelerators, up to which victims are
+// tried one after the other, so that small work moves before large work does.
+var yieldSizes = []int{2, 8, 1 << 30}
+
+// placeIfYielded returns a place in which only gangs that may yield are in the way.
+func (c *Core) placeIfYielded(j *JobState, may func(*JobState) bool) []model.WorkerID {
+	for _, size := range yieldSizes {
+		r := c.request(j)
+		limit := r.Limit
+		r.Limit = func(id model.WorkerID) int {
+			if limit != nil && limit(id) == 0 {
+				return 0
+			}
+			return c.slotsIfYielded(id, j, func(v *JobState) bool { return v.Job.Shape.Accelerators() <= size && may(v) })
+		}
+		if place := c.books.fleet.Place(r); place != nil {
+			return place
+		}
+	}
+	return nil
+}
+
 // slotsIfYielded returns how many of a job's tasks a worker would take without
 // the gangs that may yield.
 func (c *Core) slotsIfYielded(id model.WorkerID, j *JobState, may func(*JobState) bool) int {
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -51,17 +51,21 @@
 				free, _ := c.books.free.Free(id)
 				return placement.Slots(free, per)
 			},
-			func(id model.WorkerID) int { return placement.Slots(c.cheaplyFree(id), per) },
+			func(id model.WorkerID) int {
+				return placement.Slots(c.cheaplyFree(id, c.settings.LargeAccelerators-1), per)
+			},
+			func(id model.WorkerID) int { return placement.Slots(c.cheaplyFree(id, math.MaxInt), per) },
 		},
 		Cost: func(workers []model.WorkerID) float64 { return c.costOf(now, j, workers) },
 	}
 }
 
-// cheaplyFree is what would be free without the borrowed tasks that lose no work.
-func (c *Core) cheaplyFree(id model.WorkerID) model.Resources {
+// cheaplyFree is what would be free without the borrowed tasks that lose no
+// work, of gangs up to a size in accelerators.
+func (c *Core) cheaplyFree(id model.WorkerID, size int) model.Resources {
 	free, _ := c.books.free.Free(id)
 	for _, job := range c.workers[id].tasks {
-		if j := c.jobs[job]; c.isBorrowed(j) && j.Job.CanCheckpoint {
+		if j := c.jobs[job]; c.isBorrowed(j) && j.Job.CanCheckpoint && j.Job.Shape.Accelerators() <= size {
 			free = free.Add(j.Job.Shape.PerTask)
 		}
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -49,7 +49,9 @@
 	// ReplyAt when that confirmation arrived.
 	ReplyMS int64
 	ReplyAt time.Time
-	DoneMS  int64
+	// StartedAt is when the owner first heard that the task was started.
+	StartedAt time.Time
+	DoneMS    int64
 	// Checkpointed is set when the task's work so far is kept.
 	Checkpointed bool
 }
@@ -91,6 +93,8 @@
 	History           []Explanation
 	// rank is the job's place in its account's queue.
 	rank rank
+	// preemptAt is when work that may yield to the job is looked for again.
+	preemptAt time.Time
 }
 
 // row returns the job's durable state.
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -12,6 +12,10 @@
 // chosen as victims while there are others, in accelerator-seconds.
 const undecidedCost = 1e9
 
+// largeGang is the size, in accelerators, at which stopping a gang counts twice
+// its lost work.
+const largeGang = 8
+
 // isBorrowed reports whether a gang may be stopped for a guaranteed shape.
 func (c *Core) isBorrowed(j *JobState) bool {
 	if j.Class == model.CapacityGuaranteed || j.StopAfterDecision {
@@ -35,11 +39,14 @@
 	default:
 		return 0
 	}
-	restart := c.settings.RestartCost.Seconds()
-	if j.Job.CanCheckpoint || j.StartedAt.IsZero() {
-		return restart * accelerators
+	lost := c.settings.RestartCost.Seconds()
+	if !j.Job.CanCheckpoint && !j.StartedAt.IsZero() {
+		lost += now.Sub(j.StartedAt).Seconds()
 	}
-	return (restart + now.Sub(j.StartedAt).Seconds()) * accelerators
+	// A large gang waits longer for its next place, and one that was stopped
+	// before has waited already.
+	again := 1 + accelerators*accelerators/largeGang/largeGang
+	return lost * accelerators * again * float64(1+j.Preemptions)
 }
 
 // victimsFor chooses the gangs to stop so that a job's tasks fit on workers,
@@ -94,23 +101,24 @@
 }
 
 // mayYield reports whether a borrowed gang may be stopped for another borrowed
-// job: one that loses no work, of the same account for urgent jobs, otherwise
-// of an account above the waiting one's share.
+// job. A gang that can checkpoint yields to urgent work and to a large job
+// that capacity is held back for; one that cannot yields only to urgent work of
+// its own account.
 func (c *Core) mayYield(now time.Time, waiting *JobState) func(*JobState) bool {
-	mine := (float64(c.account(waiting.Job.Account).Borrowed + waiting.Job.Shape.Accelerators())) / float64(c.weight(waiting.Job.Account))
 	return func(v *JobState) bool {
 		if !c.isBorrowed(v) || v.Job.Urgent || v.Phase == PhaseDeciding || v.Phase == PhaseInDoubt {
 			return false
 		}
-		if waiting.Job.Urgent && v.Job.Account == waiting.Job.Account {
-			return true
-		}
-		if !v.Job.CanCheckpoint || v.Preemptions >= c.settings.MaxPreemptions {
-			return false
+		if waiting.Job.Urgent {
+			return v.Job.CanCheckpoint || v.Job.Account == waiting.Job.Account
 		}
-		if now.Sub(v.StartedAt) < c.settings.MinRunBeforeYield && !waiting.Job.Urgent {
-			return false
-		}
-		return c.share(v.Job.Account) > mine
+		return c.isYielding(v) && now.Sub(v.StartedAt) >= c.settings.MinRunBeforeYield
 	}
 }
+
+// isYielding reports whether a job is small work that loses nothing by making
+// room for a large job.
+func (c *Core) isYielding(j *JobState) bool {
+	return j.Job.CanCheckpoint && j.Class != model.CapacityGuaranteed && !j.Job.Urgent &&
+		j.Preemptions < c.settings.MaxPreemptions && j.Job.Shape.Accelerators() < c.settings.LargeAccelerators
+}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -10,7 +10,8 @@
 
 // rank orders the waiting jobs of one account.
 type rank struct {
-	// class is 0 for urgent jobs, 1 for jobs with a deadline, 2 for others.
+	// class is 0 for urgent jobs, 1 for jobs with a deadline and those that were
+	// stopped for others, 2 for the rest.
 	class int
 	// at is the latest start for jobs with a deadline, otherwise the time of
 	// submission moved back by the expected run time.
@@ -32,7 +33,7 @@
 
 // runTimeAging is how long a job may be passed by shorter ones, as a multiple
 // of its expected run time, when completion time has the full weight.
-const runTimeAging = 4
+const runTimeAging = 6
 
 func (c *Core) account(id model.ClientAccountID) *accountState {
 	a := c.accounts[id]
@@ -94,6 +95,8 @@
 	switch {
 	case j.Job.Urgent:
 		r.class = 0
+	case j.Moved:
+		r.class = 1
 	case !j.Job.Deadline.IsZero():
 		r.class = 1
 		r.at = j.Job.Deadline.Add(-expected).UnixMilli()
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -36,6 +36,9 @@
 		c.taskEnded(now, j, i, r)
 	case j.active() && r.State != wire.TaskStopping:
 		t.State = r.State
+		if t.StartedAt.IsZero() && r.State != wire.TaskReserved {
+			t.StartedAt = now
+		}
 		c.checkRunning(now, j)
 	}
 }
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -75,6 +75,8 @@
 	// EvictNewest evicts the gangs that started last in place of those that
 	// lose least work.
 	EvictNewest bool
+	// MixPinned places jobs that cannot checkpoint like all others.
+	MixPinned bool
 	// NoQuarantine keeps placing tasks on workers that fail.
 	NoQuarantine bool
 }
@@ -96,10 +98,10 @@
 		MaxBackoff:           30 * time.Second,
 		Avoid:                500 * time.Millisecond,
 		MaxStartsPerTick:     8,
-		LargeAccelerators:    8,
-		LargeWait:            time.Minute,
+		LargeAccelerators:    16,
+		LargeWait:            15 * time.Second,
 		RestartCost:          30 * time.Second,
-		MaxPreemptions:       3,
+		MaxPreemptions:       6,
 		MinRunBeforeYield:    time.Minute,
 		Quarantine:           quarantine.DefaultSettings(),
 		ZoneDrain:            time.Minute,
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -68,6 +68,7 @@
 func (j *JobState) clone() JobState {
 	out := *j
 	out.rank = rank{}
+	out.preemptAt = time.Time{}
 	out.Tasks = slices.Clone(j.Tasks)
 	out.History = slices.Clone(j.History)
 	return out
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -21,6 +21,8 @@
 	// Used is what booked tasks hold. It is more than the capacity while a
 	// gang waits for tasks in its place to end.
 	Used model.Resources
+	// pinned counts the booked tasks that cannot checkpoint.
+	pinned int
 	// tasks are the booked tasks of the worker.
 	tasks map[model.TaskID]model.JobID
 }
@@ -86,6 +88,9 @@
 		gone = at
 	}
 	t := j.Tasks[i]
+	if at := t.StartedAt.Add(c.settings.Lease + c.settings.LapseMargin); at.After(gone) {
+		gone = at
+	}
 	if j.Phase == PhaseLaunching && t.State == wire.TaskReserved {
 		if at := t.ReplyAt.Add(c.settings.Hold + c.settings.Lease + c.settings.LapseMargin); at.After(gone) {
 			gone = at
