--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,9 @@
 
 clean:
 	rm -rf bin
+
+demo: build
+	$(GO) run ./internal/tools/demo
+
+capacity: build
+	$(GO) run ./internal/tools/capacity
--- a/internal/dedup/claims.go
+++ b/internal/dedup/claims.go
@@ -13,8 +13,7 @@
 // claim is the record of one request at its home. Once sealed it never changes.
 type claim struct {
 	executor   model.BackendServerID
-	claimant   model.EntryID
-	token      uint64
+	ref        wire.ClaimRef
 	bodyHash   uint64
 	sealed     bool
 	mayHaveRun bool
@@ -31,31 +30,95 @@
 // IsValid reports whether the permit holds at the given time.
 func (p Permit) IsValid(now time.Time) bool { return now.Before(p.ValidUntil) }
 
+// tenure is one agent's hold of one range, over all assignment versions.
+type tenure struct {
+	firstHash uint64
+	since     int64
+}
+
 // Claims is a home agent's side of the claim protocol.
 type Claims struct {
 	self        model.BackendServerID
 	incarnation model.Incarnation
 	skew        time.Duration
-	assignment  *wire.Assignment
-	permit      Permit
-	window      *Window[claim]
+	// longestPermit bounds how long starts go on under a former assignment.
+	longestPermit time.Duration
+	assignment    *wire.Assignment
+	// received is when this agent first heard that it holds a range, in
+	// milliseconds since the Unix epoch by its own clock.
+	received map[tenure]int64
+	permit   Permit
+	window   *Window[claim]
+}
+
+// Limits are the identity and bounds of Claims.
+type Limits struct {
+	Self        model.BackendServerID
+	Incarnation model.Incarnation
+	// ClockSkewBound is the largest difference between any two processes' clocks.
+	ClockSkewBound time.Duration
+	// LongestPermit is the longest validity of a permit.
+	LongestPermit time.Duration
+	// Horizon is how long a claim is remembered, MaxRecords how many are.
+	Horizon    time.Duration
+	MaxRecords int
 }
 
 // NewClaims returns the claims of one life of an agent.
-func NewClaims(self model.BackendServerID, incarnation model.Incarnation, skew, horizon time.Duration, maxRecords int) *Claims {
+func NewClaims(limits Limits) *Claims {
 	return &Claims{
-		self: self, incarnation: incarnation, skew: skew,
-		window: NewWindow[claim](horizon, maxRecords, 0),
+		self: limits.Self, incarnation: limits.Incarnation, skew: limits.ClockSkewBound,
+		longestPermit: limits.LongestPermit, received: map[tenure]int64{},
+		window: NewWindow[claim](limits.Horizon, limits.MaxRecords, 0),
+	}
+}
+
+// SetAssignment replaces the home ranges unless the version is not higher. It
+// remembers when the agent first heard that it holds each range: the write of an
+// assignment may take effect long after SinceUnixMS, and until then the former
+// home has granted claims.
+func (c *Claims) SetAssignment(now time.Time, a wire.Assignment) {
+	if c.assignment != nil && a.Version <= c.assignment.Version {
+		return
+	}
+	c.assignment = &a
+	kept := map[tenure]int64{}
+	for i := range a.Ranges {
+		held, ok := c.tenureOf(&a.Ranges[i])
+		if !ok {
+			continue
+		}
+		kept[held] = unixMS(now)
+		if first, known := c.received[held]; known {
+			kept[held] = first
+		}
 	}
+	c.received = kept
 }
 
-// SetAssignment replaces the home ranges unless the version is not higher.
-func (c *Claims) SetAssignment(a wire.Assignment) {
-	if c.assignment == nil || a.Version > c.assignment.Version {
-		c.assignment = &a
+// tenureOf returns this agent's hold of a range, as its home or previous home.
+func (c *Claims) tenureOf(r *wire.HomeRange) (tenure, bool) {
+	switch {
+	case r.Home == c.self && r.Incarnation == c.incarnation:
+		return tenure{r.FirstHash, r.SinceUnixMS}, true
+	case r.PreviousHome == c.self && r.PreviousIncarnation == c.incarnation:
+		return tenure{r.FirstHash, r.PreviousSinceUnixMS}, true
+	default:
+		return tenure{}, false
 	}
 }
 
+// floor returns the mint time up to which this home cannot know a request.
+func (c *Claims) floor(id model.RequestID, holder Holder) int64 {
+	floor := max(holder.FloorUnixMS, c.window.Floor())
+	held, ok := c.tenureOf(rangeOf(c.assignment, Hash(id)))
+	if !ok {
+		return floor
+	}
+	granted := c.received[held] + (c.longestPermit + 2*c.skew).Milliseconds()
+	return max(floor, granted)
+}
+
 // SetPermit replaces the permit.
 func (c *Claims) SetPermit(p Permit) { c.permit = p }
 
@@ -76,12 +139,6 @@
 // Len returns the number of claims kept.
 func (c *Claims) Len() int { return c.window.Len() }
 
-// IsHome reports whether this agent is the home of a request.
-func (c *Claims) IsHome(id model.RequestID, mintMS int64) bool {
-	h, ok := HolderOf(c.assignment, id, mintMS, c.skew)
-	return ok && h.Home == c.self && h.Incarnation == c.incarnation
-}
-
 // Handle answers a claim of an entry host.
 func (c *Claims) Handle(now time.Time, from model.EntryID, m *wire.Claim) *wire.ClaimReply {
 	reply := &wire.ClaimReply{Request: m.Request, Assignment: c.Version(), Token: m.Token}
@@ -101,7 +158,7 @@
 		return describe(reply, record, found)
 	}
 	if !found {
-		record = claim{bodyHash: m.BodyHash, claimant: from, token: m.Token, executor: m.Executor}
+		record = claim{bodyHash: m.BodyHash, ref: wire.ClaimRef{Claimant: from, Token: m.Token}, executor: m.Executor}
 		record.sealed = m.SealOnly
 		record.mayHaveRun = m.Unconfirmed
 		c.window.Put(m.Request, mintMS, record)
@@ -122,15 +179,14 @@
 
 // transition returns the claim after m, if m may change or repeat it.
 func transition(record claim, from model.EntryID, m *wire.Claim) (claim, bool) {
-	repeated := record.claimant == from && record.token == m.Token
-	if repeated {
+	ref := wire.ClaimRef{Claimant: from, Token: m.Token}
+	if record.ref == ref {
 		return record, record.sealed == m.SealOnly
 	}
-	if record.sealed || m.MoveToken == 0 || m.MoveToken != record.token {
+	if record.sealed || m.Move != record.ref {
 		return record, false
 	}
-	record.claimant = from
-	record.token = m.Token
+	record.ref = ref
 	record.sealed = m.SealOnly
 	record.mayHaveRun = record.mayHaveRun || m.Unconfirmed
 	if !m.SealOnly {
@@ -151,7 +207,7 @@
 	if mintMS > unixMS(now)+c.skew.Milliseconds() {
 		return wire.StateRejected, model.ReasonOutsideHorizon
 	}
-	if mintMS <= max(holder.FloorUnixMS, c.window.Floor()) {
+	if mintMS <= c.floor(m.Request, holder) {
 		if _, found := c.window.Get(m.Request); !found {
 			return wire.StateOutsideHorizon, model.ReasonOutsideHorizon
 		}
@@ -177,6 +233,6 @@
 	}
 	reply.Executor = record.executor
 	reply.MayHaveRun = record.mayHaveRun
-	reply.Current = record.token
+	reply.Current = record.ref
 	return reply
 }
--- a/internal/ownership/candidate.go
+++ b/internal/ownership/candidate.go
@@ -5,8 +5,13 @@
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/statechart"
 )
 
+// callLimit is how long a candidate waits for the result of a call. It is far
+// longer than the deadline of any call.
+const callLimit = 10 * time.Second
+
 // Candidate is one entry host's part in the ownership of a region's scheduler.
 // At most one call to the table service is outstanding at any time.
 type Candidate struct {
@@ -15,8 +20,12 @@
 	epochKey    string
 	id          model.EntryID
 	incarnation model.Incarnation
+	// barred keeps the candidate from taking the lease over.
+	barred bool
 
-	state State
+	machine statechart.Machine
+	// trace is told of each transition; nil for none.
+	trace func(statechart.Transition)
 	epoch model.Epoch
 	// epochVersion is the version of the row that the start of the epoch wrote.
 	epochVersion platform.RowVersion
@@ -31,10 +40,11 @@
 
 	lastCall uint64
 	// pending is the number of the outstanding call, zero for none.
-	pending  uint64
-	nextCall time.Time
-	stopping bool
-	tries    int
+	pending   uint64
+	pendingAt time.Time
+	nextCall  time.Time
+	stopping  bool
+	tries     int
 
 	lastWrite uint64
 	// writes holds the writes whose effect is not known, with their send times.
@@ -55,7 +65,7 @@
 		epochKey:    EpochKey(region),
 		id:          id,
 		incarnation: incarnation,
-		state:       StateFollowing,
+		machine:     leaseChart.NewMachine(),
 	}
 }
 
@@ -67,7 +77,10 @@
 func EpochKey(region model.RegionName) string { return "head/epoch/" + string(region) }
 
 // State returns the candidate's state as of its last input.
-func (c *Candidate) State() State { return c.state }
+func (c *Candidate) State() State { return stateOf(c.machine.State()) }
+
+// Trace registers a function that is told of each transition of the candidate.
+func (c *Candidate) Trace(trace func(statechart.Transition)) { c.trace = trace }
 
 // Key returns the key of the lease row.
 func (c *Candidate) Key() string { return c.key }
@@ -75,7 +88,7 @@
 // Holds returns the epoch under which the candidate may act at the given time.
 // A process asks again before each act, since it may have been paused.
 func (c *Candidate) Holds(now time.Time) (model.Epoch, bool) {
-	held := c.state == StateHolding && now.Before(c.validUntil)
+	held := c.State() == StateHolding && now.Before(c.validUntil)
 	return c.epoch, held
 }
 
@@ -88,9 +101,15 @@
 // LastLease returns the lease that was last read or written, and whether any was.
 func (c *Candidate) LastLease() (Lease, bool) { return c.lease, c.rowKnown }
 
+// Bar keeps the candidate from taking the lease over, or lifts that. Only
+// established members of the roster may own the region: an owner that cannot
+// reach the table service relies on the statements of the members it knows.
+func (c *Candidate) Bar(barred bool) { c.barred = barred }
+
 // Step takes one input and returns the actions to do, in order.
 func (c *Candidate) Step(now time.Time, in Input) []Action {
 	actions := c.lapse(now)
+	c.giveUpCall(now)
 	switch in := in.(type) {
 	case RowRead:
 		actions = append(actions, c.onRead(now, in)...)
@@ -104,10 +123,10 @@
 
 // lapse ends a lease whose time has passed.
 func (c *Candidate) lapse(now time.Time) []Action {
-	if c.state != StateHolding || now.Before(c.validUntil) {
+	if c.State() != StateHolding || now.Before(c.validUntil) {
 		return nil
 	}
-	c.state = StateFollowing
+	c.fire(validityPassed)
 	return []Action{Lost{Epoch: c.epoch, Reason: LossLapsed}}
 }
 
@@ -135,7 +154,10 @@
 	c.row, c.lease, c.rowKnown = row, lease, true
 	c.unchangedSince = now
 	if sentAt, mine := c.takeWrite(lease); mine {
-		return c.landed(now, sentAt)
+		// A renewal in doubt counts from when it was sent. An acquisition in
+		// doubt does not count, as the version of its epoch row is not known:
+		// the candidate has the row and begins the next epoch at once.
+		return c.confirmed(now, sentAt, 0)
 	}
 	c.writes = nil
 	if c.isFree(now) {
@@ -146,13 +168,11 @@
 
 // deposed ends a held lease after another owner's write was seen.
 func (c *Candidate) deposed() []Action {
-	if c.state == StateAcquiring {
-		c.state = StateFollowing
-	}
-	if c.state != StateHolding {
+	held := c.State() == StateHolding
+	c.fire(otherOwner)
+	if !held {
 		return nil
 	}
-	c.state = StateFollowing
 	return []Action{Lost{Epoch: c.epoch, Reason: LossDeposed}}
 }
 
@@ -166,53 +186,54 @@
 		c.writes = nil
 		c.row = platform.Row{Key: c.key, Value: EncodeLease(write.lease), Version: in.Versions[0]}
 		c.lease, c.rowKnown, c.unchangedSince = write.lease, true, now
+		var epochVersion platform.RowVersion
 		if len(in.Versions) > 1 {
-			c.epochVersion = in.Versions[1]
+			epochVersion = in.Versions[1]
 		}
-		return c.confirmed(now, write.sentAt)
+		return c.confirmed(now, write.sentAt, epochVersion)
 	case ResultUnavailable:
 		c.writes = c.writes[:len(c.writes)-1]
-		return c.backOff()
+		c.fire(storeDown)
+		return nil
 	case ResultConflict:
 		// The row has another version than the one known. It is either another
 		// owner's, or one of this candidate's writes that was in doubt.
 		c.writes = c.writes[:len(c.writes)-1]
-		return c.readNow()
+		c.fire(checkFailed)
+		return c.readNow(now)
 	default:
 		// The write may still take effect. Reading back tells when it did; a
 		// further write under the same check settles it.
-		return c.readNow()
+		c.fire(writeInDoubt)
+		return c.readNow(now)
 	}
 }
 
-// landed takes in a write in doubt that was found in the row. A renewal counts.
-// An acquisition does not, as the version of its epoch row is not known: the
-// candidate holds the row and begins the next epoch at once.
-func (c *Candidate) landed(now, sentAt time.Time) []Action {
-	renewed := c.state == StateHolding && c.lease.Epoch == c.epoch
-	if renewed || c.lease.Released {
-		return c.confirmed(now, sentAt)
-	}
-	c.nextCall = now
-	return nil
-}
-
-// confirmed takes in a write of this candidate that took effect.
-func (c *Candidate) confirmed(now, sentAt time.Time) []Action {
+// confirmed takes in a write of this candidate that took effect. An epoch that
+// was lost is not held again: a renewal that is confirmed after the lapse leads
+// to the next epoch.
+func (c *Candidate) confirmed(now, sentAt time.Time, epochVersion platform.RowVersion) []Action {
 	if c.lease.Released {
-		c.state = StateStopped
+		c.fire(releaseConfirmed)
 		return []Action{HandedOver{Confirmed: true}}
 	}
 	until := sentAt.Add(c.limits.Duration)
-	if c.stopping || !now.Before(until) {
+	if c.stopping {
+		return nil
+	}
+	isRenewal := c.State() == StateHolding && c.epoch == c.lease.Epoch
+	if !now.Before(until) || (!isRenewal && epochVersion == 0) {
+		c.nextCall = now
 		return nil
 	}
 	c.validUntil = until
 	c.nextCall = sentAt.Add(c.limits.RenewEvery)
-	if c.state == StateHolding && c.epoch == c.lease.Epoch {
+	if isRenewal {
+		c.fire(renewed)
 		return []Action{Extended{Epoch: c.epoch, ValidUntil: until}}
 	}
-	c.state, c.epoch = StateHolding, c.lease.Epoch
+	c.fire(acquired)
+	c.epoch, c.epochVersion = c.lease.Epoch, epochVersion
 	return []Action{Acquired{Epoch: c.epoch, ValidUntil: until}}
 }
 
@@ -224,27 +245,27 @@
 	}
 	c.stopping = true
 	c.nextCall = now
-	if c.state != StateHolding {
-		if len(c.writes) == 0 {
-			c.state = StateStopped
-			return []Action{HandedOver{Confirmed: true}}
-		}
-		c.state = StateHandingOver
+	held := c.State() == StateHolding
+	if !held && len(c.writes) == 0 {
+		c.fire(stoppedIdle)
+		return []Action{HandedOver{Confirmed: true}}
+	}
+	c.fire(stopOrdered)
+	if !held {
 		return nil
 	}
-	c.state = StateHandingOver
 	return []Action{Lost{Epoch: c.epoch, Reason: LossHandedOver}}
 }
 
 // next returns the next call to the table service, when one is due.
 func (c *Candidate) next(now time.Time) []Action {
-	if c.pending != 0 || c.state == StateStopped || now.Before(c.nextCall) {
+	if c.pending != 0 || c.machine.Done() || now.Before(c.nextCall) {
 		return nil
 	}
 	if !c.rowKnown {
 		return c.read(now)
 	}
-	switch c.state {
+	switch c.State() {
 	case StateHolding:
 		return c.renew(now)
 	case StateHandingOver:
@@ -255,6 +276,7 @@
 }
 
 func (c *Candidate) renew(now time.Time) []Action {
+	c.fire(renewalDue)
 	c.nextCall = now.Add(c.limits.RenewEvery)
 	return c.write(now, Lease{Epoch: c.epoch})
 }
@@ -262,7 +284,7 @@
 func (c *Candidate) release(now time.Time) []Action {
 	mine := c.lease.Owner == c.id && c.lease.Incarnation == c.incarnation
 	if c.tries >= c.limits.HandOverTries || (!mine && len(c.writes) == 0) {
-		c.state = StateStopped
+		c.fire(givenUp)
 		return []Action{HandedOver{Confirmed: !mine}}
 	}
 	c.tries++
@@ -272,10 +294,10 @@
 
 // follow reads the row, or takes the lease when it is free.
 func (c *Candidate) follow(now time.Time) []Action {
-	if !c.isFree(now) {
+	if c.barred || !c.isFree(now) {
 		return c.read(now)
 	}
-	c.state = StateAcquiring
+	c.fire(candidateDue)
 	c.nextCall = now.Add(c.limits.PollEvery)
 	return c.write(now, Lease{Epoch: c.lease.Epoch + 1})
 }
@@ -294,19 +316,12 @@
 
 func (c *Candidate) read(now time.Time) []Action {
 	c.nextCall = now.Add(c.limits.PollEvery)
-	return []Action{ReadRow{Call: c.newCall(), Key: c.key}}
+	return []Action{ReadRow{Call: c.newCall(now), Key: c.key}}
 }
 
 // readNow reads without waiting for the next poll.
-func (c *Candidate) readNow() []Action {
-	return []Action{ReadRow{Call: c.newCall(), Key: c.key}}
-}
-
-func (c *Candidate) backOff() []Action {
-	if c.state == StateAcquiring {
-		c.state = StateFollowing
-	}
-	return nil
+func (c *Candidate) readNow(now time.Time) []Action {
+	return []Action{ReadRow{Call: c.newCall(now), Key: c.key}}
 }
 
 func (c *Candidate) write(now time.Time, lease Lease) []Action {
@@ -320,7 +335,7 @@
 	if lease.Epoch != c.lease.Epoch {
 		tx.Puts = append(tx.Puts, platform.Put{Key: c.epochKey, Value: EncodeLease(lease)})
 	}
-	return []Action{CommitRow{Call: c.newCall(), Transaction: tx}}
+	return []Action{CommitRow{Call: c.newCall(now), Transaction: tx}}
 }
 
 // takeWrite finds the write in doubt that made a lease.
@@ -334,12 +349,19 @@
 	return time.Time{}, false
 }
 
-func (c *Candidate) newCall() uint64 {
+func (c *Candidate) newCall(now time.Time) uint64 {
 	c.lastCall++
-	c.pending = c.lastCall
+	c.pending, c.pendingAt = c.lastCall, now
 	return c.pending
 }
 
+// giveUpCall ends a call whose result never came. A write stays in doubt.
+func (c *Candidate) giveUpCall(now time.Time) {
+	if c.pending != 0 && now.Sub(c.pendingAt) >= callLimit {
+		c.pending = 0
+	}
+}
+
 // finish ends the outstanding call. It returns false for any other call.
 func (c *Candidate) finish(call uint64) bool {
 	if c.pending == 0 || c.pending != call {
--- a/internal/requestflow/config.go
+++ b/internal/requestflow/config.go
@@ -46,6 +46,8 @@
 	FIFO bool
 	// RandomRouting replaces least-loaded routing and ejection, for baselines.
 	RandomRouting bool
+	// Trace, if set, is told each transition of the request and backend charts.
+	Trace func(TraceStep)
 	// Seed seeds the random choices of routing.
 	Seed uint64
 }
@@ -58,7 +60,7 @@
 		MaxQueuedPerAccount: 512,
 		MaxCallers:          8,
 		MaxAnswerBytes:      8 << 20,
-		ClaimTimeout:        250 * time.Millisecond,
+		ClaimTimeout:        100 * time.Millisecond,
 		ProbeInterval:       time.Second,
 		ResolveTimeout:      5 * time.Second,
 		ReconnectGrace:      300 * time.Millisecond,
--- a/internal/requestflow/core.go
+++ b/internal/requestflow/core.go
@@ -20,8 +20,12 @@
 	backend     model.BackendServer
 	incarnation model.Incarnation
 	connection  uint64
-	demandSeq   uint64
-	demand      wire.Demand
+	// heard is when the last message came. suspect is set while a claim or
+	// look-up went unanswered and nothing was heard since it was sent.
+	heard     time.Time
+	suspect   bool
+	demandSeq uint64
+	demand    wire.Demand
 }
 
 // hold is slots of a finished flight whose executor still runs the request.
@@ -64,7 +68,7 @@
 // New returns a Core without connections.
 func New(config Config) *Core {
 	config = config.withDefaults()
-	return &Core{
+	c := &Core{
 		config:     config,
 		links:      map[model.BackendServerID]*link{},
 		flights:    map[model.RequestID]*flight{},
@@ -76,6 +80,8 @@
 		budget:     retry.NewBudget(config.DisableRetryBudget),
 		lastToken:  uint64(config.Incarnation) * tokensPerMillisecond,
 	}
+	c.table.SetTrace(c.traceBackend)
+	return c
 }
 
 // Step handles one input and returns what has to be done, in order.
@@ -134,6 +140,7 @@
 	if l == nil || l.connection != in.Connection {
 		return
 	}
+	c.heardFrom(now, l)
 	switch m := in.Message.(type) {
 	case *wire.Credit:
 		c.table.Credit(in.From, m.Seq, m.Slots, m.Connections)
--- a/internal/requestflow/dispatch.go
+++ b/internal/requestflow/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dragonflyyard/internal/admission"
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/wire"
@@ -26,14 +27,18 @@
 // placeOne tries the first request of each account in fair order. It reports
 // whether one left the queue.
 func (c *Core) placeOne(now time.Time) bool {
-	for _, item := range c.queue.Heads(maxHeads) {
+	c.table.DropReservations(func(id model.RequestID) bool {
+		f := c.flights[id]
+		return f == nil || f.item == nil || !c.queue.IsHead(f.item)
+	})
+	return c.queue.Each(maxHeads, func(item *admission.Item) bool {
 		f := c.flights[item.ID]
-		if c.place(now, f) {
+		placed := c.place(now, f)
+		if placed {
 			c.schedule(f)
-			return true
 		}
-	}
-	return false
+		return placed
+	})
 }
 
 // place moves a waiting request on if it can. It reports whether the request
@@ -59,16 +64,19 @@
 	if !ok {
 		return c.placeLater(now, f)
 	}
-	c.dequeue(f)
+	c.queue.Serve(f.item)
+	c.dequeued(f)
 	c.take(f, executor)
-	if f.unclaimed || (executor == holder.Home && f.claimToken == 0 && !f.explicit) {
+	if f.unclaimed || (executor == holder.Home && f.claim.Token == 0 && !f.explicit) {
 		f.token = c.nextToken()
 		f.claimVersion = c.assignmentVersion()
+		f.makeClaim = !f.unclaimed
 		c.fire(f, eventHomeIsExecutor)
 		c.dispatch(now, f)
 		return true
 	}
 	f.token = c.nextToken()
+	f.makeClaim = false
 	c.fire(f, eventExecutorChosen)
 	f.waitUntil = now.Add(c.config.ResolveTimeout)
 	c.sendClaim(now, f, false)
@@ -116,6 +124,9 @@
 		c.askHome(now, f)
 		return
 	}
+	if f.machine.State() == stateQueued {
+		f.homeDeadline = time.Time{}
+	}
 	c.fire(f, eventRetryAllowed)
 	c.enqueue(f, true)
 }
@@ -149,7 +160,7 @@
 		c.budget.OnFirst()
 	}
 	f.phase = phaseNone
-	f.claimToken = f.token
+	f.claim = c.ownClaim(f)
 	f.homeDeadline = time.Time{}
 	f.sentConnection = l.connection
 	f.dispatchedAt = now
@@ -165,7 +176,7 @@
 			Request: f.request.ID, Account: f.request.Account, Idempotent: f.request.Idempotent,
 			BodyHash: f.request.BodyHash, Slots: f.request.Slots, DeadlineUnixMS: f.request.Deadline.UnixMilli(),
 			Assignment: f.claimVersion, Part: part, Parts: parts, Body: body[begin:end],
-			Unclaimed: f.unclaimed, Token: f.token,
+			Unclaimed: f.unclaimed, Token: f.token, MakeClaim: f.makeClaim,
 		})
 	}
 }
--- a/internal/requestflow/resolve.go
+++ b/internal/requestflow/resolve.go
@@ -39,6 +39,7 @@
 		return
 	}
 	f.sentConnection = l.connection
+	f.askedAt = now
 	c.send(l, &wire.Lookup{Request: f.request.ID, Seal: !f.query})
 }
 
@@ -69,7 +70,7 @@
 	case wire.StateRejected, wire.StateSealed, wire.StateAbsent:
 		c.rejected(now, l, f, m)
 	case wire.StateClaimed:
-		c.claimExplicitly(now, f)
+		c.claimExplicitly(f)
 	case wire.StateExpired:
 		c.release(f)
 		c.toResolving(f)
@@ -114,7 +115,7 @@
 
 // claimExplicitly handles a home that is the executor and has another claim:
 // only the home's reply to a Claim names its executor.
-func (c *Core) claimExplicitly(now time.Time, f *flight) {
+func (c *Core) claimExplicitly(f *flight) {
 	c.release(f)
 	c.toResolving(f)
 	if f.foreign || f.item == nil {
@@ -122,11 +123,10 @@
 		return
 	}
 	f.explicit = true
-	f.claimToken = 0
+	f.claim = wire.ClaimRef{}
 	f.attempts = max(0, f.attempts-1)
 	c.fire(f, eventRetryAllowed)
 	c.enqueue(f, true)
-	c.place(now, f)
 }
 
 // executorCannotKnow handles an executor that may have forgotten the request.
@@ -134,6 +134,7 @@
 	atHome := !f.foreign && f.executor == f.home && f.request.Idempotent && !f.unclaimed
 	if atHome && f.machine.State() == stateDispatched {
 		f.unclaimed = true
+		f.makeClaim = false
 		f.attempts--
 		c.dispatch(now, f)
 		return
@@ -206,6 +207,7 @@
 
 // expire handles a flight's timer.
 func (c *Core) expire(now time.Time, f *flight) {
+	c.expireCallers(now, f)
 	late := !now.Before(f.request.Deadline)
 	waited := !f.waitUntil.IsZero() && !now.Before(f.waitUntil)
 	switch {
@@ -244,7 +246,7 @@
 	case f.machine.State() == stateQueued || f.machine.State() == stateClaiming || f.phase == phaseParked:
 		c.dequeue(f)
 		if f.machine.State() == stateClaiming {
-			f.claimToken = f.token
+			f.claim = c.ownClaim(f)
 		}
 		c.giveUp(now, f, model.ReasonDeadline, noServerRetryAfter)
 	default:
@@ -260,7 +262,7 @@
 	case f.phase == phaseParked:
 		c.giveUp(now, f, model.ReasonHomeUnreachable, noServerRetryAfter)
 	case f.machine.State() == stateClaiming:
-		f.claimToken = f.token
+		f.claim = c.ownClaim(f)
 		c.giveUp(now, f, model.ReasonHomeUnreachable, noServerRetryAfter)
 	case f.phase == phaseAsking:
 		c.again(now, f, false, model.ReasonConnectionLost)
@@ -275,10 +277,14 @@
 	case f.phase == phaseParked:
 		c.unparkOne(now, f)
 	case f.machine.State() == stateClaiming:
+		c.suspectSilent(f.home, f.askedAt)
 		if !c.sendClaim(now, f, false) {
 			c.claimUnanswered(now, f)
 		}
 	case f.isWaitingForExecutor():
+		if f.askedAt.After(f.dispatchedAt) {
+			c.suspectSilent(f.executor, f.askedAt)
+		}
 		c.sendLookup(now, f)
 	default:
 		f.nextProbe = time.Time{}
@@ -289,7 +295,7 @@
 // was sent to the executor under the claim.
 func (c *Core) claimUnanswered(now time.Time, f *flight) {
 	c.release(f)
-	f.claimToken = f.token
+	f.claim = c.ownClaim(f)
 	c.fire(f, eventClaimUnanswered)
 	c.park(now, f)
 }
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/statechart"
 )
 
-// ServerState is a backend server's state as an entry host sees it. It matches
-// the states of the chart "backend".
+// ServerState is the name of a state of the chart "backend".
 type ServerState string
 
 // States of a backend server.
@@ -27,7 +27,7 @@
 // server is one backend server's credit, load and health.
 type server struct {
 	backend     model.BackendServer
-	state       ServerState
+	machine     statechart.Machine
 	slotCredit  int
 	connCredit  int
 	creditSeq   uint64
@@ -44,6 +44,7 @@
 	ejectedUntil time.Time
 	ejections    int
 	probeBusy    bool
+	suspect      bool
 	probeOK      int
 }
 
@@ -72,13 +73,24 @@
 	return n
 }
 
+func (s *server) is(state ServerState) bool { return s.machine.StateName() == string(state) }
+
 func (s *server) freeSlots() int { return s.slotCredit - s.slotsInUse }
 
+// drainsBefore reports whether s is expected to have room for a large request
+// sooner than o: it has more free slots, or no large request that runs long.
+func (s *server) drainsBefore(o *server) bool {
+	if s.freeSlots() != o.freeSlots() {
+		return s.freeSlots() > o.freeSlots()
+	}
+	return s.slotsInUse-s.connsInUse < o.slotsInUse-o.connsInUse
+}
+
 func (s *server) fits(slots int) bool {
 	return s.freeSlots() >= slots && s.connsInUse < s.connCredit
 }
 
 // isUsable reports whether the server takes new requests of any kind.
 func (s *server) isUsable() bool {
-	return s.state == StateAvailable || s.state == StateProbing
+	return s.is(StateAvailable) || s.is(StateProbing)
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -7,6 +7,7 @@
 
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/statechart"
 )
 
 const (
@@ -18,6 +19,24 @@
 	// homeBonus is taken off the load of the request's home, since no separate
 	// claim is needed there.
 	homeBonus = 0.1
+	// probeBonus makes a backend server that has to be probed the first choice.
+	probeBonus = 1
+)
+
+// The backend chart of internal/statechart/charts/backend.yaml.
+var (
+	backendChart = statechart.MustLoad("backend")
+
+	stateEjected = backendChart.MustState(string(StateEjected))
+
+	eventCreditReceived   = backendChart.MustEvent("credit_received")
+	eventFailureStreak    = backendChart.MustEvent("failure_streak")
+	eventProbeDue         = backendChart.MustEvent("probe_due")
+	eventProbeSucceeded   = backendChart.MustEvent("probe_succeeded")
+	eventProbeFailed      = backendChart.MustEvent("probe_failed")
+	eventLeavingAnnounced = backendChart.MustEvent("leaving_announced")
+	eventDrained          = backendChart.MustEvent("drained")
+	eventConnectionLost   = backendChart.MustEvent("connection_lost")
 )
 
 // Table holds all backend servers that an entry host is connected to.
@@ -29,6 +48,12 @@
 	random   *rand.Rand
 	naive    bool
 	events   []event.Event
+	// total and free are the sums of Slots, unless stale is set.
+	total, free int
+	stale       bool
+	ejected     int
+	reserved    int
+	trace       func(id model.BackendServerID, from, event string)
 }
 
 // NewTable returns an empty table of an entry host in the given zone. With
@@ -52,42 +77,67 @@
 	Excluded []model.BackendServerID
 }
 
-// LinkUp adds a backend server, or resets its credit on a new connection.
+// SetTrace sets a function that is told each transition of the backend chart.
+func (t *Table) SetTrace(trace func(id model.BackendServerID, from, event string)) { t.trace = trace }
+
+// fire applies an event of the backend chart. It reports whether the state moved.
+func (t *Table) fire(s *server, e statechart.Event) bool {
+	step, outcome := s.machine.Fire(e)
+	if outcome != statechart.Moved {
+		return false
+	}
+	t.stale = true
+	if step.From == stateEjected {
+		t.ejected--
+	}
+	if step.To == stateEjected {
+		t.ejected++
+	}
+	if t.trace != nil {
+		t.trace(s.backend.ID, backendChart.StateName(step.From), backendChart.EventName(step.Event))
+	}
+	return true
+}
+
+// LinkUp adds a backend server without credit. A new connection begins a new life.
 func (t *Table) LinkUp(b model.BackendServer, leaving bool) {
-	s := t.servers[b.ID]
-	if s == nil {
-		s = &server{state: StateAnnounced}
-		t.servers[b.ID] = s
-		t.order = append(t.order, s)
-	}
-	s.backend = b
-	s.slotCredit, s.connCredit, s.creditSeq = 0, 0, 0
-	s.slotsInUse, s.connsInUse, s.probeBusy = 0, 0, false
-	switch {
-	case leaving:
-		s.state = StateLeaving
-	case s.state == StateAnnounced || s.state == StateLost || s.state == StateLeaving:
-		s.state = StateAvailable
-	}
-	t.sortServers()
+	t.LinkDown(b.ID)
+	s := &server{backend: b, machine: backendChart.NewMachine()}
+	t.servers[b.ID] = s
+	t.order = append(t.order, s)
+	sort.Slice(t.order, func(i, j int) bool { return t.order[i].backend.ID < t.order[j].backend.ID })
+	if leaving {
+		t.fire(s, eventLeavingAnnounced)
+	}
 }
 
-// LinkDown marks a backend server as lost and takes its credit away.
+// LinkDown forgets a backend server.
 func (t *Table) LinkDown(id model.BackendServerID) {
-	for i, s := range t.order {
-		if s.backend.ID == id {
+	s := t.servers[id]
+	if s == nil {
+		return
+	}
+	if s.is(StateLeaving) && s.slotsInUse == 0 {
+		t.fire(s, eventDrained)
+	} else {
+		t.fire(s, eventConnectionLost)
+	}
+	for i := range t.order {
+		if t.order[i] == s {
 			t.order = append(t.order[:i], t.order[i+1:]...)
 			break
 		}
 	}
+	t.reserve(s, "")
+	t.stale = true
 	delete(t.servers, id)
 }
 
 // Leaving marks a backend server that takes no new work.
 func (t *Table) Leaving(id model.BackendServerID) {
 	if s := t.servers[id]; s != nil {
-		s.state = StateLeaving
-		s.reservedFor = ""
+		t.fire(s, eventLeavingAnnounced)
+		t.reserve(s, "")
 	}
 }
 
@@ -98,29 +148,61 @@
 		return
 	}
 	s.creditSeq, s.slotCredit, s.connCredit = seq, slots, connections
+	t.stale = true
+	t.fire(s, eventCreditReceived)
+}
+
+// SetSuspect marks a backend server whose agent does not answer: it gets no new
+// requests meanwhile.
+func (t *Table) SetSuspect(id model.BackendServerID, suspect bool) {
+	if s := t.servers[id]; s != nil {
+		s.suspect = suspect
+		t.stale = true
+	}
 }
 
 // SetZonesOut replaces the set of availability zones that take no work.
-func (t *Table) SetZonesOut(zones map[model.AvailabilityZoneName]bool) { t.zonesOut = zones }
+func (t *Table) SetZonesOut(zones map[model.AvailabilityZoneName]bool) {
+	t.zonesOut = zones
+	t.stale = true
+}
 
 // State returns the state of a backend server.
 func (t *Table) State(id model.BackendServerID) ServerState {
 	if s := t.servers[id]; s != nil {
-		return s.state
+		return ServerState(s.machine.StateName())
 	}
 	return StateLost
 }
 
 // Slots returns the sum of the slot credits of usable servers and how many are free.
 func (t *Table) Slots() (total, free int) {
+	if !t.stale {
+		return t.total, t.free
+	}
+	t.stale, t.total, t.free = false, 0, 0
 	for _, s := range t.order {
-		if !s.isUsable() || t.zonesOut[s.backend.Zone] {
-			continue
+		if t.isOpen(s) {
+			t.total += s.slotCredit
+			t.free += max(0, s.freeSlots())
 		}
-		total += s.slotCredit
-		free += max(0, s.freeSlots())
 	}
-	return total, free
+	return t.total, t.free
+}
+
+// isOpen reports whether a server takes new requests, given room.
+func (t *Table) isOpen(s *server) bool {
+	return s.isUsable() && !s.suspect && !t.zonesOut[s.backend.Zone]
+}
+
+// use changes a server's slots and connections in use.
+func (t *Table) use(s *server, slots, connections int) {
+	before := max(0, s.freeSlots())
+	s.slotsInUse = max(0, s.slotsInUse+slots)
+	s.connsInUse = max(0, s.connsInUse+connections)
+	if !t.stale && t.isOpen(s) {
+		t.free += max(0, s.freeSlots()) - before
+	}
 }
 
 // Pick returns the backend server for a request. It returns false when none
@@ -163,13 +245,13 @@
 }
 
 func (t *Table) allows(s *server, c Choice) bool {
-	if !s.isUsable() || !s.fits(c.Slots) || t.zonesOut[s.backend.Zone] {
+	if !t.isOpen(s) || !s.fits(c.Slots) {
 		return false
 	}
 	if s.reservedFor != "" && s.reservedFor != c.Request {
 		return false
 	}
-	if s.state == StateProbing && (!c.Idempotent || s.probeBusy) {
+	if s.is(StateProbing) && (!c.Idempotent || s.probeBusy) {
 		return false
 	}
 	return !isExcluded(c, s.backend.ID)
@@ -189,43 +271,12 @@
 	if s.backend.ID == c.Home {
 		load -= homeBonus
 	}
-	if s.state == StateProbing {
-		load -= 1
+	if s.is(StateProbing) {
+		load -= probeBonus
 	}
 	return load
 }
 
-// Reserve keeps a server's freed slots for one large request, so that small
-// ones do not starve it. It returns the server that is reserved.
-func (t *Table) Reserve(c Choice) (model.BackendServerID, bool) {
-	var best *server
-	for _, s := range t.order {
-		if s.reservedFor == c.Request {
-			return s.backend.ID, true
-		}
-		if s.state != StateAvailable || s.reservedFor != "" || s.backend.Slots < c.Slots || t.zonesOut[s.backend.Zone] {
-			continue
-		}
-		if best == nil || s.freeSlots() > best.freeSlots() {
-			best = s
-		}
-	}
-	if best == nil {
-		return "", false
-	}
-	best.reservedFor = c.Request
-	return best.backend.ID, true
-}
-
-// Unreserve gives up the reservation of a request.
-func (t *Table) Unreserve(id model.RequestID) {
-	for _, s := range t.order {
-		if s.reservedFor == id {
-			s.reservedFor = ""
-		}
-	}
-}
-
 // Take puts a server's slots and one connection into use. In the probing state
 // it makes the request the probe.
 func (t *Table) Take(id model.BackendServerID, slots int) {
@@ -233,9 +284,8 @@
 	if s == nil {
 		return
 	}
-	s.slotsInUse += slots
-	s.connsInUse++
-	if s.state == StateProbing {
+	t.use(s, slots, 1)
+	if s.is(StateProbing) {
 		s.probeBusy = true
 		t.note(event.BackendProbed, s, "")
 	}
@@ -247,8 +297,7 @@
 	if s == nil {
 		return
 	}
-	s.slotsInUse = max(0, s.slotsInUse-slots)
-	s.connsInUse = max(0, s.connsInUse-1)
+	t.use(s, -slots, -1)
 	s.probeBusy = s.probeBusy && s.connsInUse > 0
 }
 
@@ -271,15 +320,11 @@
 	t.events = append(t.events, event.Event{Code: code, Subject: string(s.backend.ID), Zone: s.backend.Zone, Detail: detail})
 }
 
-func (t *Table) sortServers() {
-	sort.Slice(t.order, func(i, j int) bool { return t.order[i].backend.ID < t.order[j].backend.ID })
-}
-
 // HasCandidate reports whether some backend server could take a request, now
 // or once it has room again.
 func (t *Table) HasCandidate(c Choice) bool {
 	for _, s := range t.order {
-		if s.state == StateLeaving || s.backend.Slots < c.Slots || t.zonesOut[s.backend.Zone] {
+		if s.is(StateLeaving) || s.backend.Slots < c.Slots || t.zonesOut[s.backend.Zone] {
 			continue
 		}
 		if !isExcluded(c, s.backend.ID) {
@@ -292,7 +337,7 @@
 // IsOpen reports whether a backend server still takes new requests.
 func (t *Table) IsOpen(id model.BackendServerID) bool {
 	s := t.servers[id]
-	return s != nil && s.isUsable() && !t.zonesOut[s.backend.Zone]
+	return s != nil && t.isOpen(s)
 }
 
 func isExcluded(c Choice, id model.BackendServerID) bool {
