--- a/internal/replay/requests/list.go
+++ b/internal/replay/requests/list.go
@@ -29,7 +29,7 @@
 	// warmUp passes before the first request, so that home ranges are in force.
 	warmUp = 4 * time.Second
 	// listLength is how long requests arrive.
-	listLength = 5 * time.Second
+	listLength = 4 * time.Second
 	// measureFrom leaves the first arrivals out, while estimates are learned.
 	measureFrom = time.Second
 )
--- a/internal/replay/requests/run.go
+++ b/internal/replay/requests/run.go
@@ -73,6 +73,9 @@
 // request that was started or given up.
 func (r *result) startsPerRequest() float64 { return float64(r.starts) / float64(max(1, r.requests)) }
 
+// drainTime is longer than the longest deadline.
+const drainTime = 3500 * time.Millisecond
+
 // replay runs one scenario with one seed.
 func replay(s scenario, p policy, seed uint64) *result {
 	out := &result{accounts: map[model.ClientAccountID]*accountResult{}}
@@ -88,7 +91,7 @@
 		})
 	}
 	f.clock.At(faultAt, f.fail)
-	f.clock.Run(listLength + largeFactor*time.Second)
+	f.clock.Run(listLength + drainTime)
 	out.starts = f.starts
 	out.claims = f.claims
 	out.offered = len(arrivals)
