--- a/internal/configstore/core.go
+++ b/internal/configstore/core.go
@@ -6,9 +6,14 @@
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/statechart"
 	"dragonflyyard/internal/wire"
 )
 
+// callLimit is how long a core waits for the result of a call, or for the end
+// of a catch-up. It is far longer than the deadline of any call.
+const callLimit = 30 * time.Second
+
 // Core is one entry host's view of the configuration and its writer. At most
 // one read and one write are outstanding at any time.
 type Core struct {
@@ -39,6 +44,9 @@
 	// snapshot is the version of the snapshot that was stored last.
 	snapshot     model.ConfigVersion
 	snapshotCall uint64
+	snapshotAt   time.Time
+	// trace is told of each transition; nil for none.
+	trace        func(*statechart.Chart, statechart.Transition)
 	snapshotting model.ConfigVersion
 }
 
@@ -77,6 +85,10 @@
 	return &Core{limits: limits, region: region, validate: validate, document: NewDocument()}
 }
 
+// Trace registers a function that is told of each transition of a change and of
+// the availability zone that a change moves.
+func (c *Core) Trace(trace func(*statechart.Chart, statechart.Transition)) { c.trace = trace }
+
 // Document returns the configuration that is in force here. It is never
 // changed; a later version is another document.
 func (c *Core) Document() *model.ConfigDocument { return c.document }
@@ -105,10 +117,8 @@
 			out = append(out, zone)
 		}
 	}
-	if c.write != nil && c.write.sent && c.write.change.Zone == model.ZoneOut {
-		_, name := splitObject(c.write.change.Object)
-		zone := model.AvailabilityZoneName(name)
-		if c.document.Zones[zone] != model.ZoneOut {
+	if w := c.write; w != nil && w.isTakingOut() {
+		if zone := w.zoneName(); c.document.Zones[zone] != model.ZoneOut {
 			out = append(out, zone)
 		}
 	}
@@ -174,21 +184,35 @@
 	case Learned:
 		actions = c.onLearned(in.Update)
 	case RowsListed:
-		actions = c.onRowsListed(in)
+		actions = c.onRowsListed(now, in)
 	case RowRead:
 		actions = c.onRowRead(now, in)
 	case ObjectRead:
-		actions = c.onObjectRead(in)
+		actions = c.onObjectRead(now, in)
 	case Committed:
 		actions = c.onCommitted(now, in)
 	case ObjectWritten:
 		c.onObjectWritten(in)
 	}
+	c.giveUpCalls(now)
 	actions = append(actions, c.expire(now)...)
 	actions = append(actions, c.advanceWrite(now)...)
 	return append(actions, c.poll(now)...)
 }
 
+// giveUpCalls ends calls whose results never came. A write stays in doubt.
+func (c *Core) giveUpCalls(now time.Time) {
+	if c.read.step != readNothing && now.Sub(c.read.startedAt) >= callLimit {
+		c.read = readState{}
+	}
+	if w := c.write; w != nil && w.call != 0 && now.Sub(w.calledAt) >= callLimit {
+		w.call, w.doubt, w.unresolvedSince = 0, true, now
+	}
+	if c.snapshotCall != 0 && now.Sub(c.snapshotAt) >= callLimit {
+		c.snapshotCall = 0
+	}
+}
+
 // poll reads the head rows when that is due and nothing else is being read.
 func (c *Core) poll(now time.Time) []Action {
 	if c.read.step != readNothing || now.Before(c.nextRead) {
--- a/internal/configstore/write.go
+++ b/internal/configstore/write.go
@@ -7,6 +7,7 @@
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/statechart"
 	"dragonflyyard/internal/wire"
 )
 
@@ -34,8 +35,9 @@
 
 	tx       platform.Transaction
 	expected platform.RowVersion
-	// call is the outstanding commit, zero for none.
-	call uint64
+	// call is the outstanding commit, zero for none, and calledAt its start.
+	call     uint64
+	calledAt time.Time
 	// sent is set once the present transaction was sent.
 	sent bool
 	// doubt is set once a commit was left without an answer.
@@ -47,6 +49,11 @@
 	unresolvedSince time.Time
 	nextTry         time.Time
 	answered        bool
+	// machine runs through the chart of the change; zone through that of the
+	// availability zone that the change moves, where movesZone is set.
+	machine   statechart.Machine
+	zone      statechart.Machine
+	movesZone bool
 }
 
 func (c *Core) onSubmit(now time.Time, in Submit) []Action {
@@ -86,6 +93,7 @@
 		return actions
 	}
 	if !w.sent && !w.doubt {
+		c.fire(w, expired)
 		c.write = nil
 		return append(actions, c.unavailable(w.token))
 	}
@@ -102,7 +110,7 @@
 	var actions []Action
 	for {
 		if c.write == nil && len(c.queue) > 0 {
-			c.write = &pendingWrite{submission: c.queue[0]}
+			c.write = &pendingWrite{submission: c.queue[0], machine: changeChart.NewMachine()}
 			c.queue = c.queue[1:]
 		}
 		w := c.write
@@ -128,7 +136,7 @@
 		return nil
 	}
 	w.nextTry = now.Add(c.limits.RetryEvery)
-	w.call = c.newCall()
+	w.call, w.calledAt = c.newCall(), now
 	return []Action{Commit{Call: w.call, Transaction: w.tx}}
 }
 
@@ -137,9 +145,10 @@
 func (c *Core) begin(now time.Time) ([]Action, bool) {
 	w := c.write
 	if w.assignment != nil {
-		return c.beginAssignment()
+		return c.beginAssignment(now)
 	}
 	if !c.ready || !c.allowed {
+		c.fire(w, notReady)
 		return []Action{c.verdict(w, Answer{Verdict: VerdictUnavailable, RetryAfter: c.limits.AnswerAfter})}, true
 	}
 	if answer, decided := c.judge(w); decided {
@@ -151,7 +160,8 @@
 		return nil, false
 	}
 	w.tx, w.expected = c.changeTransaction(w.change), c.headRow
-	w.sent, w.call = true, c.newCall()
+	w.sent, w.call, w.calledAt = true, c.newCall(), now
+	c.fire(w, valid)
 	return []Action{Commit{Call: w.call, Transaction: w.tx}}, false
 }
 
@@ -161,11 +171,14 @@
 	change := w.change
 	if made := c.findChange(change.ID); made != nil {
 		if !sameChange(*made, change) {
+			c.fire(w, changeInvalid)
 			return c.verdict(w, reusedID(change.ID, made.Version)), true
 		}
+		c.fire(w, alreadyMade)
 		return c.verdict(w, Answer{Verdict: VerdictAccepted, Version: made.Version}), true
 	}
 	if change.ExpectedVersion != c.document.ObjectVersions[change.Object] {
+		c.fire(w, stale)
 		return c.verdict(w, Answer{Verdict: VerdictConflict, Winner: c.lastChange(change.Object)}), true
 	}
 	next, reason := Apply(c.document, change)
@@ -173,6 +186,7 @@
 		reason = c.runValidator(next, change)
 	}
 	if reason != nil {
+		c.fire(w, changeInvalid)
 		return c.verdict(w, Answer{Verdict: VerdictInvalid, Invalid: reason}), true
 	}
 	return nil, false
@@ -261,7 +275,7 @@
 	return append(checks, check)
 }
 
-func (c *Core) beginAssignment() ([]Action, bool) {
+func (c *Core) beginAssignment(now time.Time) ([]Action, bool) {
 	w := c.write
 	if w.assignment.Version != c.assignment.Version+1 || !c.allowed {
 		return nil, true
@@ -280,7 +294,7 @@
 	if version > assignmentsKept {
 		w.tx.Deletes = []string{AssignmentKey(c.region, version-assignmentsKept)}
 	}
-	w.sent, w.call = true, c.newCall()
+	w.sent, w.call, w.calledAt = true, c.newCall(), now
 	return []Action{Commit{Call: w.call, Transaction: w.tx}}, false
 }
 
@@ -292,12 +306,14 @@
 	w.call, w.unresolvedSince = 0, now
 	switch in.Result {
 	case ResultOK:
-		return c.accept(in.Versions)
+		return c.accept(now, in.Versions)
 	case ResultConflict:
 		w.refused = true
+		c.fire(w, checkFailed)
 		c.nextRead = now
 		return nil
 	case ResultUnavailable:
+		c.fire(w, storeDown)
 		if w.doubt {
 			w.nextTry = now.Add(c.limits.RetryEvery)
 			return nil
@@ -309,6 +325,7 @@
 		return []Action{c.verdict(w, Answer{Verdict: VerdictUnavailable, RetryAfter: c.limits.AnswerAfter})}
 	default:
 		w.doubt = true
+		c.fire(w, answerLost)
 		w.nextTry = now.Add(c.limits.RetryEvery)
 		c.nextRead = now
 		return nil
@@ -316,8 +333,9 @@
 }
 
 // accept puts a confirmed write into force.
-func (c *Core) accept(versions []platform.RowVersion) []Action {
+func (c *Core) accept(now time.Time, versions []platform.RowVersion) []Action {
 	w := c.write
+	c.fire(w, committed)
 	c.write = nil
 	if w.assignment != nil {
 		if w.assignment.Version <= c.assignment.Version {
@@ -338,16 +356,16 @@
 		c.head, c.headRow = head, versions[0]
 	}
 	actions = append(actions, c.verdict(w, Answer{Verdict: VerdictAccepted, Version: head.Version}))
-	return append(actions, c.takeSnapshot()...)
+	return append(actions, c.takeSnapshot(now)...)
 }
 
 // takeSnapshot stores a snapshot when enough changes were made since the last.
-func (c *Core) takeSnapshot() []Action {
+func (c *Core) takeSnapshot(now time.Time) []Action {
 	due := c.document.Version >= c.snapshot+model.ConfigVersion(c.limits.SnapshotEvery)
 	if !due || c.snapshotCall != 0 {
 		return nil
 	}
-	c.snapshotCall, c.snapshotting = c.newCall(), c.document.Version
+	c.snapshotCall, c.snapshotAt, c.snapshotting = c.newCall(), now, c.document.Version
 	return []Action{WriteObject{
 		Call:  c.snapshotCall,
 		Key:   SnapshotKey(c.document.Version),
