--- a/internal/permit/world_test.go
+++ b/internal/permit/world_test.go
@@ -83,6 +83,8 @@
 	// known is when an entry host first knew a version to be accepted.
 	known           map[model.ConfigVersion]time.Time
 	assignmentKnown map[uint64]time.Time
+	epochKnown      map[model.Epoch]time.Time
+	acts            int
 	starts          int
 	tries           int
 	takeOuts        int
@@ -99,6 +101,7 @@
 	w := &world{
 		now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 99)), variant: v,
 		cuts: map[string]bool{}, known: map[model.ConfigVersion]time.Time{}, assignmentKnown: map[uint64]time.Time{},
+		epochKnown: map[model.Epoch]time.Time{},
 	}
 	w.end = w.now.Add(length)
 	w.store = standin.NewStore(func() time.Time { return w.now })
