Print guarantee states without an empty reason

Cause: guarantee check printed a full stop and a blank after guarantees with room, seen when each command was run against a region of 3 entry hosts and 11 agents. Change: the reason follows a colon, where there is one.

--- a/internal/ctl/objects.go
+++ b/internal/ctl/objects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -140,18 +141,26 @@
 
 func (a *app) printCheck(check operatorapi.GuaranteeCheck) {
 	for _, g := range check.Guarantees {
-		a.printf("%s account %s: %d of %d have room. %s\n", g.Name, g.Account, g.Covered, g.Count, g.Reason)
+		a.printf("%s\n", describeState(g))
 	}
 	for _, loss := range check.ZoneLosses {
 		if len(loss.Uncovered) == 0 {
 			a.printf("without zone %s: all have room\n", loss.Zone)
 		}
 		for _, g := range loss.Uncovered {
-			a.printf("without zone %s: %s account %s: %d of %d have room. %s\n", loss.Zone, g.Name, g.Account, g.Covered, g.Count, g.Reason)
+			a.printf("without zone %s: %s\n", loss.Zone, describeState(g))
 		}
 	}
 }
 
+func describeState(g operatorapi.GuaranteeState) string {
+	text := fmt.Sprintf("%s account %s: %d of %d have room", g.Name, g.Account, g.Covered, g.Count)
+	if g.Reason != "" {
+		text += ": " + g.Reason
+	}
+	return text
+}
+
 func (a *app) zoneCommand() *cli.Command {
 	return &cli.Command{Name: "zone", Usage: "availability zones", Commands: []*cli.Command{
 		{Name: "out", Usage: "take a zone out: no task starts there any more", ArgsUsage: "NAME",
