--- a/internal/faultmatrix/lease_cells_test.go
+++ b/internal/faultmatrix/lease_cells_test.go
@@ -151,11 +151,11 @@
 	}
 }
 
-// acquired checks that epochs grow: an epoch that is acquired again must be the
-// same holder's, whose renewal was confirmed late.
+// acquired checks that epochs grow: no epoch is acquired twice, so that what
+// was sent before a loss is fenced off from what is sent after it.
 func (w *leaseWorld) acquired(h *leaseHost, a ownership.Acquired) {
 	w.notef("%s acquired epoch %d", h.id, a.Epoch)
-	if a.Epoch < w.epochs {
+	if a.Epoch <= w.epochs {
 		w.fail("%s acquired epoch %d after epoch %d", h.id, a.Epoch, w.epochs)
 	}
 	w.epochs = a.Epoch
