--- a/internal/proctest/cluster_test.go
+++ b/internal/proctest/cluster_test.go
@@ -398,6 +398,9 @@
 	Request string `json:"request"`
 	Subject string `json:"subject"`
 	Detail  string `json:"detail"`
+	Clock   struct {
+		WallMS int64 `json:"wall_ms"`
+	} `json:"clock"`
 }
 
 func (c *cluster) timeline(p *proc, query string) []timelineEvent {
