Measure the capacity of idle regions and mend the drivers of two measurements

Cause: the scheduler's driver sent no ticks, so the starts of one tick were used up after 8 jobs; the home agent of the claims had just received its ranges and granted nothing. Ruled out: a fault of the placement index (20 of 20 placed when tried alone).

--- a/internal/capacity/scheduler.go
+++ b/internal/capacity/scheduler.go
@@ -44,6 +44,9 @@
 	core *scheduler.Core
 	now  time.Time
 	rows map[model.JobID]scheduler.JobRow
+	// ticks counts the calls of tick.
+	ticks   int
+	workers int
 }
 
 func newFleetDriver() *fleetDriver {
@@ -129,6 +132,7 @@
 
 // begin brings all workers up under a first owner.
 func (f *fleetDriver) begin(workers int) {
+	f.workers = workers
 	f.step(scheduler.BecomeOwner{Epoch: 1, Config: regionConfig()})
 	for i := range workers {
 		f.step(scheduler.WorkerUp{Report: wire.WorkerReport{Worker: regionWorker(i)}})
@@ -141,6 +145,20 @@
 	}
 }
 
+// startsPerTick is how many jobs are submitted between two ticks. It is below
+// the number of attempts that the core begins between ticks.
+const startsPerTick = 4
+
+// tick lets time pass, and lets the workers renew when that is due.
+func (f *fleetDriver) tick(workers int) {
+	const renewEvery = 5
+	f.now = f.now.Add(scheduler.TickInterval)
+	if f.ticks++; f.ticks%renewEvery == 0 {
+		f.renew(workers)
+	}
+	f.step(scheduler.Tick{})
+}
+
 // renew lets each worker ask for its leases.
 func (f *fleetDriver) renew(workers int) {
 	for i := range workers {
@@ -158,7 +176,11 @@
 	jobs := workers * tasksPerWorker / jobTasks
 	for i := range jobs {
 		f.step(scheduler.Submit{Job: regionJob(i)})
+		if i%startsPerTick == startsPerTick-1 {
+			f.tick(workers)
+		}
 	}
+	f.tick(workers)
 	cost := SchedulerCost{Workers: workers, Tasks: jobs * jobTasks, Rows: len(f.rows)}
 	cost.StateBytes = heapBytes() - before
 	if len(f.rows) != jobs {
@@ -181,6 +203,9 @@
 	const tries = 200
 	var spent time.Duration
 	for i := range tries {
+		if i%startsPerTick == 0 {
+			f.tick(f.workers)
+		}
 		job := regionJob(first + i)
 		began := time.Now()
 		actions := f.core.Step(f.now, scheduler.Submit{Job: job})
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -132,7 +132,8 @@
 		ID: home, Incarnation: 1, Started: now.Add(-time.Hour), Slots: 8, Connections: 64, MaxRecords: 4 * claims,
 	})
 	assignment := wire.Assignment{Version: 1, Ranges: []wire.HomeRange{{Home: home, Incarnation: 1}}}
-	core.Step(now, executor.AssignmentUpdate{Assignment: assignment})
+	const settled = 10 * time.Minute
+	core.Step(now.Add(-settled), executor.AssignmentUpdate{Assignment: assignment})
 	core.Step(now, executor.PermitGranted{Assignment: 1, ValidUntil: now.Add(time.Hour)})
 	core.Step(now, executor.LinkUp{Entry: entry, Incarnation: 1, Connection: 1})
 	cost := ClaimCost{Claims: claims}
