Hold planned stops of two agents one after the other

Change: the bag's planned stops gain the case; a leaving agent waits up to 20 s for two hand-overs in a row (10 s before).

--- a/internal/executor/config.go
+++ b/internal/executor/config.go
@@ -53,7 +53,7 @@
 		MaxPartialBytes: 32 << 20,
 		MaxWaiters:      4,
 		LeaveLinger:     time.Second,
-		MaxLinger:       10 * time.Second,
+		MaxLinger:       20 * time.Second,
 	}
 }
 
--- a/internal/requestflow/fence_test.go
+++ b/internal/requestflow/fence_test.go
@@ -76,6 +76,10 @@
 	}{
 		{"one agent", func(b *requesttest.Bag) { b.StopAgent(0) }},
 		{"two agents", func(b *requesttest.Bag) { b.StopAgent(0); b.StopAgent(2) }},
+		{"two agents, one soon after the other", func(b *requesttest.Bag) {
+			b.StopAgent(0)
+			b.At(1500*time.Millisecond, func() { b.StopAgent(2) })
+		}},
 		{"an entry host and an agent", func(b *requesttest.Bag) { b.StopEntry(0); b.StopAgent(1) }},
 	} {
 		t.Run(stop.name, func(t *testing.T) {
