--- a/internal/faultmatrix/config_world_test.go
+++ b/internal/faultmatrix/config_world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,7 +44,7 @@
 // configWorld runs hosts that write configuration and the operators' changes.
 type configWorld struct {
 	*world
-	t           *testing.T
+	t           reporter
 	hosts       []*configHost
 	tokens      map[uint64]*submitted
 	lastToken   uint64
@@ -58,7 +57,7 @@
 	reaches func(from, to int) bool
 }
 
-func newConfigWorld(t *testing.T, seed uint64) *configWorld {
+func newConfigWorld(t reporter, seed uint64) *configWorld {
 	w := &configWorld{world: newWorld(seed), t: t, tokens: map[uint64]*submitted{}}
 	for i := range configHosts {
 		h := &configHost{w: w, index: i}
--- a/internal/faultmatrix/lease_cells_test.go
+++ b/internal/faultmatrix/lease_cells_test.go
@@ -215,14 +215,19 @@
 	if !hit {
 		t.Fatalf("seed %d does not take %s on %s again", seed, s.from, s.event)
 	}
+	w.checkEnd()
+}
+
+// checkEnd heals all faults and wants one holder that is acted upon.
+func (w *leaseWorld) checkEnd() {
 	w.heal()
 	w.run(leaseSettle, w.tick)
 	h := w.holder(nil)
 	if h == nil {
-		w.fail("nobody holds the lease after all faults were healed (seed %d)", seed)
+		w.fail("nobody holds the lease after all faults were healed")
 		return
 	}
 	if epoch, _ := h.candidate.Holds(w.now); w.decided != epoch {
-		w.fail("no decision of the holder's epoch %d took effect (seed %d)", epoch, seed)
+		w.fail("no decision of the holder's epoch %d took effect", epoch)
 	}
 }
--- a/internal/faultmatrix/lease_world_test.go
+++ b/internal/faultmatrix/lease_world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,7 +28,7 @@
 // leaseWorld runs candidates and checks that no two of them are acted upon.
 type leaseWorld struct {
 	*world
-	t      *testing.T
+	t      reporter
 	hosts  []*leaseHost
 	epochs model.Epoch
 	// decided is the highest epoch whose fenced write took effect.
@@ -39,7 +38,7 @@
 	stopNextLoser bool
 }
 
-func newLeaseWorld(t *testing.T, seed uint64) *leaseWorld {
+func newLeaseWorld(t reporter, seed uint64) *leaseWorld {
 	w := &leaseWorld{world: newWorld(seed), t: t}
 	for i := range leaseCandidates {
 		h := &leaseHost{w: w, id: model.EntryID(fmt.Sprintf("entry-%d", i))}
--- a/internal/faultmatrix/world_test.go
+++ b/internal/faultmatrix/world_test.go
@@ -18,6 +18,12 @@
 	callTimeout = time.Second
 )
 
+// reporter takes the failures of a world: a test, or a drawn run of one.
+type reporter interface {
+	Helper()
+	Errorf(format string, args ...any)
+}
+
 // timed is something that happens at an instant of a world.
 type timed struct {
 	at time.Time
--- a/internal/faultmatrix/zone_cells_test.go
+++ b/internal/faultmatrix/zone_cells_test.go
@@ -238,6 +238,12 @@
 		t.Fatalf("seed %d does not take %s on %s again", first.seed, s.from, s.event)
 	}
 	w.playOut(f)
+	w.checkZoneEnd()
+}
+
+// checkZoneEnd heals all faults, checks the changes, and wants work to resume
+// in the zone and to stop there.
+func (w *zoneWorld) checkZoneEnd() {
 	w.healAll()
 	w.run(configInForce, w.tick)
 	w.checkEnd()
--- a/internal/faultmatrix/zone_world_test.go
+++ b/internal/faultmatrix/zone_world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"testing"
 	"time"
 
 	"dragonflyyard/internal/model"
@@ -49,7 +48,7 @@
 	pausedUntil time.Time
 }
 
-func newZoneWorld(t *testing.T, seed uint64) *zoneWorld {
+func newZoneWorld(t reporter, seed uint64) *zoneWorld {
 	w := &zoneWorld{configWorld: newConfigWorld(t, seed)}
 	for i, h := range w.hosts {
 		w.issuers = append(w.issuers, nil)
