Keep how jobs ended for an hour, for later owners

Change: the transaction that deletes a job's row writes how the job ended; a new owner reads these rows; they are deleted after an hour in batches.

--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -46,6 +46,8 @@
 	nextSnapshot time.Time
 	// snapshots counts the snapshots that this process stored.
 	snapshots uint64
+	// kept are the rows of ended jobs, oldest first.
+	kept []keptRow
 	// remote holds calls that were forwarded to the owner.
 	remote *forwardedCalls
 }
@@ -123,6 +125,7 @@
 			s.followLease(s.p.Now())
 			s.step(scheduler.Tick{})
 			s.saveSnapshot(s.p.Now())
+			s.forgetEnded(s.p.Now())
 		case <-ctx.Done():
 			return nil
 		}
@@ -199,7 +202,7 @@
 			s.rows.write(rowWrite{row: scheduler.JobRow{Job: model.Job{ID: action.Job}, Attempt: action.Attempt}, kind: rowRead})
 		case scheduler.DeleteRows:
 			for _, id := range action.Jobs {
-				s.rows.write(rowWrite{row: scheduler.JobRow{Job: model.Job{ID: id}}, kind: rowDelete})
+				s.rows.write(s.endedWrite(id))
 			}
 		case scheduler.Record:
 			s.p.Log.Record(action.Event)
--- a/internal/entry/schedulerrows.go
+++ b/internal/entry/schedulerrows.go
@@ -28,6 +28,8 @@
 type rowWrite struct {
 	row  scheduler.JobRow
 	kind rowKind
+	// ended is how the job ended, for rowDelete; nil when that is not known.
+	ended *scheduler.EndedJob
 }
 
 // rowResult is the result of a rowWrite.
@@ -43,6 +45,9 @@
 type loadResult struct {
 	epoch model.Epoch
 	rows  []scheduler.JobRow
+	// ended are the jobs that ended lately, kept their rows' keys.
+	ended []scheduler.EndedJob
+	kept  []keptRow
 	// snapshot is nil when there is none.
 	snapshot *scheduler.Snapshot
 	err      error
@@ -95,7 +100,7 @@
 	case rowRead:
 		result.found, result.err = s.readRow(ctx, key)
 	case rowDelete:
-		_, result.err = s.calls.table.Commit(ctx, platform.Transaction{Checks: []platform.Check{check.check}, Deletes: []string{key}})
+		result.err = s.deleteRow(ctx, key, write, check.check)
 	default:
 		result.err = s.putRow(ctx, key, write, check.check)
 	}
@@ -199,6 +204,8 @@
 		s.step(scheduler.Decided{Job: id, Attempt: attempt, Result: decisionResult(result.err)})
 	case rowRead:
 		s.step(scheduler.Decided{Job: id, Attempt: attempt, Result: readBackResult(result)})
+	case rowDelete:
+		s.noteKept(result.write)
 	case rowSave:
 		if result.err != nil {
 			s.p.Log.Record(event.Event{Code: event.RowWriteFailed, Job: id, Detail: result.err.Error()})
@@ -251,6 +258,10 @@
 			}
 			result.rows = append(result.rows, decoded)
 		}
+		if err == nil {
+			result.ended, result.kept, err = s.loadEnded(ctx)
+			result.err = err
+		}
 		if err != nil {
 			sleep(ctx, loadRetry)
 		} else {
@@ -283,9 +294,9 @@
 		return
 	}
 	document, _ := s.state.Document()
-	s.loading, s.ready = 0, true
+	s.loading, s.ready, s.kept = 0, true, result.kept
 	s.rows.reset()
-	owner := scheduler.BecomeOwner{Epoch: result.epoch, Rows: result.rows, Snapshot: result.snapshot, Config: document}
+	owner := scheduler.BecomeOwner{Epoch: result.epoch, Rows: result.rows, Ended: result.ended, Snapshot: result.snapshot, Config: document}
 	s.perform(s.core.Step(s.p.Now(), owner))
 	s.nextSnapshot = s.p.Now().Add(snapshotInterval)
 	s.state.broadcastOwner()
--- /dev/null
+++ b/internal/scheduler/ended.go
@@ -0,0 +1,59 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dragonflyyard/internal/model"
+)
+
+// EndedJob is how a job ended. It is kept for a while after the job's row is
+// deleted, so that operators learn the end also from a later owner.
+type EndedJob struct {
+	Job     model.Job
+	Attempt uint64
+	// Phase is PhaseFinished or PhaseCancelled.
+	Phase   Phase
+	At      time.Time
+	History []Explanation
+}
+
+// isOver reports whether a job in the phase will never run again.
+func (p Phase) isOver() bool {
+	return p == PhaseFinished || p == PhaseCancelled
+}
+
+// Ended returns how a job ended; false while it has not, or is not known.
+func (c *Core) Ended(id model.JobID) (EndedJob, bool) {
+	j := c.jobs[id]
+	if j == nil || !j.Phase.isOver() {
+		return EndedJob{}, false
+	}
+	return EndedJob{Job: j.Job, Attempt: j.Attempt, Phase: j.Phase, At: j.PhaseSince, History: slices.Clone(j.History)}, true
+}
+
+// restoreEnded takes over the jobs that ended under an earlier owner. Jobs of
+// the snapshot that have no row are among them.
+func (c *Core) restoreEnded(ended []EndedJob, snapshot *Snapshot) {
+	all := slices.Clone(ended)
+	if snapshot != nil {
+		for _, j := range snapshot.Jobs {
+			if j.Phase.isOver() {
+				all = append(all, EndedJob{Job: j.Job, Attempt: j.Attempt, Phase: j.Phase, At: j.PhaseSince, History: j.History})
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b EndedJob) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Job.ID, b.Job.ID))
+	})
+	for _, e := range all {
+		if c.jobs[e.Job.ID] != nil || !e.Phase.isOver() {
+			continue
+		}
+		j := &JobState{Job: e.Job, Attempt: e.Attempt, Class: e.Job.Capacity, History: slices.Clone(e.History)}
+		c.jobs[e.Job.ID] = j
+		c.enter(e.At, j, e.Phase)
+		c.rememberEnded(j)
+	}
+}
--- a/internal/scheduler/input.go
+++ b/internal/scheduler/input.go
@@ -69,6 +69,8 @@
 	// Snapshot is the last snapshot in the object store, or nil. Rows go
 	// before it; it adds the history, the estimates and the quarantine.
 	Snapshot *Snapshot
+	// Ended are the jobs that ended lately under earlier owners.
+	Ended []EndedJob
 	// Config is the configuration in force.
 	Config *model.ConfigDocument
 }
--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -28,6 +28,7 @@
 	for _, row := range in.Rows {
 		c.restoreRow(now, row, in.Snapshot)
 	}
+	c.restoreEnded(in.Ended, in.Snapshot)
 	c.recoverUntil = now.Add(c.settings.RecoveryWindow)
 	c.record(event.OwnerRecovering, "", "", "waits for the agents' reports")
 }
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -102,6 +102,7 @@
 	for _, saved := range s.Jobs {
 		c.restoreJob(saved)
 	}
+	c.ended = slices.Clone(s.Ended)
 	for _, r := range s.Reservations {
 		c.addReservation(&r)
 	}
@@ -158,7 +159,6 @@
 		c.workers[w.Worker.ID] = newWorkerState(w.Worker)
 		c.books.fleet.SetWorker(w.Worker, w.Worker.Capacity, true)
 	}
-	c.ended = slices.Clone(s.Ended)
 }
 
 func (c *Core) sortedJobs() []model.JobID {
