--- a/internal/gang/receive.go
+++ b/internal/gang/receive.go
@@ -132,9 +132,7 @@
 func (m *Member) launch(now time.Time, l *wire.Launch) {
 	t := m.tasks[l.Task]
 	if t == nil || t.attempt != l.Attempt {
-		m.send(&wire.TaskReport{
-			Job: l.Job, Attempt: l.Attempt, Task: l.Task, State: wire.TaskStopped, Detail: "attempt is not known",
-		})
+		m.reportUnknown(now, l.Job, l.Attempt, l.Task)
 		return
 	}
 	if t.state == wire.TaskReserved && !l.Renew {
@@ -173,10 +171,7 @@
 		t := m.tasks[lease.Task]
 		switch {
 		case t == nil || t.attempt < lease.Attempt:
-			m.send(&wire.TaskReport{
-				Job: jobOf(lease.Task), Attempt: lease.Attempt, Task: lease.Task, State: wire.TaskStopped,
-				Detail: "attempt is not known",
-			})
+			m.reportUnknown(now, jobOf(lease.Task), lease.Attempt, lease.Task)
 		case t.attempt == lease.Attempt && t.ended():
 			m.sendReport(t)
 		case t.attempt == lease.Attempt && t.leased():
@@ -185,6 +180,17 @@
 	}
 }
 
+// reportUnknown tells the owner that a task does not run here. A member that
+// has just started cannot know: the worker may still run a task that an earlier
+// life of the agent started, until its worker lease lapses.
+func (m *Member) reportUnknown(now time.Time, job model.JobID, attempt uint64, id model.TaskID) {
+	if now.Before(m.acceptFrom) {
+		m.do(StopTask{Task: id})
+		return
+	}
+	m.send(&wire.TaskReport{Job: job, Attempt: attempt, Task: id, State: wire.TaskStopped, Detail: "attempt is not known"})
+}
+
 // jobOf returns the job part of a task ID.
 func jobOf(id model.TaskID) model.JobID {
 	at := strings.LastIndexByte(string(id), '/')
@@ -233,6 +239,10 @@
 
 func (m *Member) stopTask(now time.Time, s *wire.StopTask) {
 	t := m.tasks[s.Task]
+	if t == nil && now.Before(m.acceptFrom) {
+		m.reportUnknown(now, s.Job, s.Attempt, s.Task)
+		return
+	}
 	if t == nil || t.attempt < s.Attempt && t.ended() {
 		t = m.remember(now, s.Job, s.Attempt, s.Task, string(s.Reason))
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -18,6 +18,9 @@
 	JobsPerWorker int
 	// WorkersPerJob is how many distinct workers a job fails on before it is parked.
 	WorkersPerJob int
+	// FailuresPerJob is how often a job fails at all before it is parked, where
+	// it finds no further workers.
+	FailuresPerJob int
 	// Window is how long a failure counts against a worker.
 	Window time.Duration
 	// Hold is the first time in quarantine; it doubles up to MaxHold.
@@ -27,7 +30,7 @@
 
 // DefaultSettings returns the limits in use.
 func DefaultSettings() Settings {
-	return Settings{JobsPerWorker: 3, WorkersPerJob: 3, Window: 30 * time.Minute, Hold: 5 * time.Minute, MaxHold: 4 * time.Hour}
+	return Settings{JobsPerWorker: 3, WorkersPerJob: 3, FailuresPerJob: 6, Window: 30 * time.Minute, Hold: 5 * time.Minute, MaxHold: 4 * time.Hour}
 }
 
 // WorkerRecord is what counts against one worker.
@@ -53,6 +56,8 @@
 type JobRecord struct {
 	Job     model.JobID
 	Workers []model.WorkerID
+	// Failures counts all failures, also on the same worker.
+	Failures int
 }
 
 // State is the tracker's whole state, sorted.
@@ -120,7 +125,8 @@
 	if !slices.Contains(j.Workers, worker) {
 		j.Workers = append(j.Workers, worker)
 	}
-	v.Park = len(j.Workers) >= t.settings.WorkersPerJob
+	j.Failures++
+	v.Park = len(j.Workers) >= t.settings.WorkersPerJob || j.Failures >= t.settings.FailuresPerJob
 	w := t.workers[worker]
 	if w == nil {
 		w = &WorkerRecord{Worker: worker}
--- a/internal/replay/jobs/driver.go
+++ b/internal/replay/jobs/driver.go
@@ -64,8 +64,12 @@
 	// Decide returns what the table service does with a write: whether it takes
 	// effect, what it answers, and when.
 	Decide func(scheduler.JobRow) (applied bool, result scheduler.DecisionResult, delay time.Duration)
+	// StoreDown reports whether the table service takes no reads.
+	StoreDown func() bool
 	// OwnerStepped is called after each step of an owner.
 	OwnerStepped func(*scheduler.Core, scheduler.Input, []scheduler.Action)
+	// MemberStepped is called after each step of a member.
+	MemberStepped func(*Host)
 	// Changed is called after the tasks of a worker changed.
 	Changed func(*Host)
 	// Started is called when a task is started on a worker.
@@ -284,7 +288,9 @@
 func (d *Driver) readBack(o *Owner, r scheduler.ReadDecision) {
 	d.After(d.Options.StoreLatency, func() {
 		result := scheduler.DecisionRefused
-		if row, ok := d.Rows[r.Job]; ok && row.Attempt == r.Attempt && len(row.Allocation) > 0 {
+		if d.Hooks.StoreDown != nil && d.Hooks.StoreDown() {
+			result = scheduler.DecisionUnavailable
+		} else if row, ok := d.Rows[r.Job]; ok && row.Attempt == r.Attempt && len(row.Allocation) > 0 {
 			result = scheduler.DecisionCommitted
 		}
 		d.StepOwner(o, scheduler.Decided{Job: r.Job, Attempt: r.Attempt, Result: result})
--- a/internal/replay/jobs/faults_test.go
+++ b/internal/replay/jobs/faults_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -12,12 +11,6 @@
 	"dragonflyyard/internal/wire"
 )
 
-// gangLimit, zoneLimit are the bounds of the product.
-const (
-	gangLimit = 3 * time.Second
-	zoneLimit = 3 * time.Second
-)
-
 var testStart = time.Unix(1_800_000_000, 0)
 
 // fleet returns 11 workers of 8 accelerators, three to a rack, in three zones.
@@ -53,114 +46,10 @@
 	return doc
 }
 
-// watch checks the promises against what the fake workers really run.
-type watch struct {
-	t       *testing.T
-	d       *Driver
-	partial map[string]time.Time
-	outAt   map[model.AvailabilityZoneName]time.Time
-	// finished counts the tasks of each attempt that ended by themselves.
-	finished map[string]int
-	failed   bool
-}
-
-func newWatch(t *testing.T, d *Driver) *watch {
-	w := &watch{t: t, d: d, partial: map[string]time.Time{}, outAt: map[model.AvailabilityZoneName]time.Time{}, finished: map[string]int{}}
-	d.Hooks.OwnerStepped = w.owner
-	d.Hooks.Changed = w.changed
-	d.Hooks.Started = w.started
-	d.Hooks.Ended = w.ended
-	d.repeat(100*time.Millisecond, w.gangs)
-	return w
-}
-
-func (w *watch) errorf(format string, args ...any) {
-	if !w.failed {
-		w.t.Errorf("at %s: %s", w.d.Now.Sub(testStart), fmt.Sprintf(format, args...))
-	}
-	w.failed = true
-}
-
-func (w *watch) owner(c *scheduler.Core, in scheduler.Input, actions []scheduler.Action) {
-	if len(actions) == 0 {
-		return
-	}
-	if err := c.CheckInvariants(); err != nil {
-		w.errorf("after %T: %v", in, err)
-	}
-}
-
-func (w *watch) changed(h *Host) {
-	var held model.Resources
-	for _, task := range h.Tasks {
-		held = held.Add(task.Needs)
-	}
-	if !held.Fits(h.Worker.Capacity) {
-		w.errorf("worker %s runs %+v", h.Worker.ID, held)
-	}
-	w.gangs()
-}
-
-func (w *watch) started(h *Host, id model.TaskID) {
-	if at, out := w.outAt[h.Worker.Zone]; out && w.d.Now.Sub(at) > zoneLimit {
-		w.errorf("task %s started in zone %s, %s after it was taken out", id, h.Worker.Zone, w.d.Now.Sub(at))
-	}
-}
-
-// gangs checks how long parts of a gang have run without the rest.
-func (w *watch) gangs() {
-	running := map[string]int{}
-	needs := map[string]int{}
-	attempts := map[model.JobID][]uint64{}
-	for _, h := range w.d.Hosts {
-		for _, task := range h.Tasks {
-			if !task.Running || task.Percent == 0 {
-				continue
-			}
-			key := attemptKey(task)
-			running[key]++
-			needs[key] = w.d.Truths[task.Job].Job.Shape.Tasks
-			if !slices.Contains(attempts[task.Job], task.Attempt) {
-				attempts[task.Job] = append(attempts[task.Job], task.Attempt)
-			}
-		}
-	}
-	for job, list := range attempts {
-		if len(list) > 1 {
-			w.errorf("job %s runs in attempts %v at once", job, list)
-		}
-	}
-	for key, n := range running {
-		if n+w.finished[key] >= needs[key] {
-			delete(w.partial, key)
-			continue
-		}
-		if w.partial[key].IsZero() {
-			w.partial[key] = w.d.Now
-		}
-		if since := w.d.Now.Sub(w.partial[key]); since > gangLimit {
-			w.errorf("%d of %d parts of %s have run for %s without the rest", n, needs[key], key, since)
-		}
-	}
-	for key := range w.partial {
-		if running[key] == 0 {
-			delete(w.partial, key)
-		}
-	}
-}
-
-// ended counts the tasks that ended by themselves, which leaves their gang whole.
-func (w *watch) ended(task *FakeTask, state wire.TaskState, _ bool) {
-	if state == wire.TaskFinished {
-		w.finished[attemptKey(task)]++
-	}
-}
-
-func attemptKey(task *FakeTask) string { return fmt.Sprintf("%s@%d", task.Job, task.Attempt) }
-
 // chaos draws jobs and faults from one seed.
 type chaos struct {
-	*watch
+	*Watch
+	t    *testing.T
 	rng  *rand.Rand
 	next int
 	lose float64
@@ -257,13 +146,13 @@
 
 func (c *chaos) zone() {
 	zone := model.AvailabilityZoneName(fmt.Sprintf("z%d", c.rng.IntN(3)))
-	if len(c.outAt) > 0 {
+	if len(c.OutAt) > 0 {
 		return
 	}
-	c.outAt[zone] = c.d.Now
+	c.OutAt[zone] = c.d.Now
 	c.d.Configure(func(doc *model.ConfigDocument) { doc.Zones[zone] = model.ZoneOut })
 	c.d.After(time.Duration(10+c.rng.IntN(80))*time.Second, func() {
-		delete(c.outAt, zone)
+		delete(c.OutAt, zone)
 		c.d.Configure(func(doc *model.ConfigDocument) { doc.Zones[zone] = model.ZoneIn })
 	})
 }
@@ -286,15 +175,18 @@
 
 func runChaos(t *testing.T, seed uint64, lose float64, length time.Duration) *chaos {
 	d := NewDriver(DefaultOptions(), fleet(), testConfig(), testStart)
-	c := &chaos{watch: newWatch(t, d), rng: rand.New(rand.NewPCG(seed, 1)), lose: lose}
+	c := &chaos{Watch: NewWatch(d), t: t, rng: rand.New(rand.NewPCG(seed, 1)), lose: lose}
 	d.Hooks.Deliver = c.deliver
 	d.Hooks.Decide = c.decide
 	d.Start()
 	end := testStart.Add(length)
-	for d.Now.Before(end) && !c.failed {
+	for d.Now.Before(end) && c.Violation == "" {
 		d.RunUntil(d.Now.Add(time.Duration(c.rng.IntN(1500)) * time.Millisecond))
 		c.fault()
 	}
+	if c.Violation != "" {
+		t.Error(c.Violation)
+	}
 	return c
 }
 
@@ -304,7 +196,7 @@
 			t.Run(fmt.Sprintf("seed %d lose %g", seed, lose), func(t *testing.T) {
 				t.Parallel()
 				c := runChaos(t, seed, lose, 75*time.Second)
-				if !c.failed && c.next < 20 {
+				if c.Violation == "" && c.next < 20 {
 					t.Errorf("only %d jobs submitted", c.next)
 				}
 			})
--- a/internal/replay/jobs/host.go
+++ b/internal/replay/jobs/host.go
@@ -64,6 +64,9 @@
 	for _, a := range h.Member.Step(h.d.Now, in) {
 		h.carryOut(a)
 	}
+	if h.d.Hooks.MemberStepped != nil {
+		h.d.Hooks.MemberStepped(h)
+	}
 }
 
 func (h *Host) carryOut(a gang.Action) {
@@ -134,6 +137,27 @@
 	h.connect()
 }
 
+// RestartAgent replaces the agent by a new life. The worker's tasks go on until
+// their worker leases lapse.
+func (h *Host) RestartAgent() {
+	h.Frozen = false
+	h.held = nil
+	h.Member = gang.NewMember(h.Worker, h.d.Options.Member, h.d.Now)
+	h.permit()
+	h.connect()
+}
+
+// Reconnect opens a new connection to the present owner.
+func (h *Host) Reconnect() { h.connect() }
+
+// Step gives an input to the host's member.
+func (h *Host) Step(in gang.Input) { h.step(in) }
+
+// End makes the worker end a task by itself.
+func (h *Host) End(id model.TaskID, state wire.TaskState) {
+	h.stop(id, state, false, "ended by the worker")
+}
+
 // Thaw ends a pause of the agent: it takes the inputs that waited.
 func (h *Host) Thaw() {
 	h.Frozen = false
--- a/internal/replay/jobs/measure.go
+++ b/internal/replay/jobs/measure.go
@@ -74,10 +74,10 @@
 	claimOwn float64
 	counted  int
 	// atFrom and atUntil are the work of tasks at the ends of the zone window.
-	atFrom      map[*FakeTask]time.Duration
-	atUntil     map[*FakeTask]time.Duration
-	kept        time.Duration
-	windowOpen  bool
+	atFrom     map[*FakeTask]time.Duration
+	atUntil    map[*FakeTask]time.Duration
+	kept       time.Duration
+	windowOpen bool
 }
 
 func newMeter(d *Driver, list List) *meter {
--- a/internal/scheduler/action.go
+++ b/internal/scheduler/action.go
@@ -31,6 +31,8 @@
 	Epoch model.Epoch
 	// DoneMS is the checkpointed work, in milliseconds at full speed.
 	DoneMS int64
+	// Parked is set for a job that is not tried again.
+	Parked bool
 }
 
 // WriteDecision writes a job's row, in a transaction that checks the owner's
--- a/internal/scheduler/borrowed.go
+++ b/internal/scheduler/borrowed.go
@@ -133,7 +133,12 @@
 			return workers, "the fullest place that takes it, beside other work that cannot checkpoint"
 		}
 	}
-	return index.Place(c.request(j)), "the fullest place that takes it"
+	r := c.request(j)
+	if workers := index.Place(r); workers != nil || r.Limit == nil {
+		return workers, "the fullest place that takes it"
+	}
+	r.Limit = nil
+	return index.Place(r), "the fullest place that takes it; only workers that it failed on are left"
 }
 
 // mayPreempt reports whether borrowed work has to yield to a waiting job: to
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -99,7 +99,7 @@
 
 // row returns the job's durable state.
 func (j *JobState) row(epoch model.Epoch) JobRow {
-	row := JobRow{Job: j.Job, Attempt: j.Attempt, Class: j.Class, Cell: j.Cell, Epoch: epoch, DoneMS: j.DoneMS}
+	row := JobRow{Job: j.Job, Attempt: j.Attempt, Class: j.Class, Cell: j.Cell, Epoch: epoch, DoneMS: j.DoneMS, Parked: j.Phase == PhaseParked}
 	row.Allocation = j.workers()
 	return row
 }
--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -49,6 +49,10 @@
 		j.Tasks = append(j.Tasks, TaskState{Worker: w})
 		c.book(j, i)
 	}
+	if row.Parked {
+		c.enter(now, j, PhaseParked)
+		return
+	}
 	c.enter(now, j, PhaseQueued)
 	if j.placed() {
 		c.fire(now, j, eventRowFound)
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -130,6 +130,7 @@
 	c.record(event.JobParked, j.Job.ID, string(j.Job.Account), text)
 	c.do(Notify{Alarm: AlarmJobParked, Subject: string(j.Job.ID), Text: text})
 	c.fire(now, j, eventStoppedAndParked)
+	c.do(SaveJob{Row: j.row(c.epoch)})
 }
 
 // endAttempt stops all tasks of a job after an event. The job moves to next when
@@ -208,6 +209,21 @@
 	j.DoneMS += max(0, done)
 }
 
+// taskMissing handles a task that its agent does not hold any more. The worker
+// may run it until its worker lease lapses, as after a restart of the agent.
+func (c *Core) taskMissing(now time.Time, w *workerState, j *JobState, i int) {
+	if isEnded(j.Tasks[i].State) {
+		return
+	}
+	j.Tasks[i].GoneAt = c.goneAt(now, w, j, i)
+	if j.Phase == PhaseRecovering {
+		j.Tasks[i].State = 0
+		return
+	}
+	text := fmt.Sprintf("the agent of %s does not hold task %d any more", w.Worker.ID, i)
+	c.endAttempt(now, j, eventMemberLost, PhaseQueued, wire.StopGangMemberLost, c.settings.MemberLostGrace, text)
+}
+
 // workerReport brings a worker up and compares what it holds with the books.
 func (c *Core) workerReport(now time.Time, r *wire.WorkerReport) {
 	w := c.workerUp(now, r.Worker)
@@ -230,9 +246,7 @@
 		if j.Phase == PhaseReserving || j.Phase == PhaseDeciding || j.Phase == PhaseInDoubt {
 			continue
 		}
-		c.taskReport(now, w.Worker.ID, &wire.TaskReport{
-			Job: j.Job.ID, Attempt: j.Attempt, Task: j.Job.Task(i), State: wire.TaskStopped, Detail: "the agent does not hold it",
-		})
+		c.taskMissing(now, w, j, i)
 	}
 	if !c.recoverUntil.IsZero() {
 		c.finishRecoveryEarly(now)
