Take a restarted home for forgotten only for IDs it lived to see

Cause: an entry host that had not heard of the new assignment took a home's new life as a sign that nobody could seal its requests, and ran idempotent ones without a claim; the range had moved, and the new home sealed an ID minted after the move: not_run for a request that ran. Change: a new life counts only for IDs minted before the entry host last heard of the former one; others wait for the new assignment. The random pairs gain the four faults of assignments.

--- a/internal/requestflow/core.go
+++ b/internal/requestflow/core.go
@@ -28,6 +28,12 @@
 	demand    wire.Demand
 }
 
+// formerLife is the last life of an agent before the connected one.
+type formerLife struct {
+	incarnation model.Incarnation
+	heard       time.Time
+}
+
 // hold is slots of a finished flight whose executor still runs the request.
 type hold struct {
 	executor   model.BackendServerID
@@ -41,18 +47,20 @@
 // Invariants: each Submit gets exactly one Finish, unless its caller is gone;
 // all tables are bounded by Config; every wait has a timer.
 type Core struct {
-	config     Config
-	links      map[model.BackendServerID]*link
-	flights    map[model.RequestID]*flight
-	callers    map[Caller]*flight
-	holds      map[model.RequestID]hold
-	timers     timerHeap
-	queue      *admission.Queue
-	controller *admission.Controller
-	table      *routing.Table
-	budget     *retry.Budget
-	assignment *wire.Assignment
-	document   *model.ConfigDocument
+	config  Config
+	links   map[model.BackendServerID]*link
+	flights map[model.RequestID]*flight
+	callers map[Caller]*flight
+	holds   map[model.RequestID]hold
+	// formerLives is bounded by the agents heard of within formerLifeTimeout.
+	formerLives map[model.BackendServerID]formerLife
+	timers      timerHeap
+	queue       *admission.Queue
+	controller  *admission.Controller
+	table       *routing.Table
+	budget      *retry.Budget
+	assignment  *wire.Assignment
+	document    *model.ConfigDocument
 
 	nextSeq     uint64
 	lastToken   uint64
@@ -69,16 +77,17 @@
 func New(config Config) *Core {
 	config = config.withDefaults()
 	c := &Core{
-		config:     config,
-		links:      map[model.BackendServerID]*link{},
-		flights:    map[model.RequestID]*flight{},
-		callers:    map[Caller]*flight{},
-		holds:      map[model.RequestID]hold{},
-		queue:      admission.NewQueue(config.FIFO),
-		controller: admission.NewController(config.DisableAdmission),
-		table:      routing.NewTable(config.Zone, config.Seed, config.RandomRouting),
-		budget:     retry.NewBudget(config.DisableRetryBudget),
-		lastToken:  uint64(config.Incarnation) * tokensPerMillisecond,
+		config:      config,
+		links:       map[model.BackendServerID]*link{},
+		flights:     map[model.RequestID]*flight{},
+		callers:     map[Caller]*flight{},
+		holds:       map[model.RequestID]hold{},
+		formerLives: map[model.BackendServerID]formerLife{},
+		queue:       admission.NewQueue(config.FIFO),
+		controller:  admission.NewController(config.DisableAdmission),
+		table:       routing.NewTable(config.Zone, config.Seed, config.RandomRouting),
+		budget:      retry.NewBudget(config.DisableRetryBudget),
+		lastToken:   uint64(config.Incarnation) * tokensPerMillisecond,
 	}
 	c.table.SetTrace(c.traceBackend)
 	return c
@@ -162,6 +171,7 @@
 		c.schedule(f)
 	}
 	c.expireHolds(now)
+	c.expireFormerLives(now)
 	c.sendDemands(now)
 }
 
--- a/internal/requestflow/fence_test.go
+++ b/internal/requestflow/fence_test.go
@@ -127,3 +127,27 @@
 	b.Settle(settleTime)
 	report(t, b, "late acceptance")
 }
+
+// An entry host that has not heard of the new assignment must not take a home
+// that restarted as a sign that nobody can seal its requests: the range may have
+// moved, and an ID minted after the move is the new home's to seal.
+func TestRestartedHomeUnderAStaleAssignment(t *testing.T) {
+	b := requesttest.New(requesttest.Options{Seed: 13, Entries: entries, Agents: agents, Skew: true})
+	b.Run(4 * time.Second)
+	b.KeepStale(1, 1, 12*time.Second)
+	b.KillAgent(0)
+	b.Run(3 * time.Second)
+	b.RestartAgent(0)
+	b.Run(3 * time.Second)
+	b.StopEntry(0)
+	for i := range 100 {
+		b.At(time.Duration(i*20)*time.Millisecond, func() {
+			request := b.NewRequest(true, time.Second)
+			b.Submit(1, request)
+			b.At(200*time.Millisecond, func() { b.Submit(0, request) })
+		})
+	}
+	b.Run(4 * time.Second)
+	b.Settle(settleTime)
+	report(t, b, "restarted home")
+}
--- a/internal/requestflow/flight.go
+++ b/internal/requestflow/flight.go
@@ -140,13 +140,22 @@
 	switch {
 	case l == nil || l.incarnation < h.Incarnation || l.suspect:
 		return h, homeDown
-	case l.incarnation > h.Incarnation:
+	case l.incarnation > h.Incarnation && c.wasAliveAfter(h, f.mintMS):
 		return h, homeReplaced
+	case l.incarnation > h.Incarnation:
+		return h, homeDown
 	default:
 		return h, homeUp
 	}
 }
 
+// wasAliveAfter reports whether this entry host heard of a home's life after the
+// given mint time.
+func (c *Core) wasAliveAfter(h dedup.Holder, mintMS int64) bool {
+	former, ok := c.formerLives[h.Home]
+	return ok && former.incarnation == h.Incarnation && mintMS <= former.heard.UnixMilli()
+}
+
 // homeReach says whether the home of a request can be asked.
 type homeReach uint8
 
@@ -154,8 +163,9 @@
 	homeUp homeReach = iota + 1
 	// homeDown means that there is no connection to the home for now.
 	homeDown
-	// homeReplaced means that the life of the home that kept the claims is over:
-	// nobody can claim or seal the request any more.
+	// homeReplaced means that the life of the home that kept the claims is over, and
+	// that it was alive after the ID was minted: nobody can claim or seal the request
+	// any more, as each later assignment starts after that life.
 	homeReplaced
 )
 
--- a/internal/requestflow/links.go
+++ b/internal/requestflow/links.go
@@ -17,6 +17,8 @@
 	// holdTimeout is how long slots of a request that was given up are counted
 	// as in use, unless its executor reports the end before.
 	holdTimeout = 30 * time.Second
+	// formerLifeTimeout is how long the former life of an agent is remembered.
+	formerLifeTimeout = time.Minute
 )
 
 func (c *Core) linkUp(now time.Time, in LinkUp) {
@@ -27,7 +29,7 @@
 	if old != nil {
 		c.dropLink(now, old)
 	}
-	l := &link{backend: in.Backend, incarnation: in.Incarnation, connection: in.Connection}
+	l := &link{backend: in.Backend, incarnation: in.Incarnation, connection: in.Connection, heard: now}
 	c.links[in.Backend.ID] = l
 	c.table.LinkUp(in.Backend, in.Leaving)
 	waits := func(f *flight) bool { return f.executor == in.Backend.ID && f.phase == phaseAsking }
@@ -91,6 +93,7 @@
 // dropLink moves the requests of a closed connection to the state "resolving".
 func (c *Core) dropLink(now time.Time, l *link) {
 	id := l.backend.ID
+	c.formerLives[id] = formerLife{incarnation: l.incarnation, heard: l.heard}
 	for request, h := range c.holds {
 		if h.executor == id {
 			delete(c.holds, request)
@@ -154,6 +157,14 @@
 	}
 }
 
+func (c *Core) expireFormerLives(now time.Time) {
+	for id, former := range c.formerLives {
+		if !now.Before(former.heard.Add(formerLifeTimeout)) {
+			delete(c.formerLives, id)
+		}
+	}
+}
+
 // sendDemands tells the agents how many slots waiting requests could use.
 func (c *Core) sendDemands(now time.Time) {
 	if now.Before(c.demandDue) {
--- a/internal/requestflow/random_test.go
+++ b/internal/requestflow/random_test.go
@@ -48,6 +48,12 @@
 			b.StopAgent(i)
 			b.At(12*time.Second, func() { b.KillAgent(i); b.RestartAgent(i) })
 		}},
+		{"stale assignment", func(b *requesttest.Bag, r *rand.Rand) {
+			b.KeepStale(r.IntN(entries), r.IntN(agents), pause(r))
+		}},
+		{"assignment accepted late", func(b *requesttest.Bag, r *rand.Rand) { b.DelayNextAssignment(pause(r)) }},
+		{"table answers lost", func(b *requesttest.Bag, r *rand.Rand) { b.StopReads(pause(r)) }},
+		{"former assignment again", func(b *requesttest.Bag, _ *rand.Rand) { b.ResendFormerAssignment() }},
 	}
 }
 
