--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -28,6 +28,7 @@
 	for _, row := range in.Rows {
 		c.restoreRow(now, row, in.Snapshot)
 	}
+	c.restoreEnded(in.Ended, in.Snapshot)
 	c.recoverUntil = now.Add(c.settings.RecoveryWindow)
 	c.record(event.OwnerRecovering, "", "", "waits for the agents' reports")
 }
@@ -49,6 +50,10 @@
 		j.Tasks = append(j.Tasks, TaskState{Worker: w})
 		c.book(j, i)
 	}
+	if row.Parked {
+		c.enter(now, j, PhaseParked)
+		return
+	}
 	c.enter(now, j, PhaseQueued)
 	if j.placed() {
 		c.fire(now, j, eventRowFound)
