--- a/internal/link/heartbeat.go
+++ b/internal/link/heartbeat.go
@@ -52,8 +52,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.peerSeq = max(t.peerSeq, h.Seq)
-	if h.AckSeq <= t.lastSeq {
-		t.ackedSeq = max(t.ackedSeq, h.AckSeq)
+	t.acknowledge(h.AckSeq)
+}
+
+// answered notes that the peer answered the heartbeat with number seq.
+func (t *heartbeatTracker) answered(seq uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.acknowledge(seq)
+}
+
+func (t *heartbeatTracker) acknowledge(seq uint64) {
+	if seq <= t.lastSeq {
+		t.ackedSeq = max(t.ackedSeq, seq)
 	}
 }
 
@@ -81,6 +92,13 @@
 	return now.Sub(t.heardAt) > limit
 }
 
+// sentCount returns how many heartbeats were made.
+func (t *heartbeatTracker) sentCount() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastSeq
+}
+
 // sentAt returns when the heartbeat with the given number was made, and false
 // when it is not remembered.
 func (t *heartbeatTracker) sentAt(seq uint64) (time.Time, bool) {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +33,8 @@
 	hub    *Hub
 	log    *event.Log
 	events *ring.Ring[observed]
+	// permits is set while each heartbeat is answered with a permit.
+	permits atomic.Bool
 }
 
 func testOptions() Options {
@@ -55,6 +58,9 @@
 	n.hub.OnState(peer, func(c *Conn, cause error) bool {
 		return n.events.TryPush(observed{conn: c, cause: cause})
 	})
+	n.hub.Handle(peer, wire.TypeHeartbeat, func(c *Conn, m wire.Message) bool {
+		return !n.permits.Load() || c.Send(&wire.Permit{AnsweredHeartbeat: m.(*wire.Heartbeat).Seq})
+	})
 	for _, kind := range []wire.Type{wire.TypeForget, wire.TypeDispatch} {
 		n.hub.Handle(peer, kind, func(c *Conn, m wire.Message) bool {
 			return n.events.TryPush(observed{conn: c, message: m})
@@ -403,6 +409,49 @@
 	}
 }
 
+func TestPermitsStandForHeartbeatsOfAnEntryHost(t *testing.T) {
+	p := newPair(t, testOptions(), 4096)
+	p.server.permits.Store(true)
+	conn := p.server.nextUp(t)
+	dialled := p.client.nextUp(t)
+	// Wait until a permit answered, then over several silence limits.
+	time.Sleep(testOptions().Silence)
+	before := conn.heartbeats.sentCount()
+	time.Sleep(3 * testOptions().Silence)
+	if conn.Cause() != nil || dialled.Cause() != nil {
+		t.Fatalf("ended: %v, %v", conn.Cause(), dialled.Cause())
+	}
+	most := 3 * uint64(testOptions().Silence/testOptions().Heartbeat) / 2
+	if sent := conn.heartbeats.sentCount() - before; sent > most {
+		t.Errorf("%d heartbeats beside permits, want at most %d", sent, most)
+	}
+	p.box.Silence(false, true)
+	if o := p.client.nextLoss(t); o.conn != dialled {
+		t.Errorf("lost %d", o.conn.ID())
+	}
+	if o := p.server.nextLoss(t); o.conn != conn {
+		t.Errorf("lost %d", o.conn.ID())
+	}
+}
+
+func TestOnlyMessagesThatAreRecordedCarryTheClock(t *testing.T) {
+	p := newPair(t, testOptions(), 4096)
+	p.server.nextUp(t)
+	p.client.nextUp(t)
+	ahead := event.Timestamp{WallMS: time.Now().Add(time.Hour).UnixMilli()}
+	p.server.log.Observe(ahead)
+	if !p.server.hub.Send("agent", &wire.Credit{Seq: 1}) {
+		t.Fatal("send refused")
+	}
+	frames := p.client.hub.traffic.framesIn.Count()
+	for p.client.hub.traffic.framesIn.Count() < frames+5 {
+		time.Sleep(time.Millisecond)
+	}
+	if got := p.client.log.Now(); ahead.Less(got) {
+		t.Error("control messages carried the clock")
+	}
+}
+
 func TestReconnectDelayGrowsToItsBound(t *testing.T) {
 	o := Options{}.WithDefaults()
 	for attempt := range 40 {
--- a/internal/link/reader.go
+++ b/internal/link/reader.go
@@ -85,6 +85,8 @@
 			continue
 		case *wire.Heartbeat:
 			c.heartbeats.received(message)
+		case *wire.Permit:
+			c.heartbeats.answered(message.AnsweredHeartbeat)
 		}
 		if err := deliver(message); err != nil {
 			return err
--- a/internal/link/writer.go
+++ b/internal/link/writer.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,6 +23,10 @@
 	encoder *wire.Encoder
 	batch   *batchConn
 	stamp   wire.Clock
+	// items are the messages of the batch that is being written.
+	items []outgoing
+	// answeredAt is when the last permit that answers a heartbeat was written.
+	answeredAt time.Time
 }
 
 // write sends queued messages and heartbeats until the connection ends.
@@ -51,27 +56,34 @@
 // writeBatch sends the first message with all others that wait, as far as one
 // batch goes, behind the sender's clock.
 func (w *writer) writeBatch(first outgoing) error {
-	messages, bytes := int64(0), int64(0)
-	err := w.begin()
-	for item, more := first, true; more && err == nil; {
-		messages++
-		bytes += item.bytes
-		if err = w.writeMessage(item.message); err != nil {
+	w.items = append(w.items[:0], first)
+	for len(w.items) < maxBatchMessages {
+		item, more := w.waiting()
+		if !more {
 			break
 		}
-		item, more = w.nextOf(messages)
+		w.items = append(w.items, item)
+	}
+	err := w.begin(slices.ContainsFunc(w.items, func(item outgoing) bool { return carriesClock(item.message) }))
+	bytes := int64(0)
+	for i, item := range w.items {
+		bytes += item.bytes
+		if err == nil {
+			err = w.writeMessage(item.message)
+		}
+		if permit, ok := item.message.(*wire.Permit); ok && permit.AnsweredHeartbeat > 0 {
+			w.answeredAt = w.now()
+		}
+		w.items[i] = outgoing{}
 	}
 	err = errors.CombineErrors(err, w.end())
-	w.queued.Add(-messages)
+	w.queued.Add(-int64(len(w.items)))
 	w.queuedSize.Add(-bytes)
 	return slowReader(err)
 }
 
-// nextOf returns another waiting message unless the batch is full.
-func (w *writer) nextOf(messages int64) (outgoing, bool) {
-	if messages >= maxBatchMessages {
-		return outgoing{}, false
-	}
+// waiting returns another message that waits, if there is one.
+func (w *writer) waiting() (outgoing, bool) {
 	select {
 	case item := <-w.out.Out():
 		return item, true
@@ -80,7 +92,19 @@
 	}
 }
 
-// writeHeartbeat sends a heartbeat unless the peer is silent.
+// carriesClock reports whether the receiver may record an event because of a
+// message. Such messages follow the sender's clock.
+func carriesClock(m wire.Message) bool {
+	switch m.(type) {
+	case *wire.Heartbeat, *wire.Permit, *wire.Credit, *wire.Demand, *wire.StoreStatus, *wire.ConfigAck:
+		return false
+	default:
+		return true
+	}
+}
+
+// writeHeartbeat sends a heartbeat unless the peer is silent. While permits
+// answer each heartbeat of an agent they stand for this process's heartbeats.
 func (w *writer) writeHeartbeat() error {
 	now := w.now()
 	if w.heartbeats.isOverdue(now, overdueIntervals*w.options.Heartbeat) {
@@ -89,22 +113,26 @@
 	if err := w.heartbeats.check(now); err != nil {
 		return err
 	}
-	err := w.begin()
+	if w.peer.Role == wire.RoleAgent && now.Sub(w.answeredAt) < w.options.Heartbeat*3/2 {
+		return nil
+	}
+	err := w.begin(false)
 	if err == nil {
 		err = w.writeMessage(w.heartbeats.next(now))
 	}
 	return slowReader(errors.CombineErrors(err, w.end()))
 }
 
-// begin opens a batch with the sender's clock.
-func (w *writer) begin() error {
+// begin opens a batch, with the sender's clock where it is asked for.
+func (w *writer) begin(withClock bool) error {
 	if err := w.ws.SetWriteDeadline(w.now().Add(w.options.WriteTimeout)); err != nil {
 		return err
 	}
 	if w.batch != nil {
 		w.batch.hold()
 	}
-	if w.clock == nil {
+	w.traffic.writes.Inc(1)
+	if w.clock == nil || !withClock {
 		return nil
 	}
 	now := w.clock.Now()
