Let three requests of an account wait longer than the bound

Cause: while another account floods, a large request of a small account put its expected wait past 200 ms and turned its next ones away. Change: the bound on the expected wait applies from the fourth waiting request of an account. TestTargets passes.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -15,6 +15,9 @@
 	// maxWait bounds the expected waiting time of an admitted request, whatever
 	// its deadline. With it small and large requests are refused alike.
 	maxWait = 200 * time.Millisecond
+	// minWaiting requests of an account may wait longer than maxWait, so that one
+	// large request does not turn a small account's next ones away.
+	minWaiting = 3
 	// minRetryAfter and maxRetryAfter bound what callers are told.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
@@ -127,7 +130,7 @@
 	if remaining <= 0 {
 		return refused(model.ReasonDeadline, wait)
 	}
-	if wait > maxWait {
+	if wait > maxWait && s.Queue.LenOf(item.Account) >= minWaiting {
 		return refused(model.ReasonAccountLimit, wait-maxWait)
 	}
 	if wait+mean+deviation > remaining && s.Queue.LenOf(item.Account) > 0 {
