--- a/internal/tools/demo/show.go
+++ b/internal/tools/demo/show.go
@@ -58,9 +58,9 @@
 		{"serve requests through each entry host", s.serveRequests},
 		{"reclaim a guaranteed shape for a gang", s.runGang},
 		{"take a zone out and back", s.changeZone},
-		{"kill an agent during the work", s.killAgent},
 		{"stop an entry host gracefully under load", s.stopEntry},
 		{"stop an agent gracefully under load", s.stopAgent},
+		{"kill an agent during the work", s.killAgent},
 		{"report", s.report},
 	}
 	for _, step := range steps {
@@ -184,7 +184,7 @@
 func (s *show) killAgent() error {
 	const count, callers = 300, 32
 	victim := s.region.Agents[s.region.Deployment.Agents-1]
-	s.load.run(count, callers, s.allEntries(), func() {
+	s.load.run(count, callers, s.allEntries()[:s.region.Deployment.Entries-1], func() {
 		victim.Signal(syscall.SIGKILL)
 		s.say("killed %s", victim.Name)
 	})
@@ -217,7 +217,7 @@
 func (s *show) stopAgent() error {
 	const count, callers = 600, 16
 	others := s.allEntries()[:s.region.Deployment.Entries-1]
-	stopping := s.region.Agents[0]
+	stopping := s.region.Agents[2]
 	before := len(s.load.requests)
 	s.load.run(count, callers, others, func() { stopping.Signal(syscall.SIGTERM) })
 	s.promise(stopping.AwaitExit(startLimit), "%s stopped by itself", stopping.Name)
@@ -274,14 +274,8 @@
 
 // timeline prints the merged time line of the gang and of the zone that left.
 func (s *show) timeline() error {
-	args := []string{"timeline"}
-	for i := range s.region.Deployment.Agents {
-		if i != s.region.Deployment.Agents-1 {
-			args = append(args, "--process", s.region.Deployment.AgentHTTPAddress(i))
-		}
-	}
 	for _, filter := range [][]string{{"--job", "scoring"}, {"--zone", string(s.region.Deployment.Zones[1])}} {
-		lines, err := s.region.Ctl(append(append([]string{}, args...), filter...)...)
+		lines, err := s.region.Ctl(append([]string{"timeline"}, filter...)...)
 		if err != nil && lines == "" {
 			return err
 		}
