Let the first assignment's homes know every request, and pieces of ranges too

A fresh system refused non-idempotent requests for about 4.5 s, since the homes of the first assignment knew only IDs minted after the longest permit. Nobody granted anything before the first assignment (version 0 is absent), so its ranges start at zero. Found on the way: when ranges are cut finer as the fleet grows, a home took a piece for a new hold and answered 'outside the horizon' for the IDs of the last seconds; a piece now keeps the time of its range. Test first: TestFloorOfFirstAndOfCutRanges fails without the two changes.

--- a/internal/dedup/claims.go
+++ b/internal/dedup/claims.go
@@ -81,6 +81,7 @@
 	if c.assignment != nil && a.Version <= c.assignment.Version {
 		return
 	}
+	before := c.assignment
 	c.assignment = &a
 	kept := map[tenure]int64{}
 	for i := range a.Ranges {
@@ -89,13 +90,27 @@
 			continue
 		}
 		kept[held] = unixMS(now)
-		if first, known := c.received[held]; known {
+		if first, known := c.firstHeard(before, held); known {
 			kept[held] = first
 		}
 	}
 	c.received = kept
 }
 
+// firstHeard returns when this agent first heard of a hold. The range may be a
+// piece of one that it held before, since ranges are cut as the fleet grows.
+func (c *Claims) firstHeard(before *wire.Assignment, held tenure) (int64, bool) {
+	if first, known := c.received[held]; known || before == nil || len(before.Ranges) == 0 {
+		return first, known
+	}
+	whole, ok := c.tenureOf(rangeOf(before, held.firstHash))
+	if !ok || whole.since != held.since {
+		return 0, false
+	}
+	first, known := c.received[whole]
+	return first, known
+}
+
 // tenureOf returns this agent's hold of a range, as its home or previous home.
 func (c *Claims) tenureOf(r *wire.HomeRange) (tenure, bool) {
 	switch {
@@ -112,7 +127,7 @@
 func (c *Claims) floor(id model.RequestID, holder Holder) int64 {
 	floor := max(holder.FloorUnixMS, c.window.Floor())
 	held, ok := c.tenureOf(rangeOf(c.assignment, Hash(id)))
-	if !ok {
+	if !ok || held.since == wire.SinceFirstAssignment {
 		return floor
 	}
 	granted := c.received[held] + (c.longestPermit + 2*c.skew).Milliseconds()
--- a/internal/dedup/dedup_test.go
+++ b/internal/dedup/dedup_test.go
@@ -115,6 +115,41 @@
 	granted[id] = h
 }
 
+// A home of the first assignment knows every request; one that got a range
+// later knows only those minted long enough after it heard of it, also once the
+// range is cut into pieces.
+func TestFloorOfFirstAndOfCutRanges(t *testing.T) {
+	const nowMS, heardMS = 1_800_000_100_000, 1_800_000_000_000
+	for name, c := range map[string]struct {
+		since, mint int64
+		granted     bool
+	}{
+		"first assignment":                      {wire.SinceFirstAssignment, heardMS - 5000, true},
+		"heard long ago, minted before":         {heardMS - 9000, heardMS - 5000, false},
+		"heard long ago, minted after the cut":  {heardMS - 9000, nowMS - 100, true},
+		"heard long ago, minted before the cut": {heardMS - 9000, nowMS - 20_000, true},
+	} {
+		claims := NewClaims(Limits{
+			Self: "a", Incarnation: 1, ClockSkewBound: 500 * time.Millisecond, LongestPermit: 2500 * time.Millisecond,
+			Horizon: time.Hour, MaxRecords: 100,
+		})
+		r := wire.HomeRange{Home: "a", Incarnation: 1, SinceUnixMS: c.since}
+		claims.SetAssignment(time.UnixMilli(heardMS), wire.Assignment{Version: 1, Ranges: []wire.HomeRange{r}})
+		half := r
+		half.FirstHash = 1 << 63
+		claims.SetAssignment(time.UnixMilli(nowMS-10), wire.Assignment{Version: 2, Ranges: []wire.HomeRange{r, half}})
+		now := time.UnixMilli(nowMS)
+		claims.SetPermit(Permit{Assignment: 2, ValidUntil: now.Add(time.Second)})
+		for n := range 20 {
+			id := model.RequestID(fmt.Sprintf("%08x-%04x-7000-8000-%012x", c.mint>>16, c.mint&0xffff, n))
+			reply := claims.Handle(now, "e", &wire.Claim{Request: id, Executor: "a", Assignment: 2, Token: uint64(n)})
+			if reply.Granted != c.granted {
+				t.Errorf("%s: request %d: granted %v, state %d", name, n, reply.Granted, reply.State)
+			}
+		}
+	}
+}
+
 func BenchmarkClaim(b *testing.B) {
 	c := NewClaims(Limits{Self: "a", Incarnation: 1, Horizon: time.Minute, MaxRecords: 100_000})
 	c.SetAssignment(time.UnixMilli(0), wire.Assignment{Version: 1, Ranges: []wire.HomeRange{{Home: "a", Incarnation: 1}}})
--- a/internal/membership/homes.go
+++ b/internal/membership/homes.go
@@ -39,9 +39,11 @@
 // bound and the time for which a leaving agent lingers. A range whose previous
 // home still keeps claims for it is not moved again while its home is alive,
 // since a range remembers only one previous home. A previous home that is gone is
-// cleared.
+// cleared. The first assignment of all starts at once: nobody granted anything
+// before it.
 func PlanHomes(present wire.Assignment, agents []HomeAgent, nowUnixMS int64, settle time.Duration) (wire.Assignment, bool) {
 	plan := newHomePlan(agents, nowUnixMS, settle.Milliseconds())
+	plan.isFirst = present.Version == 0
 	if len(plan.agents) == 0 {
 		return present, false
 	}
@@ -74,6 +76,7 @@
 	open    []int
 	now     int64
 	settle  int64
+	isFirst bool
 	changed bool
 }
 
@@ -172,6 +175,9 @@
 		Incarnation: agent.Incarnation,
 		SinceUnixMS: p.now + p.settle,
 	}
+	if p.isFirst {
+		next.SinceUnixMS = wire.SinceFirstAssignment
+	}
 	if incarnation, alive := p.live[old.Home]; alive && incarnation == old.Incarnation {
 		next.PreviousHome = old.Home
 		next.PreviousIncarnation = old.Incarnation
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -2,6 +2,10 @@
 
 import "dragonflyyard/internal/model"
 
+// SinceFirstAssignment is the start of the ranges of a region's first home
+// assignment. No agent granted a claim before it, so its homes know all requests.
+const SinceFirstAssignment = 0
+
 // HomeRange gives the home agent of one range of the request key space. The
 // range ends where the next one of the list begins.
 type HomeRange struct {
