--- a/internal/link/accept.go
+++ b/internal/link/accept.go
@@ -60,27 +60,35 @@
 // accepted does the answering side of the handshake and serves the connection.
 func (h *Hub) accepted(ctx context.Context, ws *websocket.Conn) {
 	defer func() { _ = ws.Close() }()
+	life := newAcceptedLifecycle(h.options.Trace)
 	message, err := readFirst(ws, h.now().Add(h.options.DialTimeout))
 	if err != nil {
+		life.greetingFailed(err)
 		return
 	}
 	hello, ok := message.(*wire.Hello)
 	if !ok || hello.Process == "" || (hello.Role != wire.RoleAgent && hello.Role != wire.RoleEntry) {
+		life.greetingFailed(ErrHandshake)
 		return
 	}
 	id := h.lastID.Add(1)
 	if err := h.welcome(ws, id); err != nil {
+		life.greetingFailed(err)
 		return
 	}
 	peer := Peer{
 		Role: hello.Role, Process: hello.Process, Incarnation: hello.Incarnation,
 		Address: ws.RemoteAddr().String(), Hello: hello, Connection: id,
+		HTTPAddress: hello.HTTPAddress, Zone: hello.Zone,
 	}
-	_ = h.serve(ctx, ws, peer, id)
+	_ = h.serve(ctx, ws, peer, id, life)
 }
 
 func (h *Hub) welcome(ws *websocket.Conn, id uint64) error {
-	welcome := &wire.Welcome{Process: h.identity.Process, Incarnation: h.identity.Incarnation, Connection: id}
+	welcome := &wire.Welcome{
+		Process: h.identity.Process, Incarnation: h.identity.Incarnation, Connection: id,
+		HTTPAddress: h.identity.HTTPAddress, Zone: h.identity.Zone,
+	}
 	if h.identity.Roster != nil {
 		welcome.Roster = h.identity.Roster()
 	}
--- a/internal/link/writer.go
+++ b/internal/link/writer.go
@@ -12,11 +12,16 @@
 // maxBatchMessages bounds the messages that are written together.
 const maxBatchMessages = 64
 
+// overdueIntervals is how many heartbeat intervals may pass without a message
+// before the peer is suspect.
+const overdueIntervals = 2
+
 // writer is the writing goroutine's part of a connection.
 type writer struct {
 	*Conn
 	encoder *wire.Encoder
 	batch   *batchConn
+	stamp   wire.Clock
 }
 
 // write sends queued messages and heartbeats until the connection ends.
@@ -78,6 +83,9 @@
 // writeHeartbeat sends a heartbeat unless the peer is silent.
 func (w *writer) writeHeartbeat() error {
 	now := w.now()
+	if w.heartbeats.isOverdue(now, overdueIntervals*w.options.Heartbeat) {
+		w.life.fire(eventHeartbeatOverdue)
+	}
 	if err := w.heartbeats.check(now); err != nil {
 		return err
 	}
@@ -99,8 +107,9 @@
 	if w.clock == nil {
 		return nil
 	}
-	stamp := w.clock.Now()
-	return w.writeMessage(&wire.Clock{WallMS: stamp.WallMS, Counter: stamp.Counter})
+	now := w.clock.Now()
+	w.stamp = wire.Clock{WallMS: now.WallMS, Counter: now.Counter}
+	return w.writeMessage(&w.stamp)
 }
 
 func (w *writer) end() error {
