--- a/internal/faultmatrix/config_world_test.go
+++ b/internal/faultmatrix/config_world_test.go
@@ -71,7 +71,7 @@
 // and has small pages, so that they lack the history before it for a while.
 func configLimits() configstore.Limits {
 	limits := configstore.DefaultLimits()
-	limits.SnapshotEvery, limits.Retention, limits.PageRows = 4, 200, 4
+	limits.SnapshotEvery, limits.Retention, limits.PageRows = 2, 200, 4
 	return limits
 }
 
