--- a/internal/proctest/job_test.go
+++ b/internal/proctest/job_test.go
@@ -175,6 +175,8 @@
 
 func TestTwoOperatorsRaceOnOneZone(t *testing.T) {
 	c := startJobs(t, 2, 3)
+	// An entry host accepts no change until it is a member of the roster.
+	c.setZone(c.entries[1], zones[1], model.ZoneIn)
 	const races = 10
 	for range races {
 		var document model.ConfigDocument
