--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -78,7 +78,7 @@
 			writeReply(ctx, errorReply(fasthttp.StatusServiceUnavailable, "busy", "The scheduler is busy; nothing was accepted.", time.Second))
 			return
 		}
-	} else if !s.remote.forward(string(s.state.Owner().Owner), call) {
+	} else if !s.remote.forward(string(s.state.lastOwner().Owner), call) {
 		writeReply(ctx, noOwnerReply())
 		return
 	}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -204,12 +204,12 @@
 	return s.document.Load(), s.ready.Load()
 }
 
-// Owner returns the region lease as last known.
-func (s *State) Owner() ownerView { return *s.ownerNow.Load() }
+// lastOwner returns the region lease as last known.
+func (s *State) lastOwner() ownerView { return *s.ownerNow.Load() }
 
 // holdsLease reports whether this entry host may act as the owner now.
 func (s *State) holdsLease(now time.Time) (model.Epoch, bool) {
-	view := s.Owner()
+	view := s.lastOwner()
 	return view.Epoch, view.Mine && now.Before(view.ValidUntil)
 }
 
@@ -217,7 +217,7 @@
 // not act at this moment: its lease ended, and the roster's agreement is not
 // fresh.
 func (s *State) isDormant(now time.Time) bool {
-	view := s.Owner()
+	view := s.lastOwner()
 	return view.Mine && !now.Before(view.ValidUntil)
 }
 
--- a/internal/entry/statecores.go
+++ b/internal/entry/statecores.go
@@ -186,7 +186,7 @@
 // noteOwner takes in that an entry host owns the region under an epoch. A later
 // epoch than this host's own ends its ownership.
 func (s *State) noteOwner(owner model.EntryID, epoch model.Epoch) {
-	view := s.Owner()
+	view := s.lastOwner()
 	if epoch < view.Epoch || epoch == view.Epoch && (view.Mine || owner == "") {
 		return
 	}
@@ -208,7 +208,7 @@
 // reach and no later owner began, so that running work goes on. Its writes
 // still fail, and are fenced once the service is back.
 func (s *State) extendOwnership(now time.Time) {
-	view := s.Owner()
+	view := s.lastOwner()
 	if s.ownEpoch == 0 || view.Epoch != s.ownEpoch || now.Before(view.ValidUntil.Add(-extendBefore)) {
 		return
 	}
@@ -294,7 +294,7 @@
 
 // planHomes proposes a new home assignment when agents came or went.
 func (s *State) planHomes(now time.Time) {
-	if _, mine := s.holdsLease(now); !mine || s.Owner().Outage || now.Sub(s.ownerAt) < homeSettle {
+	if _, mine := s.holdsLease(now); !mine || s.lastOwner().Outage || now.Sub(s.ownerAt) < homeSettle {
 		return
 	}
 	view := s.config.View()
--- a/internal/entry/statelinks.go
+++ b/internal/entry/statelinks.go
@@ -137,7 +137,7 @@
 	view := s.config.View()
 	s.issuer.SetState(permit.State{
 		Ready: view.Ready, Config: view.Config, Assignment: view.Assignment,
-		OwnerEpoch: s.Owner().Epoch, CurrentSince: view.CurrentSince,
+		OwnerEpoch: s.lastOwner().Epoch, CurrentSince: view.CurrentSince,
 		ZonesOut: view.ZonesOut, InDoubt: view.AssignmentInDoubt,
 	})
 }
