--- a/internal/ctl/calls_test.go
+++ b/internal/ctl/calls_test.go
@@ -13,6 +13,7 @@
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/operatorapi"
+	"dragonflyyard/internal/program"
 )
 
 var (
@@ -238,5 +239,5 @@
 }
 
 func TestVersion(t *testing.T) {
-	runCtl(t, "", nil, "version").expect(t, ExitDone, "dragonflyctl "+Version)
+	runCtl(t, "", nil, "version").expect(t, ExitDone, "dragonflyctl "+program.Version)
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -10,10 +10,9 @@
 
 	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
-)
 
-// Version is the program's version.
-const Version = "0.1.0"
+	"dragonflyyard/internal/program"
+)
 
 // Environment is what a run of the program takes from its surroundings.
 type Environment struct {
@@ -62,7 +61,7 @@
 	return &cli.Command{
 		Name:    "dragonflyctl",
 		Usage:   "operate a dragonflyyard region: accounts, guarantees, zones, configuration, jobs, requests",
-		Version: Version,
+		Version: program.Version,
 		Description: "Commands call the entry hosts given with --entry in turn; the next one is tried only where that is safe.\n" +
 			"Exit codes: 0 done; 1 refused, nothing changed; 2 wrong usage or file; 3 another operator's change came first;\n" +
 			"4 not accepted for now, nothing changed; 5 in doubt, it may have taken effect; 6 a check did not hold.",
@@ -103,7 +102,7 @@
 
 func (a *app) versionCommand() *cli.Command {
 	return &cli.Command{Name: "version", Usage: "print the version", Action: func(context.Context, *cli.Command) error {
-		a.printf("dragonflyctl %s\n", Version)
+		a.printf("dragonflyctl %s\n", program.Version)
 		return nil
 	}}
 }
