Test an outage of the table service and a killed owner with real processes

The state half had no test of its own with processes. During an outage of 6 s, longer than permits and leases last, callers go on and no change is accepted. Found: once a configuration exists, only accounts in it are served, so the test makes the callers' account first.

--- /dev/null
+++ b/internal/proctest/store_test.go
@@ -0,0 +1,136 @@
+package proctest
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"dragonflyyard/internal/event"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/operatorapi"
+	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/tablestore"
+)
+
+// storeOutage is how long the table service stays down.
+const storeOutage = 6 * time.Second
+
+// setStoreFaults sets the fault switches of the table service.
+func (c *cluster) setStoreFaults(faults standin.Faults) {
+	c.t.Helper()
+	body, err := json.Marshal(standin.FaultsRequest{Service: standin.ServiceTable, Faults: faults})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	response, err := c.client.Post("http://"+c.standin.http+standin.PathFaults, "application/json", bytes.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	_ = response.Body.Close()
+}
+
+// change sends a change of the tests' client account through an entry host and
+// returns the HTTP status.
+func (c *cluster) change(entry *proc, id string, expected model.ConfigVersion) (int, operatorapi.ChangeReply) {
+	c.t.Helper()
+	body, err := json.Marshal(model.ConfigChange{
+		ID: model.ChangeID(id), Object: "account/" + account, ExpectedVersion: expected,
+		Account: &model.ClientAccount{ID: account, Weight: 1, MaxQueued: 1000},
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	response, err := c.client.Post("http://"+entry.http+operatorapi.PathChanges, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0, operatorapi.ChangeReply{}
+	}
+	defer func() { _ = response.Body.Close() }()
+	var reply operatorapi.ChangeReply
+	_ = json.NewDecoder(response.Body).Decode(&reply)
+	return response.StatusCode, reply
+}
+
+// TestTableServiceOutageUnderLoad takes the table service down and brings it
+// back while callers go on. No change is reported as accepted meanwhile, and all
+// processes together stay within the services' limits.
+func TestTableServiceOutageUnderLoad(t *testing.T) {
+	c := startCluster(t, 3, 3, time.Millisecond)
+	c.awaitSettled()
+	status, reply := c.change(c.entries[0], "before", 0)
+	if status != http.StatusOK || reply.Status != operatorapi.ChangeAccepted {
+		t.Fatalf("a change before the outage: %d %+v", status, reply)
+	}
+	l := c.load(6)
+	c.setStoreFaults(standin.Faults{Down: true})
+	for _, entry := range c.entries {
+		if status, reply := c.change(entry, "during-"+entry.name, reply.Version); status == http.StatusOK {
+			t.Errorf("%s accepted a change in an outage: %+v", entry.name, reply)
+		}
+	}
+	// Longer than permits and leases last, so that neither carries it over.
+	for began := time.Now(); time.Since(began) < storeOutage; {
+		c.awaitStarts(300)
+	}
+	c.setStoreFaults(standin.Faults{})
+	c.await("a change to be accepted again", func() bool {
+		status, _ := c.change(c.entries[1], "after", reply.Version)
+		return status == http.StatusOK
+	})
+	c.awaitStarts(300)
+	answers := l.stop()
+	c.check(answers)
+	answered := 0
+	for _, a := range answers {
+		if a.Status == http.StatusOK {
+			answered++
+		}
+	}
+	if answered < len(answers)*95/100 {
+		t.Errorf("%d of %d requests were answered", answered, len(answers))
+	}
+	var stats standin.Stats
+	c.await("the load of the table service", func() bool { return c.getJSON(c.standin.http, standin.PathStats, &stats) })
+	t.Logf("%d of %d requests answered; table service: %+v", answered, len(answers), stats)
+	if stats.Writes.Peak > tablestore.MaxWrites || stats.Reads.Peak > tablestore.MaxReads {
+		t.Errorf("peak of %d writes and %d reads a second", stats.Writes.Peak, stats.Reads.Peak)
+	}
+}
+
+// elections counts how often a process became the owner of the region.
+func (c *cluster) elections(p *proc) int {
+	count := 0
+	for _, e := range c.timeline(p, "") {
+		if e.Code == int(event.OwnerElected) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestKilledOwnerIsReplaced kills the owner of the region's scheduler.
+func TestKilledOwnerIsReplaced(t *testing.T) {
+	c := startCluster(t, 3, 1, time.Millisecond)
+	var owner *proc
+	var others []*proc
+	c.await("an owner", func() bool {
+		owner, others = nil, nil
+		for _, entry := range c.entries {
+			if c.elections(entry) > 0 {
+				owner = entry
+			} else {
+				others = append(others, entry)
+			}
+		}
+		return owner != nil && len(others) == 2
+	})
+	c.signal(owner, syscall.SIGKILL)
+	killed := time.Now()
+	c.await("another owner", func() bool { return c.elections(others[0])+c.elections(others[1]) > 0 })
+	t.Logf("another owner after %v", time.Since(killed).Round(10*time.Millisecond))
+	if c.elections(others[0])+c.elections(others[1]) > 1 {
+		t.Error("both others became owners")
+	}
+}
