--- a/internal/proctest/store_test.go
+++ b/internal/proctest/store_test.go
@@ -18,20 +18,6 @@
 // storeOutage is how long the table service stays down.
 const storeOutage = 6 * time.Second
 
-// setStoreFaults sets the fault switches of the table service.
-func (c *cluster) setStoreFaults(faults standin.Faults) {
-	c.t.Helper()
-	body, err := json.Marshal(standin.FaultsRequest{Service: standin.ServiceTable, Faults: faults})
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	response, err := c.client.Post("http://"+c.standin.http+standin.PathFaults, "application/json", bytes.NewReader(body))
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	_ = response.Body.Close()
-}
-
 // change sends a change of the tests' client account through an entry host and
 // returns the HTTP status.
 func (c *cluster) change(entry *proc, id string, expected model.ConfigVersion) (int, operatorapi.ChangeReply) {
