--- a/internal/dedup/claims.go
+++ b/internal/dedup/claims.go
@@ -88,7 +88,7 @@
 		if !ok {
 			continue
 		}
-		kept[held] = unixMS(now)
+		kept[held] = now.UnixMilli()
 		if first, known := c.received[held]; known {
 			kept[held] = first
 		}
@@ -134,7 +134,7 @@
 func (c *Claims) Assignment() *wire.Assignment { return c.assignment }
 
 // Advance forgets claims older than the horizon.
-func (c *Claims) Advance(now time.Time) { c.window.Advance(unixMS(now)) }
+func (c *Claims) Advance(now time.Time) { c.window.Advance(now.UnixMilli()) }
 
 // Len returns the number of claims kept.
 func (c *Claims) Len() int { return c.window.Len() }
@@ -204,7 +204,7 @@
 	if !c.permit.IsValid(now) || c.permit.Assignment != c.Version() || m.Assignment != c.Version() {
 		return wire.StateRejected, model.ReasonPermitExpired
 	}
-	if mintMS > unixMS(now)+c.skew.Milliseconds() {
+	if mintMS > now.UnixMilli()+c.skew.Milliseconds() {
 		return wire.StateRejected, model.ReasonOutsideHorizon
 	}
 	if mintMS <= c.floor(m.Request, holder) {
--- a/internal/dedup/id.go
+++ b/internal/dedup/id.go
@@ -4,8 +4,6 @@
 package dedup
 
 import (
-	"time"
-
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
@@ -51,6 +49,3 @@
 	h = (h ^ h>>27) * mixB
 	return h ^ h>>31
 }
-
-// unixMS returns a time in milliseconds since the Unix epoch.
-func unixMS(t time.Time) int64 { return t.UnixMilli() }
--- a/internal/executor/config.go
+++ b/internal/executor/config.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"cmp"
 	"time"
 
 	"dragonflyyard/internal/model"
@@ -59,24 +60,18 @@
 
 func (c Config) withDefaults() Config {
 	d := DefaultConfig()
-	setDefault(&c.Slots, d.Slots)
-	setDefault(&c.Connections, d.Connections)
-	setDefault(&c.ClockSkewBound, d.ClockSkewBound)
-	setDefault(&c.LongestPermit, d.LongestPermit)
-	setDefault(&c.Horizon, d.Horizon)
-	setDefault(&c.MaxRecords, d.MaxRecords)
-	setDefault(&c.AnswerTTL, d.AnswerTTL)
-	setDefault(&c.MaxAnswerBytes, d.MaxAnswerBytes)
-	setDefault(&c.MaxBodyBytes, d.MaxBodyBytes)
-	setDefault(&c.MaxPartialBytes, d.MaxPartialBytes)
-	setDefault(&c.MaxWaiters, d.MaxWaiters)
-	setDefault(&c.LeaveLinger, d.LeaveLinger)
-	setDefault(&c.MaxLinger, d.MaxLinger)
+	c.Slots = cmp.Or(c.Slots, d.Slots)
+	c.Connections = cmp.Or(c.Connections, d.Connections)
+	c.ClockSkewBound = cmp.Or(c.ClockSkewBound, d.ClockSkewBound)
+	c.LongestPermit = cmp.Or(c.LongestPermit, d.LongestPermit)
+	c.Horizon = cmp.Or(c.Horizon, d.Horizon)
+	c.MaxRecords = cmp.Or(c.MaxRecords, d.MaxRecords)
+	c.AnswerTTL = cmp.Or(c.AnswerTTL, d.AnswerTTL)
+	c.MaxAnswerBytes = cmp.Or(c.MaxAnswerBytes, d.MaxAnswerBytes)
+	c.MaxBodyBytes = cmp.Or(c.MaxBodyBytes, d.MaxBodyBytes)
+	c.MaxPartialBytes = cmp.Or(c.MaxPartialBytes, d.MaxPartialBytes)
+	c.MaxWaiters = cmp.Or(c.MaxWaiters, d.MaxWaiters)
+	c.LeaveLinger = cmp.Or(c.LeaveLinger, d.LeaveLinger)
+	c.MaxLinger = cmp.Or(c.MaxLinger, d.MaxLinger)
 	return c
 }
-
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/internal/requestflow/config.go
+++ b/internal/requestflow/config.go
@@ -1,6 +1,7 @@
 package requestflow
 
 import (
+	"cmp"
 	"time"
 
 	"dragonflyyard/internal/model"
@@ -72,23 +73,17 @@
 
 func (c Config) withDefaults() Config {
 	d := DefaultConfig()
-	setDefault(&c.ClockSkewBound, d.ClockSkewBound)
-	setDefault(&c.MaxRequests, d.MaxRequests)
-	setDefault(&c.MaxQueuedPerAccount, d.MaxQueuedPerAccount)
-	setDefault(&c.MaxCallers, d.MaxCallers)
-	setDefault(&c.MaxAnswerBytes, d.MaxAnswerBytes)
-	setDefault(&c.ClaimTimeout, d.ClaimTimeout)
-	setDefault(&c.ProbeInterval, d.ProbeInterval)
-	setDefault(&c.ResolveTimeout, d.ResolveTimeout)
-	setDefault(&c.ReconnectGrace, d.ReconnectGrace)
-	setDefault(&c.SealTimeout, d.SealTimeout)
-	setDefault(&c.TickInterval, d.TickInterval)
-	setDefault(&c.MaxAttempts, d.MaxAttempts)
+	c.ClockSkewBound = cmp.Or(c.ClockSkewBound, d.ClockSkewBound)
+	c.MaxRequests = cmp.Or(c.MaxRequests, d.MaxRequests)
+	c.MaxQueuedPerAccount = cmp.Or(c.MaxQueuedPerAccount, d.MaxQueuedPerAccount)
+	c.MaxCallers = cmp.Or(c.MaxCallers, d.MaxCallers)
+	c.MaxAnswerBytes = cmp.Or(c.MaxAnswerBytes, d.MaxAnswerBytes)
+	c.ClaimTimeout = cmp.Or(c.ClaimTimeout, d.ClaimTimeout)
+	c.ProbeInterval = cmp.Or(c.ProbeInterval, d.ProbeInterval)
+	c.ResolveTimeout = cmp.Or(c.ResolveTimeout, d.ResolveTimeout)
+	c.ReconnectGrace = cmp.Or(c.ReconnectGrace, d.ReconnectGrace)
+	c.SealTimeout = cmp.Or(c.SealTimeout, d.SealTimeout)
+	c.TickInterval = cmp.Or(c.TickInterval, d.TickInterval)
+	c.MaxAttempts = cmp.Or(c.MaxAttempts, d.MaxAttempts)
 	return c
 }
-
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
