--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,10 @@
 docs: faults
 	$(GO) test -count=1 ./internal/event ./internal/statechart -update
 
+# Replays the seeded lists of both paths and prints docs/POLICY.md's tables.
+policy:
+	@$(GO) run ./internal/tools/policy
+
 clean:
 	rm -rf bin
 
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -33,7 +33,7 @@
 
 // runTimeAging is how long a job may be passed by shorter ones, as a multiple
 // of its expected run time, when completion time has the full weight.
-const runTimeAging = 6
+const runTimeAging = 1
 
 func (c *Core) account(id model.ClientAccountID) *accountState {
 	a := c.accounts[id]
