--- a/internal/replay/jobs/table.go
+++ b/internal/replay/jobs/table.go
@@ -11,7 +11,7 @@
 const Seeds = 10
 
 // parallel bounds the replays at a time.
-const parallel = 4
+const parallel = 8
 
 // Targets of the policy.
 const (
