Make one of three ways to call the platform and to open a region

Cause: duplicates showed the state duty's calls of the platform three times, and the demo and the region tool opening a region each on its own. Change: callPlatform, localregion.Open and Configure. No behaviour changes; entry's tests pass under race.

--- a/internal/entry/statecores.go
+++ b/internal/entry/statecores.go
@@ -78,41 +78,54 @@
 func (s *State) callForConfig(action configstore.Action) {
 	switch action := action.(type) {
 	case configstore.ListRows:
-		s.call(func(ctx context.Context) stateInput {
-			rows, err := s.calls.table.List(ctx, action.Prefix, action.After, action.Limit)
+		callPlatform(s, func(ctx context.Context) ([]platform.Row, error) {
+			return s.calls.table.List(ctx, action.Prefix, action.After, action.Limit)
+		}, func(rows []platform.Row, err error) stateInput {
 			return stateInput{config: configstore.RowsListed{Call: action.Call, Result: configResult(err), Rows: rows}}
-		}, stateInput{config: configstore.RowsListed{Call: action.Call, Result: configstore.ResultUnavailable}})
+		})
 	case configstore.ReadRow:
-		s.call(func(ctx context.Context) stateInput {
-			row, err := s.calls.table.Get(ctx, action.Key)
+		callPlatform(s, func(ctx context.Context) (platform.Row, error) {
+			return s.calls.table.Get(ctx, action.Key)
+		}, func(row platform.Row, err error) stateInput {
 			return stateInput{config: configstore.RowRead{Call: action.Call, Result: configResult(err), Row: row}}
-		}, stateInput{config: configstore.RowRead{Call: action.Call, Result: configstore.ResultUnavailable}})
+		})
 	case configstore.Commit:
-		s.call(func(ctx context.Context) stateInput {
-			versions, err := s.calls.table.Commit(ctx, action.Transaction)
+		callPlatform(s, s.commit(action.Transaction), func(versions []platform.RowVersion, err error) stateInput {
 			return stateInput{config: configstore.Committed{Call: action.Call, Result: configResult(err), Versions: versions}}
-		}, stateInput{config: configstore.Committed{Call: action.Call, Result: configstore.ResultUnavailable}})
+		})
 	case configstore.ReadObject:
-		s.call(func(ctx context.Context) stateInput {
-			value, err := s.calls.objects.GetObject(ctx, action.Key)
+		callPlatform(s, func(ctx context.Context) ([]byte, error) {
+			return s.calls.objects.GetObject(ctx, action.Key)
+		}, func(value []byte, err error) stateInput {
 			return stateInput{config: configstore.ObjectRead{Call: action.Call, Result: configResult(err), Value: value}}
-		}, stateInput{config: configstore.ObjectRead{Call: action.Call, Result: configstore.ResultUnavailable}})
+		})
 	case configstore.WriteObject:
-		s.call(func(ctx context.Context) stateInput {
-			err := s.calls.objects.PutObject(ctx, action.Key, action.Value)
+		callPlatform(s, func(ctx context.Context) (struct{}, error) {
+			return struct{}{}, s.calls.objects.PutObject(ctx, action.Key, action.Value)
+		}, func(_ struct{}, err error) stateInput {
 			return stateInput{config: configstore.ObjectWritten{Call: action.Call, Result: configResult(err)}}
-		}, stateInput{config: configstore.ObjectWritten{Call: action.Call, Result: configstore.ResultUnavailable}})
+		})
 	}
 }
 
-// call makes a platform call and feeds its result back. Refused is the result
-// of a call that could not be queued; it is fed back through the ring as well,
-// so that a core is never stepped from within its own step.
-func (s *State) call(run func(ctx context.Context) stateInput, refused stateInput) {
+// commit returns the call that commits a transaction.
+func (s *State) commit(tx platform.Transaction) func(context.Context) ([]platform.RowVersion, error) {
+	return func(ctx context.Context) ([]platform.RowVersion, error) { return s.calls.table.Commit(ctx, tx) }
+}
+
+// callPlatform makes a platform call and feeds its result back through the ring
+// of the duty. A call that could not be queued has the result ErrUnavailable,
+// which goes through the ring as well: a core is never stepped from within its
+// own step.
+func callPlatform[T any](s *State, do func(context.Context) (T, error), result func(T, error) stateInput) {
 	s.calls.start(
-		func(ctx context.Context) { s.inputs.Push(ctx, run(ctx)) },
-		func(error) {
-			if !s.inputs.TryPush(refused) {
+		func(ctx context.Context) {
+			value, err := do(ctx)
+			s.inputs.Push(ctx, result(value, err))
+		},
+		func(err error) {
+			var none T
+			if !s.inputs.TryPush(result(none, err)) {
 				s.p.Log.Record(event.Event{Code: event.StateOverloaded})
 			}
 		},
@@ -139,18 +152,13 @@
 	for _, action := range s.owner.Step(now, in) {
 		switch action := action.(type) {
 		case ownership.ReadRow:
-			s.call(func(ctx context.Context) stateInput {
-				row, err := s.calls.table.Get(ctx, action.Key)
-				if errors.Is(err, platform.ErrNotFound) {
-					row, err = platform.Row{Key: action.Key}, nil
-				}
+			callPlatform(s, s.readLease(action.Key), func(row platform.Row, err error) stateInput {
 				return stateInput{owner: ownership.RowRead{Call: action.Call, Result: ownershipResult(err), Row: row}}
-			}, stateInput{owner: ownership.RowRead{Call: action.Call, Result: ownership.ResultUnavailable}})
+			})
 		case ownership.CommitRow:
-			s.call(func(ctx context.Context) stateInput {
-				versions, err := s.calls.table.Commit(ctx, action.Transaction)
+			callPlatform(s, s.commit(action.Transaction), func(versions []platform.RowVersion, err error) stateInput {
 				return stateInput{owner: ownership.RowCommitted{Call: action.Call, Result: ownershipResult(err), Versions: versions}}
-			}, stateInput{owner: ownership.RowCommitted{Call: action.Call, Result: ownership.ResultUnavailable}})
+			})
 		case ownership.HandedOver:
 			close(s.handedOff)
 		default:
@@ -159,6 +167,18 @@
 	}
 }
 
+// readLease returns the call that reads the lease row. A row that does not
+// exist has version zero.
+func (s *State) readLease(key string) func(context.Context) (platform.Row, error) {
+	return func(ctx context.Context) (platform.Row, error) {
+		row, err := s.calls.table.Get(ctx, key)
+		if errors.Is(err, platform.ErrNotFound) {
+			return platform.Row{Key: key}, nil
+		}
+		return row, err
+	}
+}
+
 // takeOwnership takes in a change of the region lease.
 func (s *State) takeOwnership(now time.Time, action ownership.Action) {
 	self := s.p.Config.Settings.ID
@@ -240,15 +260,15 @@
 	for _, action := range s.roster.Step(now, in) {
 		switch action := action.(type) {
 		case membership.ListRoster:
-			s.call(func(ctx context.Context) stateInput {
-				rows, err := s.calls.list(ctx, membership.RosterPrefix)
+			callPlatform(s, func(ctx context.Context) ([]platform.Row, error) {
+				return s.calls.list(ctx, membership.RosterPrefix)
+			}, func(rows []platform.Row, err error) stateInput {
 				return stateInput{roster: membership.RosterListed{Call: action.Call, Result: rosterResult(err), Rows: rows}}
-			}, stateInput{roster: membership.RosterListed{Call: action.Call, Result: membership.RosterUnavailable}})
+			})
 		case membership.CommitRoster:
-			s.call(func(ctx context.Context) stateInput {
-				versions, err := s.calls.table.Commit(ctx, action.Transaction)
+			callPlatform(s, s.commit(action.Transaction), func(versions []platform.RowVersion, err error) stateInput {
 				return stateInput{roster: membership.RosterCommitted{Call: action.Call, Result: rosterResult(err), Versions: versions}}
-			}, stateInput{roster: membership.RosterCommitted{Call: action.Call, Result: membership.RosterUnavailable}})
+			})
 		case membership.RosterChanged:
 			s.takeRoster(now, action.View)
 		}
--- a/internal/tools/demo/main.go
+++ b/internal/tools/demo/main.go
@@ -9,10 +9,8 @@
 	"flag"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 
-	"dragonflyyard/internal/settings"
 	"dragonflyyard/internal/tools/localregion"
 )
 
@@ -30,26 +28,17 @@
 }
 
 func run(path, binaries string) error {
-	d, err := settings.LoadDeployment(path)
-	if err != nil {
-		return err
-	}
-	folder, err := os.MkdirTemp("", "dragonflyyard-demo-")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	r, err := localregion.New(d, binaries, folder)
+	r, closeRegion, err := localregion.Open(path, binaries)
 	if err != nil {
 		return err
 	}
 	timer := time.AfterFunc(demoLimit, func() {
 		fmt.Fprintln(os.Stderr, "demo: took longer than", demoLimit)
-		r.StopAll()
+		closeRegion()
 		os.Exit(1)
 	})
 	defer timer.Stop()
-	defer r.StopAll()
-	s := &show{region: r, answers: filepath.Join(filepath.Dir(path), d.Answers), began: time.Now()}
+	defer closeRegion()
+	s := &show{region: r, began: time.Now()}
 	return s.run()
 }
--- a/internal/tools/demo/show.go
+++ b/internal/tools/demo/show.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"path/filepath"
 	"sort"
 	"strings"
 	"syscall"
@@ -26,12 +25,11 @@
 
 // show is the sequence of the demo's steps.
 type show struct {
-	region  *localregion.Region
-	answers string
-	began   time.Time
-	load    *load
-	jobs    []string
-	broken  []string
+	region *localregion.Region
+	began  time.Time
+	load   *load
+	jobs   []string
+	broken []string
 }
 
 func (s *show) say(format string, args ...any) {
@@ -80,16 +78,7 @@
 	if err := s.region.Start(); err != nil {
 		return err
 	}
-	config := filepath.Join(s.region.Folder, "config.yaml")
-	if _, err := s.region.Ctl("questionnaire", "--answers", s.answers, "--output", config); err != nil {
-		return err
-	}
-	err := localregion.Await("the region takes a configuration", startLimit, func() bool {
-		_, err := s.region.Ctl("config", "set", config)
-		return err == nil
-	})
-	if err != nil {
-		_, err = s.region.Ctl("config", "set", config)
+	if err := s.region.Configure(startLimit); err != nil {
 		return err
 	}
 	s.load = &load{r: s.region, accounts: []string{"judges", "cooperatives", "producers", "organisers"}}
--- a/internal/tools/localregion/region.go
+++ b/internal/tools/localregion/region.go
@@ -40,7 +40,9 @@
 	HTTP       *http.Client
 
 	binaries string
-	standin  *Child
+	// answers is the file of the questionnaire's answers.
+	answers string
+	standin *Child
 }
 
 // New returns a region whose ports are free from the deployment's first one on.
@@ -55,6 +57,45 @@
 	return &Region{Deployment: d, binaries: binaries, Folder: folder, HTTP: &http.Client{Transport: transport, Timeout: 15 * time.Second}}, nil
 }
 
+// Open returns the region that a description file describes, and the function
+// that stops it and removes its folder. Programs are taken from the folder binaries.
+func Open(path, binaries string) (*Region, func(), error) {
+	d, err := settings.LoadDeployment(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	folder, err := os.MkdirTemp("", "dragonflyyard-region-")
+	if err != nil {
+		return nil, nil, err
+	}
+	r, err := New(d, binaries, folder)
+	if err != nil {
+		_ = os.RemoveAll(folder)
+		return nil, nil, err
+	}
+	r.answers = filepath.Join(filepath.Dir(path), d.Answers)
+	closeRegion := func() {
+		r.StopAll()
+		_ = os.RemoveAll(folder)
+	}
+	return r, closeRegion, nil
+}
+
+// Configure generates the configuration from the deployment's answers and puts
+// it into force. It waits up to limit for the region to take it.
+func (r *Region) Configure(limit time.Duration) error {
+	config := filepath.Join(r.Folder, "config.yaml")
+	if _, err := r.Ctl("questionnaire", "--answers", r.answers, "--output", config); err != nil {
+		return err
+	}
+	var last error
+	err := Await("the region takes a configuration", limit, func() bool {
+		_, last = r.Ctl("config", "set", config)
+		return last == nil
+	})
+	return errors.CombineErrors(err, last)
+}
+
 // freePorts returns the first port from start on that count free ports follow.
 func freePorts(host string, start, count int) (int, error) {
 	const lastPort = 60000
--- a/internal/tools/region/main.go
+++ b/internal/tools/region/main.go
@@ -9,11 +9,9 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 
-	"dragonflyyard/internal/settings"
 	"dragonflyyard/internal/tools/localregion"
 )
 
@@ -31,36 +29,18 @@
 }
 
 func run(path, binaries string) error {
-	d, err := settings.LoadDeployment(path)
+	r, closeRegion, err := localregion.Open(path, binaries)
 	if err != nil {
 		return err
 	}
-	folder, err := os.MkdirTemp("", "dragonflyyard-region-")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	r, err := localregion.New(d, binaries, folder)
-	if err != nil {
-		return err
-	}
-	defer r.StopAll()
+	defer closeRegion()
 	if err := r.Start(); err != nil {
 		return err
 	}
-	config := filepath.Join(folder, "config.yaml")
-	answers := filepath.Join(filepath.Dir(path), d.Answers)
-	if _, err := r.Ctl("questionnaire", "--answers", answers, "--output", config); err != nil {
-		return err
-	}
-	err = localregion.Await("the region takes a configuration", startLimit, func() bool {
-		_, err := r.Ctl("config", "set", config)
-		return err == nil
-	})
-	if err != nil {
+	if err := r.Configure(startLimit); err != nil {
 		return err
 	}
-	fmt.Println("settings and logs are in", folder)
+	fmt.Println("settings and logs are in", r.Folder)
 	for i := range r.Deployment.Entries {
 		fmt.Printf("entry host %d: http://%s\n", i+1, r.Deployment.EntryHTTPAddress(i))
 	}
