--- a/internal/capacity/codec.go
+++ b/internal/capacity/codec.go
@@ -25,21 +25,36 @@
 	const backend = model.BackendServerID("backend-0123")
 	const job = model.JobID("0192f0c1-5a2b-7c3d-8e4f-0123456789ab")
 	return map[string]wire.Message{
-		"heartbeat":   &wire.Heartbeat{Seq: 1 << 20, AckSeq: 1 << 20},
-		"permit":      &wire.Permit{Seq: 1 << 20, ValidMS: 2500, AnsweredHeartbeat: 1 << 20, Config: 1 << 24, OwnerEpoch: 77, Assignment: 12},
-		"credit":      &wire.Credit{Seq: 1 << 20, Slots: 4, Connections: 32},
-		"claim":       &wire.Claim{Request: model.RequestID(job), BodyHash: 1 << 60, Executor: backend, Assignment: 12},
-		"reserve":     &wire.Reserve{Epoch: 77, Job: job, Attempt: 1, Task: model.TaskID(job + "/255"), Needs: model.Resources{Accelerators: 2, Cores: 16, MemoryMB: 32768}, HoldMS: 3000},
-		"launch":      &wire.Launch{Epoch: 77, Job: job, Attempt: 1, Task: model.TaskID(job + "/255"), LeaseMS: 3000, RunMS: 3600000},
-		"task report": &wire.TaskReport{Job: job, Attempt: 1, Task: model.TaskID(job + "/255"), State: wire.TaskRunning, DoneMS: 3600000},
+		"heartbeat":     &wire.Heartbeat{Seq: 1 << 20, AckSeq: 1 << 20},
+		"permit":        &wire.Permit{Seq: 1 << 20, ValidMS: 2500, AnsweredHeartbeat: 1 << 20, Config: 1 << 24, OwnerEpoch: 77, Assignment: 12},
+		"credit":        &wire.Credit{Seq: 1 << 20, Slots: 4, Connections: 32},
+		"claim":         &wire.Claim{Request: model.RequestID(job), BodyHash: 1 << 60, Executor: backend, Assignment: 12},
+		"reserve":       &wire.Reserve{Epoch: 77, Job: job, Attempt: 1, Task: model.TaskID(job + "/255"), Needs: model.Resources{Accelerators: 2, Cores: 16, MemoryMB: 32768}, HoldMS: 3000},
+		"launch":        &wire.Launch{Epoch: 77, Job: job, Attempt: 1, Task: model.TaskID(job + "/255"), LeaseMS: 3000, RunMS: 3600000},
+		"task report":   &wire.TaskReport{Job: job, Attempt: 1, Task: model.TaskID(job + "/255"), State: wire.TaskRunning, DoneMS: 3600000},
+		"lease request": &wire.LeaseRequest{Worker: "worker-00123", SentMS: 1 << 40},
+		"lease grant":   &wire.LeaseGrant{Epoch: 77, SentMS: 1 << 40, Tasks: grantedTasks(job)},
+		"store status": &wire.StoreStatus{
+			Reachable: true, Config: 1 << 24, OwnerEpoch: 77, Seq: 1 << 20, Assignment: 12, Established: true,
+			Roster: []model.EntryID{"entry-1", "entry-2", "entry-3"},
+		},
 		"config change": &wire.ConfigUpdate{From: 1 << 24, To: 1<<24 + 1, Changes: []model.ConfigChange{{
 			ID: model.ChangeID(job), Object: "zone/region-07-zone-3", ExpectedVersion: 1 << 23, Zone: model.ZoneOut, Operator: "operator-17", Version: 1<<24 + 1,
 		}}},
 	}
 }
 
+// grantedTasks returns the leases of one worker's tasks.
+func grantedTasks(job model.JobID) []wire.TaskLease {
+	leases := make([]wire.TaskLease, TasksPerWorker)
+	for i := range leases {
+		leases[i] = wire.TaskLease{Task: model.TaskID(fmt.Sprintf("%s/%d", job, i)), Attempt: 1, LeaseMS: 2000}
+	}
+	return leases
+}
+
 // messageOrder is the order of the rows in the report.
-var messageOrder = []string{"heartbeat", "permit", "credit", "claim", "reserve", "launch", "task report", "config change"}
+var messageOrder = []string{"heartbeat", "permit", "credit", "claim", "reserve", "launch", "task report", "lease request", "lease grant", "store status", "config change"}
 
 // MeasureCodec measures each control message.
 func MeasureCodec() (map[string]MessageCost, error) {
--- a/internal/tools/capacity/main.go
+++ b/internal/tools/capacity/main.go
@@ -16,15 +16,16 @@
 func main() {
 	deployment := flag.String("deployment", "samples/nordeste.yaml", "description of the region")
 	binaries := flag.String("binaries", "bin", "folder with the built programs")
+	processes := flag.Bool("processes", true, "measure regions of processes as well")
 	flag.Parse()
-	if err := run(*deployment, *binaries); err != nil {
+	if err := run(*deployment, *binaries, *processes); err != nil {
 		fmt.Fprintln(os.Stderr, "capacity:", err)
 		os.Exit(1)
 	}
 }
 
-func run(path, binaries string) error {
-	if err := capacity.Report(os.Stdout); err != nil {
+func run(path, binaries string, processes bool) error {
+	if err := capacity.Report(os.Stdout); err != nil || !processes {
 		return err
 	}
 	d, err := settings.LoadDeployment(path)
