Give held capacity out while a zone is out, under all weights

Capacity held back for large jobs stood idle while a zone was out, unless work in zone changes weighed more. Change: held capacity is given out whenever a zone is out.

--- a/internal/scheduler/backfill.go
+++ b/internal/scheduler/backfill.go
@@ -60,11 +60,10 @@
 	}
 }
 
-// fillsDuringZoneChange reports whether all capacity is to be used at once while
-// a zone is out, which does more work in that time and lets large jobs wait.
-func (c *Core) fillsDuringZoneChange() bool {
-	return len(c.zoneOutSince) > 0 && c.weights().WorkInZoneChange > c.weights().CompletionTime
-}
+// fillsDuringZoneChange reports whether all capacity is to be used at once: a
+// zone is out, and what is held back for large jobs would stand idle in the time
+// in which the least capacity is there.
+func (c *Core) fillsDuringZoneChange() bool { return len(c.zoneOutSince) > 0 }
 
 // reservationOf returns what is held back for a waiting job of an account, or nil.
 func (c *Core) reservationOf(account model.ClientAccountID) *Reservation {
