--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,7 @@
-# Targets: build, test, demo, faults, policy, capacity. Each stops by itself.
+# Targets: build, test, demo, faults, docs, policy, capacity. Each stops by itself.
 GO ?= go
-BINARIES := dragonfly-entry dragonfly-agent dragonflyctl dragonfly-standin
 
-.PHONY: build test lint race demo faults docs policy capacity bench clean
+.PHONY: build test lint race demo faults docs policy capacity clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
--- a/internal/capacity/scheduler.go
+++ b/internal/capacity/scheduler.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"time"
@@ -26,8 +27,9 @@
 	TickNS float64
 	// RecoverNS is the time to rebuild the state from all job rows.
 	RecoverNS float64
-	// RowBytes is the size of one job's row as the core hands it out.
-	Rows int
+	// Rows is the number of job rows, SnapshotBytes the size of the stored state.
+	Rows          int
+	SnapshotBytes int
 }
 
 const (
@@ -193,6 +195,11 @@
 	const ticks = 200
 	cost.TickNS = perOp(ticks, func(int) { f.step(scheduler.Tick{}) })
 	cost.RecoverNS = f.timeRecovery()
+	snapshot, err := json.Marshal(f.core.Snapshot())
+	if err != nil {
+		return cost, errors.Wrap(err, "encode snapshot")
+	}
+	cost.SnapshotBytes = len(snapshot)
 	runtime.KeepAlive(f)
 	return cost, nil
 }
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -189,7 +189,7 @@
 	status := outcomeStatus(outcome)
 	body := callerapi.OutcomeBody{
 		Request: request, Outcome: outcome.Kind.String(), Reason: outcome.Reason,
-		RetryAfterMS: outcome.RetryAfter.Milliseconds(), Sentence: outcomeSentence(outcome.Kind),
+		RetryAfterMS: outcome.RetryAfter.Milliseconds(), Sentence: outcomeSentence(outcome.Kind, outcome.Reason),
 	}
 	if outcome.Kind == model.OutcomeBackendFailed {
 		body.BackendStatus, body.BackendBody = outcome.Status, outcome.Body
@@ -225,19 +225,33 @@
 	}
 }
 
-func outcomeSentence(kind model.OutcomeKind) string {
+func outcomeSentence(kind model.OutcomeKind, reason model.Reason) string {
 	switch kind {
 	case model.OutcomeBackendFailed:
 		return "The backend server ran the request and reported a failure."
 	case model.OutcomeNotRun:
 		return "The request did not run and will not run; it may be sent again under a new ID."
 	case model.OutcomeRefused:
-		return "The request is not valid as it was sent."
+		return refusalSentence(reason)
 	default:
 		return "It is not known whether the request ran; look it up by its ID before sending it under another."
 	}
 }
 
+// refusalSentence explains why a request was refused. It changed nothing.
+func refusalSentence(reason model.Reason) string {
+	switch reason {
+	case model.ReasonBodyMismatch:
+		return "The request ID was used before with another body; a new request needs a new ID."
+	case model.ReasonUnknownAccount:
+		return "The client account is not part of the configuration."
+	case model.ReasonTooManyCallers:
+		return "Too many callers wait for this request already."
+	default:
+		return "The request is not valid as it was sent."
+	}
+}
+
 // setRetryAfter sets the header in whole seconds, rounded up.
 func setRetryAfter(ctx *fasthttp.RequestCtx, wait time.Duration) {
 	if wait > 0 {
--- a/internal/entry/schedulersnapshot.go
+++ b/internal/entry/schedulersnapshot.go
@@ -17,7 +17,7 @@
 // snapshotInterval is the time between two snapshots of an owner's state. What
 // only a snapshot holds (histories, learned run times, quarantine) may be that
 // old after a change of owner; job rows are always complete.
-const snapshotInterval = 30 * time.Second
+const snapshotInterval = 5 * time.Minute
 
 // snapshotRow is the value of the row that names the last snapshot.
 type snapshotRow struct {
--- a/internal/tools/demo/show.go
+++ b/internal/tools/demo/show.go
@@ -258,6 +258,11 @@
 	for _, key := range keys {
 		fmt.Printf("  %6d  %s\n", counts[key], key)
 	}
+	for _, r := range s.load.requests {
+		if r.outcome != "answered" {
+			fmt.Printf("          %s %s (%s), come back in %s s\n", r.id, r.outcome, r.reason, r.retryAfter)
+		}
+	}
 	return s.timeline()
 }
 
