Keep a cancellation before it is accepted

Cause: found in the closing read: the owner answered a cancellation before anything was written. Killed right after, its successor took the job from its row and ran it again; with the table service down it was accepted as well. Ruled out: answering after the job's row is deleted, which for a running job waits for its tasks' ends; a flag in the job's row, which has another writer.

--- a/internal/entry/endedrows.go
+++ b/internal/entry/endedrows.go
@@ -40,7 +40,7 @@
 }
 
 func (s *Scheduler) deleteRow(ctx context.Context, key string, write rowWrite, fence platform.Check) error {
-	tx := platform.Transaction{Checks: []platform.Check{fence}, Deletes: []string{key}}
+	tx := platform.Transaction{Checks: []platform.Check{fence}, Deletes: []string{key, s.cancelKey(write.row.Job.ID)}}
 	if write.ended != nil {
 		value, err := json.Marshal(write.ended)
 		if err != nil {
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -281,6 +281,9 @@
 			ordered = append(ordered, id)
 		}
 	}
-	s.step(scheduler.Cancel{IDs: ordered})
-	call.reply(jsonReply(fasthttp.StatusOK, reply))
+	if len(ordered) == 0 {
+		call.reply(jsonReply(fasthttp.StatusOK, reply))
+		return
+	}
+	s.keepCancels(call, reply, ordered)
 }
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -19,7 +19,9 @@
 	call *operatorCall
 	row  *rowResult
 	load *loadResult
-	link *linkChange
+	// cancelled is the result of keeping an operator\'s cancellations.
+	cancelled *cancelResult
+	link      *linkChange
 }
 
 // Scheduler is the duty that owns the region's scheduler core. The core acts
@@ -146,6 +148,8 @@
 		s.serve(in.call)
 	case in.row != nil:
 		s.rows.done(*in.row)
+	case in.cancelled != nil:
+		s.takeCancelled(*in.cancelled)
 	case in.load != nil:
 		s.takeRows(*in.load)
 	case in.link != nil:
--- a/internal/entry/schedulerrows.go
+++ b/internal/entry/schedulerrows.go
@@ -48,6 +48,8 @@
 	// ended are the jobs that ended lately, kept their rows' keys.
 	ended []scheduler.EndedJob
 	kept  []keptRow
+	// cancels are the kept cancellations.
+	cancels []model.JobID
 	// snapshot is nil when there is none.
 	snapshot *scheduler.Snapshot
 	err      error
@@ -262,6 +264,10 @@
 			result.ended, result.kept, err = s.loadEnded(ctx)
 			result.err = err
 		}
+		if err == nil {
+			result.cancels, err = s.loadCancels(ctx)
+			result.err = err
+		}
 		if err != nil {
 			sleep(ctx, loadRetry)
 		} else {
@@ -298,6 +304,7 @@
 	s.rows.reset()
 	owner := scheduler.BecomeOwner{Epoch: result.epoch, Rows: result.rows, Ended: result.ended, Snapshot: result.snapshot, Config: document}
 	s.perform(s.core.Step(s.p.Now(), owner))
+	s.resumeCancels(result.cancels)
 	s.nextSnapshot = s.p.Now().Add(snapshotInterval)
 	s.state.broadcastOwner()
 }
