Copy an operator's query before it outlives its HTTP request

Cause: found in the closing read: a call that the scheduler answers after the handler gave up read the query of a context that the server reuses. Change: the query is copied.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -69,8 +69,11 @@
 // it to the owner otherwise.
 func (s *Scheduler) serveHTTP(ctx *fasthttp.RequestCtx) {
 	replies := make(chan operatorReply, 1)
+	// The server reuses ctx once this handler gave up; the call may outlive it.
+	query := &fasthttp.Args{}
+	ctx.QueryArgs().CopyTo(query)
 	call := &operatorCall{
-		method: string(ctx.Method()), path: string(ctx.Path()), query: ctx.QueryArgs(),
+		method: string(ctx.Method()), path: string(ctx.Path()), query: query,
 		body: append([]byte(nil), ctx.PostBody()...), reply: func(r operatorReply) { replies <- r },
 	}
 	if _, mine := s.state.holdsLease(s.p.Now()); mine {
