Take the demo's instant before the order to bring a zone back

Cause: one demo of five reported that no work resumed within 15 s. Its time line shows starts in the zone 1 ms after the change; the demo took its instant after the command had returned, and did not count them. Ruled out: a scheduler that does not refill (three starts at 04:25:02.525, the zone was in at 04:25:02.524). Change: the instant is taken before the order. No task can start in the zone before it, since the zone is out; the bound is as it was.

--- a/internal/tools/demo/show.go
+++ b/internal/tools/demo/show.go
@@ -158,10 +158,11 @@
 		return err
 	}
 	s.promise(late == 0, "no task started in %s more than %s after it was taken out (%d did)", zone, zoneBound, late)
+	// Tasks may start before the command returns, so the time is taken first.
+	back := time.Now()
 	if _, err := s.region.Ctl("zone", "in", zone); err != nil {
 		return err
 	}
-	back := time.Now()
 	resumed := localregion.Await("work resumes in "+zone, startLimit, func() bool {
 		starts, err := s.startsInZone(zone, back)
 		return err == nil && starts > 0
