Let only the account of a request look it up

Cause: GET /v1/requests/ID took no account. The core compared the account only where a request was submitted (it is part of the body hash), so that any caller that knew an ID read the answer of another account, through each entry host.

Ruled out: to compare at the executor that keeps the answer. The home is asked first, and would still tell another account that the ID was claimed or sealed. Home and entry host are the two places that answer, so the check is there.

Change: X-Client-Account is required for a look-up. A claim carries the account, the home keeps it (8 bytes a claim, an interned handle) and answers a ReadOnly claim of another account with StateAbsent and nothing else; a request or look-up that is on the entry host itself is compared there.

The test TestTimelineNamesTheMissingAndPrintsTheRest failed once on the way: its closed address was a port that had been free a moment before, and a test process of another package had it by then. The closed address is now port 1 of the loopback, where nothing listens; the test is as strict as it was.

--- a/internal/ctl/calls_test.go
+++ b/internal/ctl/calls_test.go
@@ -131,10 +131,10 @@
 			t.Errorf("bodies %q", bodies)
 		}
 	}
-	runCtl(t, "", []string{second.address}, "request", "status", "0190a000-0000-7000-8000-000000000001").expect(t, ExitDone, "the answer")
+	runCtl(t, "", []string{second.address}, "request", "status", "--account", "judges", "0190a000-0000-7000-8000-000000000001").expect(t, ExitDone, "the answer")
 	old := startEntry(t, outcome(504, "unknown", model.ReasonOutsideHorizon))
 	runCtl(t, "", []string{old.address}, "request", "send", "--account", "judges", "--idempotent").expect(t, ExitInDoubt, "it is safe to send it again under a new ID")
-	runCtl(t, "", []string{closedAddress(t)}, "request", "send", "--account", "judges").expect(t, ExitNotAccepted, "not run")
+	runCtl(t, "", []string{closedAddress}, "request", "send", "--account", "judges").expect(t, ExitNotAccepted, "not run")
 }
 
 func TestAFinalOutcomeIsNotAskedForElsewhere(t *testing.T) {
@@ -203,7 +203,7 @@
 }
 
 func TestTimelineNamesTheMissingAndPrintsTheRest(t *testing.T) {
-	dead := &fakeEntry{address: closedAddress(t)}
+	dead := &fakeEntry{address: closedAddress}
 	entry := startLine(t, "entry-1", []*fakeEntry{dead}, 1, 3)
 	r := runCtl(t, "", []string{entry.address}, "--json", "timeline")
 	r.expect(t, ExitNotAccepted, "time line of "+dead.address+" is missing")
--- a/internal/ctl/change_test.go
+++ b/internal/ctl/change_test.go
@@ -130,8 +130,8 @@
 
 func TestADeadEntryHostIsPassedOver(t *testing.T) {
 	entry := startEntry(t, newConfigServer().serve)
-	runCtl(t, "", []string{closedAddress(t), entry.address}, "zone", "out", "Caruaru").expect(t, ExitDone, "accepted")
-	runCtl(t, "", []string{closedAddress(t)}, "zone", "out", "--expected-version", "0", "Caruaru").expect(t, ExitNotAccepted, "nothing changed: no entry host answered")
+	runCtl(t, "", []string{closedAddress, entry.address}, "zone", "out", "Caruaru").expect(t, ExitDone, "accepted")
+	runCtl(t, "", []string{closedAddress}, "zone", "out", "--expected-version", "0", "Caruaru").expect(t, ExitNotAccepted, "nothing changed: no entry host answered")
 }
 
 func TestBadInputIsRefusedBeforeAnyCall(t *testing.T) {
--- a/internal/ctl/fake_test.go
+++ b/internal/ctl/fake_test.go
@@ -87,16 +87,9 @@
 	ctx.Hijack(func(net.Conn) {})
 }
 
-// closedAddress returns an address on which nothing listens.
-func closedAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
+// closedAddress is an address on which nothing listens. A port that was free a
+// moment ago may be given to another test process.
+const closedAddress = "127.0.0.1:1"
 
 // lastID numbers the IDs of all command lines.
 var lastID atomic.Uint64
--- a/internal/ctl/requests.go
+++ b/internal/ctl/requests.go
@@ -31,7 +31,9 @@
 			&cli.StringFlag{Name: "body", Usage: "the request's body"},
 			&cli.StringFlag{Name: "body-file", Usage: "read the body from `FILE`; - for standard input"},
 		}, Action: a.sendRequest},
-		{Name: "status", Usage: "look a request up by its ID", ArgsUsage: "ID", Action: a.requestStatus},
+		{Name: "status", Usage: "look a request up by its ID", ArgsUsage: "ID", Flags: []cli.Flag{
+			&cli.StringFlag{Name: "account", Usage: "client account that sent the request", Required: true},
+		}, Action: a.requestStatus},
 	}}
 }
 
@@ -126,7 +128,9 @@
 	if err != nil {
 		return err
 	}
-	k := call{method: fasthttp.MethodGet, path: callerapi.PathRequests + "/" + url.PathEscape(id), repeat: repeatable}
+	k := call{method: fasthttp.MethodGet, path: callerapi.PathRequests + "/" + url.PathEscape(id), repeat: repeatable, header: map[string]string{
+		callerapi.HeaderAccount: cmd.String("account"),
+	}}
 	r, err := a.client(cmd).do(ctx, k)
 	if err != nil {
 		return unreachable(k, r, err)
--- a/internal/dedup/claims.go
+++ b/internal/dedup/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"time"
+	"unique"
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/wire"
@@ -13,6 +14,7 @@
 // claim is the record of one request at its home. Once sealed it never changes.
 type claim struct {
 	executor   model.BackendServerID
+	account    unique.Handle[model.ClientAccountID]
 	ref        wire.ClaimRef
 	bodyHash   uint64
 	sealed     bool
@@ -170,10 +172,11 @@
 	}
 	record, found := c.window.Get(m.Request)
 	if m.ReadOnly {
-		return describe(reply, record, found)
+		return describe(reply, record, found && record.account == unique.Make(m.Account))
 	}
 	if !found {
 		record = claim{bodyHash: m.BodyHash, ref: wire.ClaimRef{Claimant: from, Token: m.Token}, executor: m.Executor}
+		record.account = unique.Make(m.Account)
 		record.sealed = m.SealOnly
 		record.mayHaveRun = m.Unconfirmed
 		c.window.Put(m.Request, mintMS, record)
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -62,9 +62,14 @@
 		process.WriteError(ctx, fasthttp.StatusBadRequest, "bad_request_id", requestIDSentence)
 		return
 	}
+	account, bad := parseAccount(&ctx.Request.Header)
+	if bad != nil {
+		process.WriteError(ctx, fasthttp.StatusBadRequest, bad.code, bad.sentence)
+		return
+	}
 	request := model.RequestID(id)
 	answer, err := p.Requests.ask(func(caller requestflow.Caller) requestflow.Input {
-		return requestflow.Query{Request: request, Caller: caller}
+		return requestflow.Query{Request: request, Account: account, Caller: caller}
 	})
 	if err != nil {
 		outcome := overloaded(err)
@@ -95,9 +100,9 @@
 	if !isRequestID(id) {
 		return model.Request{}, &inputError{"bad_request_id", requestIDSentence}
 	}
-	account := string(header.Peek(callerapi.HeaderAccount))
-	if account == "" || len(account) > maxAccountBytes {
-		return model.Request{}, &inputError{"bad_client_account", callerapi.HeaderAccount + " must name the client account."}
+	account, bad := parseAccount(header)
+	if bad != nil {
+		return model.Request{}, bad
 	}
 	idempotent, bad := parseIdempotent(string(header.Peek(callerapi.HeaderIdempotent)))
 	if bad != nil {
@@ -113,12 +118,20 @@
 	}
 	body := ctx.Request.SwapBody(nil)
 	return model.Request{
-		ID: model.RequestID(id), Account: model.ClientAccountID(account), Idempotent: idempotent,
-		Deadline: p.Now().Add(timeout), BodyHash: requestHash(account, idempotent, body),
+		ID: model.RequestID(id), Account: account, Idempotent: idempotent,
+		Deadline: p.Now().Add(timeout), BodyHash: requestHash(string(account), idempotent, body),
 		Slots: slots, Body: body,
 	}, nil
 }
 
+func parseAccount(header *fasthttp.RequestHeader) (model.ClientAccountID, *inputError) {
+	account := string(header.Peek(callerapi.HeaderAccount))
+	if account == "" || len(account) > maxAccountBytes {
+		return "", &inputError{"bad_client_account", callerapi.HeaderAccount + " must name the client account."}
+	}
+	return model.ClientAccountID(account), nil
+}
+
 func isRequestID(id string) bool {
 	if len(id) != requestIDBytes || strings.ToLower(id) != id {
 		return false
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -114,6 +114,7 @@
 		{"path below", post, callerapi.PathRequests + "/more", good, "", 404, "no_such_path"},
 		{"unknown path", get, "/v2/requests", nil, "", 404, "no_such_path"},
 		{"wrong method", http.MethodDelete, callerapi.PathRequests, good, "", 405, "method_not_allowed"},
+		{"look-up of no account", get, callerapi.PathRequests + "/" + goodID, nil, "", 400, "bad_client_account"},
 		{"look-up of no ID", get, callerapi.PathRequests + "/x", nil, "", 400, "bad_request_id"},
 	}
 	for _, c := range cases {
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -65,6 +65,7 @@
 func (c *Core) dispatchAtHome(now time.Time, l *link, m *wire.Dispatch, body []byte, mintMS int64) {
 	reply := c.claims.Handle(now, l.entry, &wire.Claim{
 		Request: m.Request, BodyHash: m.BodyHash, Executor: c.config.ID, Assignment: m.Assignment, Token: m.Token,
+		Account: m.Account,
 	})
 	switch {
 	case reply.Granted && reply.Executor == c.config.ID:
--- a/internal/requestflow/api.go
+++ b/internal/requestflow/api.go
@@ -22,10 +22,12 @@
 	Caller  Caller
 }
 
-// Query asks what became of a request. It runs nothing and seals nothing. It
-// is answered with one QueryResult.
+// Query asks what became of a request of a client account. It runs nothing and
+// seals nothing. It is answered with one QueryResult, which for a request of
+// another account is that of a request that was never seen.
 type Query struct {
 	Request model.RequestID
+	Account model.ClientAccountID
 	Caller  Caller
 }
 
--- a/internal/requestflow/claim.go
+++ b/internal/requestflow/claim.go
@@ -21,6 +21,7 @@
 	claim := &wire.Claim{
 		Request: f.request.ID, BodyHash: f.request.BodyHash, Executor: f.executor,
 		Assignment: f.claimVersion, SealOnly: seal, Token: f.token, Unconfirmed: f.unconfirmed,
+		Account: f.request.Account,
 	}
 	if f.claim != c.ownClaim(f) {
 		claim.Move = f.claim
--- a/internal/requestflow/core_test.go
+++ b/internal/requestflow/core_test.go
@@ -279,7 +279,7 @@
 	}
 	for _, c := range cases {
 		r := newRig(Config{})
-		if got := r.step(Query{Request: r.id(1), Caller: 1}); got != "a: claim seal=false read=true" {
+		if got := r.step(Query{Request: r.id(1), Account: "x", Caller: 1}); got != "a: claim seal=false read=true" {
 			t.Fatalf("%s: %q", c.name, got)
 		}
 		c.claim.Request, c.claim.Token = r.id(1), r.core.lastToken
@@ -301,7 +301,7 @@
 		}
 	}
 	r := newRig(Config{})
-	r.step(Query{Request: r.id(1), Caller: 1})
+	r.step(Query{Request: r.id(1), Account: "x", Caller: 1})
 	r.now = r.now.Add(queryTimeout)
 	if got := r.step(Tick{}); !strings.HasPrefix(got, "query 7 unknown") {
 		t.Errorf("no reply: %q", got)
--- a/internal/requestflow/query.go
+++ b/internal/requestflow/query.go
@@ -21,12 +21,9 @@
 		})
 		return
 	}
-	if f := c.flights[in.Request]; f != nil && !f.query {
-		c.queryResult(in.Request, in.Caller, wire.StateRunning, model.Outcome{})
-		return
-	}
 	if f := c.flights[in.Request]; f != nil {
-		c.endQuery(f)
+		c.queryKnown(f, in)
+		return
 	}
 	if len(c.flights) >= 2*c.config.MaxRequests {
 		c.queryResult(in.Request, in.Caller, wire.StateOutsideHorizon, model.Outcome{
@@ -34,13 +31,34 @@
 		})
 		return
 	}
-	request := model.Request{ID: in.Request, Idempotent: true, Deadline: now.Add(queryTimeout)}
+	request := model.Request{ID: in.Request, Account: in.Account, Idempotent: true, Deadline: now.Add(queryTimeout)}
 	f := c.newFlight(request, in.Caller, mintMS)
 	f.query = true
 	c.askHome(now, f)
 	c.schedule(f)
 }
 
+// queryKnown answers a query of a request that is on this entry host, or joins
+// the query of the same account that is under way.
+func (c *Core) queryKnown(f *flight, in Query) {
+	isOwn := f.request.Account == in.Account
+	switch {
+	case !f.query && isOwn:
+		c.queryResult(in.Request, in.Caller, wire.StateRunning, model.Outcome{})
+	case !f.query:
+		c.queryResult(in.Request, in.Caller, wire.StateAbsent, model.Outcome{})
+	case isOwn && len(f.callers) < c.config.MaxCallers:
+		f.callers = append(f.callers, waitingCaller{in.Caller, f.request.Deadline})
+		c.callers[in.Caller] = f
+	default:
+		c.queryResult(in.Request, in.Caller, wire.StateOutsideHorizon, tooManyCallers())
+	}
+}
+
+func tooManyCallers() model.Outcome {
+	return model.Outcome{Kind: model.OutcomeUnknown, Reason: model.ReasonTooManyCallers, RetryAfter: noServerRetryAfter}
+}
+
 // askHome reads the claim of a queried request.
 func (c *Core) askHome(now time.Time, f *flight) {
 	holder, reach := c.holder(f)
@@ -57,6 +75,7 @@
 		f.token = c.nextToken()
 		c.send(c.links[holder.Home], &wire.Claim{
 			Request: f.request.ID, Assignment: c.assignmentVersion(), ReadOnly: true, Token: f.token,
+			Account: f.request.Account,
 		})
 	}
 }
@@ -87,7 +106,7 @@
 	for _, caller := range callersOf(f) {
 		c.queryResult(f.request.ID, caller, wire.StateFinished, outcome)
 	}
-	c.forgetQuery(f)
+	c.forget(f)
 }
 
 func (c *Core) expireQuery(now time.Time, f *flight, late bool) {
@@ -101,8 +120,14 @@
 	}
 }
 
-// endQuery ends a query whose request is submitted, or queried again, meanwhile.
-func (c *Core) endQuery(f *flight) { c.endQueryWith(f, wire.StateRunning, model.ReasonInProgress) }
+// endQuery ends a query whose ID is submitted meanwhile by an account.
+func (c *Core) endQuery(f *flight, submitter model.ClientAccountID) {
+	if f.request.Account != submitter {
+		c.endQueryWith(f, wire.StateOutsideHorizon, model.ReasonTooManyCallers)
+		return
+	}
+	c.endQueryWith(f, wire.StateRunning, model.ReasonInProgress)
+}
 
 func (c *Core) endQueryWith(f *flight, state wire.RequestState, reason model.Reason) {
 	outcome := model.Outcome{}
@@ -117,10 +142,6 @@
 	for _, caller := range callersOf(f) {
 		c.queryResult(f.request.ID, caller, state, outcome)
 	}
-	c.forgetQuery(f)
-}
-
-func (c *Core) forgetQuery(f *flight) {
 	c.forget(f)
 }
 
--- a/internal/requestflow/submit.go
+++ b/internal/requestflow/submit.go
@@ -32,7 +32,7 @@
 		return
 	}
 	if f := c.flights[request.ID]; f != nil {
-		c.endQuery(f)
+		c.endQuery(f, request.Account)
 	}
 	if len(c.flights) >= 2*c.config.MaxRequests {
 		c.answerCaller(request.ID, in.Caller, model.Outcome{
@@ -69,9 +69,7 @@
 	case f.request.BodyHash != request.BodyHash:
 		c.refuse(request.ID, caller, model.ReasonBodyMismatch)
 	case len(f.callers) >= c.config.MaxCallers:
-		c.answerCaller(request.ID, caller, model.Outcome{
-			Kind: model.OutcomeUnknown, Reason: model.ReasonTooManyCallers, RetryAfter: noServerRetryAfter,
-		})
+		c.answerCaller(request.ID, caller, tooManyCallers())
 	default:
 		f.callers = append(f.callers, waitingCaller{caller, request.Deadline})
 		c.callers[caller] = f
--- a/internal/wire/request.go
+++ b/internal/wire/request.go
@@ -57,6 +57,9 @@
 	Unconfirmed bool
 	// ReadOnly asks for the state of the request and changes nothing.
 	ReadOnly bool
+	// Account is the client account of the request. A home answers a ReadOnly
+	// claim of another account as if it had never seen the request.
+	Account model.ClientAccountID
 }
 
 // ClaimReply answers Claim. Granted is false when the request was seen before.
