Refuse addresses that name no host; one source for the longest permit

Cause 1: settings accepted 0.0.0.0, [::] and multicast addresses. An entry host writes its link address into the roster and processes tell their HTTP address in Hello and Welcome, so that peers would dial their own host. Ruled out: a second key for the address that is advertised. Change: such an address is refused with file, line, key and a sentence, for each address key and for the host of a deployment, also as an IPv4 address in IPv6 form. The checks of addresses moved to their own file.

Cause 2: the longest permit stood in four places: permit.DefaultLimits (2.5 s), the default of executor.Config (2.5 s, which agents never set), the settings' upper bound (3 s) and the hand-over test. A permit of 3 s was accepted and cut to 2.5 s without a word. Raising the issuer's limit alone would have let a new home grant while a former home's permit still ran. Change: permit.LongestValidity is the one source of the issuer's limit, the executor's default, the agent's configuration and the settings' bound. timeouts.permit is refused above 2.5 s; the test's case was 4 s against a bound of 3 s and is now 3 s against 2.5 s. The worker's grace has a bound of its own, 3 s as before.

Before: the seven cases of TestSettingsAreRefused failed, each accepted. After: settings, membership, executor, permit and agent pass.

--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -33,6 +33,7 @@
 	"dragonflyyard/internal/executor"
 	"dragonflyyard/internal/link"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/permit"
 	"dragonflyyard/internal/process"
 	"dragonflyyard/internal/settings"
 	"dragonflyyard/internal/wire"
@@ -171,7 +172,7 @@
 	return executor.Config{
 		ID: s.ID, Incarnation: p.Incarnation, Started: p.Now(),
 		Slots: s.BackendServer.Slots, Connections: s.BackendServer.Connections,
-		ClockSkewBound: s.Process.ClockSkewBound, Horizon: s.Limits.Horizon, MaxRecords: s.Limits.MaxRecords,
+		ClockSkewBound: s.Process.ClockSkewBound, LongestPermit: permit.LongestValidity, Horizon: s.Limits.Horizon, MaxRecords: s.Limits.MaxRecords,
 		AnswerTTL: s.Limits.AnswerTTL, MaxAnswerBytes: s.Limits.MaxAnswerBytes,
 		MaxBodyBytes: s.Limits.MaxBodyBytes, MaxPartialBytes: s.Limits.MaxPartialBytes,
 	}
--- a/internal/executor/config.go
+++ b/internal/executor/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/permit"
 )
 
 // Config holds the identity and limits of a Core. Zero limits take the value
@@ -19,7 +20,8 @@
 	Connections int
 	// ClockSkewBound is the largest difference between any two processes' clocks.
 	ClockSkewBound time.Duration
-	// LongestPermit is the longest validity of a permit that entry hosts issue.
+	// LongestPermit is the longest validity of a permit that entry hosts issue,
+	// permit.LongestValidity.
 	LongestPermit time.Duration
 	// Horizon is how long claims and requests are remembered after their ID was minted.
 	Horizon time.Duration
@@ -45,7 +47,7 @@
 		Slots:           8,
 		Connections:     64,
 		ClockSkewBound:  500 * time.Millisecond,
-		LongestPermit:   2500 * time.Millisecond,
+		LongestPermit:   permit.LongestValidity,
 		Horizon:         5 * time.Minute,
 		MaxRecords:      200_000,
 		AnswerTTL:       time.Minute,
--- a/internal/membership/handover_test.go
+++ b/internal/membership/handover_test.go
@@ -8,13 +8,14 @@
 
 	"dragonflyyard/internal/dedup"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/permit"
 	"dragonflyyard/internal/wire"
 )
 
 // Times of the hand-over test.
 const (
 	handOverSkew    = 500 * time.Millisecond
-	handOverPermit  = 2500 * time.Millisecond
+	handOverPermit  = permit.LongestValidity
 	handOverLinger  = time.Second
 	handOverSettle  = handOverPermit + time.Second
 	longestDelivery = 900 * time.Millisecond
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -25,11 +25,16 @@
 	OutageLimit time.Duration
 }
 
+// LongestValidity bounds the validity of every permit. Entry hosts may be set
+// to issue shorter ones; agents and homes that wait until all permits of
+// another process have lapsed wait for this long.
+const LongestValidity = 2500 * time.Millisecond
+
 // DefaultLimits returns the limits of the product: with heartbeats every
 // 500 ms, the last start in a zone is less than 3 s after it was taken out.
 func DefaultLimits() Limits {
 	return Limits{
-		Validity:    2500 * time.Millisecond,
+		Validity:    LongestValidity,
 		MinValidity: 200 * time.Millisecond,
 		OutageLimit: 10 * time.Minute,
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -2,11 +2,11 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"strings"
 	"time"
 
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/permit"
 	"dragonflyyard/internal/strictyaml"
 )
 
@@ -47,47 +47,6 @@
 	}
 }
 
-const addressForm = "IP:port with a port of 1 to 65535"
-
-// address checks an address that must be given.
-func (c *checker) address(key, value string) {
-	if value == "" {
-		c.report(key, addressForm, "the address is missing")
-		return
-	}
-	parsed, err := netip.ParseAddrPort(value)
-	if err != nil || parsed.Port() == 0 {
-		c.report(key, addressForm, "%q is not an address", value)
-	}
-}
-
-// addresses checks a list of addresses without repetitions.
-func (c *checker) addresses(key string, values []string, low, high int) {
-	if len(values) < low || len(values) > high {
-		c.report(key, fmt.Sprintf("%d to %d addresses", low, high), "%d addresses are given", len(values))
-	}
-	seen := map[string]bool{}
-	for i, value := range values {
-		item := fmt.Sprintf("%s[%d]", key, i)
-		c.address(item, value)
-		if seen[value] {
-			c.report(item, "", "address %q is listed twice", value)
-		}
-		seen[value] = true
-	}
-}
-
-// distinct checks that no two of the given keys hold the same address.
-func (c *checker) distinct(keys, values []string) {
-	seen := map[string]string{}
-	for i, value := range values {
-		if other, twice := seen[value]; twice && value != "" {
-			c.report(keys[i], "", "address %q is also that of %s", value, other)
-		}
-		seen[value] = keys[i]
-	}
-}
-
 // below checks that one duration is shorter than another.
 func (c *checker) below(key string, value time.Duration, otherKey string, other time.Duration) {
 	if value >= other {
@@ -116,7 +75,7 @@
 	maxEntryHosts     = 64
 	platformWrites    = 500
 	platformReads     = 2000
-	longestPermit     = 3 * time.Second
+	longestGrace      = 3 * time.Second
 	longestSkew       = 5 * time.Second
 	maxAgentsOnAHost  = 64
 	maxDeploymentZone = 42
@@ -195,7 +154,7 @@
 	c.durationRange("timeouts.probe", t.Probe, minDuration, time.Minute)
 	c.durationRange("timeouts.resolve", t.Resolve, minDuration, 10*time.Minute)
 	c.durationRange("timeouts.lease", t.Lease, 500*time.Millisecond, time.Minute)
-	c.durationRange("timeouts.permit", t.Permit, 100*time.Millisecond, longestPermit)
+	c.durationRange("timeouts.permit", t.Permit, 100*time.Millisecond, permit.LongestValidity)
 	c.durationRange("timeouts.head_read", t.HeadRead, 10*time.Millisecond, 5*time.Second)
 	c.durationRange("timeouts.default_deadline", t.DefaultDeadline, minDuration, maxDuration)
 	c.durationRange("timeouts.max_deadline", t.MaxDeadline, minDuration, maxDuration)
@@ -248,7 +207,7 @@
 	c.name("worker.id", string(w.ID))
 	c.resources("worker.capacity", w.Capacity)
 	c.durationRange("worker.poll", w.Poll, 10*time.Millisecond, 10*time.Second)
-	c.durationRange("worker.grace", w.Grace, 0, longestPermit)
+	c.durationRange("worker.grace", w.Grace, 0, longestGrace)
 }
 
 func (c *checker) agentLimits(l *AgentLimits) {
@@ -307,9 +266,7 @@
 		}
 		seen[strings.ToLower(string(zone))] = true
 	}
-	if _, err := netip.ParseAddr(d.Host); err != nil {
-		c.report("host", "an IP address", "%q is not an IP address", d.Host)
-	}
+	c.host("host", d.Host)
 	c.intRange("entries", d.Entries, 1, maxEntryHosts)
 	c.intRange("agents", d.Agents, 1, maxAgentsOnAHost)
 	c.intRange("first_port", d.FirstPort, 1024, 65536-d.Ports())
--- a/internal/settings/fuzz_test.go
+++ b/internal/settings/fuzz_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"testing"
 
+	"dragonflyyard/internal/permit"
 	"dragonflyyard/internal/strictyaml"
 )
 
@@ -23,7 +24,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		entry, err := ParseEntry("s.yaml", data)
 		checkRefusal(t, err)
-		if err == nil && (entry.TableAddress == "" || entry.Timeouts.Permit > longestPermit) {
+		if err == nil && (entry.TableAddress == "" || entry.Timeouts.Permit > permit.LongestValidity) {
 			t.Errorf("accepted %+v", entry)
 		}
 		agent, err := ParseAgent("s.yaml", data)
