Take no other call's answer, and no cut one, from a backend server

A table of the answers that a backend server can give (24 of them, whole and broken, over a raw socket) and one of what it can do to an idle connection showed four faults of the agent: - Bytes that were waiting on an idle connection were taken for the answer of the next call: with a server that answers a call twice, the caller of the next request got "stale" with status 200. Against "a caller receives the whole answer to its own request". - An answer without a length whose connection closed was taken as whole: "hel" of "hello" was answered. - A call on a connection that the server had closed while it was idle was lost, although nothing was sent: `unknown` in place of an answer. - A call whose deadline passed while it waited in the ring was sent, with a negative deadline, and ran.

Ruled out: a connection for each call (a handshake for every request, and the 64 connections that the backend server allows would wait in TIME_WAIT); a reader on each idle connection, as net/http has it (fasthttp gives its connections to nobody, and 64 goroutines for each agent). Verifying an echoed request ID alone: a backend server need not send one back.

Before the first byte of a call its connections peek at the socket without waiting; one that is closed or holds bytes is dropped, and the call goes to the next or a new one, as nothing was sent. The end of the stream is an error, so that only a length or the last chunk ends an answer. An echoed X-Request-Id of another request makes the call lost. An overdue call is not sent.

Not covered: a second answer that arrives after the next call was sent, from a server that does not send X-Request-Id back.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"strconv"
 	"sync"
 	"time"
@@ -26,15 +25,11 @@
 // backendPath is the path at which a backend server takes requests.
 const backendPath = "/run"
 
-// errNotSent marks an error before the first byte of a call was sent.
-var errNotSent = errors.New("agent: backend server not reached")
-
 // backendCaller calls the backend server, with one goroutine for each of the
 // connections that the backend server allows.
 type backendCaller struct {
-	client  *fasthttp.HostClient
+	client  *hostClient
 	uri     string
-	timeout time.Duration
 	now     func() time.Time
 	callers int
 	calls   *ring.Ring[model.Request]
@@ -45,36 +40,14 @@
 // are connections: the executor starts no more than that at the same time.
 func newBackendCaller(p *Process) *backendCaller {
 	server := p.Config.Settings.BackendServer
-	const dialTimeout = time.Second
-	b := &backendCaller{
-		uri: "http://" + server.Address + backendPath, timeout: server.Timeout, now: p.Now,
+	return &backendCaller{
+		client:  newHostClient(server.Address, server.Connections, p.Config.Settings.Limits.MaxAnswerBytes, server.Timeout),
+		uri:     "http://" + server.Address + backendPath,
+		now:     p.Now,
 		callers: server.Connections,
 		calls:   ring.New[model.Request]("backend.calls", 2*server.Connections, p.Metrics),
 		results: ring.New[executor.BackendDone]("backend.results", 4*server.Connections, p.Metrics),
 	}
-	b.client = &fasthttp.HostClient{
-		Addr:                server.Address,
-		MaxConns:            server.Connections,
-		MaxResponseBodySize: p.Config.Settings.Limits.MaxAnswerBytes,
-		ReadTimeout:         server.Timeout,
-		WriteTimeout:        server.Timeout,
-		// A call is never repeated by the client: only the executor may do so.
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		NoDefaultUserAgentHeader:  true,
-		Dial: func(address string) (net.Conn, error) {
-			conn, err := net.DialTimeout("tcp", address, dialTimeout)
-			return conn, errors.CombineErrors(wrapNotSent(err), err)
-		},
-	}
-	return b
-}
-
-func wrapNotSent(err error) error {
-	if err == nil {
-		return nil
-	}
-	return errNotSent
 }
 
 // start queues a call. It returns false when the ring is full.
@@ -109,6 +82,10 @@
 
 // call does one call of the backend server.
 func (b *backendCaller) call(request model.Request) executor.BackendDone {
+	left := request.Deadline.Sub(b.now())
+	if left <= 0 {
+		return executor.BackendDone{Request: request.ID, Result: executor.BackendNotStarted}
+	}
 	call, answer := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(call)
 	defer fasthttp.ReleaseResponse(answer)
@@ -117,20 +94,23 @@
 	call.Header.Set(headerRequestID, string(request.ID))
 	call.Header.Set(headerAccount, string(request.Account))
 	call.Header.Set(headerIdempotent, strconv.FormatBool(request.Idempotent))
-	call.Header.Set(headerDeadlineMS, strconv.FormatInt(request.Deadline.Sub(b.now()).Milliseconds(), 10))
+	call.Header.Set(headerDeadlineMS, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	call.SetBodyRaw(request.Body)
-	err := b.client.DoTimeout(call, answer, b.timeout)
+	err := b.client.do(call, answer)
 	return backendResult(request.ID, answer, err)
 }
 
 func backendResult(id model.RequestID, answer *fasthttp.Response, err error) executor.BackendDone {
 	done := executor.BackendDone{Request: id}
 	switch {
+	case err == nil && isOfAnother(id, answer):
+		done.Result = executor.BackendLost
+		return done
 	case err == nil && answer.StatusCode() < fasthttp.StatusBadRequest:
 		done.Result = executor.BackendAnswered
 	case err == nil:
 		done.Result = executor.BackendFailed
-	case errors.Is(err, errNotSent), errors.Is(err, fasthttp.ErrNoFreeConns):
+	case errors.Is(err, errNotSent):
 		done.Result = executor.BackendNotStarted
 		return done
 	default:
@@ -141,3 +121,9 @@
 	done.Body = answer.SwapBody(nil)
 	return done
 }
+
+// isOfAnother reports whether an answer names another request than the call.
+func isOfAnother(id model.RequestID, answer *fasthttp.Response) bool {
+	named := answer.Header.Peek(headerRequestID)
+	return len(named) > 0 && string(named) != string(id)
+}
--- /dev/null
+++ b/internal/agent/backend_contract_test.go
@@ -0,0 +1,206 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"dragonflyyard/internal/executor"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/standin"
+)
+
+// backendTimeout bounds the calls that are expected to get no answer. Calls
+// that are answered have limit.
+const (
+	backendTimeout = 200 * time.Millisecond
+	limit          = 30 * time.Second
+)
+
+func newTestCaller(t *testing.T, address string, timeout time.Duration) *backendCaller {
+	t.Helper()
+	p := newTestAgent(t, address)
+	p.Config.Settings.BackendServer.Timeout = timeout
+	return newBackendCaller(p)
+}
+
+func testRequest(id model.RequestID) model.Request {
+	return model.Request{ID: id, Account: "cheese", Deadline: time.Now().Add(time.Hour), Body: []byte("hello")}
+}
+
+// TestBackendServerAnswers holds each answer of a backend server, whole or not,
+// against what the executor is told and how often the call arrived.
+func TestBackendServerAnswers(t *testing.T) {
+	hello := whole(200, "", "hello")
+	cases := []struct {
+		name   string
+		answer func(rawCall) bool
+		result executor.BackendResult
+		status int
+		// silent marks a server from which nothing comes any more.
+		silent bool
+	}{
+		{"whole", always(hello), executor.BackendAnswered, 200, false},
+		{"whole, then closed", thenCut(hello), executor.BackendAnswered, 200, false},
+		{"whole in chunks", always(chunked("hello") + "0\r\n\r\n"), executor.BackendAnswered, 200, false},
+		{"after an interim answer", always("HTTP/1.1 100 Continue\r\n\r\n" + hello), executor.BackendAnswered, 200, false},
+		{"names this request", func(c rawCall) bool {
+			return c.write(whole(200, "X-Request-Id: "+c.id+"\r\n", "hello"))
+		}, executor.BackendAnswered, 200, false},
+		{"status of a failure", always(whole(503, "", "hello")), executor.BackendFailed, 503, false},
+		{"status out of range", always(whole(999, "", "hello")), executor.BackendFailed, 999, false},
+		{"reset before the answer", rawCall.reset, executor.BackendLost, 0, false},
+		{"closed before the answer", thenCut(""), executor.BackendLost, 0, false},
+		{"cut in the status line", thenCut(hello[:8]), executor.BackendLost, 0, false},
+		{"cut in the header", thenCut(hello[:20]), executor.BackendLost, 0, false},
+		{"cut in the body", thenCut(hello[:len(hello)-1]), executor.BackendLost, 0, false},
+		{"cut between chunks", thenCut(chunked("hello")), executor.BackendLost, 0, false},
+		{"no length told, closed", thenCut("HTTP/1.1 200 x\r\n\r\nhel"), executor.BackendLost, 0, false},
+		{"not HTTP", thenCut("hello\r\n\r\n"), executor.BackendLost, 0, false},
+		{"negative length", thenCut("HTTP/1.1 200 x\r\nContent-Length: -5\r\n\r\nhello"), executor.BackendLost, 0, false},
+		{"two lengths", thenCut("HTTP/1.1 200 x\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nhello"), executor.BackendLost, 0, false},
+		{"bad chunk", thenCut("HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello"), executor.BackendLost, 0, false},
+		{"body over the limit", always(whole(200, "", strings.Repeat("x", 2<<10))), executor.BackendLost, 0, false},
+		{"length over the limit, no body", always("HTTP/1.1 200 x\r\nContent-Length: 99999999999\r\n\r\n"), executor.BackendLost, 0, false},
+		{"header over the limit", always(tooManyHeaders()), executor.BackendLost, 0, false},
+		{"names another request", always(whole(200, "X-Request-Id: other\r\n", "hello")), executor.BackendLost, 0, false},
+		{"silent", always(""), executor.BackendLost, 0, true},
+		{"silent in the middle", always(hello[:len(hello)-1]), executor.BackendLost, 0, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			server := startRaw(t, c.answer)
+			timeout := limit
+			if c.silent {
+				timeout = backendTimeout
+			}
+			done := newTestCaller(t, server.address, timeout).call(testRequest("r"))
+			if done.Result != c.result || done.Status != c.status || done.Request != "r" {
+				t.Errorf("got result %d status %d, want %d, %d", done.Result, done.Status, c.result, c.status)
+			}
+			if isWhole := c.status != 0; isWhole != (string(done.Body) == "hello") {
+				t.Errorf("body %q", done.Body)
+			}
+			if calls := server.calls.Load(); calls != 1 {
+				t.Errorf("the call arrived %d times", calls)
+			}
+		})
+	}
+}
+
+// recordConnections returns the connections that a client opens from now on.
+func recordConnections(client *hostClient) <-chan *checkedConn {
+	opened := make(chan *checkedConn, 16)
+	dial := client.http.DialTimeout
+	client.http.DialTimeout = func(address string, timeout time.Duration) (net.Conn, error) {
+		conn, err := dial(address, timeout)
+		if err == nil {
+			opened <- conn.(*checkedConn)
+		}
+		return conn, err
+	}
+	return opened
+}
+
+// awaitStale waits until what the peer did to an idle connection has arrived.
+func awaitStale(t *testing.T, conn *checkedConn) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for conn.check() == nil {
+		if time.Now().After(deadline) {
+			t.Fatal("nothing arrived on the idle connection")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestIdleConnectionsThatChangedAreNotUsed lets a backend server do something
+// to an idle connection. The next call must neither take what is there for its
+// answer nor be lost: it goes over a new connection, once.
+func TestIdleConnectionsThatChangedAreNotUsed(t *testing.T) {
+	cases := []struct {
+		name string
+		// idle acts on the connection of the first call, after its answer.
+		idle func(rawCall) bool
+	}{
+		{"answered twice", func(c rawCall) bool { return c.write(whole(200, "", "stale")) }},
+		{"bytes behind the answer", func(c rawCall) bool { return c.write("stale") }},
+		{"closed", func(c rawCall) bool { return c.cut("") }},
+		{"answered twice, then closed", func(c rawCall) bool { return c.cut(whole(200, "", "stale")) }},
+	}
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			answered := make(chan struct{})
+			server := startRaw(t, func(c rawCall) bool {
+				if !c.write(whole(200, "", c.id)) || c.number > 1 {
+					return true
+				}
+				<-answered
+				return k.idle(c)
+			})
+			caller := newTestCaller(t, server.address, limit)
+			opened := recordConnections(caller.client)
+			first := caller.call(testRequest("first"))
+			close(answered)
+			awaitStale(t, <-opened)
+			next := caller.call(testRequest("next"))
+			if string(first.Body) != "first" || string(next.Body) != "next" {
+				t.Errorf("got %d %q, %d %q", first.Result, first.Body, next.Result, next.Body)
+			}
+			if calls := server.calls.Load(); calls != 2 {
+				t.Errorf("%d calls arrived, want 2", calls)
+			}
+		})
+	}
+}
+
+// TestBackendServerIsNotCalled tells which failures are sure to have left the
+// work undone, so that the request may go elsewhere.
+func TestBackendServerIsNotCalled(t *testing.T) {
+	server := standin.NewBackendServer(0)
+	address := startBackend(t, server.Serve)
+	late := testRequest("r")
+	late.Deadline = time.Now()
+	cases := []struct {
+		name    string
+		address string
+		request model.Request
+	}{
+		{"connection refused", unreachableAddress, testRequest("r")},
+		{"deadline passed while the call waited", address, late},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			done := newTestCaller(t, c.address, limit).call(c.request)
+			if done.Result != executor.BackendNotStarted {
+				t.Errorf("result %d", done.Result)
+			}
+			if starts := len(server.Ran().Ran); starts != 0 {
+				t.Errorf("%d starts", starts)
+			}
+		})
+	}
+}
+
+// TestStopWhileTheBackendServerIsSilent wants the duty to end within the bound
+// of one call, with the result of the call that was under way.
+func TestStopWhileTheBackendServerIsSilent(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	server := startRaw(t, func(rawCall) bool { arrived <- struct{}{}; return true })
+	caller := newTestCaller(t, server.address, backendTimeout)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- caller.run(ctx) }()
+	caller.start(testRequest("r"))
+	<-arrived
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if done := <-caller.results.Out(); done.Result != executor.BackendLost || done.Request != "r" {
+		t.Errorf("got %+v", done)
+	}
+}
