Believe a worker only what it says of this attempt, and nothing it cuts

A contract table for the agent's calls of its worker: start, list, lease, checkpoint, throttle and stop, against 12 broken answers, each with the order taking effect or not, silent and late calls, and 15 lists. Faults that it showed, all of them in the agent: - A list without "tasks" ({} or null) said that the worker knows no task: a running task was reported as failed, and its gang ended. - A start whose answer was lost and that was not yet in the list was reported as failed at once; held up on its way, it ran afterwards with nobody knowing. - Starts carried no attempt. With the answer to a start lost, the ended task of the former attempt, which the worker still lists under the same task ID, was taken for the new one: "finished" for work that never ran. - A state that is not one of the protocol ended the agent's watch of a task. - A status other than 200 to lease, checkpoint, throttle or stop passed for done. A throttle to zero that was lost is given by nobody again: a suspended task went on at full speed with its lease renewed. - A start answered with 500, 503 or 504 counted as refused, although the task may run; a refused connection, where it surely does not, was waited for. - The list had no size limit, and a list that could not be had was not logged.

Ruled out: to stop each running task that the agent does not know. A new life of the agent cannot know the tasks of the former one, and the member decides on those (gang.Member.reportUnknown).

Change: the calls moved to workerClient, over hostClient; looks at the list to their own file. A start is unknown until the list shows this attempt or the start permit, which the worker was told, is over; 4xx is a refusal, and a call that was never sent fails at once. Throttle and checkpoint are repeated with each look until they are taken, refused or the task ended; the member repeats the others. A malformed list tells nothing, and is logged once.

Before: 122 lines of failed cases with the former caller, some of them only since the attempt was missing. After: all pass, twice with -race.

Not covered: a ring of orders that is full still drops a throttle or a checkpoint, now with event 4110.

--- a/internal/agent/rawserver_test.go
+++ b/internal/agent/rawserver_test.go
@@ -29,6 +29,7 @@
 	number int64
 	path   string
 	id     string
+	body   []byte
 }
 
 // startRaw serves with answer, which returns false to have the connection closed.
@@ -72,11 +73,12 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
 			return
 		}
 		id := request.Header.Get(headerRequestID)
-		if !answer(rawCall{conn, s.calls.Add(1), request.URL.Path, id}) {
+		if !answer(rawCall{conn, s.calls.Add(1), request.URL.Path, id, body}) {
 			return
 		}
 	}
--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -25,7 +26,8 @@
 	epoch   model.Epoch
 }
 
-// workerFailure is an order that the worker did not take.
+// workerFailure is an order that the worker did not take, or an answer of the
+// worker that is not as agreed. The task is empty where it is about all tasks.
 type workerFailure struct {
 	task   model.TaskID
 	detail string
@@ -130,7 +132,8 @@
 // takeFailure reports a start that the worker refused as a failed task. Other
 // orders are given again by the member while they are needed.
 func (w *Worker) takeFailure(failure workerFailure) {
-	w.p.Log.Record(event.Event{Code: event.WorkerCallFailed, Subject: string(failure.task), Detail: failure.detail})
+	subject := cmp.Or(string(failure.task), string(w.p.Config.Settings.Worker.ID))
+	w.p.Log.Record(event.Event{Code: event.WorkerCallFailed, Subject: subject, Detail: failure.detail})
 	if failure.start {
 		w.step(gang.WorkerTaskEvent{Task: failure.task, State: wire.TaskFailed, Detail: failure.detail})
 	}
--- a/internal/agent/workercaller.go
+++ b/internal/agent/workercaller.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,37 +14,43 @@
 	"dragonflyyard/internal/wire"
 )
 
-// workerTimeout bounds one call of the worker. Together with the longest start
-// permit it stays below the 3 s within which starts in a zone end.
-const workerTimeout = 500 * time.Millisecond
-
 // workerCaller is the duty that calls the worker beside the agent: it gives
 // the member's orders in their sequence and asks for the tasks' states.
 type workerCaller struct {
 	w      *Worker
-	client *fasthttp.HostClient
-	base   string
+	client *workerClient
 	poll   time.Duration
 	orders *ring.Ring[gang.Action]
 	now    func() time.Time
 	// known are the tasks that were started and have not ended.
 	known map[model.TaskID]*knownTask
+	// unseen is set while the worker's list of tasks cannot be had.
+	unseen bool
 }
 
 // knownTask is a task as the worker last reported it.
 type knownTask struct {
-	state      wire.TaskState
-	checkpoint int64
+	attempt uint64
+	state   wire.TaskState
+	// startableUntil is when a start whose answer was lost can no longer take
+	// effect: the end of the permit that the worker was told.
+	startableUntil time.Time
+	checkpoint     int64
 	// checkpointBy is when a task that was asked for a checkpoint is stopped;
 	// zero when it was not asked.
 	checkpointBy time.Time
+	// unconfirmed are orders that may not have reached the worker. They are
+	// given again until the worker has taken them; a later one replaces an
+	// earlier one of its kind.
+	unconfirmed map[string]any
+	// strange is the last state that is not one of the protocol.
+	strange string
 }
 
 func newWorkerCaller(p *Process, w *Worker) *workerCaller {
 	s := p.Config.Settings.Worker
 	return &workerCaller{
-		w: w, base: "http://" + s.Address, poll: s.Poll, now: p.Now,
-		client: &fasthttp.HostClient{Addr: s.Address, ReadTimeout: workerTimeout, WriteTimeout: workerTimeout, MaxIdemponentCallAttempts: 1},
+		w: w, client: newWorkerClient(s.Address), poll: s.Poll, now: p.Now,
 		orders: ring.New[gang.Action]("worker.orders", p.Config.Settings.Process.RingCapacity, p.Metrics),
 		known:  map[model.TaskID]*knownTask{},
 	}
@@ -56,8 +62,26 @@
 	if c.orders.TryPush(action) {
 		return
 	}
-	if start, ok := action.(gang.StartTask); ok {
-		c.w.takeFailure(workerFailure{task: start.Task, detail: "too many orders wait", start: true})
+	failure := workerFailure{task: taskOf(action), detail: "too many orders wait"}
+	_, failure.start = action.(gang.StartTask)
+	c.w.takeFailure(failure)
+}
+
+// taskOf returns the task that an order is about.
+func taskOf(action gang.Action) model.TaskID {
+	switch action := action.(type) {
+	case gang.StartTask:
+		return action.Task
+	case gang.ExtendLease:
+		return action.Task
+	case gang.CheckpointTask:
+		return action.Task
+	case gang.StopTask:
+		return action.Task
+	case gang.ThrottleTask:
+		return action.Task
+	default:
+		return ""
 	}
 }
 
@@ -77,171 +101,106 @@
 	}
 }
 
-// give carries one order out.
+// give carries one order out. The member repeats the orders to extend a lease
+// and to stop a task while they are needed, but not the other ones.
 func (c *workerCaller) give(ctx context.Context, action gang.Action) {
 	switch action := action.(type) {
 	case gang.StartTask:
 		c.start(ctx, action)
 	case gang.ExtendLease:
-		c.post(ctx, action.Task, "/lease", leaseBody{max(1, action.LeaseUntil.Sub(c.now()).Milliseconds())})
+		lease := max(1, action.LeaseUntil.Sub(c.now()).Milliseconds())
+		c.post(ctx, action.Task, actionLease, leaseBody{lease})
 	case gang.CheckpointTask:
-		c.post(ctx, action.Task, "/checkpoint", nil)
 		if known := c.known[action.Task]; known != nil {
 			known.checkpointBy = action.Until
 		}
+		c.postUntilTaken(ctx, action.Task, actionCheckpoint, nil)
 		c.observe(ctx)
 	case gang.StopTask:
-		c.post(ctx, action.Task, "/stop", nil)
+		c.post(ctx, action.Task, actionStop, nil)
 		c.observe(ctx)
 	case gang.ThrottleTask:
-		c.post(ctx, action.Task, "/throttle", throttleBody{action.Percent})
+		c.postUntilTaken(ctx, action.Task, actionThrottle, throttleBody{action.Percent})
 	}
 }
 
-// startBody, leaseBody and throttleBody are bodies of the worker's interface.
-type startBody struct {
-	ID      model.TaskID    `json:"id"`
-	Needs   model.Resources `json:"needs"`
-	RunMS   int64           `json:"run_ms"`
-	LeaseMS int64           `json:"lease_ms"`
-	// NotAfterUnixMS ends the start permit, for a start that is held up on its way.
-	NotAfterUnixMS int64 `json:"not_after_unix_ms"`
-}
-
-type leaseBody struct {
-	LeaseMS int64 `json:"lease_ms"`
-}
-
-type throttleBody struct {
-	Percent int `json:"percent"`
-}
-
 // start starts a task, unless its lease ended while the order waited.
 func (c *workerCaller) start(ctx context.Context, start gang.StartTask) {
 	lease := start.LeaseUntil.Sub(c.now())
 	if lease <= 0 {
-		c.fail(ctx, workerFailure{task: start.Task, detail: "the lease ended before the start", start: true})
+		c.failStart(ctx, start.Task, "the lease ended before the start")
 		return
 	}
 	notAfter, permitted := c.w.p.Permits.mayStartTask(c.now())
 	if !permitted {
-		c.fail(ctx, workerFailure{task: start.Task, detail: "the start permit ended before the start", start: true})
+		c.failStart(ctx, start.Task, "the start permit ended before the start")
 		return
 	}
-	c.known[start.Task] = &knownTask{state: wire.TaskStarting}
-	body := startBody{ID: start.Task, Needs: start.Needs, RunMS: start.RunMS, LeaseMS: lease.Milliseconds(), NotAfterUnixMS: notAfter.UnixMilli()}
-	status, err := c.call(fasthttp.MethodPost, "/tasks", body, nil)
+	known := &knownTask{attempt: start.Attempt, state: wire.TaskStarting, startableUntil: notAfter}
+	c.known[start.Task] = known
+	status, err := c.client.start(startBody{
+		ID: start.Task, Attempt: start.Attempt, Needs: start.Needs, RunMS: start.RunMS,
+		LeaseMS: lease.Milliseconds(), NotAfterUnixMS: notAfter.UnixMilli(),
+	})
 	switch {
-	case err != nil:
-		// The task may run: the worker's list of tasks tells, or its lease ends it.
+	case errors.Is(err, errNotSent):
+		delete(c.known, start.Task)
+		c.failStart(ctx, start.Task, "the worker was not reached: "+err.Error())
+	case err != nil, status >= fasthttp.StatusInternalServerError:
+		// The task may run, now or later: the worker's list of tasks tells.
 		c.observe(ctx)
 	case status != fasthttp.StatusOK:
 		delete(c.known, start.Task)
-		c.fail(ctx, workerFailure{task: start.Task, detail: "the worker refused the start", start: true})
+		c.failStart(ctx, start.Task, "the worker refused the start with status "+strconv.Itoa(status))
 	default:
-		c.known[start.Task].state = wire.TaskRunning
+		known.state = wire.TaskRunning
 		c.report(ctx, gang.WorkerTaskEvent{Task: start.Task, State: wire.TaskRunning})
 	}
 }
 
-func (c *workerCaller) post(ctx context.Context, task model.TaskID, action string, body any) {
-	if _, err := c.call(fasthttp.MethodPost, "/tasks/"+string(task)+action, body, nil); err != nil {
+// post gives an order about a task once. It reports whether there is no use in
+// giving it again: the worker took it, does not run the task or refused it.
+func (c *workerCaller) post(ctx context.Context, task model.TaskID, action string, body any) bool {
+	status, err := c.client.order(task, action, body)
+	switch {
+	case err != nil:
 		c.fail(ctx, workerFailure{task: task, detail: action + ": " + err.Error()})
+		return false
+	case status == fasthttp.StatusOK, status == fasthttp.StatusNotFound:
+		return true
+	default:
+		c.fail(ctx, workerFailure{task: task, detail: action + ": status " + strconv.Itoa(status)})
+		return status < fasthttp.StatusInternalServerError && status != fasthttp.StatusTooManyRequests
 	}
 }
 
-func (c *workerCaller) fail(ctx context.Context, failure workerFailure) {
-	c.w.inputs.Push(ctx, workerInput{failed: &failure})
-}
-
-func (c *workerCaller) report(ctx context.Context, e gang.WorkerTaskEvent) {
-	c.w.inputs.Push(ctx, workerInput{gang: e})
-}
-
-// taskList is the worker's list of tasks.
-type taskList struct {
-	Tasks []struct {
-		ID           model.TaskID `json:"id"`
-		State        string       `json:"state"`
-		DoneMS       int64        `json:"done_ms"`
-		CheckpointMS int64        `json:"checkpoint_ms"`
-	} `json:"tasks"`
-}
-
-// taskStates maps the worker's states to those of the protocol.
-var taskStates = map[string]wire.TaskState{
-	"running": wire.TaskRunning, "finished": wire.TaskFinished, "failed": wire.TaskFailed,
-	"stopped": wire.TaskStopped, "lease_lapsed": wire.TaskStopped,
-}
-
-// observe asks for the worker's tasks and reports those whose state changed.
-// A worker that cannot be asked is reported by nothing: the tasks' leases
-// lapse by the worker's own clock.
-func (c *workerCaller) observe(ctx context.Context) {
-	if len(c.known) == 0 {
+// postUntilTaken gives an order that is given again with each look at the
+// worker's tasks until the worker takes it or the task ends.
+func (c *workerCaller) postUntilTaken(ctx context.Context, task model.TaskID, action string, body any) {
+	known := c.known[task]
+	if c.post(ctx, task, action, body) {
+		if known != nil {
+			delete(known.unconfirmed, action)
+		}
 		return
 	}
-	var list taskList
-	if status, err := c.call(fasthttp.MethodGet, "/tasks", nil, &list); err != nil || status != fasthttp.StatusOK {
+	if known == nil {
 		return
 	}
-	seen := map[model.TaskID]bool{}
-	for _, t := range list.Tasks {
-		seen[t.ID] = true
-		if known := c.known[t.ID]; known != nil {
-			c.compare(ctx, t.ID, known, taskStates[t.State], t.DoneMS, t.CheckpointMS)
-		}
-	}
-	for id := range c.known {
-		if !seen[id] {
-			delete(c.known, id)
-			c.report(ctx, gang.WorkerTaskEvent{Task: id, State: wire.TaskFailed, Detail: "the worker does not know the task"})
-		}
+	if known.unconfirmed == nil {
+		known.unconfirmed = map[string]any{}
 	}
+	known.unconfirmed[action] = body
 }
 
-// compare reports what changed of a task.
-func (c *workerCaller) compare(ctx context.Context, id model.TaskID, known *knownTask, state wire.TaskState, done, checkpoint int64) {
-	if state == wire.TaskRunning && !known.checkpointBy.IsZero() && (checkpoint > known.checkpoint || c.now().After(known.checkpointBy)) {
-		known.checkpoint = checkpoint
-		c.post(ctx, id, "/stop", nil)
-		return
-	}
-	if state == known.state {
-		return
-	}
-	known.state = state
-	event := gang.WorkerTaskEvent{Task: id, State: state, DoneMS: done}
-	if state == wire.TaskStopped && checkpoint > 0 {
-		event.Checkpointed, event.DoneMS = true, checkpoint
-	}
-	if state != wire.TaskRunning {
-		delete(c.known, id)
-	}
-	c.report(ctx, event)
+func (c *workerCaller) fail(ctx context.Context, failure workerFailure) {
+	c.w.inputs.Push(ctx, workerInput{failed: &failure})
 }
 
-// call makes one call of the worker and decodes its answer into out.
-func (c *workerCaller) call(method, path string, body, out any) (int, error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI(c.base + path)
-	request.Header.SetMethod(method)
-	if body != nil {
-		encoded, err := json.Marshal(body)
-		if err != nil {
-			return 0, errors.Wrap(err, "encode order")
-		}
-		request.SetBody(encoded)
-	}
-	if err := c.client.DoTimeout(request, response, workerTimeout); err != nil {
-		return 0, errors.Wrapf(err, "call worker at %s", path)
-	}
-	if out != nil && response.StatusCode() == fasthttp.StatusOK {
-		if err := json.Unmarshal(response.Body(), out); err != nil {
-			return 0, errors.Wrapf(err, "decode worker's answer at %s", path)
-		}
-	}
-	return response.StatusCode(), nil
+func (c *workerCaller) failStart(ctx context.Context, task model.TaskID, detail string) {
+	c.fail(ctx, workerFailure{task: task, detail: detail, start: true})
+}
+
+func (c *workerCaller) report(ctx context.Context, e gang.WorkerTaskEvent) {
+	c.w.inputs.Push(ctx, workerInput{gang: e})
 }
