Choose no backend server whose agent's heartbeats are overdue

Cause: link told apart a connection whose heartbeats are late, and nothing read it. Routing suspected an agent only after a claim or look-up of its own stayed unanswered, so that on an idle connection that had gone silent the first request was the one that found out: a non-idempotent one as `unknown`.

Ruled out: to ask Conn.IsSuspect for each choice (the choice is a pure step, and would depend on a clock that its inputs do not show). To drop the check of a late message by time: inputs of one connection come in order.

Change: Hub.OnOverdue tells it with each interval, so that a full ring loses nothing for good; the request core takes LinkOverdue and marks the agent, as it does after an unanswered claim, until a message comes. Servers of such agents are not kept for large requests either. IsSuspect is gone.

--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -82,6 +82,7 @@
 	}
 	_ = p.Metrics.Register("requests.unsent", r.dropped)
 	hub.OnState(wire.RoleAgent, r.noteLink)
+	hub.OnOverdue(wire.RoleAgent, r.noteOverdue)
 	for _, kind := range requestMessages {
 		hub.Handle(wire.RoleAgent, kind, r.noteMessage)
 	}
@@ -125,6 +126,10 @@
 	})
 }
 
+func (r *Requests) noteOverdue(c *link.Conn) {
+	r.Push(requestflow.LinkOverdue{Backend: model.BackendServerID(c.Peer().Process), Connection: c.ID()})
+}
+
 func (r *Requests) noteMessage(c *link.Conn, m wire.Message) bool {
 	return r.Push(requestflow.Receive{From: model.BackendServerID(c.Peer().Process), Connection: c.ID(), Message: m})
 }
--- a/internal/link/chart.go
+++ b/internal/link/chart.go
@@ -13,7 +13,6 @@
 	connectionChart = statechart.MustLoad("connection")
 
 	stateGreeting = connectionChart.MustState("greeting")
-	stateSuspect  = connectionChart.MustState("suspect")
 
 	eventConnected        = connectionChart.MustEvent("connected")
 	eventDialFailed       = connectionChart.MustEvent("dial_failed")
@@ -71,13 +70,6 @@
 	return true
 }
 
-// isSuspect reports whether a heartbeat of the peer is overdue.
-func (l *lifecycle) isSuspect() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.machine.State() == stateSuspect
-}
-
 func (l *lifecycle) setPeer(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -60,6 +60,9 @@
 	life    *lifecycle
 
 	heartbeats *heartbeatTracker
+	// overdue is called with each heartbeat interval in which the peer's own
+	// heartbeats are overdue.
+	overdue    func(*Conn)
 	out        *ring.Ring[outgoing]
 	queued     atomic.Int64
 	queuedSize atomic.Int64
@@ -78,6 +81,7 @@
 		id: id, peer: peer, ws: ws, options: options, now: now, clock: h.clock(), traffic: h.traffic, life: life,
 		heartbeats: newHeartbeatTracker(options.Silence, now()),
 		out:        ring.New[outgoing]("link.out", options.OutgoingMessages, nil),
+		overdue:    h.notifyOverdue,
 		closed:     make(chan struct{}),
 		finished:   make(chan struct{}),
 	}
@@ -133,10 +137,6 @@
 // wire.Permit counts from the instant of its AnsweredHeartbeat.
 func (c *Conn) HeartbeatSentAt(seq uint64) (time.Time, bool) { return c.heartbeats.sentAt(seq) }
 
-// IsSuspect reports whether a heartbeat of the peer is overdue, so that new
-// work should go elsewhere.
-func (c *Conn) IsSuspect() bool { return c.life.isSuspect() }
-
 // Flush waits until all queued messages are written, the connection is closed
 // or ctx is done. It reports whether all were written.
 func (c *Conn) Flush(ctx context.Context) bool {
--- a/internal/link/harness_test.go
+++ b/internal/link/harness_test.go
@@ -23,7 +23,7 @@
 }
 
 func newNode(name string, role, peer wire.Role, options Options, capacity int) *node {
-	n := &node{events: ring.New[observed](name, capacity, nil), log: event.NewLog(name, 64, time.Now)}
+	n := &node{overdue: make(chan *Conn, 64), events: ring.New[observed](name, capacity, nil), log: event.NewLog(name, 64, time.Now)}
 	identity := Identity{
 		Process: name, Incarnation: 1,
 		Hello: func() wire.Hello {
@@ -35,6 +35,12 @@
 	n.hub.OnState(peer, func(c *Conn, cause error) bool {
 		return n.events.TryPush(observed{conn: c, cause: cause})
 	})
+	n.hub.OnOverdue(peer, func(c *Conn) {
+		select {
+		case n.overdue <- c:
+		default:
+		}
+	})
 	n.hub.Handle(peer, wire.TypeHeartbeat, func(c *Conn, m wire.Message) bool {
 		return !n.permits.Load() || c.Send(&wire.Permit{AnsweredHeartbeat: m.(*wire.Heartbeat).Seq})
 	})
--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -26,6 +26,12 @@
 // full. A loss is offered until it is taken.
 type StateHandler func(c *Conn, cause error) bool
 
+// OverdueHandler learns that a heartbeat of a peer is overdue, so that new work
+// should go elsewhere until a message of the peer comes. Like Handler it must
+// not wait. It is called again with each interval in which none came, so that
+// it may drop a call for which its ring has no room.
+type OverdueHandler func(c *Conn)
+
 // Identity is how a process announces itself to its peers.
 type Identity struct {
 	Process     string
@@ -54,6 +60,7 @@
 
 	handlers map[handlerKey][]Handler
 	states   map[wire.Role][]StateHandler
+	overdue  map[wire.Role][]OverdueHandler
 
 	opened  metrics.Counter
 	lost    metrics.Counter
@@ -72,6 +79,7 @@
 		identity: identity, options: options.WithDefaults(), log: log, now: now,
 		handlers: map[handlerKey][]Handler{},
 		states:   map[wire.Role][]StateHandler{},
+		overdue:  map[wire.Role][]OverdueHandler{},
 		opened:   metrics.NewCounter(),
 		lost:     metrics.NewCounter(),
 		traffic:  newTraffic(),
@@ -98,6 +106,17 @@
 	h.states[role] = append(h.states[role], handler)
 }
 
+// OnOverdue registers a handler for peers of a role whose heartbeats are overdue.
+func (h *Hub) OnOverdue(role wire.Role, handler OverdueHandler) {
+	h.overdue[role] = append(h.overdue[role], handler)
+}
+
+func (h *Hub) notifyOverdue(c *Conn) {
+	for _, handler := range h.overdue[c.peer.Role] {
+		handler(c)
+	}
+}
+
 // Send queues a message for a peer process. It returns false when no connection
 // to it is up or when the connection's queue is full, which closes it.
 func (h *Hub) Send(process string, m wire.Message) bool {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -32,6 +32,8 @@
 	hub    *Hub
 	log    *event.Log
 	events *ring.Ring[observed]
+	// overdue holds connections whose heartbeats were overdue, as far as it has room.
+	overdue chan *Conn
 	// permits is set while each heartbeat is answered with a permit.
 	permits atomic.Bool
 }
--- a/internal/link/writer.go
+++ b/internal/link/writer.go
@@ -109,6 +109,7 @@
 	now := w.now()
 	if w.heartbeats.isOverdue(now, overdueIntervals*w.options.Heartbeat) {
 		w.life.fire(eventHeartbeatOverdue)
+		w.overdue(w.Conn)
 	}
 	if err := w.heartbeats.check(now); err != nil {
 		return err
--- a/internal/requestflow/api.go
+++ b/internal/requestflow/api.go
@@ -49,6 +49,13 @@
 	Connection uint64
 }
 
+// LinkOverdue says that a heartbeat of an agent is overdue on an open
+// connection. The agent gets no new requests until a message of it comes.
+type LinkOverdue struct {
+	Backend    model.BackendServerID
+	Connection uint64
+}
+
 // Receive is a message of an agent.
 type Receive struct {
 	From       model.BackendServerID
@@ -73,6 +80,7 @@
 func (CallerGone) isInput()       {}
 func (LinkUp) isInput()           {}
 func (LinkDown) isInput()         {}
+func (LinkOverdue) isInput()      {}
 func (Receive) isInput()          {}
 func (AssignmentUpdate) isInput() {}
 func (ConfigUpdate) isInput()     {}
--- a/internal/requestflow/core.go
+++ b/internal/requestflow/core.go
@@ -107,6 +107,8 @@
 		c.linkUp(now, in)
 	case LinkDown:
 		c.linkDown(now, in)
+	case LinkOverdue:
+		c.linkOverdue(in)
 	case Receive:
 		c.receive(now, in)
 	case AssignmentUpdate:
--- a/internal/requestflow/links.go
+++ b/internal/requestflow/links.go
@@ -76,8 +76,20 @@
 	if l == nil || !l.heard.Before(askedAt) {
 		return
 	}
+	c.suspect(l)
+}
+
+// linkOverdue suspects an agent whose heartbeats are overdue, also where it was
+// asked nothing.
+func (c *Core) linkOverdue(in LinkOverdue) {
+	if l := c.links[in.Backend]; l != nil && l.connection == in.Connection {
+		c.suspect(l)
+	}
+}
+
+func (c *Core) suspect(l *link) {
 	l.suspect = true
-	c.table.SetSuspect(id, true)
+	c.table.SetSuspect(l.backend.ID, true)
 }
 
 func (c *Core) linkDown(now time.Time, in LinkDown) {
--- a/internal/routing/reserve.go
+++ b/internal/routing/reserve.go
@@ -13,7 +13,7 @@
 		if s.reservedFor == c.Request {
 			return s.backend.ID, true
 		}
-		if !s.is(StateAvailable) || s.reservedFor != "" || s.backend.Slots < c.Slots || t.zonesOut[s.backend.Zone] {
+		if !s.is(StateAvailable) || s.suspect || s.reservedFor != "" || s.backend.Slots < c.Slots || t.zonesOut[s.backend.Zone] {
 			continue
 		}
 		if best == nil || s.drainsBefore(best) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -39,6 +39,14 @@
 		{"zone out", func(t *Table) { t.SetZonesOut(map[model.AvailabilityZoneName]bool{"z0": true}) }, Choice{Slots: 1}, id(1)},
 		{"leaving", func(t *Table) { t.Leaving(id(0)) }, Choice{Slots: 1}, id(3)},
 		{"silent agent", func(t *Table) { t.SetSuspect(id(0), true) }, Choice{Slots: 1}, id(3)},
+		{"a silent home", func(t *Table) { t.SetSuspect(id(1), true) }, Choice{Slots: 1, Home: id(1)}, id(0)},
+		{"silent, then heard", func(t *Table) { t.SetSuspect(id(0), true); t.SetSuspect(id(0), false) }, Choice{Slots: 1}, id(0)},
+		{"a live one with more load", func(t *Table) { t.SetSuspect(id(0), true); t.Take(id(3), 3) }, Choice{Slots: 1}, id(1)},
+		{"all silent", func(t *Table) {
+			for i := range 6 {
+				t.SetSuspect(id(i), true)
+			}
+		}, Choice{Slots: 1}, ""},
 		{"kept for a large request", func(t *Table) { t.Reserve(Choice{Request: "r", Slots: 8}) }, Choice{Slots: 1}, id(3)},
 		{"larger than any credit", func(*Table) {}, Choice{Slots: 5}, ""},
 		{"old credit ignored", func(t *Table) { t.Credit(id(0), 2, 0, 0); t.Credit(id(0), 1, 8, 64) }, Choice{Slots: 1}, id(3)},
@@ -54,6 +62,14 @@
 	}
 }
 
+func TestNothingIsKeptAtASilentAgent(t *testing.T) {
+	table := newTable(6)
+	table.SetSuspect(id(0), true)
+	if got, _ := table.Reserve(Choice{Request: "r", Slots: 8}); got != id(1) {
+		t.Errorf("kept at %q, want %q", got, id(1))
+	}
+}
+
 func TestEjectedShareIsCapped(t *testing.T) {
 	table := newTable(9)
 	for i := range 9 {
