--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -50,9 +50,13 @@
 	if err != nil {
 		return nil, err
 	}
-	d.cbor.ResetBytes(frame[headerBytes:])
+	body := frame[headerBytes:]
+	d.cbor.ResetBytes(body)
 	if err := d.cbor.Decode(m); err != nil {
 		return nil, errors.CombineErrors(errors.Wrapf(ErrMalformed, "type %d", frame[1]), err)
 	}
+	if read := d.cbor.NumBytesRead(); read != len(body) {
+		return nil, errors.Wrapf(ErrMalformed, "type %d: %d bytes behind the message", frame[1], len(body)-read)
+	}
 	return m, nil
 }
