Bear a clock of the far future; say why a greeting was refused

Faults that it showed: - A Clock message with a time in the far future moved the receiver's clock, which never goes back and is passed on to all other processes: one reading spoilt the time line of the region for good (292 years ahead). - A frame over the read limit ended its connection with the library's error, not with wire.ErrFrameSize, and in a greeting as "cut" in place of "refused". - A refused greeting left no trace but in the connection chart: nothing told an operator why a process of another version is not connected.

Ruled out: to close the connection of a peer whose clock is wrong. It would stop the requests of a host for what only spoils the order of its events.

Change: a reading more than an hour ahead of the own wall clock is ignored. A frame over the limit is ErrFrameSize.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -76,10 +76,19 @@
 	}
 }
 
-// Observe advances the clock past a timestamp received from another process.
+// maxAhead is how far ahead of this process's wall clock a received timestamp
+// may be. A clock never goes back, and passes what it took on to all others, so
+// that a single reading from the far future would spoil the time line for good.
+const maxAhead = time.Hour
+
+// Observe advances the clock past a timestamp received from another process,
+// unless that is further ahead than any clock of the system can be.
 func (l *Log) Observe(remote Timestamp) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if remote.WallMS > l.now().Add(maxAhead).UnixMilli() {
+		return
+	}
 	if l.clock.Less(remote) {
 		l.clock = remote
 	}
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -1,6 +1,7 @@
 package event
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -40,3 +41,32 @@
 		names[e.Name] = true
 	}
 }
+
+// TestTimestampsFromTheFarFutureAreIgnored wants the clock of a process to stay
+// near its wall clock, whatever another process says.
+func TestTimestampsFromTheFarFutureAreIgnored(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	cases := []struct {
+		name   string
+		remote Timestamp
+		taken  bool
+	}{
+		{"slightly ahead", Timestamp{WallMS: now.UnixMilli() + 500}, true},
+		{"an hour ahead", Timestamp{WallMS: now.Add(time.Hour).UnixMilli()}, true},
+		{"more than an hour ahead", Timestamp{WallMS: now.Add(time.Hour).UnixMilli() + 1}, false},
+		{"the end of time", Timestamp{WallMS: math.MaxInt64, Counter: math.MaxUint32}, false},
+		{"long ago", Timestamp{WallMS: math.MinInt64}, false},
+	}
+	for _, c := range cases {
+		log := NewLog("p", 16, func() time.Time { return now })
+		before := log.Now()
+		log.Observe(c.remote)
+		after := log.Now()
+		if !before.Less(after) || c.remote.Less(after) != (c.taken || c.remote.WallMS < now.UnixMilli()) {
+			t.Errorf("%s: %+v, then %+v", c.name, before, after)
+		}
+		if !c.taken && after.WallMS != now.UnixMilli() {
+			t.Errorf("%s: taken over: %+v", c.name, after)
+		}
+	}
+}
--- a/internal/link/accept.go
+++ b/internal/link/accept.go
@@ -64,11 +64,13 @@
 	message, err := readFirst(ws, h.now().Add(h.options.DialTimeout))
 	if err != nil {
 		life.greetingFailed(err)
+		h.noteRefused(ws.RemoteAddr().String(), err)
 		return
 	}
 	hello, ok := message.(*wire.Hello)
 	if !ok || hello.Process == "" || (hello.Role != wire.RoleAgent && hello.Role != wire.RoleEntry) {
 		life.greetingFailed(ErrHandshake)
+		h.noteRefused(ws.RemoteAddr().String(), ErrHandshake)
 		return
 	}
 	id := h.lastID.Add(1)
--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -119,6 +119,7 @@
 	if err != nil {
 		_ = ws.Close()
 		life.greetingFailed(err)
+		h.noteRefused(address, err)
 		return "", false
 	}
 	if !h.seats.take(peer.Process, address) {
--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -67,6 +67,8 @@
 	traffic traffic
 	lastID  atomic.Uint64
 	seats   seats
+	// refusedMS is when a refused greeting was last recorded, in milliseconds.
+	refusedMS atomic.Int64
 
 	mu    sync.RWMutex
 	conns map[string]*Conn
@@ -188,6 +190,22 @@
 	return c.cause
 }
 
+// refusedInterval is the shortest time between two records of refused greetings:
+// a peer of another version dials again every few seconds.
+const refusedInterval = time.Minute
+
+// noteRefused records a greeting that is not one of this protocol and version.
+func (h *Hub) noteRefused(address string, cause error) {
+	if !isMalformed(cause) && !errors.Is(cause, ErrHandshake) {
+		return
+	}
+	now, last := h.now().UnixMilli(), h.refusedMS.Load()
+	if last != 0 && now-last < refusedInterval.Milliseconds() || !h.refusedMS.CompareAndSwap(last, now) {
+		return
+	}
+	h.log.Record(event.Event{Code: event.LinkRefused, Subject: address, Detail: cause.Error()})
+}
+
 // clock returns the clock of the time line, or nil when there is none.
 func (h *Hub) clock() Clock {
 	if h.log == nil {
--- a/internal/link/reader.go
+++ b/internal/link/reader.go
@@ -29,7 +29,7 @@
 func (r *frameReader) next() (wire.Message, error) {
 	kind, body, err := r.ws.NextReader()
 	if err != nil {
-		return nil, err
+		return nil, frameSize(err)
 	}
 	if kind != websocket.BinaryMessage {
 		return nil, errors.Wrap(wire.ErrMalformed, "text message")
@@ -39,11 +39,19 @@
 	}
 	r.buffer, err = appendAll(r.buffer[:0], body)
 	if err != nil {
-		return nil, err
+		return nil, frameSize(err)
 	}
 	return r.decoder.Decode(r.buffer)
 }
 
+// frameSize gives a frame over the read limit the error of the wire package.
+func frameSize(err error) error {
+	if errors.Is(err, websocket.ErrReadLimit) {
+		return errors.Wrap(wire.ErrFrameSize, err.Error())
+	}
+	return err
+}
+
 // appendAll appends all of in to buffer.
 func appendAll(buffer []byte, in io.Reader) ([]byte, error) {
 	const grow = 512
