Stop an HTTP server that has not begun to accept

Ruled out: open keep-alive connections and hijacked ones (Shutdown closes or does not count them); the command's own time limits (each call has one).

Change: internal/httpserver closes the listener itself and waits for what was accepted in between; process, link, standin and ctl's fake use it.

--- a/internal/ctl/fake_test.go
+++ b/internal/ctl/fake_test.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"dragonflyyard/internal/configfile"
+	"dragonflyyard/internal/httpserver"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/operatorapi"
 )
@@ -36,17 +37,17 @@
 		t.Fatal(err)
 	}
 	f := &fakeEntry{address: listener.Addr().String()}
-	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+	server := httpserver.New(&fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.calls = append(f.calls, string(ctx.Method())+" "+string(ctx.RequestURI()))
 		f.bodies = append(f.bodies, string(ctx.Request.Body()))
 		handler(ctx)
-	}}
+	}}, listener)
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(listener) }()
+	go func() { done <- server.Serve() }()
 	t.Cleanup(func() {
-		_ = server.Shutdown()
+		_ = server.Shutdown(context.Background())
 		<-done
 	})
 	return f
--- a/internal/link/accept.go
+++ b/internal/link/accept.go
@@ -9,6 +9,7 @@
 	"github.com/fasthttp/websocket"
 	"github.com/valyala/fasthttp"
 
+	"dragonflyyard/internal/httpserver"
 	"dragonflyyard/internal/wire"
 )
 
@@ -20,7 +21,7 @@
 		ReadBufferSize:   socketBufferBytes,
 		WriteBufferSize:  socketBufferBytes,
 	}
-	server := &fasthttp.Server{
+	server := httpserver.New(&fasthttp.Server{
 		Handler: func(request *fasthttp.RequestCtx) {
 			if string(request.Path()) != Path {
 				request.SetStatusCode(fasthttp.StatusNotFound)
@@ -34,9 +35,9 @@
 		NoDefaultServerHeader: true,
 		ReadTimeout:           h.options.DialTimeout,
 		CloseOnShutdown:       true,
-	}
+	}, batchListener{listener})
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(batchListener{listener}) }()
+	go func() { failed <- server.Serve() }()
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "link: accept")
@@ -47,11 +48,11 @@
 	return err
 }
 
-func shutdown(server *fasthttp.Server) error {
+func shutdown(server *httpserver.Server) error {
 	const limit = time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	if err := server.ShutdownWithContext(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	if err := server.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return errors.Wrap(err, "link: shut down")
 	}
 	return nil
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dragonflyyard/internal/event"
+	"dragonflyyard/internal/httpserver"
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
 )
@@ -170,15 +171,15 @@
 	for _, d := range b.duties {
 		group.Go(func() error { return errors.Wrapf(d.run(dutyCtx), "duty %q", d.name) })
 	}
-	server := b.newServer()
-	group.Go(func() error { return errors.Wrap(server.Serve(b.listener), "HTTP server") })
+	server := httpserver.New(b.newServer(), b.listener)
+	group.Go(func() error { return errors.Wrap(server.Serve(), "HTTP server") })
 	b.Log.Record(event.Event{Code: event.ProcessStarted, Subject: b.HTTPAddress()})
 
 	select {
 	case <-ctx.Done():
 	case <-b.stop:
 	case <-dutyCtx.Done():
-		_ = server.Shutdown()
+		b.shutDown(server)
 		return group.Wait()
 	}
 	b.RequestStop()
@@ -220,11 +221,11 @@
 }
 
 // shutDown stops the HTTP server after the responses under way are written.
-func (b *Base) shutDown(server *fasthttp.Server) {
+func (b *Base) shutDown(server *httpserver.Server) {
 	const limit = 2 * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	if err := server.ShutdownWithContext(ctx); err != nil {
+	if err := server.Shutdown(ctx); err != nil {
 		b.Logger.Warn("HTTP connections were open at the stop", zap.Error(err))
 	}
 }
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"dragonflyyard/internal/httpserver"
 	"dragonflyyard/internal/settings"
 )
 
@@ -42,9 +43,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %q", address)
 	}
-	server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true}
+	server := httpserver.New(&fasthttp.Server{Handler: handler, NoDefaultServerHeader: true}, listener)
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	go func() { served <- server.Serve() }()
 	select {
 	case err := <-served:
 		return errors.Wrapf(err, "serve %q", address)
@@ -53,6 +54,6 @@
 	stopCtx, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
 	// A held call may outlast the limit; the process ends with it.
-	_ = server.ShutdownWithContext(stopCtx)
+	_ = server.Shutdown(stopCtx)
 	return nil
 }
