Count a test that never ended as failed, and print its output

Cause: "go test -json" gives no result for a test that hangs until the timeout or takes its process down; only its package fails.

Ruled out: reading the package's own output, which holds only the FAIL line.

Change: tests with a "run" and no result are failures of their own.

--- a/internal/tools/knownred/main.go
+++ b/internal/tools/knownred/main.go
@@ -30,6 +30,7 @@
 type result struct {
 	passed  map[string]bool
 	failed  map[string]bool
+	running map[string]bool
 	output  map[string][]string
 	outside []string
 }
@@ -84,7 +85,7 @@
 }
 
 func newResult() *result {
-	return &result{passed: map[string]bool{}, failed: map[string]bool{}, output: map[string][]string{}}
+	return &result{passed: map[string]bool{}, failed: map[string]bool{}, running: map[string]bool{}, output: map[string][]string{}}
 }
 
 func collect(r io.Reader) *result {
@@ -99,17 +100,33 @@
 		}
 		res.add(e)
 	}
+	res.failUnfinished()
 	return res
 }
 
+// failUnfinished counts tests that began and never ended as failed. Such a test
+// hung until the timeout, or took its process down; "go test" reports a failure
+// of its package only.
+func (r *result) failUnfinished() {
+	for name := range r.running {
+		r.failed[name] = true
+	}
+}
+
 func (r *result) add(e testEvent) {
 	name := strings.TrimSpace(e.Package + " " + e.Test)
 	switch e.Action {
+	case "run":
+		r.running[name] = true
+	case "skip":
+		delete(r.running, name)
 	case "pass":
+		delete(r.running, name)
 		if e.Test != "" {
 			r.passed[name] = true
 		}
 	case "fail":
+		delete(r.running, name)
 		r.failed[name] = true
 	case "output":
 		r.output[name] = append(r.output[name], e.Output)
