Fill the retry budget once for each request

Cause: a request whose executor did not take its dispatch (no claim at the home, or an agent that cannot know the ID) is dispatched again as its first attempt, and filled the retry budget each time. So backend servers could get more than 1.1 times the load. Ruled out: counting a caller's own second submission as a retry; it is a new request after the outcome of the first, and the home keeps it from running again. Change: the flight notes that it has filled the budget.

--- a/internal/requestflow/dispatch.go
+++ b/internal/requestflow/dispatch.go
@@ -156,7 +156,10 @@
 func (c *Core) dispatch(now time.Time, f *flight) {
 	l := c.links[f.executor]
 	f.attempts++
-	if f.attempts == 1 {
+	if !f.budgeted {
+		// A dispatch that its executor did not run is not counted as an attempt,
+		// and the one after it does not fill the budget again.
+		f.budgeted = true
 		c.budget.OnFirst()
 	}
 	f.phase = phaseNone
--- a/internal/requestflow/flight.go
+++ b/internal/requestflow/flight.go
@@ -56,6 +56,8 @@
 	// foreign: another entry host, or an earlier submission, made the dispatch.
 	foreign  bool
 	attempts int
+	// budgeted is set once the request's first dispatch has filled the retry budget.
+	budgeted bool
 	tried    []model.BackendServerID
 
 	// token is of the claim being made; claim is the last one known to be in force.
--- a/internal/requestflow/requesttest/bag.go
+++ b/internal/requestflow/requesttest/bag.go
@@ -89,6 +89,9 @@
 	OnTransition func(entry int, step requestflow.TraceStep)
 	// Result, if set, says how a backend server ends a request; nil means an answer.
 	Result func(agent int, r model.Request) executor.BackendResult
+	// Retries counts the dispatches of requests that a backend server may have
+	// run before.
+	Retries int
 	// Violations lists each broken promise.
 	Violations []string
 	// Log lists what happened, for the report of a failure.
--- a/internal/requestflow/requesttest/hosts.go
+++ b/internal/requestflow/requesttest/hosts.go
@@ -27,6 +27,7 @@
 	// staleUntil: the entry host reads no assignment and so issues no permits.
 	staleUntil time.Time
 	stopped    bool
+	dispatches *dispatches
 }
 
 // agentHost is one agent with its backend server; core is nil while it is down.
@@ -56,7 +57,7 @@
 func (b *Bag) startEntry(i int) {
 	e := b.entries[i]
 	e.incarnation = model.Incarnation(b.Now().UnixMilli())
-	e.frozenUntil, e.stopped, e.version = time.Time{}, false, 0
+	e.frozenUntil, e.stopped, e.version, e.dispatches = time.Time{}, false, 0, newDispatches()
 	e.core = requestflow.New(requestflow.Config{
 		Entry: e.id(), Incarnation: e.incarnation, Zone: zoneOf(i), ClockSkewBound: SkewBound,
 		Seed: b.options.Seed + uint64(i), ProbeInterval: 300 * time.Millisecond,
@@ -120,6 +121,7 @@
 		}
 		return
 	}
+	b.heard(i, in)
 	for _, action := range core.Step(b.Now().Add(e.offset), in) {
 		b.performEntry(i, action)
 	}
@@ -128,8 +130,10 @@
 func (b *Bag) performEntry(i int, action requestflow.Action) {
 	switch action := action.(type) {
 	case requestflow.Send:
+		b.sent(i, action)
 		b.transmit(ToAgent, i, agentIndex(action.To), action.Connection, action.Message)
 	case requestflow.Finish:
+		delete(b.entries[i].dispatches.last, action.Request)
 		b.finished(i, action)
 	case requestflow.ReadyToStop:
 		b.entries[i].stopped = true
