Wait before a read of configuration that failed is repeated

Cause: while an operator's change waits for the head row of the document that is in force, each step asked for a read at once. A table service that refuses calls fast was then read again in a loop: 329 reads a second by the three entry hosts of one region, where the region's share of 2,000 is 166. Behind an open circuit breaker the loop has no delay at all. Ruled out: asking for the read only once a poll interval; a change after another host's change would always wait for it. Change: after a read that gave nothing, no read begins for the retry interval.

--- a/internal/configstore/catchup.go
+++ b/internal/configstore/catchup.go
@@ -12,7 +12,7 @@
 		return nil
 	}
 	if in.Result != ResultOK {
-		return c.stopRead()
+		return c.stopRead(now)
 	}
 	switch c.read.step {
 	case readHeads:
@@ -39,11 +39,11 @@
 	head, err := DecodeHead(headRow)
 	if err != nil || head.Version < c.document.Version {
 		// A head below what is in force is never acted upon.
-		return c.stopRead()
+		return c.stopRead(now)
 	}
 	assignmentHead, err := decodeAssignmentHead(assignmentRow)
 	if err != nil || assignmentHead.Version < c.assignment.Version {
-		return c.stopRead()
+		return c.stopRead(now)
 	}
 	c.read.head, c.read.headRow = head, headRow.Version
 	c.read.assignment, c.read.assignmentRow = assignmentHead.Version, assignmentRow.Version
@@ -91,14 +91,14 @@
 	}
 	if len(actions) == 0 {
 		// The rows needed are gone or cannot be read: start over from a snapshot.
-		return c.fallBackToSnapshot()
+		return c.fallBackToSnapshot(now)
 	}
 	return append(actions, c.catchUp(now)...)
 }
 
-func (c *Core) fallBackToSnapshot() []Action {
+func (c *Core) fallBackToSnapshot(now time.Time) []Action {
 	if c.read.triedSnapshot || c.read.head.Snapshot <= c.document.Version {
-		return c.stopRead()
+		return c.stopRead(now)
 	}
 	return c.loadSnapshot()
 }
@@ -114,11 +114,11 @@
 		return nil
 	}
 	if in.Result != ResultOK {
-		return c.listAllChanges()
+		return c.listAllChanges(now)
 	}
 	document, err := DecodeSnapshot(in.Value)
 	if err != nil || document.Version <= c.document.Version {
-		return c.listAllChanges()
+		return c.listAllChanges(now)
 	}
 	c.snapshot = max(c.snapshot, document.Version)
 	return append([]Action{c.replace(document)}, c.catchUp(now)...)
@@ -126,9 +126,9 @@
 
 // listAllChanges is the way around a snapshot that cannot be had: change rows
 // alone, as long as none was deleted.
-func (c *Core) listAllChanges() []Action {
+func (c *Core) listAllChanges(now time.Time) []Action {
 	if int(c.read.head.Version) > c.limits.Retention {
-		return c.stopRead()
+		return c.stopRead(now)
 	}
 	return c.listChanges()
 }
@@ -149,11 +149,11 @@
 
 func (c *Core) onAssignmentRow(now time.Time, in RowRead) []Action {
 	if in.Result != ResultOK {
-		return c.stopRead()
+		return c.stopRead(now)
 	}
 	assignment, err := DecodeAssignment(in.Row)
 	if err != nil || assignment.Version != c.read.assignment {
-		return c.stopRead()
+		return c.stopRead(now)
 	}
 	return append([]Action{c.takeAssignment(assignment)}, c.catchUp(now)...)
 }
@@ -176,9 +176,11 @@
 	return c.resolveWrite(now, startedAt)
 }
 
-// stopRead gives the outstanding read up until the next poll.
-func (c *Core) stopRead() []Action {
+// stopRead gives the outstanding read up. The next one waits for a while, also
+// when a change needs it at once: reads that fail fast are not repeated in a loop.
+func (c *Core) stopRead(now time.Time) []Action {
 	c.read = readState{}
+	c.noReadBefore = now.Add(c.limits.RetryEvery)
 	return nil
 }
 
--- a/internal/configstore/core.go
+++ b/internal/configstore/core.go
@@ -36,6 +36,8 @@
 	lastCall uint64
 	read     readState
 	nextRead time.Time
+	// noReadBefore keeps a read that failed from being repeated at once.
+	noReadBefore time.Time
 
 	backfill     backfill
 	nextBackfill time.Time
@@ -223,6 +225,9 @@
 	if c.read.step != readNothing {
 		return nil
 	}
+	if now.Before(c.noReadBefore) {
+		return nil
+	}
 	if now.Before(c.nextRead) {
 		return c.readBackfill(now)
 	}
