Guard retries, guarantees and the table service in the fault matrix

Cause: no cell named the promises on retries, on guaranteed shapes and on the table service. Change: a cell names each promise that its run checks. Retries (request, backend): the bag's count of dispatches; a killed agent is back before the deadlines of its former requests, without which a second dispatch of a non-idempotent request was never met. Guarantees (task, gang): the owner's cells are held against the racks in service and against what operators were told; after each cell the healed fleet is filled with borrowed work and both guaranteed racks have to run, without an eviction. Table service: calls within a second by the processes of a region (lease, configchange, zone); an acquired lease stands in the table; no task starts before its decision row stands (task, gang); tasks go on starting through an outage of 15 s (zone); requests are answered through an outage (request).

--- a/internal/faultmatrix/cell_test.go
+++ b/internal/faultmatrix/cell_test.go
@@ -13,8 +13,8 @@
 	From  string
 	Event string
 	Fault Fault
-	// Promise is the promise that the cell guards.
-	Promise Promise
+	// Promises are those that the cell's checks guard, the chart's own first.
+	Promises []Promise
 	// Impossible says in one line why the fault cannot meet the transition.
 	Impossible string
 	// Run drives the cores through the transition under the fault.
@@ -46,7 +46,7 @@
 func registerImpossible(chart string, promise Promise, reason string, steps []step, faults ...Fault) {
 	for _, s := range steps {
 		for _, f := range faults {
-			register(Cell{Chart: chart, From: s.from, Event: s.event, Fault: f, Promise: promise, Impossible: reason})
+			register(Cell{Chart: chart, From: s.from, Event: s.event, Fault: f, Promises: []Promise{promise}, Impossible: reason})
 		}
 	}
 }
@@ -61,10 +61,10 @@
 
 // registerEach adds a cell for each pair of a step and a fault. The run is told
 // which pair it is to drive.
-func registerEach(chart string, promise Promise, steps []step, faults []Fault, run func(t *testing.T, s step, f Fault)) {
+func registerEach(chart string, promises []Promise, steps []step, faults []Fault, run func(t *testing.T, s step, f Fault)) {
 	for _, s := range steps {
 		for _, f := range faults {
-			register(Cell{Chart: chart, From: s.from, Event: s.event, Fault: f, Promise: promise,
+			register(Cell{Chart: chart, From: s.from, Event: s.event, Fault: f, Promises: promises,
 				Run: func(t *testing.T) { run(t, s, f) }})
 		}
 	}
--- a/internal/faultmatrix/common_cells_test.go
+++ b/internal/faultmatrix/common_cells_test.go
@@ -32,7 +32,7 @@
 	var driven []string
 	run := func(_ *testing.T, s step, f Fault) { driven = append(driven, s.from+" "+string(f)) }
 	steps := stepsWithout("zone", allSteps("zone")[2:]...)
-	registerEach("zone", PromiseZoneOut, steps, []Fault{TableDown, TableSlow}, run)
+	registerEach("zone", []Promise{PromiseZoneOut}, steps, []Fault{TableDown, TableSlow}, run)
 	registerImpossible("zone", PromiseZoneOut, "reason", steps, MessageLost)
 	if len(registered) != 6 || registered[4].Impossible != "reason" {
 		t.Fatalf("got %+v", registered)
--- a/internal/faultmatrix/config_cells_test.go
+++ b/internal/faultmatrix/config_cells_test.go
@@ -33,7 +33,7 @@
 		HostKilled, ProcessFrozen, ConnectionSilent, ConnectionCut, ConnectionSlow, MessageDuplicated, MessageReordered,
 		MessageLost, TableDown, TableSlow, TableAnswerLost, ObjectStoreDown, EntryKilled, OperatorsRacing, SecondFault,
 	}
-	registerEach("configchange", PromiseConfiguration, allSteps("configchange"), faults, runConfigCell)
+	registerEach("configchange", []Promise{PromiseConfiguration, PromiseStore}, allSteps("configchange"), faults, runConfigCell)
 	registerImpossibleRows("configchange", PromiseConfiguration, "no agent takes part in a step of this chart", AgentKilled)
 	registerImpossibleRows("configchange", PromiseConfiguration, "any entry host writes changes; no step is taken under the owner's lease",
 		LeaseLapsed, OwnerKilled, OwnerDeposed)
@@ -216,9 +216,12 @@
 	}
 }
 
-// checkEnd wants every host at the table's version with the same document,
-// every submission of a living host answered, and no refused change made.
+// checkEnd wants the calls within the budget of the table service, every host
+// at the table's version with the same document, every submission of a living host answered, and no refused change made.
 func (w *configWorld) checkEnd() {
+	if w.isOverBudget() {
+		w.fail("%d reads and %d writes of the table service in a second", w.reads.peak, w.writes.peak)
+	}
 	first := w.hosts[0].core.Document()
 	for _, h := range w.hosts {
 		if !reflect.DeepEqual(h.core.Document(), first) {
--- a/internal/faultmatrix/job_cells_test.go
+++ b/internal/faultmatrix/job_cells_test.go
@@ -12,8 +12,9 @@
 )
 
 func init() {
-	registerEach("gang", PromiseGang, allSteps("gang"), append(jobFaults(), OperatorsRacing), driveGang)
-	registerEach("task", PromiseGang, allSteps("task"), jobFaults(), driveTask)
+	promises := []Promise{PromiseGang, PromiseGuarantee, PromiseStore}
+	registerEach("gang", promises, allSteps("gang"), append(jobFaults(), OperatorsRacing), driveGang)
+	registerEach("task", promises, allSteps("task"), jobFaults(), driveTask)
 	registerImpossibleRows("gang", PromiseGang, "no step of a gang reads or writes the object store: rows alone rebuild it", ObjectStoreDown)
 }
 
@@ -30,6 +31,7 @@
 	r.d.RunUntil(r.d.Now.Add(5 * time.Second))
 	r.beginGang()
 	r.finish(r.gangEnds()...)
+	r.checkClaims()
 }
 
 // presetGang arranges what has to hold before the step is reached.
@@ -193,6 +195,7 @@
 		ends = append(ends, scheduler.PhaseCancelled)
 	}
 	r.finish(ends...)
+	r.checkClaims()
 }
 
 // leadTask leads a running task to the step's state.
--- a/internal/faultmatrix/job_rig_test.go
+++ b/internal/faultmatrix/job_rig_test.go
@@ -79,6 +79,12 @@
 		silent: map[model.WorkerID]time.Time{},
 	}
 	r.watch = jobs.NewWatch(r.d)
+	watchGuarantees(r)
+	started := r.d.Hooks.Started
+	r.d.Hooks.Started = func(h *jobs.Host, id model.TaskID) {
+		started(h, id)
+		r.started(h, id)
+	}
 	r.d.Hooks.Deliver = r.deliver
 	r.d.Hooks.Decide = r.decide
 	r.d.Hooks.StoreDown = func() bool { return r.d.Now.Before(r.storeDown) }
--- a/internal/faultmatrix/lease_cells_test.go
+++ b/internal/faultmatrix/lease_cells_test.go
@@ -29,7 +29,7 @@
 		HostKilled, ProcessFrozen, ConnectionSilent, ConnectionCut, ConnectionSlow, MessageDuplicated, MessageReordered,
 		MessageLost, TableDown, TableSlow, TableAnswerLost, LeaseLapsed, EntryKilled, OwnerKilled, OwnerDeposed, SecondFault,
 	}
-	registerEach("lease", PromiseOwnership, allSteps("lease"), faults, runLeaseCell)
+	registerEach("lease", []Promise{PromiseOwnership, PromiseStore}, allSteps("lease"), faults, runLeaseCell)
 	registerImpossibleRows("lease", PromiseOwnership, "no agent takes part in a step of this chart", AgentKilled)
 	registerImpossibleRows("lease", PromiseOwnership, "no step of this chart reads or writes the object store", ObjectStoreDown)
 }
@@ -222,6 +222,9 @@
 func (w *leaseWorld) checkEnd() {
 	w.heal()
 	w.run(leaseSettle, w.tick)
+	if w.isOverBudget() {
+		w.fail("%d reads and %d writes of the table service in a second", w.reads.peak, w.writes.peak)
+	}
 	h := w.holder(nil)
 	if h == nil {
 		w.fail("nobody holds the lease after all faults were healed")
--- a/internal/faultmatrix/lease_world_test.go
+++ b/internal/faultmatrix/lease_world_test.go
@@ -125,13 +125,20 @@
 }
 
 // acquired checks that epochs grow: no epoch is acquired twice, so that what
-// was sent before a loss is fenced off from what is sent after it.
+// was sent before a loss is fenced off from what is sent after it. What was
+// acquired stands in the table, unless a later epoch has replaced it.
 func (w *leaseWorld) acquired(h *leaseHost, a ownership.Acquired) {
 	w.notef("%s acquired epoch %d", h.id, a.Epoch)
 	if a.Epoch <= w.epochs {
 		w.fail("%s acquired epoch %d after epoch %d", h.id, a.Epoch, w.epochs)
 	}
 	w.epochs = a.Epoch
+	row, _ := w.store.Get(atOnce(), ownership.RowKey("r"))
+	kept, err := ownership.DecodeLease(row)
+	isMine := kept.Owner == h.id && kept.Incarnation == h.incarnation && kept.Epoch == a.Epoch
+	if err != nil || !isMine && kept.Epoch <= a.Epoch {
+		w.fail("%s acquired epoch %d, and the table has %+v", h.id, a.Epoch, kept)
+	}
 	if _, holds := h.candidate.Holds(w.now); !holds || h.stopping {
 		w.fail("%s is told that it acquired epoch %d: holds %v, stopping %v", h.id, a.Epoch, holds, h.stopping)
 	}
--- a/internal/faultmatrix/link_cells_test.go
+++ b/internal/faultmatrix/link_cells_test.go
@@ -35,7 +35,7 @@
 	faults := []Fault{
 		HostKilled, ProcessFrozen, ConnectionSilent, ConnectionCut, ConnectionSlow, EntryKilled, AgentKilled, SecondFault,
 	}
-	registerEach("connection", PromiseRequestOutcome, allSteps("connection"), faults, runLinkCell)
+	registerEach("connection", []Promise{PromiseRequestOutcome}, allSteps("connection"), faults, runLinkCell)
 	registerImpossibleRows("connection", PromiseRequestOutcome,
 		"a TCP connection delivers its bytes once and in order; what it loses for good is the silent row",
 		MessageDuplicated, MessageReordered, MessageLost)
--- a/internal/faultmatrix/matrix.go
+++ b/internal/faultmatrix/matrix.go
@@ -48,8 +48,10 @@
 
 // Record is the result of the cell at one place.
 type Record struct {
-	Result  Result
-	Promise Promise
+	Result Result
+	// Promises are those that the cell guards, the chart's own first. A failed
+	// cell counts as failed under each of them.
+	Promises []Promise
 	// Reason says why an impossible cell cannot happen.
 	Reason string
 }
@@ -90,9 +92,11 @@
 func (m *Matrix) CountsByPromise() map[Promise]Counts {
 	byPromise := map[Promise]Counts{}
 	for _, r := range m.records {
-		counts := byPromise[r.Promise]
-		counts.add(r.Result)
-		byPromise[r.Promise] = counts
+		for _, promise := range r.Promises {
+			counts := byPromise[promise]
+			counts.add(r.Result)
+			byPromise[promise] = counts
+		}
 	}
 	return byPromise
 }
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -52,8 +53,13 @@
 		if !faults[c.Fault] {
 			t.Errorf("%s: fault %q is unknown", p.Column, c.Fault)
 		}
-		if c.Promise < PromiseRequestOutcome || c.Promise > PromiseStore {
-			t.Errorf("%s under %s: promise %d is unknown", p.Column, p.Fault, c.Promise)
+		for i, promise := range c.Promises {
+			if promise < PromiseRequestOutcome || promise > PromiseStore || slices.Contains(c.Promises[:i], promise) {
+				t.Errorf("%s under %s: promise %d is unknown or stands twice", p.Column, p.Fault, promise)
+			}
+		}
+		if len(c.Promises) == 0 {
+			t.Errorf("%s under %s guards no promise", p.Column, p.Fault)
 		}
 		if (c.Run == nil) == (c.Impossible == "") || strings.Contains(c.Impossible, "\n") {
 			t.Errorf("%s under %s: exactly one of Run and a one-line Impossible is needed", p.Column, p.Fault)
@@ -120,7 +126,7 @@
 		}
 		p := place(t, columns, c)
 		if c.Run == nil {
-			set(p, Record{Result: Impossible, Promise: c.Promise, Reason: c.Impossible})
+			set(p, Record{Result: Impossible, Promises: c.Promises, Reason: c.Impossible})
 			continue
 		}
 		t.Run(strings.Join([]string{c.From, c.Event, string(c.Fault)}, "/"), func(t *testing.T) {
@@ -130,7 +136,7 @@
 				if t.Failed() || t.Skipped() {
 					result = Failed
 				}
-				set(p, Record{Result: result, Promise: c.Promise})
+				set(p, Record{Result: result, Promises: c.Promises})
 			})
 			free <- struct{}{}
 			defer func() { <-free }()
@@ -160,7 +166,7 @@
 		for _, column := range m.columns {
 			p := Place{column, row.fault}
 			if _, set := m.records[p]; column.Chart == row.chart && !set {
-				m.Set(p, Record{Result: Impossible, Promise: row.promise, Reason: row.reason})
+				m.Set(p, Record{Result: Impossible, Promises: []Promise{row.promise}, Reason: row.reason})
 			}
 		}
 	}
@@ -174,18 +180,20 @@
 	}
 	m := NewMatrix([]*statechart.Chart{chart})
 	columns := Columns([]*statechart.Chart{chart})
-	m.Set(Place{columns[0], HostKilled}, Record{Result: Passed, Promise: PromiseGang})
-	m.Set(Place{columns[0], MessageLost}, Record{Result: Failed, Promise: PromiseGang})
-	m.Set(Place{columns[1], HostKilled}, Record{Result: Impossible, Promise: PromiseStore, Reason: "no host"})
+	m.Set(Place{columns[0], HostKilled}, Record{Result: Passed, Promises: []Promise{PromiseGang, PromiseGuarantee}})
+	m.Set(Place{columns[0], MessageLost}, Record{Result: Failed, Promises: []Promise{PromiseGang, PromiseGuarantee}})
+	m.Set(Place{columns[1], HostKilled}, Record{Result: Impossible, Promises: []Promise{PromiseStore}, Reason: "no host"})
 	want := Counts{Passed: 1, Failed: 1, Impossible: 1, NotCovered: 2*len(Faults()) - 3}
 	if got := m.CountsByChart()["c"]; got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
-	if got := m.CountsByPromise()[PromiseGang]; got != (Counts{Passed: 1, Failed: 1}) {
-		t.Errorf("got %+v", got)
+	for _, promise := range []Promise{PromiseGang, PromiseGuarantee} {
+		if got := m.CountsByPromise()[promise]; got != (Counts{Passed: 1, Failed: 1}) {
+			t.Errorf("promise %d: got %+v", promise, got)
+		}
 	}
 	page := m.Page()
-	for _, text := range []string{"| a on e | 5 | ? |", "| F |", "| a on f | - |", "- no host (a)",
+	for _, text := range []string{"| a on e | 5 6 | ? |", "| F |", "| a on f | - |", "- no host (a)",
 		"- c: a on f: process_frozen,"} {
 		if !strings.Contains(page, text) {
 			t.Errorf("the page has no %q:\n%s", text, page)
--- a/internal/faultmatrix/request_cells_test.go
+++ b/internal/faultmatrix/request_cells_test.go
@@ -32,15 +32,16 @@
 func init() {
 	requestFaults := []Fault{
 		HostKilled, ProcessFrozen, ConnectionSilent, ConnectionCut, ConnectionSlow, MessageDuplicated, MessageReordered,
-		MessageLost, TableDown, TableSlow, TableAnswerLost, LeaseLapsed, EntryKilled, AgentKilled, OwnerKilled,
-		OwnerDeposed, SecondFault,
+		MessageLost, TableAnswerLost, LeaseLapsed, EntryKilled, AgentKilled, OwnerKilled, OwnerDeposed, SecondFault,
 	}
-	registerEach("request", PromiseRequestOutcome, allSteps("request"), requestFaults, runRequestCell)
+	promises := []Promise{PromiseRequestOutcome, PromiseRetryBudget}
+	registerEach("request", promises, allSteps("request"), requestFaults, runRequestCell)
+	registerEach("request", append(promises, PromiseStore), allSteps("request"), []Fault{TableDown, TableSlow}, runRequestCell)
 	backendFaults := []Fault{
 		HostKilled, ProcessFrozen, ConnectionSilent, ConnectionCut, ConnectionSlow, MessageDuplicated, MessageReordered,
 		MessageLost, EntryKilled, AgentKilled, SecondFault,
 	}
-	registerEach("backend", PromiseGracefulStop, allSteps("backend"), backendFaults, runBackendCell)
+	registerEach("backend", []Promise{PromiseGracefulStop, PromiseRetryBudget}, allSteps("backend"), backendFaults, runBackendCell)
 }
 
 // newBag returns a bag with uneven service times and clocks that differ.
@@ -98,7 +99,8 @@
 		b.KillEntry(entry)
 		b.At(longPause, func() { b.RestartEntry(entry) })
 	case AgentKilled:
-		killAgent(b, home)
+		replaceAgent(b, agent)
+		b.At(2*shortPause, func() { replaceAgent(b, home) })
 	case SecondFault:
 		b.Silence(entry, agent)
 		b.At(shortPause, func() { killAgent(b, home) })
@@ -131,6 +133,13 @@
 	b.At(longPause, func() { b.RestartAgent(agent) })
 }
 
+// replaceAgent kills an agent whose new life is up before the deadlines of its
+// former requests.
+func replaceAgent(b *requesttest.Bag, agent int) {
+	b.KillAgent(agent)
+	b.At(shortPause, func() { b.RestartAgent(agent) })
+}
+
 // disturbMessages disturbs the messages of a request, or all messages of a
 // backend server's connections, for a while after the step.
 func disturbMessages(b *requesttest.Bag, f Fault, taken requestflow.TraceStep) {
@@ -191,13 +200,39 @@
 		storm(b, seed)
 		b.Settle(bagSettle)
 		checkBag(t, b)
-		if taken() {
-			return
+		if !taken() {
+			continue
+		}
+		if f == TableDown || f == TableSlow {
+			checkServesInOutage(t, b)
 		}
+		return
 	}
 	t.Fatalf("no seed up to %d takes the step %s on %s", stormSeeds, s.from, s.event)
 }
 
+// checkServesInOutage takes the table service down after all else has healed
+// and wants each request to be answered.
+func checkServesInOutage(t *testing.T, b *requesttest.Bag) {
+	t.Helper()
+	b.Result = nil
+	b.StopStore(longPause)
+	var sent []*requesttest.Submission
+	for i := range 60 {
+		b.At(time.Duration(i)*longPause/60, func() {
+			sent = append(sent, b.Submit(0, b.NewRequest(i%2 == 0, 2*time.Second)))
+		})
+	}
+	b.Run(longPause)
+	b.Settle(longPause)
+	checkBag(t, b)
+	for _, s := range sent {
+		if s.Outcome.Kind != model.OutcomeAnswered {
+			t.Errorf("%s while the table service is down: %s %s", s.Request.ID, s.Outcome.Kind, s.Outcome.Reason)
+		}
+	}
+}
+
 // storm submits requests of all kinds for three seconds, among conditions that
 // make the rarer steps happen: failing backend servers, lost claims, a cut
 // connection, an agent and an entry host that stop.
--- a/internal/faultmatrix/world_test.go
+++ b/internal/faultmatrix/world_test.go
@@ -43,6 +43,7 @@
 	// answersLost loses the answers of writes until then.
 	storeDown, storeSlow, answersLost time.Time
 	log                               []string
+	reads, writes                     callCount
 }
 
 func newWorld(seed uint64) *world {
@@ -189,6 +190,11 @@
 // that nothing was heard.
 func (p *callPath) send(isWrite bool, effect func() func(), refused, lost func()) {
 	w := p.w
+	if isWrite {
+		w.writes.add(w.now)
+	} else {
+		w.reads.add(w.now)
+	}
 	p.last++
 	id, open := p.last, true
 	finish := func(deliver func()) {
--- a/internal/faultmatrix/zone_cells_test.go
+++ b/internal/faultmatrix/zone_cells_test.go
@@ -24,6 +24,8 @@
 	workResumes = 7 * time.Second
 	zonePause   = 6 * time.Second
 	zoneSeeds   = 30
+	// zoneOutage is longer than any permit and the time to notice an outage.
+	zoneOutage = 15 * time.Second
 )
 
 func init() {
@@ -31,7 +33,7 @@
 		HostKilled, ProcessFrozen, ConnectionSilent, ConnectionCut, ConnectionSlow, MessageDuplicated, MessageReordered,
 		MessageLost, TableDown, TableSlow, TableAnswerLost, LeaseLapsed, EntryKilled, AgentKilled, OperatorsRacing, SecondFault,
 	}
-	registerEach("zone", PromiseZoneOut, allSteps("zone"), faults, runZoneCell)
+	registerEach("zone", []Promise{PromiseZoneOut, PromiseStore}, allSteps("zone"), faults, runZoneCell)
 	registerImpossibleRows("zone", PromiseZoneOut, "every entry host gives permits; the scheduler's owner takes no part in a step of this chart",
 		OwnerKilled, OwnerDeposed)
 }
@@ -248,9 +250,24 @@
 	w.run(configInForce, w.tick)
 	w.checkEnd()
 	w.checkWork(model.ZoneIn, workResumes, true)
+	w.checkOutage()
 	w.checkWork(model.ZoneOut, lastStart, false)
 }
 
+// checkOutage takes the table service down among healthy processes and wants
+// tasks to start until it is back.
+func (w *zoneWorld) checkOutage() {
+	w.storeDown = w.now.Add(zoneOutage)
+	w.run(zoneOutage, func() {
+		w.tick()
+		if since := w.now.Sub(w.lastStarted); since > time.Second {
+			w.fail("no task started for %s while the table service is down", since)
+			w.lastStarted = w.now
+		}
+	})
+	w.run(time.Second, w.tick)
+}
+
 func (w *zoneWorld) healAll() {
 	w.heal()
 	for _, a := range w.agents {
--- a/internal/replay/jobs/watch.go
+++ b/internal/replay/jobs/watch.go
@@ -42,6 +42,9 @@
 	return w
 }
 
+// Violate notes a promise that a further check of the caller found broken.
+func (w *Watch) Violate(format string, args ...any) { w.errorf(format, args...) }
+
 func (w *Watch) errorf(format string, args ...any) {
 	if w.Violation == "" {
 		w.Violation = fmt.Sprintf("after %s: %s", w.d.Now.Sub(w.start), fmt.Sprintf(format, args...))
