Let no operator's call cut the connection between entry hosts

Cause: an entry host that does not own the scheduler forwards an operator's call in one frame. A frame held 1 MiB, the largest call's body alone as much, and the answer to a cancellation repeats all its IDs. A frame that is too large was an error of the writing goroutine, which ends the connection: the caller of a cancellation of 8,000 jobs waited 8 s for "in doubt", and the connection that carries the entry hosts' word on permits was gone.

Ruled out: parts, as for requests. Only these two messages need them, and the largest that occur at 1 MiB of body are 1.2 MiB.

Change: a frame holds 2 MiB, and a connection refuses a body that fits in no frame in place of closing. An answer that is too large to be passed on is answer_too_large (500). A body over 1 MiB is refused where it arrives, and with 413, as docs/API.md says, not 400.

Not mended: a configuration document of more than a frame would end the connections that it is sent over.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -68,6 +68,10 @@
 // serveHTTP serves a call here when this entry host is the owner, and forwards
 // it to the owner otherwise.
 func (s *Scheduler) serveHTTP(ctx *fasthttp.RequestCtx) {
+	if refused := operatorapi.CheckSize(ctx.PostBody()); refused != nil {
+		writeReply(ctx, refusalReply(refused))
+		return
+	}
 	replies := make(chan operatorReply, 1)
 	// The server reuses ctx once this handler gave up; the call may outlive it.
 	query := &fasthttp.Args{}
@@ -106,6 +110,20 @@
 	ctx.SetBody(reply.body)
 }
 
+// maxForwardedBytes is the largest body of an operator's call or of its answer
+// that one entry host sends to another. It leaves room for the path.
+const maxForwardedBytes = wire.MaxBodyBytes - 64<<10
+
+func tooLargeReply() operatorReply {
+	return errorReply(fasthttp.StatusInternalServerError, "answer_too_large",
+		"The answer is too large to be passed on; ask the entry host that owns the scheduler, or for less.", 0)
+}
+
+// refusalReply answers input that is not valid.
+func refusalReply(refused *operatorapi.InputError) operatorReply {
+	return errorReply(refused.Status(), refused.Code, refused.Sentence, 0)
+}
+
 // noteForwarded takes a call that another entry host forwarded.
 func (s *Scheduler) noteForwarded(c *link.Conn, m wire.Message) bool {
 	forwarded := m.(*wire.OperatorCall)
@@ -115,6 +133,9 @@
 	call := &operatorCall{
 		method: forwarded.Method, path: path, query: args, body: forwarded.Body,
 		reply: func(r operatorReply) {
+			if len(r.body) > maxForwardedBytes {
+				r = tooLargeReply()
+			}
 			c.Send(&wire.OperatorReply{
 				Call: forwarded.Call, Status: r.status, Body: r.body, RetryAfterMS: r.retryAfter.Milliseconds(),
 			})
@@ -149,7 +170,7 @@
 func (s *Scheduler) serveSubmit(call *operatorCall) {
 	request, refused := operatorapi.DecodeJob(call.body, s.p.Now())
 	if refused != nil {
-		call.reply(errorReply(fasthttp.StatusBadRequest, refused.Code, refused.Sentence, 0))
+		call.reply(refusalReply(refused))
 		return
 	}
 	call.job = request.Job(s.p.Now().UTC())
@@ -267,7 +288,7 @@
 func (s *Scheduler) serveCancel(call *operatorCall) {
 	request, refused := operatorapi.DecodeCancel(call.body)
 	if refused != nil {
-		call.reply(errorReply(fasthttp.StatusBadRequest, refused.Code, refused.Sentence, 0))
+		call.reply(refusalReply(refused))
 		return
 	}
 	reply := operatorapi.CancelReply{Results: map[model.JobID]string{}}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -96,7 +96,7 @@
 func (s *State) serveChange(ctx *fasthttp.RequestCtx) {
 	change, refused := operatorapi.DecodeChange(ctx.PostBody())
 	if refused != nil {
-		process.WriteError(ctx, fasthttp.StatusBadRequest, refused.Code, refused.Sentence)
+		process.WriteError(ctx, refused.Status(), refused.Code, refused.Sentence)
 		return
 	}
 	change.Time = s.p.Now().UTC()
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -93,14 +93,15 @@
 // Peer describes the other end.
 func (c *Conn) Peer() Peer { return c.peer }
 
-// Send queues a message. It returns false when the connection is closed or
-// when the peer did not drain earlier ones, in which case it is closed: a
-// connection never skips a message.
+// Send queues a message. It returns false when the connection is closed, when
+// the message has a body that fits in no frame, or when the peer did not drain
+// earlier ones, in which case it is closed: a connection never skips a message
+// that it took.
 func (c *Conn) Send(m wire.Message) bool {
-	if c.isClosed() {
+	item := outgoing{m, messageBytes(m)}
+	if c.isClosed() || item.bytes > wire.MaxBodyBytes {
 		return false
 	}
-	item := outgoing{m, messageBytes(m)}
 	if c.queuedSize.Add(item.bytes) > c.options.OutgoingBytes {
 		c.queuedSize.Add(-item.bytes)
 		c.close(ErrSlowReader)
--- a/internal/link/contract_test.go
+++ b/internal/link/contract_test.go
@@ -401,3 +401,24 @@
 		t.Errorf("recorded %v", subjects)
 	}
 }
+
+// TestBodiesThatFitInNoFrameAreNotSent wants a refusal in place of the loss of
+// the connection, and room for the largest body that the limit allows.
+func TestBodiesThatFitInNoFrameAreNotSent(t *testing.T) {
+	p := newPair(t, contractOptions(), 256)
+	conn := p.server.nextUp(t)
+	p.client.nextUp(t)
+	body := make([]byte, wire.MaxBodyBytes+1)
+	for _, m := range []wire.Message{&wire.OperatorCall{Body: body}, &wire.OperatorReply{Body: body}} {
+		if conn.Send(m) {
+			t.Errorf("%T was taken", m)
+		}
+	}
+	largest := wire.OperatorReply{Body: body[:wire.MaxBodyBytes-1024]}
+	if !conn.Send(&largest) || !conn.Send(&wire.Forget{Request: "r"}) {
+		t.Fatal("a message that fits was refused")
+	}
+	if o := p.client.next(t); o.message == nil || conn.Cause() != nil {
+		t.Errorf("got %+v, cause %v", o, conn.Cause())
+	}
+}
--- a/internal/operatorapi/decode.go
+++ b/internal/operatorapi/decode.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"time"
 
@@ -31,6 +32,14 @@
 // Error implements error.
 func (e *InputError) Error() string { return e.Code + ": " + e.Sentence }
 
+// Status returns the HTTP status of the refusal.
+func (e *InputError) Status() int {
+	if e.Code == CodeTooLarge {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
 func refuse(code, format string, args ...any) *InputError {
 	return &InputError{Code: code, Sentence: fmt.Sprintf(format, args...)}
 }
@@ -38,8 +47,8 @@
 // decodeStrict decodes one JSON value without unknown fields and without
 // anything after it.
 func decodeStrict(body []byte, target any) *InputError {
-	if len(body) > MaxBodyBytes {
-		return refuse(CodeTooLarge, "The body has %d bytes; at most %d are allowed.", len(body), MaxBodyBytes)
+	if err := CheckSize(body); err != nil {
+		return err
 	}
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
@@ -52,6 +61,14 @@
 	return nil
 }
 
+// CheckSize refuses a body that is larger than any call's.
+func CheckSize(body []byte) *InputError {
+	if len(body) > MaxBodyBytes {
+		return refuse(CodeTooLarge, "The body has %d bytes; at most %d are allowed.", len(body), MaxBodyBytes)
+	}
+	return nil
+}
+
 // checkID checks an ID that appears in paths and keys.
 func checkID(kind, id string) *InputError {
 	if id == "" || len(id) > MaxIDBytes {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,8 +13,11 @@
 const (
 	// ProtocolVersion is the version byte of each frame.
 	ProtocolVersion = 1
-	// MaxFrameBytes is the largest frame that a process accepts.
-	MaxFrameBytes = 1 << 20
+	// MaxFrameBytes is the largest frame that a process accepts. It has room for
+	// the largest operator's call, and for an answer that repeats all its IDs.
+	MaxFrameBytes = 2 << 20
+	// MaxBodyBytes is the largest body of an OperatorCall or OperatorReply.
+	MaxBodyBytes = MaxFrameBytes - 64<<10
 	// MaxPartBytes is the largest body part in one AnswerPart or Dispatch.
 	MaxPartBytes = 256 << 10
 
