Send statuses between entry hosts only where they are needed

Cause: an idle entry host of today (11 agents, 3 entry hosts) used 4,461 bytes a second on its links, bound 4,096.

Ruled out: a slower heartbeat (600 ms: costs 100 ms of each detection); answering each second heartbeat of an agent with a permit (saves 913 bytes a second, but a pause of 1 s in place of 1.5 s would then close a link); statuses that wait for the next heartbeat (their age goes into the basis of permits and of an owner's hold of 1 s in an outage, twice 500 ms is all of it).

Change: a heartbeat between entry hosts says (NoStatus, appended, so an earlier sender asks always) when the sender rests nothing on the answer: it is established, its last read of the head rows is younger than 500 ms, and a lease of its own has more than 1.5 s left. The receiver then sends its status only where it differs from the last one on the connection, and each 5 s. As soon as reads fail, the next heartbeat asks and is answered at once, before a permit can rest on the answer (1.25 s).

Heartbeats, silence limits and permits are as before.

--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -14,6 +14,9 @@
 	fmt.Fprintln(w, "## Messages")
 	fmt.Fprintln(w)
 	printCodec(w, costs)
+	if err := reportIdle(w); err != nil {
+		return err
+	}
 	if err := reportScheduler(w); err != nil {
 		return err
 	}
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -90,7 +90,8 @@
 	p := &Process{Base: base, Config: config, linkListener: listener, dials: make(chan string, maxDials)}
 	p.roster = append([]string{p.LinkAddress()}, s.Peers...)
 	identity := link.Identity{Process: base.Name, Incarnation: base.Incarnation, Hello: p.hello, Roster: p.Roster,
-		HTTPAddress: p.HTTPAddress(), Zone: s.Zone}
+		HTTPAddress: p.HTTPAddress(), Zone: s.Zone,
+		NeedsStatus: func() bool { return p.State.needsStatus.Load() }}
 	p.Hub = link.NewHub(identity, process.LinkOptions(&s.Links), base.Log, base.Metrics, base.Now)
 	p.Requests = newRequests(p.requestConfig(), s.Process.RingCapacity, base, p.Hub)
 	p.registerCallers()
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -71,6 +71,8 @@
 	limits permit.Limits
 
 	agents *agentBook
+	// statuses are what this host last stated to the other entry hosts.
+	statuses statusBook
 	// pending holds configuration that the request core's ring had no room for.
 	pending   pendingUpdates
 	waiters   map[uint64]chan configstore.Answer
@@ -93,8 +95,10 @@
 	// document and ownerNow are read by other duties.
 	document atomic.Pointer[model.ConfigDocument]
 	ready    atomic.Bool
-	ownerNow atomic.Pointer[ownerView]
-	check    atomic.Pointer[ownerCheck]
+	// needsStatus is read by the links for each heartbeat.
+	needsStatus atomic.Bool
+	ownerNow    atomic.Pointer[ownerView]
+	check       atomic.Pointer[ownerCheck]
 }
 
 func newState(p *Process, calls *platformCalls) *State {
@@ -116,11 +120,13 @@
 		issuer:    permit.NewIssuer(limits, s.ID),
 		limits:    limits,
 		agents:    newAgentBook(),
+		statuses:  statusBook{},
 		waiters:   map[uint64]chan configstore.Answer{},
 		handedOff: make(chan struct{}),
 		rosterOff: make(chan struct{}),
 		onRoster:  func(int, bool) {},
 	}
+	state.needsStatus.Store(true)
 	state.issuer.NeedPeers(len(s.Peers) > 0)
 	state.owner.Bar(true)
 	state.config = configstore.New(configLimits, s.Region, state.validateGuarantee)
@@ -176,6 +182,7 @@
 	s.stepRoster(now, membership.RosterTick{})
 	s.agents.tick(now)
 	s.extendOwnership(now)
+	s.needsStatus.Store(s.restsOnStatus(now))
 	s.planHomes(now)
 	s.pending.flush(s.p.Requests)
 }
--- a/internal/entry/statelinks.go
+++ b/internal/entry/statelinks.go
@@ -20,6 +20,7 @@
 	if peer.Role == wire.RoleEntry {
 		if change.lost {
 			s.issuer.Disconnected(model.EntryID(peer.Process))
+			s.statuses.forget(peer.Process)
 			return
 		}
 		s.sendConfig(change.conn, 0, 0)
@@ -43,9 +44,7 @@
 			s.answerAgent(now, m.conn, m.at, body.Seq)
 			return
 		}
-		s.refreshIssuer()
-		status := s.issuer.Status(now, body.Seq)
-		m.conn.Send(&status)
+		s.answerEntry(now, m.conn, body)
 	case *wire.ConfigAck:
 		s.agents.acknowledge(m.conn, body.Version)
 	case *wire.Leaving:
@@ -80,6 +79,16 @@
 	}
 }
 
+// answerEntry answers another entry host's heartbeat with this host's status,
+// unless that host has it already and rests nothing on it.
+func (s *State) answerEntry(now time.Time, c *link.Conn, beat *wire.Heartbeat) {
+	s.refreshIssuer()
+	status := s.issuer.Status(now, beat.Seq)
+	if s.statuses.isDue(now, c.Peer().Process, status, beat.NoStatus) {
+		c.Send(&status)
+	}
+}
+
 // answerAgent answers an agent's heartbeat with a start permit, and with the
 // configuration that the agent lacks.
 func (s *State) answerAgent(now time.Time, c *link.Conn, receivedAt time.Time, seq uint64) {
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -58,6 +58,8 @@
 	clock   Clock
 	traffic traffic
 	life    *lifecycle
+	// needsStatus is that of the hub's Identity.
+	needsStatus func() bool
 
 	heartbeats *heartbeatTracker
 	out        *ring.Ring[outgoing]
@@ -76,10 +78,11 @@
 	options, now := h.options, h.now
 	return &Conn{
 		id: id, peer: peer, ws: ws, options: options, now: now, clock: h.clock(), traffic: h.traffic, life: life,
-		heartbeats: newHeartbeatTracker(options.Silence, now()),
-		out:        ring.New[outgoing]("link.out", options.OutgoingMessages, nil),
-		closed:     make(chan struct{}),
-		finished:   make(chan struct{}),
+		needsStatus: h.identity.NeedsStatus,
+		heartbeats:  newHeartbeatTracker(options.Silence, now()),
+		out:         ring.New[outgoing]("link.out", options.OutgoingMessages, nil),
+		closed:      make(chan struct{}),
+		finished:    make(chan struct{}),
 	}
 }
 
--- a/internal/link/harness_test.go
+++ b/internal/link/harness_test.go
@@ -29,13 +29,15 @@
 		Hello: func() wire.Hello {
 			return wire.Hello{Role: role, Process: name, Incarnation: 1, Backend: &model.BackendServer{ID: "b", Slots: 8}}
 		},
-		Roster: func() []string { return []string{"127.0.0.1:1"} },
+		Roster:      func() []string { return []string{"127.0.0.1:1"} },
+		NeedsStatus: n.needsStatus.Load,
 	}
 	n.hub = NewHub(identity, options, n.log, nil, time.Now)
 	n.hub.OnState(peer, func(c *Conn, cause error) bool {
 		return n.events.TryPush(observed{conn: c, cause: cause})
 	})
 	n.hub.Handle(peer, wire.TypeHeartbeat, func(c *Conn, m wire.Message) bool {
+		n.unasked.Store(m.(*wire.Heartbeat).NoStatus)
 		return !n.permits.Load() || c.Send(&wire.Permit{AnsweredHeartbeat: m.(*wire.Heartbeat).Seq})
 	})
 	for _, kind := range []wire.Type{wire.TypeForget, wire.TypeDispatch} {
--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -34,6 +34,9 @@
 	Hello func() wire.Hello
 	// Roster returns the link addresses of all entry hosts known; nil for none.
 	Roster func() []string
+	// NeedsStatus reports whether heartbeats to entry hosts ask for their
+	// status. It must not wait. Nil stands for always.
+	NeedsStatus func() bool
 	// HTTPAddress and Zone are told to processes that dial this one.
 	HTTPAddress string
 	Zone        model.AvailabilityZoneName
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -34,6 +34,9 @@
 	events *ring.Ring[observed]
 	// permits is set while each heartbeat is answered with a permit.
 	permits atomic.Bool
+	// needsStatus is what the node's heartbeats ask for, unasked whether the
+	// last received heartbeat asked for none.
+	needsStatus, unasked atomic.Bool
 }
 
 func TestMessagesArriveInOrderBothWays(t *testing.T) {
@@ -346,6 +349,25 @@
 	}
 }
 
+func TestHeartbeatsToEntryHostsAskForAStatusWhileOneIsNeeded(t *testing.T) {
+	p := newPair(t, testOptions(), 4096)
+	p.server.nextUp(t)
+	p.client.nextUp(t)
+	for _, needed := range []bool{false, true, false} {
+		p.client.needsStatus.Store(needed)
+		deadline := time.Now().Add(limit)
+		for p.server.unasked.Load() == needed {
+			if time.Now().After(deadline) {
+				t.Fatalf("heartbeats do not follow a need of %v", needed)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if p.client.unasked.Load() {
+		t.Error("a heartbeat to an agent names a status")
+	}
+}
+
 func TestReconnectDelayGrowsToItsBound(t *testing.T) {
 	o := Options{}.WithDefaults()
 	for attempt := range 40 {
--- a/internal/link/writer.go
+++ b/internal/link/writer.go
@@ -116,9 +116,11 @@
 	if w.peer.Role == wire.RoleAgent && now.Sub(w.answeredAt) < w.options.Heartbeat*3/2 {
 		return nil
 	}
+	beat := w.heartbeats.next(now)
+	beat.NoStatus = w.peer.Role == wire.RoleEntry && w.needsStatus != nil && !w.needsStatus()
 	err := w.begin(false)
 	if err == nil {
-		err = w.writeMessage(w.heartbeats.next(now))
+		err = w.writeMessage(beat)
 	}
 	return slowReader(errors.CombineErrors(err, w.end()))
 }
--- a/internal/tools/capacity/main.go
+++ b/internal/tools/capacity/main.go
@@ -8,6 +8,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
 
 	"dragonflyyard/internal/capacity"
 	"dragonflyyard/internal/settings"
@@ -16,21 +20,44 @@
 func main() {
 	deployment := flag.String("deployment", "samples/nordeste.yaml", "description of the region")
 	binaries := flag.String("binaries", "bin", "folder with the built programs")
-	processes := flag.Bool("processes", true, "measure regions of processes as well")
+	packages := flag.Bool("packages", true, "measure the codec and the decision packages")
+	agents := flag.String("agents", "5,11,22,44", "sizes of the regions of processes to measure; none if empty")
 	flag.Parse()
-	if err := run(*deployment, *binaries, *processes); err != nil {
+	if err := run(*deployment, *binaries, *packages, *agents); err != nil {
 		fmt.Fprintln(os.Stderr, "capacity:", err)
 		os.Exit(1)
 	}
 }
 
-func run(path, binaries string, processes bool) error {
-	if err := capacity.Report(os.Stdout); err != nil || !processes {
+func run(path, binaries string, packages bool, agents string) error {
+	if packages {
+		if err := capacity.Report(os.Stdout); err != nil {
+			return err
+		}
+	}
+	if agents == "" {
+		return nil
+	}
+	sizes, err := parseSizes(agents)
+	if err != nil {
 		return err
 	}
 	d, err := settings.LoadDeployment(path)
 	if err != nil {
 		return err
 	}
-	return measureProcesses(os.Stdout, d, binaries)
+	return measureProcesses(os.Stdout, d, binaries, sizes)
+}
+
+// parseSizes reads a list of numbers with commas between them.
+func parseSizes(text string) ([]int, error) {
+	var sizes []int
+	for _, field := range strings.Split(text, ",") {
+		size, err := strconv.Atoi(field)
+		if err != nil || size < 1 {
+			return nil, errors.Newf("size %q of a region is no positive number", field)
+		}
+		sizes = append(sizes, size)
+	}
+	return sizes, nil
 }
--- a/internal/tools/capacity/processes.go
+++ b/internal/tools/capacity/processes.go
@@ -28,9 +28,6 @@
 	bytesPerPage = 4096
 )
 
-// agentCounts are the sizes of the measured regions.
-var agentCounts = []int{5, 11, 22, 44}
-
 // usage is what one process used so far.
 type usage struct {
 	cpuSeconds float64
@@ -49,8 +46,8 @@
 	frames         float64
 }
 
-// measureProcesses measures idle regions of several sizes.
-func measureProcesses(w io.Writer, d settings.Deployment, binaries string) error {
+// measureProcesses measures idle regions of several numbers of agents.
+func measureProcesses(w io.Writer, d settings.Deployment, binaries string, agentCounts []int) error {
 	fmt.Fprintln(w, "\n## Idle processes, 3 entry hosts")
 	fmt.Fprintln(w, "\n| agents | process | core share | resident bytes | link bytes a second | frames a second |")
 	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- |")
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -46,6 +46,10 @@
 	Seq uint64
 	// AckSeq is the highest heartbeat received from the other end.
 	AckSeq uint64
+	// NoStatus is set between entry hosts while the sender rests nothing on the
+	// receiver's StoreStatus. The receiver then answers only where its status
+	// changed, and now and then.
+	NoStatus bool
 }
 
 // Leaving announces that the sender takes no new work.
