Send the moved ranges of a home assignment in place of all

The heartbeat that repeats an unacknowledged configuration sent the whole assignment along as well.

Change: ConfigUpdate has an AssignmentDelta (appended), ConfigAck the version of the assignment that its sender acts on (appended). An entry host keeps 8 versions and sends the ranges that differ from the acknowledged one, or the whole where that is unknown or cut differently. An earlier agent acknowledges zero and gets the whole as before. An agent that could not use a delta is repeated from its acknowledged version, an entry host whole; entry hosts read the table service's row besides.

--- a/internal/agent/permits.go
+++ b/internal/agent/permits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dragonflyyard/internal/configstore"
+	"dragonflyyard/internal/dedup"
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/executor"
 	"dragonflyyard/internal/gang"
@@ -123,12 +124,12 @@
 	if d.document.Version != before {
 		d.p.Log.Record(event.Event{Code: event.ConfigApplied, Subject: d.document.Version.String()})
 	}
-	if update.Assignment != nil && update.Assignment.Version > d.assignment.Version {
-		d.assignment = *update.Assignment
+	if next, later := dedup.Follow(d.assignment, update); later {
+		d.assignment = next
 		d.holder.SeeAssignment(d.assignment.Version)
 		d.unsentAssignment = true
 	}
-	c.Send(&wire.ConfigAck{Version: d.document.Version})
+	c.Send(&wire.ConfigAck{Version: d.document.Version, Assignment: d.assignment.Version})
 }
 
 // tell passes the latest permit and assignment on to the duties that act on
--- a/internal/capacity/measure_test.go
+++ b/internal/capacity/measure_test.go
@@ -14,4 +14,7 @@
 	if got := MeasureHomes(11); got.MovedRanges == 0 || got.MovedRanges > got.Ranges/5 {
 		t.Errorf("homes: %+v", got)
 	}
+	if got := MeasureHomes(WorkersPerRegion); got.DeltaBytes > got.FrameBytes/100 {
+		t.Errorf("the delta of one restart is no small part of the whole: %+v", got)
+	}
 }
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -64,11 +64,12 @@
 
 func reportHomes(w io.Writer) {
 	fmt.Fprintln(w, "\n## Home assignment")
-	fmt.Fprintln(w, "\n| agents | ranges | frame bytes | ranges moved by one restart | plan us |")
-	fmt.Fprintln(w, "| --- | --- | --- | --- | --- |")
+	fmt.Fprintln(w, "\n| agents | ranges | whole frame bytes | table row bytes | ranges moved by one restart | their frame bytes | plan us |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- |")
 	for _, agents := range []int{11, 200, WorkersPerRegion} {
 		c := MeasureHomes(agents)
-		fmt.Fprintf(w, "| %d | %d | %.0f | %d | %.0f |\n", c.Agents, c.Ranges, c.FrameBytes, c.MovedRanges, c.PlanNS/1e3)
+		fmt.Fprintf(w, "| %d | %d | %.0f | %.0f | %d | %.0f | %.0f |\n",
+			c.Agents, c.Ranges, c.FrameBytes, c.RowBytes, c.MovedRanges, c.DeltaBytes, c.PlanNS/1e3)
 	}
 }
 
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dragonflyyard/internal/configstore"
+	"dragonflyyard/internal/dedup"
 	"dragonflyyard/internal/executor"
 	"dragonflyyard/internal/membership"
 	"dragonflyyard/internal/model"
@@ -78,8 +79,12 @@
 // HomeCost is the cost of the home assignment for a number of agents.
 type HomeCost struct {
 	Agents int
-	// FrameBytes is the size of the whole assignment on the wire.
+	// FrameBytes is the size of the whole assignment on the wire, DeltaBytes
+	// that of the ranges which one replaced agent moves, RowBytes that of the
+	// row in the table service.
 	FrameBytes float64
+	DeltaBytes float64
+	RowBytes   float64
 	// PlanNS is the time to plan anew after one agent was replaced.
 	PlanNS float64
 	// MovedRanges is how many ranges that plan moves, of Ranges.
@@ -104,8 +109,14 @@
 	next, _ := membership.PlanHomes(present, live, 1, settle)
 	cost := HomeCost{
 		Agents: agents, FrameBytes: float64(len(frame)), Ranges: len(next.Ranges),
-		PlanNS: float64(time.Since(began).Nanoseconds()),
+		PlanNS:     float64(time.Since(began).Nanoseconds()),
+		DeltaBytes: float64(deltaBytes(present, next)),
 	}
+	row, err := json.Marshal(next)
+	if err != nil {
+		panic(err)
+	}
+	cost.RowBytes = float64(len(row))
 	for i, r := range next.Ranges {
 		if i >= len(present.Ranges) || r != present.Ranges[i] {
 			cost.MovedRanges++
@@ -114,6 +125,21 @@
 	return cost
 }
 
+// deltaBytes returns the size of the update that an entry host sends to a
+// process which holds the version before.
+func deltaBytes(present, next wire.Assignment) int {
+	var history dedup.History
+	history.Add(present)
+	history.Add(next)
+	update := wire.ConfigUpdate{From: 1 << 24, To: 1 << 24}
+	history.Fill(&update, present.Version)
+	frame, err := wire.Encode(&update)
+	if err != nil {
+		panic(err)
+	}
+	return len(frame)
+}
+
 // ClaimCost is the cost of the claims that a home agent keeps.
 type ClaimCost struct {
 	Claims int
--- a/internal/entry/agentbook.go
+++ b/internal/entry/agentbook.go
@@ -7,6 +7,7 @@
 	"dragonflyyard/internal/link"
 	"dragonflyyard/internal/membership"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/wire"
 )
 
 // connectedAgent is one agent as this entry host knows it.
@@ -18,11 +19,31 @@
 	// acknowledged is the configuration version that the agent acts on.
 	acknowledged model.ConfigVersion
 	configSentAt time.Time
+	// assignment is the version of the home assignment that the agent
+	// acknowledged, zero for one that reads no deltas, and assignmentSent the
+	// last version that it was sent.
+	assignment     uint64
+	assignmentSent uint64
 	// heartbeat is the agent's last heartbeat, received at heartbeatAt.
 	heartbeat   uint64
 	heartbeatAt time.Time
 }
 
+// lacks reports whether the agent did not acknowledge these versions of the
+// configuration and, where it acknowledges any, of the home assignment.
+func (a *connectedAgent) lacks(config model.ConfigVersion, assignment uint64) bool {
+	return a.acknowledged < config || a.assignment != 0 && a.assignment < assignment
+}
+
+// holds returns the version of the home assignment that the agent has once all
+// that it was sent has arrived, zero for an agent that reads no deltas.
+func (a *connectedAgent) holds() uint64 {
+	if a.assignment == 0 {
+		return 0
+	}
+	return max(a.assignment, a.assignmentSent)
+}
+
 // agentBook holds the agents that are or lately were connected.
 type agentBook struct {
 	detector *membership.Detector
@@ -76,9 +97,18 @@
 	b.detector.Left(now, c.Peer().Process, a.incarnation)
 }
 
-func (b *agentBook) acknowledge(c *link.Conn, version model.ConfigVersion) {
+func (b *agentBook) acknowledge(c *link.Conn, ack wire.ConfigAck) {
+	if a := b.agents[c.Peer().Process]; a != nil && a.conn == c {
+		a.acknowledged = max(a.acknowledged, ack.Version)
+		a.assignment = max(a.assignment, ack.Assignment)
+	}
+}
+
+// sentAssignment notes the version of the home assignment that was sent on a
+// connection.
+func (b *agentBook) sentAssignment(c *link.Conn, version uint64) {
 	if a := b.agents[c.Peer().Process]; a != nil && a.conn == c {
-		a.acknowledged = max(a.acknowledged, version)
+		a.assignmentSent = version
 	}
 }
 
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dragonflyyard/internal/configstore"
+	"dragonflyyard/internal/dedup"
 	"dragonflyyard/internal/link"
 	"dragonflyyard/internal/membership"
 	"dragonflyyard/internal/model"
@@ -71,6 +72,10 @@
 	limits permit.Limits
 
 	agents *agentBook
+	// homes are the last versions of the home assignment, and peerHomes the
+	// versions that the other entry hosts stated, by process name.
+	homes     dedup.History
+	peerHomes map[string]uint64
 	// statuses are what this host last stated to the other entry hosts.
 	statuses statusBook
 	// pending holds configuration that the request core's ring had no room for.
@@ -121,6 +126,7 @@
 		limits:    limits,
 		agents:    newAgentBook(),
 		statuses:  statusBook{},
+		peerHomes: map[string]uint64{},
 		waiters:   map[uint64]chan configstore.Answer{},
 		handedOff: make(chan struct{}),
 		rosterOff: make(chan struct{}),
--- a/internal/entry/statecores.go
+++ b/internal/entry/statecores.go
@@ -69,8 +69,8 @@
 func (s *State) publishAssignment(assignment wire.Assignment) {
 	s.pending.assignment = &assignment
 	s.pending.flush(s.p.Requests)
-	version := s.config.Document().Version
-	s.broadcastConfig(&wire.ConfigUpdate{From: version, To: version, Assignment: &assignment})
+	s.homes.Add(assignment)
+	s.broadcastAssignment()
 	s.p.Log.Record(event.Event{Code: event.AssignmentApplied, Subject: strconv.FormatUint(uint64(assignment.Version), 10)})
 }
 
--- a/internal/entry/statelinks.go
+++ b/internal/entry/statelinks.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dragonflyyard/internal/configstore"
+	"dragonflyyard/internal/dedup"
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/link"
 	"dragonflyyard/internal/membership"
@@ -21,6 +22,7 @@
 		if change.lost {
 			s.issuer.Disconnected(model.EntryID(peer.Process))
 			s.statuses.forget(peer.Process)
+			delete(s.peerHomes, peer.Process)
 			return
 		}
 		s.sendConfig(change.conn, 0, 0)
@@ -32,6 +34,7 @@
 	}
 	s.agents.connect(now, change.conn)
 	s.sendConfig(change.conn, 0, 0)
+	s.agents.sentAssignment(change.conn, s.homes.Version())
 	s.sendRoster(change.conn)
 	s.sendOwner(change.conn)
 }
@@ -46,7 +49,7 @@
 		}
 		s.answerEntry(now, m.conn, body)
 	case *wire.ConfigAck:
-		s.agents.acknowledge(m.conn, body.Version)
+		s.agents.acknowledge(m.conn, *body)
 	case *wire.Leaving:
 		s.agents.leave(now, m.conn)
 	case *wire.StoreStatus:
@@ -55,7 +58,7 @@
 		s.noteOwner(body.Owner, body.Epoch)
 	case *wire.ConfigUpdate:
 		if peer.Role == wire.RoleEntry {
-			s.stepConfig(now, configstore.Learned{Update: *body})
+			s.learnConfig(now, body)
 		}
 	}
 }
@@ -74,11 +77,26 @@
 	})
 	s.noteOwner("", status.OwnerEpoch)
 	s.extendOwnership(now)
-	if status.Config < s.config.Document().Version || status.Assignment < s.config.Assignment().Version {
+	s.peerHomes[c.Peer().Process] = status.Assignment
+	switch {
+	case status.Assignment < s.homes.Version():
+		// The peer was sent the delta already and could not use it.
+		s.sendConfig(c, status.Config, 0)
+	case status.Config < s.config.Document().Version:
 		s.sendConfig(c, status.Config, status.Assignment)
 	}
 }
 
+// learnConfig takes in what another entry host knows to be accepted.
+func (s *State) learnConfig(now time.Time, update *wire.ConfigUpdate) {
+	learned := *update
+	learned.Assignment, learned.Delta = nil, nil
+	if next, later := dedup.Follow(s.config.Assignment(), update); later {
+		learned.Assignment = &next
+	}
+	s.stepConfig(now, configstore.Learned{Update: learned})
+}
+
 // answerEntry answers another entry host's heartbeat with this host's status,
 // unless that host has it already and rests nothing on it.
 func (s *State) answerEntry(now time.Time, c *link.Conn, beat *wire.Heartbeat) {
@@ -96,9 +114,10 @@
 	if agent == nil {
 		return
 	}
-	if agent.acknowledged < s.config.Document().Version && now.Sub(agent.configSentAt) >= configResend {
+	if agent.lacks(s.config.Document().Version, s.homes.Version()) && now.Sub(agent.configSentAt) >= configResend {
 		agent.configSentAt = now
-		s.sendConfig(c, agent.acknowledged, 0)
+		agent.assignmentSent = s.homes.Version()
+		s.sendConfig(c, agent.acknowledged, agent.assignment)
 	}
 	agent.heartbeat, agent.heartbeatAt = seq, receivedAt
 	s.refreshIssuer()
@@ -151,12 +170,14 @@
 	})
 }
 
-// sendConfig brings a peer from the versions that it has to the present ones.
+// sendConfig brings a peer from the versions that it has to the present ones. A
+// peer whose assignment version is given must read an AssignmentDelta.
 func (s *State) sendConfig(c *link.Conn, version model.ConfigVersion, assignment uint64) {
 	if s.config.Document().Version == 0 && s.config.Assignment().Version == 0 {
 		return
 	}
-	update := s.config.UpdateFrom(version, assignment)
+	update := s.config.UpdateFrom(version, s.config.Assignment().Version)
+	s.homes.Fill(&update, assignment)
 	c.Send(&update)
 }
 
@@ -181,9 +202,27 @@
 	}
 }
 
-// broadcastConfig sends a step of the configuration, or of the assignment, to
-// all agents and entry hosts. A peer that lacks an earlier step is brought up
-// with its next heartbeat.
+// broadcastAssignment sends the present home assignment to all agents and entry
+// hosts: the ranges that moved since the version that each holds, or the whole
+// to one of which none is known. A peer that could not use a delta is brought
+// up with a later heartbeat or status.
+func (s *State) broadcastAssignment() {
+	version := s.config.Document().Version
+	for _, agent := range s.agents.agents {
+		update := wire.ConfigUpdate{From: version, To: version}
+		s.homes.Fill(&update, agent.holds())
+		agent.assignmentSent = s.homes.Version()
+		agent.conn.Send(&update)
+	}
+	for _, c := range s.p.Hub.Conns(wire.RoleEntry) {
+		update := wire.ConfigUpdate{From: version, To: version}
+		s.homes.Fill(&update, s.peerHomes[c.Peer().Process])
+		c.Send(&update)
+	}
+}
+
+// broadcastConfig sends a step of the configuration to all agents and entry
+// hosts. A peer that lacks an earlier step is brought up with its next heartbeat.
 func (s *State) broadcastConfig(update *wire.ConfigUpdate) {
 	for _, role := range []wire.Role{wire.RoleAgent, wire.RoleEntry} {
 		for _, c := range s.p.Hub.Conns(role) {
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -29,6 +29,17 @@
 	Ranges  []HomeRange
 }
 
+// AssignmentDelta holds the ranges in which a version of the assignment differs
+// from an earlier one. Both are cut into the same ranges.
+type AssignmentDelta struct {
+	From uint64
+	To   uint64
+	// Count is the number of ranges of either version.
+	Count int
+	// Ranges are those that differ, as they are in To, sorted by FirstHash.
+	Ranges []HomeRange
+}
+
 // Permit lets an agent start tasks and non-idempotent requests for a short
 // time, under the state that it names.
 type Permit struct {
@@ -47,18 +58,23 @@
 }
 
 // ConfigUpdate carries configuration down: a whole document, the changes since
-// From, or a new assignment.
+// From, or a new assignment, whole or as a delta.
 type ConfigUpdate struct {
 	From       model.ConfigVersion
 	To         model.ConfigVersion
 	Document   *model.ConfigDocument
 	Changes    []model.ConfigChange
 	Assignment *Assignment
+	// Delta is sent only to a process that acknowledged Delta.From.
+	Delta *AssignmentDelta
 }
 
-// ConfigAck tells which configuration version the sender acts on.
+// ConfigAck tells which versions of the configuration and of the assignment
+// the sender acts on.
 type ConfigAck struct {
 	Version model.ConfigVersion
+	// Assignment is zero also for a sender that reads no AssignmentDelta.
+	Assignment uint64
 }
 
 // StoreStatus is exchanged between entry hosts: whether the sender reaches the
