Keep a failed job off the workers that it failed on while there are others

Cause: a job that failed on a bad worker was placed there again as soon as no other place was free, and a claim kept its cell on it. Ruled out: raising the number of failures; the job would fail more often. Change: a job waits for another worker when the fleet has one that could take it; a claim looks for places without the workers that its job failed on.

--- a/internal/scheduler/borrowed.go
+++ b/internal/scheduler/borrowed.go
@@ -137,10 +137,36 @@
 	if workers := index.Place(r); workers != nil || r.Limit == nil {
 		return workers, "the fullest place that takes it"
 	}
+	if c.books.fleet.Place(r) != nil {
+		// Other workers could take it: it waits for them, since a job that fails
+		// again on the same worker tells nothing about itself.
+		return nil, ""
+	}
 	r.Limit = nil
-	return index.Place(r), "the fullest place that takes it; only workers that it failed on are left"
+	return index.Place(r), "the fullest place that takes it; only workers that it failed on could ever take it"
+}
+
+// failedOn returns the workers that a job is kept off.
+func (c *Core) failedOn(j *JobState) []model.WorkerID {
+	if c.settings.Policy.NoQuarantine {
+		return nil
+	}
+	return c.tracker.FailedOn(j.Job.ID)
+}
+
+// except returns a limit that allows nothing on the given workers.
+func except(workers []model.WorkerID, limit func(model.WorkerID) int) func(model.WorkerID) int {
+	return func(id model.WorkerID) int {
+		if slices.Contains(workers, id) {
+			return 0
+		}
+		return limit(id)
+	}
 }
 
+// unlimited is the limit that allows any number of tasks on any worker.
+func unlimited(model.WorkerID) int { return model.MaxGangSize }
+
 // mayPreempt reports whether borrowed work has to yield to a waiting job: to
 // urgent work at once, to a large job after a while.
 func (c *Core) mayPreempt(now time.Time, j *JobState) bool {
@@ -172,13 +198,8 @@
 	if c.settings.Policy.FirstFit {
 		r.Fit = placement.FirstFit
 	}
-	if bad := c.tracker.FailedOn(j.Job.ID); len(bad) > 0 && !c.settings.Policy.NoQuarantine {
-		r.Limit = func(id model.WorkerID) int {
-			if slices.Contains(bad, id) {
-				return 0
-			}
-			return model.MaxGangSize
-		}
+	if bad := c.failedOn(j); len(bad) > 0 {
+		r.Limit = except(bad, unlimited)
 	}
 	return r
 }
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -13,6 +13,10 @@
 	"dragonflyyard/internal/wire"
 )
 
+// failedWorkerCost makes a claim prefer any other place to workers that its job
+// failed on, in accelerator-seconds.
+const failedWorkerCost = 1e8
+
 // placeClaims puts jobs of the guaranteed class into their accounts' cells and
 // evicts the borrowed work in the way.
 func (c *Core) placeClaims(now time.Time) {
@@ -45,18 +49,32 @@
 // coster compares places by the work lost there.
 func (c *Core) coster(now time.Time, j *JobState) guarantee.Coster {
 	per := j.Job.Shape.PerTask
+	failedOn := c.failedOn(j)
+	limits := []func(model.WorkerID) int{
+		func(id model.WorkerID) int {
+			free, _ := c.books.free.Free(id)
+			return placement.Slots(free, per)
+		},
+		func(id model.WorkerID) int {
+			return placement.Slots(c.cheaplyFree(id, c.settings.LargeAccelerators-1), per)
+		},
+		func(id model.WorkerID) int { return placement.Slots(c.cheaplyFree(id, math.MaxInt), per) },
+	}
+	if len(failedOn) > 0 {
+		limits = append(limits, unlimited)
+		for i, limit := range limits {
+			limits[i] = except(failedOn, limit)
+		}
+	}
 	return guarantee.Coster{
-		Limits: []func(model.WorkerID) int{
-			func(id model.WorkerID) int {
-				free, _ := c.books.free.Free(id)
-				return placement.Slots(free, per)
-			},
-			func(id model.WorkerID) int {
-				return placement.Slots(c.cheaplyFree(id, c.settings.LargeAccelerators-1), per)
-			},
-			func(id model.WorkerID) int { return placement.Slots(c.cheaplyFree(id, math.MaxInt), per) },
+		Limits: limits,
+		Cost: func(workers []model.WorkerID) float64 {
+			cost := c.costOf(now, j, workers)
+			if slices.ContainsFunc(workers, func(id model.WorkerID) bool { return slices.Contains(failedOn, id) }) {
+				cost += failedWorkerCost
+			}
+			return cost
 		},
-		Cost: func(workers []model.WorkerID) float64 { return c.costOf(now, j, workers) },
 	}
 }
 
