Let a starting agent say for how long it refuses reservations

Cause: an agent that has just started refuses reservations for 3 s. Ruled out: avoiding every worker for 3 s after a connection, as a new owner sees only new connections; a longer avoid time after each refusal, as a refusal may have other reasons. Change: the worker report carries the rest of that time, and the owner places nothing there until it is over.

--- a/internal/gang/member.go
+++ b/internal/gang/member.go
@@ -48,9 +48,11 @@
 	permit       PermitUpdate
 	highestEpoch model.Epoch
 	acceptFrom   time.Time
-	requestDue   time.Time
-	stopping     bool
-	out          []Action
+	// lastStep is the time of the last input.
+	lastStep   time.Time
+	requestDue time.Time
+	stopping   bool
+	out        []Action
 }
 
 // NewMember returns the member of a worker. Time starts at now.
@@ -61,6 +63,7 @@
 		tasks:      map[model.TaskID]*task{},
 		acceptFrom: now.Add(settings.StartDelay),
 		requestDue: now,
+		lastStep:   now,
 	}
 }
 
@@ -69,6 +72,7 @@
 // that was paused does not act on what it held before.
 func (m *Member) Step(now time.Time, in Input) []Action {
 	m.out = nil
+	m.lastStep = now
 	m.expire(now)
 	switch in := in.(type) {
 	case Receive:
@@ -92,7 +96,10 @@
 
 // Report returns the member's worker and all tasks that it holds or that ended lately.
 func (m *Member) Report() *wire.WorkerReport {
-	report := &wire.WorkerReport{Worker: m.worker, HighestEpoch: m.highestEpoch}
+	report := &wire.WorkerReport{
+		Worker: m.worker, HighestEpoch: m.highestEpoch,
+		AcceptInMS: max(0, m.acceptFrom.Sub(m.lastStep)).Milliseconds(),
+	}
 	for _, id := range m.order {
 		report.Tasks = append(report.Tasks, m.tasks[id].report())
 	}
--- a/internal/gang/member_test.go
+++ b/internal/gang/member_test.go
@@ -103,3 +103,14 @@
 		}
 	}
 }
+
+func TestReportSaysForHowLongReservationsAreRefused(t *testing.T) {
+	settings := DefaultSettings()
+	m := NewMember(model.Worker{ID: "w"}, settings, start)
+	for _, after := range []time.Duration{0, settings.StartDelay / 2, settings.StartDelay, 2 * settings.StartDelay} {
+		m.Step(start.Add(after), Tick{})
+		if got, want := m.Report().AcceptInMS, max(0, settings.StartDelay-after).Milliseconds(); got != want {
+			t.Errorf("after %s: %d ms, want %d", after, got, want)
+		}
+	}
+}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -226,7 +226,7 @@
 
 // workerReport brings a worker up and compares what it holds with the books.
 func (c *Core) workerReport(now time.Time, r *wire.WorkerReport) {
-	w := c.workerUp(now, r.Worker)
+	w := c.workerUp(now, r)
 	seen := map[model.TaskID]uint64{}
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -16,7 +16,8 @@
 	LastRequest time.Time
 	// LastGrant is when leases were last granted to the worker.
 	LastGrant time.Time
-	// AvoidUntil keeps new attempts off a worker that refused one.
+	// AvoidUntil keeps new attempts off a worker that refused one, or whose
+	// agent has just started and would refuse it.
 	AvoidUntil time.Time
 	// Used is what booked tasks hold. It is more than the capacity while a
 	// gang waits for tasks in its place to end.
@@ -32,13 +33,16 @@
 }
 
 // workerUp adds a worker or makes it usable again.
-func (c *Core) workerUp(now time.Time, worker model.Worker) *workerState {
-	w := c.workers[worker.ID]
+func (c *Core) workerUp(now time.Time, r *wire.WorkerReport) *workerState {
+	w := c.workers[r.Worker.ID]
 	if w == nil {
-		w = newWorkerState(worker)
-		c.workers[worker.ID] = w
+		w = newWorkerState(r.Worker)
+		c.workers[r.Worker.ID] = w
+	}
+	w.Worker = r.Worker
+	if ready := now.Add(time.Duration(r.AcceptInMS) * time.Millisecond); ready.After(w.AvoidUntil) {
+		w.AvoidUntil = ready
 	}
-	w.Worker = worker
 	w.Up = true
 	w.LastRequest = now
 	for _, id := range sortedTasks(w) {
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -119,6 +119,9 @@
 	Tasks  []TaskReport
 	// HighestEpoch is the highest scheduler epoch that the agent has seen.
 	HighestEpoch model.Epoch
+	// AcceptInMS is how long, from the report on, the agent refuses reservations
+	// since it has just started; zero when it takes them.
+	AcceptInMS int64
 }
 
 // LeaseRequest asks the owner to renew the leases of all tasks of a worker.
