Predict run times from one sample, and from a class's jobs of other accounts

Cause: an account has two to four large jobs of a class in three hours. Ruled out: trusting one sample always; its spread is not known. Change: the surest of the declaration, the corrected declaration, the class in the account and the class in all accounts. With few samples the prior counts as one more, so that one sample beats a declaration.

--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -12,8 +12,13 @@
 	"dragonflyyard/internal/model"
 )
 
-// minSamples is how many ended jobs of a class outweigh the declaration.
-const minSamples = 2
+// declaredVariance is the variance of the logarithm of run time over declared run
+// time before anything is known: declarations are up to ten times off either way.
+const declaredVariance = 1.8
+
+// priorVariance is the variance of the logarithm of run times, or of their ratio
+// to the declared ones, that is taken for jobs of one class before it is known.
+const priorVariance = 0.5
 
 // memory is the number of samples after which older ones fade.
 const memory = 32
@@ -64,12 +69,17 @@
 	return out
 }
 
-// Observe learns from a job that ran to its end.
+// Observe learns from a job that ran to its end, for its account's jobs of the
+// class and for those of all accounts.
 func (p *Predictor) Observe(job model.Job, ran time.Duration) {
 	if ran <= 0 {
 		return
 	}
-	key := Key{job.Account, job.JobClass}
+	p.observe(Key{job.Account, job.JobClass}, job, ran)
+	p.observe(Key{JobClass: job.JobClass}, job, ran)
+}
+
+func (p *Predictor) observe(key Key, job model.Job, ran time.Duration) {
 	s := p.samples[key]
 	if s == nil {
 		s = &Samples{Key: key}
@@ -90,18 +100,45 @@
 	*variance = (1 - rate) * (*variance + rate*diff*diff)
 }
 
-// Predict returns the expected run time of a job: from the run times of its
-// class, or from its declaration corrected by the class's usual factor,
-// whichever varied less.
+// Predict returns the expected run time of a job: its declaration, the
+// declaration corrected by the usual factor of its account and class, or the run
+// times of the class in its account or in all accounts, whichever is the surest.
 func (p *Predictor) Predict(job model.Job) time.Duration {
-	s := p.samples[Key{job.Account, job.JobClass}]
-	if s == nil || s.Count < minSamples {
-		return job.DeclaredRunTime
+	var best guess
+	consider := func(g guess) {
+		if best.variance == 0 || g.variance < best.variance {
+			best = g
+		}
+	}
+	declared := math.Log(job.DeclaredRunTime.Seconds())
+	if job.DeclaredRunTime > 0 {
+		consider(guess{declared, declaredVariance})
 	}
-	if job.DeclaredRunTime <= 0 || s.RunVariance <= s.RatioVariance {
-		return seconds(math.Exp(s.RunMean))
+	if s := p.samples[Key{job.Account, job.JobClass}]; s != nil {
+		if job.DeclaredRunTime > 0 {
+			consider(guess{declared + s.RatioMean, s.uncertainty(s.RatioVariance)})
+		}
+		consider(guess{s.RunMean, s.uncertainty(s.RunVariance)})
 	}
-	return seconds(job.DeclaredRunTime.Seconds() * math.Exp(s.RatioMean))
+	if s := p.samples[Key{JobClass: job.JobClass}]; s != nil {
+		consider(guess{s.RunMean, s.uncertainty(s.RunVariance)})
+	}
+	if best.variance == 0 {
+		return 0
+	}
+	return seconds(math.Exp(best.mean))
+}
+
+// guess is one prediction: the logarithm of the run time in seconds, and the
+// variance of its error.
+type guess struct{ mean, variance float64 }
+
+// uncertainty is the variance of the error of a prediction by the samples' mean.
+// Few samples say little about how much their kind varies, so the prior counts
+// as one more sample.
+func (s *Samples) uncertainty(variance float64) float64 {
+	n := float64(s.Count)
+	return (n*variance + priorVariance) / (n + 1) * (1 + 1/n)
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
