Refuse a configuration that fits into no frame

Cause: a process that joins gets the whole configuration in one frame of at most 2 MiB, and nothing bounded the configuration. One that had grown beyond it would have ended every connection that it was sent over (found while the frames of operators' calls were tested).

Ruled out: parts for configurations. The largest deployment, 680 teams and 42 zones, has 75,301 bytes; a bound with room for the home assignment beside it is 13 times that.

Change: a change after which the encoded configuration exceeds 1 MiB is refused with configuration_too_large (422); deletions are always possible.

Before: TestSubmittedChangeIsHeldAgainstTheSize, a change accepted on top of 12,000 teams. After: refused; 680 teams accepted.

--- a/internal/configstore/apply.go
+++ b/internal/configstore/apply.go
@@ -27,6 +27,8 @@
 	CodeOutOfRange      = "value_out_of_range"
 	CodeGuaranteeNoRoom = "guarantee_does_not_fit"
 	CodeIDReused        = "change_id_reused"
+	// CodeDocumentTooLarge means that the configuration would exceed MaxDocumentBytes.
+	CodeDocumentTooLarge = "configuration_too_large"
 )
 
 // ValidationError says why a change was refused. Code is machine-readable.
--- /dev/null
+++ b/internal/configstore/size_test.go
@@ -0,0 +1,73 @@
+package configstore
+
+import (
+	"testing"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/wire"
+)
+
+// TestDocumentsThatFitNoFrameAreRefused fills the configuration far beyond the
+// 680 teams of the largest deployment.
+func TestDocumentsThatFitNoFrameAreRefused(t *testing.T) {
+	account := &model.ClientAccount{ID: "one-more", Weight: 1}
+	add := model.ConfigChange{ID: "c1", Object: ObjectAccount + "one-more", Account: account}
+	cases := []struct {
+		name   string
+		teams  int
+		change model.ConfigChange
+		code   string
+	}{
+		{"largest deployment", 680, add, ""},
+		{"too many teams", 12_000, add, CodeDocumentTooLarge},
+		{"more than a frame", 40_000, add, CodeDocumentTooLarge},
+		{"deletion", 40_000, model.ConfigChange{ID: "c1", Object: ObjectGuarantee + "shape-0001", Delete: true}, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			next, reason := Apply(teamDocument(c.teams), c.change)
+			if reason != nil {
+				t.Fatal(reason)
+			}
+			reason = checkSize(next, c.change)
+			if got := codeOf(reason); got != c.code {
+				t.Errorf("got %q, want %q", got, c.code)
+			}
+		})
+	}
+}
+
+func codeOf(reason *ValidationError) string {
+	if reason == nil {
+		return ""
+	}
+	return reason.Code
+}
+
+// TestSubmittedChangeIsHeldAgainstTheSize submits to a host whose configuration
+// is full.
+func TestSubmittedChangeIsHeldAgainstTheSize(t *testing.T) {
+	now, _, hosts := newFleet(t, 1)
+	run(now, DefaultLimits().PollEvery, hosts...)
+	host := hosts[0]
+	full := teamDocument(12_000)
+	full.Version = host.core.document.Version
+	host.core.document = full
+	change := model.ConfigChange{ID: "c1", Object: ObjectAccount + "one-more", Account: &model.ClientAccount{ID: "one-more", Weight: 1}}
+	token := host.submit(*now, change)
+	if got := host.answers[token]; got.Verdict != VerdictInvalid || got.Invalid.Code != CodeDocumentTooLarge {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func BenchmarkCheckSize(b *testing.B) {
+	d := teamDocument(680)
+	b.ReportAllocs()
+	for b.Loop() {
+		if reason := checkSize(d, zoneChange("c", 0, model.ZoneOut)); reason != nil {
+			b.Fatal(reason)
+		}
+	}
+	frame, _ := wire.Encode(&wire.ConfigUpdate{Document: d})
+	b.ReportMetric(float64(len(frame)), "bytes")
+}
--- a/internal/configstore/write.go
+++ b/internal/configstore/write.go
@@ -182,6 +182,9 @@
 		return c.verdict(w, Answer{Verdict: VerdictConflict, Winner: c.lastChange(change.Object)}), true
 	}
 	next, reason := Apply(c.document, change)
+	if reason == nil {
+		reason = checkSize(next, change)
+	}
 	if reason == nil {
 		reason = c.runValidator(next, change)
 	}
