Tell an operator who lost a race of the change that won

Cause: a change that failed its check is resolved by a read of the head row. When another entry host had told of later changes during that read, the document was ahead of it, the head row of the read was dropped, and the older one, which still had the expected version, was taken: the change ID was looked up, found absent, and the operator was told that the service is unavailable instead of the conflict and its winner. Change: the write is resolved by the head row as it was read.

--- a/internal/configstore/catchup.go
+++ b/internal/configstore/catchup.go
@@ -171,9 +171,9 @@
 	if c.assignment.Version == c.read.assignment {
 		c.assignmentRow = c.read.assignmentRow
 	}
-	startedAt := c.read.startedAt
+	read := c.read
 	c.read = readState{}
-	return c.resolveWrite(now, startedAt)
+	return c.resolveWrite(now, read)
 }
 
 // stopRead gives the outstanding read up. The next one waits for a while, also
--- a/internal/configstore/doubt.go
+++ b/internal/configstore/doubt.go
@@ -3,10 +3,11 @@
 import "time"
 
 // resolveWrite judges a write in doubt, or one that failed a check, after a
-// complete read of the head rows.
-func (c *Core) resolveWrite(now, startedAt time.Time) []Action {
+// complete read of the head rows. The document may by now be ahead of that read,
+// by what other entry hosts told, so the head row counts as it was read.
+func (c *Core) resolveWrite(now time.Time, read readState) []Action {
 	w := c.write
-	if w == nil || w.call != 0 || !w.sent || startedAt.Before(w.unresolvedSince) {
+	if w == nil || w.call != 0 || !w.sent || read.startedAt.Before(w.unresolvedSince) {
 		return nil
 	}
 	if w.assignment != nil {
@@ -18,10 +19,10 @@
 		c.write = nil
 		return append([]Action{c.verdict(w, Answer{Verdict: VerdictAccepted, Version: made.Version})}, c.takeSnapshot(now)...)
 	}
-	if c.headRow != w.expected && c.head.Version == c.document.Version {
+	if read.headRow != w.expected && read.head.Version <= c.document.Version {
 		return c.failed()
 	}
-	if w.refused && c.headRow == w.expected {
+	if w.refused && read.headRow == w.expected {
 		return c.readChangeID(now)
 	}
 	return nil
--- a/internal/faultmatrix/config_cells_test.go
+++ b/internal/faultmatrix/config_cells_test.go
@@ -165,6 +165,8 @@
 		w.after(w.between(100*time.Millisecond, 900*time.Millisecond), func() { w.submit(h, w.newChange(h)) })
 	case 8:
 		h.path.lateUntil = w.now.Add(length)
+	case 9:
+		h.path.behindRead = func() { w.race(h) }
 	case 7:
 		w.answersLost = w.now.Add(length / 2)
 		w.after(length/2, func() { w.storeDown = w.now.Add(length / 2) })
--- a/internal/faultmatrix/config_world_test.go
+++ b/internal/faultmatrix/config_world_test.go
@@ -26,6 +26,10 @@
 	highest model.ConfigVersion
 	// loseIDRead loses the read that tells why the next write failed.
 	loseIDRead bool
+	// written is the change of the last commit; lostRace is set while that commit
+	// is known to have failed because another change was made first.
+	written  model.ChangeID
+	lostRace bool
 	// stepped is called after each step, before its actions are done; begun at
 	// the start of each life. Both may be nil.
 	stepped, begun func()
@@ -81,11 +85,30 @@
 		// The next call reads the head rows, the one after it the change ID.
 		h.loseIDRead, h.path.loseAt = false, 2
 	}
+	if s.event == "judged_anew" {
+		h.lostRace = false
+	}
 	if w.trace != nil {
 		w.trace(h, chart, s)
 	}
 }
 
+// headMoved reports whether a transaction's check of the head row fails.
+func (w *configWorld) headMoved(tx platform.Transaction) bool {
+	row, err := w.store.Get(atOnce(), tx.Checks[0].Key)
+	return err == nil && row.Version != tx.Checks[0].Version
+}
+
+// writtenChange returns the ID of the change that a transaction makes.
+func writtenChange(tx platform.Transaction) model.ChangeID {
+	row := platform.Row{Key: tx.Puts[1].Key, Value: tx.Puts[1].Value}
+	change, err := configstore.DecodeChange(row)
+	if err != nil {
+		panic(err)
+	}
+	return change.ID
+}
+
 func (h *configHost) memberKey() string { return fmt.Sprintf("%s%d", memberRow, h.index) }
 
 // begin starts a new life of the host.
@@ -170,11 +193,16 @@
 	case configstore.Commit:
 		h.call(true, func(result configstore.Result) func() {
 			in := configstore.Committed{Call: a.Call, Result: result}
+			lostRace := false
 			if result == configstore.ResultOK {
 				versions, err := store.Commit(atOnce(), a.Transaction)
 				in.Versions, in.Result = versions, configResult(err)
+				lostRace = in.Result == configstore.ResultConflict && h.w.headMoved(a.Transaction)
+			}
+			return func() {
+				h.written, h.lostRace = writtenChange(a.Transaction), lostRace
+				reply(in)()
 			}
-			return reply(in)
 		})
 	case configstore.ReadObject:
 		h.object(func() func() {
@@ -250,6 +278,10 @@
 	if s.answers > 1 {
 		w.fail("change %s was answered twice", s.change.ID)
 	}
+	expired := w.now.Sub(s.at) >= configLimits().AnswerAfter
+	if a.Verdict == configstore.VerdictUnavailable && !expired && s.host.lostRace && s.host.written == s.change.ID {
+		w.fail("change %s lost a race and is answered unavailable", s.change.ID)
+	}
 	if a.Verdict == configstore.VerdictAccepted {
 		if row := w.row(a.Version); row.ID != s.change.ID {
 			w.fail("change %s is answered accepted, version %d is change %q", s.change.ID, a.Version, row.ID)
--- a/internal/faultmatrix/lease_cells_test.go
+++ b/internal/faultmatrix/lease_cells_test.go
@@ -38,7 +38,7 @@
 func (w *leaseWorld) disturb() {
 	h := w.hosts[w.random.IntN(len(w.hosts))]
 	length := w.between(100*time.Millisecond, 4*time.Second)
-	switch w.random.IntN(13) {
+	switch w.random.IntN(14) {
 	case 0:
 		w.storeDown = w.now.Add(length)
 	case 1:
@@ -63,6 +63,8 @@
 		w.after(length/2, func() { w.storeDown = w.now.Add(length / 2) })
 	case 11:
 		w.stopNextLoser = true
+	case 12:
+		w.stopNextWriter = true
 	}
 }
 
--- a/internal/faultmatrix/lease_world_test.go
+++ b/internal/faultmatrix/lease_world_test.go
@@ -34,6 +34,9 @@
 	// decided is the highest epoch whose fenced write took effect.
 	decided model.Epoch
 	trace   func(h *leaseHost, s step)
+	// stopNextWriter stops the next candidate that writes the lease, while its
+	// write is under way.
+	stopNextWriter bool
 	// stopNextLoser stops the next candidate that loses a race for the lease.
 	stopNextLoser bool
 }
@@ -67,6 +70,10 @@
 		w.stopNextLoser = false
 		w.after(0, func() { w.stop(h) })
 	}
+	if w.stopNextWriter && s.event == "candidate_due" {
+		w.stopNextWriter = false
+		w.after(0, func() { w.stop(h) })
+	}
 	if w.trace != nil {
 		w.trace(h, s)
 	}
--- a/internal/faultmatrix/world_test.go
+++ b/internal/faultmatrix/world_test.go
@@ -137,6 +137,9 @@
 	timeout time.Duration
 	// fixedDelay, unless zero, is the time of each way.
 	fixedDelay time.Duration
+	// behindRead, unless nil, is called once the next read has taken effect, whose
+	// answer is then held back.
+	behindRead func()
 	// cuts are called to end all outstanding calls.
 	cuts map[int]func()
 	last int
@@ -182,7 +185,7 @@
 
 func (p *callPath) heal() {
 	p.silentUntil, p.slowUntil, p.duplicateUntil, p.lateUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
-	p.loseNext, p.loseAt, p.timeout, p.fixedDelay = 0, 0, callTimeout, 0
+	p.loseNext, p.loseAt, p.timeout, p.fixedDelay, p.behindRead = 0, 0, callTimeout, 0, nil
 }
 
 // send makes a call. effect applies it to the store and returns what delivers
@@ -224,7 +227,13 @@
 		if answerLost {
 			return
 		}
-		w.after(p.delay(), func() {
+		delay := p.delay()
+		if p.behindRead != nil && !isWrite {
+			delay += p.timeout / 2
+			w.after(0, p.behindRead)
+			p.behindRead = nil
+		}
+		w.after(delay, func() {
 			if !open && w.now.Before(p.lateUntil) {
 				deliver()
 			}
