Share the checked connections of HTTP clients

Cause: the agent's connections that take no stale and no cut answer are needed by dragonflyctl as well, whose contract table shows the same fault. Ruled out: a copy, as it would be the second. Change: package httpconn; hostClient keeps the bounds of one server. The raw server of the agent's tests is standin.RawServer, so that other packages' tests have it. No behaviour changes; internal/agent passes.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"dragonflyyard/internal/executor"
+	"dragonflyyard/internal/httpconn"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ring"
 )
@@ -110,7 +111,7 @@
 		done.Result = executor.BackendAnswered
 	case err == nil:
 		done.Result = executor.BackendFailed
-	case errors.Is(err, errNotSent):
+	case errors.Is(err, httpconn.ErrNotSent):
 		done.Result = executor.BackendNotStarted
 		return done
 	default:
--- a/internal/agent/backend_contract_test.go
+++ b/internal/agent/backend_contract_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dragonflyyard/internal/executor"
+	"dragonflyyard/internal/httpconn"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/standin"
 )
@@ -33,41 +34,41 @@
 // TestBackendServerAnswers holds each answer of a backend server, whole or not,
 // against what the executor is told and how often the call arrived.
 func TestBackendServerAnswers(t *testing.T) {
-	hello := whole(200, "", "hello")
+	hello := standin.Whole(200, "", "hello")
 	cases := []struct {
 		name   string
-		answer func(rawCall) bool
+		answer func(standin.RawCall) bool
 		result executor.BackendResult
 		status int
 		// silent marks a server from which nothing comes any more.
 		silent bool
 	}{
-		{"whole", always(hello), executor.BackendAnswered, 200, false},
-		{"whole, then closed", thenCut(hello), executor.BackendAnswered, 200, false},
-		{"whole in chunks", always(chunked("hello") + "0\r\n\r\n"), executor.BackendAnswered, 200, false},
-		{"after an interim answer", always("HTTP/1.1 100 Continue\r\n\r\n" + hello), executor.BackendAnswered, 200, false},
-		{"names this request", func(c rawCall) bool {
-			return c.write(whole(200, "X-Request-Id: "+c.id+"\r\n", "hello"))
+		{"whole", standin.Always(hello), executor.BackendAnswered, 200, false},
+		{"whole, then closed", standin.ThenCut(hello), executor.BackendAnswered, 200, false},
+		{"whole in chunks", standin.Always(standin.Chunked("hello") + "0\r\n\r\n"), executor.BackendAnswered, 200, false},
+		{"after an interim answer", standin.Always("HTTP/1.1 100 Continue\r\n\r\n" + hello), executor.BackendAnswered, 200, false},
+		{"names this request", func(c standin.RawCall) bool {
+			return c.Send(standin.Whole(200, "X-Request-Id: "+c.ID+"\r\n", "hello"))
 		}, executor.BackendAnswered, 200, false},
-		{"status of a failure", always(whole(503, "", "hello")), executor.BackendFailed, 503, false},
-		{"status out of range", always(whole(999, "", "hello")), executor.BackendFailed, 999, false},
-		{"reset before the answer", rawCall.reset, executor.BackendLost, 0, false},
-		{"closed before the answer", thenCut(""), executor.BackendLost, 0, false},
-		{"cut in the status line", thenCut(hello[:8]), executor.BackendLost, 0, false},
-		{"cut in the header", thenCut(hello[:20]), executor.BackendLost, 0, false},
-		{"cut in the body", thenCut(hello[:len(hello)-1]), executor.BackendLost, 0, false},
-		{"cut between chunks", thenCut(chunked("hello")), executor.BackendLost, 0, false},
-		{"no length told, closed", thenCut("HTTP/1.1 200 x\r\n\r\nhel"), executor.BackendLost, 0, false},
-		{"not HTTP", thenCut("hello\r\n\r\n"), executor.BackendLost, 0, false},
-		{"negative length", thenCut("HTTP/1.1 200 x\r\nContent-Length: -5\r\n\r\nhello"), executor.BackendLost, 0, false},
-		{"two lengths", thenCut("HTTP/1.1 200 x\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nhello"), executor.BackendLost, 0, false},
-		{"bad chunk", thenCut("HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello"), executor.BackendLost, 0, false},
-		{"body over the limit", always(whole(200, "", strings.Repeat("x", 2<<10))), executor.BackendLost, 0, false},
-		{"length over the limit, no body", always("HTTP/1.1 200 x\r\nContent-Length: 99999999999\r\n\r\n"), executor.BackendLost, 0, false},
-		{"header over the limit", always(tooManyHeaders()), executor.BackendLost, 0, false},
-		{"names another request", always(whole(200, "X-Request-Id: other\r\n", "hello")), executor.BackendLost, 0, false},
-		{"silent", always(""), executor.BackendLost, 0, true},
-		{"silent in the middle", always(hello[:len(hello)-1]), executor.BackendLost, 0, true},
+		{"status of a failure", standin.Always(standin.Whole(503, "", "hello")), executor.BackendFailed, 503, false},
+		{"status out of range", standin.Always(standin.Whole(999, "", "hello")), executor.BackendFailed, 999, false},
+		{"reset before the answer", standin.RawCall.Reset, executor.BackendLost, 0, false},
+		{"closed before the answer", standin.ThenCut(""), executor.BackendLost, 0, false},
+		{"cut in the status line", standin.ThenCut(hello[:8]), executor.BackendLost, 0, false},
+		{"cut in the header", standin.ThenCut(hello[:20]), executor.BackendLost, 0, false},
+		{"cut in the body", standin.ThenCut(hello[:len(hello)-1]), executor.BackendLost, 0, false},
+		{"cut between chunks", standin.ThenCut(standin.Chunked("hello")), executor.BackendLost, 0, false},
+		{"no length told, closed", standin.ThenCut("HTTP/1.1 200 x\r\n\r\nhel"), executor.BackendLost, 0, false},
+		{"not HTTP", standin.ThenCut("hello\r\n\r\n"), executor.BackendLost, 0, false},
+		{"negative length", standin.ThenCut("HTTP/1.1 200 x\r\nContent-Length: -5\r\n\r\nhello"), executor.BackendLost, 0, false},
+		{"two lengths", standin.ThenCut("HTTP/1.1 200 x\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nhello"), executor.BackendLost, 0, false},
+		{"bad chunk", standin.ThenCut("HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello"), executor.BackendLost, 0, false},
+		{"body over the limit", standin.Always(standin.Whole(200, "", strings.Repeat("x", 2<<10))), executor.BackendLost, 0, false},
+		{"length over the limit, no body", standin.Always("HTTP/1.1 200 x\r\nContent-Length: 99999999999\r\n\r\n"), executor.BackendLost, 0, false},
+		{"header over the limit", standin.Always(standin.TooManyHeaders()), executor.BackendLost, 0, false},
+		{"names another request", standin.Always(standin.Whole(200, "X-Request-Id: other\r\n", "hello")), executor.BackendLost, 0, false},
+		{"silent", standin.Always(""), executor.BackendLost, 0, true},
+		{"silent in the middle", standin.Always(hello[:len(hello)-1]), executor.BackendLost, 0, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -77,14 +78,14 @@
 			if c.silent {
 				timeout = backendTimeout
 			}
-			done := newTestCaller(t, server.address, timeout).call(testRequest("r"))
+			done := newTestCaller(t, server.Address(), timeout).call(testRequest("r"))
 			if done.Result != c.result || done.Status != c.status || done.Request != "r" {
 				t.Errorf("got result %d status %d, want %d, %d", done.Result, done.Status, c.result, c.status)
 			}
 			if isWhole := c.status != 0; isWhole != (string(done.Body) == "hello") {
 				t.Errorf("body %q", done.Body)
 			}
-			if calls := server.calls.Load(); calls != 1 {
+			if calls := server.Calls(); calls != 1 {
 				t.Errorf("the call arrived %d times", calls)
 			}
 		})
@@ -92,13 +93,13 @@
 }
 
 // recordConnections returns the connections that a client opens from now on.
-func recordConnections(client *hostClient) <-chan *checkedConn {
-	opened := make(chan *checkedConn, 16)
+func recordConnections(client *hostClient) <-chan *httpconn.Conn {
+	opened := make(chan *httpconn.Conn, 16)
 	dial := client.http.DialTimeout
 	client.http.DialTimeout = func(address string, timeout time.Duration) (net.Conn, error) {
 		conn, err := dial(address, timeout)
 		if err == nil {
-			opened <- conn.(*checkedConn)
+			opened <- conn.(*httpconn.Conn)
 		}
 		return conn, err
 	}
@@ -106,10 +107,10 @@
 }
 
 // awaitStale waits until what the peer did to an idle connection has arrived.
-func awaitStale(t *testing.T, conn *checkedConn) {
+func awaitStale(t *testing.T, conn *httpconn.Conn) {
 	t.Helper()
 	deadline := time.Now().Add(limit)
-	for conn.check() == nil {
+	for conn.Check() == nil {
 		if time.Now().After(deadline) {
 			t.Fatal("nothing arrived on the idle connection")
 		}
@@ -124,24 +125,24 @@
 	cases := []struct {
 		name string
 		// idle acts on the connection of the first call, after its answer.
-		idle func(rawCall) bool
+		idle func(standin.RawCall) bool
 	}{
-		{"answered twice", func(c rawCall) bool { return c.write(whole(200, "", "stale")) }},
-		{"bytes behind the answer", func(c rawCall) bool { return c.write("stale") }},
-		{"closed", func(c rawCall) bool { return c.cut("") }},
-		{"answered twice, then closed", func(c rawCall) bool { return c.cut(whole(200, "", "stale")) }},
+		{"answered twice", func(c standin.RawCall) bool { return c.Send(standin.Whole(200, "", "stale")) }},
+		{"bytes behind the answer", func(c standin.RawCall) bool { return c.Send("stale") }},
+		{"closed", func(c standin.RawCall) bool { return c.Cut("") }},
+		{"answered twice, then closed", func(c standin.RawCall) bool { return c.Cut(standin.Whole(200, "", "stale")) }},
 	}
 	for _, k := range cases {
 		t.Run(k.name, func(t *testing.T) {
 			answered := make(chan struct{})
-			server := startRaw(t, func(c rawCall) bool {
-				if !c.write(whole(200, "", c.id)) || c.number > 1 {
+			server := startRaw(t, func(c standin.RawCall) bool {
+				if !c.Send(standin.Whole(200, "", c.ID)) || c.Number > 1 {
 					return true
 				}
 				<-answered
 				return k.idle(c)
 			})
-			caller := newTestCaller(t, server.address, limit)
+			caller := newTestCaller(t, server.Address(), limit)
 			opened := recordConnections(caller.client)
 			first := caller.call(testRequest("first"))
 			close(answered)
@@ -150,7 +151,7 @@
 			if string(first.Body) != "first" || string(next.Body) != "next" {
 				t.Errorf("got %d %q, %d %q", first.Result, first.Body, next.Result, next.Body)
 			}
-			if calls := server.calls.Load(); calls != 2 {
+			if calls := server.Calls(); calls != 2 {
 				t.Errorf("%d calls arrived, want 2", calls)
 			}
 		})
@@ -189,8 +190,8 @@
 // of one call, with the result of the call that was under way.
 func TestStopWhileTheBackendServerIsSilent(t *testing.T) {
 	arrived := make(chan struct{}, 1)
-	server := startRaw(t, func(rawCall) bool { arrived <- struct{}{}; return true })
-	caller := newTestCaller(t, server.address, backendTimeout)
+	server := startRaw(t, func(standin.RawCall) bool { arrived <- struct{}{}; return true })
+	caller := newTestCaller(t, server.Address(), backendTimeout)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- caller.run(ctx) }()
--- a/internal/agent/worker_contract_test.go
+++ b/internal/agent/worker_contract_test.go
@@ -31,22 +31,22 @@
 	t      *testing.T
 	caller *workerCaller
 	worker *standin.Worker
-	server *rawServer
+	server *standin.RawServer
 
 	mu sync.Mutex
 	// now is the time of agent and worker, which share a host.
 	now time.Time
 	// fault answers the calls of a path in place of the worker.
-	fault map[string]func(rawCall) bool
+	fault map[string]func(standin.RawCall) bool
 	paths map[string]int
 }
 
 func newWorkerRig(t *testing.T) *workerRig {
 	t.Helper()
-	r := &workerRig{t: t, now: time.UnixMilli(1_800_000_000_000), fault: map[string]func(rawCall) bool{}, paths: map[string]int{}}
+	r := &workerRig{t: t, now: time.UnixMilli(1_800_000_000_000), fault: map[string]func(standin.RawCall) bool{}, paths: map[string]int{}}
 	r.worker = standin.NewWorker(model.Resources{Accelerators: 8, Cores: 64, MemoryMB: 1 << 20}, 0, r.clock)
 	r.server = startRaw(t, r.serve)
-	r.connect(r.server.address)
+	r.connect(r.server.Address())
 	return r
 }
 
@@ -79,7 +79,7 @@
 }
 
 // on sets the answer to calls of a path; nil hands them to the worker again.
-func (r *workerRig) on(path string, answer func(rawCall) bool) {
+func (r *workerRig) on(path string, answer func(standin.RawCall) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.fault[path] = answer
@@ -91,26 +91,26 @@
 	return r.paths[path]
 }
 
-func (r *workerRig) serve(c rawCall) bool {
+func (r *workerRig) serve(c standin.RawCall) bool {
 	r.mu.Lock()
-	r.paths[c.path]++
-	fault := r.fault[c.path]
+	r.paths[c.Path]++
+	fault := r.fault[c.Path]
 	r.mu.Unlock()
 	if fault != nil {
 		return fault(c)
 	}
-	return c.write(r.take(c))
+	return c.Send(r.take(c))
 }
 
 // take lets a call take effect at the worker and returns its answer.
-func (r *workerRig) take(c rawCall) string {
+func (r *workerRig) take(c standin.RawCall) string {
 	status, answer := 200, ""
 	done := true
-	switch path := strings.TrimPrefix(c.path, "/tasks"); path {
+	switch path := strings.TrimPrefix(c.Path, "/tasks"); path {
 	case "":
-		if len(c.body) > 0 {
+		if len(c.Body) > 0 {
 			var start standin.StartTask
-			if json.Unmarshal(c.body, &start) != nil || r.worker.Start(start) != "" {
+			if json.Unmarshal(c.Body, &start) != nil || r.worker.Start(start) != "" {
 				status = 409
 			}
 			break
@@ -121,7 +121,7 @@
 		done = r.worker.Renew(testTask, time.Hour)
 	case "/job/0/throttle":
 		var order throttleBody
-		_ = json.Unmarshal(c.body, &order)
+		_ = json.Unmarshal(c.Body, &order)
 		done = r.worker.Throttle(testTask, order.Percent)
 	case "/job/0/checkpoint":
 		done = r.worker.Checkpoint(testTask)
@@ -131,12 +131,12 @@
 	if !done {
 		status = 404
 	}
-	return whole(status, "", answer)
+	return standin.Whole(status, "", answer)
 }
 
 // after lets a call take effect and answers with other bytes.
-func (r *workerRig) after(answer func(rawCall) bool) func(rawCall) bool {
-	return func(c rawCall) bool {
+func (r *workerRig) after(answer func(standin.RawCall) bool) func(standin.RawCall) bool {
+	return func(c standin.RawCall) bool {
 		r.take(c)
 		return answer(c)
 	}
@@ -186,20 +186,20 @@
 }
 
 // brokenAnswers are answers that tell nothing, whatever was asked.
-func brokenAnswers() map[string]func(rawCall) bool {
-	return map[string]func(rawCall) bool{
-		"reset":              rawCall.reset,
-		"closed":             thenCut(""),
-		"cut in the header":  thenCut("HTTP/1.1 200 x\r\nConte"),
-		"cut in the body":    thenCut("HTTP/1.1 200 x\r\nContent-Length: 99\r\n\r\n{\"tasks\":["),
-		"no length":          thenCut("HTTP/1.1 200 x\r\n\r\n{\"tasks\":[]}"),
-		"not HTTP":           thenCut("tasks\r\n\r\n"),
-		"oversized":          always(fmt.Sprintf("HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n", maxWorkerAnswerBytes+1)),
-		"oversized header":   always(tooManyHeaders()),
-		"internal error":     always(whole(500, "", "")),
-		"not available":      always(whole(503, "", "")),
-		"gateway timed out":  always(whole(504, "", "")),
-		"status that is odd": always(whole(999, "", "")),
+func brokenAnswers() map[string]func(standin.RawCall) bool {
+	return map[string]func(standin.RawCall) bool{
+		"reset":              standin.RawCall.Reset,
+		"closed":             standin.ThenCut(""),
+		"cut in the header":  standin.ThenCut("HTTP/1.1 200 x\r\nConte"),
+		"cut in the body":    standin.ThenCut("HTTP/1.1 200 x\r\nContent-Length: 99\r\n\r\n{\"tasks\":["),
+		"no length":          standin.ThenCut("HTTP/1.1 200 x\r\n\r\n{\"tasks\":[]}"),
+		"not HTTP":           standin.ThenCut("tasks\r\n\r\n"),
+		"oversized":          standin.Always(fmt.Sprintf("HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n", maxWorkerAnswerBytes+1)),
+		"oversized header":   standin.Always(standin.TooManyHeaders()),
+		"internal error":     standin.Always(standin.Whole(500, "", "")),
+		"not available":      standin.Always(standin.Whole(503, "", "")),
+		"gateway timed out":  standin.Always(standin.Whole(504, "", "")),
+		"status that is odd": standin.Always(standin.Whole(999, "", "")),
 	}
 }
 
@@ -212,9 +212,9 @@
 			t.Parallel()
 			r := newWorkerRig(t)
 			var once sync.Once
-			r.on("/tasks", func(c rawCall) bool {
-				if len(c.body) == 0 {
-					return c.write(r.take(c))
+			r.on("/tasks", func(c standin.RawCall) bool {
+				if len(c.Body) == 0 {
+					return c.Send(r.take(c))
 				}
 				once.Do(func() { r.take(c) })
 				return answer(c)
@@ -227,9 +227,9 @@
 		t.Run("no effect, "+name, func(t *testing.T) {
 			t.Parallel()
 			r := newWorkerRig(t)
-			r.on("/tasks", func(c rawCall) bool {
-				if len(c.body) == 0 {
-					return c.write(r.take(c))
+			r.on("/tasks", func(c standin.RawCall) bool {
+				if len(c.Body) == 0 {
+					return c.Send(r.take(c))
 				}
 				return answer(c)
 			})
@@ -264,10 +264,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := newWorkerRig(t)
 			r.caller.client.client.timeout = backendTimeout
-			held := make(chan rawCall, 1)
-			r.on("/tasks", func(c rawCall) bool {
-				if len(c.body) == 0 {
-					return c.write(r.take(c))
+			held := make(chan standin.RawCall, 1)
+			r.on("/tasks", func(c standin.RawCall) bool {
+				if len(c.Body) == 0 {
+					return c.Send(r.take(c))
 				}
 				held <- c
 				return true
@@ -288,7 +288,7 @@
 }
 
 func TestStartThatTheWorkerDidNotTake(t *testing.T) {
-	refused := func(r *workerRig) { r.on("/tasks", always(whole(409, "", "full"))) }
+	refused := func(r *workerRig) { r.on("/tasks", standin.Always(standin.Whole(409, "", "full"))) }
 	cases := []struct {
 		name   string
 		before func(*workerRig)
@@ -317,12 +317,12 @@
 // TestListOfTasks holds each list of the worker against what the duty is told
 // about a running task, once and with the second look.
 func TestListOfTasks(t *testing.T) {
-	list := func(tasks string) func(rawCall) bool { return always(whole(200, "", tasks)) }
+	list := func(tasks string) func(standin.RawCall) bool { return standin.Always(standin.Whole(200, "", tasks)) }
 	entry := func(attempt int, state string) string {
 		return fmt.Sprintf(`{"id":"job/0","attempt":%d,"state":"%s","done_ms":5}`, attempt, state)
 	}
 	cases := map[string]struct {
-		answer       func(rawCall) bool
+		answer       func(standin.RawCall) bool
 		first, again string
 	}{
 		"running":                {list(`{"tasks":[` + entry(testAttempt, "running") + `]}`), "", ""},
@@ -347,7 +347,7 @@
 		cases[name] = c
 	}
 	silent := cases["no list"]
-	silent.answer = always("")
+	silent.answer = standin.Always("")
 	cases["silent"] = silent
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -437,7 +437,7 @@
 	r := newWorkerRig(t)
 	r.start()
 	r.reports()
-	r.on("/tasks/job/0/throttle", always(whole(405, "", "")))
+	r.on("/tasks/job/0/throttle", standin.Always(standin.Whole(405, "", "")))
 	r.caller.give(context.Background(), gang.ThrottleTask{Task: testTask})
 	r.caller.observe(context.Background())
 	if got := r.reports(); got != "call failed" || r.calls("/tasks/job/0/throttle") != 1 {
@@ -464,7 +464,7 @@
 func TestStopWhileTheWorkerIsSilent(t *testing.T) {
 	r := newWorkerRig(t)
 	arrived := make(chan struct{}, 8)
-	r.on("/tasks", func(rawCall) bool { arrived <- struct{}{}; return true })
+	r.on("/tasks", func(standin.RawCall) bool { arrived <- struct{}{}; return true })
 	r.caller.client.client.timeout = backendTimeout
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/internal/agent/workercaller.go
+++ b/internal/agent/workercaller.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"dragonflyyard/internal/gang"
+	"dragonflyyard/internal/httpconn"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ring"
 	"dragonflyyard/internal/wire"
@@ -143,7 +144,7 @@
 		LeaseMS: lease.Milliseconds(), NotAfterUnixMS: notAfter.UnixMilli(),
 	})
 	switch {
-	case errors.Is(err, errNotSent):
+	case errors.Is(err, httpconn.ErrNotSent):
 		delete(c.known, start.Task)
 		c.failStart(ctx, start.Task, "the worker was not reached: "+err.Error())
 	case err != nil, status >= fasthttp.StatusInternalServerError:
