Say "in doubt" where an answer does not say that nothing changed

Ruled out: to try the next entry host after a 500 or 502. The next answer would be ambiguous all the same, and a read can be repeated by the operator.

Change: only 400 to 499 and 503 say that nothing changed; after all else a command that changes is in doubt (5), one that reads got nothing (4). An answer needs the fields that an entry host always sends, and the ID that was asked for; a change with an unreadable answer is pursued under its ID like one whose answer was lost. Connections are those of httpconn.

Two fakes answered with another ID than they were sent; they answer with that one now, and the checks are the same.

--- a/internal/ctl/calls_test.go
+++ b/internal/ctl/calls_test.go
@@ -25,7 +25,10 @@
 func serveJobs(ctx *fasthttp.RequestCtx) {
 	switch path := string(ctx.Path()); {
 	case path == operatorapi.PathJobs && ctx.IsPost():
-		answer(ctx, 200, operatorapi.JobReply{Job: runningJob})
+		request, _ := operatorapi.DecodeJob(ctx.Request.Body(), time.Time{})
+		taken := runningJob
+		taken.ID = request.ID
+		answer(ctx, 200, operatorapi.JobReply{Job: taken})
 	case path == operatorapi.PathJobs && string(ctx.QueryArgs().Peek("after")) == "j1":
 		answer(ctx, 200, operatorapi.JobList{Jobs: []operatorapi.JobStatus{waitingJob}})
 	case path == operatorapi.PathJobs:
@@ -59,7 +62,7 @@
 	entry := startEntry(t, serveJobs)
 	entries := []string{entry.address}
 	runCtl(t, "", entries, "job", "submit", "--account", "judges", "--tasks", "2", "--topology", "rack", "--needed-within", "2h",
-		"--guaranteed", "--urgent", "--checkpoint", "--class", "rind").expect(t, ExitDone, "j1 account judges running tasks 2 attempt 1")
+		"--guaranteed", "--urgent", "--checkpoint", "--class", "rind").expect(t, ExitDone, " account judges running tasks 2 attempt 1")
 	want := time.Date(2026, 12, 4, 14, 0, 0, 0, time.UTC)
 	got := submitted(t, entry)
 	if got.ID == "" || !got.Deadline.Equal(want) || got.Capacity != model.CapacityGuaranteed || !got.Urgent || !got.CanCheckpoint {
@@ -71,7 +74,7 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	runCtl(t, "", entries, "job", "submit", "--file", file, "--id", "j9").expect(t, ExitDone, "j1")
+	runCtl(t, "", entries, "job", "submit", "--file", file, "--id", "j9").expect(t, ExitDone, "j9 account")
 	if got := submitted(t, entry); got.ID != "j9" || got.Shape.Tasks != 2 {
 		t.Errorf("submitted %+v", got)
 	}
--- a/internal/ctl/change.go
+++ b/internal/ctl/change.go
@@ -85,8 +85,9 @@
 // earlier attempt.
 func (a *app) resolve(cmd *cli.Command, change model.ConfigChange, r reply, inDoubt *bool) (bool, error) {
 	var answer operatorapi.ChangeReply
-	if json.Unmarshal(r.body, &answer) != nil || answer.Status == "" {
-		if *inDoubt && r.status >= fasthttp.StatusInternalServerError {
+	if json.Unmarshal(r.body, &answer) != nil || answer.Status == "" || answer.Change != change.ID {
+		*inDoubt = *inDoubt || !r.isRefused() && r.status != fasthttp.StatusServiceUnavailable
+		if *inDoubt && !r.isRefused() {
 			return false, nil
 		}
 		r.ambiguous = *inDoubt
--- a/internal/ctl/change_test.go
+++ b/internal/ctl/change_test.go
@@ -42,7 +42,11 @@
 // TestChangeFaults sends one change through entry hosts that fail in each way.
 func TestChangeFaults(t *testing.T) {
 	reply := func(status int, r operatorapi.ChangeReply) fasthttp.RequestHandler {
-		return func(ctx *fasthttp.RequestCtx) { answer(ctx, status, r) }
+		return func(ctx *fasthttp.RequestCtx) {
+			change, _ := operatorapi.DecodeChange(ctx.Request.Body())
+			r.Change = change.ID
+			answer(ctx, status, r)
+		}
 	}
 	notAccepted := reply(503, operatorapi.ChangeReply{Status: operatorapi.ChangeNotAccepted, Sentence: "The table service is down.", RetryAfterMS: 2000})
 	inDoubt := reply(504, operatorapi.ChangeReply{Status: operatorapi.ChangeInDoubt})
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/url"
 	"strings"
 	"time"
@@ -13,7 +14,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"dragonflyyard/internal/operatorapi"
+	"dragonflyyard/internal/callerapi"
+	"dragonflyyard/internal/httpconn"
 )
 
 // repeatability says whether a call may reach more than one entry host.
@@ -43,6 +45,8 @@
 	body       []byte
 	retryAfter string
 	outcome    string
+	// request is the request that an outcome is of.
+	request string
 	// ambiguous is set when an earlier attempt may have taken effect unheard.
 	ambiguous bool
 }
@@ -69,6 +73,12 @@
 			// Attempts are made here, where it is known what may be repeated.
 			MaxIdemponentCallAttempts: 1,
 			MaxResponseBodySize:       maxReplyBytes,
+			DialTimeout: func(address string, dial time.Duration) (net.Conn, error) {
+				if dial <= 0 {
+					dial = timeout
+				}
+				return httpconn.Dial(address, min(dial, timeout))
+			},
 		},
 	}
 }
@@ -90,7 +100,7 @@
 		r, err := c.attempt(entry, k)
 		if err != nil {
 			failures = append(failures, fmt.Sprintf("%s: %v", entry, err))
-			sent := !isDialError(err)
+			sent := !errors.IsAny(err, httpconn.ErrNotSent, fasthttp.ErrNoFreeConns)
 			ambiguous = ambiguous || sent
 			if sent && k.repeat == once {
 				break
@@ -131,16 +141,10 @@
 		body:       append([]byte(nil), response.Body()...),
 		retryAfter: string(response.Header.Peek(fasthttp.HeaderRetryAfter)),
 		outcome:    string(response.Header.Peek(headerOutcome)),
+		request:    string(response.Header.Peek(callerapi.HeaderRequestID)),
 	}, nil
 }
 
-// isDialError reports whether the connection was never made, so that nothing
-// was sent.
-func isDialError(err error) bool {
-	var dial *fasthttp.ErrDialWithUpstream
-	return errors.As(err, &dial) || errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns)
-}
-
 // get reads a JSON value.
 func (c *client) get(ctx context.Context, path string, query url.Values, target any) error {
 	if len(query) > 0 {
@@ -163,44 +167,11 @@
 	if err != nil {
 		return unreachable(k, r, err)
 	}
-	if r.status >= 200 && r.status < 300 {
-		return errors.Wrapf(json.Unmarshal(r.body, target), "answer of %s", r.entry)
-	}
-	return refusal(k, r)
-}
-
-// unreachable is the failure of a call that no entry host answered.
-func unreachable(k call, r reply, err error) error {
-	if k.method != fasthttp.MethodGet && r.ambiguous {
-		return fail(ExitInDoubt, "the call may have taken effect: %v", err)
-	}
-	return fail(ExitNotAccepted, "nothing changed: %v", err)
-}
-
-// refusal is the failure of a call that was answered with an error.
-func refusal(k call, r reply) error {
-	var body operatorapi.ErrorBody
-	if json.Unmarshal(r.body, &body) != nil || body.Sentence == "" {
-		body.Sentence = fmt.Sprintf("entry host %s answered with status %d.", r.entry, r.status)
-	}
-	text := body.Sentence
-	if body.Code != "" {
-		text = fmt.Sprintf("%s: %s", body.Code, body.Sentence)
-	}
-	if r.retryAfter != "" {
-		text += fmt.Sprintf(" Come back in %s s.", r.retryAfter)
-	}
-	if r.ambiguous && k.method != fasthttp.MethodGet {
-		return fail(ExitInDoubt, "an earlier attempt may have taken effect; the last answer was %s", text)
+	if r.status < fasthttp.StatusOK || r.status >= fasthttp.StatusMultipleChoices {
+		return refusal(k, r)
 	}
-	switch {
-	case r.status == fasthttp.StatusServiceUnavailable:
-		return fail(ExitNotAccepted, "%s", text)
-	case r.status == fasthttp.StatusGatewayTimeout:
-		return fail(ExitInDoubt, "%s", text)
-	case r.status == fasthttp.StatusConflict:
-		return fail(ExitConflict, "%s", text)
-	default:
-		return fail(ExitRefused, "%s", text)
+	if err := decodeAnswer(r.body, target); err != nil {
+		return unreadable(k, r.entry, "the answer is unreadable: %v", err)
 	}
+	return nil
 }
--- a/internal/ctl/jobs.go
+++ b/internal/ctl/jobs.go
@@ -52,6 +52,9 @@
 	if err := a.client(cmd).post(ctx, operatorapi.PathJobs, request, &answer); err != nil {
 		return err
 	}
+	if answer.Job.ID != request.ID {
+		return fail(ExitInDoubt, "the job may have been taken: the answer is that of job %q", answer.Job.ID)
+	}
 	return a.print(cmd, answer, func() { a.printJob(answer.Job) })
 }
 
@@ -158,6 +161,11 @@
 	if err := a.client(cmd).post(ctx, operatorapi.PathJobsCancel, request, &answer); err != nil {
 		return err
 	}
+	for _, id := range request.IDs {
+		if answer.Results[id] == "" {
+			return fail(ExitInDoubt, "the jobs may have been cancelled: the answer has no result for job %q", id)
+		}
+	}
 	return a.print(cmd, answer, func() {
 		for _, id := range sortedKeys(answer.Results) {
 			a.printf("%s %s\n", id, answer.Results[id])
@@ -187,6 +195,9 @@
 	if err := a.client(cmd).get(ctx, path, nil, &answer); err != nil {
 		return err
 	}
+	if string(answer.Job.ID) != id {
+		return fail(ExitNotAccepted, "the answer is that of job %q", answer.Job.ID)
+	}
 	return a.print(cmd, answer, func() {
 		a.printJob(answer.Job)
 		for i, line := range answer.Lines {
--- a/internal/ctl/requests.go
+++ b/internal/ctl/requests.go
@@ -65,7 +65,7 @@
 		}
 		return fail(ExitNotAccepted, "request %s: not run: %v", id, err)
 	}
-	return a.printOutcome(id, r, cmd.Bool("idempotent"))
+	return a.printOutcome(id, k, r, cmd.Bool("idempotent"))
 }
 
 func (a *app) requestBody(cmd *cli.Command) ([]byte, error) {
@@ -83,14 +83,17 @@
 }
 
 // printOutcome prints the answer, or says which other outcome the request had.
-func (a *app) printOutcome(id string, r reply, isIdempotent bool) error {
+func (a *app) printOutcome(id string, k call, r reply, isIdempotent bool) error {
+	if r.request != "" && r.request != id {
+		return unreadable(k, r.entry, "the answer is that of request %s", r.request)
+	}
 	if r.outcome == model.OutcomeAnswered.String() {
 		_, err := a.env.Out.Write(append(r.body, '\n'))
 		return errors.Wrap(err, "print the answer")
 	}
 	var body callerapi.OutcomeBody
 	if json.Unmarshal(r.body, &body) != nil || body.Outcome == "" {
-		return refusal(call{method: fasthttp.MethodPost}, r)
+		return refusal(k, r)
 	}
 	text := "request " + id + ": " + body.Outcome
 	if body.Reason != "" {
@@ -135,7 +138,7 @@
 	if err != nil {
 		return unreachable(k, r, err)
 	}
-	return a.printOutcome(id, r, false)
+	return a.printOutcome(id, k, r, false)
 }
 
 func (a *app) stopCommand() *cli.Command {
