--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -46,8 +46,7 @@
 	waiting map[model.JobID][]*operatorCall
 	// nextSnapshot is when the state is stored next.
 	nextSnapshot time.Time
-	// snapshots counts the snapshots that this process stored.
-	snapshots uint64
+	snapshots    *snapshotStore
 	// kept are the rows of ended jobs, oldest first.
 	kept []keptRow
 	// remote holds calls that were forwarded to the owner.
@@ -62,6 +61,9 @@
 		agents:  map[model.WorkerID]*link.Conn{},
 		waiting: map[model.JobID][]*operatorCall{},
 		remote:  newForwardedCalls(p),
+		snapshots: &snapshotStore{
+			table: calls.table, objects: calls.objects, region: p.Config.Settings.Region,
+		},
 	}
 	s.rows = newRowWriter(s)
 	p.Hub.OnState(wire.RoleAgent, s.noteLink)
