Measure lost racks and zones with the real scheduler

Cause: docs/CAPACITY.md said of a lost zone "decisions not measured at this size", and the measuring driver left jobs whose answers it did not carry through.

Change: MeasureLoss loses all workers of a rack or a zone at once and follows the decisions until the last restart. The driver answers StopTask and carries all actions out; lost workers answer nothing.

--- a/internal/capacity/measure_test.go
+++ b/internal/capacity/measure_test.go
@@ -1,6 +1,22 @@
 package capacity
 
-import "testing"
+import (
+	"testing"
+
+	"dragonflyyard/internal/model"
+)
+
+func TestLostZoneRunsAgainWhereThereIsRoom(t *testing.T) {
+	const workers = 64
+	got, err := MeasureLoss(workers, func(w model.Worker) bool { return w.Zone == regionWorker(0).Zone })
+	if err != nil {
+		t.Fatal(err)
+	}
+	free := workers*workerAccelerators - workers*TasksPerWorker
+	if got.LostWorkers != workers/zonesOf || got.LostTasks == 0 || got.RestartedJobs != min(got.LostTasks, free)/jobTasks {
+		t.Errorf("%d accelerators free: %+v", free, got)
+	}
+}
 
 func TestMeasurementsDoWhatTheyCount(t *testing.T) {
 	const claims = 500
@@ -11,6 +27,9 @@
 	if err != nil || got.StateBytes <= 0 || got.PlaceNS <= 0 {
 		t.Errorf("scheduler: %+v, %v", got, err)
 	}
+	if got.SegmentBytes <= 0 || got.SegmentBytes > got.SnapshotBytes/4 {
+		t.Errorf("segment: %+v", got)
+	}
 	if got := MeasureHomes(11); got.MovedRanges == 0 || got.MovedRanges > got.Ranges/5 {
 		t.Errorf("homes: %+v", got)
 	}
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -20,6 +20,9 @@
 	if err := reportScheduler(w); err != nil {
 		return err
 	}
+	if err := reportLoss(w); err != nil {
+		return err
+	}
 	reportConfig(w)
 	reportHomes(w)
 	reportClaims(w)
@@ -28,16 +31,17 @@
 
 func reportScheduler(w io.Writer) error {
 	fmt.Fprintln(w, "\n## Scheduler owner, 7 tasks a worker")
-	fmt.Fprintln(w, "\n| workers | tasks | state bytes | placement us | lease request us | idle tick us | rebuild ms | snapshot bytes |")
-	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- |")
+	fmt.Fprintln(w, "\n| workers | tasks | state bytes | placement us | lease request us | idle tick us | rebuild ms | snapshot bytes | segment bytes | segment ms |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	var state, place, rebuild []Point
 	for _, workers := range []int{200, 800, WorkersPerRegion, 2 * WorkersPerRegion} {
 		c, err := MeasureScheduler(workers, TasksPerWorker)
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(w, "| %d | %d | %.0f | %.1f | %.1f | %.1f | %.1f | %d |\n",
-			c.Workers, c.Tasks, c.StateBytes, c.PlaceNS/1e3, c.LeaseNS/1e3, c.TickNS/1e3, c.RecoverNS/1e6, c.SnapshotBytes)
+		fmt.Fprintf(w, "| %d | %d | %.0f | %.1f | %.1f | %.1f | %.1f | %d | %d | %.1f |\n",
+			c.Workers, c.Tasks, c.StateBytes, c.PlaceNS/1e3, c.LeaseNS/1e3, c.TickNS/1e3, c.RecoverNS/1e6,
+			c.SnapshotBytes, c.SegmentBytes, c.SegmentNS/1e6)
 		size := float64(workers)
 		state = append(state, Point{size, c.StateBytes})
 		place = append(place, Point{size, c.PlaceNS})
--- a/internal/capacity/scheduler.go
+++ b/internal/capacity/scheduler.go
@@ -30,6 +30,10 @@
 	// Rows is the number of job rows, SnapshotBytes the size of the stored state.
 	Rows          int
 	SnapshotBytes int
+	// SegmentBytes is the size of what changed in the state between two saves,
+	// SegmentNS the time to find and encode it.
+	SegmentBytes int
+	SegmentNS    float64
 }
 
 const (
@@ -49,10 +53,16 @@
 	// ticks counts the calls of tick.
 	ticks   int
 	workers int
+	// lost workers answer nothing.
+	lost map[model.WorkerID]bool
+	// spent is the time of all decisions, longest that of the longest one.
+	spent   time.Duration
+	longest time.Duration
 }
 
 func newFleetDriver() *fleetDriver {
-	return &fleetDriver{core: scheduler.New(scheduler.DefaultSettings()), now: time.Unix(1_800_000_000, 0), rows: map[model.JobID]scheduler.JobRow{}}
+	return &fleetDriver{core: scheduler.New(scheduler.DefaultSettings()), now: time.Unix(1_800_000_000, 0),
+		rows: map[model.JobID]scheduler.JobRow{}, lost: map[model.WorkerID]bool{}}
 }
 
 func regionWorker(i int) model.Worker {
@@ -86,8 +96,20 @@
 	return model.Shape{Tasks: jobTasks, PerTask: model.Resources{Accelerators: 1, Cores: 4, MemoryMB: 8192}, Topology: model.TopologyAny}
 }
 
-func (f *fleetDriver) step(in scheduler.Input) {
-	pending := f.core.Step(f.now, in)
+func (f *fleetDriver) step(in scheduler.Input) { f.carryOut(f.decide(in)) }
+
+// decide steps the core and counts its time.
+func (f *fleetDriver) decide(in scheduler.Input) []scheduler.Action {
+	began := time.Now()
+	actions := f.core.Step(f.now, in)
+	took := time.Since(began)
+	f.spent += took
+	f.longest = max(f.longest, took)
+	return actions
+}
+
+// carryOut answers actions, and those that the answers lead to, until none is left.
+func (f *fleetDriver) carryOut(pending []scheduler.Action) {
 	for len(pending) > 0 {
 		var next []scheduler.Action
 		for _, action := range pending {
@@ -101,7 +123,7 @@
 	switch action := action.(type) {
 	case scheduler.WriteDecision:
 		f.rows[action.Row.Job.ID] = action.Row
-		return f.core.Step(f.now, scheduler.Decided{Job: action.Row.Job.ID, Attempt: action.Row.Attempt, Result: scheduler.DecisionCommitted})
+		return f.decide(scheduler.Decided{Job: action.Row.Job.ID, Attempt: action.Row.Attempt, Result: scheduler.DecisionCommitted})
 	case scheduler.Send:
 		return f.answerSend(action)
 	default:
@@ -110,15 +132,22 @@
 }
 
 func (f *fleetDriver) answerSend(send scheduler.Send) []scheduler.Action {
+	if f.lost[send.To] {
+		return nil
+	}
 	switch m := send.Message.(type) {
 	case *wire.Reserve:
-		return f.core.Step(f.now, scheduler.Receive{From: send.To, Message: &wire.ReserveReply{
+		return f.decide(scheduler.Receive{From: send.To, Message: &wire.ReserveReply{
 			Epoch: m.Epoch, Job: m.Job, Attempt: m.Attempt, Task: m.Task, OK: true,
 		}})
 	case *wire.Launch:
-		return f.core.Step(f.now, scheduler.Receive{From: send.To, Message: &wire.TaskReport{
+		return f.decide(scheduler.Receive{From: send.To, Message: &wire.TaskReport{
 			Job: m.Job, Attempt: m.Attempt, Task: m.Task, State: wire.TaskRunning,
 		}})
+	case *wire.StopTask:
+		return f.decide(scheduler.Receive{From: send.To, Message: &wire.TaskReport{
+			Job: m.Job, Attempt: m.Attempt, Task: m.Task, State: wire.TaskStopped, Checkpointed: true,
+		}})
 	default:
 		return nil
 	}
@@ -165,6 +194,9 @@
 func (f *fleetDriver) renew(workers int) {
 	for i := range workers {
 		id := regionWorker(i).ID
+		if f.lost[id] {
+			continue
+		}
 		f.step(scheduler.Receive{From: id, Message: &wire.LeaseRequest{Worker: id, SentMS: f.now.UnixMilli()}})
 	}
 }
@@ -176,17 +208,11 @@
 	f := newFleetDriver()
 	f.begin(workers)
 	jobs := workers * tasksPerWorker / jobTasks
-	for i := range jobs {
-		f.step(scheduler.Submit{Job: regionJob(i)})
-		if i%startsPerTick == startsPerTick-1 {
-			f.tick(workers)
-		}
-	}
-	f.tick(workers)
+	err := f.fill(jobs)
 	cost := SchedulerCost{Workers: workers, Tasks: jobs * jobTasks, Rows: len(f.rows)}
 	cost.StateBytes = heapBytes() - before
-	if len(f.rows) != jobs {
-		return cost, errors.Newf("%d of %d jobs were placed on %d workers", len(f.rows), jobs, workers)
+	if err != nil {
+		return cost, err
 	}
 	cost.PlaceNS = f.timePlacement(jobs)
 	cost.LeaseNS = perOp(workers, func(i int) {
@@ -200,16 +226,21 @@
 		return cost, errors.Wrap(err, "encode snapshot")
 	}
 	cost.SnapshotBytes = len(snapshot)
+	if cost.SegmentBytes, cost.SegmentNS, err = f.timeSegment(jobs + placementTries); err != nil {
+		return cost, err
+	}
 	runtime.KeepAlive(f)
 	return cost, nil
 }
 
+// placementTries is how many placements are timed.
+const placementTries = 200
+
 // timePlacement submits more jobs, each cancelled before the next one, and
 // times the submissions alone.
 func (f *fleetDriver) timePlacement(first int) float64 {
-	const tries = 200
 	var spent time.Duration
-	for i := range tries {
+	for i := range placementTries {
 		if i%startsPerTick == 0 {
 			f.tick(f.workers)
 		}
@@ -217,12 +248,29 @@
 		began := time.Now()
 		actions := f.core.Step(f.now, scheduler.Submit{Job: job})
 		spent += time.Since(began)
-		for _, action := range actions {
-			f.answer(action)
-		}
+		f.carryOut(actions)
 		f.step(scheduler.Cancel{IDs: []model.JobID{job.ID}})
 	}
-	return float64(spent.Nanoseconds()) / tries
+	return float64(spent.Nanoseconds()) / placementTries
+}
+
+// savesPerDay is how often a day an owner stores its state.
+const savesPerDay = 288
+
+// timeSegment lets as many jobs start and as many end as a region of this size
+// has between two saves at the target, and measures the segment for them.
+func (f *fleetDriver) timeSegment(first int) (bytes int, ns float64, err error) {
+	jobs := (JobsPerDay*f.workers/Workers + savesPerDay - 1) / savesPerDay
+	before := f.core.Snapshot()
+	for i := range jobs {
+		f.tick(f.workers)
+		f.step(scheduler.Cancel{IDs: []model.JobID{regionJob(i).ID}})
+		f.step(scheduler.Submit{Job: regionJob(first + i)})
+	}
+	after := f.core.Snapshot()
+	began := time.Now()
+	segment, err := json.Marshal(scheduler.DeltaBetween(before, after))
+	return len(segment), float64(time.Since(began).Nanoseconds()), errors.Wrap(err, "encode segment")
 }
 
 // timeRecovery times a successor's start from all rows.
