Keep work that cannot checkpoint together by moving work that can

The rule to place it beside its like took free places only, and work that can checkpoint had filled these. Ruled out: the placement alone, pinned work beside pinned work and the rest away from it (mean completion the same, large p95 slowdown no better). Change: small pinned work takes its place beside pinned work also where work that yields has to move after a checkpoint; work that yields stays away from pinned work while other places are free.

--- a/internal/scheduler/backfill.go
+++ b/internal/scheduler/backfill.go
@@ -43,7 +43,7 @@
 // reserveFor holds capacity back for the first large job of an account that
 // waits. A job that comes after it in the account's order gives its own up.
 func (c *Core) reserveFor(now time.Time, j *JobState) {
-	if c.settings.Policy.NoReservations || j.Job.Shape.Accelerators() < c.settings.LargeAccelerators {
+	if c.settings.Policy.NoReservations || !c.isLarge(j) {
 		return
 	}
 	if c.fillsDuringZoneChange() {
--- a/internal/scheduler/borrowed.go
+++ b/internal/scheduler/borrowed.go
@@ -93,6 +93,9 @@
 	if r := c.reservations[j.Job.ID]; r != nil {
 		return c.tryReserved(now, j, r)
 	}
+	if c.joinPinned(now, j) {
+		return true
+	}
 	long := c.isLong(now, j)
 	key := blockedKey{j.Job.Shape, long}
 	if _, blocked := c.blocked[key]; !blocked {
@@ -113,27 +116,16 @@
 	return false
 }
 
-// bestPlace returns the fullest place that takes a job. A job that cannot
-// checkpoint is put beside others like it, so that the rest of the fleet stays
-// free of work that cannot move.
+// bestPlace returns the fullest place that takes a job, see segregate.
 func (c *Core) bestPlace(index *placement.Index, j *JobState) ([]model.WorkerID, string) {
-	if !j.Job.CanCheckpoint && !c.settings.Policy.MixPinned {
-		r := c.request(j)
-		limit := r.Limit
-		r.Limit = func(id model.WorkerID) int {
-			if c.workers[id].pinned == 0 {
-				return 0
-			}
-			if limit != nil {
-				return limit(id)
-			}
-			return model.MaxGangSize
-		}
-		if workers := index.Place(r); workers != nil {
-			return workers, "the fullest place that takes it, beside other work that cannot checkpoint"
+	r := c.request(j)
+	if limit, why := c.segregate(j); limit != nil {
+		apart := r
+		apart.Limit = both(r.Limit, limit)
+		if workers := index.Place(apart); workers != nil {
+			return workers, why
 		}
 	}
-	r := c.request(j)
 	if workers := index.Place(r); workers != nil || r.Limit == nil {
 		return workers, "the fullest place that takes it"
 	}
@@ -154,19 +146,6 @@
 	return c.tracker.FailedOn(j.Job.ID)
 }
 
-// except returns a limit that allows nothing on the given workers.
-func except(workers []model.WorkerID, limit func(model.WorkerID) int) func(model.WorkerID) int {
-	return func(id model.WorkerID) int {
-		if slices.Contains(workers, id) {
-			return 0
-		}
-		return limit(id)
-	}
-}
-
-// unlimited is the limit that allows any number of tasks on any worker.
-func unlimited(model.WorkerID) int { return model.MaxGangSize }
-
 // mayPreempt reports whether borrowed work has to yield to a waiting job: to
 // urgent work at once, to a large job after a while.
 func (c *Core) mayPreempt(now time.Time, j *JobState) bool {
@@ -176,7 +155,7 @@
 	if j.Job.Urgent {
 		return true
 	}
-	return !c.settings.Policy.NoReservations && j.Job.Shape.Accelerators() >= c.settings.LargeAccelerators &&
+	return !c.settings.Policy.NoReservations && c.isLarge(j) &&
 		now.Sub(j.PhaseSince) >= c.settings.LargeWait
 }
 
@@ -240,13 +219,8 @@
 func (c *Core) placeIfYielded(j *JobState, may func(*JobState) bool) []model.WorkerID {
 	for _, size := range yieldSizes {
 		r := c.request(j)
-		limit := r.Limit
-		r.Limit = func(id model.WorkerID) int {
-			if limit != nil && limit(id) == 0 {
-				return 0
-			}
-			return c.slotsIfYielded(id, j, func(v *JobState) bool { return v.Job.Shape.Accelerators() <= size && may(v) })
-		}
+		small := func(v *JobState) bool { return v.Job.Shape.Accelerators() <= size && may(v) }
+		r.Limit = both(r.Limit, func(id model.WorkerID) int { return c.slotsIfYielded(id, j, small) })
 		if place := c.books.fleet.Place(r); place != nil {
 			return place
 		}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -120,5 +120,5 @@
 // room for a large job.
 func (c *Core) isYielding(j *JobState) bool {
 	return j.Job.CanCheckpoint && j.Class != model.CapacityGuaranteed && !j.Job.Urgent &&
-		j.Preemptions < c.settings.MaxPreemptions && j.Job.Shape.Accelerators() < c.settings.LargeAccelerators
+		j.Preemptions < c.settings.MaxPreemptions && !c.isLarge(j)
 }
