Draw the random sequences of requests and jobs by rapid

Cause: a failing random sequence of the request path and of the job path was neither shrunk nor printed: its steps came out of one stream of random numbers, so that leaving one out changed all others. Change: rapid draws, under a fixed seed, which requests are sent, by groups and places, and which steps are taken; what one of them does depends on the run's seed and its number alone. The pairs of faults stay complete (66 pairs, two sequences each, and 20 sequences with lost messages); 423 requests on average (before: 400), 105 steps of jobs on average (before: 100), the same checks. The pairs end at the first that fails, as each would be shrunk for 30 s.

--- a/internal/replay/jobs/faults_test.go
+++ b/internal/replay/jobs/faults_test.go
@@ -1,11 +1,16 @@
 package jobs
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/scheduler"
 	"dragonflyyard/internal/wire"
@@ -49,7 +54,6 @@
 // chaos draws jobs and faults from one seed.
 type chaos struct {
 	*Watch
-	t    *testing.T
 	rng  *rand.Rand
 	next int
 	lose float64
@@ -173,32 +177,98 @@
 	})
 }
 
-func runChaos(t *testing.T, seed uint64, lose float64, length time.Duration) *chaos {
+// Sizes of a drawn run: of its steps seven in eight are taken, 105 on average.
+const (
+	stepsDrawn = 120
+	stepLength = 75 * time.Second / stepsDrawn
+	// leastJobs is how many jobs a run with most of its steps hands in.
+	leastJobs = 20
+	// runsDrawn is how many sequences each part of the test draws.
+	runsDrawn = 2
+	parts     = 6
+)
+
+// stepsTaken holds, for each step by its number, whether it is taken. What a
+// step does depends on the run's seed, its number and the state it meets, so a
+// failing sequence is shrunk by leaving steps out.
+type stepsTaken []bool
+
+// GoString lists the numbers of the steps that are taken.
+func (s stepsTaken) GoString() string {
+	return fmt.Sprintf("%d steps %v", len(s.numbers()), s.numbers())
+}
+
+func (s stepsTaken) numbers() []int {
+	var numbers []int
+	for i, taken := range s {
+		if taken {
+			numbers = append(numbers, i)
+		}
+	}
+	return numbers
+}
+
+func drawSteps(t *rapid.T) stepsTaken {
+	steps := make(stepsTaken, stepsDrawn)
+	for i := range steps {
+		for range 3 {
+			steps[i] = rapid.Bool().Draw(t, "bit") || steps[i]
+		}
+	}
+	return steps
+}
+
+func runChaos(seed uint64, lose float64, steps stepsTaken) *chaos {
 	d := NewDriver(DefaultOptions(), fleet(), testConfig(), testStart)
-	c := &chaos{Watch: NewWatch(d), t: t, rng: rand.New(rand.NewPCG(seed, 1)), lose: lose}
+	c := &chaos{Watch: NewWatch(d), rng: rand.New(rand.NewPCG(seed, 0)), lose: lose}
 	d.Hooks.Deliver = c.deliver
 	d.Hooks.Decide = c.decide
 	d.Start()
-	end := testStart.Add(length)
-	for d.Now.Before(end) && c.Violation == "" {
-		d.RunUntil(d.Now.Add(time.Duration(c.rng.IntN(1500)) * time.Millisecond))
-		c.fault()
+	for i, taken := range steps {
+		if c.Violation != "" {
+			break
+		}
+		c.rng = rand.New(rand.NewPCG(seed, uint64(i)+1))
+		d.RunUntil(testStart.Add(time.Duration(i)*stepLength + time.Duration(c.rng.Int64N(int64(stepLength)))))
+		if taken {
+			c.fault()
+		}
 	}
-	if c.Violation != "" {
-		t.Error(c.Violation)
+	if c.Violation == "" {
+		d.RunUntil(testStart.Add(stepsDrawn * stepLength))
 	}
 	return c
 }
 
+// TestMain fixes the seed of drawn sequences, so that every run draws the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{
+		"rapid.seed": "20261204", "rapid.checks": strconv.Itoa(runsDrawn), "rapid.nofailfile": "true",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 func TestPromisesHoldUnderRandomFaults(t *testing.T) {
-	for seed := range uint64(12) {
+	for part := range uint64(parts) {
 		for _, lose := range []float64{0, 0.03} {
-			t.Run(fmt.Sprintf("seed %d lose %g", seed, lose), func(t *testing.T) {
+			t.Run(fmt.Sprintf("part %d lose %g", part, lose), func(t *testing.T) {
 				t.Parallel()
-				c := runChaos(t, seed, lose, 75*time.Second)
-				if c.Violation == "" && c.next < 20 {
-					t.Errorf("only %d jobs submitted", c.next)
-				}
+				rapid.Check(t, func(t *rapid.T) {
+					seed := part<<32 | uint64(rapid.Uint32().Draw(t, "seed"))
+					steps := rapid.Custom(drawSteps).Draw(t, "steps")
+					c := runChaos(seed, lose, steps)
+					if c.Violation != "" {
+						t.Fatal(c.Violation)
+					}
+					if len(steps.numbers()) > stepsDrawn/2 && c.next < leastJobs {
+						t.Errorf("only %d jobs submitted", c.next)
+					}
+				})
 			})
 		}
 	}
--- a/internal/requestflow/random_test.go
+++ b/internal/requestflow/random_test.go
@@ -1,12 +1,18 @@
 package requestflow_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/requestflow/requesttest"
 )
@@ -57,27 +63,115 @@
 	}
 }
 
+// sequence is a drawn run: a failing one shrinks to few requests and faults.
+type sequence struct {
+	// Seed is of all that the processes, the messages and the requests draw.
+	Seed uint64
+	// Sent says which of the requests are sent. What one of them is depends on
+	// the seed and its number alone.
+	Sent   sentRequests
+	Faults []drawnFault
+}
+
+// sentRequests holds, for each request by its number, whether it is sent.
+type sentRequests []bool
+
+// GoString lists the numbers of the requests that are sent.
+func (s sentRequests) GoString() string {
+	var numbers []int
+	for i, sent := range s {
+		if sent {
+			numbers = append(numbers, i)
+		}
+	}
+	return fmt.Sprintf("%d requests %v", len(numbers), numbers)
+}
+
+// drawnFault is a fault whose time and place depend on its number.
+type drawnFault struct {
+	Fault  string
+	Number uint64
+}
+
+const (
+	// Requests are numbered in groups. Seven in eight groups are sent, and of each
+	// the same seven in eight places: 423 requests on average. A failing sequence
+	// is shrunk by whole groups and places.
+	groups, places = 24, 23
+	// Streams of random numbers beside those of the bag.
+	streamRequests = 1 << 20
+	streamFaults   = 1 << 21
+)
+
+// drawSequence draws a run with the given faults. salt keeps runs of several
+// tests, which draw from the same seed, apart.
+func drawSequence(t *rapid.T, salt uint64, faults []string) sequence {
+	s := sequence{Seed: salt<<32 | uint64(rapid.Uint32().Draw(t, "seed"))}
+	s.Sent = rapid.Custom(drawSent).Draw(t, "sent")
+	for _, name := range faults {
+		s.Faults = append(s.Faults, drawnFault{name, uint64(rapid.Uint16().Draw(t, name))})
+	}
+	return s
+}
+
+func drawSent(t *rapid.T) sentRequests {
+	sentGroups, sentPlaces := drawMost(t, groups), drawMost(t, places)
+	sent := make(sentRequests, groups*places)
+	for i := range sent {
+		sent[i] = sentGroups[i/places] && sentPlaces[i%places]
+	}
+	return sent
+}
+
+// drawMost draws true in seven cases of eight.
+func drawMost(t *rapid.T, n int) []bool {
+	most := make([]bool, n)
+	for i := range most {
+		for range 3 {
+			most[i] = rapid.Bool().Draw(t, "bit") || most[i]
+		}
+	}
+	return most
+}
+
 // drive submits requests for ten seconds, some of them twice, with faults in
 // between, and returns the bag after it settled.
-func drive(seed uint64, faults []fault, rates float64) *requesttest.Bag {
-	r := rand.New(rand.NewPCG(seed, 2))
+func drive(s sequence, rates float64) *requesttest.Bag {
 	b := requesttest.New(requesttest.Options{
-		Seed: seed, Entries: entries, Agents: agents, Skew: true, Drop: rates, Duplicate: rates, Reorder: rates,
+		Seed: s.Seed, Entries: entries, Agents: agents, Skew: true, Drop: rates, Duplicate: rates, Reorder: rates,
 		Service: func(r *rand.Rand) time.Duration { return time.Duration(5+r.IntN(200)) * time.Millisecond },
 	})
 	b.Run(4 * time.Second)
-	for range 400 {
-		b.At(time.Duration(r.IntN(10_000))*time.Millisecond, func() { submitRandom(b, r) })
+	for i, sent := range s.Sent {
+		r := rand.New(rand.NewPCG(s.Seed, streamRequests+uint64(i)))
+		at := time.Duration(r.IntN(10_000)) * time.Millisecond
+		if sent {
+			b.At(at, func() { submitRandom(b, r) })
+		}
 	}
-	for _, f := range faults {
+	for i, f := range s.Faults {
+		r := rand.New(rand.NewPCG(s.Seed+f.Number, streamFaults+uint64(i)))
 		at := time.Duration(500+r.IntN(6000)) * time.Millisecond
-		b.At(at, func() { f.put(b, r) })
+		b.At(at, func() { faultNamed(f.Fault).put(b, r) })
 	}
 	b.Run(10 * time.Second)
 	b.Settle(settleTime)
 	return b
 }
 
+func faultNamed(name string) fault {
+	all := randomFaults()
+	return all[slices.IndexFunc(all, func(f fault) bool { return f.name == name })]
+}
+
+func faultNames() []string {
+	var names []string
+	for _, f := range randomFaults() {
+		names = append(names, f.name)
+	}
+	return names
+}
+
 func submitRandom(b *requesttest.Bag, r *rand.Rand) {
 	request := b.NewRequest(r.IntN(2) == 0, time.Duration(300+r.IntN(4000))*time.Millisecond)
 	request.Slots = 1 + r.IntN(4)/3*r.IntN(4)
@@ -91,7 +185,13 @@
 	})
 }
 
-func report(t *testing.T, b *requesttest.Bag, name string) {
+// failer is a test, or one drawn run of it.
+type failer interface {
+	Helper()
+	Errorf(format string, args ...any)
+}
+
+func report(t failer, b *requesttest.Bag, name string) {
 	t.Helper()
 	if len(b.Violations) == 0 {
 		return
@@ -106,26 +206,48 @@
 	t.Errorf("%s: %d violations, first: %s\n%s", name, len(b.Violations), b.Violations[0], strings.Join(lines, "\n"))
 }
 
+// checksEach is how many sequences each part of a test draws.
+const checksEach = 2
+
+// TestMain fixes the seed of drawn sequences, so that every run draws the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{
+		"rapid.seed": "20261204", "rapid.checks": strconv.Itoa(checksEach), "rapid.nofailfile": "true",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 func TestPairsOfFaultsBreakNoPromise(t *testing.T) {
-	all := randomFaults()
-	seed := uint64(0)
+	all := faultNames()
+	salt := uint64(0)
 	for i, first := range all {
 		for _, second := range all[i:] {
-			for range 2 {
-				seed++
-				name := fmt.Sprintf("seed %d: %s and %s", seed, first.name, second.name)
-				report(t, drive(seed, []fault{first, second}, 0), name)
+			salt++
+			passed := t.Run(first+" and "+second, func(t *testing.T) {
+				rapid.Check(t, func(t *rapid.T) { report(t, drive(drawSequence(t, salt, []string{first, second}), 0), "drawn") })
+			})
+			if !passed {
+				// Shrinking takes long; one shrunk sequence is shown.
+				return
 			}
 		}
 	}
 }
 
 func TestLossyMessagesBreakNoPromise(t *testing.T) {
-	all := randomFaults()
-	for seed := uint64(1000); seed < 1020; seed++ {
-		r := rand.New(rand.NewPCG(seed, 3))
-		faults := []fault{all[r.IntN(len(all))], all[r.IntN(len(all))], all[r.IntN(len(all))]}
-		report(t, drive(seed, faults, 0.03), fmt.Sprintf("seed %d", seed))
+	const parts, salts = 10, 1000
+	for part := range uint64(parts) {
+		t.Run(fmt.Sprintf("part %d", part), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				faults := rapid.SliceOfN(rapid.SampledFrom(faultNames()), 3, 3).Draw(t, "faults")
+				report(t, drive(drawSequence(t, salts+part, faults), 0.03), "drawn")
+			})
+		})
 	}
 }
 
