--- a/internal/ctl/fake_test.go
+++ b/internal/ctl/fake_test.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"dragonflyyard/internal/configfile"
+	"dragonflyyard/internal/httpserver"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/operatorapi"
 )
@@ -36,17 +37,17 @@
 		t.Fatal(err)
 	}
 	f := &fakeEntry{address: listener.Addr().String()}
-	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+	server := httpserver.New(&fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.calls = append(f.calls, string(ctx.Method())+" "+string(ctx.RequestURI()))
 		f.bodies = append(f.bodies, string(ctx.Request.Body()))
 		handler(ctx)
-	}}
+	}}, listener)
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(listener) }()
+	go func() { done <- server.Serve() }()
 	t.Cleanup(func() {
-		_ = server.Shutdown()
+		_ = server.Shutdown(context.Background())
 		<-done
 	})
 	return f
@@ -87,16 +88,9 @@
 	ctx.Hijack(func(net.Conn) {})
 }
 
-// closedAddress returns an address on which nothing listens.
-func closedAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
+// closedAddress is an address on which nothing listens. A port that was free a
+// moment ago may be given to another test process.
+const closedAddress = "127.0.0.1:1"
 
 // lastID numbers the IDs of all command lines.
 var lastID atomic.Uint64
--- a/internal/ctl/requests.go
+++ b/internal/ctl/requests.go
@@ -31,7 +31,9 @@
 			&cli.StringFlag{Name: "body", Usage: "the request's body"},
 			&cli.StringFlag{Name: "body-file", Usage: "read the body from `FILE`; - for standard input"},
 		}, Action: a.sendRequest},
-		{Name: "status", Usage: "look a request up by its ID", ArgsUsage: "ID", Action: a.requestStatus},
+		{Name: "status", Usage: "look a request up by its ID", ArgsUsage: "ID", Flags: []cli.Flag{
+			&cli.StringFlag{Name: "account", Usage: "client account that sent the request", Required: true},
+		}, Action: a.requestStatus},
 	}}
 }
 
@@ -63,7 +65,7 @@
 		}
 		return fail(ExitNotAccepted, "request %s: not run: %v", id, err)
 	}
-	return a.printOutcome(id, r, cmd.Bool("idempotent"))
+	return a.printOutcome(id, k, r, cmd.Bool("idempotent"))
 }
 
 func (a *app) requestBody(cmd *cli.Command) ([]byte, error) {
@@ -81,14 +83,17 @@
 }
 
 // printOutcome prints the answer, or says which other outcome the request had.
-func (a *app) printOutcome(id string, r reply, isIdempotent bool) error {
+func (a *app) printOutcome(id string, k call, r reply, isIdempotent bool) error {
+	if r.request != "" && r.request != id {
+		return unreadable(k, r.entry, "the answer is that of request %s", r.request)
+	}
 	if r.outcome == model.OutcomeAnswered.String() {
 		_, err := a.env.Out.Write(append(r.body, '\n'))
 		return errors.Wrap(err, "print the answer")
 	}
 	var body callerapi.OutcomeBody
 	if json.Unmarshal(r.body, &body) != nil || body.Outcome == "" {
-		return refusal(call{method: fasthttp.MethodPost}, r)
+		return refusal(k, r)
 	}
 	text := "request " + id + ": " + body.Outcome
 	if body.Reason != "" {
@@ -126,12 +131,14 @@
 	if err != nil {
 		return err
 	}
-	k := call{method: fasthttp.MethodGet, path: callerapi.PathRequests + "/" + url.PathEscape(id), repeat: repeatable}
+	k := call{method: fasthttp.MethodGet, path: callerapi.PathRequests + "/" + url.PathEscape(id), repeat: repeatable, header: map[string]string{
+		callerapi.HeaderAccount: cmd.String("account"),
+	}}
 	r, err := a.client(cmd).do(ctx, k)
 	if err != nil {
 		return unreachable(k, r, err)
 	}
-	return a.printOutcome(id, r, false)
+	return a.printOutcome(id, k, r, false)
 }
 
 func (a *app) stopCommand() *cli.Command {
--- a/internal/link/hub.go
+++ b/internal/link/hub.go
@@ -26,6 +26,12 @@
 // full. A loss is offered until it is taken.
 type StateHandler func(c *Conn, cause error) bool
 
+// OverdueHandler learns that a heartbeat of a peer is overdue, so that new work
+// should go elsewhere until a message of the peer comes. Like Handler it must
+// not wait. It is called again with each interval in which none came, so that
+// it may drop a call for which its ring has no room.
+type OverdueHandler func(c *Conn)
+
 // Identity is how a process announces itself to its peers.
 type Identity struct {
 	Process     string
@@ -34,6 +40,9 @@
 	Hello func() wire.Hello
 	// Roster returns the link addresses of all entry hosts known; nil for none.
 	Roster func() []string
+	// NeedsStatus reports whether heartbeats to entry hosts ask for their
+	// status. It must not wait. Nil stands for always.
+	NeedsStatus func() bool
 	// HTTPAddress and Zone are told to processes that dial this one.
 	HTTPAddress string
 	Zone        model.AvailabilityZoneName
@@ -54,12 +63,15 @@
 
 	handlers map[handlerKey][]Handler
 	states   map[wire.Role][]StateHandler
+	overdue  map[wire.Role][]OverdueHandler
 
 	opened  metrics.Counter
 	lost    metrics.Counter
 	traffic traffic
 	lastID  atomic.Uint64
 	seats   seats
+	// refusedMS is when a refused greeting was last recorded, in milliseconds.
+	refusedMS atomic.Int64
 
 	mu    sync.RWMutex
 	conns map[string]*Conn
@@ -72,6 +84,7 @@
 		identity: identity, options: options.WithDefaults(), log: log, now: now,
 		handlers: map[handlerKey][]Handler{},
 		states:   map[wire.Role][]StateHandler{},
+		overdue:  map[wire.Role][]OverdueHandler{},
 		opened:   metrics.NewCounter(),
 		lost:     metrics.NewCounter(),
 		traffic:  newTraffic(),
@@ -98,6 +111,17 @@
 	h.states[role] = append(h.states[role], handler)
 }
 
+// OnOverdue registers a handler for peers of a role whose heartbeats are overdue.
+func (h *Hub) OnOverdue(role wire.Role, handler OverdueHandler) {
+	h.overdue[role] = append(h.overdue[role], handler)
+}
+
+func (h *Hub) notifyOverdue(c *Conn) {
+	for _, handler := range h.overdue[c.peer.Role] {
+		handler(c)
+	}
+}
+
 // Send queues a message for a peer process. It returns false when no connection
 // to it is up or when the connection's queue is full, which closes it.
 func (h *Hub) Send(process string, m wire.Message) bool {
@@ -169,6 +193,22 @@
 	return c.cause
 }
 
+// refusedInterval is the shortest time between two records of refused greetings:
+// a peer of another version dials again every few seconds.
+const refusedInterval = time.Minute
+
+// noteRefused records a greeting that is not one of this protocol and version.
+func (h *Hub) noteRefused(address string, cause error) {
+	if !isMalformed(cause) && !errors.Is(cause, ErrHandshake) {
+		return
+	}
+	now, last := h.now().UnixMilli(), h.refusedMS.Load()
+	if last != 0 && now-last < refusedInterval.Milliseconds() || !h.refusedMS.CompareAndSwap(last, now) {
+		return
+	}
+	h.log.Record(event.Event{Code: event.LinkRefused, Subject: address, Detail: cause.Error()})
+}
+
 // clock returns the clock of the time line, or nil when there is none.
 func (h *Hub) clock() Clock {
 	if h.log == nil {
