Name in the roster on whom a member relies; pass over those that rely on nobody

Cause: a new entry host waited for every silent member until it was removed after 11 min, but for a single one beside others. The wait guards against members that are cut off from the table service and go on by each other's statements for 10 min, and the table did not say which members can: one that died at once after its start was waited for like one that ran for hours. Two dead ones, or a single dead first one, so left the region without a change of configuration and without an owner.

Ruled out: a shorter limit for all (removal after 3 s). From the table a cut-off pair and a dead pair look the same. Also ruled out: keeping the rule for one silent member, which is not safe beside a host that left and comes back without having read the roster.

Change: beat rows name the members on whom their host relies. A host relies on nobody before such a beat is confirmed, and only an established host names anybody. A new host seals a silent member's row (writes it again under its version, so that beats on their way fail) and passes the member over if it names nobody, or somebody whose counting statements name the new host. Statements count only from members that have read the roster since they joined, do not stop, were confirmed within 10 min, and rely on others or read the roster within 2.5 s. The 11 min stay for members that do rely on each other. The region lease is taken over under a check of the roster row.

--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -11,6 +11,7 @@
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ownership"
 	"dragonflyyard/internal/permit"
+	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/ring"
 	"dragonflyyard/internal/wire"
 )
@@ -121,8 +122,7 @@
 		rosterOff: make(chan struct{}),
 		onRoster:  func(int, bool) {},
 	}
-	state.issuer.NeedPeers(len(s.Peers) > 0)
-	state.owner.Bar(true)
+	state.owner.Admit(false, platform.Check{})
 	state.config = configstore.New(configLimits, s.Region, state.validateGuarantee)
 	state.document.Store(state.config.Document())
 	state.ownerNow.Store(&ownerView{})
--- a/internal/entry/statecores.go
+++ b/internal/entry/statecores.go
@@ -278,7 +278,7 @@
 func (s *State) takeRoster(now time.Time, view membership.RosterView) {
 	s.setRoster(view)
 	s.onRoster(len(view.Others)+1, view.Established)
-	s.owner.Bar(!view.Established)
+	s.owner.Admit(view.Established, view.Check)
 	s.stepConfig(now, configstore.Admit{Allowed: view.Established, Member: view.Check})
 	if view.Left && !s.leftRoster {
 		s.leftRoster = true
--- a/internal/entry/statelinks.go
+++ b/internal/entry/statelinks.go
@@ -138,7 +138,7 @@
 	s.issuer.SetState(permit.State{
 		Ready: view.Ready, Config: view.Config, Assignment: view.Assignment,
 		OwnerEpoch: s.lastOwner().Epoch, CurrentSince: view.CurrentSince,
-		ZonesOut: view.ZonesOut, InDoubt: view.AssignmentInDoubt,
+		RosterSince: s.roster.ListedSince(), ZonesOut: view.ZonesOut, InDoubt: view.AssignmentInDoubt,
 	})
 }
 
@@ -200,7 +200,10 @@
 			addresses = append(addresses, peer)
 		}
 	}
-	s.issuer.SetRoster(ids, view.ConfirmedAt, view.Established)
+	s.issuer.SetRoster(permit.Roster{
+		Others: ids, ConfirmedAt: view.ConfirmedAt, Established: view.Established,
+		Listed: view.Listed, MayRely: view.MayRely, RelyOn: view.RelyOn,
+	})
 	s.dialPeers(addresses)
 	if slices.Equal(addresses, s.p.Roster()) {
 		return
--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"bytes"
 	"encoding/json"
 	"sort"
 	"strings"
@@ -33,11 +34,19 @@
 	// removed. It is longer than the time for which a member may rest start
 	// permits on the statements of others after its last confirmed beat.
 	RemoveAfter time.Duration
+	// SealAfter is how long a new member waits for the word of another one until
+	// it seals that member's beat row. It is longer than the validity of a permit.
+	SealAfter time.Duration
 }
 
 // DefaultRosterLimits returns the limits of the product.
 func DefaultRosterLimits() RosterLimits {
-	return RosterLimits{ReadEvery: time.Second, BeatEvery: 30 * time.Second, RemoveAfter: 11 * time.Minute}
+	return RosterLimits{
+		ReadEvery:   time.Second,
+		BeatEvery:   30 * time.Second,
+		RemoveAfter: 11 * time.Minute,
+		SealAfter:   3 * time.Second,
+	}
 }
 
 // EntryHost is one member of the roster.
@@ -131,18 +140,32 @@
 	ConfirmedAt time.Time
 	// Established is set while this host may write configuration.
 	Established bool
+	// Listed is set while this host is a member, is not stopping, and has read
+	// the roster since it joined. Others may rely on its statements only then.
+	Listed bool
+	// MayRely is set while this host may rely on the statements of the members
+	// in RelyOn, all of them, in place of a read of the table service.
+	MayRely bool
+	// RelyOn lists the members that MayRely speaks of, sorted.
+	RelyOn []model.EntryID
 	// Left is set when a stopping host's rows are gone, or were given up.
 	Left bool
 }
 
 // rosterMember is one member as its rows were last read.
 type rosterMember struct {
-	host   EntryHost
-	row    platform.RowVersion
-	beat   platform.RowVersion
+	host EntryHost
+	row  platform.RowVersion
+	beat platform.Row
+	// stable is when the rows were first seen as they are. A seal changes the
+	// version of the beat row only, not its value.
 	stable time.Time
 }
 
+func (m *rosterMember) sameAs(old *rosterMember) bool {
+	return m.row == old.row && bytes.Equal(m.beat.Value, old.beat.Value)
+}
+
 func decodeMember(row platform.Row) (EntryHost, error) {
 	var host EntryHost
 	if err := json.Unmarshal(row.Value, &host); err != nil {
@@ -172,7 +195,7 @@
 	for _, row := range rows {
 		id := model.EntryID(strings.TrimPrefix(row.Key, rosterBeatPrefix))
 		if m := members[id]; m != nil && strings.HasPrefix(row.Key, rosterBeatPrefix) {
-			m.beat = row.Version
+			m.beat = row
 		}
 	}
 	return members
--- a/internal/membership/rostercore.go
+++ b/internal/membership/rostercore.go
@@ -14,14 +14,7 @@
 
 // Roster is one entry host's part in the roster of entry hosts. It writes the
 // host's rows, removes those of hosts that fell silent, and decides whether
-// the host is established.
-//
-// A host may rest start permits on the statements of the other members that it
-// knows. A new member is unknown to a host that cannot read the table service.
-// So a new member writes configuration only once it is established: an
-// established member said that it knows the new one, or all other members did.
-// From then on any host that asks the roster for statements is told of the new
-// member and asks it too.
+// the host is established, and on whose statements it may rely.
 type Roster struct {
 	limits  RosterLimits
 	self    EntryHost
@@ -32,16 +25,23 @@
 	listCall   uint64
 	commitCall uint64
 	commit     rosterCommit
-	nextRead   time.Time
-	nextBeat   time.Time
+	// commitEnded is when the result of the last write came.
+	commitEnded time.Time
+	nextRead    time.Time
+	nextBeat    time.Time
 	// joinedAt is when the write of the own row was confirmed.
 	joinedAt time.Time
 	// listedSince is the start of the last complete read.
 	listedSince time.Time
 	listStarted time.Time
-	knownBy     map[model.EntryID]bool
-	stopping    bool
-	leaveTries  int
+	// knownBy holds the members that said that they know this host.
+	knownBy map[model.EntryID]bool
+	// sealed holds the members that cannot rely on anybody who does not know
+	// this host (see canSeal).
+	sealed     map[model.EntryID]sealState
+	reliance   reliance
+	stopping   bool
+	leaveTries int
 }
 
 // maxLeaveTries bounds how often a stopping host tries to remove its rows.
@@ -51,6 +51,9 @@
 type rosterCommit struct {
 	kind   commitKind
 	sentAt time.Time
+	// sealing is the member whose row a seal writes, and seal what it shows.
+	sealing model.EntryID
+	seal    sealState
 }
 
 type commitKind uint8
@@ -60,6 +63,7 @@
 	commitBeat
 	commitRemove
 	commitLeave
+	commitSeal
 )
 
 // NewRoster returns the part of a host that is not yet a member.
@@ -69,12 +73,16 @@
 		self:    self,
 		members: map[model.EntryID]*rosterMember{},
 		knownBy: map[model.EntryID]bool{},
+		sealed:  map[model.EntryID]sealState{},
 	}
 }
 
 // View returns what the host knows of the roster.
 func (r *Roster) View() RosterView { return r.view }
 
+// ListedSince returns the start of the last complete read of the roster.
+func (r *Roster) ListedSince() time.Time { return r.listedSince }
+
 // Step takes one input and returns the actions to do, in order.
 func (r *Roster) Step(now time.Time, in RosterInput) []RosterAction {
 	before := r.view
@@ -92,6 +100,7 @@
 	r.establish()
 	r.giveUpCalls(now)
 	actions := r.next(now)
+	r.viewReliance()
 	if !reflect.DeepEqual(before, r.view) {
 		actions = append([]RosterAction{RosterChanged{View: r.view}}, actions...)
 	}
@@ -109,7 +118,7 @@
 	members := decodeRoster(in.Rows)
 	for id, m := range members {
 		m.stable = now
-		if old := r.members[id]; old != nil && old.row == m.row && old.beat == m.beat {
+		if old := r.members[id]; old != nil && m.sameAs(old) {
 			m.stable = old.stable
 		}
 	}
@@ -117,6 +126,7 @@
 	r.listedSince = r.listStarted
 	r.view.Others = sortedHosts(members, r.self.ID)
 	r.noticeRemoval()
+	r.noticeSeal(now)
 }
 
 // noticeRemoval ends the membership of a host whose row was removed or taken
@@ -133,6 +143,8 @@
 	r.view.Check = platform.Check{}
 	r.view.ConfirmedAt = time.Time{}
 	r.knownBy = map[model.EntryID]bool{}
+	r.sealed = map[model.EntryID]sealState{}
+	r.reliance = reliance{}
 }
 
 func (r *Roster) onPeerStated(in PeerStated) {
@@ -145,39 +157,16 @@
 	}
 }
 
-// establish decides whether enough members know this host. The read that listed
-// them began after this host's own row existed.
-func (r *Roster) establish() {
-	if !r.view.Member || r.stopping || r.listedSince.Before(r.joinedAt) {
-		return
-	}
-	var silent []EntryHost
-	for _, other := range r.view.Others {
-		if !r.knownBy[other.ID] {
-			silent = append(silent, other)
-		}
-	}
-	if len(silent) == 0 || r.canPassOver(silent) {
-		r.view.Established = true
-	}
-}
-
-// canPassOver reports whether this host can be established without the word of
-// the silent members. A single one can be passed over: whatever other members
-// it knows, each of them said that it knows this host, so it learns of this
-// host before it relies on them. A silent member that could rely on nobody but
-// itself cannot be passed over, nor can two that may know only each other.
-func (r *Roster) canPassOver(silent []EntryHost) bool {
-	return len(silent) == 1 && len(r.view.Others) > 1 && silent[0].HasPeers
-}
-
 func (r *Roster) onCommitted(now time.Time, in RosterCommitted) {
 	if r.commitCall == 0 || in.Call != r.commitCall {
 		return
 	}
-	r.commitCall = 0
+	r.commitCall, r.commitEnded = 0, now
 	if in.Result != RosterOK {
 		r.nextRead = now
+		if r.commit.kind == commitBeat {
+			r.nextBeat = now.Add(r.limits.ReadEvery)
+		}
 		return
 	}
 	switch r.commit.kind {
@@ -185,10 +174,15 @@
 		r.view.Member, r.joinedAt = true, now
 		r.view.Check = platform.Check{Key: rosterMemberPrefix + string(r.self.ID), Version: in.Versions[0]}
 		r.view.ConfirmedAt = r.commit.sentAt
+		r.reliance = reliance{beatRow: in.Versions[1]}
 		r.nextBeat = r.commit.sentAt.Add(r.limits.BeatEvery)
 		r.nextRead = now
 	case commitBeat:
 		r.view.ConfirmedAt = r.commit.sentAt
+		r.reliance.confirm(in.Versions[0])
+	case commitSeal:
+		r.sealed[r.commit.sealing] = r.commit.seal
+		r.nextRead = now
 	case commitRemove:
 		r.nextRead = now
 	case commitLeave:
@@ -206,7 +200,7 @@
 		r.listCall = 0
 	}
 	if r.commitCall != 0 && now.Sub(r.commit.sentAt) >= callLimit {
-		r.commitCall = 0
+		r.commitCall, r.commitEnded = 0, now
 	}
 }
 
@@ -234,9 +228,12 @@
 		return nil
 	case !r.view.Member:
 		return r.join(now)
-	case !now.Before(r.nextBeat):
+	case r.beatIsDue(now):
 		return r.beat(now)
 	default:
+		if actions := r.sealSilent(now); actions != nil {
+			return actions
+		}
 		return r.removeSilent(now)
 	}
 }
@@ -261,15 +258,10 @@
 	key := rosterMemberPrefix + string(r.self.ID)
 	return r.send(now, commitJoin, platform.Transaction{
 		Checks: []platform.Check{{Key: key, Version: present}},
-		Puts:   []platform.Put{{Key: key, Value: value}, {Key: rosterBeatPrefix + string(r.self.ID)}},
-	})
-}
-
-func (r *Roster) beat(now time.Time) []RosterAction {
-	r.nextBeat = now.Add(r.limits.BeatEvery)
-	return r.send(now, commitBeat, platform.Transaction{
-		Checks: []platform.Check{r.view.Check},
-		Puts:   []platform.Put{{Key: rosterBeatPrefix + string(r.self.ID)}},
+		Puts: []platform.Put{
+			{Key: key, Value: value},
+			{Key: rosterBeatPrefix + string(r.self.ID), Value: encodeBeat(beat{})},
+		},
 	})
 }
 
@@ -297,10 +289,11 @@
 		if now.Sub(m.stable) < r.limits.RemoveAfter {
 			continue
 		}
-		m.stable = now
+		// A failed try is made again after the next reads.
+		m.stable = now.Add(2*r.limits.ReadEvery - r.limits.RemoveAfter)
 		member, beat := rosterMemberPrefix+string(other.ID), rosterBeatPrefix+string(other.ID)
 		return r.send(now, commitRemove, platform.Transaction{
-			Checks:  []platform.Check{{Key: member, Version: m.row}, {Key: beat, Version: m.beat}},
+			Checks:  []platform.Check{{Key: member, Version: m.row}, {Key: beat, Version: m.beat.Version}},
 			Deletes: []string{member, beat},
 		})
 	}
--- a/internal/ownership/candidate.go
+++ b/internal/ownership/candidate.go
@@ -20,8 +20,10 @@
 	epochKey    string
 	id          model.EntryID
 	incarnation model.Incarnation
-	// barred keeps the candidate from taking the lease over.
+	// barred keeps the candidate from taking the lease over, and member is a
+	// precondition of doing so (see Admit).
 	barred bool
+	member platform.Check
 
 	machine statechart.Machine
 	// trace is told of each transition; nil for none.
@@ -101,10 +103,14 @@
 // LastLease returns the lease that was last read or written, and whether any was.
 func (c *Candidate) LastLease() (Lease, bool) { return c.lease, c.rowKnown }
 
-// Bar keeps the candidate from taking the lease over, or lifts that. Only
-// established members of the roster may own the region: an owner that cannot
-// reach the table service relies on the statements of the members it knows.
-func (c *Candidate) Bar(barred bool) { c.barred = barred }
+// Admit tells whether the candidate may take the lease over, and the
+// precondition that its host is still a member of the roster; a check without
+// a key is none. Only established members may own the region: an owner that
+// cannot reach the table service relies on the statements of the members it
+// knows. The check fences a host that was removed while it was paused.
+func (c *Candidate) Admit(allowed bool, member platform.Check) {
+	c.barred, c.member = !allowed, member
+}
 
 // Step takes one input and returns the actions to do, in order.
 func (c *Candidate) Step(now time.Time, in Input) []Action {
@@ -334,6 +340,9 @@
 	}
 	if lease.Epoch != c.lease.Epoch {
 		tx.Puts = append(tx.Puts, platform.Put{Key: c.epochKey, Value: EncodeLease(lease)})
+		if c.member.Key != "" {
+			tx.Checks = append(tx.Checks, c.member)
+		}
 	}
 	return []Action{CommitRow{Call: c.newCall(now), Transaction: tx}}
 }
--- a/internal/ownership/candidate_test.go
+++ b/internal/ownership/candidate_test.go
@@ -96,6 +96,30 @@
 	}
 }
 
+// TestRemovedMemberTakesNoLease lets a host wake that was removed from the
+// roster while it was paused, and that finds the lease row as it last knew it.
+func TestRemovedMemberTakesNoLease(t *testing.T) {
+	now, store, a, b := newPair(t)
+	versions, err := store.Commit(cancelled(), platform.Transaction{Puts: []platform.Put{{Key: "member/b"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.candidate.Admit(true, platform.Check{Key: "member/b", Version: versions[0]})
+	run(t, now, 2*time.Second, a, b)
+	if _, err := store.Commit(cancelled(), platform.Transaction{Deletes: []string{"member/b"}}); err != nil {
+		t.Fatal(err)
+	}
+	run(t, now, 10*time.Second, b)
+	if _, holds := b.candidate.Holds(*now); holds {
+		t.Error("a removed member took the lease over")
+	}
+	b.candidate.Admit(true, platform.Check{})
+	run(t, now, time.Second, b)
+	if _, holds := b.candidate.Holds(*now); !holds {
+		t.Error("the lease was not free")
+	}
+}
+
 func TestFencingCheckChangesOnlyWithTheEpoch(t *testing.T) {
 	now, store, a, b := newPair(t)
 	run(t, now, 2*time.Second, a, b)
--- a/internal/permit/issuer.go
+++ b/internal/permit/issuer.go
@@ -18,6 +18,8 @@
 	// CurrentSince is the start of the last read that showed Config and
 	// Assignment to be the latest.
 	CurrentSince time.Time
+	// RosterSince is the start of the last complete read of the roster.
+	RosterSince time.Time
 	// ZonesOut lists the zones that are out, or whose take-out is in doubt.
 	ZonesOut []model.AvailabilityZoneName
 	// InDoubt is set while a home assignment is being written or is in doubt.
@@ -41,15 +43,10 @@
 
 // Issuer issues an entry host's permits.
 type Issuer struct {
-	limits Limits
-	self   model.EntryID
-	state  State
-	// roster holds the other members of the roster.
-	roster      []model.EntryID
-	rosterSince time.Time
-	established bool
-	// needsPeers is set when this host may not rely on an empty roster.
-	needsPeers bool
+	limits     Limits
+	self       model.EntryID
+	state      State
+	roster     Roster
 	asked      map[model.EntryID][]asked
 	statements map[model.EntryID]statement
 	lastSeq    uint64
@@ -65,28 +62,21 @@
 	}
 }
 
-// NeedPeers tells that this host's settings name other entry hosts, so that a
-// roster without other members is one that was not read since they joined.
-func (i *Issuer) NeedPeers(needed bool) { i.needsPeers = needed }
-
-// rosterMayBeRelied reports whether the roster is recent and large enough to
-// rest anything on its members' statements.
-func (i *Issuer) rosterMayBeRelied(now time.Time) bool {
-	return now.Sub(i.rosterSince) < i.limits.OutageLimit && (len(i.roster) > 0 || !i.needsPeers)
+// rosterIsRecent reports whether this host's row was confirmed lately enough to
+// rely on the statements of others, and for others to rely on its own.
+func (i *Issuer) rosterIsRecent(now time.Time) bool {
+	return now.Sub(i.roster.ConfirmedAt) < i.limits.OutageLimit
 }
 
 // SetState takes in what the entry host knows now. It is called after each
 // change and before each batch of permits.
 func (i *Issuer) SetState(state State) { i.state = state }
 
-// SetRoster takes in the roster that was read last: its other members, when
-// this host's own row was last confirmed (the time that write was sent), and
-// whether this host may write configuration.
-func (i *Issuer) SetRoster(others []model.EntryID, confirmedAt time.Time, established bool) {
-	i.roster = slices.Clone(others)
-	i.rosterSince, i.established = confirmedAt, established
+// SetRoster takes in what this host knows of the roster now.
+func (i *Issuer) SetRoster(roster Roster) {
+	i.roster = roster
 	for peer := range i.statements {
-		if !slices.Contains(i.roster, peer) {
+		if !slices.Contains(roster.RelyOn, peer) && !slices.Contains(roster.Others, peer) {
 			delete(i.statements, peer)
 			delete(i.asked, peer)
 		}
@@ -130,9 +120,21 @@
 		Seq:         seq,
 		Assignment:  i.state.Assignment,
 		ZonesOut:    slices.Clone(i.state.ZonesOut),
-		Roster:      append(slices.Clone(i.roster), i.self),
-		Established: i.established,
+		Roster:      append(slices.Clone(i.roster.Others), i.self),
+		Established: i.roster.Established,
+		Counts:      i.statementsCount(now),
+	}
+}
+
+// statementsCount reports whether others may rely on this host's statements. A
+// new member may pass over a silent host that relies on nobody, so the
+// statements of such a host count only while it knows all members that joined
+// more than Validity ago.
+func (i *Issuer) statementsCount(now time.Time) bool {
+	if !i.roster.Listed || !i.rosterIsRecent(now) {
+		return false
 	}
+	return i.roster.MayRely || now.Sub(i.state.RosterSince) < i.limits.Validity
 }
 
 // Issue returns the permit that answers an agent's heartbeat, or why there is
@@ -185,11 +187,11 @@
 	if i.state.InDoubt {
 		return time.Time{}, false, ReasonInDoubt
 	}
-	if !i.rosterMayBeRelied(now) {
+	if !i.roster.MayRely || !i.rosterIsRecent(now) {
 		return time.Time{}, false, ReasonStale
 	}
 	oldest, zoneOut := now, false
-	for _, peer := range i.roster {
+	for _, peer := range i.roster.RelyOn {
 		stated, given := i.statements[peer]
 		if !given {
 			return time.Time{}, false, ReasonStale
@@ -208,6 +210,8 @@
 // judge reports why a statement does not support a permit.
 func (i *Issuer) judge(status wire.StoreStatus) Reason {
 	switch {
+	case !status.Counts:
+		return ReasonStale
 	case status.InDoubt:
 		return ReasonInDoubt
 	case status.Config > i.state.Config, status.Assignment > i.state.Assignment:
@@ -219,11 +223,11 @@
 	return ReasonNone
 }
 
-// knowsMembers reports whether all members of another host's roster are
-// members of this host's, or this host itself.
+// knowsMembers reports whether this host asks all members of another host's
+// roster, but for itself.
 func (i *Issuer) knowsMembers(members []model.EntryID) bool {
 	for _, member := range members {
-		if member != i.self && !slices.Contains(i.roster, member) {
+		if member != i.self && !slices.Contains(i.roster.RelyOn, member) {
 			return false
 		}
 	}
--- a/internal/permit/owner.go
+++ b/internal/permit/owner.go
@@ -12,13 +12,13 @@
 // knows a member that this host does not. Only established members of the
 // roster take the lease over, so until that instant no other owner began.
 func (i *Issuer) OwnerAgreement(now time.Time, epoch model.Epoch) (time.Time, bool) {
-	if !i.rosterMayBeRelied(now) {
+	if !i.roster.MayRely || !i.rosterIsRecent(now) {
 		return time.Time{}, false
 	}
 	oldest := now
-	for _, peer := range i.roster {
+	for _, peer := range i.roster.RelyOn {
 		stated, given := i.statements[peer]
-		if !given || stated.status.OwnerEpoch > epoch || !i.knowsMembers(stated.status.Roster) {
+		if !given || !stated.status.Counts || stated.status.OwnerEpoch > epoch || !i.knowsMembers(stated.status.Roster) {
 			return time.Time{}, false
 		}
 		if stated.askedAt.Before(oldest) {
--- a/internal/proctest/cluster_test.go
+++ b/internal/proctest/cluster_test.go
@@ -77,6 +77,21 @@
 
 // startClusterAt starts a cluster with a log level.
 func startClusterAt(t testing.TB, logLevel string, entries, agents int, serviceTime time.Duration) *cluster {
+	t.Helper()
+	c := newCluster(t, logLevel, entries, agents, serviceTime)
+	c.start(c.standin, "dragonfly-standin")
+	for _, p := range c.entries {
+		c.start(p, "dragonfly-entry")
+	}
+	for _, p := range c.agents {
+		c.start(p, "dragonfly-agent")
+	}
+	c.awaitReady()
+	return c
+}
+
+// newCluster writes the settings of a cluster and starts nothing.
+func newCluster(t testing.TB, logLevel string, entries, agents int, serviceTime time.Duration) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir(), logLevel: logLevel, client: &http.Client{
 		Timeout:   limit,
@@ -97,16 +112,12 @@
 		})
 	}
 	c.writeStandIn(table, objects, serviceTime)
-	c.start(c.standin, "dragonfly-standin")
 	for i, p := range c.entries {
 		c.writeEntry(p, zones[i%len(zones)], table, objects)
-		c.start(p, "dragonfly-entry")
 	}
 	for i, p := range c.agents {
 		c.writeAgent(p, i)
-		c.start(p, "dragonfly-agent")
 	}
-	c.awaitReady()
 	return c
 }
 
--- a/internal/proctest/store_test.go
+++ b/internal/proctest/store_test.go
@@ -120,3 +120,36 @@
 		t.Error("both others became owners")
 	}
 }
+
+// TestNewHostBesideDeadOnes lets entry hosts die before any other is established
+// and starts a new one. It accepts a change and owns the scheduler in seconds,
+// not after the time for which members may rely on each other in an outage.
+func TestNewHostBesideDeadOnes(t *testing.T) {
+	for name, dead := range map[string]int{"one": 1, "two, one after the other": 2} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, "", dead+1, 1, time.Millisecond)
+			c.start(c.standin, "dragonfly-standin")
+			for i := range dead {
+				c.start(c.entries[i], "dragonfly-entry")
+				c.await("the host to accept a change", func() bool {
+					return c.accepts(c.entries[i], i)
+				})
+				c.signal(c.entries[i], syscall.SIGKILL)
+				c.awaitExit(c.entries[i])
+			}
+			last := c.entries[dead]
+			at := time.Now()
+			c.start(last, "dragonfly-entry")
+			c.await("the new host to accept a change", func() bool { return c.accepts(last, dead) })
+			t.Logf("the new host accepted a change %v after its start", time.Since(at).Round(time.Millisecond))
+			c.await("an owner", func() bool { return c.elections(last) > 0 })
+		})
+	}
+}
+
+// accepts reports whether an entry host accepts a change of the tests' client
+// account after a number of others, which are all that were made.
+func (c *cluster) accepts(entry *proc, made int) bool {
+	status, reply := c.change(entry, "by-"+entry.name, model.ConfigVersion(made))
+	return status == http.StatusOK && reply.Status == operatorapi.ChangeAccepted
+}
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -80,6 +80,11 @@
 	Roster []model.EntryID
 	// Established is set while the sender may write configuration.
 	Established bool
+	// Counts is set while others may rely on this status in a store outage: the
+	// sender is a member of the roster that has read it since it joined, is not
+	// stopping, and had its row confirmed lately; and it read the roster lately or
+	// relies on others itself.
+	Counts bool
 }
 
 // OwnershipNotice tells who owns the region's scheduler.
