Hold decisions back while the table service is out of reach

Cause: the scheduler had no input about the table service. In an outage each waiting job reserved its place, stopped the borrowed work in its way, failed to write its decision row and waited for a delay that doubled up to 30 s, also after the service was back.

Ruled out: the breaker of the store client as the signal, since it closes on a read; a delay for each job alone, since each still evicts once.

Change: scheduler.StoreStatus, from the owner's own lease renewals, which are writes that are made anyway. While it says unreachable no attempt begins and nothing is stopped for another job. One decision that cannot be written holds all back for 1 s, and is no refusal of the job. For 5 s after the return claims are bounded like borrowed work. Explain says since when decisions wait.

--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -125,6 +125,7 @@
 		case <-ticker.C:
 			s.takeDocument()
 			s.followLease(s.p.Now())
+			s.step(scheduler.StoreStatus{Reachable: s.state.writesReachStore(s.p.Now())})
 			s.step(scheduler.Tick{})
 			s.saveSnapshot(s.p.Now())
 			s.forgetEnded(s.p.Now())
--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -151,7 +151,10 @@
 		if j.Phase == PhaseInDoubt {
 			return
 		}
+		c.noteUnwritten(now)
 		c.abandon(now, j, eventDecisionRefused, "the table service was down")
+		// The agents refused nothing, so the next attempt needs no longer delay.
+		j.Refusals--
 	case DecisionInDoubt:
 		if j.Phase == PhaseDeciding {
 			j.explain(now, "the result of its decision row's write is not known; it is read back")
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -21,6 +21,9 @@
 		if now.Before(j.NotBefore) {
 			continue
 		}
+		if !c.mayClaim(now) {
+			return
+		}
 		c.claim(now, j)
 	}
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -43,6 +43,7 @@
 	ended []model.JobID
 	// recoverUntil is when a new owner stops waiting for reports; zero after.
 	recoverUntil time.Time
+	store        storeState
 	lastStep     time.Time
 	lastTick     time.Time
 	// starts is how many attempts may begin before the next tick.
@@ -77,6 +78,7 @@
 	c.alarmed = map[string]time.Time{}
 	c.zoneOutSince = map[model.AvailabilityZoneName]time.Time{}
 	c.ended = nil
+	c.store = storeState{}
 	c.starts = c.settings.MaxStartsPerTick
 }
 
@@ -107,6 +109,8 @@
 		c.configure(now, in.Document)
 	case Decided:
 		c.decided(now, in)
+	case StoreStatus:
+		c.storeStatus(now, in)
 	case Tick:
 		c.tick(now)
 	case BecomeOwner:
@@ -134,7 +138,7 @@
 			c.checkCleared(now, j)
 		}
 	}
-	if c.scheduleDue {
+	if c.scheduleDue && c.mayDecide(now) {
 		c.scheduleDue = false
 		c.placeClaims(now)
 		c.placeBorrowed(now)
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -59,6 +59,9 @@
 	if !c.recoverUntil.IsZero() {
 		return "the scheduler owner changed and waits for the agents' reports"
 	}
+	if why := c.whyUndecided(now); why != "" {
+		return why
+	}
 	if place := c.wholeFleet(j); place != "" {
 		return place
 	}
