Settle submissions in doubt; keep small jobs in their cell over owners

Cause, submissions: a job whose row was in doubt was answered with 504 and then forgotten. Its row could still land, so the job started under the next owner, while explain and list of the present one said that it did not exist.

Cause, cells: a new owner put a job's cell back on the workers of the job alone, which works only for a job that fills its cell. A smaller one lost its cell, counted as borrowed, and could be evicted though it ran in its guarantee.

Ruled out: reading the row back and calling the job refused when it is absent (a frozen service writes it later); choosing a new place for the rest of the cell at recovery (it may lie where another job's cell was, whose job then loses it).

Change: the owner writes a doubtful row again, under the check that it is absent and the check of its epoch, until the service confirms it, and then the job runs. List and explain show it as in_doubt; a cancellation of it is kept and takes effect once it is confirmed. The next owner finds the row or knows that it never will be written.

Conclusion: what list and explain say is what will happen. Rows written before this change have no place; their small jobs count as borrowed as before.

--- a/internal/entry/cancels.go
+++ b/internal/entry/cancels.go
@@ -74,6 +74,9 @@
 	if len(result.kept) > 0 {
 		s.step(scheduler.Cancel{IDs: result.kept})
 		for _, id := range result.kept {
+			if doubtful := s.doubtful[id]; doubtful != nil {
+				doubtful.cancelled = true
+			}
 			s.forgetCancelOfEnded(id)
 		}
 	}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -157,6 +157,14 @@
 		s.answerKnown(call, known)
 		return
 	}
+	if doubtful := s.doubtful[call.job.ID]; doubtful != nil {
+		if !sameSubmission(doubtful.job, call.job) {
+			call.reply(errorReply(fasthttp.StatusConflict, "job_id_reused", "The job ID was used before for another job.", 0))
+			return
+		}
+		// The row under way is the first submission's, with its time.
+		call.job = doubtful.job
+	}
 	if s.core.IsRecovering() {
 		call.reply(errorReply(fasthttp.StatusServiceUnavailable, "owner_recovering", "The scheduler's new owner waits for the agents' reports; nothing was accepted.", ownerRetry))
 		return
@@ -185,9 +193,7 @@
 	id := result.write.row.Job.ID
 	calls := s.waiting[id]
 	delete(s.waiting, id)
-	if result.err == nil {
-		s.step(scheduler.Submit{Job: result.write.row.Job})
-	}
+	settled := s.noteSubmitted(result)
 	for _, call := range calls {
 		known, submitted := s.core.Job(id)
 		switch {
@@ -195,6 +201,8 @@
 			s.answerKnown(call, known)
 		case result.found != nil:
 			call.reply(errorReply(fasthttp.StatusConflict, "job_id_reused", "The job ID was used before for another job.", 0))
+		case !settled:
+			call.reply(inDoubtReply())
 		case errors.Is(result.err, platform.ErrUnavailable):
 			call.reply(errorReply(fasthttp.StatusServiceUnavailable, "table_unavailable", "The job could not be written; nothing was accepted.", ownerRetry))
 		case errors.Is(result.err, platform.ErrConflict):
@@ -240,15 +248,15 @@
 	}
 	account, state, after := string(call.query.Peek("account")), string(call.query.Peek("state")), string(call.query.Peek("after"))
 	list := operatorapi.JobList{Jobs: []operatorapi.JobStatus{}}
-	for _, j := range s.core.Snapshot().Jobs {
-		if string(j.Job.ID) <= after || account != "" && string(j.Job.Account) != account || state != "" && string(j.Phase) != state {
+	for _, j := range s.allJobs() {
+		if string(j.ID) <= after || account != "" && string(j.Account) != account || state != "" && j.State != state {
 			continue
 		}
 		if len(list.Jobs) == limit {
 			list.Next = list.Jobs[limit-1].ID
 			break
 		}
-		list.Jobs = append(list.Jobs, jobStatus(j))
+		list.Jobs = append(list.Jobs, j)
 	}
 	call.reply(jsonReply(fasthttp.StatusOK, list))
 }
@@ -257,6 +265,10 @@
 	id := strings.TrimSuffix(strings.TrimPrefix(call.path, operatorapi.PathJobs+"/"), operatorapi.ExplainSuffix)
 	j, known := s.core.Job(model.JobID(id))
 	lines, _ := s.core.Explain(s.p.Now(), model.JobID(id))
+	if doubtful := s.doubtful[model.JobID(id)]; !known && doubtful != nil {
+		call.reply(jsonReply(fasthttp.StatusOK, doubtful.explanation()))
+		return
+	}
 	if !known {
 		call.reply(errorReply(fasthttp.StatusNotFound, "unknown_job", "No job of this ID is known.", 0))
 		return
@@ -275,6 +287,9 @@
 	for _, id := range request.IDs {
 		j, known := s.core.Job(id)
 		switch {
+		case !known && s.doubtful[id] != nil:
+			reply.Results[id] = operatorapi.CancelOrdered
+			ordered = append(ordered, id)
 		case !known:
 			reply.Results[id] = operatorapi.CancelUnknownJob
 		case jobStatus(j).Ended != "":
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -44,6 +44,8 @@
 	ready bool
 	// waiting holds the calls of operators that wait for a row's write.
 	waiting map[model.JobID][]*operatorCall
+	// doubtful holds the submitted jobs whose rows may or may not be written.
+	doubtful map[model.JobID]*doubtfulJob
 	// nextSnapshot is when the state is stored next.
 	nextSnapshot time.Time
 	// snapshots counts the snapshots that this process stored.
@@ -60,8 +62,8 @@
 		inputs:  ring.New[schedulerInput]("scheduler", p.Config.Settings.Process.RingCapacity, p.Metrics),
 		core:    scheduler.New(scheduler.DefaultSettings()),
 		agents:  map[model.WorkerID]*link.Conn{},
-		waiting: map[model.JobID][]*operatorCall{},
-		remote:  newForwardedCalls(p),
+		waiting: map[model.JobID][]*operatorCall{}, doubtful: map[model.JobID]*doubtfulJob{},
+		remote: newForwardedCalls(p),
 	}
 	s.rows = newRowWriter(s)
 	p.Hub.OnState(wire.RoleAgent, s.noteLink)
@@ -110,6 +112,7 @@
 		s.loading, s.ready = 0, false
 		s.step(scheduler.LoseOwnership{})
 		s.rows.reset()
+		clear(s.doubtful)
 		s.refuseWaiting()
 	}
 }
@@ -127,6 +130,7 @@
 			s.followLease(s.p.Now())
 			s.step(scheduler.StoreStatus{Reachable: s.state.writesReachStore(s.p.Now())})
 			s.step(scheduler.Tick{})
+			s.retryDoubtful(s.p.Now())
 			s.saveSnapshot(s.p.Now())
 			s.forgetEnded(s.p.Now())
 		case <-ctx.Done():
--- a/internal/entry/schedulerrows.go
+++ b/internal/entry/schedulerrows.go
@@ -302,6 +302,7 @@
 	document, _ := s.state.Document()
 	s.loading, s.ready, s.kept = 0, true, result.kept
 	s.rows.reset()
+	clear(s.doubtful)
 	owner := scheduler.BecomeOwner{Epoch: result.epoch, Rows: result.rows, Ended: result.ended, Snapshot: result.snapshot, Config: document}
 	s.perform(s.core.Step(s.p.Now(), owner))
 	s.resumeCancels(result.cancels)
--- a/internal/guarantee/claim.go
+++ b/internal/guarantee/claim.go
@@ -150,16 +150,20 @@
 }
 
 // Pin puts a running job back into a cell after a change of owner: the cell
-// moves to the job's workers. It reports false when the cell does not exist or
-// its shape does not fit there, in which case the job counts as borrowed.
-func (l *Ledger) Pin(key string, job model.Job, workers []model.WorkerID) bool {
+// takes its former place, which is that of the job alone where place is nil. It
+// reports false when the cell does not exist or does not fit there, in which
+// case the job counts as borrowed.
+func (l *Ledger) Pin(key string, job model.Job, workers, place []model.WorkerID) bool {
 	c := l.cells[key]
 	if c == nil || !Takes(c.Shape, job.Shape) || len(workers) != job.Shape.Tasks {
 		return false
 	}
+	if place == nil {
+		place = workers
+	}
 	slots := l.matchSlots(c, workers)
 	if slots == nil {
-		if !c.idle() || !l.moveTo(c, workers) {
+		if !c.idle() || !l.moveTo(c, place) {
 			return false
 		}
 		slots = l.matchSlots(c, workers)
@@ -167,7 +171,7 @@
 	for _, s := range slots {
 		c.Users[s] = job.ID
 	}
-	return true
+	return slots != nil
 }
 
 // matchSlots returns free slots of a cell on the given workers, or nil.
@@ -188,8 +192,8 @@
 	return out
 }
 
-// moveTo places a cell so that it holds the given workers; slots beyond them
-// follow on any of these workers or their rack, zone or region.
+// moveTo places a cell on the given workers, one for each slot. It reports false
+// and leaves the cell where it is when they have no room for it.
 func (l *Ledger) moveTo(c *Cell, workers []model.WorkerID) bool {
 	old := c.Workers
 	l.uncover(c)
--- a/internal/proctest/operator_test.go
+++ b/internal/proctest/operator_test.go
@@ -84,10 +84,9 @@
 	}
 }
 
-// submit submits a gang job of whole workers and returns its ID.
-func (c *cluster) submit(tasks int, run time.Duration) model.JobID {
-	c.t.Helper()
-	job := operatorapi.JobRequest{
+// jobRequest returns a gang job of whole workers.
+func jobRequest(tasks int, run time.Duration) operatorapi.JobRequest {
+	return operatorapi.JobRequest{
 		ID: model.JobID("job-" + uuid.Must(uuid.NewV7()).String()), Account: account,
 		Shape: model.Shape{
 			Tasks: tasks, Topology: model.TopologyAny,
@@ -95,6 +94,12 @@
 		},
 		DeclaredRunTimeMS: run.Milliseconds(), Capacity: model.CapacityBorrowed, CanCheckpoint: true,
 	}
+}
+
+// submit submits a gang job of whole workers and returns its ID.
+func (c *cluster) submit(tasks int, run time.Duration) model.JobID {
+	c.t.Helper()
+	job := jobRequest(tasks, run)
 	c.await("the job to be accepted", func() bool {
 		for _, entry := range c.entries {
 			if status := c.call(http.MethodPost, entry, operatorapi.PathJobs, job, nil); status == http.StatusOK || status == http.StatusCreated || status == http.StatusAccepted {
--- a/internal/proctest/outage_test.go
+++ b/internal/proctest/outage_test.go
@@ -52,3 +52,28 @@
 	}
 	c.checkStarts()
 }
+
+// TestDoubtfulSubmissionIsSettled freezes the table service while a job is
+// submitted. The job is shown as in doubt, and runs after the service is back
+// without being submitted again.
+func TestDoubtfulSubmissionIsSettled(t *testing.T) {
+	c := startJobs(t, 2, 1)
+	first := c.submit(1, time.Second)
+	c.await("the first job to end", func() bool { return len(c.ends(first, "")) == 1 })
+	job := jobRequest(1, longRun)
+	c.setStoreFaults(standin.Faults{Freeze: true})
+	if status := c.call(http.MethodPost, c.owner(), operatorapi.PathJobs, job, nil); status != http.StatusGatewayTimeout {
+		t.Fatalf("status %d of a submission to a frozen service, want %d", status, http.StatusGatewayTimeout)
+	}
+	c.await("the job to be shown as in doubt", func() bool { return c.explanation(job.ID).Job.State == "in_doubt" })
+	var list operatorapi.JobList
+	c.await("the list", func() bool {
+		return c.call(http.MethodGet, c.entries[0], operatorapi.PathJobs+"?state=in_doubt", nil, &list) == http.StatusOK
+	})
+	if len(list.Jobs) != 1 || list.Jobs[0].ID != job.ID {
+		t.Errorf("listed as in doubt: %+v", list.Jobs)
+	}
+	c.setStoreFaults(standin.Faults{})
+	c.awaitRunning(job.ID, 1)
+	c.checkStarts()
+}
--- a/internal/scheduler/action.go
+++ b/internal/scheduler/action.go
@@ -27,6 +27,9 @@
 	Class model.CapacityClass
 	// Cell is the key of the guaranteed cell that the attempt occupies, if any.
 	Cell string
+	// CellWorkers is the worker of each slot of that cell, if it has more slots
+	// than the job has tasks. A cell stays where it is while a job occupies it.
+	CellWorkers []model.WorkerID `json:",omitempty"`
 	// Epoch is the epoch of the owner that wrote the row.
 	Epoch model.Epoch
 	// DoneMS is the checkpointed work, in milliseconds at full speed.
--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -130,7 +130,7 @@
 func (c *Core) leaveCell(j *JobState) {
 	if j.Cell != "" {
 		c.ledger.Vacate(j.Cell, j.Job.ID)
-		j.Cell = ""
+		j.Cell, j.CellWorkers = "", nil
 		c.coverDue = true
 	}
 	j.Class = j.Job.Capacity
--- a/internal/scheduler/books.go
+++ b/internal/scheduler/books.go
@@ -79,7 +79,7 @@
 		return
 	}
 	j.explain(now, "its guaranteed cell %s moved away; it counts as borrowed work until it ends or moves", j.Cell)
-	j.Cell = ""
+	j.Cell, j.CellWorkers = "", nil
 	j.Class = model.CapacityBorrowed
 	c.account(j.Job.Account).Borrowed += j.bookedAccelerators()
 }
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -40,6 +40,9 @@
 	c.ledger.Occupy(claim, j.Job.ID)
 	j.Class = model.CapacityGuaranteed
 	j.Cell = claim.Key
+	if cell := c.ledger.Cell(claim.Key); len(cell.Workers) > len(claim.Workers) {
+		j.CellWorkers = slices.Clone(cell.Workers)
+	}
 	c.evict(now, j, victims, wire.StopReclaimed)
 	c.beginAttempt(now, j, claim.Workers, "in its guaranteed cell "+claim.Key)
 	return true
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -62,9 +62,12 @@
 	Phase   Phase
 	Attempt uint64
 	Class   model.CapacityClass
-	// Cell is the key of the guaranteed cell that the attempt occupies.
-	Cell  string
-	Tasks []TaskState
+	// Cell is the key of the guaranteed cell that the attempt occupies. The cell
+	// stays where it is until then; CellWorkers is its place if it has more slots
+	// than the job has tasks.
+	Cell        string
+	CellWorkers []model.WorkerID
+	Tasks       []TaskState
 	// PhaseSince is when the current phase began, ResendAt when unconfirmed
 	// messages are sent again.
 	PhaseSince time.Time
@@ -99,7 +102,7 @@
 
 // row returns the job's durable state.
 func (j *JobState) row(epoch model.Epoch) JobRow {
-	row := JobRow{Job: j.Job, Attempt: j.Attempt, Class: j.Class, Cell: j.Cell, Epoch: epoch, DoneMS: j.DoneMS, Parked: j.Phase == PhaseParked}
+	row := JobRow{Job: j.Job, Attempt: j.Attempt, Class: j.Class, Cell: j.Cell, CellWorkers: j.CellWorkers, Epoch: epoch, DoneMS: j.DoneMS, Parked: j.Phase == PhaseParked}
 	row.Allocation = j.workers()
 	return row
 }
--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -35,7 +35,7 @@
 
 func (c *Core) restoreRow(now time.Time, row JobRow, snap *Snapshot) {
 	j := &JobState{
-		Job: row.Job, Attempt: row.Attempt, Class: row.Class, Cell: row.Cell, DoneMS: row.DoneMS, Committed: len(row.Allocation) > 0,
+		Job: row.Job, Attempt: row.Attempt, Class: row.Class, Cell: row.Cell, CellWorkers: row.CellWorkers, DoneMS: row.DoneMS, Committed: len(row.Allocation) > 0,
 	}
 	if j.Class == "" {
 		j.Class = row.Job.Capacity
@@ -87,7 +87,7 @@
 	c.record(event.OwnerReady, "", "", "")
 	recovering := c.inPhase(PhaseRecovering)
 	for _, j := range recovering {
-		if j.Cell != "" && !c.ledger.Pin(j.Cell, j.Job, j.workers()) {
+		if j.Cell != "" && !c.ledger.Pin(j.Cell, j.Job, j.workers(), j.CellWorkers) {
 			c.displaced(now, j)
 		}
 	}
