Take from the table service only the rows that were asked for

Cause: the client decoded the answer to a read without looking at what it holds: an empty object passed for a row of version 0, the row of another key for the one that was read, and a list for a page of another prefix. The scheduler took a job's row whatever job was in it, and a shape of no or of negative tasks.

Ruled out: to check it where rows are used. Five packages do, and each would have to repeat the key.

Change: decodeRow and decodeRows refuse, as unavailable and so to be read again, a row of another key or without a version, and rows out of order, of another prefix, before the page or beyond the limit. decodeJobRow and decodeEndedRow refuse the row of another job and a shape that no owner writes.

--- a/internal/entry/endedrows.go
+++ b/internal/entry/endedrows.go
@@ -68,8 +68,8 @@
 	var ended []scheduler.EndedJob
 	var kept []keptRow
 	for _, row := range rows {
-		var job scheduler.EndedJob
-		if err := json.Unmarshal(row.Value, &job); err != nil {
+		job, err := decodeEndedRow(row, s.endedPrefix())
+		if err != nil {
 			s.p.Log.Record(event.Event{Code: event.RowWriteFailed, Subject: row.Key, Detail: err.Error()})
 		} else {
 			ended = append(ended, job)
--- a/internal/entry/schedulerrows.go
+++ b/internal/entry/schedulerrows.go
@@ -150,9 +150,9 @@
 	if err != nil {
 		return nil, err
 	}
-	var found scheduler.JobRow
-	if err := json.Unmarshal(row.Value, &found); err != nil {
-		return nil, errors.Wrapf(err, "decode job row %q", key)
+	found, err := decodeJobRow(row, s.rowPrefix())
+	if err != nil {
+		return nil, err
 	}
 	return &found, nil
 }
@@ -253,8 +253,8 @@
 		rows, err := s.calls.list(ctx, s.rowPrefix())
 		result.err = err
 		for _, row := range rows {
-			var decoded scheduler.JobRow
-			if err := json.Unmarshal(row.Value, &decoded); err != nil {
+			decoded, err := decodeJobRow(row, s.rowPrefix())
+			if err != nil {
 				s.p.Log.Record(event.Event{Code: event.RowWriteFailed, Subject: row.Key, Detail: err.Error()})
 				continue
 			}
--- a/internal/tablestore/client.go
+++ b/internal/tablestore/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/url"
 	"strconv"
 	"sync"
@@ -110,19 +109,21 @@
 
 // Get implements platform.Table.
 func (c *Client) Get(ctx context.Context, key string) (platform.Row, error) {
-	var row platform.Row
-	err := c.readJSON(ctx, c.options.TableURL+pathRow+"?key="+url.QueryEscape(key), &row)
-	return row, err
+	body, err := c.read(ctx, c.table, c.options.TableURL+pathRow+"?key="+url.QueryEscape(key))
+	if err != nil {
+		return platform.Row{}, err
+	}
+	return decodeRow(body, key)
 }
 
 // List implements platform.Table.
 func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
 	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
-	var page struct {
-		Rows []platform.Row `json:"rows"`
+	body, err := c.read(ctx, c.table, c.options.TableURL+pathRows+"?"+query.Encode())
+	if err != nil {
+		return nil, err
 	}
-	err := c.readJSON(ctx, c.options.TableURL+pathRows+"?"+query.Encode(), &page)
-	return page.Rows, err
+	return decodeRows(body, prefix, after, limit)
 }
 
 // GetObject implements platform.ObjectStore.
@@ -155,17 +156,6 @@
 	return c.options.ObjectURL + pathObjects + url.PathEscape(key)
 }
 
-func (c *Client) readJSON(ctx context.Context, address string, into any) error {
-	body, err := c.read(ctx, c.table, address)
-	if err != nil {
-		return err
-	}
-	if err := json.Unmarshal(body, into); err != nil {
-		return errors.Wrapf(platform.ErrUnavailable, "malformed answer of %s: %v", address, err)
-	}
-	return nil
-}
-
 // read shares one call among the readers of an address.
 func (c *Client) read(ctx context.Context, breaker *Breaker, address string) ([]byte, error) {
 	waiter := make(chan readResult, 1)
