--- /dev/null
+++ b/internal/requestflow/fuzz_test.go
@@ -0,0 +1,36 @@
+package requestflow
+
+import (
+	"testing"
+
+	"dragonflyyard/internal/wire"
+)
+
+// FuzzAnswerParts takes any sequence of parts, three bytes and a body of up to
+// seven bytes each. A whole answer has its announced length, and no more is
+// held than came.
+func FuzzAnswerParts(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 'a', 'b'})
+	f.Add([]byte{0, 2, 4, 'a', 'b', 1, 2, 4, 'c', 'd'})
+	f.Add([]byte{1, 2, 4, 'c', 'd', 0, 2, 4, 'a', 'b'})
+	f.Add([]byte{0, 255, 255, 0, 255, 255})
+	f.Fuzz(func(t *testing.T, script []byte) {
+		const maxBytes = 64
+		var a answerAssembly
+		for len(script) >= 3 {
+			m := &wire.AnswerPart{Part: int(int8(script[0])), Parts: int(int8(script[1])), Total: int(int8(script[2]))}
+			m.Body = script[3:min(len(script), 3+max(0, min(m.Total, 7)))]
+			script = script[3+len(m.Body):]
+			whole := a.add(m, maxBytes)
+			if whole && (len(a.body()) != m.Total || m.Total > maxBytes) {
+				t.Errorf("whole with %d bytes of %d", len(a.body()), m.Total)
+			}
+			if a.size > max(a.total, 0) || len(a.parts) > max(a.count, 0) {
+				t.Errorf("holds %d bytes in %d parts: %+v", a.size, len(a.parts), a)
+			}
+			if whole {
+				a = answerAssembly{}
+			}
+		}
+	})
+}
