Say the refusal, the time line and the headers once

Read as a newcomer: process and operatorapi each had the types of a refusal and of a time line and the paths of both; agent and stand-in had the callers' headers again; three duties had a loop around TryPush that ring.Push is.

Change: process answers with operatorapi's types and paths, agent and stand-in use callerapi's headers, the loops are ring.Push.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -9,20 +9,13 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"dragonflyyard/internal/callerapi"
 	"dragonflyyard/internal/executor"
 	"dragonflyyard/internal/httpconn"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ring"
 )
 
-// Headers of a call of the backend server.
-const (
-	headerRequestID  = "X-Request-Id"
-	headerAccount    = "X-Client-Account"
-	headerIdempotent = "X-Idempotent"
-	headerDeadlineMS = "X-Deadline-Ms"
-)
-
 // backendPath is the path at which a backend server takes requests.
 const backendPath = "/run"
 
@@ -64,7 +57,7 @@
 				case <-ctx.Done():
 					return
 				case request := <-b.calls.Out():
-					b.deliver(ctx, b.call(request))
+					b.results.Push(ctx, b.call(request))
 				}
 			}
 		})
@@ -73,14 +66,6 @@
 	return nil
 }
 
-// deliver pushes a result; the ring has room for all calls at the same time.
-func (b *backendCaller) deliver(ctx context.Context, done executor.BackendDone) {
-	const retry = time.Millisecond
-	for !b.results.TryPush(done) && ctx.Err() == nil {
-		time.Sleep(retry)
-	}
-}
-
 // call does one call of the backend server.
 func (b *backendCaller) call(request model.Request) executor.BackendDone {
 	left := request.Deadline.Sub(b.now())
@@ -92,10 +77,10 @@
 	defer fasthttp.ReleaseResponse(answer)
 	call.SetRequestURI(b.uri)
 	call.Header.SetMethod(fasthttp.MethodPost)
-	call.Header.Set(headerRequestID, string(request.ID))
-	call.Header.Set(headerAccount, string(request.Account))
-	call.Header.Set(headerIdempotent, strconv.FormatBool(request.Idempotent))
-	call.Header.Set(headerDeadlineMS, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	call.Header.Set(callerapi.HeaderRequestID, string(request.ID))
+	call.Header.Set(callerapi.HeaderAccount, string(request.Account))
+	call.Header.Set(callerapi.HeaderIdempotent, strconv.FormatBool(request.Idempotent))
+	call.Header.Set(callerapi.HeaderDeadlineMS, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	call.SetBodyRaw(request.Body)
 	err := b.client.do(call, answer)
 	return backendResult(request.ID, answer, err)
@@ -125,6 +110,6 @@
 
 // isOfAnother reports whether an answer names another request than the call.
 func isOfAnother(id model.RequestID, answer *fasthttp.Response) bool {
-	named := answer.Header.Peek(headerRequestID)
+	named := answer.Header.Peek(callerapi.HeaderRequestID)
 	return len(named) > 0 && string(named) != string(id)
 }
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -113,12 +113,8 @@
 // drain begins the graceful stop of the core and waits until no work and no
 // undelivered answer is left.
 func (r *Requests) drain(ctx context.Context) {
-	const retry = time.Millisecond
-	for !r.Push(executor.Stop{}) {
-		if ctx.Err() != nil {
-			return
-		}
-		time.Sleep(retry)
+	if !r.inputs.Push(ctx, executor.Stop{}) {
+		return
 	}
 	select {
 	case <-r.drained:
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -15,7 +15,7 @@
 
 	"dragonflyyard/internal/callerapi"
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/process"
+	"dragonflyyard/internal/operatorapi"
 	"dragonflyyard/internal/requestflow"
 	"dragonflyyard/internal/settings"
 	"dragonflyyard/internal/wire"
@@ -120,7 +120,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			response, text := call(t, c.method, base+c.path, c.headers, c.body)
-			var body process.ErrorBody
+			var body operatorapi.ErrorBody
 			if err := json.Unmarshal(text, &body); err != nil {
 				t.Fatalf("body %q: %v", text, err)
 			}
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -73,8 +73,8 @@
 	})
 }
 
-// FuzzStoredJobs decodes any value as each kind of the scheduler's rows and as
-// its snapshot, and makes a core the owner with what was accepted.
+// FuzzStoredJobs decodes any value as each kind of the scheduler's rows, as its
+// snapshot and as a change of that, and makes a core the owner with what was accepted.
 func FuzzStoredJobs(f *testing.F) {
 	job := model.Job{ID: "j1", Account: "a", Shape: model.Shape{Tasks: 2, Topology: model.TopologyRack, PerTask: model.Resources{Accelerators: 8, Cores: 1, MemoryMB: 1}},
 		DeclaredRunTime: time.Minute, Capacity: model.CapacityGuaranteed}
@@ -91,6 +91,8 @@
 	f.Add(encode(scheduler.EndedJob{Job: job, Phase: scheduler.PhaseFinished}))
 	f.Add(encode(scheduler.New(scheduler.DefaultSettings()).Snapshot()))
 	f.Add([]byte(`{"Job":{"ID":"j1","Shape":{"tasks":-1}}}`))
+	later := &scheduler.Snapshot{Epoch: 5, Jobs: []scheduler.JobState{{Job: job}}, Ended: []model.JobID{"j0"}}
+	f.Add(encode(scheduler.DeltaBetween(&scheduler.Snapshot{Epoch: 4}, later)))
 	f.Add([]byte(`null`))
 	f.Fuzz(func(t *testing.T, value []byte) {
 		const prefix = "job/"
@@ -110,6 +112,10 @@
 		if json.Unmarshal(value, &snapshot) == nil {
 			owner.Snapshot = &snapshot
 		}
+		var delta scheduler.SnapshotDelta
+		if json.Unmarshal(value, &delta) == nil {
+			owner.Snapshot = snapshot.Follow(&delta)
+		}
 		core := scheduler.New(scheduler.DefaultSettings())
 		core.Step(now, owner)
 		for range 3 {
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -194,12 +194,8 @@
 
 // drain begins the graceful stop of the core and waits until no request is left.
 func (r *Requests) drain(ctx context.Context) {
-	const retry = time.Millisecond
-	for !r.Push(requestflow.Stop{}) {
-		if ctx.Err() != nil {
-			return
-		}
-		time.Sleep(retry)
+	if !r.inputs.Push(ctx, requestInput{input: requestflow.Stop{}}) {
+		return
 	}
 	select {
 	case <-r.drained:
--- a/internal/process/http.go
+++ b/internal/process/http.go
@@ -10,6 +10,7 @@
 
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/operatorapi"
 )
 
 // route sends requests of a method whose path begins with a prefix to a handler.
@@ -73,18 +74,10 @@
 	b.routes.add(route{method, prefix, handler})
 }
 
-// ErrorBody is the JSON body of every 4xx and 5xx answer that carries no
-// request outcome.
-type ErrorBody struct {
-	// Code is machine-readable and stable.
-	Code string `json:"code"`
-	// Sentence explains the code to a person.
-	Sentence string `json:"sentence"`
-}
-
-// WriteError answers with a status and an ErrorBody.
+// WriteError answers with a status and an operatorapi.ErrorBody. Every 4xx and
+// 5xx answer that carries no request outcome has one.
 func WriteError(ctx *fasthttp.RequestCtx, status int, code, sentence string) {
-	WriteJSON(ctx, status, ErrorBody{code, sentence})
+	WriteJSON(ctx, status, operatorapi.ErrorBody{Code: code, Sentence: sentence})
 }
 
 // WriteJSON answers with a status and a value as JSON.
@@ -112,19 +105,11 @@
 	WriteError(ctx, fasthttp.StatusBadRequest, "malformed_http", "The HTTP request could not be read.")
 }
 
-// Timeline is the answer of GET /v1/timeline.
-type Timeline struct {
-	Process string `json:"process"`
-	// Clock is the process's clock when it answered.
-	Clock  event.Timestamp `json:"clock"`
-	Events []event.Event   `json:"events"`
-}
-
 func (b *Base) registerCommonRoutes() {
 	b.HandleHTTP(fasthttp.MethodGet, "/healthz", b.serveHealth)
 	b.HandleHTTP(fasthttp.MethodGet, "/metrics", b.serveMetrics)
-	b.HandleHTTP(fasthttp.MethodGet, "/v1/timeline", b.serveTimeline)
-	b.HandleHTTP(fasthttp.MethodPost, "/v1/stop", b.serveStop)
+	b.HandleHTTP(fasthttp.MethodGet, operatorapi.PathTimeline, b.serveTimeline)
+	b.HandleHTTP(fasthttp.MethodPost, operatorapi.PathStop, b.serveStop)
 }
 
 func (b *Base) serveHealth(ctx *fasthttp.RequestCtx) {
@@ -146,7 +131,7 @@
 	request := model.RequestID(query.Peek("request"))
 	job := model.JobID(query.Peek("job"))
 	zone := model.AvailabilityZoneName(query.Peek("zone"))
-	out := Timeline{Process: b.Name, Clock: b.Log.Now(), Events: []event.Event{}}
+	out := operatorapi.Timeline{Process: b.Name, Clock: b.Log.Now(), Events: []event.Event{}}
 	for _, e := range b.Log.Events() {
 		if (request == "" || e.Request == request) && (job == "" || e.Job == job) && (zone == "" || e.Zone == zone) {
 			out.Events = append(out.Events, e)
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"dragonflyyard/internal/callerapi"
 )
 
 // Paths of a backend server's HTTP interface. PathFaults sets its switches.
@@ -14,12 +16,8 @@
 	PathRan = "/ran"
 )
 
-// Headers of a request to a backend server.
-const (
-	headerRequestID = "X-Request-Id"
-	// headerServiceMS overrides the service time, in milliseconds.
-	headerServiceMS = "X-Service-Ms"
-)
+// headerServiceMS overrides the service time of a request, in milliseconds.
+const headerServiceMS = "X-Service-Ms"
 
 // RanResponse is the answer of GET PathRan.
 type RanResponse struct {
@@ -75,7 +73,7 @@
 	if !b.switches.admit(ctx) {
 		return
 	}
-	b.begin(string(ctx.Request.Header.Peek(headerRequestID)))
+	b.begin(string(ctx.Request.Header.Peek(callerapi.HeaderRequestID)))
 	defer b.end()
 	if service := b.serviceTimeOf(ctx); service > 0 {
 		time.Sleep(service)
--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+
+	"dragonflyyard/internal/callerapi"
 )
 
 // RawServer answers each HTTP request with bytes that are not bound to the
@@ -84,7 +86,7 @@
 		if err != nil {
 			return
 		}
-		id := request.Header.Get(headerRequestID)
+		id := request.Header.Get(callerapi.HeaderRequestID)
 		if !answer(RawCall{conn, s.calls.Add(1), request.URL.Path, id, body}) {
 			return
 		}
