Send no configuration that fits in no frame

Cause: a process that lacks changes is sent all of them in one frame, up to the 4,000 that are kept. Such a frame ends its connection: each agent that starts would connect, be cut off and never have a configuration. A document had no bound at all.

Ruled out: several updates in a row. The document is smaller than that many changes (271,050 bytes for 500 guarantees with names of 127 bytes), and a process that is far behind has no use for the steps between.

Change: UpdateFrom sends up to 500 changes, else the document. A change that leads to a document of more than half a frame (1 MiB) is refused with configuration_too_large (422). Refusals "busy" and "no_configuration" carry retry_after_ms in the body, too, as docs/API.md says.

--- a/internal/configstore/apply.go
+++ b/internal/configstore/apply.go
@@ -26,7 +26,10 @@
 	CodeGangTooLarge    = "gang_too_large"
 	CodeOutOfRange      = "value_out_of_range"
 	CodeGuaranteeNoRoom = "guarantee_does_not_fit"
-	CodeIDReused        = "change_id_reused"
+	// CodeTooLarge means that the whole configuration would be too large to be
+	// sent to the other processes.
+	CodeTooLarge = "configuration_too_large"
+	CodeIDReused = "change_id_reused"
 	// CodeDocumentTooLarge means that the configuration would exceed MaxDocumentBytes.
 	CodeDocumentTooLarge = "configuration_too_large"
 )
--- a/internal/configstore/core.go
+++ b/internal/configstore/core.go
@@ -141,6 +141,10 @@
 	return changes
 }
 
+// maxUpdateChanges bounds the changes of one update, so that it fits in a frame
+// whatever their names are. A process that lacks more gets the document.
+const maxUpdateChanges = 500
+
 // UpdateFrom returns what brings a process from a version to the present one:
 // the changes between, or the whole document when they are not all kept.
 // The assignment is added when the process has another version of it.
@@ -155,7 +159,7 @@
 		return update
 	}
 	missing := int(c.document.Version - version)
-	if missing > len(c.history) {
+	if missing > min(len(c.history), maxUpdateChanges) {
 		update.Document = c.document
 		return update
 	}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -12,6 +12,7 @@
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/operatorapi"
 	"dragonflyyard/internal/process"
+	"dragonflyyard/internal/wire"
 )
 
 // operatorPatience is how long an operator's call waits for its answer.
@@ -62,8 +63,24 @@
 	lookup.answer <- nil
 }
 
+// maxDocumentBytes bounds the configuration as it is sent to other processes,
+// in one frame beside the home assignment.
+const maxDocumentBytes = wire.MaxFrameBytes / 2
+
+// validateChange refuses a change that leads to a configuration which cannot be
+// sent, or to a guarantee that cannot be kept. It runs on the state duty.
+func (s *State) validateChange(next *model.ConfigDocument, change model.ConfigChange) error {
+	frame, err := wire.Encode(&wire.ConfigUpdate{Document: next})
+	if err != nil || len(frame) > maxDocumentBytes {
+		return &configstore.ValidationError{
+			Code: configstore.CodeTooLarge, Message: "The configuration would be larger than 1 MiB; delete what is not used.",
+		}
+	}
+	return s.validateGuarantee(next, change)
+}
+
 // validateGuarantee refuses a guarantee that the fleet has no room for beside
-// all other guarantees. It runs on the state duty.
+// all other guarantees.
 func (s *State) validateGuarantee(next *model.ConfigDocument, change model.ConfigChange) error {
 	if change.Guarantee == nil {
 		return nil
@@ -171,16 +188,14 @@
 		case <-timer.C:
 		}
 	}
-	setRetryAfter(ctx, time.Second)
-	process.WriteError(ctx, fasthttp.StatusServiceUnavailable, "busy", "The entry host is busy; come back later.")
+	writeReply(ctx, errorReply(fasthttp.StatusServiceUnavailable, "busy", "The entry host is busy; come back later.", time.Second))
 	return nil, false
 }
 
 func (s *State) serveConfig(ctx *fasthttp.RequestCtx) {
 	document, ready := s.Document()
 	if !ready {
-		setRetryAfter(ctx, time.Second)
-		process.WriteError(ctx, fasthttp.StatusServiceUnavailable, "no_configuration", "No configuration was read yet.")
+		writeReply(ctx, errorReply(fasthttp.StatusServiceUnavailable, "no_configuration", "No configuration was read yet.", time.Second))
 		return
 	}
 	process.WriteJSON(ctx, fasthttp.StatusOK, document)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -135,7 +135,7 @@
 	state.needsStatus.Store(true)
 	state.issuer.NeedPeers(len(s.Peers) > 0)
 	state.owner.Bar(true)
-	state.config = configstore.New(configLimits, s.Region, state.validateGuarantee)
+	state.config = configstore.New(configLimits, s.Region, state.validateChange)
 	state.document.Store(state.config.Document())
 	state.ownerNow.Store(&ownerView{})
 	state.check.Store(&ownerCheck{})
