Close the connections of callers that go silent

Cause: the HTTP server of every process had no limit on the time in which a request arrives, an answer is taken or a connection stays idle.

Ruled out: one limit for the whole call. A request may be long under way at the backend server, and that is no fault of the caller.

Change: a minute for a request to arrive, a minute for its answer to be taken, 10 minutes idle, longer than balancers keep connections, so that they close them and no call meets a connection that is just being closed.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -4,6 +4,7 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -53,8 +54,16 @@
 	MaxBodyBytes int
 	// MaxConnections bounds the open HTTP connections.
 	MaxConnections int
-	Logger         *zap.Logger
-	Now            func() time.Time
+	// ReadTimeout bounds the time in which a caller sends one request, and
+	// WriteTimeout that in which it takes the answer. What the process itself
+	// takes for an answer counts for neither.
+	ReadTimeout  time.Duration
+	WriteTimeout time.Duration
+	// IdleTimeout is how long a connection is kept between two requests. It is
+	// longer than balancers keep theirs, so that they close them.
+	IdleTimeout time.Duration
+	Logger      *zap.Logger
+	Now         func() time.Time
 }
 
 // Defaults of Options.
@@ -62,6 +71,9 @@
 	DefaultEventCapacity = 8192
 	DefaultStopTimeout   = 30 * time.Second
 	DefaultMaxBodyBytes  = 4 << 20
+	DefaultReadTimeout   = time.Minute
+	DefaultWriteTimeout  = time.Minute
+	DefaultIdleTimeout   = 10 * time.Minute
 )
 
 type duty struct {
@@ -114,6 +126,9 @@
 	if o.MaxBodyBytes == 0 {
 		o.MaxBodyBytes = DefaultMaxBodyBytes
 	}
+	o.ReadTimeout = cmp.Or(o.ReadTimeout, DefaultReadTimeout)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, DefaultWriteTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
 	listener, err := net.Listen("tcp", o.HTTPAddress)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on HTTP address %q", o.HTTPAddress)
@@ -201,6 +216,9 @@
 		Handler:               b.serve,
 		MaxRequestBodySize:    b.options.MaxBodyBytes,
 		Concurrency:           b.options.MaxConnections,
+		ReadTimeout:           b.options.ReadTimeout,
+		WriteTimeout:          b.options.WriteTimeout,
+		IdleTimeout:           b.options.IdleTimeout,
 		NoDefaultServerHeader: true,
 		NoDefaultContentType:  true,
 		CloseOnShutdown:       true,
