--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -171,16 +171,14 @@
 		case <-timer.C:
 		}
 	}
-	setRetryAfter(ctx, time.Second)
-	process.WriteError(ctx, fasthttp.StatusServiceUnavailable, "busy", "The entry host is busy; come back later.")
+	writeReply(ctx, errorReply(fasthttp.StatusServiceUnavailable, "busy", "The entry host is busy; come back later.", time.Second))
 	return nil, false
 }
 
 func (s *State) serveConfig(ctx *fasthttp.RequestCtx) {
 	document, ready := s.Document()
 	if !ready {
-		setRetryAfter(ctx, time.Second)
-		process.WriteError(ctx, fasthttp.StatusServiceUnavailable, "no_configuration", "No configuration was read yet.")
+		writeReply(ctx, errorReply(fasthttp.StatusServiceUnavailable, "no_configuration", "No configuration was read yet.", time.Second))
 		return
 	}
 	process.WriteJSON(ctx, fasthttp.StatusOK, document)
