Let an idle link's queue take no room; measure entry hosts with many links

Cause: each link reserved a channel for 4,096 outgoing messages (98 kB) and a write buffer of 32 kB, whatever it carried. At 1,584 agents that is 207 MB of live heap of an entry host, and the collector lets as much garbage again stand.

Ruled out: a lower bound on outgoing messages (a stop of the writer of 0.3 s at 3,000 messages a second would cut the link); the WebSocket library's pool of write buffers (two allocations more for each frame, 64 callers 7.4 to 10 us, tried and taken out).

Change: the outgoing queue is a bounded list that grows with what waits (outbox); accepted connections have a write buffer of 4 kB, past which the library writes a message of any size as one frame.

make capacity now also opens 200, 800 and 1,584 links to one entry host of a region.

Seen: TestFaultMatrix/connection/greeting/greeting_refused/entry_killed failed twice with "bind: address already in use" while this machine held thousands of loopback links of the measurement; the cell listens again on a port that it gave up.

--- a/internal/capacity/measure_test.go
+++ b/internal/capacity/measure_test.go
@@ -6,6 +6,17 @@
 	"dragonflyyard/internal/model"
 )
 
+func TestIdleLinksOfARegionFitIntoAnEntryHost(t *testing.T) {
+	const links = 40
+	got, err := MeasureLinks(links)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if all := got.BytesPerEnd * WorkersPerRegion; all > MaxMemoryBytes {
+		t.Errorf("%d links take %.0f bytes, want at most %d", WorkersPerRegion, all, MaxMemoryBytes)
+	}
+}
+
 func TestLostZoneRunsAgainWhereThereIsRoom(t *testing.T) {
 	const workers = 64
 	got, err := MeasureLoss(workers, func(w model.Worker) bool { return w.Zone == regionWorker(0).Zone })
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -17,6 +17,9 @@
 	if err := reportIdle(w); err != nil {
 		return err
 	}
+	if err := reportLinks(w); err != nil {
+		return err
+	}
 	if err := reportScheduler(w); err != nil {
 		return err
 	}
--- a/internal/link/accept.go
+++ b/internal/link/accept.go
@@ -12,13 +12,18 @@
 	"dragonflyyard/internal/wire"
 )
 
+// acceptedWriteBytes is the write buffer of a connection that was accepted. The
+// answering side writes a message of any size as one frame past its buffer, so a
+// small one costs nothing, and an entry host has one for each agent.
+const acceptedWriteBytes = 4 << 10
+
 // Accept takes connections from listener until ctx is done, then closes them
 // and returns nil once all have ended.
 func (h *Hub) Accept(ctx context.Context, listener net.Listener) error {
 	upgrader := websocket.FastHTTPUpgrader{
 		HandshakeTimeout: h.options.DialTimeout,
 		ReadBufferSize:   socketBufferBytes,
-		WriteBufferSize:  socketBufferBytes,
+		WriteBufferSize:  acceptedWriteBytes,
 	}
 	server := &fasthttp.Server{
 		Handler: func(request *fasthttp.RequestCtx) {
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -10,7 +10,6 @@
 
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/ring"
 	"dragonflyyard/internal/wire"
 )
 
@@ -62,7 +61,7 @@
 	needsStatus func() bool
 
 	heartbeats *heartbeatTracker
-	out        *ring.Ring[outgoing]
+	out        *outbox
 	queued     atomic.Int64
 	queuedSize atomic.Int64
 
@@ -80,7 +79,7 @@
 		id: id, peer: peer, ws: ws, options: options, now: now, clock: h.clock(), traffic: h.traffic, life: life,
 		needsStatus: h.identity.NeedsStatus,
 		heartbeats:  newHeartbeatTracker(options.Silence, now()),
-		out:         ring.New[outgoing]("link.out", options.OutgoingMessages, nil),
+		out:         newOutbox(options.OutgoingMessages),
 		closed:      make(chan struct{}),
 		finished:    make(chan struct{}),
 	}
@@ -106,7 +105,7 @@
 		return false
 	}
 	c.queued.Add(1)
-	if !c.out.TryPush(item) {
+	if !c.out.push(item) {
 		c.queued.Add(-1)
 		c.close(ErrSlowReader)
 		return false
--- a/internal/link/writer.go
+++ b/internal/link/writer.go
@@ -40,8 +40,8 @@
 	for {
 		var err error
 		select {
-		case first := <-c.out.Out():
-			err = w.writeBatch(first)
+		case <-c.out.ready:
+			err = w.writeBatch()
 		case <-ticker.C:
 			err = w.writeHeartbeat()
 		case <-c.closed:
@@ -53,16 +53,12 @@
 	}
 }
 
-// writeBatch sends the first message with all others that wait, as far as one
-// batch goes, behind the sender's clock.
-func (w *writer) writeBatch(first outgoing) error {
-	w.items = append(w.items[:0], first)
-	for len(w.items) < maxBatchMessages {
-		item, more := w.waiting()
-		if !more {
-			break
-		}
-		w.items = append(w.items, item)
+// writeBatch sends the messages that wait, as far as one batch goes, behind the
+// sender's clock.
+func (w *writer) writeBatch() error {
+	w.items = w.out.take(w.items[:0], maxBatchMessages)
+	if len(w.items) == 0 {
+		return nil
 	}
 	err := w.begin(slices.ContainsFunc(w.items, func(item outgoing) bool { return carriesClock(item.message) }))
 	bytes := int64(0)
@@ -82,16 +78,6 @@
 	return slowReader(err)
 }
 
-// waiting returns another message that waits, if there is one.
-func (w *writer) waiting() (outgoing, bool) {
-	select {
-	case item := <-w.out.Out():
-		return item, true
-	default:
-		return outgoing{}, false
-	}
-}
-
 // carriesClock reports whether the receiver may record an event because of a
 // message. Such messages follow the sender's clock.
 func carriesClock(m wire.Message) bool {
--- a/internal/tools/capacity/main.go
+++ b/internal/tools/capacity/main.go
@@ -22,23 +22,25 @@
 	binaries := flag.String("binaries", "bin", "folder with the built programs")
 	packages := flag.Bool("packages", true, "measure the codec and the decision packages")
 	agents := flag.String("agents", "5,11,22,44", "sizes of the regions of processes to measure; none if empty")
+	links := flag.String("links", "200,800,1584", "numbers of links to measure one entry host with; none if empty")
 	flag.Parse()
-	if err := run(*deployment, *binaries, *packages, *agents); err != nil {
+	if err := run(*deployment, *binaries, *packages, *agents, *links); err != nil {
 		fmt.Fprintln(os.Stderr, "capacity:", err)
 		os.Exit(1)
 	}
 }
 
-func run(path, binaries string, packages bool, agents string) error {
+func run(path, binaries string, packages bool, agents, links string) error {
 	if packages {
 		if err := capacity.Report(os.Stdout); err != nil {
 			return err
 		}
 	}
-	if agents == "" {
-		return nil
+	agentCounts, err := parseSizes(agents)
+	if err != nil {
+		return err
 	}
-	sizes, err := parseSizes(agents)
+	linkCounts, err := parseSizes(links)
 	if err != nil {
 		return err
 	}
@@ -46,11 +48,17 @@
 	if err != nil {
 		return err
 	}
-	return measureProcesses(os.Stdout, d, binaries, sizes)
+	if err := measureProcesses(os.Stdout, d, binaries, agentCounts); err != nil {
+		return err
+	}
+	return measureFleets(os.Stdout, d, binaries, linkCounts)
 }
 
 // parseSizes reads a list of numbers with commas between them.
 func parseSizes(text string) ([]int, error) {
+	if text == "" {
+		return nil, nil
+	}
 	var sizes []int
 	for _, field := range strings.Split(text, ",") {
 		size, err := strconv.Atoi(field)
--- a/internal/tools/capacity/processes.go
+++ b/internal/tools/capacity/processes.go
@@ -48,6 +48,9 @@
 
 // measureProcesses measures idle regions of several numbers of agents.
 func measureProcesses(w io.Writer, d settings.Deployment, binaries string, agentCounts []int) error {
+	if len(agentCounts) == 0 {
+		return nil
+	}
 	fmt.Fprintln(w, "\n## Idle processes, 3 entry hosts")
 	fmt.Fprintln(w, "\n| agents | process | core share | resident bytes | link bytes a second | frames a second |")
 	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- |")
@@ -79,32 +82,49 @@
 
 // measureRegion returns the mean rates of the entry hosts and of the agents.
 func measureRegion(d settings.Deployment, binaries string) ([]rate, error) {
+	var rates []rate
+	err := withRegion(d, binaries, func(r *localregion.Region) error {
+		before, after, err := sample(r)
+		if err != nil {
+			return err
+		}
+		rates = []rate{
+			meanRate("entry", before[:d.Entries], after[:d.Entries]),
+			meanRate("agent", before[d.Entries:], after[d.Entries:]),
+		}
+		return nil
+	})
+	return rates, err
+}
+
+// withRegion starts a region, calls measure and stops the region.
+func withRegion(d settings.Deployment, binaries string, measure func(*localregion.Region) error) error {
 	folder, err := os.MkdirTemp("", "dragonflyyard-capacity-")
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
 	r, err := localregion.New(d, binaries, folder)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer r.StopAll()
 	if err := r.Start(); err != nil {
-		return nil, err
+		return err
 	}
+	return measure(r)
+}
+
+// sample reads the usage of all processes at the begin and at the end of
+// sampleTime, after the region has settled.
+func sample(r *localregion.Region) (before, after []usage, err error) {
 	time.Sleep(settleTime)
-	before, err := readAll(r)
-	if err != nil {
-		return nil, err
+	if before, err = readAll(r); err != nil {
+		return nil, nil, err
 	}
 	time.Sleep(sampleTime)
-	after, err := readAll(r)
-	if err != nil {
-		return nil, err
-	}
-	entries := meanRate("entry", before[:d.Entries], after[:d.Entries])
-	agents := meanRate("agent", before[d.Entries:], after[d.Entries:])
-	return []rate{entries, agents}, nil
+	after, err = readAll(r)
+	return before, after, err
 }
 
 // readAll reads the usage of the entry hosts, then of the agents.
