Send a returning agent only the state that it lacks

Cause: an entry host sent each new connection its whole configuration and the whole home assignment, though after a cut link, or a restart of the entry host alone, the agent has both.

Change: Hello names the versions that the agent acts on (appended; zero for an earlier agent, which is sent the whole as before). The entry host answers with the changes since, and counts them as acknowledged.

The fleet measurement waits 10 s for homes to be planned before it samples.

--- a/internal/agent/permits.go
+++ b/internal/agent/permits.go
@@ -42,6 +42,10 @@
 	granted executor.PermitGranted
 	// held is set while the agent holds a permit that was recorded.
 	held bool
+	// configInForce and assignmentVersion are the versions acted on, for new
+	// connections.
+	configInForce     atomic.Uint64
+	assignmentVersion atomic.Uint64
 	// current is read by the caller of the worker right before a start.
 	current atomic.Pointer[gang.PermitUpdate]
 	// unsent is set while another duty had no room for the latest state.
@@ -80,6 +84,11 @@
 	return update.ValidUntil, !update.ZoneOut && now.Before(update.ValidUntil)
 }
 
+// configVersion returns the version of the configuration that is acted on.
+func (d *Permits) configVersion() model.ConfigVersion {
+	return model.ConfigVersion(d.configInForce.Load())
+}
+
 // run is the duty.
 func (d *Permits) run(ctx context.Context) error {
 	ticker := time.NewTicker(permitTick)
@@ -129,6 +138,8 @@
 		d.holder.SeeAssignment(d.assignment.Version)
 		d.unsentAssignment = true
 	}
+	d.configInForce.Store(uint64(d.document.Version))
+	d.assignmentVersion.Store(d.assignment.Version)
 	c.Send(&wire.ConfigAck{Version: d.document.Version, Assignment: d.assignment.Version})
 }
 
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -154,6 +154,7 @@
 			ID: s.ID, Zone: s.Zone, Slots: s.BackendServer.Slots, Connections: s.BackendServer.Connections,
 		},
 		Worker: p.worker(), Leaving: p.IsStopping(), HTTPAddress: p.HTTPAddress(),
+		Config: p.Permits.configVersion(), Assignment: p.Permits.assignmentVersion.Load(),
 	}
 }
 
--- a/internal/entry/agentbook.go
+++ b/internal/entry/agentbook.go
@@ -64,6 +64,7 @@
 	hello := c.Peer().Hello
 	b.agents[hello.Process] = &connectedAgent{
 		conn: c, zone: hello.Zone, incarnation: hello.Incarnation, leaving: hello.Leaving,
+		acknowledged: hello.Config, assignment: hello.Assignment,
 	}
 	if hello.Worker != nil {
 		b.workers[hello.Process] = *hello.Worker
--- a/internal/entry/assignment_test.go
+++ b/internal/entry/assignment_test.go
@@ -22,6 +22,8 @@
 
 	mu         sync.Mutex
 	assignment wire.Assignment
+	config     model.ConfigVersion
+	updates    int
 	wholes     int
 	deltas     int
 }
@@ -31,6 +33,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	update := *m.(*wire.ConfigUpdate)
+	l.updates++
+	l.config = update.To
 	if update.Assignment != nil {
 		l.wholes++
 	}
@@ -54,13 +58,28 @@
 	return l.assignment, l.wholes, l.deltas
 }
 
+// counts are the updates that a listener received.
+type counts struct{ updates, wholes int }
+
+func (l *listener) counts() counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return counts{l.updates, l.wholes}
+}
+
 // startListener connects a listener to an entry host until the end of the test.
 func (r *region) startListener(l *listener, address string) {
 	identity := link.Identity{Process: string(l.id), Incarnation: 1, Hello: func() wire.Hello {
-		return wire.Hello{
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		hello := wire.Hello{
 			Role: wire.RoleAgent, Process: string(l.id), Incarnation: 1, Region: "nordeste", Zone: "caruaru",
 			Backend: &model.BackendServer{ID: l.id}, Leaving: true,
 		}
+		if l.readsDeltas {
+			hello.Config, hello.Assignment = l.config, l.assignment.Version
+		}
+		return hello
 	}}
 	hub := link.NewHub(identity, link.Options{}, event.NewLog(string(l.id), 16, time.Now), nil, time.Now)
 	hub.Handle(wire.RoleEntry, wire.TypeConfigUpdate, l.take)
@@ -108,3 +127,23 @@
 		return reflect.DeepEqual(one, other)
 	})
 }
+
+// TestReconnectedAgentIsSentOnlyWhatItLacks cuts the links of an agent that tells
+// what it has, and of one that does not.
+func TestReconnectedAgentIsSentOnlyWhatItLacks(t *testing.T) {
+	r := startRegion(t, regionOptions{entries: 1, agents: 1, stopTimeout: time.Second, boxed: true})
+	for _, l := range []*listener{{id: "new-reader", readsDeltas: true}, {id: "old-reader"}} {
+		r.startListener(l, r.entries[0].LinkAddress())
+		r.await(string(l.id)+" to hold an assignment", func() bool {
+			assignment, _, _ := l.seen()
+			return assignment.Version > 0
+		})
+		before := l.counts()
+		r.boxes[0].Cut()
+		r.await(string(l.id)+" to be connected again", func() bool { return l.counts().updates > before.updates })
+		after := l.counts()
+		if sentWhole := after.wholes > before.wholes; sentWhole == l.readsDeltas {
+			t.Errorf("%s: whole assignment sent again: %v", l.id, sentWhole)
+		}
+	}
+}
--- a/internal/entry/statelinks.go
+++ b/internal/entry/statelinks.go
@@ -33,7 +33,7 @@
 		return
 	}
 	s.agents.connect(now, change.conn)
-	s.sendConfig(change.conn, 0, 0)
+	s.sendConfig(change.conn, peer.Hello.Config, peer.Hello.Assignment)
 	s.agents.sentAssignment(change.conn, s.homes.Version())
 	s.sendRoster(change.conn)
 	s.sendOwner(change.conn)
--- a/internal/tools/capacity/fleet.go
+++ b/internal/tools/capacity/fleet.go
@@ -21,6 +21,10 @@
 // fleetUpLimit bounds the wait until all links of a fleet are up.
 const fleetUpLimit = 30 * time.Second
 
+// homesSettleTime lets the homes of a new fleet be planned and delivered, which
+// takes a version of the assignment for each second in which links came up.
+const homesSettleTime = 10 * time.Second
+
 // fleet is a number of agents that do nothing but keep a link to one entry host
 // and follow its configuration. They live in this process.
 type fleet struct {
@@ -118,6 +122,7 @@
 		if err := f.awaitUp(); err != nil {
 			return err
 		}
+		time.Sleep(homesSettleTime)
 		before, after, err := sample(r)
 		if err != nil {
 			return err
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -25,6 +25,10 @@
 	Leaving bool
 	// HTTPAddress is where the process serves its time line and metrics, IP:port.
 	HTTPAddress string
+	// Config and Assignment are the versions that an agent acts on, zero for
+	// none and for a sender that reads no AssignmentDelta.
+	Config     model.ConfigVersion
+	Assignment uint64
 }
 
 // Welcome answers Hello.
