Measure messages in one ordered list; return errors of the measurements

Cause: a reader of internal/capacity met each control message twice (a map, and a list of its keys for the order), measurements that panic beside ones that return errors, and a report whose sections were called in two ways.

Change: controlMessages is one ordered list; MeasureConfig and MeasureHomes return errors; Report runs a list of sections. No figure changes.

internal/capacity passes with -race, vet, staticcheck and revive.

--- a/internal/capacity/codec.go
+++ b/internal/capacity/codec.go
@@ -20,27 +20,34 @@
 	DecodeNS   float64
 }
 
-// controlMessages returns one typical message of each control kind.
-func controlMessages() map[string]wire.Message {
+// namedMessage is a message of a control kind.
+type namedMessage struct {
+	name    string
+	message wire.Message
+}
+
+// controlMessages returns one typical message of each control kind, in the order
+// of the report.
+func controlMessages() []namedMessage {
 	const backend = model.BackendServerID("backend-0123")
 	const job = model.JobID("0192f0c1-5a2b-7c3d-8e4f-0123456789ab")
-	return map[string]wire.Message{
-		"heartbeat":     &wire.Heartbeat{Seq: 1 << 20, AckSeq: 1 << 20},
-		"permit":        &wire.Permit{Seq: 1 << 20, ValidMS: 2500, AnsweredHeartbeat: 1 << 20, Config: 1 << 24, OwnerEpoch: 77, Assignment: 12},
-		"credit":        &wire.Credit{Seq: 1 << 20, Slots: 4, Connections: 32},
-		"claim":         &wire.Claim{Request: model.RequestID(job), BodyHash: 1 << 60, Executor: backend, Assignment: 12},
-		"reserve":       &wire.Reserve{Epoch: 77, Job: job, Attempt: 1, Task: model.TaskID(job + "/255"), Needs: model.Resources{Accelerators: 2, Cores: 16, MemoryMB: 32768}, HoldMS: 3000},
-		"launch":        &wire.Launch{Epoch: 77, Job: job, Attempt: 1, Task: model.TaskID(job + "/255"), LeaseMS: 3000, RunMS: 3600000},
-		"task report":   &wire.TaskReport{Job: job, Attempt: 1, Task: model.TaskID(job + "/255"), State: wire.TaskRunning, DoneMS: 3600000},
-		"lease request": &wire.LeaseRequest{Worker: "worker-00123", SentMS: 1 << 40},
-		"lease grant":   &wire.LeaseGrant{Epoch: 77, SentMS: 1 << 40, Tasks: grantedTasks(job)},
-		"store status": &wire.StoreStatus{
+	return []namedMessage{
+		{"heartbeat", &wire.Heartbeat{Seq: 1 << 20, AckSeq: 1 << 20}},
+		{"permit", &wire.Permit{Seq: 1 << 20, ValidMS: 2500, AnsweredHeartbeat: 1 << 20, Config: 1 << 24, OwnerEpoch: 77, Assignment: 12}},
+		{"credit", &wire.Credit{Seq: 1 << 20, Slots: 4, Connections: 32}},
+		{"claim", &wire.Claim{Request: model.RequestID(job), BodyHash: 1 << 60, Executor: backend, Assignment: 12}},
+		{"reserve", &wire.Reserve{Epoch: 77, Job: job, Attempt: 1, Task: model.TaskID(job + "/255"), Needs: model.Resources{Accelerators: 2, Cores: 16, MemoryMB: 32768}, HoldMS: 3000}},
+		{"launch", &wire.Launch{Epoch: 77, Job: job, Attempt: 1, Task: model.TaskID(job + "/255"), LeaseMS: 3000, RunMS: 3600000}},
+		{"task report", &wire.TaskReport{Job: job, Attempt: 1, Task: model.TaskID(job + "/255"), State: wire.TaskRunning, DoneMS: 3600000}},
+		{"lease request", &wire.LeaseRequest{Worker: "worker-00123", SentMS: 1 << 40}},
+		{"lease grant", &wire.LeaseGrant{Epoch: 77, SentMS: 1 << 40, Tasks: grantedTasks(job)}},
+		{"store status", &wire.StoreStatus{
 			Reachable: true, Config: 1 << 24, OwnerEpoch: 77, Seq: 1 << 20, Assignment: 12, Established: true,
 			Roster: []model.EntryID{"entry-1", "entry-2", "entry-3"},
-		},
-		"config change": &wire.ConfigUpdate{From: 1 << 24, To: 1<<24 + 1, Changes: []model.ConfigChange{{
+		}},
+		{"config change", &wire.ConfigUpdate{From: 1 << 24, To: 1<<24 + 1, Changes: []model.ConfigChange{{
 			ID: model.ChangeID(job), Object: "zone/region-07-zone-3", ExpectedVersion: 1 << 23, Zone: model.ZoneOut, Operator: "operator-17", Version: 1<<24 + 1,
-		}}},
+		}}}},
 	}
 }
 
@@ -53,18 +60,15 @@
 	return leases
 }
 
-// messageOrder is the order of the rows in the report.
-var messageOrder = []string{"heartbeat", "permit", "credit", "claim", "reserve", "launch", "task report", "lease request", "lease grant", "store status", "config change"}
-
 // MeasureCodec measures each control message.
-func MeasureCodec() (map[string]MessageCost, error) {
-	costs := map[string]MessageCost{}
-	for name, m := range controlMessages() {
-		cost, err := measureMessage(name, m)
+func MeasureCodec() ([]MessageCost, error) {
+	var costs []MessageCost
+	for _, m := range controlMessages() {
+		cost, err := measureMessage(m.name, m.message)
 		if err != nil {
 			return nil, err
 		}
-		costs[name] = cost
+		costs = append(costs, cost)
 	}
 	return costs, nil
 }
@@ -96,11 +100,10 @@
 	return float64(r.T.Nanoseconds()) / float64(r.N)
 }
 
-func printCodec(w io.Writer, costs map[string]MessageCost) {
+func printCodec(w io.Writer, costs []MessageCost) {
 	fmt.Fprintln(w, "| message | frame bytes | encode ns | decode ns |")
 	fmt.Fprintln(w, "| --- | --- | --- | --- |")
-	for _, name := range messageOrder {
-		c := costs[name]
+	for _, c := range costs {
 		fmt.Fprintf(w, "| %s | %d | %.0f | %.0f |\n", c.Name, c.FrameBytes, c.EncodeNS, c.DecodeNS)
 	}
 }
--- a/internal/capacity/measure_test.go
+++ b/internal/capacity/measure_test.go
@@ -41,10 +41,10 @@
 	if got.SegmentBytes <= 0 || got.SegmentBytes > got.SnapshotBytes/4 {
 		t.Errorf("segment: %+v", got)
 	}
-	if got := MeasureHomes(11); got.MovedRanges == 0 || got.MovedRanges > got.Ranges/5 {
-		t.Errorf("homes: %+v", got)
+	if got, err := MeasureHomes(11); err != nil || got.MovedRanges == 0 || got.MovedRanges > got.Ranges/5 {
+		t.Errorf("homes: %+v, %v", got, err)
 	}
-	if got := MeasureHomes(WorkersPerRegion); got.DeltaBytes > got.FrameBytes/100 {
-		t.Errorf("the delta of one restart is no small part of the whole: %+v", got)
+	if got, err := MeasureHomes(WorkersPerRegion); err != nil || got.DeltaBytes > got.FrameBytes/100 {
+		t.Errorf("the delta of one restart is no small part of the whole: %+v, %v", got, err)
 	}
 }
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -7,6 +7,18 @@
 
 // Report measures all that needs no process and writes it as tables.
 func Report(w io.Writer) error {
+	sections := []func(io.Writer) error{
+		reportMessages, reportIdle, reportLinks, reportScheduler, reportLoss, reportConfig, reportHomes, reportClaims,
+	}
+	for _, section := range sections {
+		if err := section(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func reportMessages(w io.Writer) error {
 	costs, err := MeasureCodec()
 	if err != nil {
 		return err
@@ -14,21 +26,6 @@
 	fmt.Fprintln(w, "## Messages")
 	fmt.Fprintln(w)
 	printCodec(w, costs)
-	if err := reportIdle(w); err != nil {
-		return err
-	}
-	if err := reportLinks(w); err != nil {
-		return err
-	}
-	if err := reportScheduler(w); err != nil {
-		return err
-	}
-	if err := reportLoss(w); err != nil {
-		return err
-	}
-	reportConfig(w)
-	reportHomes(w)
-	reportClaims(w)
 	return nil
 }
 
@@ -55,32 +52,40 @@
 	return nil
 }
 
-func reportConfig(w io.Writer) {
+func reportConfig(w io.Writer) error {
 	fmt.Fprintln(w, "\n## Configuration, 3 guaranteed shapes a team")
 	fmt.Fprintln(w, "\n| teams | state bytes | snapshot bytes | change bytes | apply us |")
 	fmt.Fprintln(w, "| --- | --- | --- | --- | --- |")
 	var state, apply []Point
 	for _, teams := range []int{68, 200, Teams} {
-		c := MeasureConfig(teams)
+		c, err := MeasureConfig(teams)
+		if err != nil {
+			return err
+		}
 		fmt.Fprintf(w, "| %d | %.0f | %.0f | %.0f | %.0f |\n", c.Teams, c.StateBytes, c.SnapshotBytes, c.UpdateBytes, c.ApplyNS/1e3)
 		state = append(state, Point{float64(teams), c.StateBytes})
 		apply = append(apply, Point{float64(teams), c.ApplyNS})
 	}
 	fmt.Fprintf(w, "\nSlopes for each team: state %.0f bytes, apply %.0f ns.\n", Fit(state).Slope, Fit(apply).Slope)
+	return nil
 }
 
-func reportHomes(w io.Writer) {
+func reportHomes(w io.Writer) error {
 	fmt.Fprintln(w, "\n## Home assignment")
 	fmt.Fprintln(w, "\n| agents | ranges | whole frame bytes | table row bytes | ranges moved by one restart | their frame bytes | plan us |")
 	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- |")
 	for _, agents := range []int{11, 200, WorkersPerRegion} {
-		c := MeasureHomes(agents)
+		c, err := MeasureHomes(agents)
+		if err != nil {
+			return err
+		}
 		fmt.Fprintf(w, "| %d | %d | %.0f | %.0f | %d | %.0f | %.0f |\n",
 			c.Agents, c.Ranges, c.FrameBytes, c.RowBytes, c.MovedRanges, c.DeltaBytes, c.PlanNS/1e3)
 	}
+	return nil
 }
 
-func reportClaims(w io.Writer) {
+func reportClaims(w io.Writer) error {
 	fmt.Fprintln(w, "\n## Claims of a home agent")
 	fmt.Fprintln(w, "\n| claims kept | state bytes | claim ns |")
 	fmt.Fprintln(w, "| --- | --- | --- |")
@@ -91,4 +96,5 @@
 		state = append(state, Point{float64(claims), c.StateBytes})
 	}
 	fmt.Fprintf(w, "\nSlope for each claim: %.0f bytes.\n", Fit(state).Slope)
+	return nil
 }
--- a/internal/capacity/state.go
+++ b/internal/capacity/state.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"dragonflyyard/internal/configstore"
 	"dragonflyyard/internal/dedup"
 	"dragonflyyard/internal/executor"
@@ -29,13 +31,13 @@
 const guaranteesPerTeam = 3
 
 // MeasureConfig measures the configuration of a number of teams.
-func MeasureConfig(teams int) ConfigCost {
+func MeasureConfig(teams int) (ConfigCost, error) {
 	before := heapBytes()
 	document := teamDocument(teams)
 	cost := ConfigCost{Teams: teams, StateBytes: heapBytes() - before}
 	snapshot, err := json.Marshal(document)
 	if err != nil {
-		panic(err)
+		return cost, errors.Wrap(err, "encode configuration")
 	}
 	cost.SnapshotBytes = float64(len(snapshot))
 	change := model.ConfigChange{
@@ -44,7 +46,7 @@
 	}
 	frame, err := wire.Encode(&wire.ConfigUpdate{From: 1, To: 2, Changes: []model.ConfigChange{change}})
 	if err != nil {
-		panic(err)
+		return cost, errors.Wrap(err, "encode change")
 	}
 	cost.UpdateBytes = float64(len(frame))
 	const changes = 300
@@ -54,7 +56,7 @@
 			From: document.Version, To: change.Version, Changes: []model.ConfigChange{change},
 		})
 	})
-	return cost
+	return cost, nil
 }
 
 func teamDocument(teams int) *model.ConfigDocument {
@@ -93,7 +95,7 @@
 }
 
 // MeasureHomes measures the home assignment of a number of agents.
-func MeasureHomes(agents int) HomeCost {
+func MeasureHomes(agents int) (HomeCost, error) {
 	live := make([]membership.HomeAgent, agents)
 	for i := range live {
 		live[i] = membership.HomeAgent{ID: model.BackendServerID(fmt.Sprintf("backend-%05d", i)), Incarnation: 1}
@@ -102,19 +104,21 @@
 	present, _ := membership.PlanHomes(wire.Assignment{}, live, 0, settle)
 	frame, err := wire.Encode(&wire.ConfigUpdate{Assignment: &present})
 	if err != nil {
-		panic(err)
+		return HomeCost{}, errors.Wrap(err, "encode assignment")
 	}
 	live[agents/2].Incarnation = 2
 	began := time.Now()
 	next, _ := membership.PlanHomes(present, live, 1, settle)
 	cost := HomeCost{
 		Agents: agents, FrameBytes: float64(len(frame)), Ranges: len(next.Ranges),
-		PlanNS:     float64(time.Since(began).Nanoseconds()),
-		DeltaBytes: float64(deltaBytes(present, next)),
+		PlanNS: float64(time.Since(began).Nanoseconds()),
+	}
+	if cost.DeltaBytes, err = deltaBytes(present, next); err != nil {
+		return cost, err
 	}
 	row, err := json.Marshal(next)
 	if err != nil {
-		panic(err)
+		return cost, errors.Wrap(err, "encode assignment row")
 	}
 	cost.RowBytes = float64(len(row))
 	for i, r := range next.Ranges {
@@ -122,22 +126,19 @@
 			cost.MovedRanges++
 		}
 	}
-	return cost
+	return cost, nil
 }
 
 // deltaBytes returns the size of the update that an entry host sends to a
 // process which holds the version before.
-func deltaBytes(present, next wire.Assignment) int {
+func deltaBytes(present, next wire.Assignment) (float64, error) {
 	var history dedup.History
 	history.Add(present)
 	history.Add(next)
 	update := wire.ConfigUpdate{From: 1 << 24, To: 1 << 24}
 	history.Fill(&update, present.Version)
 	frame, err := wire.Encode(&update)
-	if err != nil {
-		panic(err)
-	}
-	return len(frame)
+	return float64(len(frame)), errors.Wrap(err, "encode assignment delta")
 }
 
 // ClaimCost is the cost of the claims that a home agent keeps.
