State as a pure rule when an entry host asks for statuses

Cause: the rule that decides whether a heartbeat asks for a status was a method on the state duty, so only process tests met it, while permits and ownership in a store outage rest on its times.

Change: the rule takes what it depends on (standing), and a table test holds it to the limits it serves: a heartbeat and two ticks before permits rest on statuses, a heartbeat and a tick before an owner asks for the roster's agreement.

--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -188,7 +188,7 @@
 	s.stepRoster(now, membership.RosterTick{})
 	s.agents.tick(now)
 	s.extendOwnership(now)
-	s.needsStatus.Store(s.restsOnStatus(now))
+	s.needsStatus.Store(s.standing().restsOnStatus(now))
 	s.planHomes(now)
 	s.pending.flush(s.p.Requests)
 }
--- a/internal/entry/statuses.go
+++ b/internal/entry/statuses.go
@@ -22,14 +22,38 @@
 // others for their statuses: extendBefore and two heartbeats.
 const statusAskBefore = extendBefore + time.Second
 
-// restsOnStatus reports whether this host may soon rest a permit, its
-// membership or its ownership on the statuses of the other entry hosts.
-func (s *State) restsOnStatus(now time.Time) bool {
+// standing is what decides whether a host needs the statuses of the others.
+type standing struct {
+	ready, established bool
+	// currentSince is the start of the last read of the head rows.
+	currentSince time.Time
+	// ownsUntil is the end of the host's own lease; zero without one.
+	ownsUntil time.Time
+}
+
+// standing returns this host's own.
+func (s *State) standing() standing {
 	view := s.config.View()
-	if !view.Ready || !s.roster.View().Established || now.Sub(view.CurrentSince) > statusAskAge {
+	own := standing{
+		ready: view.Ready, established: s.roster.View().Established, currentSince: view.CurrentSince,
+	}
+	if s.ownEpoch != 0 {
+		own.ownsUntil = s.lastOwner().ValidUntil
+	}
+	return own
+}
+
+// restsOnStatus reports whether the host may soon rest a permit, its membership
+// or its ownership on the statuses of the other entry hosts.
+func (h standing) restsOnStatus(now time.Time) bool {
+	switch {
+	case !h.ready, !h.established:
+		return true
+	case now.Sub(h.currentSince) > statusAskAge:
 		return true
+	default:
+		return !h.ownsUntil.IsZero() && !now.Before(h.ownsUntil.Add(-statusAskBefore))
 	}
-	return s.ownEpoch != 0 && !now.Before(s.lastOwner().ValidUntil.Add(-statusAskBefore))
 }
 
 // sentStatus is the last status that was sent to an entry host.
--- a/internal/entry/statuses_test.go
+++ b/internal/entry/statuses_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"dragonflyyard/internal/link"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/ownership"
+	"dragonflyyard/internal/permit"
 	"dragonflyyard/internal/wire"
 )
 
@@ -46,3 +49,34 @@
 		t.Error("no status on a new connection")
 	}
 }
+
+func TestStatusIsAskedForBeforeAnythingRestsOnIt(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	limits := permit.DefaultLimits()
+	beat := link.DefaultHeartbeat
+	cases := []struct {
+		name string
+		host standing
+		want bool
+	}{
+		{"read just now", standing{ready: true, established: true, currentSince: now}, false},
+		{"not ready", standing{established: true, currentSince: now}, true},
+		{"not established", standing{ready: true, currentSince: now}, true},
+		{"one heartbeat and a tick before a permit rests on statuses", standing{
+			ready: true, established: true, currentSince: ago(limits.Validity/2 - beat - 2*stateTick),
+		}, true},
+		{"lease renewed", standing{
+			ready: true, established: true, currentSince: now, ownsUntil: now.Add(ownership.DefaultLimits().Duration),
+		}, false},
+		{"one heartbeat and a tick before an owner asks for the roster's agreement", standing{
+			ready: true, established: true, currentSince: now, ownsUntil: now.Add(extendBefore + beat + stateTick),
+		}, true},
+		{"lease lapsed", standing{ready: true, established: true, currentSince: now, ownsUntil: ago(time.Second)}, true},
+	}
+	for _, c := range cases {
+		if got := c.host.restsOnStatus(now); got != c.want {
+			t.Errorf("%s: asked %v, want %v", c.name, got, c.want)
+		}
+	}
+}
