--- a/internal/faultmatrix/config_cells_test.go
+++ b/internal/faultmatrix/config_cells_test.go
@@ -29,16 +29,20 @@
 )
 
 func init() {
-	faults := []Fault{
-		HostKilled, ProcessFrozen, ConnectionSilent, ConnectionCut, ConnectionSlow, MessageDuplicated, MessageReordered,
-		MessageLost, TableDown, TableSlow, TableAnswerLost, ObjectStoreDown, EntryKilled, OperatorsRacing, SecondFault,
-	}
-	registerEach("configchange", []Promise{PromiseConfiguration, PromiseStore}, allSteps("configchange"), faults, runConfigCell)
+	registerEach("configchange", []Promise{PromiseConfiguration, PromiseStore}, allSteps("configchange"), configFaults(), runConfigCell)
 	registerImpossibleRows("configchange", PromiseConfiguration, "no agent takes part in a step of this chart", AgentKilled)
 	registerImpossibleRows("configchange", PromiseConfiguration, "any entry host writes changes; no step is taken under the owner's lease",
 		LeaseLapsed, OwnerKilled, OwnerDeposed)
 }
 
+// configFaults are the faults of the configuration change's rows.
+func configFaults() []Fault {
+	return []Fault{
+		HostKilled, ProcessFrozen, ConnectionSilent, ConnectionCut, ConnectionSlow, MessageDuplicated, MessageReordered,
+		MessageLost, TableDown, TableSlow, TableAnswerLost, ObjectStoreDown, EntryKilled, OperatorsRacing, SecondFault,
+	}
+}
+
 // submit hands a change to a host.
 func (w *configWorld) submit(h *configHost, change model.ConfigChange) {
 	w.lastToken++
--- a/internal/faultmatrix/drawn_test.go
+++ b/internal/faultmatrix/drawn_test.go
@@ -12,7 +12,7 @@
 // TestMain fixes the seed of drawn sequences, so that every run draws the same.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "40", "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "40", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
--- a/internal/faultmatrix/job_cells_test.go
+++ b/internal/faultmatrix/job_cells_test.go
@@ -13,16 +13,22 @@
 
 func init() {
 	promises := []Promise{PromiseGang, PromiseGuarantee, PromiseStore}
-	registerEach("gang", promises, allSteps("gang"), jobFaults(), driveGang)
+	registerEach("gang", promises, allSteps("gang"), jobFaults(), runGangCell)
 	registerEach("task", promises, allSteps("task"), jobFaults(), driveTask)
 }
 
-// driveGang takes a job to a step of the gang chart under a fault.
-func driveGang(t *testing.T, s step, f Fault) {
+// runGangCell takes a job to a step of the gang chart under a fault.
+func runGangCell(t *testing.T, s step, f Fault) {
+	driveGang(t, s, func(r *jobRig) { r.inject(f) })
+}
+
+// driveGang takes a job to a step of the gang chart, puts faults there and wants
+// the job and the guarantees to come through.
+func driveGang(t reporter, s step, put func(r *jobRig)) {
 	r := newJobRig(t, s, jobs.DefaultOptions())
 	r.presetGang()
 	act := func() {
-		r.inject(f)
+		put(r)
 		r.fireGang()
 	}
 	r.onOwner(func(j scheduler.JobState) { r.approachGang(j, act) })
--- a/internal/faultmatrix/job_faults_test.go
+++ b/internal/faultmatrix/job_faults_test.go
@@ -33,12 +33,6 @@
 	case ConnectionCut:
 		r.lose(h)
 		r.d.After(200*time.Millisecond, h.Reconnect)
-	case TableDown:
-		r.storeDown = r.d.Now.Add(networkTime)
-	case TableSlow:
-		r.storeSlow = r.d.Now.Add(networkTime)
-	case TableAnswerLost:
-		r.answersLost = r.d.Now.Add(networkTime)
 	case LeaseLapsed:
 		h.Frozen = true
 		r.d.After(4*time.Second, h.Thaw)
@@ -63,8 +57,26 @@
 		r.crash(h)
 		r.d.After(700*time.Millisecond, func() { r.inject(OwnerKilled) })
 	default:
-		r.injectNetwork(f)
+		if !r.injectTable(f) {
+			r.injectNetwork(f)
+		}
+	}
+}
+
+// injectTable applies a fault of the table service. It returns false for others.
+func (r *jobRig) injectTable(f Fault) bool {
+	until := r.d.Now.Add(networkTime)
+	switch f {
+	case TableDown:
+		r.storeDown = until
+	case TableSlow:
+		r.storeSlow = until
+	case TableAnswerLost:
+		r.answersLost = until
+	default:
+		return false
 	}
+	return true
 }
 
 // injectNetwork makes the whole network faulty for a while.
--- a/internal/faultmatrix/job_rig_test.go
+++ b/internal/faultmatrix/job_rig_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"testing"
 	"time"
 
 	"dragonflyyard/internal/gang"
@@ -28,7 +27,7 @@
 // jobRig runs the scheduler's owner, four agents and fake workers, takes a job
 // to a step, puts a fault there and checks what the workers ran.
 type jobRig struct {
-	t       *testing.T
+	t       reporter
 	d       *jobs.Driver
 	watch   *jobs.Watch
 	rng     *rand.Rand
@@ -61,7 +60,7 @@
 
 // newJobRig returns a rig of two racks of two workers, each rack in a zone of
 // its own, with a guarantee for both racks.
-func newJobRig(t *testing.T, s step, o jobs.Options) *jobRig {
+func newJobRig(t reporter, s step, o jobs.Options) *jobRig {
 	o.Latency = 20 * time.Millisecond
 	o.StoreLatency = 60 * time.Millisecond
 	o.Scheduler.ZoneDrain = 10 * time.Second
--- a/internal/faultmatrix/lease_cells_test.go
+++ b/internal/faultmatrix/lease_cells_test.go
@@ -25,13 +25,17 @@
 )
 
 func init() {
-	faults := []Fault{
+	registerEach("lease", []Promise{PromiseOwnership, PromiseStore}, allSteps("lease"), leaseFaults(), runLeaseCell)
+	registerImpossibleRows("lease", PromiseOwnership, "no agent takes part in a step of this chart", AgentKilled)
+	registerImpossibleRows("lease", PromiseOwnership, "no step of this chart reads or writes the object store", ObjectStoreDown)
+}
+
+// leaseFaults are the faults of the lease's rows.
+func leaseFaults() []Fault {
+	return []Fault{
 		HostKilled, ProcessFrozen, ConnectionSilent, ConnectionCut, ConnectionSlow, MessageDuplicated, MessageReordered,
 		MessageLost, TableDown, TableSlow, TableAnswerLost, LeaseLapsed, EntryKilled, OwnerKilled, OwnerDeposed, SecondFault,
 	}
-	registerEach("lease", []Promise{PromiseOwnership, PromiseStore}, allSteps("lease"), faults, runLeaseCell)
-	registerImpossibleRows("lease", PromiseOwnership, "no agent takes part in a step of this chart", AgentKilled)
-	registerImpossibleRows("lease", PromiseOwnership, "no step of this chart reads or writes the object store", ObjectStoreDown)
 }
 
 // disturb does one random thing of those that lead through all transitions.
--- a/internal/faultmatrix/matrix.go
+++ b/internal/faultmatrix/matrix.go
@@ -60,11 +60,23 @@
 type Matrix struct {
 	columns []Column
 	records map[Place]Record
+	pairs   map[string]Counts
+}
+
+// SetPair counts a run with two kinds of faults at once in a chart's world.
+func (m *Matrix) SetPair(chart string, passed bool) {
+	counts := m.pairs[chart]
+	if passed {
+		counts.Passed++
+	} else {
+		counts.Failed++
+	}
+	m.pairs[chart] = counts
 }
 
 // NewMatrix returns an empty matrix over the charts.
 func NewMatrix(charts []*statechart.Chart) *Matrix {
-	return &Matrix{columns: Columns(charts), records: map[Place]Record{}}
+	return &Matrix{columns: Columns(charts), records: map[Place]Record{}, pairs: map[string]Counts{}}
 }
 
 // Set keeps the record of a cell.
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -98,6 +98,7 @@
 		t.Run(chart.Name(), func(t *testing.T) { runCells(t, chart.Name(), columns, matrix) })
 	}
 	fillEmptyRows(matrix)
+	t.Run("pairs", func(t *testing.T) { runPairs(t, matrix) })
 	if testing.Verbose() {
 		for _, p := range matrix.Missing() {
 			t.Logf("no cell: %s under %s", p.Column, p.Fault)
--- a/internal/faultmatrix/page.go
+++ b/internal/faultmatrix/page.go
@@ -18,12 +18,40 @@
 
 `
 
+const pageNotProved = `
+## What is not proved
+
+- A cell samples: its storm has one seed and its fault one time; other orders of the same events may exist. A pair of faults
+  is met once, at one distance; three and more at once are met in ` + "`TestDrawnFaultSequences`" + ` alone.
+- Cells of request, backend, gang, task, lease, configchange and zone run the decision packages with small fakes of their
+  shells. Only the cells of connection run a shell, on real sockets. That the other shells keep the cores' rules is tested by
+  their own packages and by processes, not by the matrix.
+- The table service and the object store of the cells never lose what they have confirmed, and show no older row after a newer one.
+- Guarantees are checked on four workers in two racks; larger fleets are in the random sequences of ` + "`internal/replay/jobs`" + `.
+- The times are those of the decision packages under a clock of the test; what a host's load adds is not in them.
+`
+
+// writePairs counts the pairs of kinds of faults that were met.
+func (m *Matrix) writePairs(b *strings.Builder) {
+	b.WriteString("\n## Pairs of faults\n\nTwo faults at once, each kind with each, the second in the middle of the first; order, distance, host\n" +
+		"and step are drawn under a fixed seed.\n\n| chart | pairs passed | pairs failed |\n| --- | ---: | ---: |\n")
+	for _, name := range m.charts() {
+		if c, ok := m.pairs[name]; ok {
+			fmt.Fprintf(b, "| %s | %d | %d |\n", name, c.Passed, c.Failed)
+			continue
+		}
+		fmt.Fprintf(b, "| %s | not drawn | |\n", name)
+	}
+}
+
 // Page returns the Markdown page of the matrix.
 func (m *Matrix) Page() string {
 	var b strings.Builder
 	b.WriteString(pageIntroduction)
 	b.WriteString("## Counts\n\n" + m.Summary())
 	m.writeMissing(&b)
+	m.writePairs(&b)
+	b.WriteString(pageNotProved)
 	b.WriteString("\n## Faults\n\n| column | fault | meaning |\n| --- | --- | --- |\n")
 	for i, f := range Faults() {
 		fmt.Fprintf(&b, "| %s | %s | %s |\n", faultLetter(i), f.Fault, f.Meaning)
--- a/internal/faultmatrix/zone_cells_test.go
+++ b/internal/faultmatrix/zone_cells_test.go
@@ -29,14 +29,18 @@
 )
 
 func init() {
-	faults := []Fault{
+	registerEach("zone", []Promise{PromiseZoneOut, PromiseStore}, allSteps("zone"), zoneFaults(), runZoneCell)
+	registerImpossibleRows("zone", PromiseZoneOut, "every entry host gives permits; the scheduler's owner takes no part in a step of this chart",
+		OwnerKilled, OwnerDeposed)
+}
+
+// zoneFaults are the faults of the zone's rows.
+func zoneFaults() []Fault {
+	return []Fault{
 		HostKilled, ProcessFrozen, ConnectionSilent, ConnectionCut, ConnectionSlow, MessageDuplicated, MessageReordered,
 		MessageLost, TableDown, TableSlow, TableAnswerLost, LeaseLapsed, EntryKilled, AgentKilled, OperatorsRacing,
 		ObjectStoreDown, SecondFault,
 	}
-	registerEach("zone", []Promise{PromiseZoneOut, PromiseStore}, allSteps("zone"), faults, runZoneCell)
-	registerImpossibleRows("zone", PromiseZoneOut, "every entry host gives permits; the scheduler's owner takes no part in a step of this chart",
-		OwnerKilled, OwnerDeposed)
 }
 
 // tick lets the agents try to start tasks and checks each start.
