--- a/internal/configstore/size_test.go
+++ b/internal/configstore/size_test.go
@@ -1,6 +1,8 @@
 package configstore
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"dragonflyyard/internal/model"
@@ -13,19 +15,22 @@
 	account := &model.ClientAccount{ID: "one-more", Weight: 1}
 	add := model.ConfigChange{ID: "c1", Object: ObjectAccount + "one-more", Account: account}
 	cases := []struct {
-		name   string
-		teams  int
-		change model.ConfigChange
-		code   string
+		name     string
+		document *model.ConfigDocument
+		change   model.ConfigChange
+		code     string
 	}{
-		{"largest deployment", 680, add, ""},
-		{"too many teams", 12_000, add, CodeDocumentTooLarge},
-		{"more than a frame", 40_000, add, CodeDocumentTooLarge},
-		{"deletion", 40_000, model.ConfigChange{ID: "c1", Object: ObjectGuarantee + "shape-0001", Delete: true}, ""},
+		{"largest deployment", teamDocument(680), add, ""},
+		{"longest IDs of the largest deployment", longDocument(680), add, ""},
+		{"longest IDs", longDocument(2000), add, ""},
+		{"too many of the longest IDs", longDocument(3000), add, CodeDocumentTooLarge},
+		{"too many teams", teamDocument(12_000), add, CodeDocumentTooLarge},
+		{"more than a frame", teamDocument(40_000), add, CodeDocumentTooLarge},
+		{"deletion", teamDocument(40_000), model.ConfigChange{ID: "c1", Object: ObjectGuarantee + "shape-0001", Delete: true}, ""},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			next, reason := Apply(teamDocument(c.teams), c.change)
+			next, reason := Apply(c.document, c.change)
 			if reason != nil {
 				t.Fatal(reason)
 			}
@@ -33,10 +38,24 @@
 			if got := codeOf(reason); got != c.code {
 				t.Errorf("got %q, want %q", got, c.code)
 			}
+			if _, err := wire.Encode(&wire.ConfigUpdate{Document: next}); c.code == "" && !c.change.Delete && err != nil {
+				t.Errorf("accepted: %v", err)
+			}
 		})
 	}
 }
 
+// longDocument returns a document with a number of accounts with the longest IDs.
+func longDocument(accounts int) *model.ConfigDocument {
+	d := NewDocument()
+	for i := range accounts {
+		id := model.ClientAccountID(fmt.Sprintf("%s-%06d", strings.Repeat("x", 120), i))
+		d.Accounts[id] = model.ClientAccount{ID: id, Weight: 1}
+		d.ObjectVersions[ObjectAccount+string(id)] = model.ConfigVersion(i + 1)
+	}
+	return d
+}
+
 func codeOf(reason *ValidationError) string {
 	if reason == nil {
 		return ""
--- a/internal/entry/schedulerrows.go
+++ b/internal/entry/schedulerrows.go
@@ -150,9 +150,9 @@
 	if err != nil {
 		return nil, err
 	}
-	var found scheduler.JobRow
-	if err := json.Unmarshal(row.Value, &found); err != nil {
-		return nil, errors.Wrapf(err, "decode job row %q", key)
+	found, err := decodeJobRow(row, s.rowPrefix())
+	if err != nil {
+		return nil, err
 	}
 	return &found, nil
 }
@@ -253,8 +253,8 @@
 		rows, err := s.calls.list(ctx, s.rowPrefix())
 		result.err = err
 		for _, row := range rows {
-			var decoded scheduler.JobRow
-			if err := json.Unmarshal(row.Value, &decoded); err != nil {
+			decoded, err := decodeJobRow(row, s.rowPrefix())
+			if err != nil {
 				s.p.Log.Record(event.Event{Code: event.RowWriteFailed, Subject: row.Key, Detail: err.Error()})
 				continue
 			}
@@ -302,6 +302,7 @@
 	document, _ := s.state.Document()
 	s.loading, s.ready, s.kept = 0, true, result.kept
 	s.rows.reset()
+	clear(s.doubtful)
 	owner := scheduler.BecomeOwner{Epoch: result.epoch, Rows: result.rows, Ended: result.ended, Snapshot: result.snapshot, Config: document}
 	s.perform(s.core.Step(s.p.Now(), owner))
 	s.resumeCancels(result.cancels)
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -25,6 +25,9 @@
 		if now.Before(j.NotBefore) {
 			continue
 		}
+		if !c.mayClaim(now) {
+			return
+		}
 		c.claim(now, j)
 	}
 }
@@ -41,6 +44,9 @@
 	c.ledger.Occupy(claim, j.Job.ID)
 	j.Class = model.CapacityGuaranteed
 	j.Cell = claim.Key
+	if cell := c.ledger.Cell(claim.Key); len(cell.Workers) > len(claim.Workers) {
+		j.CellWorkers = slices.Clone(cell.Workers)
+	}
 	c.evict(now, j, victims, wire.StopReclaimed)
 	c.beginAttempt(now, j, claim.Workers, "in its guaranteed cell "+claim.Key)
 	return true
