Fence a home whose permits ended, in cells and in a test

Cause: a home that grants claims after its permits ended was caught by no cell and by no test of dedup and requestflow: in all runs an entry host with the present assignment still reached it, and the version of that permit fenced it. Change: the bag can part an entry host from an agent. The cells of a lease that lapses in a pause let the home wake where only an entry host with the former assignment reaches it, and send the same requests through both entry hosts; a test of requestflow does the same. The racing operators' cells of backend servers leave the zone out for a while, and no work may start there after 3 s (promise 4).

--- a/internal/faultmatrix/backend_cells_test.go
+++ b/internal/faultmatrix/backend_cells_test.go
@@ -13,8 +13,13 @@
 )
 
 func init() {
-	registerEach("backend", []Promise{PromiseGracefulStop, PromiseRetryBudget}, allSteps("backend"),
-		append(requestFaults(), outageFaults()...), runBackendCell)
+	for _, f := range append(requestFaults(), outageFaults()...) {
+		promises := []Promise{PromiseGracefulStop, PromiseRetryBudget}
+		if f == OperatorsRacing {
+			promises = append(promises, PromiseZoneOut)
+		}
+		registerEach("backend", promises, allSteps("backend"), []Fault{f}, runBackendCell)
+	}
 }
 
 // runBackendCell brings the backend server with index 1 into the step's state
--- a/internal/faultmatrix/page.go
+++ b/internal/faultmatrix/page.go
@@ -24,8 +24,9 @@
 - A cell samples: its storm has one seed and its fault one time; other orders of the same events may exist. A pair of faults
   is met once, at one distance; three and more at once are met in ` + "`TestDrawnFaultSequences`" + ` alone.
 - Cells of request, backend, gang, task, lease, configchange and zone run the decision packages with small fakes of their
-  shells. Only the cells of connection run a shell, on real sockets. That the other shells keep the cores' rules is tested by
-  their own packages and by processes, not by the matrix.
+  shells. Only the cells of connection run a shell, on real sockets. The shells of the request path run through faults of the
+  table service, the object store and the connections in ` + "`internal/entry`" + `, and as processes that are killed and stopped in
+  ` + "`internal/proctest`" + `: there a fault comes at a time, not at each step. The shells of the job path have no such table.
 - The table service and the object store of the cells never lose what they have confirmed, and show no older row after a newer one.
 - Guarantees are checked on four workers in two racks; larger fleets are in the random sequences of ` + "`internal/replay/jobs`" + `.
 - The times are those of the decision packages under a clock of the test; what a host's load adds is not in them.
--- a/internal/faultmatrix/request_faults_test.go
+++ b/internal/faultmatrix/request_faults_test.go
@@ -63,7 +63,7 @@
 	case ConnectionSlow, MessageDuplicated, MessageReordered, MessageLost:
 		disturbMessages(b, f, taken)
 	case LeaseLapsed:
-		b.PauseAgent(agent, longPause)
+		lapsePermits(b, entry, agent)
 	case EntryKilled:
 		b.KillEntry(entry)
 		b.At(longPause, func() { b.RestartEntry(entry) })
@@ -84,11 +84,32 @@
 	}
 }
 
-// raceZone lets two operators take an agent's zone out and bring it back in turn.
+// lapsePermits pauses an agent until its permits have ended and its ranges have
+// moved. When it wakes, only an entry host that does not know of the move reaches
+// it, and the same requests come to that entry host and to the other one.
+func lapsePermits(b *requesttest.Bag, entry, agent int) {
+	const twins = 60
+	other := (entry + 1) % bagEntries
+	b.PauseAgent(agent, longPause)
+	b.KeepStale(entry, agent, 3*longPause)
+	b.Part(other, agent, 3*longPause)
+	for i := range twins {
+		b.At(longPause+time.Duration(i)*longPause/twins, func() {
+			request := b.NewRequest(i%2 == 0, 2*shortPause)
+			b.Submit(entry, request)
+			b.At(shortPause/10, func() { b.Submit(other, request) })
+		})
+	}
+}
+
+// raceZone lets two operators take an agent's zone out and bring it back in
+// turn. It stays out for a while in the end.
 func raceZone(b *requesttest.Bag, agent int) {
-	for i := range 4 {
+	const moves = 5
+	for i := range moves {
 		b.At(time.Duration(i)*shortPause, func() { b.SetZoneOut(agent, i%2 == 0) })
 	}
+	b.At(moves*shortPause+2*longPause, func() { b.SetZoneOut(agent, false) })
 }
 
 // disturbAssignment hinders the move of a dead or leaving home's ranges.
--- a/internal/requestflow/fence_test.go
+++ b/internal/requestflow/fence_test.go
@@ -33,6 +33,29 @@
 	}
 }
 
+// A home that no entry host with the present assignment reaches gets no permits,
+// and must not grant what the new home grants.
+func TestPartedHomeGrantsNothingAfterItsPermits(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		b := requesttest.New(requesttest.Options{Seed: 7, Entries: entries, Agents: agents, Skew: true})
+		b.Run(4 * time.Second)
+		b.KeepStale(0, 0, 14*time.Second)
+		b.Part(1, 0, 14*time.Second)
+		b.PauseAgent(0, 2*time.Second)
+		b.Run(3 * time.Second)
+		for i := range 200 {
+			b.At(time.Duration(i*45)*time.Millisecond, func() {
+				request := b.NewRequest(idempotent, 800*time.Millisecond)
+				b.Submit(0, request)
+				b.At(time.Duration(i%7)*20*time.Millisecond, func() { b.Submit(1, request) })
+			})
+		}
+		b.Run(10 * time.Second)
+		b.Settle(settleTime)
+		report(t, b, "parted home")
+	}
+}
+
 func answeredShare(b *requesttest.Bag, entry int, from time.Time) float64 {
 	answered, all := 0, 0
 	for _, s := range b.Submissions() {
--- a/internal/requestflow/requesttest/bag.go
+++ b/internal/requestflow/requesttest/bag.go
@@ -97,17 +97,18 @@
 	// Log lists what happened, for the report of a failure.
 	Log []string
 
-	options    Options
-	clock      *simclock.Clock
-	entries    []*entryHost
-	agents     []*agentHost
-	conns      map[[2]int]*conn
-	nextConn   uint64
-	assignment wire.Assignment
-	former     wire.Assignment
-	storeDown  time.Time
-	ownerDown  time.Time
-	readDown   time.Time
+	options     Options
+	clock       *simclock.Clock
+	entries     []*entryHost
+	agents      []*agentHost
+	conns       map[[2]int]*conn
+	partedUntil map[[2]int]time.Time
+	nextConn    uint64
+	assignment  wire.Assignment
+	former      wire.Assignment
+	storeDown   time.Time
+	ownerDown   time.Time
+	readDown    time.Time
 	// acceptDelay is how long the next assignment takes from its plan to its effect.
 	acceptDelay time.Duration
 	ledger      ledger
@@ -118,7 +119,7 @@
 func New(o Options) *Bag {
 	b := &Bag{
 		Random: rand.New(rand.NewPCG(o.Seed, 1)), options: o, clock: simclock.New(Epoch),
-		conns: map[[2]int]*conn{}, ledger: newLedger(),
+		conns: map[[2]int]*conn{}, partedUntil: map[[2]int]time.Time{}, ledger: newLedger(),
 	}
 	for i := range o.Agents {
 		b.agents = append(b.agents, &agentHost{index: i, offset: b.offset()})
@@ -229,7 +230,11 @@
 // of it with its next permits.
 func (b *Bag) SetZoneOut(agent int, out bool) {
 	b.logf("zone of agent %d is out: %v", agent, out)
-	b.agents[agent].zoneOut = out
+	a := b.agents[agent]
+	if out && !a.zoneOut {
+		a.zoneOutSince = b.Now()
+	}
+	a.zoneOut = out
 }
 
 // StopOwner leaves the assignment without an owner for a while.
--- a/internal/requestflow/requesttest/hosts.go
+++ b/internal/requestflow/requesttest/hosts.go
@@ -41,11 +41,12 @@
 	staleUntil  time.Time
 	leaving     bool
 	// zoneOut is what permits say of the agent's zone.
-	zoneOut bool
-	leftAt  time.Time
-	stopped bool
-	running map[model.RequestID]int
-	credits map[int]wire.Credit
+	zoneOut      bool
+	zoneOutSince time.Time
+	leftAt       time.Time
+	stopped      bool
+	running      map[model.RequestID]int
+	credits      map[int]wire.Credit
 }
 
 func (e *entryHost) id() model.EntryID         { return model.EntryID(fmt.Sprintf("entry-%d", e.index)) }
--- a/internal/requestflow/requesttest/ledger.go
+++ b/internal/requestflow/requesttest/ledger.go
@@ -15,6 +15,9 @@
 // the seal's timeout and the tick.
 const outcomeGrace = 500 * time.Millisecond
 
+// zoneOutLimit is the time after which no work starts in a zone that is out.
+const zoneOutLimit = 3 * time.Second
+
 // Submission is one caller's request and what became of it.
 type Submission struct {
 	Request model.Request
@@ -163,6 +166,9 @@
 	if a.stopped {
 		b.violate("%s was started on agent %d after it was ready to stop", r.ID, a.index)
 	}
+	if since := b.Now().Sub(a.zoneOutSince); a.zoneOut && since > zoneOutLimit {
+		b.violate("%s was started on agent %d %s after its zone was taken out", r.ID, a.index, since)
+	}
 	slots := 0
 	for _, n := range a.running {
 		slots += n
--- a/internal/requestflow/requesttest/network.go
+++ b/internal/requestflow/requesttest/network.go
@@ -29,6 +29,10 @@
 	if old := b.conns[key]; old != nil && old.entryUp && old.agentUp {
 		return
 	}
+	if until := b.partedUntil[key]; b.Now().Before(until) {
+		b.At(until.Sub(b.Now()), func() { b.connect(entry, agent) })
+		return
+	}
 	frozen := e.frozenUntil
 	if a.frozenUntil.After(frozen) {
 		frozen = a.frozenUntil
@@ -126,6 +130,12 @@
 	b.At(ReconnectDelay, func() { b.connect(entry, agent) })
 }
 
+// Part closes a connection and lets no other be opened for a while.
+func (b *Bag) Part(entry, agent int, d time.Duration) {
+	b.partedUntil[[2]int{entry, agent}] = b.Now().Add(d)
+	b.Cut(entry, agent)
+}
+
 func (b *Bag) endConn(c *conn) {
 	c.silent = true
 	b.downAtEntry(c)
