Keep the settings of drawn sequences in one place

Cause: three packages set rapid's seed and drew masks of true values in code of their own. Ruled out: rapid's flags in the Makefile, which a plain go test would not see.

--- a/internal/faultmatrix/drawn_test.go
+++ b/internal/faultmatrix/drawn_test.go
@@ -1,24 +1,18 @@
 package faultmatrix
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"dragonflyyard/internal/drawn"
 )
 
-// TestMain fixes the seed of drawn sequences, so that every run draws the same.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "40", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+// sequencesDrawn is how many sequences of faults each world meets.
+const sequencesDrawn = 40
+
+func TestMain(m *testing.M) { drawn.Main(m, sequencesDrawn) }
 
 // drawnFault is one fault of a drawn sequence.
 type drawnFault struct {
@@ -46,8 +40,8 @@
 }
 
 // schedule puts drawn faults into a world.
-func schedule(w *world, drawn []drawnFault, put func(host int, f Fault)) {
-	for _, d := range drawn {
+func schedule(w *world, sequence []drawnFault, put func(host int, f Fault)) {
+	for _, d := range sequence {
 		w.after(time.Duration(d.At)*time.Millisecond, func() { put(d.Host, d.Fault) })
 	}
 }
@@ -64,10 +58,10 @@
 		t.Parallel()
 		faults := append([]Fault{LeaseLapsed, OwnerKilled, OwnerDeposed, SecondFault}, storeFaults...)
 		rapid.Check(t, func(t *rapid.T) {
-			drawn := drawFaults(t, leaseCandidates, faults)
+			sequence := drawFaults(t, leaseCandidates, faults)
 			w := newLeaseWorld(t, 1)
 			w.run(leaseWarmUp, w.tick)
-			schedule(w.world, drawn, func(host int, f Fault) { w.put(w.hosts[host], f) })
+			schedule(w.world, sequence, func(host int, f Fault) { w.put(w.hosts[host], f) })
 			w.run(drawnLength+leaseFaultLength, w.tick)
 			w.checkEnd()
 		})
@@ -76,10 +70,10 @@
 		t.Parallel()
 		faults := append([]Fault{ObjectStoreDown, OperatorsRacing, SecondFault}, storeFaults...)
 		rapid.Check(t, func(t *rapid.T) {
-			drawn := drawFaults(t, configHosts, faults)
+			sequence := drawFaults(t, configHosts, faults)
 			w := newConfigWorld(t, 1)
 			w.run(configWarmUp, w.tick)
-			schedule(w.world, drawn, func(host int, f Fault) { w.put(w.hosts[host], f) })
+			schedule(w.world, sequence, func(host int, f Fault) { w.put(w.hosts[host], f) })
 			w.run(drawnLength+configFaultLength, w.work)
 			w.heal()
 			w.run(configInForce, w.tick)
@@ -90,10 +84,10 @@
 		t.Parallel()
 		faults := append([]Fault{AgentKilled, LeaseLapsed, OperatorsRacing, SecondFault}, storeFaults...)
 		rapid.Check(t, func(t *rapid.T) {
-			drawn := drawFaults(t, configHosts, faults)
+			sequence := drawFaults(t, configHosts, faults)
 			w := newZoneWorld(t, 1)
 			w.run(configWarmUp, w.tick)
-			schedule(w.world, drawn, func(host int, f Fault) { w.put(w.hosts[host], f) })
+			schedule(w.world, sequence, func(host int, f Fault) { w.put(w.hosts[host], f) })
 			w.run(drawnLength+configFaultLength, w.work)
 			w.checkZoneEnd()
 		})
--- a/internal/replay/jobs/faults_test.go
+++ b/internal/replay/jobs/faults_test.go
@@ -1,16 +1,14 @@
 package jobs
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"dragonflyyard/internal/drawn"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/scheduler"
 	"dragonflyyard/internal/wire"
@@ -208,15 +206,7 @@
 	return numbers
 }
 
-func drawSteps(t *rapid.T) stepsTaken {
-	steps := make(stepsTaken, stepsDrawn)
-	for i := range steps {
-		for range 3 {
-			steps[i] = rapid.Bool().Draw(t, "bit") || steps[i]
-		}
-	}
-	return steps
-}
+func drawSteps(t *rapid.T) stepsTaken { return drawn.Most(t, stepsDrawn) }
 
 func runChaos(seed uint64, lose float64, steps stepsTaken) *chaos {
 	d := NewDriver(DefaultOptions(), fleet(), testConfig(), testStart)
@@ -240,18 +230,7 @@
 	return c
 }
 
-// TestMain fixes the seed of drawn sequences, so that every run draws the same.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{
-		"rapid.seed": "20261204", "rapid.checks": strconv.Itoa(runsDrawn), "rapid.nofailfile": "true",
-	} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { drawn.Main(m, runsDrawn) }
 
 func TestPromisesHoldUnderRandomFaults(t *testing.T) {
 	for part := range uint64(parts) {
--- a/internal/requestflow/random_test.go
+++ b/internal/requestflow/random_test.go
@@ -1,18 +1,16 @@
 package requestflow_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"dragonflyyard/internal/drawn"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/requestflow/requesttest"
 )
@@ -115,7 +113,7 @@
 }
 
 func drawSent(t *rapid.T) sentRequests {
-	sentGroups, sentPlaces := drawMost(t, groups), drawMost(t, places)
+	sentGroups, sentPlaces := drawn.Most(t, groups), drawn.Most(t, places)
 	sent := make(sentRequests, groups*places)
 	for i := range sent {
 		sent[i] = sentGroups[i/places] && sentPlaces[i%places]
@@ -123,17 +121,6 @@
 	return sent
 }
 
-// drawMost draws true in seven cases of eight.
-func drawMost(t *rapid.T, n int) []bool {
-	most := make([]bool, n)
-	for i := range most {
-		for range 3 {
-			most[i] = rapid.Bool().Draw(t, "bit") || most[i]
-		}
-	}
-	return most
-}
-
 // drive submits requests for ten seconds, some of them twice, with faults in
 // between, and returns the bag after it settled.
 func drive(s sequence, rates float64) *requesttest.Bag {
@@ -209,18 +196,7 @@
 // checksEach is how many sequences each part of a test draws.
 const checksEach = 2
 
-// TestMain fixes the seed of drawn sequences, so that every run draws the same.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{
-		"rapid.seed": "20261204", "rapid.checks": strconv.Itoa(checksEach), "rapid.nofailfile": "true",
-	} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { drawn.Main(m, checksEach) }
 
 func TestPairsOfFaultsBreakNoPromise(t *testing.T) {
 	all := faultNames()
