--- a/internal/faultmatrix/job_faults_test.go
+++ b/internal/faultmatrix/job_faults_test.go
@@ -12,7 +12,7 @@
 // jobFaults are the faults of the rows that the job path's cells drive.
 func jobFaults() []Fault {
 	return []Fault{
-		HostKilled, ProcessFrozen, ConnectionSilent, ConnectionCut, ConnectionSlow, MessageDuplicated, MessageReordered, MessageLost,
+		ObjectStoreDown, OperatorsRacing, HostKilled, ProcessFrozen, ConnectionSilent, ConnectionCut, ConnectionSlow, MessageDuplicated, MessageReordered, MessageLost,
 		TableDown, TableSlow, TableAnswerLost, LeaseLapsed, EntryKilled, AgentKilled, OwnerKilled, OwnerDeposed, SecondFault,
 	}
 }
@@ -33,18 +33,17 @@
 	case ConnectionCut:
 		r.lose(h)
 		r.d.After(200*time.Millisecond, h.Reconnect)
-	case TableDown:
-		r.storeDown = r.d.Now.Add(networkTime)
-	case TableSlow:
-		r.storeSlow = r.d.Now.Add(networkTime)
-	case TableAnswerLost:
-		r.answersLost = r.d.Now.Add(networkTime)
 	case LeaseLapsed:
 		h.Frozen = true
 		r.d.After(4*time.Second, h.Thaw)
 	case EntryKilled, OwnerKilled:
 		r.d.Kill(r.d.Owner)
 		r.elect(3 * time.Second)
+	case ObjectStoreDown:
+		// The object store matters to a new owner alone: it finds no snapshot.
+		r.objectsDown, r.d.Snapshot = true, nil
+		r.d.Kill(r.d.Owner)
+		r.elect(3 * time.Second)
 	case AgentKilled:
 		h.RestartAgent()
 	case OwnerDeposed:
@@ -58,8 +57,26 @@
 		r.crash(h)
 		r.d.After(700*time.Millisecond, func() { r.inject(OwnerKilled) })
 	default:
-		r.injectNetwork(f)
+		if !r.injectTable(f) {
+			r.injectNetwork(f)
+		}
+	}
+}
+
+// injectTable applies a fault of the table service. It returns false for others.
+func (r *jobRig) injectTable(f Fault) bool {
+	until := r.d.Now.Add(networkTime)
+	switch f {
+	case TableDown:
+		r.storeDown = until
+	case TableSlow:
+		r.storeSlow = until
+	case TableAnswerLost:
+		r.answersLost = until
+	default:
+		return false
 	}
+	return true
 }
 
 // injectNetwork makes the whole network faulty for a while.
--- a/internal/faultmatrix/job_rig_test.go
+++ b/internal/faultmatrix/job_rig_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"testing"
 	"time"
 
 	"dragonflyyard/internal/gang"
@@ -19,13 +18,16 @@
 	rigTask = model.TaskID("job/0")
 )
 
+// snapshotInterval is how old a snapshot may be that a new owner finds.
+const snapshotInterval = 2500 * time.Millisecond
+
 // rigLimit is how long a cell waits for the job to come to its end.
 const rigLimit = 120 * time.Second
 
 // jobRig runs the scheduler's owner, four agents and fake workers, takes a job
 // to a step, puts a fault there and checks what the workers ran.
 type jobRig struct {
-	t       *testing.T
+	t       reporter
 	d       *jobs.Driver
 	watch   *jobs.Watch
 	rng     *rand.Rand
@@ -44,7 +46,9 @@
 	// firstWrite is what the table service does with the job's first decision row.
 	firstWrite *scheduler.DecisionResult
 	// notApplied is set when that write has no effect.
-	notApplied  bool
+	notApplied bool
+	// objectsDown keeps snapshots from being stored.
+	objectsDown bool
 	storeDown   time.Time
 	storeSlow   time.Time
 	answersLost time.Time
@@ -56,7 +60,7 @@
 
 // newJobRig returns a rig of two racks of two workers, each rack in a zone of
 // its own, with a guarantee for both racks.
-func newJobRig(t *testing.T, s step, o jobs.Options) *jobRig {
+func newJobRig(t reporter, s step, o jobs.Options) *jobRig {
 	o.Latency = 20 * time.Millisecond
 	o.StoreLatency = 60 * time.Millisecond
 	o.Scheduler.ZoneDrain = 10 * time.Second
@@ -87,10 +91,21 @@
 	}
 	r.d.Hooks.Deliver = r.deliver
 	r.d.Hooks.Decide = r.decide
+	r.storeSnapshots()
 	r.d.Hooks.StoreDown = func() bool { return r.d.Now.Before(r.storeDown) }
 	return r
 }
 
+// storeSnapshots lets the owner store its state, again and again.
+func (r *jobRig) storeSnapshots() {
+	r.d.After(snapshotInterval, func() {
+		if owner := r.d.Owner; !r.objectsDown && !owner.Paused && !owner.Core.IsRecovering() {
+			r.d.Snapshot = owner.Core.Snapshot()
+		}
+		r.storeSnapshots()
+	})
+}
+
 func (r *jobRig) notef(format string, args ...any) {
 	r.log = append(r.log, r.d.Now.Format("04:05.000 ")+fmt.Sprintf(format, args...))
 }
