Take no switch of protocols for an answer; name the callers' codes

Cause: a backend server's status below 400 was an answer, also 101: the caller was told 101 with no body, and its connection was over. Ruled out: to hand on 204 and 304 as failures; they are answers without a body. Change: 200 to 399 is the answer, 400 and above a failure, below 200 lost.

Before: the case "another protocol" was answered with status 101.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -89,7 +89,7 @@
 func backendResult(id model.RequestID, answer *fasthttp.Response, err error) executor.BackendDone {
 	done := executor.BackendDone{Request: id}
 	switch {
-	case err == nil && isOfAnother(id, answer):
+	case err == nil && (isOfAnother(id, answer) || answer.StatusCode() < fasthttp.StatusOK):
 		done.Result = executor.BackendLost
 		return done
 	case err == nil && answer.StatusCode() < fasthttp.StatusBadRequest:
--- a/internal/agent/backend_contract_test.go
+++ b/internal/agent/backend_contract_test.go
@@ -50,6 +50,7 @@
 		{"names this request", func(c standin.RawCall) bool {
 			return c.Send(standin.Whole(200, "X-Request-Id: "+c.ID+"\r\n", "hello"))
 		}, executor.BackendAnswered, 200, false},
+		{"another protocol", standin.ThenCut("HTTP/1.1 101 x\r\nUpgrade: other\r\n\r\nhello"), executor.BackendLost, 0, false},
 		{"status of a failure", standin.Always(standin.Whole(503, "", "hello")), executor.BackendFailed, 503, false},
 		{"status out of range", standin.Always(standin.Whole(999, "", "hello")), executor.BackendFailed, 999, false},
 		{"reset before the answer", standin.RawCall.Reset, executor.BackendLost, 0, false},
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -24,6 +24,16 @@
 // PathRequests takes requests; a slash and a request ID follow for a look-up.
 const PathRequests = "/v1/requests"
 
+// Codes of refused input. docs/API.md lists them with their statuses.
+const (
+	CodeBadRequestID     = "bad_request_id"
+	CodeBadClientAccount = "bad_client_account"
+	CodeBadIdempotent    = "bad_idempotent"
+	CodeBadDeadline      = "bad_deadline"
+	CodeBadSlots         = "bad_slots"
+	CodeNoSuchRequest    = "no_such_request"
+)
+
 // OutcomeInProgress is the outcome of a look-up of a request without an answer yet.
 const OutcomeInProgress = "in_progress"
 
