--- a/internal/configstore/apply.go
+++ b/internal/configstore/apply.go
@@ -26,10 +26,7 @@
 	CodeGangTooLarge    = "gang_too_large"
 	CodeOutOfRange      = "value_out_of_range"
 	CodeGuaranteeNoRoom = "guarantee_does_not_fit"
-	// CodeTooLarge means that the whole configuration would be too large to be
-	// sent to the other processes.
-	CodeTooLarge = "configuration_too_large"
-	CodeIDReused = "change_id_reused"
+	CodeIDReused        = "change_id_reused"
 	// CodeDocumentTooLarge means that the configuration would exceed MaxDocumentBytes.
 	CodeDocumentTooLarge = "configuration_too_large"
 )
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -12,7 +12,6 @@
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/operatorapi"
 	"dragonflyyard/internal/process"
-	"dragonflyyard/internal/wire"
 )
 
 // operatorPatience is how long an operator's call waits for its answer.
@@ -63,24 +62,8 @@
 	lookup.answer <- nil
 }
 
-// maxDocumentBytes bounds the configuration as it is sent to other processes,
-// in one frame beside the home assignment.
-const maxDocumentBytes = wire.MaxFrameBytes / 2
-
-// validateChange refuses a change that leads to a configuration which cannot be
-// sent, or to a guarantee that cannot be kept. It runs on the state duty.
-func (s *State) validateChange(next *model.ConfigDocument, change model.ConfigChange) error {
-	frame, err := wire.Encode(&wire.ConfigUpdate{Document: next})
-	if err != nil || len(frame) > maxDocumentBytes {
-		return &configstore.ValidationError{
-			Code: configstore.CodeTooLarge, Message: "The configuration would be larger than 1 MiB; delete what is not used.",
-		}
-	}
-	return s.validateGuarantee(next, change)
-}
-
 // validateGuarantee refuses a guarantee that the fleet has no room for beside
-// all other guarantees.
+// all other guarantees. It runs on the state duty.
 func (s *State) validateGuarantee(next *model.ConfigDocument, change model.ConfigChange) error {
 	if change.Guarantee == nil {
 		return nil
