Hold a throttle or checkpoint that finds no room among the orders

Cause: orders to the worker go through a bounded ring. Where it was full, a start was reported as failed and the member repeats leases and stops, but a throttle or a checkpoint was gone, with a log line. A task whose lease lapsed then went on at full speed while it counted as suspended. Ruled out: to wait for room. The worker duty would stand still while the worker is silent, and with it the leases of all other tasks. Change: the last throttle and the checkpoint of each task are held and queued with a later tick. A newer one replaces a held one. Before: the orders were dropped (taskOf and order reported only the failure; the test needs orderHeld and could not be run on it).

--- a/internal/agent/worker.go
+++ b/internal/agent/worker.go
@@ -94,6 +94,7 @@
 		case in := <-w.inputs.Out():
 			w.take(in)
 		case <-ticker.C:
+			w.caller.orderHeld()
 			w.step(gang.Tick{})
 		case <-ctx.Done():
 			return nil
--- a/internal/agent/worker_contract_test.go
+++ b/internal/agent/worker_contract_test.go
@@ -142,6 +142,37 @@
 	}
 }
 
+// TestOrdersThatFindNoRoomAreHeld fills the ring of orders. The last throttle
+// of a task and its checkpoint arrive once there is room again, and no older one.
+func TestOrdersThatFindNoRoomAreHeld(t *testing.T) {
+	r := newWorkerRig(t)
+	for r.caller.orders.TryPush(gang.ExtendLease{Task: "other/0"}) {
+		continue
+	}
+	r.caller.order(gang.ThrottleTask{Task: testTask, Percent: 100})
+	r.caller.order(gang.ThrottleTask{Task: testTask, Percent: 0})
+	r.caller.order(gang.CheckpointTask{Task: testTask})
+	r.caller.orderHeld()
+	throttles, checkpoints := []int{}, 0
+	drain := func() {
+		for r.caller.orders.Len() > 0 {
+			switch action := (<-r.caller.orders.Out()).(type) {
+			case gang.ThrottleTask:
+				throttles = append(throttles, action.Percent)
+			case gang.CheckpointTask:
+				checkpoints++
+			}
+		}
+	}
+	drain()
+	r.caller.orderHeld()
+	r.caller.orderHeld()
+	drain()
+	if len(throttles) != 1 || throttles[0] != 0 || checkpoints != 1 {
+		t.Errorf("throttles %v, %d checkpoints", throttles, checkpoints)
+	}
+}
+
 // TestAnOrderForATaskThatEndedIsTaken wants no alarm for a task that does not
 // run any more.
 func TestAnOrderForATaskThatEndedIsTaken(t *testing.T) {
--- a/internal/agent/workercaller.go
+++ b/internal/agent/workercaller.go
@@ -23,6 +23,9 @@
 	poll   time.Duration
 	orders *ring.Ring[gang.Action]
 	now    func() time.Time
+	// held are orders that found no room and that nobody else repeats, the last
+	// of each kind and task. Only the worker duty uses them.
+	held map[heldOrder]gang.Action
 	// known are the tasks that were started and have not ended.
 	known map[model.TaskID]*knownTask
 	// unseen is set while the worker's list of tasks cannot be had.
@@ -53,14 +56,41 @@
 	return &workerCaller{
 		w: w, client: newWorkerClient(s.Address), poll: s.Poll, now: p.Now,
 		orders: ring.New[gang.Action]("worker.orders", p.Config.Settings.Process.RingCapacity, p.Metrics),
+		held:   map[heldOrder]gang.Action{},
 		known:  map[model.TaskID]*knownTask{},
 	}
 }
 
-// order queues an order. One that finds no room is reported as failed, which
-// for a start means that the task never began.
+// heldOrder names an order that waits for room.
+type heldOrder struct {
+	task   model.TaskID
+	action string
+}
+
+// heldOrderOf returns the name of an order that must not be dropped. The member
+// repeats all others, or takes a start that was dropped for failed.
+func heldOrderOf(action gang.Action) (heldOrder, bool) {
+	switch action := action.(type) {
+	case gang.ThrottleTask:
+		return heldOrder{action.Task, actionThrottle}, true
+	case gang.CheckpointTask:
+		return heldOrder{action.Task, actionCheckpoint}, true
+	default:
+		return heldOrder{}, false
+	}
+}
+
+// order queues an order. One that finds no room is held where nobody repeats
+// it, and is else reported as failed, which for a start means that the task
+// never began.
 func (c *workerCaller) order(action gang.Action) {
+	name, mustArrive := heldOrderOf(action)
 	if c.orders.TryPush(action) {
+		delete(c.held, name)
+		return
+	}
+	if mustArrive {
+		c.held[name] = action
 		return
 	}
 	failure := workerFailure{task: taskOf(action), detail: "too many orders wait"}
@@ -68,19 +98,25 @@
 	c.w.takeFailure(failure)
 }
 
-// taskOf returns the task that an order is about.
+// orderHeld queues the held orders for which there is room by now.
+func (c *workerCaller) orderHeld() {
+	for name, action := range c.held {
+		if !c.orders.TryPush(action) {
+			return
+		}
+		delete(c.held, name)
+	}
+}
+
+// taskOf returns the task of an order that is not held.
 func taskOf(action gang.Action) model.TaskID {
 	switch action := action.(type) {
 	case gang.StartTask:
 		return action.Task
 	case gang.ExtendLease:
 		return action.Task
-	case gang.CheckpointTask:
-		return action.Task
 	case gang.StopTask:
 		return action.Task
-	case gang.ThrottleTask:
-		return action.Task
 	default:
 		return ""
 	}
