Print no line of the HTTP library beside the numbered events

Cause: fasthttp prints to the standard error, with no event number, for each connection that does not speak HTTP. Anything that knocks at a port wrote lines into the logs that the catalogue does not know. Ruled out: an event for each; a scanner would push the time line out. Change: servers of package httpserver print nothing unless they are given a logger. Before: TestGreetingsThatAreNot printed "error when serving connection ..." for the case "no HTTP". After: it prints nothing; httpserver passes with -race.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -17,8 +17,19 @@
 	listener net.Listener
 }
 
-// New returns a server that has not begun to accept.
+// silentLogger drops the lines that fasthttp prints by itself, one for each
+// broken request. What matters of them is an answer, an event or a counter.
+type silentLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (silentLogger) Printf(string, ...any) {}
+
+// New returns a server that has not begun to accept. It prints nothing unless
+// http has a logger.
 func New(http *fasthttp.Server, listener net.Listener) *Server {
+	if http.Logger == nil {
+		http.Logger = silentLogger{}
+	}
 	return &Server{http: http, listener: listener}
 }
 
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -68,3 +68,21 @@
 	}
 	awaitEnd(t, served)
 }
+
+// TestNothingIsPrintedBesideTheEvents wants no server to print the library's
+// own lines, which have no event number, and a given logger to be kept.
+func TestNothingIsPrintedBesideTheEvents(t *testing.T) {
+	server := newServer(t)
+	defer func() { _ = server.listener.Close() }()
+	if _, isSilent := server.http.Logger.(silentLogger); !isSilent {
+		t.Errorf("the server prints with %T", server.http.Logger)
+	}
+	given := &countingLogger{}
+	if got := New(&fasthttp.Server{Logger: given}, server.listener).http.Logger; got != given {
+		t.Errorf("the given logger was replaced by %T", got)
+	}
+}
+
+type countingLogger struct{ lines int }
+
+func (l *countingLogger) Printf(string, ...any) { l.lines++ }
