Hold an answer beyond the deadline against the caller's contract

A backend server that is slower than the deadline without notice: the caller is told unknown at its deadline, and the same ID through another entry host finds the one run; a request that was given up before it was sent never runs.

--- a/internal/entry/caller_contract_test.go
+++ b/internal/entry/caller_contract_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"dragonflyyard/internal/callerapi"
+	"dragonflyyard/internal/standin"
 )
 
 // rawCaller is a caller below HTTP.
@@ -184,3 +185,31 @@
 		}
 	}
 }
+
+// TestAnswerBeyondTheDeadline has backend servers that are slower than the
+// deadline, without notice. The outcome comes at the deadline, and the same ID
+// finds the one run afterwards. A request that was given up before it was sent
+// never runs.
+func TestAnswerBeyondTheDeadline(t *testing.T) {
+	r := startRegion(t, regionOptions{entries: 2, agents: 1})
+	const deadline, delay = 500 * time.Millisecond, 1500 * time.Millisecond
+	for _, idempotent := range []bool{false, true} {
+		c := newCall(idempotent)
+		c.deadlineMS = deadline.Milliseconds()
+		r.backends[0].SetFaults(standin.HostFaults{Faults: standin.Faults{DelayMS: delay.Milliseconds()}})
+		first := r.post(0, c)
+		r.backends[0].SetFaults(standin.HostFaults{})
+		if first.Outcome != "unknown" && first.Outcome != "not_run" || first.RetryAfter == "" {
+			t.Errorf("idempotent %v: %+v", idempotent, first)
+		}
+		c.deadlineMS = limit.Milliseconds()
+		again := r.post(1, c)
+		starts := r.ran()[c.id]
+		switch {
+		case first.Outcome == "not_run" && (again.Outcome != "not_run" || starts != 0):
+			t.Errorf("idempotent %v: not run, then %+v with %d starts", idempotent, again, starts)
+		case first.Outcome == "unknown" && (again.Body != c.body || starts != 1):
+			t.Errorf("idempotent %v: unknown, then %+v with %d starts", idempotent, again, starts)
+		}
+	}
+}
