Let the ranges of a dead home start when they are planned

Cause: a range that moves starts 3.5 s after the plan: 2.5 s for the longest permit under the former assignment and 1 s for the delivery. The second is there so that a living previous home answers for the IDs until the new one may. With a dead home nobody answers for them, so the second was only waiting. The first is kept by the new home itself, from when it heard of the range.

Ruled out: a shorter permit (lapses in a slow store); a new home that grants IDs from before its start (the former one may have granted them while its agent lives but is cut off from the owner).

Change: PlanHomes starts a range without a living previous home at the plan.

The random tests of the request path stay green.

Conclusion: what is left of it is the permit (2.5 s), twice the skew bound, the plan and its delivery. A silent host adds up to 2.5 s until it is given up.

--- a/internal/membership/homes.go
+++ b/internal/membership/homes.go
@@ -182,6 +182,10 @@
 		next.PreviousHome = old.Home
 		next.PreviousIncarnation = old.Incarnation
 		next.PreviousSinceUnixMS = old.SinceUnixMS
+	} else if !p.isFirst {
+		// Nobody answers for the IDs up to a later start, and the new home keeps to
+		// the end of the permits under the former assignment by itself.
+		next.SinceUnixMS = p.now
 	}
 	p.ranges[i] = next
 	p.load[agent.ID]++
