Weigh how long running work may go on in an outage

Question: running tasks end 10 min into an outage of the table service, though they need no new decision.

Cause: their leases are renewed by the last owner, which may do so only while no other can begin; a new host that hears of nobody owns the region after 11 min.

Weighed in docs/design/11-permits.md: longer for both, longer for leases alone, renewals that rest on the agents' word. The last is unsafe; the others move the price to a region whose established hosts all die at once.

Change: none of the rule.

Conclusion: kept at 10 min; the way to longer leases is written down.

--- a/internal/permit/newcomers_test.go
+++ b/internal/permit/newcomers_test.go
@@ -71,3 +71,40 @@
 		t.Error("no fault where silent members are removed early: the test shows little")
 	}
 }
+
+// TestOutageEndsBeforeRemoval cuts all entry hosts off from the table service
+// for long, and lets a new one remove them. The time for which the others go on
+// must end before: otherwise two owners act.
+func TestOutageEndsBeforeRemoval(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		outage time.Duration
+		fails  bool
+	}{
+		{"the outage limit is shorter", 20 * time.Second, false},
+		{"the outage limit is longer", time.Minute, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			limits := testLimits()
+			limits.OutageLimit = tc.outage
+			w := newWorld(1, variant{limits: limits}, 80*time.Second)
+			var present []*entryHost
+			for _, id := range []model.EntryID{"e1", "e2", "e3"} {
+				present = append(present, w.addEntry(id))
+			}
+			w.addAgent("a1", "e1")
+			w.after(12*time.Second, func() {
+				fresh := w.addEntry("n1")
+				for _, e := range present {
+					w.cut(e.name(), "store", 2*parting)
+					w.cut(e.name(), fresh.name(), 2*parting)
+				}
+			})
+			w.run()
+			if failed := len(w.violations) > 0; failed != tc.fails {
+				t.Errorf("%d violations, want some: %v; %v", len(w.violations), tc.fails, w.violations)
+			}
+			t.Logf("%d acts of owners, %d starts, %d epochs", w.acts, w.starts, len(w.epochKnown))
+		})
+	}
+}
