Merge branch 'main' into state

Takes in the changes of links, wire and request tests, and the first merge of this branch. No conflicts; the packages of this branch are tested after it.

--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -15,7 +15,7 @@
 
 	"dragonflyyard/internal/callerapi"
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/process"
+	"dragonflyyard/internal/operatorapi"
 	"dragonflyyard/internal/requestflow"
 	"dragonflyyard/internal/settings"
 	"dragonflyyard/internal/wire"
@@ -114,12 +114,13 @@
 		{"path below", post, callerapi.PathRequests + "/more", good, "", 404, "no_such_path"},
 		{"unknown path", get, "/v2/requests", nil, "", 404, "no_such_path"},
 		{"wrong method", http.MethodDelete, callerapi.PathRequests, good, "", 405, "method_not_allowed"},
+		{"look-up of no account", get, callerapi.PathRequests + "/" + goodID, nil, "", 400, "bad_client_account"},
 		{"look-up of no ID", get, callerapi.PathRequests + "/x", nil, "", 400, "bad_request_id"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			response, text := call(t, c.method, base+c.path, c.headers, c.body)
-			var body process.ErrorBody
+			var body operatorapi.ErrorBody
 			if err := json.Unmarshal(text, &body); err != nil {
 				t.Fatalf("body %q: %v", text, err)
 			}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dragonflyyard/internal/configstore"
+	"dragonflyyard/internal/dedup"
 	"dragonflyyard/internal/link"
 	"dragonflyyard/internal/membership"
 	"dragonflyyard/internal/model"
@@ -72,6 +73,12 @@
 	limits permit.Limits
 
 	agents *agentBook
+	// homes are the last versions of the home assignment, and peerHomes the
+	// versions that the other entry hosts stated, by process name.
+	homes     dedup.History
+	peerHomes map[string]uint64
+	// statuses are what this host last stated to the other entry hosts.
+	statuses statusBook
 	// pending holds configuration that the request core's ring had no room for.
 	pending   pendingUpdates
 	waiters   map[uint64]chan configstore.Answer
@@ -94,8 +101,10 @@
 	// document and ownerNow are read by other duties.
 	document atomic.Pointer[model.ConfigDocument]
 	ready    atomic.Bool
-	ownerNow atomic.Pointer[ownerView]
-	check    atomic.Pointer[ownerCheck]
+	// needsStatus is read by the links for each heartbeat.
+	needsStatus atomic.Bool
+	ownerNow    atomic.Pointer[ownerView]
+	check       atomic.Pointer[ownerCheck]
 }
 
 func newState(p *Process, calls *platformCalls) *State {
@@ -117,11 +126,14 @@
 		issuer:    permit.NewIssuer(limits, s.ID),
 		limits:    limits,
 		agents:    newAgentBook(),
+		statuses:  statusBook{},
+		peerHomes: map[string]uint64{},
 		waiters:   map[uint64]chan configstore.Answer{},
 		handedOff: make(chan struct{}),
 		rosterOff: make(chan struct{}),
 		onRoster:  func(int, bool) {},
 	}
+	state.needsStatus.Store(true)
 	state.owner.Admit(false, platform.Check{})
 	state.config = configstore.New(configLimits, s.Region, state.validateGuarantee)
 	state.document.Store(state.config.Document())
@@ -176,6 +188,7 @@
 	s.stepRoster(now, membership.RosterTick{})
 	s.agents.tick(now)
 	s.extendOwnership(now)
+	s.needsStatus.Store(s.restsOnStatus(now))
 	s.planHomes(now)
 	s.pending.flush(s.p.Requests)
 }
--- a/internal/faultmatrix/config_cells_test.go
+++ b/internal/faultmatrix/config_cells_test.go
@@ -33,7 +33,7 @@
 		HostKilled, ProcessFrozen, ConnectionSilent, ConnectionCut, ConnectionSlow, MessageDuplicated, MessageReordered,
 		MessageLost, TableDown, TableSlow, TableAnswerLost, ObjectStoreDown, EntryKilled, OperatorsRacing, SecondFault,
 	}
-	registerEach("configchange", PromiseConfiguration, allSteps("configchange"), faults, runConfigCell)
+	registerEach("configchange", []Promise{PromiseConfiguration, PromiseStore}, allSteps("configchange"), faults, runConfigCell)
 	registerImpossibleRows("configchange", PromiseConfiguration, "no agent takes part in a step of this chart", AgentKilled)
 	registerImpossibleRows("configchange", PromiseConfiguration, "any entry host writes changes; no step is taken under the owner's lease",
 		LeaseLapsed, OwnerKilled, OwnerDeposed)
@@ -165,6 +165,8 @@
 		w.after(w.between(100*time.Millisecond, 900*time.Millisecond), func() { w.submit(h, w.newChange(h)) })
 	case 8:
 		h.path.lateUntil = w.now.Add(length)
+	case 9:
+		h.path.behindRead = func() { w.race(h) }
 	case 7:
 		w.answersLost = w.now.Add(length / 2)
 		w.after(length/2, func() { w.storeDown = w.now.Add(length / 2) })
@@ -216,9 +218,12 @@
 	}
 }
 
-// checkEnd wants every host at the table's version with the same document,
-// every submission of a living host answered, and no refused change made.
+// checkEnd wants the calls within the budget of the table service, every host
+// at the table's version with the same document, every submission of a living host answered, and no refused change made.
 func (w *configWorld) checkEnd() {
+	if w.isOverBudget() {
+		w.fail("%d reads and %d writes of the table service in a second", w.reads.peak, w.writes.peak)
+	}
 	first := w.hosts[0].core.Document()
 	for _, h := range w.hosts {
 		if !reflect.DeepEqual(h.core.Document(), first) {
--- a/internal/faultmatrix/world_test.go
+++ b/internal/faultmatrix/world_test.go
@@ -43,6 +43,7 @@
 	// answersLost loses the answers of writes until then.
 	storeDown, storeSlow, answersLost time.Time
 	log                               []string
+	reads, writes                     callCount
 }
 
 func newWorld(seed uint64) *world {
@@ -136,6 +137,9 @@
 	timeout time.Duration
 	// fixedDelay, unless zero, is the time of each way.
 	fixedDelay time.Duration
+	// behindRead, unless nil, is called once the next read has taken effect, whose
+	// answer is then held back.
+	behindRead func()
 	// cuts are called to end all outstanding calls.
 	cuts map[int]func()
 	last int
@@ -181,7 +185,7 @@
 
 func (p *callPath) heal() {
 	p.silentUntil, p.slowUntil, p.duplicateUntil, p.lateUntil = time.Time{}, time.Time{}, time.Time{}, time.Time{}
-	p.loseNext, p.loseAt, p.timeout, p.fixedDelay = 0, 0, callTimeout, 0
+	p.loseNext, p.loseAt, p.timeout, p.fixedDelay, p.behindRead = 0, 0, callTimeout, 0, nil
 }
 
 // send makes a call. effect applies it to the store and returns what delivers
@@ -189,6 +193,11 @@
 // that nothing was heard.
 func (p *callPath) send(isWrite bool, effect func() func(), refused, lost func()) {
 	w := p.w
+	if isWrite {
+		w.writes.add(w.now)
+	} else {
+		w.reads.add(w.now)
+	}
 	p.last++
 	id, open := p.last, true
 	finish := func(deliver func()) {
@@ -218,7 +227,13 @@
 		if answerLost {
 			return
 		}
-		w.after(p.delay(), func() {
+		delay := p.delay()
+		if p.behindRead != nil && !isWrite {
+			delay += p.timeout / 2
+			w.after(0, p.behindRead)
+			p.behindRead = nil
+		}
+		w.after(delay, func() {
 			if !open && w.now.Before(p.lateUntil) {
 				deliver()
 			}
--- a/internal/requestflow/flight.go
+++ b/internal/requestflow/flight.go
@@ -56,6 +56,8 @@
 	// foreign: another entry host, or an earlier submission, made the dispatch.
 	foreign  bool
 	attempts int
+	// budgeted is set once the request's first dispatch has filled the retry budget.
+	budgeted bool
 	tried    []model.BackendServerID
 
 	// token is of the claim being made; claim is the last one known to be in force.
@@ -222,52 +224,3 @@
 	*h = old[:len(old)-1]
 	return f
 }
-
-// answerAssembly joins the numbered parts of one answer.
-type answerAssembly struct {
-	parts    [][]byte
-	received int
-	size     int
-	total    int
-	status   int
-	failed   bool
-}
-
-// add takes a part in any order. It returns true once the answer is whole. A
-// part that contradicts the earlier ones starts the assembly anew.
-func (a *answerAssembly) add(m *wire.AnswerPart, maxBytes int) bool {
-	if m.Parts < 1 || m.Part < 0 || m.Part >= m.Parts || m.Total < 0 || m.Total > maxBytes {
-		return false
-	}
-	if m.Parts > 1+m.Total {
-		return false
-	}
-	matches := len(a.parts) == m.Parts && a.total == m.Total && a.status == m.Status && a.failed == m.Failed
-	if !matches {
-		*a = answerAssembly{parts: make([][]byte, m.Parts), total: m.Total, status: m.Status, failed: m.Failed}
-	}
-	if a.parts[m.Part] == nil {
-		a.parts[m.Part] = append([]byte{}, m.Body...)
-		a.received++
-		a.size += len(m.Body)
-	}
-	if a.received < m.Parts {
-		return false
-	}
-	if a.size != a.total {
-		*a = answerAssembly{}
-		return false
-	}
-	return true
-}
-
-func (a *answerAssembly) body() []byte {
-	if len(a.parts) == 1 {
-		return a.parts[0]
-	}
-	body := make([]byte, 0, a.total)
-	for _, part := range a.parts {
-		body = append(body, part...)
-	}
-	return body
-}
--- a/internal/scheduler/borrowed.go
+++ b/internal/scheduler/borrowed.go
@@ -93,6 +93,9 @@
 	if r := c.reservations[j.Job.ID]; r != nil {
 		return c.tryReserved(now, j, r)
 	}
+	if c.joinPinned(now, j) {
+		return true
+	}
 	long := c.isLong(now, j)
 	key := blockedKey{j.Job.Shape, long}
 	if _, blocked := c.blocked[key]; !blocked {
@@ -113,32 +116,34 @@
 	return false
 }
 
-// bestPlace returns the fullest place that takes a job. A job that cannot
-// checkpoint is put beside others like it, so that the rest of the fleet stays
-// free of work that cannot move.
+// bestPlace returns the fullest place that takes a job, see segregate.
 func (c *Core) bestPlace(index *placement.Index, j *JobState) ([]model.WorkerID, string) {
-	if !j.Job.CanCheckpoint && !c.settings.Policy.MixPinned {
-		r := c.request(j)
-		limit := r.Limit
-		r.Limit = func(id model.WorkerID) int {
-			if c.workers[id].pinned == 0 {
-				return 0
-			}
-			if limit != nil {
-				return limit(id)
-			}
-			return model.MaxGangSize
-		}
-		if workers := index.Place(r); workers != nil {
-			return workers, "the fullest place that takes it, beside other work that cannot checkpoint"
+	r := c.request(j)
+	if limit, why := c.segregate(j); limit != nil {
+		apart := r
+		apart.Limit = both(r.Limit, limit)
+		if workers := index.Place(apart); workers != nil {
+			return workers, why
 		}
 	}
-	r := c.request(j)
 	if workers := index.Place(r); workers != nil || r.Limit == nil {
 		return workers, "the fullest place that takes it"
 	}
+	if c.books.fleet.Place(r) != nil {
+		// Other workers could take it: it waits for them, since a job that fails
+		// again on the same worker tells nothing about itself.
+		return nil, ""
+	}
 	r.Limit = nil
-	return index.Place(r), "the fullest place that takes it; only workers that it failed on are left"
+	return index.Place(r), "the fullest place that takes it; only workers that it failed on could ever take it"
+}
+
+// failedOn returns the workers that a job is kept off.
+func (c *Core) failedOn(j *JobState) []model.WorkerID {
+	if c.settings.Policy.NoQuarantine {
+		return nil
+	}
+	return c.tracker.FailedOn(j.Job.ID)
 }
 
 // mayPreempt reports whether borrowed work has to yield to a waiting job: to
@@ -150,7 +155,7 @@
 	if j.Job.Urgent {
 		return true
 	}
-	return !c.settings.Policy.NoReservations && j.Job.Shape.Accelerators() >= c.settings.LargeAccelerators &&
+	return !c.settings.Policy.NoReservations && c.isLarge(j) &&
 		now.Sub(j.PhaseSince) >= c.settings.LargeWait
 }
 
@@ -172,13 +177,8 @@
 	if c.settings.Policy.FirstFit {
 		r.Fit = placement.FirstFit
 	}
-	if bad := c.tracker.FailedOn(j.Job.ID); len(bad) > 0 && !c.settings.Policy.NoQuarantine {
-		r.Limit = func(id model.WorkerID) int {
-			if slices.Contains(bad, id) {
-				return 0
-			}
-			return model.MaxGangSize
-		}
+	if bad := c.failedOn(j); len(bad) > 0 {
+		r.Limit = except(bad, unlimited)
 	}
 	return r
 }
@@ -219,13 +219,8 @@
 func (c *Core) placeIfYielded(j *JobState, may func(*JobState) bool) []model.WorkerID {
 	for _, size := range yieldSizes {
 		r := c.request(j)
-		limit := r.Limit
-		r.Limit = func(id model.WorkerID) int {
-			if limit != nil && limit(id) == 0 {
-				return 0
-			}
-			return c.slotsIfYielded(id, j, func(v *JobState) bool { return v.Job.Shape.Accelerators() <= size && may(v) })
-		}
+		small := func(v *JobState) bool { return v.Job.Shape.Accelerators() <= size && may(v) }
+		r.Limit = both(r.Limit, func(id model.WorkerID) int { return c.slotsIfYielded(id, j, small) })
 		if place := c.books.fleet.Place(r); place != nil {
 			return place
 		}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -25,6 +25,10 @@
 	Leaving bool
 	// HTTPAddress is where the process serves its time line and metrics, IP:port.
 	HTTPAddress string
+	// Config and Assignment are the versions that an agent acts on, zero for
+	// none and for a sender that reads no AssignmentDelta.
+	Config     model.ConfigVersion
+	Assignment uint64
 }
 
 // Welcome answers Hello.
@@ -46,6 +50,10 @@
 	Seq uint64
 	// AckSeq is the highest heartbeat received from the other end.
 	AckSeq uint64
+	// NoStatus is set between entry hosts while the sender rests nothing on the
+	// receiver's StoreStatus. The receiver then answers only where its status
+	// changed, and now and then.
+	NoStatus bool
 }
 
 // Leaving announces that the sender takes no new work.
