Cut the writer of configuration into files by concept

Ruled out: a type of its own for assignment writes. Both kinds share the one outstanding write on purpose, which is what keeps them in order.

--- a/internal/configstore/write.go
+++ b/internal/configstore/write.go
@@ -11,10 +11,6 @@
 	"dragonflyyard/internal/wire"
 )
 
-// assignmentsKept is how many versions of a home assignment stay in the table
-// service, for readers that are between its head row and its body.
-const assignmentsKept = 8
-
 // submission is an operator's change that waits to be written.
 type submission struct {
 	token  uint64
@@ -65,17 +61,6 @@
 	return nil
 }
 
-// onPropose begins to write an assignment. A proposal that does not follow the
-// present version, or comes during another write, is dropped: its writer
-// proposes again from what it sees then.
-func (c *Core) onPropose(in Propose) {
-	if c.write != nil || !c.ready || in.Assignment.Version != c.assignment.Version+1 {
-		return
-	}
-	proposed := in.Assignment
-	c.write = &pendingWrite{assignment: &proposed, fence: in.Fence}
-}
-
 // expire answers operators who have waited long enough.
 func (c *Core) expire(now time.Time) []Action {
 	var actions []Action
@@ -165,142 +150,6 @@
 	return []Action{Commit{Call: w.call, Transaction: w.tx}}, false
 }
 
-// judge decides a change that needs no write: one that was made before, one
-// that lost a race, and one that is not valid.
-func (c *Core) judge(w *pendingWrite) (Action, bool) {
-	change := w.change
-	if made := c.findChange(change.ID); made != nil {
-		if !sameChange(*made, change) {
-			c.fire(w, changeInvalid)
-			return c.verdict(w, reusedID(change.ID, made.Version)), true
-		}
-		c.fire(w, alreadyMade)
-		return c.verdict(w, Answer{Verdict: VerdictAccepted, Version: made.Version}), true
-	}
-	if change.ExpectedVersion != c.document.ObjectVersions[change.Object] {
-		c.fire(w, stale)
-		return c.verdict(w, Answer{Verdict: VerdictConflict, Winner: c.lastChange(change.Object)}), true
-	}
-	next, reason := Apply(c.document, change)
-	if reason == nil {
-		reason = checkSize(next, change)
-	}
-	if reason == nil {
-		reason = c.runValidator(next, change)
-	}
-	if reason != nil {
-		c.fire(w, changeInvalid)
-		return c.verdict(w, Answer{Verdict: VerdictInvalid, Invalid: reason}), true
-	}
-	return nil, false
-}
-
-func (c *Core) runValidator(next *model.ConfigDocument, change model.ConfigChange) *ValidationError {
-	err := c.validate(next, change)
-	if err == nil {
-		return nil
-	}
-	var reason *ValidationError
-	if errors.As(err, &reason) {
-		return reason
-	}
-	return invalid(CodeMalformed, "%v", err)
-}
-
-// verdict is the answer to the operator, or the late result when the operator
-// was already told that the change is in doubt.
-func (c *Core) verdict(w *pendingWrite, answer Answer) Action {
-	if w.answered {
-		return Resolved{Change: w.change.ID, Verdict: answer.Verdict, Version: answer.Version}
-	}
-	answer.Token = w.token
-	return answer
-}
-
-// sameChange compares what two changes do, without their times and versions.
-func sameChange(a, b model.ConfigChange) bool {
-	return digestOf(a) == digestOf(b)
-}
-
-func reusedID(id model.ChangeID, version model.ConfigVersion) Answer {
-	reason := invalid(CodeIDReused, "change ID %q made version %d with another content", id, version)
-	return Answer{Verdict: VerdictInvalid, Invalid: reason}
-}
-
-func (c *Core) lastChange(object string) *model.ConfigChange {
-	for i := len(c.history) - 1; i >= 0; i-- {
-		if c.history[i].Object == object {
-			found := c.history[i]
-			return &found
-		}
-	}
-	return nil
-}
-
-func (c *Core) changeTransaction(change model.ConfigChange) platform.Transaction {
-	change.Version = c.document.Version + 1
-	snapshot := max(c.head.Snapshot, c.snapshot)
-	head := Head{Version: change.Version, Snapshot: snapshot, Change: change.ID}
-	tx := platform.Transaction{
-		Checks: []platform.Check{{Key: HeadKey, Version: c.headRow}, {Key: idKey(change.ID)}},
-		Puts: []platform.Put{
-			{Key: HeadKey, Value: encode(head)},
-			{Key: ChangeKey(change.Version), Value: encode(change)},
-			{Key: idKey(change.ID), Value: encode(changeID{Version: change.Version, Digest: digestOf(change)})},
-		},
-	}
-	tx.Checks = appendCheck(tx.Checks, c.member)
-	tx.Deletes = c.expiredRows(change.Version, snapshot)
-	return tx
-}
-
-// expiredRows lists the rows of the change that leaves the retention with a
-// new version. Rows that no snapshot covers are kept.
-func (c *Core) expiredRows(version, snapshot model.ConfigVersion) []string {
-	if int(version) <= c.limits.Retention {
-		return nil
-	}
-	expired := version - model.ConfigVersion(c.limits.Retention)
-	if expired > snapshot {
-		return nil
-	}
-	rows := []string{ChangeKey(expired)}
-	if change := c.findVersion(expired); change != nil {
-		rows = append(rows, idKey(change.ID))
-	}
-	return rows
-}
-
-func appendCheck(checks []platform.Check, check platform.Check) []platform.Check {
-	if check.Key == "" {
-		return checks
-	}
-	return append(checks, check)
-}
-
-func (c *Core) beginAssignment(now time.Time) ([]Action, bool) {
-	w := c.write
-	if w.assignment.Version != c.assignment.Version+1 || !c.allowed {
-		return nil, true
-	}
-	version := w.assignment.Version
-	w.expected = c.assignmentRow
-	checks := []platform.Check{{Key: AssignmentHeadKey(c.region), Version: c.assignmentRow}}
-	checks = appendCheck(appendCheck(checks, w.fence), c.member)
-	w.tx = platform.Transaction{
-		Checks: checks,
-		Puts: []platform.Put{
-			{Key: AssignmentHeadKey(c.region), Value: encode(AssignmentHead{Version: version})},
-			{Key: AssignmentKey(c.region, version), Value: encode(w.assignment)},
-		},
-	}
-	if version > assignmentsKept {
-		w.tx.Deletes = []string{AssignmentKey(c.region, version-assignmentsKept)}
-	}
-	w.sent, w.call, w.calledAt = true, c.newCall(), now
-	return []Action{Commit{Call: w.call, Transaction: w.tx}}, false
-}
-
 func (c *Core) onCommitted(now time.Time, in Committed) []Action {
 	w := c.write
 	if w == nil || w.call == 0 || in.Call != w.call {
@@ -361,27 +210,3 @@
 	actions = append(actions, c.verdict(w, Answer{Verdict: VerdictAccepted, Version: head.Version}))
 	return append(actions, c.takeSnapshot(now)...)
 }
-
-// takeSnapshot stores a snapshot when enough changes were made since the last.
-func (c *Core) takeSnapshot(now time.Time) []Action {
-	due := c.document.Version >= c.snapshot+model.ConfigVersion(c.limits.SnapshotEvery)
-	if !due || c.snapshotCall != 0 {
-		return nil
-	}
-	c.snapshotCall, c.snapshotAt, c.snapshotting = c.newCall(), now, c.document.Version
-	return []Action{WriteObject{
-		Call:  c.snapshotCall,
-		Key:   SnapshotKey(c.document.Version),
-		Value: encode(c.document),
-	}}
-}
-
-func (c *Core) onObjectWritten(in ObjectWritten) {
-	if c.snapshotCall == 0 || in.Call != c.snapshotCall {
-		return
-	}
-	c.snapshotCall = 0
-	if in.Result == ResultOK {
-		c.snapshot = max(c.snapshot, c.snapshotting)
-	}
-}
