--- a/internal/membership/roster_test.go
+++ b/internal/membership/roster_test.go
@@ -293,6 +293,26 @@
 	}
 }
 
+// TestHostsThatAllCameBack starts all hosts again under their IDs, and one alone.
+func TestHostsThatAllCameBack(t *testing.T) {
+	for name, back := range map[string]int{"all": 2, "one": 1} {
+		t.Run(name, func(t *testing.T) {
+			now, store, hosts := newRosterFleet("e1", "e2")
+			runRoster(now, 3*time.Second, hosts...)
+			var again []*rosterHost
+			for _, h := range hosts[:back] {
+				again = append(again, newRosterHost(store, h.id, 2))
+			}
+			runRoster(now, 10*time.Second, again...)
+			for _, h := range again {
+				if got, want := h.roster.View().Established, back == len(hosts); got != want {
+					t.Errorf("%s: established %v, want %v", h.id, got, want)
+				}
+			}
+		})
+	}
+}
+
 func TestRemovedMemberIsFencedAndJoinsAgain(t *testing.T) {
 	now, store, hosts := newRosterFleet("e1", "e2")
 	runRoster(now, 3*time.Second, hosts...)
