Name the results of platform calls once

Cause: ownership, membership and configstore each had a type for the result of a call with the same values, and entry and five test harnesses each turned errors into them: eight functions that said nearly the same. They differed in what an error of no known kind means: in doubt in entry, unavailable in the harnesses.

Change: platform.Result and platform.ResultOf, with in doubt for unknown errors, which is the safe one. The eight functions are gone.

Ruled out: one shared package for the harnesses themselves. Each drives another core (one candidate, rosters with statements, hosts with late results), and what they shared was this mapping.

Conclusion: a new core takes platform.Result.

--- a/internal/configstore/catchup.go
+++ b/internal/configstore/catchup.go
@@ -11,7 +11,7 @@
 	if c.read.step == readNothing || in.Call != c.read.call {
 		return nil
 	}
-	if in.Result != ResultOK {
+	if in.Result != platform.ResultOK {
 		return c.stopRead(now)
 	}
 	switch c.read.step {
@@ -113,7 +113,7 @@
 	if c.read.step != readSnapshot || in.Call != c.read.call {
 		return nil
 	}
-	if in.Result != ResultOK {
+	if in.Result != platform.ResultOK {
 		return c.listAllChanges(now)
 	}
 	document, err := DecodeSnapshot(in.Value)
@@ -148,7 +148,7 @@
 }
 
 func (c *Core) onAssignmentRow(now time.Time, in RowRead) []Action {
-	if in.Result != ResultOK {
+	if in.Result != platform.ResultOK {
 		return c.stopRead(now)
 	}
 	assignment, err := DecodeAssignment(in.Row)
--- a/internal/configstore/doubt.go
+++ b/internal/configstore/doubt.go
@@ -1,6 +1,10 @@
 package configstore
 
-import "time"
+import (
+	"time"
+
+	"dragonflyyard/internal/platform"
+)
 
 // resolveWrite judges a write in doubt, or one that failed a check, after a
 // complete read of the head rows. The document may by now be ahead of that read,
@@ -65,7 +69,7 @@
 		return nil
 	}
 	switch in.Result {
-	case ResultOK:
+	case platform.ResultOK:
 		var made changeID
 		c.write = nil
 		if err := decode(in.Row.Value, &made); err != nil || made.Digest != digestOf(w.change) {
@@ -74,7 +78,7 @@
 		}
 		c.fire(w, found)
 		return []Action{c.verdict(w, Answer{Verdict: VerdictAccepted, Version: made.Version})}
-	case ResultNotFound:
+	case platform.ResultNotFound:
 		c.fire(w, absent)
 		c.write = nil
 		return []Action{c.verdict(w, Answer{Verdict: VerdictUnavailable, RetryAfter: c.limits.AnswerAfter})}
--- a/internal/configstore/harness_test.go
+++ b/internal/configstore/harness_test.go
@@ -6,8 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/standin"
@@ -129,25 +127,25 @@
 	switch a := action.(type) {
 	case ListRows:
 		rows, err := h.store.List(cancelled(), a.Prefix, a.After, a.Limit)
-		return RowsListed{Call: a.Call, Result: resultOf(err), Rows: rows}
+		return RowsListed{Call: a.Call, Result: platform.ResultOf(err), Rows: rows}
 	case ReadRow:
 		row, err := h.store.Get(cancelled(), a.Key)
-		return RowRead{Call: a.Call, Result: resultOf(err), Row: row}
+		return RowRead{Call: a.Call, Result: platform.ResultOf(err), Row: row}
 	case Commit:
 		if h.isStuck(now, a.Transaction) {
-			return Committed{Call: a.Call, Result: ResultInDoubt}
+			return Committed{Call: a.Call, Result: platform.ResultInDoubt}
 		}
 		versions, err := h.store.Commit(cancelled(), a.Transaction)
 		if h.afterCommit != nil {
 			h.afterCommit()
 			h.afterCommit = nil
 		}
-		return Committed{Call: a.Call, Result: resultOf(err), Versions: versions}
+		return Committed{Call: a.Call, Result: platform.ResultOf(err), Versions: versions}
 	case ReadObject:
 		value, err := h.store.GetObject(cancelled(), a.Key)
-		return ObjectRead{Call: a.Call, Result: resultOf(err), Value: value}
+		return ObjectRead{Call: a.Call, Result: platform.ResultOf(err), Value: value}
 	case WriteObject:
-		return ObjectWritten{Call: a.Call, Result: resultOf(h.store.PutObject(cancelled(), a.Key, a.Value))}
+		return ObjectWritten{Call: a.Call, Result: platform.ResultOf(h.store.PutObject(cancelled(), a.Key, a.Value))}
 	case Answer:
 		if before, answered := h.answers[a.Token]; answered {
 			h.t.Fatalf("token %d answered twice: %+v, %+v", a.Token, before, a)
@@ -164,21 +162,6 @@
 	return ctx
 }
 
-func resultOf(err error) Result {
-	switch {
-	case err == nil:
-		return ResultOK
-	case errors.Is(err, platform.ErrNotFound):
-		return ResultNotFound
-	case errors.Is(err, platform.ErrConflict):
-		return ResultConflict
-	case errors.Is(err, platform.ErrInDoubt):
-		return ResultInDoubt
-	default:
-		return ResultUnavailable
-	}
-}
-
 func zoneChange(id string, expected model.ConfigVersion, state model.ZoneState) model.ConfigChange {
 	return model.ConfigChange{ID: model.ChangeID(id), Object: "zone/z", ExpectedVersion: expected, Zone: state}
 }
--- a/internal/configstore/snapshot.go
+++ b/internal/configstore/snapshot.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/platform"
 )
 
 // takeSnapshot stores a snapshot when enough changes were made since the last.
@@ -25,7 +26,7 @@
 		return
 	}
 	c.snapshotCall = 0
-	if in.Result == ResultOK {
+	if in.Result == platform.ResultOK {
 		c.snapshot = max(c.snapshot, c.snapshotting)
 	}
 }
--- a/internal/configstore/types.go
+++ b/internal/configstore/types.go
@@ -49,18 +49,6 @@
 	}
 }
 
-// Result is the result of a call to a platform service.
-type Result string
-
-// Results of a call.
-const (
-	ResultOK          Result = "ok"
-	ResultNotFound    Result = "not_found"
-	ResultConflict    Result = "conflict"
-	ResultUnavailable Result = "unavailable"
-	ResultInDoubt     Result = "in_doubt"
-)
-
 // Validator checks a change against the document that it would make. It
 // returns a *ValidationError for a change that must be refused.
 type Validator func(next *model.ConfigDocument, change model.ConfigChange) error
@@ -98,35 +86,35 @@
 // RowsListed is the result of ListRows.
 type RowsListed struct {
 	Call   uint64
-	Result Result
+	Result platform.Result
 	Rows   []platform.Row
 }
 
 // RowRead is the result of ReadRow.
 type RowRead struct {
 	Call   uint64
-	Result Result
+	Result platform.Result
 	Row    platform.Row
 }
 
 // Committed is the result of Commit.
 type Committed struct {
 	Call     uint64
-	Result   Result
+	Result   platform.Result
 	Versions []platform.RowVersion
 }
 
 // ObjectRead is the result of ReadObject.
 type ObjectRead struct {
 	Call   uint64
-	Result Result
+	Result platform.Result
 	Value  []byte
 }
 
 // ObjectWritten is the result of WriteObject.
 type ObjectWritten struct {
 	Call   uint64
-	Result Result
+	Result platform.Result
 }
 
 func (Tick) isInput()          {}
--- a/internal/configstore/write.go
+++ b/internal/configstore/write.go
@@ -157,14 +157,14 @@
 	}
 	w.call, w.unresolvedSince = 0, now
 	switch in.Result {
-	case ResultOK:
+	case platform.ResultOK:
 		return c.accept(now, in.Versions)
-	case ResultConflict:
+	case platform.ResultConflict:
 		w.refused = true
 		c.fire(w, checkFailed)
 		c.nextRead = now
 		return nil
-	case ResultUnavailable:
+	case platform.ResultUnavailable:
 		c.fire(w, storeDown)
 		if w.doubt {
 			w.nextTry = now.Add(c.limits.RetryEvery)
--- a/internal/entry/statecores.go
+++ b/internal/entry/statecores.go
@@ -81,29 +81,29 @@
 		callPlatform(s, func(ctx context.Context) ([]platform.Row, error) {
 			return s.calls.table.List(ctx, action.Prefix, action.After, action.Limit)
 		}, func(rows []platform.Row, err error) stateInput {
-			return stateInput{config: configstore.RowsListed{Call: action.Call, Result: configResult(err), Rows: rows}}
+			return stateInput{config: configstore.RowsListed{Call: action.Call, Result: platform.ResultOf(err), Rows: rows}}
 		})
 	case configstore.ReadRow:
 		callPlatform(s, func(ctx context.Context) (platform.Row, error) {
 			return s.calls.table.Get(ctx, action.Key)
 		}, func(row platform.Row, err error) stateInput {
-			return stateInput{config: configstore.RowRead{Call: action.Call, Result: configResult(err), Row: row}}
+			return stateInput{config: configstore.RowRead{Call: action.Call, Result: platform.ResultOf(err), Row: row}}
 		})
 	case configstore.Commit:
 		callPlatform(s, s.commit(action.Transaction), func(versions []platform.RowVersion, err error) stateInput {
-			return stateInput{config: configstore.Committed{Call: action.Call, Result: configResult(err), Versions: versions}}
+			return stateInput{config: configstore.Committed{Call: action.Call, Result: platform.ResultOf(err), Versions: versions}}
 		})
 	case configstore.ReadObject:
 		callPlatform(s, func(ctx context.Context) ([]byte, error) {
 			return s.calls.objects.GetObject(ctx, action.Key)
 		}, func(value []byte, err error) stateInput {
-			return stateInput{config: configstore.ObjectRead{Call: action.Call, Result: configResult(err), Value: value}}
+			return stateInput{config: configstore.ObjectRead{Call: action.Call, Result: platform.ResultOf(err), Value: value}}
 		})
 	case configstore.WriteObject:
 		callPlatform(s, func(ctx context.Context) (struct{}, error) {
 			return struct{}{}, s.calls.objects.PutObject(ctx, action.Key, action.Value)
 		}, func(_ struct{}, err error) stateInput {
-			return stateInput{config: configstore.ObjectWritten{Call: action.Call, Result: configResult(err)}}
+			return stateInput{config: configstore.ObjectWritten{Call: action.Call, Result: platform.ResultOf(err)}}
 		})
 	}
 }
@@ -132,32 +132,17 @@
 	)
 }
 
-func configResult(err error) configstore.Result {
-	switch {
-	case err == nil:
-		return configstore.ResultOK
-	case errors.Is(err, platform.ErrNotFound):
-		return configstore.ResultNotFound
-	case errors.Is(err, platform.ErrConflict):
-		return configstore.ResultConflict
-	case errors.Is(err, platform.ErrUnavailable):
-		return configstore.ResultUnavailable
-	default:
-		return configstore.ResultInDoubt
-	}
-}
-
 // stepOwner steps the candidate for the region lease.
 func (s *State) stepOwner(now time.Time, in ownership.Input) {
 	for _, action := range s.owner.Step(now, in) {
 		switch action := action.(type) {
 		case ownership.ReadRow:
 			callPlatform(s, s.readLease(action.Key), func(row platform.Row, err error) stateInput {
-				return stateInput{owner: ownership.RowRead{Call: action.Call, Result: ownershipResult(err), Row: row}}
+				return stateInput{owner: ownership.RowRead{Call: action.Call, Result: platform.ResultOf(err), Row: row}}
 			})
 		case ownership.CommitRow:
 			callPlatform(s, s.commit(action.Transaction), func(versions []platform.RowVersion, err error) stateInput {
-				return stateInput{owner: ownership.RowCommitted{Call: action.Call, Result: ownershipResult(err), Versions: versions}}
+				return stateInput{owner: ownership.RowCommitted{Call: action.Call, Result: platform.ResultOf(err), Versions: versions}}
 			})
 		case ownership.HandedOver:
 			close(s.handedOff)
@@ -242,19 +227,6 @@
 	})
 }
 
-func ownershipResult(err error) ownership.Result {
-	switch {
-	case err == nil:
-		return ownership.ResultOK
-	case errors.Is(err, platform.ErrConflict):
-		return ownership.ResultConflict
-	case errors.Is(err, platform.ErrUnavailable):
-		return ownership.ResultUnavailable
-	default:
-		return ownership.ResultInDoubt
-	}
-}
-
 // stepRoster steps this host's part in the roster of entry hosts.
 func (s *State) stepRoster(now time.Time, in membership.RosterInput) {
 	for _, action := range s.roster.Step(now, in) {
@@ -263,11 +235,11 @@
 			callPlatform(s, func(ctx context.Context) ([]platform.Row, error) {
 				return s.calls.list(ctx, membership.RosterPrefix)
 			}, func(rows []platform.Row, err error) stateInput {
-				return stateInput{roster: membership.RosterListed{Call: action.Call, Result: rosterResult(err), Rows: rows}}
+				return stateInput{roster: membership.RosterListed{Call: action.Call, Result: platform.ResultOf(err), Rows: rows}}
 			})
 		case membership.CommitRoster:
 			callPlatform(s, s.commit(action.Transaction), func(versions []platform.RowVersion, err error) stateInput {
-				return stateInput{roster: membership.RosterCommitted{Call: action.Call, Result: rosterResult(err), Versions: versions}}
+				return stateInput{roster: membership.RosterCommitted{Call: action.Call, Result: platform.ResultOf(err), Versions: versions}}
 			})
 		case membership.RosterChanged:
 			s.takeRoster(now, action.View)
@@ -286,19 +258,6 @@
 	}
 }
 
-func rosterResult(err error) membership.RosterResult {
-	switch ownershipResult(err) {
-	case ownership.ResultOK:
-		return membership.RosterOK
-	case ownership.ResultConflict:
-		return membership.RosterConflict
-	case ownership.ResultUnavailable:
-		return membership.RosterUnavailable
-	default:
-		return membership.RosterInDoubt
-	}
-}
-
 // homeSettle is how long a new owner waits for agents to connect before it
 // plans the home assignment.
 const homeSettle = time.Second
--- a/internal/faultmatrix/config_world_test.go
+++ b/internal/faultmatrix/config_world_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"dragonflyyard/internal/configstore"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/platform"
@@ -174,30 +172,30 @@
 	store := h.w.store
 	switch a := action.(type) {
 	case configstore.ListRows:
-		h.call(false, func(result configstore.Result) func() {
+		h.call(false, func(result platform.Result) func() {
 			in := configstore.RowsListed{Call: a.Call, Result: result}
-			if result == configstore.ResultOK {
+			if result == platform.ResultOK {
 				in.Rows, _ = store.List(atOnce(), a.Prefix, a.After, a.Limit)
 			}
 			return reply(in)
 		})
 	case configstore.ReadRow:
-		h.call(false, func(result configstore.Result) func() {
+		h.call(false, func(result platform.Result) func() {
 			in := configstore.RowRead{Call: a.Call, Result: result}
-			if result == configstore.ResultOK {
+			if result == platform.ResultOK {
 				row, err := store.Get(atOnce(), a.Key)
-				in.Row, in.Result = row, configResult(err)
+				in.Row, in.Result = row, platform.ResultOf(err)
 			}
 			return reply(in)
 		})
 	case configstore.Commit:
-		h.call(true, func(result configstore.Result) func() {
+		h.call(true, func(result platform.Result) func() {
 			in := configstore.Committed{Call: a.Call, Result: result}
 			lostRace := false
-			if result == configstore.ResultOK {
+			if result == platform.ResultOK {
 				versions, err := store.Commit(atOnce(), a.Transaction)
-				in.Versions, in.Result = versions, configResult(err)
-				lostRace = in.Result == configstore.ResultConflict && h.w.headMoved(a.Transaction)
+				in.Versions, in.Result = versions, platform.ResultOf(err)
+				lostRace = in.Result == platform.ResultConflict && h.w.headMoved(a.Transaction)
 			}
 			return func() {
 				h.written, h.lostRace = writtenChange(a.Transaction), lostRace
@@ -207,13 +205,13 @@
 	case configstore.ReadObject:
 		h.object(func() func() {
 			value, err := store.GetObject(atOnce(), a.Key)
-			return reply(configstore.ObjectRead{Call: a.Call, Result: configResult(err), Value: value})
-		}, reply(configstore.ObjectRead{Call: a.Call, Result: configstore.ResultUnavailable}))
+			return reply(configstore.ObjectRead{Call: a.Call, Result: platform.ResultOf(err), Value: value})
+		}, reply(configstore.ObjectRead{Call: a.Call, Result: platform.ResultUnavailable}))
 	case configstore.WriteObject:
 		h.object(func() func() {
 			err := store.PutObject(atOnce(), a.Key, a.Value)
-			return reply(configstore.ObjectWritten{Call: a.Call, Result: configResult(err)})
-		}, reply(configstore.ObjectWritten{Call: a.Call, Result: configstore.ResultUnavailable}))
+			return reply(configstore.ObjectWritten{Call: a.Call, Result: platform.ResultOf(err)})
+		}, reply(configstore.ObjectWritten{Call: a.Call, Result: platform.ResultUnavailable}))
 	case configstore.Publish:
 		h.tell(a)
 	case configstore.Answer:
@@ -237,13 +235,13 @@
 
 // call makes a call of the table service. result does it when it is given
 // ResultOK, and returns what delivers its result.
-func (h *configHost) call(isWrite bool, result func(configstore.Result) func()) {
-	lost := configstore.ResultUnavailable
+func (h *configHost) call(isWrite bool, result func(platform.Result) func()) {
+	lost := platform.ResultUnavailable
 	if isWrite {
-		lost = configstore.ResultInDoubt
+		lost = platform.ResultInDoubt
 	}
-	h.path.send(isWrite, func() func() { return result(configstore.ResultOK) },
-		func() { result(configstore.ResultUnavailable)() }, func() { result(lost)() })
+	h.path.send(isWrite, func() func() { return result(platform.ResultOK) },
+		func() { result(platform.ResultUnavailable)() }, func() { result(lost)() })
 }
 
 // object makes a call of the object store.
@@ -256,19 +254,6 @@
 	}, refused, refused)
 }
 
-func configResult(err error) configstore.Result {
-	switch {
-	case err == nil:
-		return configstore.ResultOK
-	case errors.Is(err, platform.ErrConflict):
-		return configstore.ResultConflict
-	case errors.Is(err, platform.ErrNotFound):
-		return configstore.ResultNotFound
-	default:
-		return configstore.ResultUnavailable
-	}
-}
-
 // answered checks that each submission is answered once and truly.
 func (w *configWorld) answered(a configstore.Answer) {
 	s := w.tokens[a.Token]
--- a/internal/faultmatrix/lease_world_test.go
+++ b/internal/faultmatrix/lease_world_test.go
@@ -109,21 +109,21 @@
 	}
 	switch a := action.(type) {
 	case ownership.ReadRow:
-		failed := reply(ownership.RowRead{Call: a.Call, Result: ownership.ResultUnavailable})
+		failed := reply(ownership.RowRead{Call: a.Call, Result: platform.ResultUnavailable})
 		h.path.send(false, func() func() {
 			row, _ := h.w.store.Get(atOnce(), a.Key)
-			return reply(ownership.RowRead{Call: a.Call, Result: ownership.ResultOK, Row: row})
+			return reply(ownership.RowRead{Call: a.Call, Result: platform.ResultOK, Row: row})
 		}, failed, failed)
 	case ownership.CommitRow:
 		h.path.send(true, func() func() {
 			versions, err := h.w.store.Commit(atOnce(), a.Transaction)
-			result := ownership.ResultOK
+			result := platform.ResultOK
 			if errors.Is(err, platform.ErrConflict) {
-				result = ownership.ResultConflict
+				result = platform.ResultConflict
 			}
 			return reply(ownership.RowCommitted{Call: a.Call, Result: result, Versions: versions})
-		}, reply(ownership.RowCommitted{Call: a.Call, Result: ownership.ResultUnavailable}),
-			reply(ownership.RowCommitted{Call: a.Call, Result: ownership.ResultInDoubt}))
+		}, reply(ownership.RowCommitted{Call: a.Call, Result: platform.ResultUnavailable}),
+			reply(ownership.RowCommitted{Call: a.Call, Result: platform.ResultInDoubt}))
 	case ownership.Acquired:
 		h.w.acquired(h, a)
 	case ownership.HandedOver:
--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -60,17 +60,6 @@
 	HasPeers bool `json:"has_peers"`
 }
 
-// RosterResult is the result of a call to the table service.
-type RosterResult string
-
-// Results of a call.
-const (
-	RosterOK          RosterResult = "ok"
-	RosterConflict    RosterResult = "conflict"
-	RosterUnavailable RosterResult = "unavailable"
-	RosterInDoubt     RosterResult = "in_doubt"
-)
-
 // RosterInput is one of RosterTick, RosterListed, RosterCommitted, PeerStated and RosterStop.
 type RosterInput interface{ isRosterInput() }
 
@@ -80,14 +69,14 @@
 // RosterListed is the result of ListRoster.
 type RosterListed struct {
 	Call   uint64
-	Result RosterResult
+	Result platform.Result
 	Rows   []platform.Row
 }
 
 // RosterCommitted is the result of CommitRoster.
 type RosterCommitted struct {
 	Call     uint64
-	Result   RosterResult
+	Result   platform.Result
 	Versions []platform.RowVersion
 }
 
--- a/internal/membership/roster_test.go
+++ b/internal/membership/roster_test.go
@@ -33,10 +33,10 @@
 		switch a := action.(type) {
 		case ListRoster:
 			rows, err := h.store.List(ctx, RosterPrefix, "", 1000)
-			h.step(now, RosterListed{Call: a.Call, Result: rosterResult(err), Rows: rows})
+			h.step(now, RosterListed{Call: a.Call, Result: platform.ResultOf(err), Rows: rows})
 		case CommitRoster:
 			versions, err := h.store.Commit(ctx, a.Transaction)
-			h.step(now, RosterCommitted{Call: a.Call, Result: rosterResult(err), Versions: versions})
+			h.step(now, RosterCommitted{Call: a.Call, Result: platform.ResultOf(err), Versions: versions})
 		}
 	}
 }
@@ -48,7 +48,7 @@
 		switch a := action.(type) {
 		case ListRoster:
 			rows, err := h.store.List(context.Background(), RosterPrefix, "", 1000)
-			held = append(held, h.stepHoldingCommits(now, RosterListed{Call: a.Call, Result: rosterResult(err), Rows: rows})...)
+			held = append(held, h.stepHoldingCommits(now, RosterListed{Call: a.Call, Result: platform.ResultOf(err), Rows: rows})...)
 		case CommitRoster:
 			held = append(held, a)
 		}
@@ -56,19 +56,6 @@
 	return held
 }
 
-func rosterResult(err error) RosterResult {
-	switch {
-	case err == nil:
-		return RosterOK
-	case errors.Is(err, platform.ErrConflict):
-		return RosterConflict
-	case errors.Is(err, platform.ErrInDoubt):
-		return RosterInDoubt
-	default:
-		return RosterUnavailable
-	}
-}
-
 // known returns what the host tells others of the roster.
 func (h *rosterHost) known() []model.EntryID {
 	known := []model.EntryID{h.id}
@@ -188,7 +175,7 @@
 	if _, err := store.Commit(context.Background(), held[0].Transaction); !errors.Is(err, platform.ErrConflict) {
 		t.Errorf("a beat from before the seal: %v, want a conflict", err)
 	}
-	member.step(*now, RosterCommitted{Call: held[0].Call, Result: RosterInDoubt})
+	member.step(*now, RosterCommitted{Call: held[0].Call, Result: platform.ResultInDoubt})
 	runRoster(now, 4*time.Second, member, hosts[1], fresh)
 	want := []model.EntryID{"e2", "e3"}
 	if view := member.roster.View(); !view.MayRely || !slices.Equal(view.RelyOn, want) {
--- a/internal/membership/rostercore.go
+++ b/internal/membership/rostercore.go
@@ -112,7 +112,7 @@
 		return
 	}
 	r.listCall = 0
-	if in.Result != RosterOK {
+	if in.Result != platform.ResultOK {
 		return
 	}
 	members := decodeRoster(in.Rows)
@@ -162,7 +162,7 @@
 		return
 	}
 	r.commitCall, r.commitEnded = 0, now
-	if in.Result != RosterOK {
+	if in.Result != platform.ResultOK {
 		r.nextRead = now
 		if r.commit.kind == commitBeat {
 			r.nextBeat = now.Add(r.limits.ReadEvery)
--- a/internal/ownership/candidate.go
+++ b/internal/ownership/candidate.go
@@ -140,7 +140,7 @@
 	if !c.finish(in.Call) {
 		return nil
 	}
-	if in.Result != ResultOK {
+	if in.Result != platform.ResultOK {
 		return nil
 	}
 	return c.observe(now, in.Row)
@@ -187,7 +187,7 @@
 		return nil
 	}
 	switch in.Result {
-	case ResultOK:
+	case platform.ResultOK:
 		write := c.writes[len(c.writes)-1]
 		c.writes = nil
 		c.row = platform.Row{Key: c.key, Value: EncodeLease(write.lease), Version: in.Versions[0]}
@@ -197,11 +197,11 @@
 			epochVersion = in.Versions[1]
 		}
 		return c.confirmed(now, write.sentAt, epochVersion)
-	case ResultUnavailable:
+	case platform.ResultUnavailable:
 		c.writes = c.writes[:len(c.writes)-1]
 		c.fire(storeDown)
 		return nil
-	case ResultConflict:
+	case platform.ResultConflict:
 		// The row has another version than the one known. It is either another
 		// owner's, or one of this candidate's writes that was in doubt.
 		c.writes = c.writes[:len(c.writes)-1]
--- a/internal/ownership/candidate_test.go
+++ b/internal/ownership/candidate_test.go
@@ -131,7 +131,7 @@
 	}
 	a.paused = true
 	run(t, now, 5*time.Second, b)
-	if _, err := store.Commit(cancelled(), write); resultOf(err) != ResultConflict {
+	if _, err := store.Commit(cancelled(), write); platform.ResultOf(err) != platform.ResultConflict {
 		t.Errorf("the deposed owner's write: got %v, want a conflict", err)
 	}
 }
@@ -286,7 +286,7 @@
 			continue
 		}
 		write := platform.Transaction{Checks: []platform.Check{h.candidate.Check()}, Puts: []platform.Put{{Key: "decision"}}}
-		if _, err := store.Commit(cancelled(), write); resultOf(err) != ResultConflict {
+		if _, err := store.Commit(cancelled(), write); platform.ResultOf(err) != platform.ResultConflict {
 			t.Fatalf("a write under epoch %d passed although epoch %d began", h.candidate.epoch, latest.candidate.epoch)
 		}
 	}
--- a/internal/ownership/harness_test.go
+++ b/internal/ownership/harness_test.go
@@ -82,12 +82,12 @@
 	if errors.Is(err, platform.ErrNotFound) {
 		err = nil
 	}
-	return RowRead{Call: a.Call, Result: resultOf(err), Row: row}
+	return RowRead{Call: a.Call, Result: platform.ResultOf(err), Row: row}
 }
 
 func (h *host) commit(a CommitRow) RowCommitted {
 	versions, err := h.store.Commit(cancelled(), a.Transaction)
-	return RowCommitted{Call: a.Call, Result: resultOf(err), Versions: versions}
+	return RowCommitted{Call: a.Call, Result: platform.ResultOf(err), Versions: versions}
 }
 
 // cancelled returns a context that gives up at once where a call would wait.
@@ -97,19 +97,6 @@
 	return ctx
 }
 
-func resultOf(err error) Result {
-	switch {
-	case err == nil:
-		return ResultOK
-	case errors.Is(err, platform.ErrConflict):
-		return ResultConflict
-	case errors.Is(err, platform.ErrInDoubt):
-		return ResultInDoubt
-	default:
-		return ResultUnavailable
-	}
-}
-
 // lost returns the reasons for which the candidate lost leases.
 func (h *host) lost() []LossReason {
 	var reasons []LossReason
--- a/internal/ownership/types.go
+++ b/internal/ownership/types.go
@@ -66,17 +66,6 @@
 	StateStopped     State = "stopped"
 )
 
-// Result is the result of a call to the table service.
-type Result string
-
-// Results of a call.
-const (
-	ResultOK          Result = "ok"
-	ResultConflict    Result = "conflict"
-	ResultUnavailable Result = "unavailable"
-	ResultInDoubt     Result = "in_doubt"
-)
-
 // Input is one of Tick, RowRead, RowCommitted and Stop.
 type Input interface{ isInput() }
 
@@ -86,15 +75,15 @@
 // RowRead is the result of ReadRow. A row with version zero does not exist.
 type RowRead struct {
 	Call   uint64
-	Result Result
+	Result platform.Result
 	Row    platform.Row
 }
 
 // RowCommitted is the result of CommitRow. Versions are those that the table
-// service gave for the transaction's puts; they are set for ResultOK.
+// service gave for the transaction's puts; they are set for platform.ResultOK.
 type RowCommitted struct {
 	Call     uint64
-	Result   Result
+	Result   platform.Result
 	Versions []platform.RowVersion
 }
 
--- a/internal/permit/owners_test.go
+++ b/internal/permit/owners_test.go
@@ -48,17 +48,17 @@
 					row = platform.Row{Key: a.Key}
 				}
 				return func(error) {
-					e.ownerStep(ownership.RowRead{Call: a.Call, Result: ownership.ResultOK, Row: row})
+					e.ownerStep(ownership.RowRead{Call: a.Call, Result: platform.ResultOK, Row: row})
 				}
-			}, func(error) { e.ownerStep(ownership.RowRead{Call: a.Call, Result: ownership.ResultUnavailable}) })
+			}, func(error) { e.ownerStep(ownership.RowRead{Call: a.Call, Result: platform.ResultUnavailable}) })
 		case ownership.CommitRow:
 			w.call(e, true, func() func(error) {
 				versions, err := w.store.Commit(context.Background(), a.Transaction)
 				return func(error) {
-					e.ownerStep(ownership.RowCommitted{Call: a.Call, Result: ownership.Result(resultOf(err)), Versions: versions})
+					e.ownerStep(ownership.RowCommitted{Call: a.Call, Result: platform.ResultOf(err), Versions: versions})
 				}
 			}, func(err error) {
-				e.ownerStep(ownership.RowCommitted{Call: a.Call, Result: ownership.Result(resultOf(err))})
+				e.ownerStep(ownership.RowCommitted{Call: a.Call, Result: platform.ResultOf(err)})
 			})
 		default:
 			e.takeOwnership(action)
--- a/internal/permit/processes_test.go
+++ b/internal/permit/processes_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"dragonflyyard/internal/configstore"
 	"dragonflyyard/internal/membership"
 	"dragonflyyard/internal/model"
@@ -126,13 +124,13 @@
 	case configstore.ListRows:
 		e.read(func() configstore.Input {
 			rows, _ := w.store.List(ctx, a.Prefix, a.After, a.Limit)
-			return configstore.RowsListed{Call: a.Call, Result: configstore.ResultOK, Rows: rows}
-		}, configstore.RowsListed{Call: a.Call, Result: configstore.ResultUnavailable})
+			return configstore.RowsListed{Call: a.Call, Result: platform.ResultOK, Rows: rows}
+		}, configstore.RowsListed{Call: a.Call, Result: platform.ResultUnavailable})
 	case configstore.ReadRow:
 		e.read(func() configstore.Input {
 			row, err := w.store.Get(ctx, a.Key)
-			return configstore.RowRead{Call: a.Call, Result: resultOf(err), Row: row}
-		}, configstore.RowRead{Call: a.Call, Result: configstore.ResultUnavailable})
+			return configstore.RowRead{Call: a.Call, Result: platform.ResultOf(err), Row: row}
+		}, configstore.RowRead{Call: a.Call, Result: platform.ResultUnavailable})
 	case configstore.Commit:
 		w.call(e, true, func() func(error) {
 			versions, err := w.store.Commit(ctx, a.Transaction)
@@ -140,13 +138,13 @@
 				w.recordCommit(a.Transaction, versions)
 			}
 			return func(error) {
-				e.configStep(configstore.Committed{Call: a.Call, Result: resultOf(err), Versions: versions})
+				e.configStep(configstore.Committed{Call: a.Call, Result: platform.ResultOf(err), Versions: versions})
 			}
-		}, func(err error) { e.configStep(configstore.Committed{Call: a.Call, Result: resultOf(err)}) })
+		}, func(err error) { e.configStep(configstore.Committed{Call: a.Call, Result: platform.ResultOf(err)}) })
 	case configstore.ReadObject:
-		e.configStep(configstore.ObjectRead{Call: a.Call, Result: configstore.ResultUnavailable})
+		e.configStep(configstore.ObjectRead{Call: a.Call, Result: platform.ResultUnavailable})
 	case configstore.WriteObject:
-		e.configStep(configstore.ObjectWritten{Call: a.Call, Result: configstore.ResultUnavailable})
+		e.configStep(configstore.ObjectWritten{Call: a.Call, Result: platform.ResultUnavailable})
 	}
 }
 
@@ -157,21 +155,6 @@
 	}, func(error) { e.configStep(failed) })
 }
 
-func resultOf(err error) configstore.Result {
-	switch {
-	case err == nil:
-		return configstore.ResultOK
-	case errors.Is(err, platform.ErrNotFound):
-		return configstore.ResultNotFound
-	case errors.Is(err, platform.ErrConflict):
-		return configstore.ResultConflict
-	case errors.Is(err, platform.ErrInDoubt):
-		return configstore.ResultInDoubt
-	default:
-		return configstore.ResultUnavailable
-	}
-}
-
 func (e *entryHost) rosterStep(in membership.RosterInput) {
 	actions := e.roster.Step(e.w.now, in)
 	view := e.roster.View()
@@ -201,21 +184,21 @@
 		w.call(e, false, func() func(error) {
 			rows, _ := w.store.List(ctx, membership.RosterPrefix, "", 1000)
 			return func(error) {
-				e.rosterStep(membership.RosterListed{Call: a.Call, Result: membership.RosterOK, Rows: rows})
+				e.rosterStep(membership.RosterListed{Call: a.Call, Result: platform.ResultOK, Rows: rows})
 			}
 		}, func(error) {
-			e.rosterStep(membership.RosterListed{Call: a.Call, Result: membership.RosterUnavailable})
+			e.rosterStep(membership.RosterListed{Call: a.Call, Result: platform.ResultUnavailable})
 		})
 	case membership.CommitRoster:
 		w.call(e, true, func() func(error) {
 			versions, err := w.store.Commit(ctx, a.Transaction)
 			return func(error) {
 				e.rosterStep(membership.RosterCommitted{
-					Call: a.Call, Result: membership.RosterResult(resultOf(err)), Versions: versions,
+					Call: a.Call, Result: platform.ResultOf(err), Versions: versions,
 				})
 			}
 		}, func(err error) {
-			e.rosterStep(membership.RosterCommitted{Call: a.Call, Result: membership.RosterResult(resultOf(err))})
+			e.rosterStep(membership.RosterCommitted{Call: a.Call, Result: platform.ResultOf(err)})
 		})
 	}
 }
