Order large jobs by slowdown over all accounts, and let them yield by it

Cause: the large jobs with the greatest slowdown waited behind other large jobs. Change: a large job with an expected slowdown above 2 goes before the order of the accounts, the slowest first, and has capacity held back; a large job that can checkpoint yields to one whose slowdown is twice its own.

--- a/internal/scheduler/backfill.go
+++ b/internal/scheduler/backfill.go
@@ -40,8 +40,9 @@
 	return sum
 }
 
-// reserveFor holds capacity back for the first large job of an account that
-// waits. A job that comes after it in the account's order gives its own up.
+// reserveFor holds capacity back for aged jobs and for the first large job of an
+// account that waits. A job that comes after it in the account's order gives its
+// own up.
 func (c *Core) reserveFor(now time.Time, j *JobState) {
 	if c.settings.Policy.NoReservations || !c.isLarge(j) {
 		return
@@ -49,7 +50,7 @@
 	if c.fillsDuringZoneChange() {
 		return
 	}
-	if other := c.reservationOf(j.Job.Account); other != nil {
+	if other := c.reservationOf(j.Job.Account); other != nil && !j.aged {
 		if compareRank(c.jobs[other.Job].rank, j.rank) < 0 {
 			return
 		}
@@ -65,14 +66,20 @@
 // in which the least capacity is there.
 func (c *Core) fillsDuringZoneChange() bool { return len(c.zoneOutSince) > 0 }
 
-// reservationOf returns what is held back for a waiting job of an account, or nil.
+// reservationOf returns what is held back for the first waiting job of an
+// account that is not aged, or nil.
 func (c *Core) reservationOf(account model.ClientAccountID) *Reservation {
+	var first *Reservation
 	for id, r := range c.reservations {
-		if j := c.jobs[id]; j.Job.Account == account && !r.ForMove {
-			return r
+		j := c.jobs[id]
+		if j.Job.Account != account || r.ForMove || j.aged {
+			continue
+		}
+		if first == nil || compareRank(j.rank, c.jobs[first.Job].rank) < 0 {
+			first = r
 		}
 	}
-	return nil
+	return first
 }
 
 // tryReserved starts a job that capacity is held back for, or brings its plan up to date.
--- a/internal/scheduler/borrowed.go
+++ b/internal/scheduler/borrowed.go
@@ -44,6 +44,7 @@
 		c.placeInOrder(now)
 		return
 	}
+	c.placeAged(now)
 	turns := c.turns()
 	for len(turns) > 0 && c.starts > 0 {
 		t := &turns[0]
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -29,6 +29,11 @@
 	// phases holds the IDs of the jobs in each phase, so that a tick looks
 	// only at the jobs that something is due for.
 	phases map[Phase]map[model.JobID]struct{}
+	// largeQueued are the waiting large jobs, aged those of them that go before
+	// the order of the accounts, as of agedAt.
+	largeQueued map[model.JobID]struct{}
+	aged        []aged
+	agedAt      time.Time
 	// claims are the waiting jobs of the guaranteed class.
 	claims       []rank
 	reservations map[model.JobID]*Reservation
@@ -70,6 +75,9 @@
 	c.tracker = quarantine.NewTracker(c.settings.Quarantine, quarantine.State{})
 	c.phases = map[Phase]map[model.JobID]struct{}{}
 	c.claims = nil
+	c.largeQueued = map[model.JobID]struct{}{}
+	c.aged = nil
+	c.agedAt = time.Time{}
 	c.reservations = map[model.JobID]*Reservation{}
 	c.nextShadow = time.Time{}
 	c.blocked = map[blockedKey]struct{}{}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -91,6 +91,8 @@
 	// StopAfterDecision ends the attempt as soon as its decision row is known.
 	StopAfterDecision bool
 	History           []Explanation
+	// aged is set while the job waits beyond its limit, see aging.go.
+	aged bool
 	// rank is the job's place in its account's queue.
 	rank rank
 	// preemptAt is when work that may yield to the job is looked for again.
--- a/internal/scheduler/pinned.go
+++ b/internal/scheduler/pinned.go
@@ -73,7 +73,7 @@
 // mayYieldToSmall reports whether a gang may be moved for a small job.
 func (c *Core) mayYieldToSmall(now time.Time, v *JobState) bool {
 	return c.isBorrowed(v) && v.Phase != PhaseDeciding && v.Phase != PhaseInDoubt &&
-		c.isYielding(v) && now.Sub(v.StartedAt) >= c.settings.MinRunBeforeYield
+		c.isYielding(v) && now.Sub(v.StartedAt) >= c.settings.MinRunBeforeMove
 }
 
 // isLarge reports whether a job is one that capacity is held back for.
--- a/internal/scheduler/pinned_test.go
+++ b/internal/scheduler/pinned_test.go
@@ -34,7 +34,7 @@
 		}
 	}
 	f.submit(checkpointing("y2", 2, 8), checkpointing("y3", 1, 6))
-	f.pass(2 * f.c.settings.MinRunBeforeYield)
+	f.pass(2 * f.c.settings.MinRunBeforeMove)
 	f.submit(testJob("p2", 1, 4))
 	f.wantPhase("p2", PhaseRunning)
 	if on := f.workersOf("p1", "p2"); len(on) != 1 {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -101,9 +101,9 @@
 }
 
 // mayYield reports whether a borrowed gang may be stopped for another borrowed
-// job. A gang that can checkpoint yields to urgent work and to a large job
-// that capacity is held back for; one that cannot yields only to urgent work of
-// its own account.
+// job. A gang that can checkpoint yields to urgent work; a small one also to a
+// large job, and a large one to a large job that is much further behind. A gang
+// that cannot checkpoint yields only to urgent work of its own account.
 func (c *Core) mayYield(now time.Time, waiting *JobState) func(*JobState) bool {
 	return func(v *JobState) bool {
 		if !c.isBorrowed(v) || v.Job.Urgent || v.Phase == PhaseDeciding || v.Phase == PhaseInDoubt {
@@ -112,10 +112,20 @@
 		if waiting.Job.Urgent {
 			return v.Job.CanCheckpoint || v.Job.Account == waiting.Job.Account
 		}
-		return c.isYielding(v) && now.Sub(v.StartedAt) >= c.settings.MinRunBeforeYield
+		if now.Sub(v.StartedAt) < c.minRunBeforeYield() {
+			return false
+		}
+		return c.isYielding(v) || c.yieldsBySlowdown(now, v, waiting)
 	}
 }
 
+// minRunBeforeYield is how long a gang runs before it yields to a large job. The
+// longer, the sooner small work ends and the later large work starts.
+func (c *Core) minRunBeforeYield() time.Duration {
+	longer := c.weights().CompletionTime * float64(c.settings.MinRunForCompletion)
+	return c.settings.MinRunBeforeYield + time.Duration(longer)
+}
+
 // isYielding reports whether a job is small work that loses nothing by making
 // room for a large job.
 func (c *Core) isYielding(j *JobState) bool {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -113,6 +113,10 @@
 	if !found {
 		a.queue = slices.Insert(a.queue, at, j.rank)
 	}
+	j.aged = false
+	if c.isLarge(j) {
+		c.largeQueued[j.Job.ID] = struct{}{}
+	}
 	if j.Job.Capacity == model.CapacityGuaranteed {
 		at, found = slices.BinarySearchFunc(c.claims, j.rank, compareRank)
 		if !found {
@@ -122,6 +126,7 @@
 }
 
 func (c *Core) dequeue(j *JobState) {
+	delete(c.largeQueued, j.Job.ID)
 	a := c.account(j.Job.Account)
 	if at, found := slices.BinarySearchFunc(a.queue, j.rank, compareRank); found {
 		a.queue = slices.Delete(a.queue, at, at+1)
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -46,13 +46,23 @@
 	// LargeWait is how long capacity is held back for a job before borrowed
 	// work of accounts above their share has to yield to it.
 	LargeWait time.Duration
+	// AgedSlowdown is the expected slowdown from which a large job goes before
+	// the order of the accounts, and YieldSlowdown the factor between the
+	// slowdowns of two large jobs from which the lower one yields.
+	AgedSlowdown  float64
+	YieldSlowdown float64
 	// RestartCost is the time that a stopped gang loses besides its work.
 	RestartCost time.Duration
-	// MaxPreemptions is how often a gang yields to other borrowed work, and
-	// MinRunBeforeYield how long it runs before it does.
-	MaxPreemptions    int
-	MinRunBeforeYield time.Duration
-	Quarantine        quarantine.Settings
+	// MaxPreemptions is how often a gang yields to other borrowed work.
+	MaxPreemptions int
+	// MinRunBeforeYield is how long a gang runs before it yields to a large job,
+	// and MinRunForCompletion how much longer at the full weight of completion time.
+	MinRunBeforeYield   time.Duration
+	MinRunForCompletion time.Duration
+	// MinRunBeforeMove is how long a gang runs before it moves away from work
+	// that cannot checkpoint.
+	MinRunBeforeMove time.Duration
+	Quarantine       quarantine.Settings
 	// EndedMemory is how many ended jobs are kept for Explain.
 	EndedMemory int
 	Policy      Policy
@@ -100,9 +110,13 @@
 		MaxStartsPerTick:     8,
 		LargeAccelerators:    16,
 		LargeWait:            15 * time.Second,
+		AgedSlowdown:         2,
+		YieldSlowdown:        2,
 		RestartCost:          30 * time.Second,
-		MaxPreemptions:       6,
-		MinRunBeforeYield:    time.Minute,
+		MaxPreemptions:       8,
+		MinRunBeforeYield:    40 * time.Second,
+		MinRunForCompletion:  20 * time.Second,
+		MinRunBeforeMove:     4 * time.Minute,
 		Quarantine:           quarantine.DefaultSettings(),
 		ZoneDrain:            time.Minute,
 		MaxLargeReservations: 4,
