Start urgent work at once: stop the youngest work without a checkpoint

Work under way to a checkpoint is no place for urgent work. The replay measures the longest start of urgent work and the work lost by stops.

--- a/internal/replay/jobs/measure.go
+++ b/internal/replay/jobs/measure.go
@@ -39,8 +39,13 @@
 	ClaimMax    float64
 	ClaimOwnMax float64
 	Claims      int
+	// WorkLost is the accelerator-seconds of tasks that were stopped or failed
+	// without a checkpoint.
+	WorkLost float64
 	// UrgentP95 is of the time from submission to start of urgent jobs.
 	UrgentP95 float64
+	// UrgentMax is the longest of these times.
+	UrgentMax float64
 	Finished  int
 	Left      int
 	Parked    int
@@ -77,6 +82,7 @@
 	atFrom     map[*FakeTask]time.Duration
 	atUntil    map[*FakeTask]time.Duration
 	kept       time.Duration
+	lost       time.Duration
 	windowOpen bool
 }
 
@@ -248,6 +254,7 @@
 // ended adds the work of a task inside the window, unless it has to be done again.
 func (m *meter) ended(t *FakeTask, state wire.TaskState, checkpointed bool) {
 	if state != wire.TaskFinished && !checkpointed {
+		m.lost += t.done * time.Duration(t.Needs.Accelerators)
 		return
 	}
 	until, closed := m.atUntil[t]
@@ -262,7 +269,7 @@
 
 // figures sums up a replay.
 func (m *meter) figures() Figures {
-	f := Figures{Broken: m.broken, Refused: m.refused, ZoneWork: m.kept.Seconds(), Claims: m.counted, ClaimMax: m.claimMax, ClaimOwnMax: m.claimOwn}
+	f := Figures{Broken: m.broken, Refused: m.refused, ZoneWork: m.kept.Seconds(), WorkLost: m.lost.Seconds(), Claims: m.counted, ClaimMax: m.claimMax, ClaimOwnMax: m.claimOwn}
 	var completions, slowdowns, large []float64
 	met, deadlines := 0, 0
 	for _, a := range m.list.Arrivals {
@@ -298,6 +305,7 @@
 	f.FragmentationFloor = m.floor / max(1, m.free)
 	f.FragmentationBySample = mean(m.fr)
 	f.UrgentP95 = quantile(m.urgent, 0.95)
+	f.UrgentMax = quantile(m.urgent, 1)
 	return f
 }
 
--- a/internal/replay/jobs/table.go
+++ b/internal/replay/jobs/table.go
@@ -43,6 +43,8 @@
 		{"claim to running, longest (s)", func(f Figures) float64 { return f.ClaimMax }, "%.3f"},
 		{"of it without checkpoints (s)", func(f Figures) float64 { return f.ClaimOwnMax }, "%.3f"},
 		{"urgent to running, p95 (s)", func(f Figures) float64 { return f.UrgentP95 }, "%.2f"},
+		{"urgent to running, longest (s)", func(f Figures) float64 { return f.UrgentMax }, "%.2f"},
+		{"work stopped without a checkpoint (1000 accelerator-s)", func(f Figures) float64 { return f.WorkLost / 1000 }, "%.1f"},
 		{"jobs left", func(f Figures) float64 { return float64(f.Left) }, "%.0f"},
 		{"invariants broken", func(f Figures) float64 { return float64(f.Broken) }, "%.0f"},
 	}
--- a/internal/scheduler/borrowed.go
+++ b/internal/scheduler/borrowed.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -195,7 +196,7 @@
 // preemptFor stops borrowed gangs that may yield to a job.
 func (c *Core) preemptFor(now time.Time, j *JobState) bool {
 	may := c.mayYield(now, j)
-	place := c.placeIfYielded(j, may)
+	place := c.placeIfYielded(now, j, may)
 	if place == nil {
 		j.preemptAt = now.Add(preemptRetry)
 		if j.Job.Urgent {
@@ -216,8 +217,26 @@
 // tried one after the other, so that small work moves before large work does.
 var yieldSizes = []int{2, 8, 1 << 30}
 
+// urgentLosses are the run times since the last checkpoint up to which gangs are
+// stopped for urgent work, tried one after the other.
+var urgentLosses = []time.Duration{15 * time.Second, time.Minute, 4 * time.Minute, math.MaxInt64}
+
 // placeIfYielded returns a place in which only gangs that may yield are in the way.
-func (c *Core) placeIfYielded(j *JobState, may func(*JobState) bool) []model.WorkerID {
+func (c *Core) placeIfYielded(now time.Time, j *JobState, may func(*JobState) bool) []model.WorkerID {
+	if !j.Job.Urgent {
+		return c.placeBySize(j, may)
+	}
+	for _, loss := range urgentLosses {
+		young := func(v *JobState) bool { return c.sinceCheckpoint(now, v) <= loss && may(v) }
+		if place := c.placeBySize(j, young); place != nil {
+			return place
+		}
+	}
+	return nil
+}
+
+// placeBySize returns a place in which the gangs in the way are as small as can be.
+func (c *Core) placeBySize(j *JobState, may func(*JobState) bool) []model.WorkerID {
 	for _, size := range yieldSizes {
 		r := c.request(j)
 		small := func(v *JobState) bool { return v.Job.Shape.Accelerators() <= size && may(v) }
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -97,36 +97,43 @@
 	}
 	cost := 0.0
 	for _, id := range victims {
-		cost += c.lostWork(now, c.jobs[id])
+		cost += c.lostWork(now, c.jobs[id], j.Job.Urgent)
 	}
 	return cost
 }
 
-// evict stops the victims for a job.
+// evict stops the victims for a job: after a checkpoint where they can take one,
+// or at once for urgent work, which has no time for it.
 func (c *Core) evict(now time.Time, j *JobState, victims []model.JobID, reason wire.StopReason) {
 	if len(victims) == 0 {
 		return
 	}
 	names := make([]string, len(victims))
+	grace := c.settings.CheckpointGrace
+	how := ""
+	if j.Job.Urgent {
+		grace = 0
+		how = " at once"
+	}
 	for i, id := range victims {
 		names[i] = string(id)
 		v := c.jobs[id]
 		v.Moved = true
 		v.Preemptions++
 		c.record(event.JobPreempted, id, string(j.Job.ID), string(reason))
-		c.stopVictim(now, v, reason, "stopped for job "+string(j.Job.ID)+" of account "+string(j.Job.Account))
+		c.stopVictim(now, v, reason, grace, "stopped"+how+" for job "+string(j.Job.ID)+" of account "+string(j.Job.Account))
 	}
-	j.explain(now, "evicts %s, the choice that loses least work", strings.Join(names, ", "))
+	j.explain(now, "evicts %s%s, the choice that loses least work", strings.Join(names, ", "), how)
 }
 
 // stopVictim ends a gang; one whose decision is not known yet ends right after it is.
-func (c *Core) stopVictim(now time.Time, v *JobState, reason wire.StopReason, text string) {
+func (c *Core) stopVictim(now time.Time, v *JobState, reason wire.StopReason, grace time.Duration, text string) {
 	if v.Phase == PhaseDeciding || v.Phase == PhaseInDoubt {
 		v.StopAfterDecision = true
 		v.explain(now, "%s, as soon as its decision row is known", text)
 		return
 	}
-	c.endAttempt(now, v, eventReclaimed, PhaseQueued, reason, c.settings.CheckpointGrace, text)
+	c.endAttempt(now, v, eventReclaimed, PhaseQueued, reason, grace, text)
 }
 
 // cover gives cells their places and tells operators what changed.
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -29,8 +29,9 @@
 	}
 }
 
-// lostWork is the work that stopping a gang costs, in accelerator-seconds.
-func (c *Core) lostWork(now time.Time, j *JobState) float64 {
+// lostWork is the work that stopping a gang costs, in accelerator-seconds. A gang
+// that is stopped at once loses its work since its last checkpoint.
+func (c *Core) lostWork(now time.Time, j *JobState, atOnce bool) float64 {
 	accelerators := float64(max(1, j.Job.Shape.Accelerators()))
 	switch j.Phase {
 	case PhaseDeciding, PhaseInDoubt:
@@ -40,8 +41,8 @@
 		return 0
 	}
 	lost := c.settings.RestartCost.Seconds()
-	if !j.Job.CanCheckpoint && !j.StartedAt.IsZero() {
-		lost += now.Sub(j.StartedAt).Seconds()
+	if atOnce || !j.Job.CanCheckpoint {
+		lost += c.sinceCheckpoint(now, j).Seconds()
 	}
 	// A large gang waits longer for its next place, and one that was stopped
 	// before has waited already.
@@ -49,6 +50,15 @@
 	return lost * accelerators * again * float64(1+j.Preemptions)
 }
 
+// sinceCheckpoint is the run time that a gang loses when it is stopped at once: a
+// checkpoint is taken only at the end of an attempt.
+func (c *Core) sinceCheckpoint(now time.Time, j *JobState) time.Duration {
+	if j.StartedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(j.StartedAt)
+}
+
 // victimsFor chooses the gangs to stop so that a job's tasks fit on workers,
 // and reports whether that is possible at all.
 func (c *Core) victimsFor(now time.Time, j *JobState, workers []model.WorkerID, may func(*JobState) bool) ([]model.JobID, bool) {
@@ -58,8 +68,11 @@
 	}
 	deficits := map[model.WorkerID]model.Resources{}
 	short := false
+	// What is being checkpointed comes too late for urgent work; a claim has no
+	// other place.
+	withStopping := !j.Job.Urgent || j.Job.Capacity == model.CapacityGuaranteed
 	for id, need := range needs {
-		missing := c.overbooked(id, true).Add(need)
+		missing := c.overbooked(id, withStopping).Add(need)
 		if missing.Accelerators > 0 || missing.Cores > 0 || missing.MemoryMB > 0 {
 			deficits[id] = missing
 			short = true
@@ -72,11 +85,11 @@
 	if c.settings.Policy.EvictNewest {
 		order = preemption.AsGiven
 	}
-	return preemption.Choose(deficits, c.victims(now, deficits, may), order)
+	return preemption.Choose(deficits, c.victims(now, deficits, j.Job.Urgent, may), order)
 }
 
 // victims lists the gangs with tasks on the given workers that may be stopped.
-func (c *Core) victims(now time.Time, on map[model.WorkerID]model.Resources, may func(*JobState) bool) []preemption.Victim {
+func (c *Core) victims(now time.Time, on map[model.WorkerID]model.Resources, atOnce bool, may func(*JobState) bool) []preemption.Victim {
 	held := map[model.JobID][]preemption.Use{}
 	for id := range on {
 		for _, job := range c.workers[id].tasks {
@@ -95,7 +108,7 @@
 	}
 	out := make([]preemption.Victim, len(ids))
 	for i, id := range ids {
-		out[i] = preemption.Victim{Job: id, Cost: c.lostWork(now, c.jobs[id]), Uses: held[id]}
+		out[i] = preemption.Victim{Job: id, Cost: c.lostWork(now, c.jobs[id], atOnce), Uses: held[id]}
 	}
 	return out
 }
--- /dev/null
+++ b/internal/scheduler/urgent_test.go
@@ -0,0 +1,51 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"dragonflyyard/internal/model"
+)
+
+// urgentJob returns a job of account b that may stop work of account a.
+func urgentJob(id string, tasks, accelerators int) model.Job {
+	j := testJob(id, tasks, accelerators)
+	j.Account = "b"
+	j.Urgent = true
+	return j
+}
+
+func TestUrgentWorkStopsTheYoungestAtOnce(t *testing.T) {
+	f := newTestFleet(t, testAccounts(), testWorker("w1"), testWorker("w2"))
+	f.submit(checkpointing("old", 1, 8))
+	f.pass(10 * time.Minute)
+	f.submit(checkpointing("young", 1, 8))
+	f.pass(time.Second)
+	f.submit(urgentJob("u", 1, 4))
+	f.wantPhase("u", PhaseRunning)
+	f.wantPhase("old", PhaseRunning)
+	f.wantPhase("young", PhaseQueued)
+	if len(f.stops) != 1 || f.stops[0].GraceMS != 0 {
+		t.Errorf("stops %+v, want one without time for a checkpoint", f.stops)
+	}
+}
+
+func TestUrgentWorkLeavesOthersWorkThatCannotCheckpoint(t *testing.T) {
+	f := newTestFleet(t, testAccounts(), testWorker("w1"))
+	f.submit(testJob("pinned", 1, 8), urgentJob("u", 1, 4))
+	f.pass(time.Second)
+	f.wantPhase("u", PhaseQueued)
+	f.wantPhase("pinned", PhaseRunning)
+}
+
+func TestUrgentWorkDoesNotWaitForCheckpointsUnderWay(t *testing.T) {
+	f := newTestFleet(t, testAccounts(), testWorker("w1"), testWorker("w2"))
+	f.submit(checkpointing("moving", 1, 8), checkpointing("young", 1, 8))
+	f.pass(2 * time.Minute)
+	// The stop is not delivered yet: the checkpoint is under way.
+	f.c.evict(f.now, &JobState{Job: testJob("other", 1, 8)}, []model.JobID{"moving"}, "")
+	f.wantPhase("moving", PhaseStopping)
+	f.submit(urgentJob("u", 1, 8))
+	f.wantPhase("u", PhaseRunning)
+	f.wantPhase("young", PhaseQueued)
+}
