Say in explain that a job waits for the next tick's starts

Cause: a job with a free place that waited only since eight attempts had begun between two ticks was said to have no place. Ruled out: a note in the job's history at each pass, one line for each 100 ms. Change: explain looks for a place when the starts are used up, and says so. Before: 'no place for 1 tasks of 1 accelerators is free'; after: 'a place for 1 tasks of 1 accelerators is free, but 8 attempts have begun since the last tick'.

--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -65,6 +65,9 @@
 	if j.Job.Capacity == model.CapacityGuaranteed {
 		return c.whyNoCell(j)
 	}
+	if why := c.whyNextTick(j); why != "" {
+		return why
+	}
 	if r := c.reservations[j.Job.ID]; r != nil {
 		return fmt.Sprintf("capacity on %s is held back for it, expected to be free at %s", workerList(r.Workers), r.Shadow.UTC().Format(time.RFC3339))
 	}
@@ -72,6 +75,23 @@
 		describe(j.Job.Shape), j.Job.Account, c.account(j.Job.Account).Borrowed, c.weight(j.Job.Account))
 }
 
+// whyNextTick says that a job has a place and waits only since as many attempts
+// have begun as may between two ticks.
+func (c *Core) whyNextTick(j *JobState) string {
+	if c.starts > 0 {
+		return ""
+	}
+	index := c.books.open
+	if c.reservations[j.Job.ID] != nil || c.isYielding(j) {
+		index = c.books.free
+	}
+	if place, _ := c.bestPlace(index, j); place == nil {
+		return ""
+	}
+	return fmt.Sprintf("a place for %s is free, but %d attempts have begun since the last tick, as many as may; it is tried again with the next",
+		describe(j.Job.Shape), c.settings.MaxStartsPerTick)
+}
+
 // wholeFleet says whether a job fits only when zones or workers are back.
 func (c *Core) wholeFleet(j *JobState) string {
 	now := placement.NewIndex()
