--- a/internal/agent/permits.go
+++ b/internal/agent/permits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dragonflyyard/internal/configstore"
+	"dragonflyyard/internal/dedup"
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/executor"
 	"dragonflyyard/internal/gang"
@@ -41,6 +42,10 @@
 	granted executor.PermitGranted
 	// held is set while the agent holds a permit that was recorded.
 	held bool
+	// configInForce and assignmentVersion are the versions acted on, for new
+	// connections.
+	configInForce     atomic.Uint64
+	assignmentVersion atomic.Uint64
 	// current is read by the caller of the worker right before a start.
 	current atomic.Pointer[gang.PermitUpdate]
 	// unsent is set while another duty had no room for the latest state.
@@ -79,6 +84,11 @@
 	return update.ValidUntil, !update.ZoneOut && now.Before(update.ValidUntil)
 }
 
+// configVersion returns the version of the configuration that is acted on.
+func (d *Permits) configVersion() model.ConfigVersion {
+	return model.ConfigVersion(d.configInForce.Load())
+}
+
 // run is the duty.
 func (d *Permits) run(ctx context.Context) error {
 	ticker := time.NewTicker(permitTick)
@@ -123,12 +133,14 @@
 	if d.document.Version != before {
 		d.p.Log.Record(event.Event{Code: event.ConfigApplied, Subject: d.document.Version.String()})
 	}
-	if update.Assignment != nil && update.Assignment.Version > d.assignment.Version {
-		d.assignment = *update.Assignment
+	if next, later := dedup.Follow(d.assignment, update); later {
+		d.assignment = next
 		d.holder.SeeAssignment(d.assignment.Version)
 		d.unsentAssignment = true
 	}
-	c.Send(&wire.ConfigAck{Version: d.document.Version})
+	d.configInForce.Store(uint64(d.document.Version))
+	d.assignmentVersion.Store(d.assignment.Version)
+	c.Send(&wire.ConfigAck{Version: d.document.Version, Assignment: d.assignment.Version})
 }
 
 // tell passes the latest permit and assignment on to the duties that act on
--- a/internal/ctl/calls_test.go
+++ b/internal/ctl/calls_test.go
@@ -25,7 +25,10 @@
 func serveJobs(ctx *fasthttp.RequestCtx) {
 	switch path := string(ctx.Path()); {
 	case path == operatorapi.PathJobs && ctx.IsPost():
-		answer(ctx, 200, operatorapi.JobReply{Job: runningJob})
+		request, _ := operatorapi.DecodeJob(ctx.Request.Body(), time.Time{})
+		taken := runningJob
+		taken.ID = request.ID
+		answer(ctx, 200, operatorapi.JobReply{Job: taken})
 	case path == operatorapi.PathJobs && string(ctx.QueryArgs().Peek("after")) == "j1":
 		answer(ctx, 200, operatorapi.JobList{Jobs: []operatorapi.JobStatus{waitingJob}})
 	case path == operatorapi.PathJobs:
@@ -59,7 +62,7 @@
 	entry := startEntry(t, serveJobs)
 	entries := []string{entry.address}
 	runCtl(t, "", entries, "job", "submit", "--account", "judges", "--tasks", "2", "--topology", "rack", "--needed-within", "2h",
-		"--guaranteed", "--urgent", "--checkpoint", "--class", "rind").expect(t, ExitDone, "j1 account judges running tasks 2 attempt 1")
+		"--guaranteed", "--urgent", "--checkpoint", "--class", "rind").expect(t, ExitDone, " account judges running tasks 2 attempt 1")
 	want := time.Date(2026, 12, 4, 14, 0, 0, 0, time.UTC)
 	got := submitted(t, entry)
 	if got.ID == "" || !got.Deadline.Equal(want) || got.Capacity != model.CapacityGuaranteed || !got.Urgent || !got.CanCheckpoint {
@@ -71,7 +74,7 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	runCtl(t, "", entries, "job", "submit", "--file", file, "--id", "j9").expect(t, ExitDone, "j1")
+	runCtl(t, "", entries, "job", "submit", "--file", file, "--id", "j9").expect(t, ExitDone, "j9 account")
 	if got := submitted(t, entry); got.ID != "j9" || got.Shape.Tasks != 2 {
 		t.Errorf("submitted %+v", got)
 	}
@@ -131,10 +134,10 @@
 			t.Errorf("bodies %q", bodies)
 		}
 	}
-	runCtl(t, "", []string{second.address}, "request", "status", "0190a000-0000-7000-8000-000000000001").expect(t, ExitDone, "the answer")
+	runCtl(t, "", []string{second.address}, "request", "status", "--account", "judges", "0190a000-0000-7000-8000-000000000001").expect(t, ExitDone, "the answer")
 	old := startEntry(t, outcome(504, "unknown", model.ReasonOutsideHorizon))
 	runCtl(t, "", []string{old.address}, "request", "send", "--account", "judges", "--idempotent").expect(t, ExitInDoubt, "it is safe to send it again under a new ID")
-	runCtl(t, "", []string{closedAddress(t)}, "request", "send", "--account", "judges").expect(t, ExitNotAccepted, "not run")
+	runCtl(t, "", []string{closedAddress}, "request", "send", "--account", "judges").expect(t, ExitNotAccepted, "not run")
 }
 
 func TestAFinalOutcomeIsNotAskedForElsewhere(t *testing.T) {
@@ -203,7 +206,7 @@
 }
 
 func TestTimelineNamesTheMissingAndPrintsTheRest(t *testing.T) {
-	dead := &fakeEntry{address: closedAddress(t)}
+	dead := &fakeEntry{address: closedAddress}
 	entry := startLine(t, "entry-1", []*fakeEntry{dead}, 1, 3)
 	r := runCtl(t, "", []string{entry.address}, "--json", "timeline")
 	r.expect(t, ExitNotAccepted, "time line of "+dead.address+" is missing")
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -96,7 +96,7 @@
 func (s *State) serveChange(ctx *fasthttp.RequestCtx) {
 	change, refused := operatorapi.DecodeChange(ctx.PostBody())
 	if refused != nil {
-		process.WriteError(ctx, fasthttp.StatusBadRequest, refused.Code, refused.Sentence)
+		process.WriteError(ctx, refused.Status(), refused.Code, refused.Sentence)
 		return
 	}
 	change.Time = s.p.Now().UTC()
@@ -171,16 +171,14 @@
 		case <-timer.C:
 		}
 	}
-	setRetryAfter(ctx, time.Second)
-	process.WriteError(ctx, fasthttp.StatusServiceUnavailable, "busy", "The entry host is busy; come back later.")
+	writeReply(ctx, errorReply(fasthttp.StatusServiceUnavailable, "busy", "The entry host is busy; come back later.", time.Second))
 	return nil, false
 }
 
 func (s *State) serveConfig(ctx *fasthttp.RequestCtx) {
 	document, ready := s.Document()
 	if !ready {
-		setRetryAfter(ctx, time.Second)
-		process.WriteError(ctx, fasthttp.StatusServiceUnavailable, "no_configuration", "No configuration was read yet.")
+		writeReply(ctx, errorReply(fasthttp.StatusServiceUnavailable, "no_configuration", "No configuration was read yet.", time.Second))
 		return
 	}
 	process.WriteJSON(ctx, fasthttp.StatusOK, document)
--- a/internal/entry/statecores.go
+++ b/internal/entry/statecores.go
@@ -69,8 +69,8 @@
 func (s *State) publishAssignment(assignment wire.Assignment) {
 	s.pending.assignment = &assignment
 	s.pending.flush(s.p.Requests)
-	version := s.config.Document().Version
-	s.broadcastConfig(&wire.ConfigUpdate{From: version, To: version, Assignment: &assignment})
+	s.homes.Add(assignment)
+	s.broadcastAssignment()
 	s.p.Log.Record(event.Event{Code: event.AssignmentApplied, Subject: strconv.FormatUint(uint64(assignment.Version), 10)})
 }
 
@@ -278,7 +278,7 @@
 func (s *State) takeRoster(now time.Time, view membership.RosterView) {
 	s.setRoster(view)
 	s.onRoster(len(view.Others)+1, view.Established)
-	s.owner.Bar(!view.Established)
+	s.owner.Admit(view.Established, view.Check)
 	s.stepConfig(now, configstore.Admit{Allowed: view.Established, Member: view.Check})
 	if view.Left && !s.leftRoster {
 		s.leftRoster = true
--- a/internal/faultmatrix/lease_world_test.go
+++ b/internal/faultmatrix/lease_world_test.go
@@ -34,6 +34,9 @@
 	// decided is the highest epoch whose fenced write took effect.
 	decided model.Epoch
 	trace   func(h *leaseHost, s step)
+	// stopNextWriter stops the next candidate that writes the lease, while its
+	// write is under way.
+	stopNextWriter bool
 	// stopNextLoser stops the next candidate that loses a race for the lease.
 	stopNextLoser bool
 }
@@ -67,6 +70,10 @@
 		w.stopNextLoser = false
 		w.after(0, func() { w.stop(h) })
 	}
+	if w.stopNextWriter && s.event == "candidate_due" {
+		w.stopNextWriter = false
+		w.after(0, func() { w.stop(h) })
+	}
 	if w.trace != nil {
 		w.trace(h, s)
 	}
@@ -125,13 +132,20 @@
 }
 
 // acquired checks that epochs grow: no epoch is acquired twice, so that what
-// was sent before a loss is fenced off from what is sent after it.
+// was sent before a loss is fenced off from what is sent after it. What was
+// acquired stands in the table, unless a later epoch has replaced it.
 func (w *leaseWorld) acquired(h *leaseHost, a ownership.Acquired) {
 	w.notef("%s acquired epoch %d", h.id, a.Epoch)
 	if a.Epoch <= w.epochs {
 		w.fail("%s acquired epoch %d after epoch %d", h.id, a.Epoch, w.epochs)
 	}
 	w.epochs = a.Epoch
+	row, _ := w.store.Get(atOnce(), ownership.RowKey("r"))
+	kept, err := ownership.DecodeLease(row)
+	isMine := kept.Owner == h.id && kept.Incarnation == h.incarnation && kept.Epoch == a.Epoch
+	if err != nil || !isMine && kept.Epoch <= a.Epoch {
+		w.fail("%s acquired epoch %d, and the table has %+v", h.id, a.Epoch, kept)
+	}
 	if _, holds := h.candidate.Holds(w.now); !holds || h.stopping {
 		w.fail("%s is told that it acquired epoch %d: holds %v, stopping %v", h.id, a.Epoch, holds, h.stopping)
 	}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -10,7 +10,6 @@
 
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/ring"
 	"dragonflyyard/internal/wire"
 )
 
@@ -58,9 +57,14 @@
 	clock   Clock
 	traffic traffic
 	life    *lifecycle
+	// needsStatus is that of the hub's Identity.
+	needsStatus func() bool
 
 	heartbeats *heartbeatTracker
-	out        *ring.Ring[outgoing]
+	// overdue is called with each heartbeat interval in which the peer's own
+	// heartbeats are overdue.
+	overdue    func(*Conn)
+	out        *outbox
 	queued     atomic.Int64
 	queuedSize atomic.Int64
 
@@ -76,10 +80,12 @@
 	options, now := h.options, h.now
 	return &Conn{
 		id: id, peer: peer, ws: ws, options: options, now: now, clock: h.clock(), traffic: h.traffic, life: life,
-		heartbeats: newHeartbeatTracker(options.Silence, now()),
-		out:        ring.New[outgoing]("link.out", options.OutgoingMessages, nil),
-		closed:     make(chan struct{}),
-		finished:   make(chan struct{}),
+		needsStatus: h.identity.NeedsStatus,
+		heartbeats:  newHeartbeatTracker(options.Silence, now()),
+		out:         newOutbox(options.OutgoingMessages),
+		overdue:     h.notifyOverdue,
+		closed:      make(chan struct{}),
+		finished:    make(chan struct{}),
 	}
 }
 
@@ -89,21 +95,22 @@
 // Peer describes the other end.
 func (c *Conn) Peer() Peer { return c.peer }
 
-// Send queues a message. It returns false when the connection is closed or
-// when the peer did not drain earlier ones, in which case it is closed: a
-// connection never skips a message.
+// Send queues a message. It returns false when the connection is closed, when
+// the message has a body that fits in no frame, or when the peer did not drain
+// earlier ones, in which case it is closed: a connection never skips a message
+// that it took.
 func (c *Conn) Send(m wire.Message) bool {
-	if c.isClosed() {
+	item := outgoing{m, messageBytes(m)}
+	if c.isClosed() || item.bytes > wire.MaxBodyBytes {
 		return false
 	}
-	item := outgoing{m, messageBytes(m)}
 	if c.queuedSize.Add(item.bytes) > c.options.OutgoingBytes {
 		c.queuedSize.Add(-item.bytes)
 		c.close(ErrSlowReader)
 		return false
 	}
 	c.queued.Add(1)
-	if !c.out.TryPush(item) {
+	if !c.out.push(item) {
 		c.queued.Add(-1)
 		c.close(ErrSlowReader)
 		return false
@@ -133,10 +140,6 @@
 // wire.Permit counts from the instant of its AnsweredHeartbeat.
 func (c *Conn) HeartbeatSentAt(seq uint64) (time.Time, bool) { return c.heartbeats.sentAt(seq) }
 
-// IsSuspect reports whether a heartbeat of the peer is overdue, so that new
-// work should go elsewhere.
-func (c *Conn) IsSuspect() bool { return c.life.isSuspect() }
-
 // Flush waits until all queued messages are written, the connection is closed
 // or ctx is done. It reports whether all were written.
 func (c *Conn) Flush(ctx context.Context) bool {
--- a/internal/link/writer.go
+++ b/internal/link/writer.go
@@ -40,8 +40,8 @@
 	for {
 		var err error
 		select {
-		case first := <-c.out.Out():
-			err = w.writeBatch(first)
+		case <-c.out.ready:
+			err = w.writeBatch()
 		case <-ticker.C:
 			err = w.writeHeartbeat()
 		case <-c.closed:
@@ -53,16 +53,12 @@
 	}
 }
 
-// writeBatch sends the first message with all others that wait, as far as one
-// batch goes, behind the sender's clock.
-func (w *writer) writeBatch(first outgoing) error {
-	w.items = append(w.items[:0], first)
-	for len(w.items) < maxBatchMessages {
-		item, more := w.waiting()
-		if !more {
-			break
-		}
-		w.items = append(w.items, item)
+// writeBatch sends the messages that wait, as far as one batch goes, behind the
+// sender's clock.
+func (w *writer) writeBatch() error {
+	w.items = w.out.take(w.items[:0], maxBatchMessages)
+	if len(w.items) == 0 {
+		return nil
 	}
 	err := w.begin(slices.ContainsFunc(w.items, func(item outgoing) bool { return carriesClock(item.message) }))
 	bytes := int64(0)
@@ -82,16 +78,6 @@
 	return slowReader(err)
 }
 
-// waiting returns another message that waits, if there is one.
-func (w *writer) waiting() (outgoing, bool) {
-	select {
-	case item := <-w.out.Out():
-		return item, true
-	default:
-		return outgoing{}, false
-	}
-}
-
 // carriesClock reports whether the receiver may record an event because of a
 // message. Such messages follow the sender's clock.
 func carriesClock(m wire.Message) bool {
@@ -109,6 +95,7 @@
 	now := w.now()
 	if w.heartbeats.isOverdue(now, overdueIntervals*w.options.Heartbeat) {
 		w.life.fire(eventHeartbeatOverdue)
+		w.overdue(w.Conn)
 	}
 	if err := w.heartbeats.check(now); err != nil {
 		return err
@@ -116,9 +103,11 @@
 	if w.peer.Role == wire.RoleAgent && now.Sub(w.answeredAt) < w.options.Heartbeat*3/2 {
 		return nil
 	}
+	beat := w.heartbeats.next(now)
+	beat.NoStatus = w.peer.Role == wire.RoleEntry && w.needsStatus != nil && !w.needsStatus()
 	err := w.begin(false)
 	if err == nil {
-		err = w.writeMessage(w.heartbeats.next(now))
+		err = w.writeMessage(beat)
 	}
 	return slowReader(errors.CombineErrors(err, w.end()))
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -4,6 +4,7 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
@@ -17,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dragonflyyard/internal/event"
+	"dragonflyyard/internal/httpserver"
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
 )
@@ -52,8 +54,16 @@
 	MaxBodyBytes int
 	// MaxConnections bounds the open HTTP connections.
 	MaxConnections int
-	Logger         *zap.Logger
-	Now            func() time.Time
+	// ReadTimeout bounds the time in which a caller sends one request, and
+	// WriteTimeout that in which it takes the answer. What the process itself
+	// takes for an answer counts for neither.
+	ReadTimeout  time.Duration
+	WriteTimeout time.Duration
+	// IdleTimeout is how long a connection is kept between two requests. It is
+	// longer than balancers keep theirs, so that they close them.
+	IdleTimeout time.Duration
+	Logger      *zap.Logger
+	Now         func() time.Time
 }
 
 // Defaults of Options.
@@ -61,6 +71,9 @@
 	DefaultEventCapacity = 8192
 	DefaultStopTimeout   = 30 * time.Second
 	DefaultMaxBodyBytes  = 4 << 20
+	DefaultReadTimeout   = time.Minute
+	DefaultWriteTimeout  = time.Minute
+	DefaultIdleTimeout   = 10 * time.Minute
 )
 
 type duty struct {
@@ -113,6 +126,9 @@
 	if o.MaxBodyBytes == 0 {
 		o.MaxBodyBytes = DefaultMaxBodyBytes
 	}
+	o.ReadTimeout = cmp.Or(o.ReadTimeout, DefaultReadTimeout)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, DefaultWriteTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
 	listener, err := net.Listen("tcp", o.HTTPAddress)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on HTTP address %q", o.HTTPAddress)
@@ -170,15 +186,15 @@
 	for _, d := range b.duties {
 		group.Go(func() error { return errors.Wrapf(d.run(dutyCtx), "duty %q", d.name) })
 	}
-	server := b.newServer()
-	group.Go(func() error { return errors.Wrap(server.Serve(b.listener), "HTTP server") })
+	server := httpserver.New(b.newServer(), b.listener)
+	group.Go(func() error { return errors.Wrap(server.Serve(), "HTTP server") })
 	b.Log.Record(event.Event{Code: event.ProcessStarted, Subject: b.HTTPAddress()})
 
 	select {
 	case <-ctx.Done():
 	case <-b.stop:
 	case <-dutyCtx.Done():
-		_ = server.Shutdown()
+		b.shutDown(server)
 		return group.Wait()
 	}
 	b.RequestStop()
@@ -200,6 +216,9 @@
 		Handler:               b.serve,
 		MaxRequestBodySize:    b.options.MaxBodyBytes,
 		Concurrency:           b.options.MaxConnections,
+		ReadTimeout:           b.options.ReadTimeout,
+		WriteTimeout:          b.options.WriteTimeout,
+		IdleTimeout:           b.options.IdleTimeout,
 		NoDefaultServerHeader: true,
 		NoDefaultContentType:  true,
 		CloseOnShutdown:       true,
@@ -220,11 +239,11 @@
 }
 
 // shutDown stops the HTTP server after the responses under way are written.
-func (b *Base) shutDown(server *fasthttp.Server) {
+func (b *Base) shutDown(server *httpserver.Server) {
 	const limit = 2 * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	if err := server.ShutdownWithContext(ctx); err != nil {
+	if err := server.Shutdown(ctx); err != nil {
 		b.Logger.Warn("HTTP connections were open at the stop", zap.Error(err))
 	}
 }
--- a/internal/requestflow/api.go
+++ b/internal/requestflow/api.go
@@ -22,10 +22,12 @@
 	Caller  Caller
 }
 
-// Query asks what became of a request. It runs nothing and seals nothing. It
-// is answered with one QueryResult.
+// Query asks what became of a request of a client account. It runs nothing and
+// seals nothing. It is answered with one QueryResult, which for a request of
+// another account is that of a request that was never seen.
 type Query struct {
 	Request model.RequestID
+	Account model.ClientAccountID
 	Caller  Caller
 }
 
@@ -47,6 +49,13 @@
 	Connection uint64
 }
 
+// LinkOverdue says that a heartbeat of an agent is overdue on an open
+// connection. The agent gets no new requests until a message of it comes.
+type LinkOverdue struct {
+	Backend    model.BackendServerID
+	Connection uint64
+}
+
 // Receive is a message of an agent.
 type Receive struct {
 	From       model.BackendServerID
@@ -71,6 +80,7 @@
 func (CallerGone) isInput()       {}
 func (LinkUp) isInput()           {}
 func (LinkDown) isInput()         {}
+func (LinkOverdue) isInput()      {}
 func (Receive) isInput()          {}
 func (AssignmentUpdate) isInput() {}
 func (ConfigUpdate) isInput()     {}
