--- a/internal/replay/jobs/table.go
+++ b/internal/replay/jobs/table.go
@@ -16,6 +16,7 @@
 // Targets of the policy.
 const (
 	targetClaim         = 1.3
+	targetUrgent        = 1.3
 	targetLargeSlowdown = 0.5
 	targetFragmentation = 0.5
 	targetZoneWork      = 0.9
@@ -43,6 +44,8 @@
 		{"claim to running, longest (s)", func(f Figures) float64 { return f.ClaimMax }, "%.3f"},
 		{"of it without checkpoints (s)", func(f Figures) float64 { return f.ClaimOwnMax }, "%.3f"},
 		{"urgent to running, p95 (s)", func(f Figures) float64 { return f.UrgentP95 }, "%.2f"},
+		{"urgent to running, longest (s)", func(f Figures) float64 { return f.UrgentMax }, "%.2f"},
+		{"work stopped without a checkpoint (1000 accelerator-s)", func(f Figures) float64 { return f.WorkLost / 1000 }, "%.1f"},
 		{"jobs left", func(f Figures) float64 { return float64(f.Left) }, "%.0f"},
 		{"invariants broken", func(f Figures) float64 { return float64(f.Broken) }, "%.0f"},
 	}
@@ -172,6 +175,8 @@
 	}
 	line("claim to running, every run (s)", fmt.Sprintf("%.1f and %.0f for checkpoints", targetClaim, grace), claim, claim <= targetClaim+grace)
 	line("decisions and messages of a claim, every run (s)", fmt.Sprintf("%.1f", targetClaim), own, own <= targetClaim)
+	urgent := ours.spread(func(f Figures) float64 { return f.UrgentMax }).most
+	line("urgent to running, every run (s)", fmt.Sprintf("%.1f", targetUrgent), urgent, urgent <= targetUrgent)
 	line("p95 slowdown of large jobs over the first baseline's", "0.5", large, large <= targetLargeSlowdown)
 	line("fragmentation over the first baseline's", "0.5", fragmentation, fragmentation <= targetFragmentation)
 	line("work kept in the zone change over what capacity allows", "0.9", work, work >= targetZoneWork)
--- a/internal/scheduler/borrowed.go
+++ b/internal/scheduler/borrowed.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -44,6 +45,8 @@
 		c.placeInOrder(now)
 		return
 	}
+	c.placeUrgent(now)
+	c.placeAged(now)
 	turns := c.turns()
 	for len(turns) > 0 && c.starts > 0 {
 		t := &turns[0]
@@ -61,6 +64,19 @@
 	}
 }
 
+// placeUrgent starts urgent jobs ahead of all others. The bound on the attempts
+// between two ticks holds the others back, not them.
+func (c *Core) placeUrgent(now time.Time) {
+	for _, t := range c.turns() {
+		for _, r := range slices.Clone(t.account.queue[:min(len(t.account.queue), maxTriesPerAccount)]) {
+			if r.class != classUrgent {
+				break
+			}
+			c.tryBorrowed(now, c.jobs[r.job])
+		}
+	}
+}
+
 func (c *Core) turns() []turn {
 	var turns []turn
 	for _, a := range c.accounts {
@@ -194,7 +210,7 @@
 // preemptFor stops borrowed gangs that may yield to a job.
 func (c *Core) preemptFor(now time.Time, j *JobState) bool {
 	may := c.mayYield(now, j)
-	place := c.placeIfYielded(j, may)
+	place := c.placeIfYielded(now, j, may)
 	if place == nil {
 		j.preemptAt = now.Add(preemptRetry)
 		if j.Job.Urgent {
@@ -215,8 +231,26 @@
 // tried one after the other, so that small work moves before large work does.
 var yieldSizes = []int{2, 8, 1 << 30}
 
+// urgentLosses are the run times since the last checkpoint up to which gangs are
+// stopped for urgent work, tried one after the other.
+var urgentLosses = []time.Duration{15 * time.Second, time.Minute, 4 * time.Minute, math.MaxInt64}
+
 // placeIfYielded returns a place in which only gangs that may yield are in the way.
-func (c *Core) placeIfYielded(j *JobState, may func(*JobState) bool) []model.WorkerID {
+func (c *Core) placeIfYielded(now time.Time, j *JobState, may func(*JobState) bool) []model.WorkerID {
+	if !j.Job.Urgent {
+		return c.placeBySize(j, may)
+	}
+	for _, loss := range urgentLosses {
+		young := func(v *JobState) bool { return c.sinceCheckpoint(now, v) <= loss && may(v) }
+		if place := c.placeBySize(j, young); place != nil {
+			return place
+		}
+	}
+	return nil
+}
+
+// placeBySize returns a place in which the gangs in the way are as small as can be.
+func (c *Core) placeBySize(j *JobState, may func(*JobState) bool) []model.WorkerID {
 	for _, size := range yieldSizes {
 		r := c.request(j)
 		small := func(v *JobState) bool { return v.Job.Shape.Accelerators() <= size && may(v) }
@@ -229,12 +263,15 @@
 }
 
 // slotsIfYielded returns how many of a job's tasks a worker would take without
-// the gangs that may yield.
+// the gangs that may yield; nil means that none may.
 func (c *Core) slotsIfYielded(id model.WorkerID, j *JobState, may func(*JobState) bool) int {
 	free, usable := c.books.free.Free(id)
 	if !usable {
 		return 0
 	}
+	if may == nil {
+		return placement.Slots(free, j.Job.Shape.PerTask)
+	}
 	for _, job := range c.workers[id].tasks {
 		if v := c.jobs[job]; may(v) {
 			free = free.Add(v.Job.Shape.PerTask)
--- a/internal/scheduler/pinned.go
+++ b/internal/scheduler/pinned.go
@@ -55,7 +55,12 @@
 		return false
 	}
 	may := func(v *JobState) bool { return c.mayYieldToSmall(now, v) }
-	r.Limit = both(r.Limit, func(id model.WorkerID) int { return c.slotsIfYielded(id, j, may) })
+	r.Limit = both(r.Limit, func(id model.WorkerID) int {
+		if !c.workers[id].hasMovable() {
+			return c.slotsIfYielded(id, j, nil)
+		}
+		return c.slotsIfYielded(id, j, may)
+	})
 	place := c.books.fleet.Place(r)
 	if place == nil {
 		j.preemptAt = now.Add(preemptRetry)
@@ -73,7 +78,7 @@
 // mayYieldToSmall reports whether a gang may be moved for a small job.
 func (c *Core) mayYieldToSmall(now time.Time, v *JobState) bool {
 	return c.isBorrowed(v) && v.Phase != PhaseDeciding && v.Phase != PhaseInDoubt &&
-		c.isYielding(v) && now.Sub(v.StartedAt) >= c.settings.MinRunBeforeYield
+		c.isYielding(v) && now.Sub(v.StartedAt) >= c.settings.MinRunBeforeMove
 }
 
 // isLarge reports whether a job is one that capacity is held back for.
