Choose ports of test processes that no connection can take

Cause: two tests failed now and then beside others: a process of a proctest cluster found its port taken ("waited in vain for entry-1 to know backend-3", two clusters at a time), and the second life of an entry host in a link cell got "bind: address already in use". Both listened on a port that the kernel had given out and got back before, from the range of connections' own ports.

Ruled out: a retry of the process, which hides a process that dies at its start; closing the listener later, as the process has to listen itself.

Change: clusters take ports from 23,000 on, below the kernel's range, each test process from another one on; the link cell's second life listens on a new port and the middlebox is pointed at it.

--- a/internal/faultmatrix/link_cells_test.go
+++ b/internal/faultmatrix/link_cells_test.go
@@ -93,13 +93,16 @@
 	w.startAgent(2)
 }
 
+// restartEntry starts the entry host's next life, on another port: the kernel may
+// have given the former one away.
 func (w *linkWorld) restartEntry() {
 	w.entry.stop()
-	listener, err := net.Listen("tcp", w.target)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		w.t.Error(err)
 		return
 	}
+	w.target = listener.Addr().String()
 	w.startEntry(listener, 2)
 }
 
--- a/internal/proctest/cluster_test.go
+++ b/internal/proctest/cluster_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -121,17 +122,36 @@
 	return c
 }
 
-// reservePorts returns addresses with ports that the kernel picked as free.
+// firstPort and portCount bound the ports of the clusters' processes. They lie
+// below those that the kernel gives to connections, so that none of these takes
+// a port between its choice and the start of the process that listens on it.
+const (
+	firstPort = 23_000
+	portCount = 9_000
+)
+
+// portsUsed is how many ports the clusters of this test process tried so far.
+var portsUsed int
+
+// reservePorts returns addresses with ports that are free. Test processes begin
+// at different ports.
 func reservePorts(t testing.TB, count int) []string {
 	t.Helper()
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(addresses) < count; tries++ {
+		if tries == portCount {
+			t.Fatal("no free ports are left")
+		}
+		const portsOfOneProcess = 97
+		port := firstPort + (os.Getpid()*portsOfOneProcess+portsUsed)%portCount
+		portsUsed++
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			t.Fatal(err)
+			continue
 		}
 		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
+		addresses = append(addresses, address)
 	}
 	return addresses
 }
