Let the outage test wait until its entry hosts are established

That host was not established and no row named it, so permits ended with the reason basis_too_old (events 4100 of all three hosts), and no request started.

Change: the first beat that names members is written at once when its host is established, not up to 1 s later. The test waits until each entry host accepts a change before the outage, which is what "established" means; what it demands of the outage is as before.

Conclusion: safe, with less cover in the first seconds of a host's life.

--- a/internal/membership/rosterbeat.go
+++ b/internal/membership/rosterbeat.go
@@ -110,14 +110,18 @@
 	return r.otherIDs()
 }
 
-// beatIsDue reports whether the beat row is to be written: at its interval, and
-// soon after the members to rely on changed.
+// beatIsDue reports whether the beat row is to be written: at its interval, at
+// once when the host may name members for the first time, and soon after those
+// members changed.
 func (r *Roster) beatIsDue(now time.Time) bool {
 	if !now.Before(r.nextBeat) {
 		return true
 	}
-	changed := r.isListed() && !slices.Equal(r.toRelyOn(), r.reliance.last)
-	return changed && now.Sub(r.commit.sentAt) >= r.limits.ReadEvery
+	if !r.isListed() || slices.Equal(r.toRelyOn(), r.reliance.last) {
+		return false
+	}
+	isFirst := len(r.reliance.confirmed) == 0
+	return isFirst || now.Sub(r.commit.sentAt) >= r.limits.ReadEvery
 }
 
 func (r *Roster) beat(now time.Time) []RosterAction {
--- a/internal/proctest/store_test.go
+++ b/internal/proctest/store_test.go
@@ -39,6 +39,21 @@
 	return response.StatusCode, reply
 }
 
+// awaitEstablished waits until each entry host accepts a change after a former
+// one. In an outage hosts rely on members that were established before it.
+func (c *cluster) awaitEstablished(reply operatorapi.ChangeReply) operatorapi.ChangeReply {
+	c.t.Helper()
+	for _, entry := range c.entries {
+		former := reply.Version
+		c.await(entry.name+" to accept a change", func() bool {
+			var status int
+			status, reply = c.change(entry, "established-"+entry.name, former)
+			return status == http.StatusOK && reply.Status == operatorapi.ChangeAccepted
+		})
+	}
+	return reply
+}
+
 // TestTableServiceOutageUnderLoad takes the table service down and brings it
 // back while callers go on. No change is reported as accepted meanwhile, and all
 // processes together stay within the services' limits.
@@ -49,6 +64,7 @@
 	if status != http.StatusOK || reply.Status != operatorapi.ChangeAccepted {
 		t.Fatalf("a change before the outage: %d %+v", status, reply)
 	}
+	reply = c.awaitEstablished(reply)
 	l := c.load(6)
 	c.setStoreFaults(standin.Faults{Down: true})
 	for _, entry := range c.entries {
