Let running jobs go on when the scheduler's owner changes

Cause: a new owner took a gang whose tasks all run over into the phase "launching" and waited for a report of each start. A launch is sent to tasks that do not run only, and agents report a task when it changes or they are asked, so no report came: after 1.5 s every running job was stopped as "not all tasks started in time" and started anew, at every planned stop and every loss of an owner.

Change: the end of the recovery counts a gang of which each task runs, or has finished, as running at once.

Before: TestRunningJobsGoOnOverAChangeOfOwner, StopTask to each member after 1.5 s. After: nothing but leases is sent in 10 s; scheduler and gang with -race.

--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -43,7 +43,9 @@
 	if old := snap.job(row.Job.ID); old != nil {
 		j.History = slices.Clone(old.History)
 		j.DoneMS = max(j.DoneMS, old.DoneMS)
-		j.StartedAt = old.StartedAt
+		if old.Attempt == row.Attempt {
+			j.StartedAt = old.StartedAt
+		}
 	}
 	c.jobs[row.Job.ID] = j
 	for i, w := range row.Allocation {
@@ -116,12 +118,24 @@
 		return
 	}
 	c.fire(now, j, eventOwnerChanged)
-	if j.allTasks(wire.TaskFinished) {
-		c.checkRunning(now, j)
-		return
+	if !j.allTasks(wire.TaskFinished) {
+		j.explain(now, "taken over by the owner of epoch %d", c.epoch)
+	}
+	c.takeOver(now, j)
+}
+
+// takeOver goes on with a gang that is whole. Agents report a task when its
+// state changes or they are asked, so a gang of which every task runs is known
+// to run now: no later report would say so.
+func (c *Core) takeOver(now time.Time, j *JobState) {
+	startedAt := j.StartedAt
+	c.checkRunning(now, j)
+	switch {
+	case j.Phase == PhaseLaunching:
+		c.sendLaunches(now, j)
+	case j.Phase == PhaseRunning && !startedAt.IsZero():
+		j.StartedAt = startedAt
 	}
-	j.explain(now, "taken over by the owner of epoch %d", c.epoch)
-	c.sendLaunches(now, j)
 }
 
 // finishRecoveryEarly ends the wait once every worker with tasks has reported.
--- a/internal/scheduler/recover_test.go
+++ b/internal/scheduler/recover_test.go
@@ -63,3 +63,50 @@
 		t.Error(err)
 	}
 }
+
+// TestRunningJobsGoOnOverAChangeOfOwner lets a new owner take jobs over whose
+// tasks run. Their agents report once, as they do when they connect.
+func TestRunningJobsGoOnOverAChangeOfOwner(t *testing.T) {
+	now := time.Unix(1000, 0)
+	job := testJob("j", 2, 4)
+	row := JobRow{Job: job, Attempt: 3, Allocation: []model.WorkerID{"wA", "wB"}}
+	began := now.Add(-time.Hour)
+	cases := []struct {
+		name   string
+		states [2]wire.TaskState
+		snap   *Snapshot
+		began  time.Time
+	}{
+		{"all run", [2]wire.TaskState{wire.TaskRunning, wire.TaskRunning}, nil, now},
+		{"one has finished", [2]wire.TaskState{wire.TaskRunning, wire.TaskFinished}, nil, now},
+		{"start in the snapshot", [2]wire.TaskState{wire.TaskRunning, wire.TaskRunning},
+			&Snapshot{Jobs: []JobState{{Job: job, Attempt: 3, StartedAt: began}}}, began},
+		{"start of an earlier attempt", [2]wire.TaskState{wire.TaskRunning, wire.TaskRunning},
+			&Snapshot{Jobs: []JobState{{Job: job, Attempt: 2, StartedAt: began}}}, now},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := New(DefaultSettings())
+			c.Step(now, BecomeOwner{Epoch: 2, Rows: []JobRow{row}, Snapshot: tc.snap})
+			for i, state := range tc.states {
+				report := wire.TaskReport{Job: job.ID, Attempt: 3, Task: job.Task(i), State: state}
+				c.Step(now, WorkerUp{Report: wire.WorkerReport{Worker: testWorker(string(row.Allocation[i])), Tasks: []wire.TaskReport{report}}})
+			}
+			for at := now; at.Before(now.Add(10 * time.Second)); at = at.Add(100 * time.Millisecond) {
+				actions := c.Step(at, Tick{})
+				for _, worker := range row.Allocation {
+					actions = append(actions, c.Step(at, Receive{From: worker, Message: &wire.LeaseRequest{Worker: worker}})...)
+				}
+				for _, action := range actions {
+					s, ok := action.(Send)
+					if _, isGrant := s.Message.(*wire.LeaseGrant); ok && !isGrant {
+						t.Errorf("after %s: sent %T", at.Sub(now), s.Message)
+					}
+				}
+			}
+			if got, _ := c.Job(job.ID); got.Phase != PhaseRunning || !got.StartedAt.Equal(tc.began) {
+				t.Errorf("phase %s, started at %s; %v", got.Phase, got.StartedAt, got.History)
+			}
+		})
+	}
+}
