Correct doc comments of the scheduler's and the agent's cores

Cause: a newcomer's reading of scheduler, guarantee, placement, preemption, gang, estimate and quarantine. Receive and Send of both cores left out the lease messages. LargeWait still told of accounts above their share, which mayYield no longer looks at; rank.at had the sign of the expected run time wrong and no unit; refreshReservations did not say that all plans go while a zone is out; AgedSlowdown and YieldSlowdown are exclusive bounds. Decided carries no epoch and did not say who compares it.

Ruled out: a missing check of Decided's epoch in the core. The caller (entry.rowWriter.done) drops results of an earlier epoch, so the rule is written down where the input is defined. WorkerTaskEvent carries no attempt; the worker caller compares attempts and reports one end for each, so it stays.

Change: comments only, and forgivePause, a metaphor, is now restartSilence.

--- a/internal/gang/action.go
+++ b/internal/gang/action.go
@@ -12,7 +12,7 @@
 type Action interface{ isAction() }
 
 // Send sends a message to the scheduler's owner: *wire.ReserveReply,
-// *wire.TaskReport or *wire.WorkerReport.
+// *wire.TaskReport, *wire.WorkerReport or *wire.LeaseRequest.
 type Send struct{ Message wire.Message }
 
 // StartTask starts a task at the worker. The worker ends it by itself at
--- a/internal/gang/input.go
+++ b/internal/gang/input.go
@@ -11,7 +11,7 @@
 type Input interface{ isInput() }
 
 // Receive hands in a message of the scheduler's owner: *wire.Reserve,
-// *wire.Launch, *wire.Release, *wire.StopTask or *wire.Throttle.
+// *wire.Launch, *wire.LeaseGrant, *wire.Release, *wire.StopTask or *wire.Throttle.
 type Receive struct{ Message wire.Message }
 
 // PermitUpdate replaces the start permit.
--- a/internal/gang/member.go
+++ b/internal/gang/member.go
@@ -23,7 +23,7 @@
 	// TombstoneHold is how long an ended task's last report is kept.
 	TombstoneHold time.Duration
 	// StartDelay is how long a new member refuses reservations. In that time
-	// the worker ends the tasks that an earlier life of the agent left behind.
+	// the worker ends the tasks that an earlier process of the agent left behind.
 	StartDelay time.Duration
 }
 
--- a/internal/gang/receive.go
+++ b/internal/gang/receive.go
@@ -182,7 +182,7 @@
 
 // reportUnknown tells the owner that a task does not run here. A member that
 // has just started cannot know: the worker may still run a task that an earlier
-// life of the agent started, until its worker lease lapses.
+// process of the agent started, until its worker lease lapses.
 func (m *Member) reportUnknown(now time.Time, job model.JobID, attempt uint64, id model.TaskID) {
 	if now.Before(m.acceptFrom) {
 		m.do(StopTask{Task: id})
--- a/internal/preemption/preemption.go
+++ b/internal/preemption/preemption.go
@@ -116,7 +116,7 @@
 	}
 }
 
-// prune drops victims, dearest first, that the others make unnecessary.
+// prune drops victims, those of the highest cost first, that the others make unnecessary.
 func prune(deficits map[model.WorkerID]model.Resources, chosen []Victim) []Victim {
 	slices.SortStableFunc(chosen, func(a, b Victim) int {
 		return cmp.Or(cmp.Compare(b.Cost, a.Cost), cmp.Compare(a.Job, b.Job))
--- a/internal/scheduler/backfill.go
+++ b/internal/scheduler/backfill.go
@@ -21,8 +21,10 @@
 	Workers []model.WorkerID
 	// Shadow is when the capacity is expected to be free.
 	Shadow time.Time
-	Since  time.Time
-	Made   time.Time
+	// Since is when capacity was first held back for the job, Made when this
+	// place was chosen.
+	Since time.Time
+	Made  time.Time
 	// ForMove is set when the job is still running in a zone that is out.
 	ForMove bool
 }
@@ -182,7 +184,8 @@
 	c.addReservation(&Reservation{Job: j.Job.ID, Workers: place, Shadow: ends[at], Since: since, Made: now})
 }
 
-// planWorkers returns the workers in service with the most free capacity.
+// planWorkers returns the usable workers in the racks with the most free
+// capacity, without those that are too small for one of the job's tasks.
 func (c *Core) planWorkers(j *JobState) []*workerState {
 	var out []*workerState
 	for _, id := range c.books.open.Emptiest(maxPlanWorkers) {
@@ -232,7 +235,8 @@
 	return index.Place(c.request(j))
 }
 
-// refreshReservations drops plans on workers that are out of service.
+// refreshReservations drops plans on workers that are out of service and, while
+// a zone is out, all plans but those of gangs that are to move out of it.
 func (c *Core) refreshReservations(now time.Time) {
 	for _, id := range c.sortedReservations() {
 		r := c.reservations[id]
--- a/internal/scheduler/borrowed.go
+++ b/internal/scheduler/borrowed.go
@@ -123,7 +123,9 @@
 	return false
 }
 
-// bestPlace returns the fullest place that takes a job, see segregate.
+// bestPlace returns the fullest place that takes a job and, in words, why it was
+// chosen; nil when no place does. Where it can, it keeps work that cannot
+// checkpoint apart from work that yields, and the job off workers that it failed on.
 func (c *Core) bestPlace(index *placement.Index, j *JobState) ([]model.WorkerID, string) {
 	r := c.request(j)
 	if limit, why := c.segregate(j); limit != nil {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -101,7 +101,7 @@
 		c.stepIdle(now, in)
 		return c.out
 	}
-	c.forgivePause(now)
+	c.restartSilence(now)
 	switch in := in.(type) {
 	case Submit:
 		c.submit(now, in.Job)
@@ -165,9 +165,9 @@
 	}
 }
 
-// forgivePause keeps an owner that was itself paused from taking all workers
-// for silent.
-func (c *Core) forgivePause(now time.Time) {
+// restartSilence counts the silence of all workers anew after a time without
+// inputs: an owner that was paused itself has missed their lease requests.
+func (c *Core) restartSilence(now time.Time) {
 	if now.Sub(c.lastStep) < c.settings.SilenceLimit/2 {
 		return
 	}
--- a/internal/scheduler/input.go
+++ b/internal/scheduler/input.go
@@ -24,7 +24,7 @@
 type WorkerLost struct{ Worker model.WorkerID }
 
 // Receive hands in a message from an agent: *wire.ReserveReply,
-// *wire.TaskReport or *wire.WorkerReport.
+// *wire.TaskReport, *wire.WorkerReport or *wire.LeaseRequest.
 type Receive struct {
 	From    model.WorkerID
 	Message wire.Message
@@ -49,7 +49,8 @@
 	DecisionInDoubt
 )
 
-// Decided answers WriteDecision and ReadDecision. In answer to ReadDecision,
+// Decided answers WriteDecision and ReadDecision of the present ownership: it
+// carries no epoch, so the caller drops answers to an earlier one. In answer to ReadDecision,
 // DecisionCommitted means that the row with this attempt was found,
 // DecisionRefused that it was not, and the other two that it is still not known.
 type Decided struct {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -23,7 +23,7 @@
 type rank struct {
 	class rankClass
 	// at is the latest start for jobs with a deadline, otherwise the time of
-	// submission moved back by the expected run time.
+	// submission plus a multiple of the expected run time, in Unix milliseconds.
 	at  int64
 	job model.JobID
 }
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -43,12 +43,12 @@
 	MaxLargeReservations int
 	// LargeAccelerators is the size from which capacity is held back for a job.
 	LargeAccelerators int
-	// LargeWait is how long capacity is held back for a job before borrowed
-	// work of accounts above their share has to yield to it.
+	// LargeWait is how long a large job waits before borrowed work has to yield
+	// to it.
 	LargeWait time.Duration
-	// AgedSlowdown is the expected slowdown from which a large job goes before
+	// AgedSlowdown is the expected slowdown above which a large job goes before
 	// the order of the accounts, and YieldSlowdown the factor between the
-	// slowdowns of two large jobs from which the lower one yields.
+	// slowdowns of two large jobs above which the one with the lower slowdown yields.
 	AgedSlowdown  float64
 	YieldSlowdown float64
 	// RestartCost is the time that a stopped gang loses besides its work.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -133,7 +133,7 @@
 }
 
 // gangLease is how long the tasks of a gang may run from now on: until a fixed
-// time after the last word of the member that is silent for longest. So the
+// time after the oldest of its workers' last lease requests. So the
 // members stop in time after one of them is lost, also when the owner is lost
 // before it notices.
 func (c *Core) gangLease(now time.Time, j *JobState) time.Duration {
