Write repeated logic of the scheduler's cores once

Cause: a newcomer's reading. The sorted keys of a map were collected in nine functions, what a job needs on each worker in two, the deficits of a choice of victims in two, the order of estimate keys in two, the renewal of reservations in an undecided attempt in three places; five comparisons and a search were written out that the standard library has.

Ruled out: an empty list becoming nil where it can be seen. Ledger.Uncovered is part of a view, so the ledger's sortedKeys returns an empty list as before; the scheduler's is only ranged over.

Change, without any of behaviour: sortedKeys, JobState.needsOn, extendHolds, estimate.CompareKeys, preemption's uncovered, the member's stopAtWorker with the named stopResend. sendLaunches says why a first launch counts as a lease request. The parameter withoutStopping, which callers gave as withStopping, is awaitStopping.

--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -23,12 +23,18 @@
 // memory is the number of samples after which older ones fade.
 const memory = 32
 
-// Key names the jobs that are taken to resemble each other.
+// Key names the jobs that are taken to resemble each other. An empty account
+// stands for all accounts.
 type Key struct {
 	Account  model.ClientAccountID
 	JobClass string
 }
 
+// CompareKeys orders keys by account, then by job class, as State does.
+func CompareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.JobClass, b.JobClass))
+}
+
 // Samples are what is known of one key. Means and variances are of natural
 // logarithms, so that a factor too long weighs as much as a factor too short.
 type Samples struct {
@@ -64,7 +70,7 @@
 		out = append(out, *s)
 	}
 	slices.SortFunc(out, func(a, b Samples) int {
-		return cmp.Or(cmp.Compare(a.Key.Account, b.Key.Account), cmp.Compare(a.Key.JobClass, b.Key.JobClass))
+		return CompareKeys(a.Key, b.Key)
 	})
 	return out
 }
--- a/internal/gang/task.go
+++ b/internal/gang/task.go
@@ -10,6 +10,9 @@
 	"dragonflyyard/internal/wire"
 )
 
+// stopResend is the time between two orders to the worker to stop a task.
+const stopResend = time.Second
+
 // task is one reservation, one task or the memory of an ended one.
 type task struct {
 	id      model.TaskID
@@ -76,8 +79,7 @@
 		case wire.TaskSuspended:
 			m.beginStop(now, t, eventSuspensionExpired, m.settings.LapseGrace, wire.StopLeaseLapsed)
 		case wire.TaskStopping:
-			t.until = now.Add(time.Second)
-			m.do(StopTask{Task: id})
+			m.stopAtWorker(now, t)
 		default:
 			m.remove(id)
 		}
@@ -116,8 +118,7 @@
 	t.reason = reason
 	m.record(event.TaskStopping, t.job, string(t.id), string(reason))
 	if grace <= 0 {
-		t.until = now.Add(time.Second)
-		m.do(StopTask{Task: t.id})
+		m.stopAtWorker(now, t)
 		return
 	}
 	t.until = now.Add(grace)
@@ -125,6 +126,13 @@
 	m.do(CheckpointTask{Task: t.id, Until: t.until})
 }
 
+// stopAtWorker stops a task without a checkpoint, and again after stopResend
+// until the worker says that it has ended.
+func (m *Member) stopAtWorker(now time.Time, t *task) {
+	t.until = now.Add(stopResend)
+	m.do(StopTask{Task: t.id})
+}
+
 func (m *Member) sendReport(t *task) {
 	report := t.report()
 	m.send(&report)
--- a/internal/guarantee/ledger.go
+++ b/internal/guarantee/ledger.go
@@ -13,6 +13,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 
 	"dragonflyyard/internal/model"
@@ -103,12 +104,7 @@
 }
 
 func (l *Ledger) cellsOn(id model.WorkerID) []string {
-	keys := make([]string, 0, len(l.byWorker[id]))
-	for key := range l.byWorker[id] {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
+	return sortedKeys(l.byWorker[id])
 }
 
 // SetGuarantees replaces the guaranteed shapes. Cells of an unchanged shape
@@ -162,10 +158,12 @@
 
 // Keys returns the keys of all cells, sorted.
 func (l *Ledger) Keys() []string {
-	keys := make([]string, 0, len(l.cells))
-	for key := range l.cells {
-		keys = append(keys, key)
-	}
+	return sortedKeys(l.cells)
+}
+
+// sortedKeys returns the keys of a map in order; an empty list, not nil, for none.
+func sortedKeys[V any](m map[string]V) []string {
+	keys := slices.AppendSeq(make([]string, 0, len(m)), maps.Keys(m))
 	slices.Sort(keys)
 	return keys
 }
@@ -175,12 +173,7 @@
 
 // Uncovered returns the keys of the cells without a place, sorted.
 func (l *Ledger) Uncovered() []string {
-	keys := make([]string, 0, len(l.uncovered))
-	for key := range l.uncovered {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
+	return sortedKeys(l.uncovered)
 }
 
 // put gives a cell a place.
--- a/internal/placement/index.go
+++ b/internal/placement/index.go
@@ -6,6 +6,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 
 	"dragonflyyard/internal/model"
@@ -139,7 +140,7 @@
 
 func (x *Index) zoneOf(name model.AvailabilityZoneName) *zone {
 	at, ok := slices.BinarySearchFunc(x.zones, name, func(z *zone, name model.AvailabilityZoneName) int {
-		return compareString(z.name, name)
+		return cmp.Compare(z.name, name)
 	})
 	if !ok {
 		x.zones = slices.Insert(x.zones, at, &zone{name: name, groups: map[signature]*group{}})
@@ -223,18 +224,9 @@
 	return n
 }
 
-func compareWorker(w *worker, id model.WorkerID) int { return compareString(w.id, id) }
-func compareRack(r *rack, id model.RackID) int       { return compareString(r.id, id) }
-func compareGroup(g *group, s signature) int         { return compareString(g.signature, s) }
-func compareString[S ~string](a, b S) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
+func compareWorker(w *worker, id model.WorkerID) int { return cmp.Compare(w.id, id) }
+func compareRack(r *rack, id model.RackID) int       { return cmp.Compare(r.id, id) }
+func compareGroup(g *group, s signature) int         { return cmp.Compare(g.signature, s) }
 
 // Emptiest returns up to limit usable workers, those in the racks with the most
 // free accelerators first.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 
 	"dragonflyyard/internal/model"
@@ -103,7 +104,7 @@
 			if found && !better(candidate{slots: bound, free: g.free}, best, want) {
 				continue
 			}
-			if c, ok := p.rackOf(g, min(want, bound), partial, used); ok && (!found || better(c, best, want)) {
+			if c, ok := p.rackInGroup(g, min(want, bound), partial, used); ok && (!found || better(c, best, want)) {
 				best = c
 				found = true
 			}
@@ -129,9 +130,9 @@
 	}
 }
 
-// rackOf returns a rack of a group that takes want tasks, checking cores,
+// rackInGroup returns a rack of a group that takes want tasks, checking cores,
 // memory and limits of a bounded number of racks.
-func (p *placer) rackOf(g *group, want int, partial bool, used map[*rack]bool) (candidate, bool) {
+func (p *placer) rackInGroup(g *group, want int, partial bool, used map[*rack]bool) (candidate, bool) {
 	best := candidate{free: g.free}
 	tried := 0
 	for _, r := range g.racks {
@@ -276,6 +277,6 @@
 			racks = append(racks, r)
 		}
 	}
-	slices.SortFunc(racks, func(a, b *rack) int { return compareString(a.id, b.id) })
+	slices.SortFunc(racks, func(a, b *rack) int { return cmp.Compare(a.id, b.id) })
 	return racks
 }
--- a/internal/preemption/preemption.go
+++ b/internal/preemption/preemption.go
@@ -39,12 +39,7 @@
 // whether all deficits can be covered at all. A deficit has positive amounts
 // where something is missing.
 func Choose(deficits map[model.WorkerID]model.Resources, victims []Victim, order Order) ([]model.JobID, bool) {
-	left := map[model.WorkerID]model.Resources{}
-	for w, d := range deficits {
-		if isMissing(d) {
-			left[w] = d
-		}
-	}
+	left := uncovered(deficits)
 	var chosen []Victim
 	rest := slices.Clone(victims)
 	for len(left) > 0 {
@@ -133,16 +128,22 @@
 }
 
 func covers(deficits map[model.WorkerID]model.Resources, victims []Victim) bool {
+	left := uncovered(deficits)
+	for _, v := range victims {
+		subtract(left, v)
+	}
+	return len(left) == 0
+}
+
+// uncovered returns a copy of the deficits without those in which nothing is missing.
+func uncovered(deficits map[model.WorkerID]model.Resources) map[model.WorkerID]model.Resources {
 	left := map[model.WorkerID]model.Resources{}
 	for w, d := range deficits {
 		if isMissing(d) {
 			left[w] = d
 		}
 	}
-	for _, v := range victims {
-		subtract(left, v)
-	}
-	return len(left) == 0
+	return left
 }
 
 func isMissing(r model.Resources) bool { return r.Accelerators > 0 || r.Cores > 0 || r.MemoryMB > 0 }
--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -74,7 +74,7 @@
 	j.Tasks[i].State = wire.TaskReserved
 	if j.allTasks(wire.TaskReserved) {
 		c.fire(now, j, eventAllReserved)
-		j.ResendAt = now.Add(c.settings.Hold / 3)
+		j.ResendAt = c.nextExtension(now)
 		c.do(WriteDecision{Row: j.row(c.epoch)})
 	}
 }
@@ -179,7 +179,10 @@
 	c.sendLaunches(now, j)
 }
 
+// sendLaunches launches the tasks that are not known to run. A worker without
+// tasks asks for no leases, so its silence counts from the first launch on.
 func (c *Core) sendLaunches(now time.Time, j *JobState) {
+	first := now.Equal(j.PhaseSince)
 	j.ResendAt = now.Add(c.settings.Resend)
 	for i, t := range j.Tasks {
 		if t.State == wire.TaskRunning || isEnded(t.State) {
@@ -190,7 +193,7 @@
 			LeaseMS: c.settings.Lease.Milliseconds(), RunMS: max(1, j.Job.DeclaredRunTime.Milliseconds()-j.DoneMS),
 			AnsweredMS: t.ReplyMS, StartWithinMS: c.settings.Hold.Milliseconds(),
 		})
-		if w := c.workers[t.Worker]; w != nil && j.ResendAt.Sub(j.PhaseSince) == c.settings.Resend {
+		if w := c.workers[t.Worker]; w != nil && first {
 			w.LastRequest = now
 		}
 	}
--- a/internal/scheduler/backfill.go
+++ b/internal/scheduler/backfill.go
@@ -29,6 +29,11 @@
 	ForMove bool
 }
 
+// isLarge reports whether a job is one that capacity is held back for.
+func (c *Core) isLarge(j *JobState) bool {
+	return j.Job.Shape.Accelerators() >= c.settings.LargeAccelerators
+}
+
 // heldBack is what reservations hold back on a worker.
 func (c *Core) heldBack(id model.WorkerID) model.Resources {
 	var sum model.Resources
@@ -103,19 +108,10 @@
 
 // onlyOwnHold reports whether workers are free of what is held back for other jobs.
 func (c *Core) onlyOwnHold(j *JobState, workers []model.WorkerID) bool {
-	r := c.reservations[j.Job.ID]
-	need := map[model.WorkerID]model.Resources{}
-	for _, w := range workers {
-		need[w] = need[w].Add(j.Job.Shape.PerTask)
-	}
-	for id, n := range need {
+	own := j.needsOn(c.reservations[j.Job.ID].Workers)
+	for id, need := range j.needsOn(workers) {
 		open, _ := c.books.open.Free(id)
-		for _, w := range r.Workers {
-			if w == id {
-				open = open.Add(j.Job.Shape.PerTask)
-			}
-		}
-		if !n.Fits(open) {
+		if !need.Fits(open.Add(own[id])) {
 			return false
 		}
 	}
@@ -201,7 +197,7 @@
 func (c *Core) releases(now time.Time, workers []*workerState) []release {
 	var out []release
 	for _, w := range workers {
-		for _, id := range sortedTasks(w) {
+		for _, id := range sortedKeys(w.tasks) {
 			v := c.jobs[w.tasks[id]]
 			at := now.Add(c.expectedRest(now, v))
 			switch {
@@ -238,7 +234,7 @@
 // refreshReservations drops plans on workers that are out of service and, while
 // a zone is out, all plans but those of gangs that are to move out of it.
 func (c *Core) refreshReservations(now time.Time) {
-	for _, id := range c.sortedReservations() {
+	for _, id := range sortedKeys(c.reservations) {
 		r := c.reservations[id]
 		if c.fillsDuringZoneChange() && !r.ForMove {
 			c.dropReservation(id)
@@ -252,12 +248,3 @@
 		}
 	}
 }
-
-func (c *Core) sortedReservations() []model.JobID {
-	ids := make([]model.JobID, 0, len(c.reservations))
-	for id := range c.reservations {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/internal/scheduler/books.go
+++ b/internal/scheduler/books.go
@@ -151,12 +151,13 @@
 	return n
 }
 
-// overbooked returns what is missing on a worker, not counting what tasks that
-// are being stopped will give back when without is set.
-func (c *Core) overbooked(id model.WorkerID, withoutStopping bool) model.Resources {
+// overbooked returns how much more than its capacity a worker's tasks hold;
+// negative amounts are free. With awaitStopping, the tasks that are being stopped
+// count as ended.
+func (c *Core) overbooked(id model.WorkerID, awaitStopping bool) model.Resources {
 	w := c.workers[id]
 	used := w.Used
-	if withoutStopping {
+	if awaitStopping {
 		for _, job := range w.tasks {
 			if j := c.jobs[job]; j.Phase == PhaseStopping || j.StopAfterDecision {
 				used = used.Sub(j.Job.Shape.PerTask)
--- a/internal/scheduler/borrowed.go
+++ b/internal/scheduler/borrowed.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -80,16 +81,7 @@
 }
 
 func compareTurn(a, b turn) int {
-	switch {
-	case a.share < b.share:
-		return -1
-	case a.share > b.share:
-		return 1
-	case a.account.id < b.account.id:
-		return -1
-	default:
-		return 1
-	}
+	return cmp.Or(cmp.Compare(a.share, b.share), cmp.Compare(a.account.id, b.account.id))
 }
 
 // tryBorrowed starts a job on free capacity, or holds capacity back for it.
--- a/internal/scheduler/claims.go
+++ b/internal/scheduler/claims.go
@@ -165,12 +165,3 @@
 		c.do(Notify{Alarm: AlarmGuaranteeCovered, Subject: key, Text: key + " can be claimed again"})
 	}
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -191,11 +193,7 @@
 
 // inPhase returns the jobs of a phase in the order of their IDs.
 func (c *Core) inPhase(p Phase) []*JobState {
-	ids := make([]model.JobID, 0, len(c.phases[p]))
-	for id := range c.phases[p] {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
+	ids := sortedKeys(c.phases[p])
 	jobs := make([]*JobState, len(ids))
 	for i, id := range ids {
 		jobs[i] = c.jobs[id]
@@ -203,6 +201,10 @@
 	return jobs
 }
 
+// sortedKeys returns the keys of a map in order, so that decisions do not
+// depend on the order of the map.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
 func (c *Core) do(a Action) { c.out = append(c.out, a) }
 
 func (c *Core) send(to model.WorkerID, msg wire.Message) {
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -98,7 +98,7 @@
 // wholeFleet says whether a job fits only when zones or workers are back.
 func (c *Core) wholeFleet(j *JobState) string {
 	now := placement.NewIndex()
-	for _, id := range c.sortedWorkers() {
+	for _, id := range sortedKeys(c.workers) {
 		w := c.workers[id]
 		now.SetWorker(w.Worker, w.Worker.Capacity, w.Up && !c.zoneIsOut(w.Worker.Zone))
 	}
@@ -106,7 +106,7 @@
 		return ""
 	}
 	var zones []string
-	for _, zone := range sortedZones(c.zoneOutSince) {
+	for _, zone := range sortedKeys(c.zoneOutSince) {
 		zones = append(zones, string(zone))
 	}
 	if len(zones) > 0 {
@@ -151,14 +151,3 @@
 	}
 	return strings.Join(names, ", ")
 }
-
-// rememberEnded keeps an ended job for Explain and forgets the oldest.
-func (c *Core) rememberEnded(j *JobState) {
-	c.ended = append(c.ended, j.Job.ID)
-	for len(c.ended) > c.settings.EndedMemory {
-		old := c.ended[0]
-		c.ended = c.ended[1:]
-		delete(c.phases[c.jobs[old].Phase], old)
-		delete(c.jobs, old)
-	}
-}
--- a/internal/scheduler/invariants.go
+++ b/internal/scheduler/invariants.go
@@ -16,7 +16,7 @@
 	if err := c.ledger.Check(); err != nil {
 		return err
 	}
-	for _, id := range c.sortedJobs() {
+	for _, id := range sortedKeys(c.jobs) {
 		if err := c.checkClass(c.jobs[id]); err != nil {
 			return err
 		}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"dragonflyyard/internal/model"
@@ -118,6 +119,16 @@
 	return out
 }
 
+// needsOn returns what the job's tasks need on each worker if each task lies on
+// the worker of its index.
+func (j *JobState) needsOn(workers []model.WorkerID) map[model.WorkerID]model.Resources {
+	needs := make(map[model.WorkerID]model.Resources, len(workers))
+	for _, w := range workers {
+		needs[w] = needs[w].Add(j.Job.Shape.PerTask)
+	}
+	return needs
+}
+
 func (j *JobState) explain(now time.Time, format string, args ...any) {
 	j.History = append(j.History, Explanation{Time: now, Text: fmt.Sprintf(format, args...)})
 	if len(j.History) > historyLimit {
@@ -134,22 +145,13 @@
 // allTasks reports whether every task is in one of the states.
 func (j *JobState) allTasks(states ...wire.TaskState) bool {
 	for _, t := range j.Tasks {
-		if !contains(states, t.State) {
+		if !slices.Contains(states, t.State) {
 			return false
 		}
 	}
 	return true
 }
 
-func contains(states []wire.TaskState, s wire.TaskState) bool {
-	for _, have := range states {
-		if have == s {
-			return true
-		}
-	}
-	return false
-}
-
 func isEnded(s wire.TaskState) bool {
 	return s == wire.TaskFinished || s == wire.TaskFailed || s == wire.TaskStopped
 }
--- a/internal/scheduler/pinned.go
+++ b/internal/scheduler/pinned.go
@@ -80,8 +80,3 @@
 	return c.isBorrowed(v) && v.Phase != PhaseDeciding && v.Phase != PhaseInDoubt &&
 		c.isYielding(v) && now.Sub(v.StartedAt) >= c.settings.MinRunBeforeMove
 }
-
-// isLarge reports whether a job is one that capacity is held back for.
-func (c *Core) isLarge(j *JobState) bool {
-	return j.Job.Shape.Accelerators() >= c.settings.LargeAccelerators
-}
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -62,23 +62,17 @@
 // victimsFor chooses the gangs to stop so that a job's tasks fit on workers,
 // and reports whether that is possible at all.
 func (c *Core) victimsFor(now time.Time, j *JobState, workers []model.WorkerID, may func(*JobState) bool) ([]model.JobID, bool) {
-	needs := map[model.WorkerID]model.Resources{}
-	for _, w := range workers {
-		needs[w] = needs[w].Add(j.Job.Shape.PerTask)
-	}
 	deficits := map[model.WorkerID]model.Resources{}
-	short := false
 	// What is being checkpointed comes too late for urgent work; a claim has no
 	// other place.
-	withStopping := !j.Job.Urgent || j.Job.Capacity == model.CapacityGuaranteed
-	for id, need := range needs {
-		missing := c.overbooked(id, withStopping).Add(need)
+	awaitStopping := !j.Job.Urgent || j.Job.Capacity == model.CapacityGuaranteed
+	for id, need := range j.needsOn(workers) {
+		missing := c.overbooked(id, awaitStopping).Add(need)
 		if missing.Accelerators > 0 || missing.Cores > 0 || missing.MemoryMB > 0 {
 			deficits[id] = missing
-			short = true
 		}
 	}
-	if !short {
+	if len(deficits) == 0 {
 		return nil, true
 	}
 	order := preemption.LeastLostWork
@@ -98,11 +92,7 @@
 			}
 		}
 	}
-	ids := make([]model.JobID, 0, len(held))
-	for id := range held {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
+	ids := sortedKeys(held)
 	if c.settings.Policy.EvictNewest {
 		slices.SortStableFunc(ids, func(a, b model.JobID) int { return c.jobs[b].StartedAt.Compare(c.jobs[a].StartedAt) })
 	}
--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -126,19 +126,10 @@
 
 // finishRecoveryEarly ends the wait once every worker with tasks has reported.
 func (c *Core) finishRecoveryEarly(now time.Time) {
-	for _, id := range c.sortedWorkers() {
+	for _, id := range sortedKeys(c.workers) {
 		if w := c.workers[id]; !w.Up && len(w.tasks) > 0 {
 			return
 		}
 	}
 	c.finishRecovery(now)
 }
-
-func (c *Core) sortedWorkers() []model.WorkerID {
-	ids := make([]model.WorkerID, 0, len(c.workers))
-	for id := range c.workers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -233,7 +233,7 @@
 		seen[t.Task] = t.Attempt
 		c.taskReport(now, w.Worker.ID, t)
 	}
-	for _, id := range sortedTasks(w) {
+	for _, id := range sortedKeys(w.tasks) {
 		job, booked := w.tasks[id]
 		if !booked {
 			continue
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -43,10 +44,10 @@
 // Snapshot returns a copy of the state.
 func (c *Core) Snapshot() *Snapshot {
 	s := &Snapshot{Epoch: c.epoch, Estimates: c.predictor.State(), Quarantine: c.tracker.State(), Ended: slices.Clone(c.ended)}
-	for _, id := range c.sortedJobs() {
+	for _, id := range sortedKeys(c.jobs) {
 		s.Jobs = append(s.Jobs, c.jobs[id].clone())
 	}
-	for _, id := range c.sortedWorkers() {
+	for _, id := range sortedKeys(c.workers) {
 		w := c.workers[id]
 		s.Workers = append(s.Workers, WorkerSnapshot{w.Worker, w.Up, w.LastRequest, w.LastGrant, w.AvoidUntil})
 	}
@@ -56,10 +57,10 @@
 		cell.Users = slices.Clone(cell.Users)
 		s.Cells = append(s.Cells, cell)
 	}
-	for _, id := range c.sortedReservations() {
+	for _, id := range sortedKeys(c.reservations) {
 		s.Reservations = append(s.Reservations, *c.reservations[id])
 	}
-	for _, zone := range sortedZones(c.zoneOutSince) {
+	for _, zone := range sortedKeys(c.zoneOutSince) {
 		s.ZoneOutSince = append(s.ZoneOutSince, ZoneSince{zone, c.zoneOutSince[zone]})
 	}
 	return s
@@ -92,7 +93,7 @@
 			c.lastStep = now
 		}
 	}
-	for _, id := range c.sortedWorkers() {
+	for _, id := range sortedKeys(c.workers) {
 		c.refreshWorker(c.lastStep, c.workers[id])
 	}
 	if config != nil {
@@ -136,14 +137,7 @@
 		return nil
 	}
 	at, ok := slices.BinarySearchFunc(s.Jobs, id, func(j JobState, id model.JobID) int {
-		switch {
-		case j.Job.ID < id:
-			return -1
-		case j.Job.ID > id:
-			return 1
-		default:
-			return 0
-		}
+		return cmp.Compare(j.Job.ID, id)
 	})
 	if !ok {
 		return nil
@@ -163,21 +157,3 @@
 		c.books.open.SetWorker(w.Worker, w.Worker.Capacity, false)
 	}
 }
-
-func (c *Core) sortedJobs() []model.JobID {
-	ids := make([]model.JobID, 0, len(c.jobs))
-	for id := range c.jobs {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
-func sortedZones[V any](m map[model.AvailabilityZoneName]V) []model.AvailabilityZoneName {
-	zones := make([]model.AvailabilityZoneName, 0, len(m))
-	for zone := range m {
-		zones = append(zones, zone)
-	}
-	slices.Sort(zones)
-	return zones
-}
--- a/internal/scheduler/snapshotdelta.go
+++ b/internal/scheduler/snapshotdelta.go
@@ -58,7 +58,7 @@
 		Jobs:         applyList(s.Jobs, d.Jobs, jobKey, cmp.Compare),
 		Workers:      applyList(s.Workers, d.Workers, workerKey, cmp.Compare),
 		Cells:        applyList(s.Cells, d.Cells, cellKey, cmp.Compare),
-		Estimates:    applyList(s.Estimates, d.Estimates, estimateKey, compareEstimateKeys),
+		Estimates:    applyList(s.Estimates, d.Estimates, estimateKey, estimate.CompareKeys),
 		Reservations: d.Reservations,
 		Quarantine:   d.Quarantine,
 		Ended:        d.Ended,
@@ -71,9 +71,6 @@
 func cellKey(c guarantee.Cell) string             { return c.Key }
 func estimateKey(s estimate.Samples) estimate.Key { return s.Key }
 func sameItem[V any](a, b V) bool                 { return reflect.DeepEqual(a, b) }
-func compareEstimateKeys(a, b estimate.Key) int {
-	return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.JobClass, b.JobClass))
-}
 
 // sameWorker leaves out the times of the last request and grant.
 func sameWorker(a, b WorkerSnapshot) bool {
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -23,8 +23,7 @@
 	}
 	for _, j := range c.inPhase(PhaseDeciding) {
 		if !now.Before(j.ResendAt) {
-			c.sendReserves(now, j)
-			j.ResendAt = now.Add(c.settings.Hold / 3)
+			c.extendHolds(now, j)
 		}
 	}
 	for _, j := range c.inPhase(PhaseInDoubt) {
@@ -57,12 +56,20 @@
 	if now.Before(j.ResendAt) {
 		return
 	}
-	j.ResendAt = now.Add(c.settings.Hold / 3)
 	c.do(ReadDecision{Job: j.Job.ID, Attempt: j.Attempt})
+	c.extendHolds(now, j)
+}
+
+// extendHolds asks for the reservations again in time before they lapse.
+func (c *Core) extendHolds(now time.Time, j *JobState) {
 	c.sendReserves(now, j)
-	j.ResendAt = now.Add(c.settings.Hold / 3)
+	j.ResendAt = c.nextExtension(now)
 }
 
+// nextExtension is when the reservations of a gang whose decision is not known
+// are asked for again, well before the agents' hold on them ends.
+func (c *Core) nextExtension(now time.Time) time.Time { return now.Add(c.settings.Hold / 3) }
+
 func (c *Core) tickLaunching(now time.Time, j *JobState) {
 	if now.Sub(j.PhaseSince) >= c.settings.LaunchTimeout {
 		c.endAttempt(now, j, eventLaunchTimedOut, PhaseQueued, wire.StopGangMemberLost, 0, "not all tasks started in time")
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"dragonflyyard/internal/model"
@@ -48,7 +47,7 @@
 	}
 	w.Up = true
 	w.LastRequest = now
-	for _, id := range sortedTasks(w) {
+	for _, id := range sortedKeys(w.tasks) {
 		j := c.jobs[w.tasks[id]]
 		i, _ := j.taskIndex(id)
 		j.Tasks[i].GoneAt = time.Time{}
@@ -70,7 +69,7 @@
 
 // tasksGone marks the worker's tasks as ending with their leases and ends their gangs.
 func (c *Core) tasksGone(now time.Time, w *workerState, text string) {
-	for _, id := range sortedTasks(w) {
+	for _, id := range sortedKeys(w.tasks) {
 		job, booked := w.tasks[id]
 		if !booked {
 			continue
@@ -119,7 +118,7 @@
 	}
 	w.LastRequest = now
 	grant := &wire.LeaseGrant{Epoch: c.epoch, SentMS: r.SentMS}
-	for _, id := range sortedTasks(w) {
+	for _, id := range sortedKeys(w.tasks) {
 		j := c.jobs[w.tasks[id]]
 		if lease := c.gangLease(now, j); lease > 0 {
 			grant.Tasks = append(grant.Tasks, wire.TaskLease{Task: id, Attempt: j.Attempt, LeaseMS: lease.Milliseconds()})
@@ -167,12 +166,3 @@
 	}
 	return false
 }
-
-func sortedTasks(w *workerState) []model.TaskID {
-	ids := make([]model.TaskID, 0, len(w.tasks))
-	for id := range w.tasks {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/internal/scheduler/zone.go
+++ b/internal/scheduler/zone.go
@@ -43,7 +43,7 @@
 			c.zoneOutSince[zone] = now
 		}
 	}
-	for _, id := range c.sortedWorkers() {
+	for _, id := range sortedKeys(c.workers) {
 		if w := c.workers[id]; changed[w.Worker.Zone] {
 			c.refreshWorker(now, w)
 		}
