--- a/internal/gang/member_test.go
+++ b/internal/gang/member_test.go
@@ -90,12 +90,12 @@
 	}
 }
 
-func TestNewLifeRefusesReservationsAndStaysSilent(t *testing.T) {
+func TestNewMemberRefusesReservationsAndStaysSilent(t *testing.T) {
 	m := NewMember(model.Worker{ID: "w", Capacity: model.Resources{Accelerators: 8}}, DefaultSettings(), start)
 	m.Step(start, PermitUpdate{ValidUntil: start.Add(time.Minute)})
 	m.Step(start, reserve(1, 1))
 	if !m.Idle() {
-		t.Error("a reservation was taken while tasks of an earlier life may run")
+		t.Error("a reservation was taken while tasks of an earlier process of the agent may run")
 	}
 	for _, a := range m.Step(start, Receive{&wire.StopTask{Epoch: 2, Job: "j", Attempt: 1, Task: "j/0"}}) {
 		if _, ok := a.(Send); ok {
--- a/internal/scheduler/store_test.go
+++ b/internal/scheduler/store_test.go
@@ -28,7 +28,8 @@
 	return c
 }
 
-// run answers reservations and launches and returns all actions of a step.
+// stepAnswered takes a step, answers its reservations, launches and decision rows
+// and returns all actions.
 func (c *Core) stepAnswered(now time.Time, in Input, decision DecisionResult) []Action {
 	actions := c.Step(now, in)
 	for i := 0; i < len(actions); i++ {
