Delete a late decision row of a job that has ended at a change of owner

Cause: a decision row is written under the owner's lease row alone, with no check of the row itself. A write in doubt that is read back as missing counts as refused; if it takes effect after that, and after the job was cancelled and its row deleted, the row stands beside the kept end of the job. A new owner restored the job from the row and would have run a cancelled job again: neither the attempt nor the submission of row and end were compared.

Ruled out: a check of the row's version in each decision write. It is the stricter way, but changes the writer in entry, and the writes of one job would each need the version before. A row of a later submission under the same ID, or of a later attempt, is kept. A late row of an earlier attempt over a later one of a job that still runs is not covered here.

Change: becomeOwner compares rows with the kept ends; a row of the same submission whose attempt is not later is left out and deleted.

The late write was not shown at a real table service, only at the core.

--- a/internal/scheduler/ended.go
+++ b/internal/scheduler/ended.go
@@ -33,6 +33,24 @@
 	return EndedJob{Job: j.Job, Attempt: j.Attempt, Phase: j.Phase, At: j.PhaseSince, History: slices.Clone(j.History)}, true
 }
 
+// dropLateRows returns the rows without those of jobs that ended, and deletes
+// these. A row and the end of the same submission stand together only when a
+// decision row that was in doubt took effect after the job's row was deleted.
+func (c *Core) dropLateRows(rows []JobRow, ended []EndedJob) []JobRow {
+	ends := make(map[model.JobID]EndedJob, len(ended))
+	for _, e := range ended {
+		ends[e.Job.ID] = e
+	}
+	return slices.DeleteFunc(slices.Clone(rows), func(row JobRow) bool {
+		e, known := ends[row.Job.ID]
+		if !known || !e.Job.Submitted.Equal(row.Job.Submitted) || row.Attempt > e.Attempt {
+			return false
+		}
+		c.do(DeleteRows{Jobs: []model.JobID{row.Job.ID}})
+		return true
+	})
+}
+
 // restoreEnded takes over the jobs that ended under an earlier owner. Jobs of
 // the snapshot that have no row are among them.
 func (c *Core) restoreEnded(ended []EndedJob, snapshot *Snapshot) {
--- a/internal/scheduler/ended_test.go
+++ b/internal/scheduler/ended_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -64,3 +65,33 @@
 		t.Error("the latest ended job is not known")
 	}
 }
+
+// TestLateRowOfAnEndedJobIsDeleted gives a new owner the end of a job and a
+// decision row of it that was in doubt and took effect after the deletion.
+func TestLateRowOfAnEndedJobIsDeleted(t *testing.T) {
+	_, end := endedCore(t)
+	end.Attempt = 2
+	resubmitted := end.Job
+	resubmitted.Submitted = end.At.Add(time.Second)
+	cases := []struct {
+		name    string
+		row     JobRow
+		deleted bool
+	}{
+		{"decision of the last attempt", JobRow{Job: end.Job, Attempt: 2, Allocation: []model.WorkerID{"w1", "w2"}}, true},
+		{"another job under the same ID", JobRow{Job: resubmitted}, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := New(DefaultSettings())
+			actions := c.Step(time.Unix(2000, 0), BecomeOwner{Epoch: 4, Rows: []JobRow{tc.row}, Ended: []EndedJob{end}})
+			deleted := slices.ContainsFunc(actions, func(a Action) bool {
+				d, ok := a.(DeleteRows)
+				return ok && slices.Equal(d.Jobs, []model.JobID{"j"})
+			})
+			if _, ended := c.Ended("j"); ended != tc.deleted || deleted != tc.deleted {
+				t.Errorf("ended %v, row deleted %v, want both %v", ended, deleted, tc.deleted)
+			}
+		})
+	}
+}
--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -25,7 +25,7 @@
 		c.restoreKnowledge(in.Snapshot)
 	}
 	c.restoreZones(now, in.Snapshot)
-	for _, row := range in.Rows {
+	for _, row := range c.dropLateRows(in.Rows, in.Ended) {
 		c.restoreRow(now, row, in.Snapshot)
 	}
 	c.restoreEnded(in.Ended, in.Snapshot)
