--- a/internal/scheduler/borrowed.go
+++ b/internal/scheduler/borrowed.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -80,16 +81,7 @@
 }
 
 func compareTurn(a, b turn) int {
-	switch {
-	case a.share < b.share:
-		return -1
-	case a.share > b.share:
-		return 1
-	case a.account.id < b.account.id:
-		return -1
-	default:
-		return 1
-	}
+	return cmp.Or(cmp.Compare(a.share, b.share), cmp.Compare(a.account.id, b.account.id))
 }
 
 // tryBorrowed starts a job on free capacity, or holds capacity back for it.
@@ -123,7 +115,9 @@
 	return false
 }
 
-// bestPlace returns the fullest place that takes a job, see segregate.
+// bestPlace returns the fullest place that takes a job and, in words, why it was
+// chosen; nil when no place does. Where it can, it keeps work that cannot
+// checkpoint apart from work that yields, and the job off workers that it failed on.
 func (c *Core) bestPlace(index *placement.Index, j *JobState) ([]model.WorkerID, string) {
 	r := c.request(j)
 	if limit, why := c.segregate(j); limit != nil {
--- a/internal/scheduler/recover.go
+++ b/internal/scheduler/recover.go
@@ -25,7 +25,7 @@
 		c.restoreKnowledge(in.Snapshot)
 	}
 	c.restoreZones(now, in.Snapshot)
-	for _, row := range in.Rows {
+	for _, row := range c.dropLateRows(in.Rows, in.Ended) {
 		c.restoreRow(now, row, in.Snapshot)
 	}
 	c.restoreEnded(in.Ended, in.Snapshot)
@@ -140,19 +140,10 @@
 
 // finishRecoveryEarly ends the wait once every worker with tasks has reported.
 func (c *Core) finishRecoveryEarly(now time.Time) {
-	for _, id := range c.sortedWorkers() {
+	for _, id := range sortedKeys(c.workers) {
 		if w := c.workers[id]; !w.Up && len(w.tasks) > 0 {
 			return
 		}
 	}
 	c.finishRecovery(now)
 }
-
-func (c *Core) sortedWorkers() []model.WorkerID {
-	ids := make([]model.WorkerID, 0, len(c.workers))
-	for id := range c.workers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
