Forget an agent's permits once they have ended

Cause: Holder kept the last permit of every entry host that it ever heard, and walked all of them at each start. Entry hosts that are replaced under other IDs left one each for as long as the agent runs.

Ruled out: forgetting a permit with its connection, as it is good until its end.

Change: Received drops what has ended before it keeps the new one. An ended permit allowed nothing before, and any permit replaced it.

Tests: TestHolderForgetsEndedPermits fails without it (100 permits kept, want 1); internal/permit passes with -race.

--- a/internal/permit/holder.go
+++ b/internal/permit/holder.go
@@ -74,10 +74,21 @@
 	if before, kept := h.permits[entry]; kept && before.permit.Seq >= permit.Seq && now.Before(before.until) {
 		return false
 	}
+	h.dropEnded(now)
 	h.permits[entry] = held{permit: permit, until: until}
 	return now.Before(until)
 }
 
+// dropEnded forgets the permits that have ended. Without it, those of entry
+// hosts that are gone for good would be kept as long as the agent runs.
+func (h *Holder) dropEnded(now time.Time) {
+	for entry, kept := range h.permits {
+		if !now.Before(kept.until) {
+			delete(h.permits, entry)
+		}
+	}
+}
+
 // SeeConfig takes in the state of the agent's zone at a configuration version,
 // from the agent's own document or from a permit. An entry host with a
 // take-out in doubt says at the present version that the zone is out; this
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -1,6 +1,7 @@
 package permit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -197,3 +198,18 @@
 		t.Errorf("claim under another assignment: got %q", got)
 	}
 }
+
+// TestHolderForgetsEndedPermits lets a hundred entry hosts take each other's
+// place under other IDs: the permits of those that are gone are not kept.
+func TestHolderForgetsEndedPermits(t *testing.T) {
+	h := NewHolder(DefaultLimits())
+	for i := range 100 {
+		entry, now := model.EntryID(fmt.Sprint("e", i)), at(10_000*i)
+		h.HeartbeatSent(now, entry, 1)
+		h.Received(now, entry, wire.Permit{Seq: 1, ValidMS: 2500, AnsweredHeartbeat: 1})
+		h.Disconnected(entry)
+	}
+	if kept := len(h.permits); kept != 1 {
+		t.Errorf("%d permits are kept, want the one that has not ended", kept)
+	}
+}
