Bound the queue of an agent's kept answers by what is kept

Cause: answerStore.drop, which serves each Forget, released the body and the size of an answer but left its entry in the queue by age until its time was up or all older ones had left. The bound in bytes counts only what is kept, so the queue grew with the rate of requests times AnswerTTL (1 min), whatever MaxAnswerBytes is. Ruled out: counting a dropped entry against MaxAnswerBytes, which would change what that bound means; removing the entry at each drop, which searches the queue each time. Change: once dropped answers are more than half of a queue of at least 64, they are removed from it. The queue has at most twice as many entries as answers are kept, or 64. What is kept, for how long and in which order is as before.

--- a/internal/executor/answer.go
+++ b/internal/executor/answer.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"slices"
 	"time"
 
 	"dragonflyyard/internal/model"
@@ -23,9 +24,14 @@
 	ttl      time.Duration
 	bytes    int
 	byID     map[model.RequestID]*answer
-	queue    []*answer
+	// queue holds the kept answers and some dropped ones, oldest first.
+	queue []*answer
 }
 
+// minQueueCleaned is the shortest queue from which dropped answers are removed
+// before their time.
+const minQueueCleaned = 64
+
 // answerOverhead is the size in bytes that an answer counts beside its body.
 const answerOverhead = 256
 
@@ -55,7 +61,18 @@
 		s.bytes -= len(a.body) + answerOverhead
 		a.body = nil
 		delete(s.byID, id)
+		s.cleanQueue()
+	}
+}
+
+// cleanQueue removes the dropped answers from the queue once they are more than
+// half of it, so that its length is bounded by what is kept.
+func (s *answerStore) cleanQueue() {
+	if len(s.queue) < minQueueCleaned || len(s.queue) <= 2*len(s.byID) {
+		return
 	}
+	isDropped := func(a *answer) bool { return s.byID[a.id] != a }
+	s.queue = slices.DeleteFunc(s.queue, isDropped)
 }
 
 func (s *answerStore) expire(now time.Time) {
