Say in executor and dedup what permits, stops and credits mean

Cause: read as a newcomer, several comments were stale or missing. Permit was said to need the assignment's version on an executor too, which rule 5 of docs/design/01-claims.md denies; ReadyToStop to mean that all answers were delivered, which MaxLinger overrules; AssignmentUpdate to ignore only lower versions, while an equal one is ignored as well. A constant and a method were both named largestTurn, the planned stop stood among the credits, and the reply that refuses a claim was built twice. Ruled out: no bound or behaviour is changed, and allotCredits keeps its order of steps, of which its comment now gives the reason. Change: comments; largestTurnTime; stop.go; refuse takes the state; compareFirstHash is cmp.Compare. Tests: -race of internal/executor, internal/dedup and internal/requestflow; vet, staticcheck and revive of the first two. Conclusion: reads as the code acts.

--- a/internal/dedup/assignment.go
+++ b/internal/dedup/assignment.go
@@ -32,6 +32,8 @@
 	return Holder{Home: r.Home, Incarnation: r.Incarnation, FloorUnixMS: floor}, true
 }
 
+// rangeOf returns the range that a hash falls into. The ranges are sorted and not
+// empty; a hash before the first of them belongs to the last.
 func rangeOf(a *wire.Assignment, hash uint64) *wire.HomeRange {
 	i := sort.Search(len(a.Ranges), func(i int) bool { return a.Ranges[i].FirstHash > hash })
 	if i == 0 {
--- a/internal/dedup/claims.go
+++ b/internal/dedup/claims.go
@@ -13,16 +13,21 @@
 
 // claim is the record of one request at its home. Once sealed it never changes.
 type claim struct {
-	executor   model.BackendServerID
-	account    unique.Handle[model.ClientAccountID]
-	ref        wire.ClaimRef
-	bodyHash   uint64
-	sealed     bool
+	executor model.BackendServerID
+	account  unique.Handle[model.ClientAccountID]
+	ref      wire.ClaimRef
+	bodyHash uint64
+	// sealed means that no executor is to run the request any more.
+	sealed bool
+	// mayHaveRun means that a sender could not confirm that an earlier executor
+	// did not run the request, so that not_run must not be told.
 	mayHaveRun bool
 }
 
-// Permit is the fence of a home and of an executor: the agent acts on an
-// assignment only while it holds a valid permit of the same version.
+// Permit lets an agent act until an instant of its own clock. As a home it
+// answers claims only under a valid permit of its own assignment's version, which
+// is the fence against former homes. As an executor it starts a non-idempotent
+// request only under a valid permit, of any version.
 type Permit struct {
 	Assignment uint64
 	ValidUntil time.Time
@@ -161,14 +166,10 @@
 	reply := &wire.ClaimReply{Request: m.Request, Assignment: c.Version(), Token: m.Token}
 	mintMS, err := MintTime(m.Request)
 	if err != nil {
-		return refuse(reply, model.ReasonInvalidID)
+		return refuse(reply, wire.StateRejected, model.ReasonInvalidID)
 	}
-	state, reason := c.check(now, m, mintMS)
-	if state != 0 {
-		reply.State = state
-		reply.Reason = reason
-		reply.RetryAfterMS = RetryInterval.Milliseconds()
-		return reply
+	if state, reason := c.check(now, m, mintMS); state != 0 {
+		return refuse(reply, state, reason)
 	}
 	record, found := c.window.Get(m.Request)
 	if m.ReadOnly {
@@ -233,13 +234,15 @@
 	return 0, model.ReasonNone
 }
 
-func refuse(reply *wire.ClaimReply, reason model.Reason) *wire.ClaimReply {
-	reply.State = wire.StateRejected
+// refuse fills in a reply that grants nothing for now.
+func refuse(reply *wire.ClaimReply, state wire.RequestState, reason model.Reason) *wire.ClaimReply {
+	reply.State = state
 	reply.Reason = reason
 	reply.RetryAfterMS = RetryInterval.Milliseconds()
 	return reply
 }
 
+// describe fills in the claim in force, or that there is none.
 func describe(reply *wire.ClaimReply, record claim, found bool) *wire.ClaimReply {
 	if !found {
 		reply.State = wire.StateAbsent
--- a/internal/dedup/delta.go
+++ b/internal/dedup/delta.go
@@ -1,6 +1,7 @@
 package dedup
 
 import (
+	"cmp"
 	"slices"
 
 	"dragonflyyard/internal/wire"
@@ -108,12 +109,5 @@
 }
 
 func compareFirstHash(r wire.HomeRange, hash uint64) int {
-	switch {
-	case r.FirstHash < hash:
-		return -1
-	case r.FirstHash > hash:
-		return 1
-	default:
-		return 0
-	}
+	return cmp.Compare(r.FirstHash, hash)
 }
--- a/internal/dedup/id.go
+++ b/internal/dedup/id.go
@@ -1,6 +1,7 @@
 // Package dedup finds the first run of a request: it maps request IDs to home
-// ranges and keeps, on a home agent, the claims of the range in a window of
-// bounded time and size. It is pure: callers pass the time in.
+// ranges, keeps, on a home agent, the claims of its ranges in a window of bounded
+// time and size, and makes and follows updates of the ranges. It is pure: callers
+// pass the time in.
 package dedup
 
 import (
--- a/internal/executor/api.go
+++ b/internal/executor/api.go
@@ -71,7 +71,7 @@
 // PermitRevoked ends all permits at once.
 type PermitRevoked struct{}
 
-// AssignmentUpdate replaces the home ranges. Lower versions are ignored.
+// AssignmentUpdate replaces the home ranges, unless its version is not higher.
 type AssignmentUpdate struct{ Assignment wire.Assignment }
 
 // Tick lets time pass. The shell sends one every 50 ms or sooner.
@@ -108,7 +108,8 @@
 // Record adds an event to the time line.
 type Record struct{ Event event.Event }
 
-// ReadyToStop says, once after Stop, that no work and no undelivered answer is left.
+// ReadyToStop says, once after Stop, that no work runs and that the agent waits no
+// longer for answers to be delivered or for its home ranges to be taken over.
 type ReadyToStop struct{}
 
 func (Send) isAction()         {}
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -27,12 +27,18 @@
 	// knownSinceMS: IDs minted later cannot have reached an earlier life.
 	knownSinceMS int64
 	slotsInUse   int
-	leaving      bool
-	stopAt       time.Time
-	lastEnd      time.Time
-	undelivered  int
-	stopped      bool
-	actions      []Action
+	// undelivered counts the ended runs whose end no entry host was told yet.
+	undelivered int
+
+	// leaving is set from Stop on, at stopAt; stopped once ReadyToStop was said.
+	leaving bool
+	stopped bool
+	stopAt  time.Time
+	// lastEnd is when the last started request ended, or stopAt if that is later.
+	lastEnd time.Time
+
+	// actions are those of the present Step.
+	actions []Action
 }
 
 // New returns a Core without connections.
@@ -80,7 +86,8 @@
 	return c.actions
 }
 
-// Stats are the sizes of a Core's tables, for metrics.
+// Stats are the sizes of a Core's tables, for metrics. KeptAnswerBytes and
+// PartialBodySize are in bytes.
 type Stats struct {
 	Running, SlotsInUse, Links       int
 	Claims, Requests, KeptAnswers    int
--- a/internal/executor/credit.go
+++ b/internal/executor/credit.go
@@ -4,8 +4,6 @@
 	"sort"
 	"time"
 
-	"dragonflyyard/internal/dedup"
-	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/wire"
 )
@@ -14,9 +12,9 @@
 	// creditSettle is how long a lowered credit still counts at its old value,
 	// since dispatches sent under the old one may be on their way.
 	creditSettle = 100 * time.Millisecond
-	// largestTurn is how long one entry host's largest request is preferred
+	// largestTurnTime is how long one entry host's largest request is preferred
 	// before another's.
-	largestTurn = 500 * time.Millisecond
+	largestTurnTime = 500 * time.Millisecond
 )
 
 // link is a connected entry host and its share of the backend server.
@@ -26,11 +24,14 @@
 	// slots and connections are in use by requests that this entry host dispatched.
 	slots       int
 	connections int
-	demandSeq   uint64
-	demand      int
-	largest     int
-	creditSeq   uint64
-	sent        wire.Credit
+	// demand is the slots that the entry host asked for last, largest the slots
+	// of the largest request that waits there; demandSeq numbers its demands.
+	demandSeq uint64
+	demand    int
+	largest   int
+	// sent is the credit in force at the entry host, numbered by creditSeq.
+	creditSeq uint64
+	sent      wire.Credit
 	// previous is the slot credit before the last decrease; it counts until settled.
 	previous int
 	settled  time.Time
@@ -73,7 +74,10 @@
 	c.allotCredits(now)
 }
 
-// allotCredits shares the slots out anew and sends what has changed.
+// allotCredits shares the slots and connections out anew and sends what has
+// changed. Decreases go out before increases, and an increase takes only slots
+// that no other entry host may still use, so that the sums of the credits stay
+// inside the limits.
 func (c *Core) allotCredits(now time.Time) {
 	order := c.sortedLinks()
 	targets := c.targets(now, order)
@@ -111,6 +115,7 @@
 	}
 }
 
+// lowerCredit sends a lower slot credit. The former one counts for creditSettle.
 func (c *Core) lowerCredit(now time.Time, l *link, slots int) {
 	l.previous = l.accounted(now)
 	l.settled = now.Add(creditSettle)
@@ -163,7 +168,7 @@
 	if len(waiting) == 0 {
 		return -1
 	}
-	turn := now.UnixMilli() / largestTurn.Milliseconds()
+	turn := now.UnixMilli() / largestTurnTime.Milliseconds()
 	return waiting[int(turn%int64(len(waiting)))]
 }
 
@@ -202,35 +207,3 @@
 	sort.Slice(order, func(i, j int) bool { return order[i].entry < order[j].entry })
 	return order
 }
-
-func (c *Core) stop(now time.Time) {
-	if c.leaving {
-		return
-	}
-	c.leaving = true
-	c.stopAt = now
-	c.lastEnd = now
-	c.record(event.BackendServerLeaving, "", "")
-	for _, l := range c.sortedLinks() {
-		c.send(l, &wire.Leaving{Process: string(c.config.ID)})
-	}
-	c.allotCredits(now)
-}
-
-// checkStopped reports, once, that the agent may go. It stays while work runs,
-// while an answer was not fetched or it is still a home, up to MaxLinger.
-func (c *Core) checkStopped(now time.Time) {
-	if !c.leaving || c.stopped || len(c.running) > 0 || now.Before(c.stopAt.Add(c.config.LeaveLinger)) {
-		return
-	}
-	overdue := !now.Before(c.lastEnd.Add(c.config.MaxLinger))
-	if !overdue && (c.undelivered > 0 || c.isHomeNeeded(now)) {
-		return
-	}
-	c.stopped = true
-	c.actions = append(c.actions, ReadyToStop{})
-}
-
-func (c *Core) isHomeNeeded(now time.Time) bool {
-	return dedup.IsNeeded(c.claims.Assignment(), c.config.ID, now.UnixMilli(), c.config.ClockSkewBound, c.config.LeaveLinger)
-}
--- /dev/null
+++ b/internal/executor/stop.go
@@ -0,0 +1,44 @@
+package executor
+
+import (
+	"time"
+
+	"dragonflyyard/internal/dedup"
+	"dragonflyyard/internal/event"
+	"dragonflyyard/internal/wire"
+)
+
+// stop begins the graceful stop: entry hosts are told, and credits go to zero.
+func (c *Core) stop(now time.Time) {
+	if c.leaving {
+		return
+	}
+	c.leaving = true
+	c.stopAt = now
+	c.lastEnd = now
+	c.record(event.BackendServerLeaving, "", "")
+	for _, l := range c.sortedLinks() {
+		c.send(l, &wire.Leaving{Process: string(c.config.ID)})
+	}
+	c.allotCredits(now)
+}
+
+// checkStopped reports, once, that the agent may go. It stays for LeaveLinger and
+// while work runs; while an answer was not delivered or it is still needed as a
+// home, it stays for at most MaxLinger after the last end of a request.
+func (c *Core) checkStopped(now time.Time) {
+	if !c.leaving || c.stopped || len(c.running) > 0 || now.Before(c.stopAt.Add(c.config.LeaveLinger)) {
+		return
+	}
+	overdue := !now.Before(c.lastEnd.Add(c.config.MaxLinger))
+	if !overdue && (c.undelivered > 0 || c.isHomeNeeded(now)) {
+		return
+	}
+	c.stopped = true
+	c.actions = append(c.actions, ReadyToStop{})
+}
+
+// isHomeNeeded reports whether claims may still be asked of this agent.
+func (c *Core) isHomeNeeded(now time.Time) bool {
+	return dedup.IsNeeded(c.claims.Assignment(), c.config.ID, now.UnixMilli(), c.config.ClockSkewBound, c.config.LeaveLinger)
+}
