Name the parts of the store's client and stand-ins by their job

Cause: a stand-in store's gates were named table and blobs, beside a map named objects, and its counter of write calls just calls. A shared read was a flight. The lowest share was a bare 2. Comments on errors of platform calls, on Merge's order and on several private functions were missing or too wide. Ruled out: taking the paths of tablestore and standin from one place; the contract test is worth more while the two sides do not share them. No behaviour changes. Tests: -race of internal/tablestore, platform, standin, statechart, event and timeline; vet, staticcheck and revive of these; vet of all packages. Conclusion: reads as the code acts.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -21,8 +21,10 @@
 	Request model.RequestID            `json:"request,omitempty"`
 	Job     model.JobID                `json:"job,omitempty"`
 	Zone    model.AvailabilityZoneName `json:"zone,omitempty"`
-	Subject string                     `json:"subject,omitempty"`
-	Detail  string                     `json:"detail,omitempty"`
+	// Subject is what else the event is about, such as a process, an account, a
+	// version or the key of a row.
+	Subject string `json:"subject,omitempty"`
+	Detail  string `json:"detail,omitempty"`
 }
 
 // Timestamp is a hybrid logical clock reading: wall milliseconds and a counter
@@ -61,7 +63,7 @@
 // log's lock. Sinks are added before the log is shared.
 func (l *Log) AddSink(sink func(Event)) { l.sinks = append(l.sinks, sink) }
 
-// Record stamps and keeps an event.
+// Record stamps and keeps an event. A nil log records nothing.
 func (l *Log) Record(e Event) {
 	if l == nil {
 		return
@@ -110,6 +112,7 @@
 	return append(out, l.events[:l.next]...)
 }
 
+// tick returns a reading that is later than all before it.
 func (l *Log) tick() Timestamp {
 	wall := l.now().UnixMilli()
 	if wall > l.clock.WallMS {
@@ -120,6 +123,7 @@
 	return l.clock
 }
 
+// keep stores an event in place of the oldest once the buffer is full.
 func (l *Log) keep(e Event) {
 	if len(l.events) < cap(l.events) {
 		l.events = append(l.events, e)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Errors that both services return. Others are wrapped around one of these.
+// Errors of both services. Each error of a call wraps one of these.
 var (
 	// ErrUnavailable means that the service did not take the call: nothing changed.
 	ErrUnavailable = errors.New("platform service unavailable")
@@ -58,7 +58,7 @@
 	// Get returns one row, ErrNotFound or ErrUnavailable.
 	Get(ctx context.Context, key string) (Row, error)
 	// List returns at most limit rows whose key starts with prefix and is
-	// greater than after, in key order.
+	// greater than after, in key order, or ErrUnavailable.
 	List(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 	// Commit applies a transaction. It returns the version that each put row
 	// got, in the order of the puts; ErrConflict, ErrUnavailable or ErrInDoubt.
@@ -67,7 +67,7 @@
 
 // ObjectStore is the platform's store of large immutable values.
 type ObjectStore interface {
-	// PutObject stores a value under a key.
+	// PutObject stores a value under a key. It returns ErrUnavailable or ErrInDoubt.
 	PutObject(ctx context.Context, key string, value []byte) error
 	// GetObject returns a value, ErrNotFound or ErrUnavailable.
 	GetObject(ctx context.Context, key string) ([]byte, error)
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -62,9 +62,9 @@
 
 func (s *Store) gateOf(service Service) *gate {
 	if service == ServiceObjects {
-		return s.blobs
+		return s.objectGate
 	}
-	return s.table
+	return s.tableGate
 }
 
 // set replaces the switches and applies held writes, in order, when the
@@ -84,7 +84,8 @@
 	g.changed = make(chan struct{})
 }
 
-// enter lets a read in, or says why not.
+// enter lets a call in after the delay of the switches. It returns errDown or
+// errGaveUp when the call must not take effect.
 func (g *gate) enter(ctx context.Context) error {
 	for {
 		g.mu.Lock()
@@ -129,6 +130,8 @@
 	return nil
 }
 
+// hold keeps a write that arrives at a frozen service, and returns what is closed
+// once it took effect. It returns nil for a write that is not to be held.
 func (g *gate) hold(apply func()) chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -140,6 +143,8 @@
 	return done
 }
 
+// takeLostAnswer reports whether the answer of the present call is to be lost,
+// and counts it.
 func (g *gate) takeLostAnswer() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/standin/hostfaults.go
+++ b/internal/standin/hostfaults.go
@@ -1,8 +1,6 @@
 package standin
 
 import (
-	"context"
-	"encoding/json"
 	"sync"
 
 	"github.com/valyala/fasthttp"
@@ -41,7 +39,7 @@
 // admit waits as the switches say. It returns false after it has answered, or
 // decided never to answer, a call that must not take effect.
 func (s *hostSwitches) admit(ctx *fasthttp.RequestCtx) bool {
-	held, cancel := context.WithTimeout(context.Background(), maxHeld)
+	held, cancel := holdContext()
 	defer cancel()
 	if err := s.gate.enter(held); err != nil {
 		answerError(ctx, err)
@@ -67,13 +65,3 @@
 	}
 	s.set(faults)
 }
-
-// readJSON decodes a request's body. It answers 400 and returns false when the
-// body is not as expected.
-func readJSON(ctx *fasthttp.RequestCtx, target any) bool {
-	if err := json.Unmarshal(ctx.PostBody(), target); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
-		return false
-	}
-	return true
-}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -27,6 +27,11 @@
 // service.
 const maxHeld = 10 * time.Minute
 
+// holdContext bounds one held call.
+func holdContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), maxHeld)
+}
+
 // CommitRequest is the body of POST PathCommit.
 type CommitRequest struct {
 	Transactions []platform.Transaction `json:"transactions"`
@@ -80,11 +85,10 @@
 
 func (s *Store) serveCommit(ctx *fasthttp.RequestCtx) {
 	var request CommitRequest
-	if err := json.Unmarshal(ctx.PostBody(), &request); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+	if !readJSON(ctx, &request) {
 		return
 	}
-	held, cancel := context.WithTimeout(context.Background(), maxHeld)
+	held, cancel := holdContext()
 	defer cancel()
 	results, err := s.CommitBatch(held, request.Transactions)
 	if err != nil {
@@ -95,7 +99,7 @@
 }
 
 func (s *Store) serveRow(ctx *fasthttp.RequestCtx) {
-	held, cancel := context.WithTimeout(context.Background(), maxHeld)
+	held, cancel := holdContext()
 	defer cancel()
 	row, err := s.Get(held, string(ctx.QueryArgs().Peek("key")))
 	if err != nil {
@@ -106,7 +110,7 @@
 }
 
 func (s *Store) serveRows(ctx *fasthttp.RequestCtx) {
-	held, cancel := context.WithTimeout(context.Background(), maxHeld)
+	held, cancel := holdContext()
 	defer cancel()
 	args := ctx.QueryArgs()
 	limit, err := args.GetUint("limit")
@@ -123,7 +127,7 @@
 }
 
 func (s *Store) serveObject(ctx *fasthttp.RequestCtx, key string) {
-	held, cancel := context.WithTimeout(context.Background(), maxHeld)
+	held, cancel := holdContext()
 	defer cancel()
 	if ctx.IsPut() {
 		if err := s.PutObject(held, key, ctx.PostBody()); err != nil {
@@ -141,8 +145,7 @@
 
 func (s *Store) serveFaults(ctx *fasthttp.RequestCtx) {
 	var request FaultsRequest
-	if err := json.Unmarshal(ctx.PostBody(), &request); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+	if !readJSON(ctx, &request) {
 		return
 	}
 	if request.Service != ServiceTable && request.Service != ServiceObjects {
@@ -166,6 +169,16 @@
 	}
 }
 
+// readJSON decodes a request's body. It answers 400 and returns false when the
+// body is not as expected.
+func readJSON(ctx *fasthttp.RequestCtx, target any) bool {
+	if err := json.Unmarshal(ctx.PostBody(), target); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
 func writeJSON(ctx *fasthttp.RequestCtx, value any) {
 	body, err := json.Marshal(value)
 	if err != nil {
--- a/internal/standin/middlebox.go
+++ b/internal/standin/middlebox.go
@@ -106,7 +106,8 @@
 	}
 }
 
-// forward copies until an end closes. A silent direction hides also that.
+// forward copies until an end closes. A silent direction drops what arrives and
+// does not pass the close on.
 func (m *Middlebox) forward(from, to net.Conn, silent *atomic.Bool) {
 	buffer := make([]byte, 32<<10)
 	for {
--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -93,7 +93,8 @@
 	}
 }
 
-// Send writes bytes and keeps the connection open.
+// Send writes bytes and keeps the connection open. It returns false when the
+// write failed.
 func (c RawCall) Send(text string) bool {
 	_, err := io.WriteString(c.Conn, text)
 	return err == nil
@@ -111,28 +112,29 @@
 	return false
 }
 
-// Whole is a whole answer with a status, headers that end in a line break each
+// Whole returns a whole answer with a status, headers that end in a line break each
 // and a body.
 func Whole(status int, headers, body string) string {
 	return fmt.Sprintf("HTTP/1.1 %d x\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
 }
 
-// Always answers each call with the same bytes.
+// Always returns a function that answers each call with the same bytes.
 func Always(text string) func(RawCall) bool {
 	return func(c RawCall) bool { return c.Send(text) }
 }
 
-// ThenCut answers each call with the same bytes and closes the connection.
+// ThenCut returns a function that answers each call with the same bytes and
+// closes the connection.
 func ThenCut(text string) func(RawCall) bool {
 	return func(c RawCall) bool { return c.Cut(text) }
 }
 
-// Chunked is an answer in one chunk, without the chunk that ends it.
+// Chunked returns an answer in one chunk, without the chunk that ends it.
 func Chunked(body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(body), body)
 }
 
-// TooManyHeaders is an answer whose header is larger than any client takes.
+// TooManyHeaders returns an answer whose header is larger than any client takes.
 func TooManyHeaders() string {
 	return Whole(200, strings.Repeat("X-Filler: "+strings.Repeat("x", 100)+"\r\n", 200), "hello")
 }
--- a/internal/standin/stats.go
+++ b/internal/standin/stats.go
@@ -26,14 +26,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	return Stats{Reads: s.reads.rate(now), Writes: s.writes.rate(now), WriteCalls: s.calls.rate(now)}
+	return Stats{Reads: s.reads.rate(now), Writes: s.writes.rate(now), WriteCalls: s.writeCalls.rate(now)}
 }
 
 // ResetStats forgets the load seen so far.
 func (s *Store) ResetStats() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	*s.reads, *s.writes, *s.calls = rateCounter{}, rateCounter{}, rateCounter{}
+	*s.reads, *s.writes, *s.writeCalls = rateCounter{}, rateCounter{}, rateCounter{}
 }
 
 // rateCounter counts calls in a sliding window of one second.
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -1,6 +1,8 @@
 // Package standin provides the small stand-ins that take the platform's place
 // in tests and in the demo: a table service with transactions, an object
-// store, a worker and a backend server. Each has switches for its faults.
+// store, a worker and a backend server, each with switches for its faults.
+// RawServer stands for a server that breaks the protocol, Middlebox for a network
+// that cuts, delays or silences connections.
 package standin
 
 import (
@@ -24,11 +26,12 @@
 	revision platform.RowVersion
 	rows     map[string]platform.Row
 	objects  map[string][]byte
-	table    *gate
-	blobs    *gate
-	reads    *rateCounter
-	writes   *rateCounter
-	calls    *rateCounter
+	// tableGate and objectGate apply the fault switches of the two services.
+	tableGate  *gate
+	objectGate *gate
+	reads      *rateCounter
+	writes     *rateCounter
+	writeCalls *rateCounter
 }
 
 // Result is the result of one transaction of a batch.
@@ -44,21 +47,21 @@
 // NewStore returns an empty store without faults.
 func NewStore(now func() time.Time) *Store {
 	return &Store{
-		now:     now,
-		rows:    map[string]platform.Row{},
-		objects: map[string][]byte{},
-		table:   newGate(),
-		blobs:   newGate(),
-		reads:   &rateCounter{},
-		writes:  &rateCounter{},
-		calls:   &rateCounter{},
+		now:        now,
+		rows:       map[string]platform.Row{},
+		objects:    map[string][]byte{},
+		tableGate:  newGate(),
+		objectGate: newGate(),
+		reads:      &rateCounter{},
+		writes:     &rateCounter{},
+		writeCalls: &rateCounter{},
 	}
 }
 
 // Get implements platform.Table.
 func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
 	s.count(s.reads, 1)
-	if err := s.table.enter(ctx); err != nil {
+	if err := s.tableGate.enter(ctx); err != nil {
 		return platform.Row{}, readError(err)
 	}
 	s.mu.Lock()
@@ -73,7 +76,7 @@
 // List implements platform.Table.
 func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
 	s.count(s.reads, 1)
-	if err := s.table.enter(ctx); err != nil {
+	if err := s.tableGate.enter(ctx); err != nil {
 		return nil, readError(err)
 	}
 	s.mu.Lock()
@@ -105,18 +108,18 @@
 // it wakes, also when the caller has given up.
 func (s *Store) CommitBatch(ctx context.Context, batch []platform.Transaction) ([]Result, error) {
 	s.count(s.writes, len(batch))
-	s.count(s.calls, 1)
+	s.count(s.writeCalls, 1)
 	var results []Result
-	err := s.table.write(ctx, func() { results = s.applyAll(batch) })
+	err := s.tableGate.write(ctx, func() { results = s.applyAll(batch) })
 	return results, err
 }
 
 // PutObject implements platform.ObjectStore.
 func (s *Store) PutObject(ctx context.Context, key string, value []byte) error {
 	s.count(s.writes, 1)
-	s.count(s.calls, 1)
+	s.count(s.writeCalls, 1)
 	kept := append([]byte(nil), value...)
-	err := s.blobs.write(ctx, func() {
+	err := s.objectGate.write(ctx, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.objects[key] = kept
@@ -127,7 +130,7 @@
 // GetObject implements platform.ObjectStore.
 func (s *Store) GetObject(ctx context.Context, key string) ([]byte, error) {
 	s.count(s.reads, 1)
-	if err := s.blobs.enter(ctx); err != nil {
+	if err := s.objectGate.enter(ctx); err != nil {
 		return nil, readError(err)
 	}
 	s.mu.Lock()
@@ -176,6 +179,7 @@
 	counter.add(s.now(), n)
 }
 
+// readError returns the error of a read that did not get through.
 func readError(err error) error {
 	return errors.Wrapf(platform.ErrUnavailable, "%v", err)
 }
--- a/internal/statechart/load.go
+++ b/internal/statechart/load.go
@@ -176,6 +176,7 @@
 	}
 }
 
+// enter puts a transition into the table, unless its cell is taken.
 func (c *checker) enter(key string, from State, event Event, index int) {
 	d := &c.chart.definition
 	if d.States[from].Final {
--- a/internal/tablestore/client.go
+++ b/internal/tablestore/client.go
@@ -28,6 +28,7 @@
 	options Options
 	http    *transport
 
+	// mu guards what follows up to queue. Stored objects count as writes.
 	mu      sync.Mutex
 	reads   *Bucket
 	writes  *Bucket
@@ -231,6 +232,7 @@
 // errRefused means that the client itself did not make a call.
 var errRefused = errors.New("call refused by the client")
 
+// refuse counts and returns the error of a call that the client did not make.
 func (c *Client) refuse(format string, args ...any) error {
 	c.count.refused.Inc(1)
 	err := errors.Wrapf(platform.ErrUnavailable, format, args...)
@@ -247,6 +249,8 @@
 	return err
 }
 
+// report tells the breaker how a call ended. An answer that something does not
+// exist counts as a success of the service.
 func (c *Client) report(breaker *Breaker, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/tablestore/coalesce.go
+++ b/internal/tablestore/coalesce.go
@@ -4,40 +4,42 @@
 // while a call is under way waits for the next one, since the row may have
 // been read before the reader asked. W stands for a waiting reader.
 type Coalescer[W any] struct {
-	keys map[string]*flight[W]
+	keys map[string]*sharedCall[W]
 }
 
-type flight[W any] struct {
+// sharedCall is the call under way for one key: current holds the readers that
+// it answers, next those that came since it began.
+type sharedCall[W any] struct {
 	current []W
 	next    []W
 }
 
 // NewCoalescer returns a coalescer without calls.
 func NewCoalescer[W any]() *Coalescer[W] {
-	return &Coalescer[W]{keys: map[string]*flight[W]{}}
+	return &Coalescer[W]{keys: map[string]*sharedCall[W]{}}
 }
 
 // Join adds a reader. It returns true when the caller is to start a call now.
 func (c *Coalescer[W]) Join(key string, waiter W) bool {
-	f := c.keys[key]
-	if f == nil {
-		c.keys[key] = &flight[W]{current: []W{waiter}}
+	call := c.keys[key]
+	if call == nil {
+		c.keys[key] = &sharedCall[W]{current: []W{waiter}}
 		return true
 	}
-	f.next = append(f.next, waiter)
+	call.next = append(call.next, waiter)
 	return false
 }
 
 // Done ends the call for a key. It returns the readers that it answers, and
 // whether another call is to be started for those that came meanwhile.
 func (c *Coalescer[W]) Done(key string) ([]W, bool) {
-	f := c.keys[key]
-	if f == nil {
+	call := c.keys[key]
+	if call == nil {
 		return nil, false
 	}
-	answered := f.current
-	f.current, f.next = f.next, nil
-	if len(f.current) == 0 {
+	answered := call.current
+	call.current, call.next = call.next, nil
+	if len(call.current) == 0 {
 		delete(c.keys, key)
 		return answered, false
 	}
--- a/internal/tablestore/commit.go
+++ b/internal/tablestore/commit.go
@@ -84,6 +84,7 @@
 			c.refuseQueued()
 			return
 		case first := <-c.queue.Out():
+			// Each call under way ends within CallTimeout, and so does this wait.
 			slots <- struct{}{}
 			batch := c.gather(ctx, first)
 			calls.Add(1)
@@ -96,6 +97,7 @@
 	}
 }
 
+// refuseQueued gives all that is queued its result when the client is closed.
 func (c *Client) refuseQueued() {
 	for {
 		select {
@@ -180,6 +182,8 @@
 	}
 }
 
+// sendBatch makes the commit call. An answer that does not fit the batch leaves
+// all of it in doubt.
 func (c *Client) sendBatch(batch []*queuedCommit) (commitAnswer, error) {
 	request := struct {
 		Transactions []platform.Transaction `json:"transactions"`
--- a/internal/tablestore/rate.go
+++ b/internal/tablestore/rate.go
@@ -20,6 +20,9 @@
 	return limit * (1 - reserveShare) / float64(rosterSize)
 }
 
+// minShare is the lowest share of a process, in calls a second.
+const minShare = 2
+
 // Bucket limits the calls of one process to a share: no second holds more
 // calls than the share, the first one after an idle time included.
 type Bucket struct {
@@ -29,7 +32,7 @@
 	last   time.Time
 }
 
-// NewBucket returns a full bucket for a share in calls a second, at least 2.
+// NewBucket returns a full bucket for a share in calls a second, at least minShare.
 func NewBucket(share float64) *Bucket {
 	b := &Bucket{}
 	b.SetShare(share)
@@ -40,7 +43,7 @@
 // SetShare changes the share. Rate and burst add up to it, since a second
 // after an idle time can hold both.
 func (b *Bucket) SetShare(share float64) {
-	share = max(share, 2)
+	share = max(share, minShare)
 	b.burst = max(1, share*burstShare)
 	b.rate = share - b.burst
 	b.tokens = min(b.tokens, b.burst)
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -28,9 +28,9 @@
 		(f.Zone == "" || e.Zone == f.Zone)
 }
 
-// Merge returns the selected events of all processes in clock order. Each
-// process's events keep the order in which they are given. Events of different
-// processes with equal clocks are concurrent and ordered by process name.
+// Merge returns the selected events of all processes in clock order. Events of
+// one process with equal clocks keep the order in which they are given. Events of
+// different processes with equal clocks are concurrent and ordered by process name.
 func Merge(f Filter, processes ...[]event.Event) []event.Event {
 	var merged []event.Event
 	for _, events := range processes {
