Wait before a row is deleted or read again

Cause: rowWriter.done made a failed deletion again at once. While the table service is out of reach its client's breaker refuses each call without a wait, so one ended job made the scheduler duty and a platform caller run in a loop for as long as the outage lasted. The reading of a new owner's rows did the same when the ring of platform calls was full, as only its other failures waited; and both handed a refused call's result over by a goroutine that waited for room in the duty's ring without a deadline, and that nothing joined.

Ruled out: a sleep in the platform caller, as loadRows had it: it holds one of the eight callers; a push with a deadline, which can lose the result.

Results of refused calls are kept by the duty, at most one a job, and are taken in with the next tick.

--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -40,6 +40,9 @@
 	document atomic.Pointer[model.ConfigDocument]
 	// loading is the epoch whose rows are being read, or zero.
 	loading model.Epoch
+	// loadAt is when they are read again after a failure; zero while they are
+	// being read.
+	loadAt time.Time
 	// ready is set once the core owns the region.
 	ready bool
 	// waiting holds the calls of operators that wait for a row's write.
@@ -130,6 +133,8 @@
 		case <-ticker.C:
 			s.takeDocument()
 			s.followLease(s.p.Now())
+			s.retryLoad(s.p.Now())
+			s.rows.retryDue(s.p.Now())
 			s.step(scheduler.StoreStatus{Reachable: s.state.writesReachStore(s.p.Now())})
 			s.step(scheduler.Tick{})
 			s.retryDoubtful(s.p.Now())
--- a/internal/entry/schedulerrows.go
+++ b/internal/entry/schedulerrows.go
@@ -55,18 +55,30 @@
 	err      error
 }
 
+// rowRetry is the delay after a failed deletion of a row. While the table service
+// is out of reach its client refuses each call at once.
+const rowRetry = 200 * time.Millisecond
+
 // rowWriter keeps the operations on one job's row in order: at most one for
 // each job is under way.
 type rowWriter struct {
 	s     *Scheduler
 	queue map[model.JobID][]rowWrite
+	// retryAt is when the first operation of a job's queue is made again.
+	retryAt map[model.JobID]time.Time
+	// refused are results of operations that could not be queued as calls.
+	refused []rowResult
 }
 
 func newRowWriter(s *Scheduler) *rowWriter {
-	return &rowWriter{s: s, queue: map[model.JobID][]rowWrite{}}
+	w := &rowWriter{s: s}
+	w.reset()
+	return w
 }
 
-func (w *rowWriter) reset() { w.queue = map[model.JobID][]rowWrite{} }
+func (w *rowWriter) reset() {
+	w.queue, w.retryAt, w.refused = map[model.JobID][]rowWrite{}, map[model.JobID]time.Time{}, nil
+}
 
 func (w *rowWriter) write(write rowWrite) {
 	id := write.row.Job.ID
@@ -79,21 +91,37 @@
 func (w *rowWriter) start(write rowWrite) {
 	s := w.s
 	check := *s.state.check.Load()
-	deliver := func(ctx context.Context, result rowResult) {
-		s.inputs.Push(ctx, schedulerInput{row: &result})
-	}
 	s.calls.start(
-		func(ctx context.Context) { deliver(ctx, s.callRow(ctx, write, check)) },
+		func(ctx context.Context) {
+			result := s.callRow(ctx, write, check)
+			s.inputs.Push(ctx, schedulerInput{row: &result})
+		},
 		func(err error) {
-			// The result goes through the ring, after the current step.
-			result := rowResult{write: write, epoch: check.epoch, err: err}
-			if !s.inputs.TryPush(schedulerInput{row: &result}) {
-				go deliver(context.Background(), result)
-			}
+			// The result is taken in later, as the core is in a step now.
+			w.refused = append(w.refused, rowResult{write: write, epoch: check.epoch, err: err})
 		},
 	)
 }
 
+// retryDue takes the results of refused operations in, and makes the operations
+// again whose retry is due.
+func (w *rowWriter) retryDue(now time.Time) {
+	refused := w.refused
+	w.refused = nil
+	for _, result := range refused {
+		w.done(result)
+	}
+	for id, at := range w.retryAt {
+		if now.Before(at) {
+			continue
+		}
+		delete(w.retryAt, id)
+		if queue := w.queue[id]; len(queue) > 0 {
+			w.start(queue[0])
+		}
+	}
+}
+
 // callRow carries one operation out at the table service.
 func (s *Scheduler) callRow(ctx context.Context, write rowWrite, check ownerCheck) rowResult {
 	result := rowResult{write: write, epoch: check.epoch}
@@ -177,7 +205,7 @@
 		return
 	}
 	if retryRow(result) {
-		w.start(result.write)
+		w.retryAt[id] = w.s.p.Now().Add(rowRetry)
 		return
 	}
 	queue = queue[1:]
@@ -248,19 +276,22 @@
 
 // loadRows reads all job rows for a new epoch.
 func (s *Scheduler) loadRows(epoch model.Epoch) {
+	s.loadAt = time.Time{}
 	s.calls.start(func(ctx context.Context) {
 		result := s.readRows(ctx)
 		result.epoch = epoch
-		if result.err != nil {
-			sleep(ctx, loadRetry)
-		} else {
+		if result.err == nil {
 			result.snapshot = s.loadSnapshot(ctx)
 		}
 		s.inputs.Push(ctx, schedulerInput{load: &result})
-	}, func(err error) {
-		result := loadResult{epoch: epoch, err: err}
-		go s.inputs.Push(context.Background(), schedulerInput{load: &result})
-	})
+	}, func(error) { s.loadAt = s.p.Now().Add(loadRetry) })
+}
+
+// retryLoad reads the rows again once that is due.
+func (s *Scheduler) retryLoad(now time.Time) {
+	if s.loading != 0 && !s.loadAt.IsZero() && !now.Before(s.loadAt) {
+		s.loadRows(s.loading)
+	}
 }
 
 // readRows reads the rows of all jobs, of the jobs that ended lately and of the
@@ -295,20 +326,13 @@
 	return jobs, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // takeRows makes the core the owner with the rows that were read.
 func (s *Scheduler) takeRows(result loadResult) {
 	if result.epoch != s.loading {
 		return
 	}
 	if result.err != nil {
-		s.loadRows(result.epoch)
+		s.loadAt = s.p.Now().Add(loadRetry)
 		return
 	}
 	if epoch, holds := s.state.holdsLease(s.p.Now()); !holds || epoch != result.epoch {
