Cut the ownership, configuration and roster cores by job; one test support

The late results and the cancelled context of the test harnesses stood twice and thrice. Fields and some functions had no comment, and comments spoke of words and lives where messages and incarnations are meant.

Ruled out: one harness for all cores, as their inputs and checks differ; one type for outstanding calls, as the roster and the configuration have several kinds.

No behaviour changes.

--- a/internal/configstore/apply.go
+++ b/internal/configstore/apply.go
@@ -16,6 +16,13 @@
 	ObjectWeights   = "weights"
 )
 
+// Bounds of a change's values.
+const (
+	maxChangeIDBytes = 128
+	minAccountWeight = 1
+	maxAccountWeight = 1000
+)
+
 // Codes of ValidationError.
 const (
 	CodeMalformed       = "malformed_change"
@@ -117,8 +124,8 @@
 	if kind == "" || (name == "") != (kind == ObjectWeights) {
 		return invalid(CodeUnknownObject, "object %q is none of zone/NAME, account/ID, guarantee/NAME, weights", change.Object)
 	}
-	if change.ID == "" || len(change.ID) > 128 {
-		return invalid(CodeMalformed, "a change ID of 1 to 128 bytes is needed")
+	if change.ID == "" || len(change.ID) > maxChangeIDBytes {
+		return invalid(CodeMalformed, "a change ID of 1 to %d bytes is needed", maxChangeIDBytes)
 	}
 	if change.Delete {
 		return checkDelete(d, change, kind, name)
@@ -183,8 +190,8 @@
 	if string(account.ID) != name {
 		return invalid(CodeMalformed, "account ID %q differs from the object's", account.ID)
 	}
-	if account.Weight < 1 || account.Weight > 1000 {
-		return invalid(CodeOutOfRange, "weight %d is not between 1 and 1000", account.Weight)
+	if account.Weight < minAccountWeight || account.Weight > maxAccountWeight {
+		return invalid(CodeOutOfRange, "weight %d is not between %d and %d", account.Weight, minAccountWeight, maxAccountWeight)
 	}
 	if account.MaxQueued < 0 {
 		return invalid(CodeOutOfRange, "max_queued %d is negative", account.MaxQueued)
--- a/internal/configstore/assignment.go
+++ b/internal/configstore/assignment.go
@@ -21,6 +21,8 @@
 	c.write = &pendingWrite{assignment: &proposed, fence: in.Fence}
 }
 
+// beginAssignment sends the proposed assignment. It returns true when the
+// proposal ends here, as begin does.
 func (c *Core) beginAssignment(now time.Time) ([]Action, bool) {
 	w := c.write
 	if w.assignment.Version != c.assignment.Version+1 || !c.allowed {
--- a/internal/configstore/catchup.go
+++ b/internal/configstore/catchup.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/platform"
 )
 
@@ -54,9 +53,9 @@
 // the read when the core has all of it.
 func (c *Core) catchUp(now time.Time) []Action {
 	behind := c.read.head.Version - min(c.document.Version, c.read.head.Version)
-	late := !c.ready || int(behind) > c.limits.Retention/2
+	farBehind := !c.ready || int(behind) > c.limits.Retention/2
 	switch {
-	case late && !c.read.triedSnapshot && c.document.Version < c.read.head.Snapshot:
+	case farBehind && !c.read.triedSnapshot && c.document.Version < c.read.head.Snapshot:
 		return c.loadSnapshot()
 	case behind > 0:
 		return c.listChanges()
@@ -183,27 +182,3 @@
 	c.noReadBefore = now.Add(c.limits.RetryEvery)
 	return nil
 }
-
-// findChange returns the kept change with an ID.
-func (c *Core) findChange(id model.ChangeID) *model.ConfigChange {
-	for i := len(c.history) - 1; i >= 0; i-- {
-		if c.history[i].ID == id {
-			found := c.history[i]
-			return &found
-		}
-	}
-	return nil
-}
-
-// findVersion returns the kept change that made a version.
-func (c *Core) findVersion(version model.ConfigVersion) *model.ConfigChange {
-	if len(c.history) == 0 || version < c.history[0].Version {
-		return nil
-	}
-	i := int(version - c.history[0].Version)
-	if i >= len(c.history) {
-		return nil
-	}
-	found := c.history[i]
-	return &found
-}
--- a/internal/configstore/core.go
+++ b/internal/configstore/core.go
@@ -26,10 +26,13 @@
 	history    []model.ConfigChange
 	assignment wire.Assignment
 
+	// ready and currentSince are described at View.
 	ready        bool
 	currentSince time.Time
-	head         Head
-	headRow      platform.RowVersion
+	// head is the head row's value, and headRow its version, when the core last
+	// had all that the row showed.
+	head    Head
+	headRow platform.RowVersion
 	// assignmentRow is the version of the head row of the home assignment.
 	assignmentRow platform.RowVersion
 
@@ -42,17 +45,22 @@
 	backfill     backfill
 	nextBackfill time.Time
 
+	// allowed and member are what Admit told last.
 	allowed bool
 	member  platform.Check
-	queue   []submission
-	write   *pendingWrite
+	// queue holds the changes that wait for the present write to end.
+	queue []submission
+	write *pendingWrite
 	// snapshot is the version of the snapshot that was stored last.
-	snapshot     model.ConfigVersion
+	snapshot model.ConfigVersion
+	// snapshotCall is the outstanding write of a snapshot, zero for none;
+	// snapshotAt is its start, and snapshotting the version that it stores.
 	snapshotCall uint64
 	snapshotAt   time.Time
-	// trace is told of each transition; nil for none.
-	trace        func(*statechart.Chart, statechart.Transition)
 	snapshotting model.ConfigVersion
+
+	// trace is told of each transition; nil for none.
+	trace func(*statechart.Chart, statechart.Transition)
 }
 
 // readStep is what the outstanding read is for.
@@ -132,55 +140,6 @@
 	return out
 }
 
-// History returns at most limit of the latest changes, latest first.
-func (c *Core) History(limit int) []model.ConfigChange {
-	var changes []model.ConfigChange
-	for i := len(c.history) - 1; i >= 0 && len(changes) < limit; i-- {
-		changes = append(changes, c.history[i])
-	}
-	return changes
-}
-
-// maxUpdateChanges bounds the changes of one update, so that it fits in a frame
-// whatever their names are. A process that lacks more gets the document.
-const maxUpdateChanges = 500
-
-// UpdateFrom returns what brings a process from a version to the present one:
-// the changes between, or the whole document when they are not all kept.
-// The assignment is added when the process has another version of it.
-func (c *Core) UpdateFrom(version model.ConfigVersion, assignment uint64) wire.ConfigUpdate {
-	update := wire.ConfigUpdate{From: version, To: c.document.Version}
-	if assignment != c.assignment.Version {
-		current := c.assignment
-		update.Assignment = &current
-	}
-	if version >= c.document.Version {
-		update.From, update.To = c.document.Version, c.document.Version
-		return update
-	}
-	missing := int(c.document.Version - version)
-	if missing > min(len(c.history), maxUpdateChanges) {
-		update.Document = c.document
-		return update
-	}
-	update.Changes = append(update.Changes, c.history[len(c.history)-missing:]...)
-	return update
-}
-
-// Follow applies an update to a document, as an agent does. It returns the
-// same document when the update does not lead to a higher version from it.
-func Follow(d *model.ConfigDocument, update wire.ConfigUpdate) *model.ConfigDocument {
-	if update.Document != nil && update.Document.Version > d.Version {
-		return normalize(update.Document)
-	}
-	for _, change := range update.Changes {
-		if change.Version == d.Version+1 {
-			d = apply(d, change)
-		}
-	}
-	return d
-}
-
 // Step takes one input and returns the actions to do, in order.
 func (c *Core) Step(now time.Time, in Input) []Action {
 	var actions []Action
@@ -265,28 +224,8 @@
 	return Publish{From: from, To: d.Version}
 }
 
-// onLearned takes in what another entry host knows to be accepted. It does not
-// make the core current: only a read of the table service does.
-func (c *Core) onLearned(update wire.ConfigUpdate) []Action {
-	var actions []Action
-	if update.Document != nil && update.Document.Version > c.document.Version {
-		actions = append(actions, c.replace(normalize(update.Document)))
-	}
-	for _, change := range update.Changes {
-		if change.Version == c.document.Version+1 {
-			actions = append(actions, c.advance(change))
-		}
-	}
-	if update.Assignment != nil && update.Assignment.Version > c.assignment.Version {
-		actions = append(actions, c.takeAssignment(*update.Assignment))
-	}
-	return actions
-}
-
+// takeAssignment puts a home assignment into force.
 func (c *Core) takeAssignment(a wire.Assignment) Action {
 	c.assignment = a
 	return PublishAssignment{Assignment: a}
 }
-
-// HistoryLen returns how many changes are kept.
-func (c *Core) HistoryLen() int { return len(c.history) }
--- a/internal/configstore/core_test.go
+++ b/internal/configstore/core_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/standin"
@@ -103,8 +104,8 @@
 	for i := range 40 {
 		late.submit(now, zoneChange(fmt.Sprint("d", i), model.ConfigVersion(68+i), model.ZoneOut))
 	}
-	rows, _ := store.List(cancelled(), changePrefix, "", 1000)
-	ids, _ := store.List(cancelled(), idPrefix, "", 1000)
+	rows, _ := store.List(coretest.Cancelled(), changePrefix, "", 1000)
+	ids, _ := store.List(coretest.Cancelled(), idPrefix, "", 1000)
 	if len(rows) != limits.Retention || len(ids) != limits.Retention {
 		t.Errorf("%d change rows and %d ID rows are kept, want %d", len(rows), len(ids), limits.Retention)
 	}
@@ -134,7 +135,7 @@
 func TestAssignmentIsWrittenAndRead(t *testing.T) {
 	now, store, hosts := newFleet(t, 2)
 	run(now, time.Second, hosts...)
-	versions, _ := store.Commit(cancelled(), platform.Transaction{Puts: []platform.Put{{Key: "epoch"}}})
+	versions, _ := store.Commit(coretest.Cancelled(), platform.Transaction{Puts: []platform.Put{{Key: "epoch"}}})
 	fence := platform.Check{Key: "epoch", Version: versions[0]}
 	first := wire.Assignment{Version: 1, Ranges: []wire.HomeRange{{Home: "a", Incarnation: 1}}}
 	hosts[0].step(*now, Propose{Assignment: first, Fence: fence})
@@ -142,7 +143,7 @@
 	if got := hosts[1].core.Assignment(); !reflect.DeepEqual(got, first) {
 		t.Fatalf("got %+v, want %+v", got, first)
 	}
-	_, _ = store.Commit(cancelled(), platform.Transaction{Puts: []platform.Put{{Key: "epoch"}}})
+	_, _ = store.Commit(coretest.Cancelled(), platform.Transaction{Puts: []platform.Put{{Key: "epoch"}}})
 	second := wire.Assignment{Version: 2, Ranges: first.Ranges}
 	hosts[0].step(*now, Propose{Assignment: second, Fence: fence})
 	run(now, time.Second, hosts...)
--- a/internal/configstore/faults_test.go
+++ b/internal/configstore/faults_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/standin"
@@ -127,10 +128,10 @@
 func TestHostThatIsNoMemberWritesNothing(t *testing.T) {
 	now, store, hosts := newFleet(t, 1)
 	h := hosts[0]
-	versions, _ := store.Commit(cancelled(), platform.Transaction{Puts: []platform.Put{{Key: "member"}}})
+	versions, _ := store.Commit(coretest.Cancelled(), platform.Transaction{Puts: []platform.Put{{Key: "member"}}})
 	h.step(*now, Admit{Allowed: true, Member: platform.Check{Key: "member", Version: versions[0]}})
 	run(now, time.Second, h)
-	_, _ = store.Commit(cancelled(), platform.Transaction{Deletes: []string{"member"}})
+	_, _ = store.Commit(coretest.Cancelled(), platform.Transaction{Deletes: []string{"member"}})
 	removed := h.submit(*now, zoneChange("c1", 0, model.ZoneOut))
 	run(now, time.Second, h)
 	h.step(*now, Admit{})
@@ -286,7 +287,7 @@
 }
 
 func checkAgainstRows(t *testing.T, store *standin.Store, hosts []*host, all []submitted) {
-	rows, err := store.List(cancelled(), changePrefix, "", 100_000)
+	rows, err := store.List(coretest.Cancelled(), changePrefix, "", 100_000)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/configstore/harness_test.go
+++ b/internal/configstore/harness_test.go
@@ -1,11 +1,11 @@
 package configstore
 
 import (
-	"context"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/standin"
@@ -31,13 +31,12 @@
 	late *rand.Rand
 	// lossy loses all results.
 	lossy   bool
-	waiting []lateResult
+	waiting coretest.Delayed[lateResult]
 }
 
 // lateResult is a result on its way to the core, or a transaction on its way
 // to the store.
 type lateResult struct {
-	at time.Time
 	in Input
 	tx *platform.Transaction
 }
@@ -67,21 +66,16 @@
 	}
 }
 
-// deliver hands the core the results that have arrived.
+// deliver hands the core the results that have arrived, and the store the
+// transactions that have.
 func (h *host) deliver(now time.Time) {
-	waiting := h.waiting
-	h.waiting = nil
-	for _, result := range waiting {
-		if result.at.After(now) {
-			h.waiting = append(h.waiting, result)
-			continue
-		}
+	h.waiting.Deliver(now, func(result lateResult) {
 		if result.tx != nil {
-			_, _ = h.store.Commit(cancelled(), *result.tx)
-			continue
+			_, _ = h.store.Commit(coretest.Cancelled(), *result.tx)
+			return
 		}
 		h.step(now, result.in)
-	}
+	})
 }
 
 // isStuck lets some transactions reach the store only long after their caller
@@ -91,7 +85,7 @@
 		return false
 	}
 	delay := time.Duration(h.late.IntN(4000)) * time.Millisecond
-	h.waiting = append(h.waiting, lateResult{at: now.Add(delay), tx: &tx})
+	h.waiting.Add(now.Add(delay), lateResult{tx: &tx})
 	return true
 }
 
@@ -111,7 +105,7 @@
 		}
 		if reply != nil && h.late != nil {
 			delay := time.Duration(h.late.IntN(400)) * time.Millisecond
-			h.waiting = append(h.waiting, lateResult{at: now.Add(delay), in: reply})
+			h.waiting.Add(now.Add(delay), lateResult{in: reply})
 		} else if reply != nil {
 			h.step(now, reply)
 		}
@@ -126,26 +120,26 @@
 func (h *host) perform(now time.Time, action Action) Input {
 	switch a := action.(type) {
 	case ListRows:
-		rows, err := h.store.List(cancelled(), a.Prefix, a.After, a.Limit)
+		rows, err := h.store.List(coretest.Cancelled(), a.Prefix, a.After, a.Limit)
 		return RowsListed{Call: a.Call, Result: platform.ResultOf(err), Rows: rows}
 	case ReadRow:
-		row, err := h.store.Get(cancelled(), a.Key)
+		row, err := h.store.Get(coretest.Cancelled(), a.Key)
 		return RowRead{Call: a.Call, Result: platform.ResultOf(err), Row: row}
 	case Commit:
 		if h.isStuck(now, a.Transaction) {
 			return Committed{Call: a.Call, Result: platform.ResultInDoubt}
 		}
-		versions, err := h.store.Commit(cancelled(), a.Transaction)
+		versions, err := h.store.Commit(coretest.Cancelled(), a.Transaction)
 		if h.afterCommit != nil {
 			h.afterCommit()
 			h.afterCommit = nil
 		}
 		return Committed{Call: a.Call, Result: platform.ResultOf(err), Versions: versions}
 	case ReadObject:
-		value, err := h.store.GetObject(cancelled(), a.Key)
+		value, err := h.store.GetObject(coretest.Cancelled(), a.Key)
 		return ObjectRead{Call: a.Call, Result: platform.ResultOf(err), Value: value}
 	case WriteObject:
-		return ObjectWritten{Call: a.Call, Result: platform.ResultOf(h.store.PutObject(cancelled(), a.Key, a.Value))}
+		return ObjectWritten{Call: a.Call, Result: platform.ResultOf(h.store.PutObject(coretest.Cancelled(), a.Key, a.Value))}
 	case Answer:
 		if before, answered := h.answers[a.Token]; answered {
 			h.t.Fatalf("token %d answered twice: %+v, %+v", a.Token, before, a)
@@ -155,13 +149,6 @@
 	return nil
 }
 
-// cancelled returns a context that gives up at once where a call would wait.
-func cancelled() context.Context {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	return ctx
-}
-
 func zoneChange(id string, expected model.ConfigVersion, state model.ZoneState) model.ConfigChange {
 	return model.ConfigChange{ID: model.ChangeID(id), Object: "zone/z", ExpectedVersion: expected, Zone: state}
 }
--- a/internal/configstore/judge.go
+++ b/internal/configstore/judge.go
@@ -67,13 +67,3 @@
 	reason := invalid(CodeIDReused, "change ID %q made version %d with another content", id, version)
 	return Answer{Verdict: VerdictInvalid, Invalid: reason}
 }
-
-func (c *Core) lastChange(object string) *model.ConfigChange {
-	for i := len(c.history) - 1; i >= 0; i-- {
-		if c.history[i].Object == object {
-			found := c.history[i]
-			return &found
-		}
-	}
-	return nil
-}
--- a/internal/configstore/transaction.go
+++ b/internal/configstore/transaction.go
@@ -5,6 +5,7 @@
 	"dragonflyyard/internal/platform"
 )
 
+// changeTransaction returns the transaction that makes a change the next version.
 func (c *Core) changeTransaction(change model.ConfigChange) platform.Transaction {
 	change.Version = c.document.Version + 1
 	snapshot := max(c.head.Snapshot, c.snapshot)
@@ -39,6 +40,7 @@
 	return rows
 }
 
+// appendCheck appends a check unless it has no key, which stands for none.
 func appendCheck(checks []platform.Check, check platform.Check) []platform.Check {
 	if check.Key == "" {
 		return checks
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -53,13 +53,15 @@
 	To          Health
 }
 
+// member is what a detector knows of a process.
 type member struct {
 	incarnation model.Incarnation
 	health      Health
 	heardAt     time.Time
 }
 
-// Detector judges processes by the silence since their last word.
+// Detector judges processes by the time since the last message that was heard
+// of them, here called their silence.
 type Detector struct {
 	limits   DetectorLimits
 	members  map[string]*member
@@ -71,9 +73,9 @@
 	return &Detector{limits: limits, members: map[string]*member{}}
 }
 
-// Heard takes in a word of a process. A higher incarnation replaces the former
-// life of the process, which is reported as dead first. A word of a lower
-// incarnation, or of one that left, is ignored.
+// Heard takes in a message of a process. A higher incarnation replaces the
+// former one, which is reported as dead first. A message of a lower incarnation,
+// or of one that left, is ignored.
 func (d *Detector) Heard(now time.Time, process string, incarnation model.Incarnation) []Change {
 	m := d.members[process]
 	if m == nil {
@@ -93,6 +95,7 @@
 	return d.change(process, m, HealthAlive)
 }
 
+// replace puts a higher incarnation in place of the known one.
 func (d *Detector) replace(now time.Time, process string, m *member, incarnation model.Incarnation) []Change {
 	var changes []Change
 	if m.health != HealthDead && m.health != HealthLeft {
@@ -103,7 +106,8 @@
 	return append(changes, Change{process, incarnation, from, HealthAlive})
 }
 
-// Left takes in that a life of a process announced its end.
+// Left takes in that an incarnation of a process announced its end. Any other
+// incarnation is ignored.
 func (d *Detector) Left(now time.Time, process string, incarnation model.Incarnation) []Change {
 	m := d.members[process]
 	if m == nil || m.incarnation != incarnation {
@@ -130,6 +134,7 @@
 	return changes
 }
 
+// age moves a process to the state that its silence calls for.
 func (d *Detector) age(now time.Time, process string, m *member) []Change {
 	silence := now.Sub(m.heardAt)
 	switch {
--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -34,8 +34,9 @@
 	// removed. It is longer than the time for which a member may rest start
 	// permits on the statements of others after its last confirmed beat.
 	RemoveAfter time.Duration
-	// SealAfter is how long a new member waits for the word of another one until
-	// it seals that member's beat row. It is longer than the validity of a permit.
+	// SealAfter is how long a new member waits for another one to state that it
+	// knows the new one, until it seals that member's beat row (see sealSilent). It
+	// is longer than the validity of a permit.
 	SealAfter time.Duration
 }
 
@@ -166,8 +167,8 @@
 	return host, nil
 }
 
-// decodeRoster returns the members of the roster's rows. Rows that cannot be
-// read keep their place: their member is nobody's, and is removed in time.
+// decodeRoster returns the members of the roster's rows. A member whose row
+// cannot be decoded is known by its ID alone, and is removed like a silent one.
 func decodeRoster(rows []platform.Row) map[model.EntryID]*rosterMember {
 	members := map[model.EntryID]*rosterMember{}
 	for _, row := range rows {
--- a/internal/membership/rosterbeat.go
+++ b/internal/membership/rosterbeat.go
@@ -17,7 +17,7 @@
 // that any of its beats since then named. So whoever reads the row knows at
 // least one set of members of which the host needs every statement.
 type beat struct {
-	// Number counts the beats of one life.
+	// Number counts the beats of one membership.
 	Number uint64          `json:"number"`
 	RelyOn []model.EntryID `json:"rely_on"`
 }
--- a/internal/membership/rostercore.go
+++ b/internal/membership/rostercore.go
@@ -21,33 +21,38 @@
 	members map[model.EntryID]*rosterMember
 	view    RosterView
 
-	lastCall   uint64
+	lastCall uint64
+	// listCall and commitCall number the outstanding read and write, zero for none.
 	listCall   uint64
 	commitCall uint64
-	commit     rosterCommit
+	// commit is the last write that was sent.
+	commit rosterCommit
 	// commitEnded is when the result of the last write came.
 	commitEnded time.Time
-	nextRead    time.Time
-	nextBeat    time.Time
+	// nextRead and nextBeat are when the next read and the next beat are due.
+	nextRead time.Time
+	nextBeat time.Time
 	// joinedAt is when the write of the own row was confirmed.
 	joinedAt time.Time
 	// listedSince is the start of the last complete read.
 	listedSince time.Time
+	// listStarted is the start of the last read, complete or not.
 	listStarted time.Time
 	// knownBy holds the members that said that they know this host.
 	knownBy map[model.EntryID]bool
 	// sealed holds the members that cannot rely on anybody who does not know
 	// this host (see canSeal).
-	sealed     map[model.EntryID]sealState
-	reliance   reliance
-	stopping   bool
+	sealed   map[model.EntryID]sealState
+	reliance reliance
+	stopping bool
+	// leaveTries counts the tries to remove the own rows.
 	leaveTries int
 }
 
 // maxLeaveTries bounds how often a stopping host tries to remove its rows.
 const maxLeaveTries = 3
 
-// rosterCommit is the outstanding write.
+// rosterCommit is a write of the roster's rows.
 type rosterCommit struct {
 	kind   commitKind
 	sentAt time.Time
@@ -238,8 +243,8 @@
 	}
 }
 
-// join writes the own rows, in place of those of a former life, but never of a
-// later one. After a failed try it waits for the next read.
+// join writes the own rows, in place of those of an earlier incarnation, but
+// never of a later one. After a failed try it waits for the next read.
 func (r *Roster) join(now time.Time) []RosterAction {
 	if !r.listedSince.After(r.commit.sentAt) && r.commit.kind == commitJoin {
 		return nil
--- a/internal/membership/rosterestablish.go
+++ b/internal/membership/rosterestablish.go
@@ -15,7 +15,7 @@
 // other member learns of it before it relies on anybody. That holds for a
 // member
 //
-//   - that said that it knows the new one,
+//   - that stated that it knows the new one,
 //   - or whose beat row is sealed and names nobody, as it relies on nobody,
 //   - or whose beat row is sealed and names a member of which all statements that
 //     count name the new one, as it needs the statement of that member.
@@ -27,7 +27,8 @@
 // of the latter asks it and is told of the former. All others are waited for
 // until they are removed, RemoveAfter after their last beat.
 
-// sealState says what is known of a member that gave no word.
+// sealState says what is known of a member that did not state that it knows
+// this host.
 type sealState uint8
 
 const (
@@ -52,9 +53,10 @@
 	r.view.Established = true
 }
 
-// sealSilent writes the beat row of one member that gave no word as it is, so
-// that it has another version: beats of that member that are on their way fail,
-// and it reads the roster before it sends the next one.
+// sealSilent seals the beat row of one member that did not state that it knows
+// this host: it writes the row with the same value, which gives it another
+// version. Beats of that member that were already sent fail, and it reads the
+// roster before it sends the next one.
 func (r *Roster) sealSilent(now time.Time) []RosterAction {
 	if !r.isListed() || r.view.Established || now.Sub(r.joinedAt) < r.limits.SealAfter {
 		return nil
--- a/internal/ownership/candidate.go
+++ b/internal/ownership/candidate.go
@@ -8,10 +8,6 @@
 	"dragonflyyard/internal/statechart"
 )
 
-// callLimit is how long a candidate waits for the result of a call. It is far
-// longer than the deadline of any call.
-const callLimit = 10 * time.Second
-
 // Candidate is one entry host's part in the ownership of a region's scheduler.
 // At most one call to the table service is outstanding at any time.
 type Candidate struct {
@@ -41,12 +37,15 @@
 	unchangedSince time.Time
 
 	lastCall uint64
-	// pending is the number of the outstanding call, zero for none.
+	// pending is the number of the outstanding call, zero for none, and pendingAt
+	// when it was made.
 	pending   uint64
 	pendingAt time.Time
-	nextCall  time.Time
-	stopping  bool
-	tries     int
+	// nextCall is when the next call is due.
+	nextCall time.Time
+	stopping bool
+	// releaseTries counts the writes of the release (see Limits.HandOverTries).
+	releaseTries int
 
 	lastWrite uint64
 	// writes holds the writes whose effect is not known, with their send times.
@@ -262,120 +261,3 @@
 	}
 	return []Action{Lost{Epoch: c.epoch, Reason: LossHandedOver}}
 }
-
-// next returns the next call to the table service, when one is due.
-func (c *Candidate) next(now time.Time) []Action {
-	if c.pending != 0 || c.machine.Done() || now.Before(c.nextCall) {
-		return nil
-	}
-	if !c.rowKnown {
-		return c.read(now)
-	}
-	switch c.State() {
-	case StateHolding:
-		return c.renew(now)
-	case StateHandingOver:
-		return c.release(now)
-	default:
-		return c.follow(now)
-	}
-}
-
-func (c *Candidate) renew(now time.Time) []Action {
-	c.fire(renewalDue)
-	c.nextCall = now.Add(c.limits.RenewEvery)
-	return c.write(now, Lease{Epoch: c.epoch})
-}
-
-func (c *Candidate) release(now time.Time) []Action {
-	mine := c.lease.Owner == c.id && c.lease.Incarnation == c.incarnation
-	if c.tries >= c.limits.HandOverTries || (!mine && len(c.writes) == 0) {
-		c.fire(givenUp)
-		return []Action{HandedOver{Confirmed: !mine}}
-	}
-	c.tries++
-	c.nextCall = now.Add(c.limits.PollEvery)
-	return c.write(now, Lease{Epoch: c.lease.Epoch, Released: true})
-}
-
-// follow reads the row, or takes the lease when it is free.
-func (c *Candidate) follow(now time.Time) []Action {
-	if c.barred || !c.isFree(now) {
-		return c.read(now)
-	}
-	c.fire(candidateDue)
-	c.nextCall = now.Add(c.limits.PollEvery)
-	return c.write(now, Lease{Epoch: c.lease.Epoch + 1})
-}
-
-// isFree reports whether the row's lease may be taken: it was released, it is
-// this process's own lapsed one, or it did not change for a lease's time.
-func (c *Candidate) isFree(now time.Time) bool {
-	if c.row.Version == 0 || c.lease.Released {
-		return true
-	}
-	if c.lease.Owner == c.id && c.lease.Incarnation == c.incarnation {
-		return true
-	}
-	return now.Sub(c.unchangedSince) >= c.limits.Duration+c.limits.Margin
-}
-
-func (c *Candidate) read(now time.Time) []Action {
-	c.nextCall = now.Add(c.limits.PollEvery)
-	return []Action{ReadRow{Call: c.newCall(now), Key: c.key}}
-}
-
-// readNow reads without waiting for the next poll.
-func (c *Candidate) readNow(now time.Time) []Action {
-	return []Action{ReadRow{Call: c.newCall(now), Key: c.key}}
-}
-
-func (c *Candidate) write(now time.Time, lease Lease) []Action {
-	c.lastWrite++
-	lease.Owner, lease.Incarnation, lease.Write = c.id, c.incarnation, c.lastWrite
-	c.writes = append(c.writes, sentWrite{lease: lease, sentAt: now})
-	tx := platform.Transaction{
-		Checks: []platform.Check{{Key: c.key, Version: c.row.Version}},
-		Puts:   []platform.Put{{Key: c.key, Value: EncodeLease(lease)}},
-	}
-	if lease.Epoch != c.lease.Epoch {
-		tx.Puts = append(tx.Puts, platform.Put{Key: c.epochKey, Value: EncodeLease(lease)})
-		if c.member.Key != "" {
-			tx.Checks = append(tx.Checks, c.member)
-		}
-	}
-	return []Action{CommitRow{Call: c.newCall(now), Transaction: tx}}
-}
-
-// takeWrite finds the write in doubt that made a lease.
-func (c *Candidate) takeWrite(lease Lease) (time.Time, bool) {
-	for _, write := range c.writes {
-		if write.lease == lease {
-			c.writes = nil
-			return write.sentAt, true
-		}
-	}
-	return time.Time{}, false
-}
-
-func (c *Candidate) newCall(now time.Time) uint64 {
-	c.lastCall++
-	c.pending, c.pendingAt = c.lastCall, now
-	return c.pending
-}
-
-// giveUpCall ends a call whose result never came. A write stays in doubt.
-func (c *Candidate) giveUpCall(now time.Time) {
-	if c.pending != 0 && now.Sub(c.pendingAt) >= callLimit {
-		c.pending = 0
-	}
-}
-
-// finish ends the outstanding call. It returns false for any other call.
-func (c *Candidate) finish(call uint64) bool {
-	if c.pending == 0 || c.pending != call {
-		return false
-	}
-	c.pending = 0
-	return true
-}
--- a/internal/ownership/candidate_test.go
+++ b/internal/ownership/candidate_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/standin"
 )
@@ -100,13 +101,13 @@
 // roster while it was paused, and that finds the lease row as it last knew it.
 func TestRemovedMemberTakesNoLease(t *testing.T) {
 	now, store, a, b := newPair(t)
-	versions, err := store.Commit(cancelled(), platform.Transaction{Puts: []platform.Put{{Key: "member/b"}}})
+	versions, err := store.Commit(coretest.Cancelled(), platform.Transaction{Puts: []platform.Put{{Key: "member/b"}}})
 	if err != nil {
 		t.Fatal(err)
 	}
 	b.candidate.Admit(true, platform.Check{Key: "member/b", Version: versions[0]})
 	run(t, now, 2*time.Second, a, b)
-	if _, err := store.Commit(cancelled(), platform.Transaction{Deletes: []string{"member/b"}}); err != nil {
+	if _, err := store.Commit(coretest.Cancelled(), platform.Transaction{Deletes: []string{"member/b"}}); err != nil {
 		t.Fatal(err)
 	}
 	run(t, now, 10*time.Second, b)
@@ -126,12 +127,12 @@
 	check := a.candidate.Check()
 	run(t, now, 5*time.Second, a, b)
 	write := platform.Transaction{Checks: []platform.Check{check}, Puts: []platform.Put{{Key: "decision"}}}
-	if _, err := store.Commit(cancelled(), write); err != nil {
+	if _, err := store.Commit(coretest.Cancelled(), write); err != nil {
 		t.Fatalf("the owner's fenced write failed after renewals: %v", err)
 	}
 	a.paused = true
 	run(t, now, 5*time.Second, b)
-	if _, err := store.Commit(cancelled(), write); platform.ResultOf(err) != platform.ResultConflict {
+	if _, err := store.Commit(coretest.Cancelled(), write); platform.ResultOf(err) != platform.ResultConflict {
 		t.Errorf("the deposed owner's write: got %v, want a conflict", err)
 	}
 }
@@ -189,7 +190,7 @@
 			name: "deposed by another writer of the row",
 			fault: func(s *standin.Store, _, _ *host) {
 				lease := Lease{Owner: "c", Incarnation: 9, Epoch: 7, Write: 1}
-				_, _ = s.Commit(cancelled(), platform.Transaction{Puts: []platform.Put{{Key: RowKey("r"), Value: EncodeLease(lease)}}})
+				_, _ = s.Commit(coretest.Cancelled(), platform.Transaction{Puts: []platform.Put{{Key: RowKey("r"), Value: EncodeLease(lease)}}})
 			},
 			heal:   func(_ *standin.Store, _, _ *host) {},
 			during: time.Second, after: 10 * time.Second, lost: []LossReason{LossDeposed}, holder: "any", maxEpoch: 8,
@@ -197,7 +198,7 @@
 		{
 			name: "row overwritten with what is no lease",
 			fault: func(s *standin.Store, _, _ *host) {
-				_, _ = s.Commit(cancelled(), platform.Transaction{Puts: []platform.Put{{Key: RowKey("r"), Value: []byte("{")}}})
+				_, _ = s.Commit(coretest.Cancelled(), platform.Transaction{Puts: []platform.Put{{Key: RowKey("r"), Value: []byte("{")}}})
 			},
 			heal:   func(_ *standin.Store, _, _ *host) {},
 			during: time.Second, after: 10 * time.Second, lost: []LossReason{LossDeposed}, holder: "any", maxEpoch: 2,
@@ -286,7 +287,7 @@
 			continue
 		}
 		write := platform.Transaction{Checks: []platform.Check{h.candidate.Check()}, Puts: []platform.Put{{Key: "decision"}}}
-		if _, err := store.Commit(cancelled(), write); platform.ResultOf(err) != platform.ResultConflict {
+		if _, err := store.Commit(coretest.Cancelled(), write); platform.ResultOf(err) != platform.ResultConflict {
 			t.Fatalf("a write under epoch %d passed although epoch %d began", h.candidate.epoch, latest.candidate.epoch)
 		}
 	}
--- a/internal/ownership/harness_test.go
+++ b/internal/ownership/harness_test.go
@@ -1,12 +1,12 @@
 package ownership
 
 import (
-	"context"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/standin"
@@ -22,13 +22,7 @@
 	// lateBy draws the delay of each result; nil gives results at once. A
 	// negative delay loses the result.
 	lateBy  func() time.Duration
-	waiting []lateResult
-}
-
-// lateResult is a result on its way to the candidate.
-type lateResult struct {
-	at time.Time
-	in Input
+	waiting coretest.Delayed[Input]
 }
 
 // reply hands the candidate a result, now or later.
@@ -38,7 +32,7 @@
 		return
 	}
 	if delay := h.lateBy(); delay >= 0 {
-		h.waiting = append(h.waiting, lateResult{at: now.Add(delay), in: in})
+		h.waiting.Add(now.Add(delay), in)
 	}
 }
 
@@ -47,15 +41,7 @@
 	if h.paused {
 		return
 	}
-	waiting := h.waiting
-	h.waiting = nil
-	for _, result := range waiting {
-		if result.at.After(now) {
-			h.waiting = append(h.waiting, result)
-			continue
-		}
-		h.step(now, result.in)
-	}
+	h.waiting.Deliver(now, func(in Input) { h.step(now, in) })
 }
 
 func newHost(t *testing.T, store *standin.Store, id model.EntryID) *host {
@@ -78,7 +64,7 @@
 }
 
 func (h *host) read(a ReadRow) RowRead {
-	row, err := h.store.Get(cancelled(), a.Key)
+	row, err := h.store.Get(coretest.Cancelled(), a.Key)
 	if errors.Is(err, platform.ErrNotFound) {
 		err = nil
 	}
@@ -86,17 +72,10 @@
 }
 
 func (h *host) commit(a CommitRow) RowCommitted {
-	versions, err := h.store.Commit(cancelled(), a.Transaction)
+	versions, err := h.store.Commit(coretest.Cancelled(), a.Transaction)
 	return RowCommitted{Call: a.Call, Result: platform.ResultOf(err), Versions: versions}
 }
 
-// cancelled returns a context that gives up at once where a call would wait.
-func cancelled() context.Context {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	return ctx
-}
-
 // lost returns the reasons for which the candidate lost leases.
 func (h *host) lost() []LossReason {
 	var reasons []LossReason
