Hand a running job over to a successor of a planned stop, as processes

Cause: the process test of a killed owner did not meet the fault of: after a kill the leases lapse first, and the tasks' reports of their resumption told the successor that they run.

Change: the test runs for SIGKILL and SIGTERM, and waits for twice the launch timeout before it looks at the first job.

--- a/internal/proctest/job_test.go
+++ b/internal/proctest/job_test.go
@@ -9,6 +9,7 @@
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/operatorapi"
+	"dragonflyyard/internal/scheduler"
 	"dragonflyyard/internal/standin"
 )
 
@@ -58,17 +59,32 @@
 }
 
 func TestKilledOwnerIsReplacedAndJobsGoOn(t *testing.T) {
+	replaceOwner(t, syscall.SIGKILL)
+}
+
+// TestStoppedOwnerIsReplacedAndJobsGoOn hands the ownership over faster than
+// the tasks' leases lapse, so that no agent has anything new to report.
+func TestStoppedOwnerIsReplacedAndJobsGoOn(t *testing.T) {
+	replaceOwner(t, syscall.SIGTERM)
+}
+
+// replaceOwner ends the owner by a signal. A job that runs goes on, and the
+// successor runs another one.
+func replaceOwner(t *testing.T, signal syscall.Signal) {
+	t.Helper()
 	c := startJobs(t, 3, 4)
 	first := c.submit(2, longRun)
 	c.awaitRunning(first, 2)
 	owner := c.owner()
 	at := time.Now()
-	c.signal(owner, syscall.SIGKILL)
+	c.signal(owner, signal)
 	c.awaitExit(owner)
 	c.dropEntry(owner)
 	second := c.submit(2, longRun)
 	c.awaitRunning(second, 2)
-	t.Logf("a job submitted to the successor ran %v after the kill", time.Since(at).Round(time.Millisecond))
+	t.Logf("a job submitted to the successor ran %v after the signal", time.Since(at).Round(time.Millisecond))
+	// A successor that did not know that the first job runs would stop it now.
+	time.Sleep(2 * scheduler.DefaultSettings().LaunchTimeout)
 	if ends := c.ends(first, ""); len(ends) > 0 {
 		t.Errorf("the first job did not run on: %+v", ends)
 	}
