--- a/internal/configstore/assignment.go
+++ b/internal/configstore/assignment.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // assignmentsKept is how many versions of a home assignment stay in the table
@@ -30,11 +30,11 @@
 	}
 	version := w.assignment.Version
 	w.expected = c.assignmentRow
-	checks := []platform.Check{{Key: AssignmentHeadKey(c.region), Version: c.assignmentRow}}
+	checks := []storeapi.Check{{Key: AssignmentHeadKey(c.region), Version: c.assignmentRow}}
 	checks = appendCheck(appendCheck(checks, w.fence), c.member)
-	w.tx = platform.Transaction{
+	w.tx = storeapi.Transaction{
 		Checks: checks,
-		Puts: []platform.Put{
+		Puts: []storeapi.Put{
 			{Key: AssignmentHeadKey(c.region), Value: encode(AssignmentHead{Version: version})},
 			{Key: AssignmentKey(c.region, version), Value: encode(w.assignment)},
 		},
--- a/internal/configstore/catchup.go
+++ b/internal/configstore/catchup.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 func (c *Core) onRowsListed(now time.Time, in RowsListed) []Action {
 	if c.read.step == readNothing || in.Call != c.read.call {
 		return nil
 	}
-	if in.Result != platform.ResultOK {
+	if in.Result != storeapi.ResultOK {
 		return c.stopRead(now)
 	}
 	switch c.read.step {
@@ -25,8 +25,8 @@
 }
 
 // onHeads takes in the head rows and begins to catch up with them.
-func (c *Core) onHeads(now time.Time, rows []platform.Row) []Action {
-	var headRow, assignmentRow platform.Row
+func (c *Core) onHeads(now time.Time, rows []storeapi.Row) []Action {
+	var headRow, assignmentRow storeapi.Row
 	for _, row := range rows {
 		switch row.Key {
 		case HeadKey:
@@ -79,7 +79,7 @@
 
 // onChanges applies change rows in order. Rows past the head that was read are
 // applied too, since a change row exists only once its change is accepted.
-func (c *Core) onChanges(now time.Time, rows []platform.Row) []Action {
+func (c *Core) onChanges(now time.Time, rows []storeapi.Row) []Action {
 	var actions []Action
 	for _, row := range rows {
 		change, err := DecodeChange(row)
@@ -112,7 +112,7 @@
 	if c.read.step != readSnapshot || in.Call != c.read.call {
 		return nil
 	}
-	if in.Result != platform.ResultOK {
+	if in.Result != storeapi.ResultOK {
 		return c.listAllChanges(now)
 	}
 	document, err := DecodeSnapshot(in.Value)
@@ -147,7 +147,7 @@
 }
 
 func (c *Core) onAssignmentRow(now time.Time, in RowRead) []Action {
-	if in.Result != platform.ResultOK {
+	if in.Result != storeapi.ResultOK {
 		return c.stopRead(now)
 	}
 	assignment, err := DecodeAssignment(in.Row)
--- a/internal/configstore/core.go
+++ b/internal/configstore/core.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/statechart"
+	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/wire"
 )
 
@@ -32,9 +32,9 @@
 	// head is the head row's value, and headRow its version, when the core last
 	// had all that the row showed.
 	head    Head
-	headRow platform.RowVersion
+	headRow storeapi.RowVersion
 	// assignmentRow is the version of the head row of the home assignment.
-	assignmentRow platform.RowVersion
+	assignmentRow storeapi.RowVersion
 
 	lastCall uint64
 	read     readState
@@ -47,7 +47,7 @@
 
 	// allowed and member are what Admit told last.
 	allowed bool
-	member  platform.Check
+	member  storeapi.Check
 	// queue holds the changes that wait for the present write to end.
 	queue []submission
 	write *pendingWrite
@@ -84,9 +84,9 @@
 	startedAt time.Time
 	// head and assignment are what the head rows showed.
 	head          Head
-	headRow       platform.RowVersion
+	headRow       storeapi.RowVersion
 	assignment    uint64
-	assignmentRow platform.RowVersion
+	assignmentRow storeapi.RowVersion
 	// triedSnapshot is set once the snapshot was asked for.
 	triedSnapshot bool
 }
--- a/internal/configstore/core_test.go
+++ b/internal/configstore/core_test.go
@@ -8,8 +8,8 @@
 
 	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/wire"
 )
 
@@ -135,15 +135,15 @@
 func TestAssignmentIsWrittenAndRead(t *testing.T) {
 	now, store, hosts := newFleet(t, 2)
 	run(now, time.Second, hosts...)
-	versions, _ := store.Commit(coretest.Cancelled(), platform.Transaction{Puts: []platform.Put{{Key: "epoch"}}})
-	fence := platform.Check{Key: "epoch", Version: versions[0]}
+	versions, _ := store.Commit(coretest.Cancelled(), storeapi.Transaction{Puts: []storeapi.Put{{Key: "epoch"}}})
+	fence := storeapi.Check{Key: "epoch", Version: versions[0]}
 	first := wire.Assignment{Version: 1, Ranges: []wire.HomeRange{{Home: "a", Incarnation: 1}}}
 	hosts[0].step(*now, Propose{Assignment: first, Fence: fence})
 	run(now, time.Second, hosts...)
 	if got := hosts[1].core.Assignment(); !reflect.DeepEqual(got, first) {
 		t.Fatalf("got %+v, want %+v", got, first)
 	}
-	_, _ = store.Commit(coretest.Cancelled(), platform.Transaction{Puts: []platform.Put{{Key: "epoch"}}})
+	_, _ = store.Commit(coretest.Cancelled(), storeapi.Transaction{Puts: []storeapi.Put{{Key: "epoch"}}})
 	second := wire.Assignment{Version: 2, Ranges: first.Ranges}
 	hosts[0].step(*now, Propose{Assignment: second, Fence: fence})
 	run(now, time.Second, hosts...)
--- a/internal/configstore/doubt.go
+++ b/internal/configstore/doubt.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // resolveWrite judges a write in doubt, or one that failed a check, after a
@@ -69,7 +69,7 @@
 		return nil
 	}
 	switch in.Result {
-	case platform.ResultOK:
+	case storeapi.ResultOK:
 		var made changeID
 		c.write = nil
 		if err := decode(in.Row.Value, &made); err != nil || made.Digest != digestOf(w.change) {
@@ -78,7 +78,7 @@
 		}
 		c.fire(w, found)
 		return []Action{c.verdict(w, Answer{Verdict: VerdictAccepted, Version: made.Version})}
-	case platform.ResultNotFound:
+	case storeapi.ResultNotFound:
 		c.fire(w, absent)
 		c.write = nil
 		return []Action{c.verdict(w, Answer{Verdict: VerdictUnavailable, RetryAfter: c.limits.AnswerAfter})}
--- a/internal/configstore/faults_test.go
+++ b/internal/configstore/faults_test.go
@@ -9,8 +9,8 @@
 
 	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/storeapi"
 )
 
 // resolved returns the late result of a change, or "" when there was none.
@@ -128,10 +128,10 @@
 func TestHostThatIsNoMemberWritesNothing(t *testing.T) {
 	now, store, hosts := newFleet(t, 1)
 	h := hosts[0]
-	versions, _ := store.Commit(coretest.Cancelled(), platform.Transaction{Puts: []platform.Put{{Key: "member"}}})
-	h.step(*now, Admit{Allowed: true, Member: platform.Check{Key: "member", Version: versions[0]}})
+	versions, _ := store.Commit(coretest.Cancelled(), storeapi.Transaction{Puts: []storeapi.Put{{Key: "member"}}})
+	h.step(*now, Admit{Allowed: true, Member: storeapi.Check{Key: "member", Version: versions[0]}})
 	run(now, time.Second, h)
-	_, _ = store.Commit(coretest.Cancelled(), platform.Transaction{Deletes: []string{"member"}})
+	_, _ = store.Commit(coretest.Cancelled(), storeapi.Transaction{Deletes: []string{"member"}})
 	removed := h.submit(*now, zoneChange("c1", 0, model.ZoneOut))
 	run(now, time.Second, h)
 	h.step(*now, Admit{})
--- a/internal/configstore/fuzz_test.go
+++ b/internal/configstore/fuzz_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // FuzzDecodeRows decodes any value as each kind of row. What is accepted keeps
@@ -20,7 +20,7 @@
 	f.Add([]byte(`{"version":1,"snapshot":2}`))
 	f.Add([]byte(`null`))
 	f.Fuzz(func(t *testing.T, value []byte) {
-		row := platform.Row{Key: ChangeKey(3), Value: value, Version: 1}
+		row := storeapi.Row{Key: ChangeKey(3), Value: value, Version: 1}
 		if head, err := DecodeHead(row); err == nil && (head.Version == 0 || head.Snapshot > head.Version) {
 			t.Errorf("head %+v", head)
 		}
--- a/internal/configstore/harness_test.go
+++ b/internal/configstore/harness_test.go
@@ -7,8 +7,8 @@
 
 	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/storeapi"
 )
 
 const tickEvery = 50 * time.Millisecond
@@ -38,7 +38,7 @@
 // to the store.
 type lateResult struct {
 	in Input
-	tx *platform.Transaction
+	tx *storeapi.Transaction
 }
 
 func newHost(t *testing.T, store *standin.Store, limits Limits, validate Validator) *host {
@@ -80,7 +80,7 @@
 
 // isStuck lets some transactions reach the store only long after their caller
 // has given up, while later reads get through.
-func (h *host) isStuck(now time.Time, tx platform.Transaction) bool {
+func (h *host) isStuck(now time.Time, tx storeapi.Transaction) bool {
 	if h.late == nil || h.late.IntN(5) > 0 {
 		return false
 	}
@@ -121,25 +121,25 @@
 	switch a := action.(type) {
 	case ListRows:
 		rows, err := h.store.List(coretest.Cancelled(), a.Prefix, a.After, a.Limit)
-		return RowsListed{Call: a.Call, Result: platform.ResultOf(err), Rows: rows}
+		return RowsListed{Call: a.Call, Result: storeapi.ResultOf(err), Rows: rows}
 	case ReadRow:
 		row, err := h.store.Get(coretest.Cancelled(), a.Key)
-		return RowRead{Call: a.Call, Result: platform.ResultOf(err), Row: row}
+		return RowRead{Call: a.Call, Result: storeapi.ResultOf(err), Row: row}
 	case Commit:
 		if h.isStuck(now, a.Transaction) {
-			return Committed{Call: a.Call, Result: platform.ResultInDoubt}
+			return Committed{Call: a.Call, Result: storeapi.ResultInDoubt}
 		}
 		versions, err := h.store.Commit(coretest.Cancelled(), a.Transaction)
 		if h.afterCommit != nil {
 			h.afterCommit()
 			h.afterCommit = nil
 		}
-		return Committed{Call: a.Call, Result: platform.ResultOf(err), Versions: versions}
+		return Committed{Call: a.Call, Result: storeapi.ResultOf(err), Versions: versions}
 	case ReadObject:
 		value, err := h.store.GetObject(coretest.Cancelled(), a.Key)
-		return ObjectRead{Call: a.Call, Result: platform.ResultOf(err), Value: value}
+		return ObjectRead{Call: a.Call, Result: storeapi.ResultOf(err), Value: value}
 	case WriteObject:
-		return ObjectWritten{Call: a.Call, Result: platform.ResultOf(h.store.PutObject(coretest.Cancelled(), a.Key, a.Value))}
+		return ObjectWritten{Call: a.Call, Result: storeapi.ResultOf(h.store.PutObject(coretest.Cancelled(), a.Key, a.Value))}
 	case Answer:
 		if before, answered := h.answers[a.Token]; answered {
 			h.t.Fatalf("token %d answered twice: %+v, %+v", a.Token, before, a)
--- a/internal/configstore/rows.go
+++ b/internal/configstore/rows.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/wire"
 )
 
@@ -81,7 +81,7 @@
 func idKey(id model.ChangeID) string { return idPrefix + string(id) }
 
 // DecodeHead returns the head of a row. A row that does not exist is version zero.
-func DecodeHead(row platform.Row) (Head, error) {
+func DecodeHead(row storeapi.Row) (Head, error) {
 	var head Head
 	if row.Version == 0 {
 		return head, nil
@@ -96,7 +96,7 @@
 }
 
 // DecodeChange returns the change of a row.
-func DecodeChange(row platform.Row) (model.ConfigChange, error) {
+func DecodeChange(row storeapi.Row) (model.ConfigChange, error) {
 	var change model.ConfigChange
 	if err := decode(row.Value, &change); err != nil {
 		return model.ConfigChange{}, err
@@ -120,7 +120,7 @@
 }
 
 // DecodeAssignment returns the home assignment of a row.
-func DecodeAssignment(row platform.Row) (wire.Assignment, error) {
+func DecodeAssignment(row storeapi.Row) (wire.Assignment, error) {
 	var assignment wire.Assignment
 	if err := decode(row.Value, &assignment); err != nil {
 		return wire.Assignment{}, err
@@ -136,7 +136,7 @@
 	return assignment, nil
 }
 
-func decodeAssignmentHead(row platform.Row) (AssignmentHead, error) {
+func decodeAssignmentHead(row storeapi.Row) (AssignmentHead, error) {
 	var head AssignmentHead
 	if row.Version == 0 {
 		return head, nil
--- a/internal/configstore/snapshot.go
+++ b/internal/configstore/snapshot.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // takeSnapshot stores a snapshot when enough changes were made since the last.
@@ -26,7 +26,7 @@
 		return
 	}
 	c.snapshotCall = 0
-	if in.Result == platform.ResultOK {
+	if in.Result == storeapi.ResultOK {
 		c.snapshot = max(c.snapshot, c.snapshotting)
 	}
 }
--- a/internal/configstore/transaction.go
+++ b/internal/configstore/transaction.go
@@ -2,17 +2,17 @@
 
 import (
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // changeTransaction returns the transaction that makes a change the next version.
-func (c *Core) changeTransaction(change model.ConfigChange) platform.Transaction {
+func (c *Core) changeTransaction(change model.ConfigChange) storeapi.Transaction {
 	change.Version = c.document.Version + 1
 	snapshot := max(c.head.Snapshot, c.snapshot)
 	head := Head{Version: change.Version, Snapshot: snapshot, Change: change.ID}
-	tx := platform.Transaction{
-		Checks: []platform.Check{{Key: HeadKey, Version: c.headRow}, {Key: idKey(change.ID)}},
-		Puts: []platform.Put{
+	tx := storeapi.Transaction{
+		Checks: []storeapi.Check{{Key: HeadKey, Version: c.headRow}, {Key: idKey(change.ID)}},
+		Puts: []storeapi.Put{
 			{Key: HeadKey, Value: encode(head)},
 			{Key: ChangeKey(change.Version), Value: encode(change)},
 			{Key: idKey(change.ID), Value: encode(changeID{Version: change.Version, Digest: digestOf(change)})},
@@ -41,7 +41,7 @@
 }
 
 // appendCheck appends a check unless it has no key, which stands for none.
-func appendCheck(checks []platform.Check, check platform.Check) []platform.Check {
+func appendCheck(checks []storeapi.Check, check storeapi.Check) []storeapi.Check {
 	if check.Key == "" {
 		return checks
 	}
--- a/internal/configstore/types.go
+++ b/internal/configstore/types.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/wire"
 )
 
@@ -70,14 +70,14 @@
 // owns the region.
 type Propose struct {
 	Assignment wire.Assignment
-	Fence      platform.Check
+	Fence      storeapi.Check
 }
 
 // Admit tells whether this entry host may write configuration, and the check
 // that it still is a member of the roster, which goes with each write.
 type Admit struct {
 	Allowed bool
-	Member  platform.Check
+	Member  storeapi.Check
 }
 
 // Learned is configuration that another entry host knows to be accepted.
@@ -86,35 +86,35 @@
 // RowsListed is the result of ListRows.
 type RowsListed struct {
 	Call   uint64
-	Result platform.Result
-	Rows   []platform.Row
+	Result storeapi.Result
+	Rows   []storeapi.Row
 }
 
 // RowRead is the result of ReadRow.
 type RowRead struct {
 	Call   uint64
-	Result platform.Result
-	Row    platform.Row
+	Result storeapi.Result
+	Row    storeapi.Row
 }
 
 // Committed is the result of Commit.
 type Committed struct {
 	Call     uint64
-	Result   platform.Result
-	Versions []platform.RowVersion
+	Result   storeapi.Result
+	Versions []storeapi.RowVersion
 }
 
 // ObjectRead is the result of ReadObject.
 type ObjectRead struct {
 	Call   uint64
-	Result platform.Result
+	Result storeapi.Result
 	Value  []byte
 }
 
 // ObjectWritten is the result of WriteObject.
 type ObjectWritten struct {
 	Call   uint64
-	Result platform.Result
+	Result storeapi.Result
 }
 
 func (Tick) isInput()          {}
@@ -149,7 +149,7 @@
 // Commit asks for a transaction; the answer is Committed.
 type Commit struct {
 	Call        uint64
-	Transaction platform.Transaction
+	Transaction storeapi.Transaction
 }
 
 // ReadObject asks for an object; the answer is ObjectRead.
--- a/internal/configstore/write.go
+++ b/internal/configstore/write.go
@@ -6,8 +6,8 @@
 	"github.com/cockroachdb/errors"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/statechart"
+	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/wire"
 )
 
@@ -27,10 +27,10 @@
 type pendingWrite struct {
 	submission
 	assignment *wire.Assignment
-	fence      platform.Check
+	fence      storeapi.Check
 
-	tx       platform.Transaction
-	expected platform.RowVersion
+	tx       storeapi.Transaction
+	expected storeapi.RowVersion
 	// call is the outstanding commit, zero for none, and calledAt its start.
 	call     uint64
 	calledAt time.Time
@@ -157,14 +157,14 @@
 	}
 	w.call, w.unresolvedSince = 0, now
 	switch in.Result {
-	case platform.ResultOK:
+	case storeapi.ResultOK:
 		return c.accept(now, in.Versions)
-	case platform.ResultConflict:
+	case storeapi.ResultConflict:
 		w.refused = true
 		c.fire(w, checkFailed)
 		c.nextRead = now
 		return nil
-	case platform.ResultUnavailable:
+	case storeapi.ResultUnavailable:
 		c.fire(w, storeDown)
 		if w.doubt {
 			w.nextTry = now.Add(c.limits.RetryEvery)
@@ -185,7 +185,7 @@
 }
 
 // accept puts a confirmed write into force.
-func (c *Core) accept(now time.Time, versions []platform.RowVersion) []Action {
+func (c *Core) accept(now time.Time, versions []storeapi.RowVersion) []Action {
 	w := c.write
 	c.fire(w, committed)
 	c.write = nil
--- a/internal/entry/cancels.go
+++ b/internal/entry/cancels.go
@@ -10,8 +10,8 @@
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/operatorapi"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/scheduler"
+	"dragonflyyard/internal/storeapi"
 )
 
 // cancelBatch bounds the cancellations that one transaction keeps.
@@ -47,12 +47,12 @@
 }
 
 // putCancels writes a row for each job and returns those that were written.
-func (s *Scheduler) putCancels(ctx context.Context, ids []model.JobID, fence platform.Check) ([]model.JobID, error) {
+func (s *Scheduler) putCancels(ctx context.Context, ids []model.JobID, fence storeapi.Check) ([]model.JobID, error) {
 	var kept []model.JobID
 	for batch := range slices.Chunk(ids, cancelBatch) {
-		tx := platform.Transaction{Checks: []platform.Check{fence}}
+		tx := storeapi.Transaction{Checks: []storeapi.Check{fence}}
 		for _, id := range batch {
-			tx.Puts = append(tx.Puts, platform.Put{Key: s.cancelKey(id), Value: []byte("{}")})
+			tx.Puts = append(tx.Puts, storeapi.Put{Key: s.cancelKey(id), Value: []byte("{}")})
 		}
 		if _, err := s.calls.table.Commit(ctx, tx); err != nil {
 			return kept, err
@@ -103,9 +103,9 @@
 	switch {
 	case len(kept) > 0:
 		return inDoubtReply()
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storeapi.ErrUnavailable):
 		return errorReply(fasthttp.StatusServiceUnavailable, "table_unavailable", "The cancellation could not be written; nothing was accepted.", ownerRetry)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storeapi.ErrConflict):
 		return noOwnerReply()
 	default:
 		return inDoubtReply()
--- a/internal/entry/doubtfuljobs.go
+++ b/internal/entry/doubtfuljobs.go
@@ -9,8 +9,8 @@
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/operatorapi"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/scheduler"
+	"dragonflyyard/internal/storeapi"
 )
 
 // stateInDoubt is the state of a job whose submission is in doubt.
@@ -45,10 +45,10 @@
 			s.step(scheduler.Cancel{IDs: []model.JobID{id}})
 		}
 		return true
-	case result.err != nil && (result.found != nil || errors.Is(result.err, platform.ErrConflict)):
+	case result.err != nil && (result.found != nil || errors.Is(result.err, storeapi.ErrConflict)):
 		delete(s.doubtful, id)
 		return true
-	case errors.Is(result.err, platform.ErrUnavailable) && !wasDoubtful:
+	case errors.Is(result.err, storeapi.ErrUnavailable) && !wasDoubtful:
 		return true
 	default:
 		if !wasDoubtful {
--- a/internal/entry/endedrows.go
+++ b/internal/entry/endedrows.go
@@ -11,8 +11,8 @@
 
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/scheduler"
+	"dragonflyyard/internal/storeapi"
 )
 
 const (
@@ -39,14 +39,14 @@
 	return write
 }
 
-func (s *Scheduler) deleteRow(ctx context.Context, key string, write rowWrite, fence platform.Check) error {
-	tx := platform.Transaction{Checks: []platform.Check{fence}, Deletes: []string{key, s.cancelKey(write.row.Job.ID)}}
+func (s *Scheduler) deleteRow(ctx context.Context, key string, write rowWrite, fence storeapi.Check) error {
+	tx := storeapi.Transaction{Checks: []storeapi.Check{fence}, Deletes: []string{key, s.cancelKey(write.row.Job.ID)}}
 	if write.ended != nil {
 		value, err := json.Marshal(write.ended)
 		if err != nil {
 			return errors.Wrap(err, "encode ended job")
 		}
-		tx.Puts = []platform.Put{{Key: s.endedPrefix() + string(write.row.Job.ID), Value: value}}
+		tx.Puts = []storeapi.Put{{Key: s.endedPrefix() + string(write.row.Job.ID), Value: value}}
 	}
 	_, err := s.calls.table.Commit(ctx, tx)
 	return err
@@ -87,7 +87,7 @@
 		return
 	}
 	check := *s.state.check.Load()
-	tx := platform.Transaction{Checks: []platform.Check{check.check}}
+	tx := storeapi.Transaction{Checks: []storeapi.Check{check.check}}
 	for len(s.kept) > 0 && len(tx.Deletes) < endedBatch && now.Sub(s.kept[0].at) >= endedKeep {
 		tx.Deletes = append(tx.Deletes, s.kept[0].key)
 		s.kept = s.kept[1:]
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -10,8 +10,8 @@
 	"github.com/valyala/fasthttp"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/scheduler"
+	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/wire"
 )
 
@@ -98,7 +98,7 @@
 		const prefix = "job/"
 		now := time.Unix(1_800_000_000, 0)
 		owner := scheduler.BecomeOwner{Epoch: 4, Config: &model.ConfigDocument{Version: 1}}
-		row := platform.Row{Key: prefix + "j1", Value: value, Version: 1}
+		row := storeapi.Row{Key: prefix + "j1", Value: value, Version: 1}
 		if decoded, err := decodeJobRow(row, prefix); err == nil {
 			if decoded.Job.ID != "j1" || decoded.Job.Shape.Tasks < 1 {
 				t.Errorf("accepted %+v", decoded)
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -11,8 +11,8 @@
 	"dragonflyyard/internal/link"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/operatorapi"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/scheduler"
+	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/wire"
 )
 
@@ -228,9 +228,9 @@
 			call.reply(jobIDReusedReply())
 		case !settled:
 			call.reply(inDoubtReply())
-		case errors.Is(result.err, platform.ErrUnavailable):
+		case errors.Is(result.err, storeapi.ErrUnavailable):
 			call.reply(errorReply(fasthttp.StatusServiceUnavailable, "table_unavailable", "The job could not be written; nothing was accepted.", ownerRetry))
-		case errors.Is(result.err, platform.ErrConflict):
+		case errors.Is(result.err, storeapi.ErrConflict):
 			call.reply(noOwnerReply())
 		default:
 			call.reply(inDoubtReply())
--- a/internal/entry/platformcalls.go
+++ b/internal/entry/platformcalls.go
@@ -6,9 +6,9 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/process"
 	"dragonflyyard/internal/ring"
+	"dragonflyyard/internal/storeapi"
 )
 
 // platformCallers is how many calls of the platform's services an entry host
@@ -21,12 +21,12 @@
 
 // platformCalls is the duty that calls the platform's services.
 type platformCalls struct {
-	table   platform.Table
-	objects platform.ObjectStore
+	table   storeapi.Table
+	objects storeapi.ObjectStore
 	calls   *ring.Ring[platformCall]
 }
 
-func newPlatformCalls(table platform.Table, objects platform.ObjectStore, capacity int, p *process.Base) *platformCalls {
+func newPlatformCalls(table storeapi.Table, objects storeapi.ObjectStore, capacity int, p *process.Base) *platformCalls {
 	return &platformCalls{
 		table: table, objects: objects,
 		calls: ring.New[platformCall]("platform.calls", capacity, p.Metrics),
@@ -55,14 +55,14 @@
 // result function at once: the call was never made.
 func (c *platformCalls) start(call platformCall, refused func(error)) {
 	if !c.calls.TryPush(call) {
-		refused(errors.Wrap(platform.ErrUnavailable, "too many calls wait"))
+		refused(errors.Wrap(storeapi.ErrUnavailable, "too many calls wait"))
 	}
 }
 
 // list returns all rows under a prefix, page by page.
-func (c *platformCalls) list(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (c *platformCalls) list(ctx context.Context, prefix string) ([]storeapi.Row, error) {
 	const page = 500
-	var rows []platform.Row
+	var rows []storeapi.Row
 	after := ""
 	for {
 		batch, err := c.table.List(ctx, prefix, after, page)
--- a/internal/entry/rowretry_test.go
+++ b/internal/entry/rowretry_test.go
@@ -6,17 +6,17 @@
 	"time"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/process"
 	"dragonflyyard/internal/ring"
 	"dragonflyyard/internal/scheduler"
+	"dragonflyyard/internal/storeapi"
 )
 
 // downTable is a table service that refuses each commit at once.
-type downTable struct{ platform.Table }
+type downTable struct{ storeapi.Table }
 
-func (downTable) Commit(context.Context, platform.Transaction) ([]platform.RowVersion, error) {
-	return nil, platform.ErrUnavailable
+func (downTable) Commit(context.Context, storeapi.Transaction) ([]storeapi.RowVersion, error) {
+	return nil, storeapi.ErrUnavailable
 }
 
 // rowDuty is a scheduler duty whose steps a test makes by hand.
--- a/internal/entry/schedulerrows.go
+++ b/internal/entry/schedulerrows.go
@@ -9,8 +9,8 @@
 
 	"dragonflyyard/internal/event"
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/scheduler"
+	"dragonflyyard/internal/storeapi"
 )
 
 // rowKind says what is done to a job's row.
@@ -134,22 +134,22 @@
 	default:
 		result.err = s.putRow(ctx, key, write, check.check)
 	}
-	if write.kind == rowSubmit && result.err != nil && !errors.Is(result.err, platform.ErrUnavailable) {
+	if write.kind == rowSubmit && result.err != nil && !errors.Is(result.err, storeapi.ErrUnavailable) {
 		return s.resolveSubmit(ctx, key, result)
 	}
 	return result
 }
 
-func (s *Scheduler) putRow(ctx context.Context, key string, write rowWrite, fence platform.Check) error {
+func (s *Scheduler) putRow(ctx context.Context, key string, write rowWrite, fence storeapi.Check) error {
 	value, err := json.Marshal(write.row)
 	if err != nil {
 		return errors.Wrap(err, "encode job row")
 	}
-	checks := []platform.Check{fence}
+	checks := []storeapi.Check{fence}
 	if write.kind == rowSubmit {
-		checks = append(checks, platform.Check{Key: key})
+		checks = append(checks, storeapi.Check{Key: key})
 	}
-	_, err = s.calls.table.Commit(ctx, platform.Transaction{Checks: checks, Puts: []platform.Put{{Key: key, Value: value}}})
+	_, err = s.calls.table.Commit(ctx, storeapi.Transaction{Checks: checks, Puts: []storeapi.Put{{Key: key, Value: value}}})
 	return err
 }
 
@@ -159,12 +159,12 @@
 	found, err := s.readRow(ctx, key)
 	switch {
 	case err != nil:
-		result.err = errors.CombineErrors(platform.ErrInDoubt, err)
+		result.err = errors.CombineErrors(storeapi.ErrInDoubt, err)
 	case found != nil && sameSubmission(found.Job, result.write.row.Job):
 		result.err = nil
 	case found != nil:
 		result.found = found
-	case errors.Is(result.err, platform.ErrInDoubt):
+	case errors.Is(result.err, storeapi.ErrInDoubt):
 		// The write may still be on its way: only a conflict is final.
 	}
 	return result
@@ -172,7 +172,7 @@
 
 func (s *Scheduler) readRow(ctx context.Context, key string) (*scheduler.JobRow, error) {
 	row, err := s.calls.table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storeapi.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
@@ -221,7 +221,7 @@
 // retryRow reports whether a deletion must be tried again: a row that stays
 // would bring an ended job back with the next owner.
 func retryRow(result rowResult) bool {
-	return result.write.kind == rowDelete && result.err != nil && !errors.Is(result.err, platform.ErrConflict)
+	return result.write.kind == rowDelete && result.err != nil && !errors.Is(result.err, storeapi.ErrConflict)
 }
 
 // takeRow hands the result of an operation to the core or to an operator.
@@ -247,9 +247,9 @@
 	switch {
 	case err == nil:
 		return scheduler.DecisionCommitted
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storeapi.ErrConflict):
 		return scheduler.DecisionRefused
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storeapi.ErrUnavailable):
 		return scheduler.DecisionUnavailable
 	default:
 		return scheduler.DecisionInDoubt
--- a/internal/entry/snapshotstore.go
+++ b/internal/entry/snapshotstore.go
@@ -11,8 +11,8 @@
 	"github.com/cockroachdb/errors"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/scheduler"
+	"dragonflyyard/internal/storeapi"
 )
 
 // maxSegments is how many segments follow a whole snapshot before the next
@@ -31,8 +31,8 @@
 // frozen store wrote late, is never taken for another.
 // Its methods are called by the platform callers.
 type snapshotStore struct {
-	table   platform.Table
-	objects platform.ObjectStore
+	table   storeapi.Table
+	objects storeapi.ObjectStore
 	region  model.RegionName
 
 	// mu is held while a snapshot is stored.
@@ -81,8 +81,8 @@
 	if err != nil {
 		return errors.Wrap(err, "encode snapshot row")
 	}
-	_, err = s.table.Commit(ctx, platform.Transaction{
-		Checks: []platform.Check{check.check}, Puts: []platform.Put{{Key: s.rowKey(), Value: value}},
+	_, err = s.table.Commit(ctx, storeapi.Transaction{
+		Checks: []storeapi.Check{check.check}, Puts: []storeapi.Put{{Key: s.rowKey(), Value: value}},
 	})
 	if err != nil {
 		// The row may name the new objects or not. A whole snapshot under a name
@@ -133,7 +133,7 @@
 // it: the state up to the last good segment, or nil.
 func (s *snapshotStore) load(ctx context.Context) (*scheduler.Snapshot, error) {
 	named, err := s.table.Get(ctx, s.rowKey())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storeapi.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
--- a/internal/entry/snapshotstore_test.go
+++ b/internal/entry/snapshotstore_test.go
@@ -11,9 +11,9 @@
 	"github.com/cockroachdb/errors"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/scheduler"
 	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/storeapi"
 )
 
 // snapshotWorld is a snapshot store over the platform's stand-in.
@@ -36,7 +36,7 @@
 func (o *recordedObjects) PutObject(_ context.Context, key string, value []byte) error {
 	if o.cut {
 		o.values[key] = value[:len(value)/2]
-		return platform.ErrInDoubt
+		return storeapi.ErrInDoubt
 	}
 	o.values[key] = value
 	return nil
@@ -45,7 +45,7 @@
 func (o *recordedObjects) GetObject(_ context.Context, key string) ([]byte, error) {
 	value, known := o.values[key]
 	if !known {
-		return nil, platform.ErrNotFound
+		return nil, storeapi.ErrNotFound
 	}
 	return value, nil
 }
@@ -56,13 +56,13 @@
 	loseAnswer, loseWrite bool
 }
 
-func (d *doubtfulTable) Commit(ctx context.Context, tx platform.Transaction) ([]platform.RowVersion, error) {
+func (d *doubtfulTable) Commit(ctx context.Context, tx storeapi.Transaction) ([]storeapi.RowVersion, error) {
 	if d.loseWrite {
-		return nil, platform.ErrInDoubt
+		return nil, storeapi.ErrInDoubt
 	}
 	versions, err := d.Store.Commit(ctx, tx)
 	if d.loseAnswer {
-		return nil, platform.ErrInDoubt
+		return nil, storeapi.ErrInDoubt
 	}
 	return versions, err
 }
@@ -74,11 +74,11 @@
 		table: &doubtfulTable{Store: standin.NewStore(time.Now)},
 	}
 	w.store = &snapshotStore{table: w.table, objects: w.objects, region: "nordeste"}
-	versions, err := w.table.Commit(context.Background(), platform.Transaction{Puts: []platform.Put{{Key: "lease"}}})
+	versions, err := w.table.Commit(context.Background(), storeapi.Transaction{Puts: []storeapi.Put{{Key: "lease"}}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.check = ownerCheck{epoch: 7, check: platform.Check{Key: "lease", Version: versions[0]}}
+	w.check = ownerCheck{epoch: 7, check: storeapi.Check{Key: "lease", Version: versions[0]}}
 	return w
 }
 
@@ -220,10 +220,10 @@
 func TestDeposedOwnerStoresNoSnapshot(t *testing.T) {
 	w := newSnapshotWorld(t)
 	w.mustSave(0, 1)
-	if _, err := w.table.Commit(context.Background(), platform.Transaction{Puts: []platform.Put{{Key: "lease"}}}); err != nil {
+	if _, err := w.table.Commit(context.Background(), storeapi.Transaction{Puts: []storeapi.Put{{Key: "lease"}}}); err != nil {
 		t.Fatal(err)
 	}
-	if err := w.save(2); !errors.Is(err, platform.ErrConflict) {
+	if err := w.save(2); !errors.Is(err, storeapi.ErrConflict) {
 		t.Errorf("got %v, want a conflict", err)
 	}
 	w.loadedAs(w.saved, nil)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -12,8 +12,8 @@
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ownership"
 	"dragonflyyard/internal/permit"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/ring"
+	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/wire"
 )
 
@@ -136,7 +136,7 @@
 		onRoster:  func(int, bool) {},
 	}
 	state.needsStatus.Store(true)
-	state.owner.Admit(false, platform.Check{})
+	state.owner.Admit(false, storeapi.Check{})
 	state.config = configstore.New(configLimits, s.Region, state.validateGuarantee)
 	state.document.Store(state.config.Document())
 	state.ownerNow.Store(&ownerView{})
--- a/internal/entry/statecores.go
+++ b/internal/entry/statecores.go
@@ -12,14 +12,14 @@
 	"dragonflyyard/internal/membership"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ownership"
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/wire"
 )
 
 // ownerCheck is the precondition of the owner's writes.
 type ownerCheck struct {
 	epoch model.Epoch
-	check platform.Check
+	check storeapi.Check
 }
 
 // stepConfig steps the configuration core and carries its actions out.
@@ -78,39 +78,39 @@
 func (s *State) callForConfig(action configstore.Action) {
 	switch action := action.(type) {
 	case configstore.ListRows:
-		callPlatform(s, func(ctx context.Context) ([]platform.Row, error) {
+		callPlatform(s, func(ctx context.Context) ([]storeapi.Row, error) {
 			return s.calls.table.List(ctx, action.Prefix, action.After, action.Limit)
-		}, func(rows []platform.Row, err error) stateInput {
-			return stateInput{config: configstore.RowsListed{Call: action.Call, Result: platform.ResultOf(err), Rows: rows}}
+		}, func(rows []storeapi.Row, err error) stateInput {
+			return stateInput{config: configstore.RowsListed{Call: action.Call, Result: storeapi.ResultOf(err), Rows: rows}}
 		})
 	case configstore.ReadRow:
-		callPlatform(s, func(ctx context.Context) (platform.Row, error) {
+		callPlatform(s, func(ctx context.Context) (storeapi.Row, error) {
 			return s.calls.table.Get(ctx, action.Key)
-		}, func(row platform.Row, err error) stateInput {
-			return stateInput{config: configstore.RowRead{Call: action.Call, Result: platform.ResultOf(err), Row: row}}
+		}, func(row storeapi.Row, err error) stateInput {
+			return stateInput{config: configstore.RowRead{Call: action.Call, Result: storeapi.ResultOf(err), Row: row}}
 		})
 	case configstore.Commit:
-		callPlatform(s, s.commit(action.Transaction), func(versions []platform.RowVersion, err error) stateInput {
-			return stateInput{config: configstore.Committed{Call: action.Call, Result: platform.ResultOf(err), Versions: versions}}
+		callPlatform(s, s.commit(action.Transaction), func(versions []storeapi.RowVersion, err error) stateInput {
+			return stateInput{config: configstore.Committed{Call: action.Call, Result: storeapi.ResultOf(err), Versions: versions}}
 		})
 	case configstore.ReadObject:
 		callPlatform(s, func(ctx context.Context) ([]byte, error) {
 			return s.calls.objects.GetObject(ctx, action.Key)
 		}, func(value []byte, err error) stateInput {
-			return stateInput{config: configstore.ObjectRead{Call: action.Call, Result: platform.ResultOf(err), Value: value}}
+			return stateInput{config: configstore.ObjectRead{Call: action.Call, Result: storeapi.ResultOf(err), Value: value}}
 		})
 	case configstore.WriteObject:
 		callPlatform(s, func(ctx context.Context) (struct{}, error) {
 			return struct{}{}, s.calls.objects.PutObject(ctx, action.Key, action.Value)
 		}, func(_ struct{}, err error) stateInput {
-			return stateInput{config: configstore.ObjectWritten{Call: action.Call, Result: platform.ResultOf(err)}}
+			return stateInput{config: configstore.ObjectWritten{Call: action.Call, Result: storeapi.ResultOf(err)}}
 		})
 	}
 }
 
 // commit returns the call that commits a transaction.
-func (s *State) commit(tx platform.Transaction) func(context.Context) ([]platform.RowVersion, error) {
-	return func(ctx context.Context) ([]platform.RowVersion, error) { return s.calls.table.Commit(ctx, tx) }
+func (s *State) commit(tx storeapi.Transaction) func(context.Context) ([]storeapi.RowVersion, error) {
+	return func(ctx context.Context) ([]storeapi.RowVersion, error) { return s.calls.table.Commit(ctx, tx) }
 }
 
 // callPlatform makes a platform call and feeds its result back through the ring
@@ -137,12 +137,12 @@
 	for _, action := range s.owner.Step(now, in) {
 		switch action := action.(type) {
 		case ownership.ReadRow:
-			callPlatform(s, s.readLease(action.Key), func(row platform.Row, err error) stateInput {
-				return stateInput{owner: ownership.RowRead{Call: action.Call, Result: platform.ResultOf(err), Row: row}}
+			callPlatform(s, s.readLease(action.Key), func(row storeapi.Row, err error) stateInput {
+				return stateInput{owner: ownership.RowRead{Call: action.Call, Result: storeapi.ResultOf(err), Row: row}}
 			})
 		case ownership.CommitRow:
-			callPlatform(s, s.commit(action.Transaction), func(versions []platform.RowVersion, err error) stateInput {
-				return stateInput{owner: ownership.RowCommitted{Call: action.Call, Result: platform.ResultOf(err), Versions: versions}}
+			callPlatform(s, s.commit(action.Transaction), func(versions []storeapi.RowVersion, err error) stateInput {
+				return stateInput{owner: ownership.RowCommitted{Call: action.Call, Result: storeapi.ResultOf(err), Versions: versions}}
 			})
 		case ownership.HandedOver:
 			close(s.handedOff)
@@ -154,11 +154,11 @@
 
 // readLease returns the call that reads the lease row. A row that does not
 // exist has version zero.
-func (s *State) readLease(key string) func(context.Context) (platform.Row, error) {
-	return func(ctx context.Context) (platform.Row, error) {
+func (s *State) readLease(key string) func(context.Context) (storeapi.Row, error) {
+	return func(ctx context.Context) (storeapi.Row, error) {
 		row, err := s.calls.table.Get(ctx, key)
-		if errors.Is(err, platform.ErrNotFound) {
-			return platform.Row{Key: key}, nil
+		if errors.Is(err, storeapi.ErrNotFound) {
+			return storeapi.Row{Key: key}, nil
 		}
 		return row, err
 	}
@@ -232,14 +232,14 @@
 	for _, action := range s.roster.Step(now, in) {
 		switch action := action.(type) {
 		case membership.ListRoster:
-			callPlatform(s, func(ctx context.Context) ([]platform.Row, error) {
+			callPlatform(s, func(ctx context.Context) ([]storeapi.Row, error) {
 				return s.calls.list(ctx, membership.RosterPrefix)
-			}, func(rows []platform.Row, err error) stateInput {
-				return stateInput{roster: membership.RosterListed{Call: action.Call, Result: platform.ResultOf(err), Rows: rows}}
+			}, func(rows []storeapi.Row, err error) stateInput {
+				return stateInput{roster: membership.RosterListed{Call: action.Call, Result: storeapi.ResultOf(err), Rows: rows}}
 			})
 		case membership.CommitRoster:
-			callPlatform(s, s.commit(action.Transaction), func(versions []platform.RowVersion, err error) stateInput {
-				return stateInput{roster: membership.RosterCommitted{Call: action.Call, Result: platform.ResultOf(err), Versions: versions}}
+			callPlatform(s, s.commit(action.Transaction), func(versions []storeapi.RowVersion, err error) stateInput {
+				return stateInput{roster: membership.RosterCommitted{Call: action.Call, Result: storeapi.ResultOf(err), Versions: versions}}
 			})
 		case membership.RosterChanged:
 			s.takeRoster(now, action.View)
--- a/internal/entry/storedrows.go
+++ b/internal/entry/storedrows.go
@@ -7,8 +7,8 @@
 	"github.com/cockroachdb/errors"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/scheduler"
+	"dragonflyyard/internal/storeapi"
 )
 
 // errStoredRow means that a row of the table service is not what was written.
@@ -16,7 +16,7 @@
 
 // decodeJobRow decodes the row of a job under a prefix. It refuses one of
 // another job and one that no owner writes.
-func decodeJobRow(row platform.Row, prefix string) (scheduler.JobRow, error) {
+func decodeJobRow(row storeapi.Row, prefix string) (scheduler.JobRow, error) {
 	var decoded scheduler.JobRow
 	if err := json.Unmarshal(row.Value, &decoded); err != nil {
 		return decoded, errors.Wrapf(errStoredRow, "%q: %v", row.Key, err)
@@ -31,7 +31,7 @@
 }
 
 // decodeEndedRow decodes the row of a job that ended, under a prefix.
-func decodeEndedRow(row platform.Row, prefix string) (scheduler.EndedJob, error) {
+func decodeEndedRow(row storeapi.Row, prefix string) (scheduler.EndedJob, error) {
 	var decoded scheduler.EndedJob
 	if err := json.Unmarshal(row.Value, &decoded); err != nil {
 		return decoded, errors.Wrapf(errStoredRow, "%q: %v", row.Key, err)
--- a/internal/faultmatrix/config_cells_test.go
+++ b/internal/faultmatrix/config_cells_test.go
@@ -9,7 +9,7 @@
 
 	"dragonflyyard/internal/configstore"
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // Sizes and times of a run of the writers of configuration.
@@ -96,7 +96,7 @@
 		w.reuse(h)
 	case 4:
 		// The host leaves the roster unseen; it is admitted again later.
-		_, _ = w.store.Commit(atOnce(), platform.Transaction{Puts: []platform.Put{{Key: h.memberKey()}}})
+		_, _ = w.store.Commit(atOnce(), storeapi.Transaction{Puts: []storeapi.Put{{Key: h.memberKey()}}})
 		h.loseIDRead = w.random.IntN(2) == 0
 		w.submit(h, w.newChange(h))
 		life := h.life
--- a/internal/faultmatrix/config_world_test.go
+++ b/internal/faultmatrix/config_world_test.go
@@ -6,8 +6,8 @@
 
 	"dragonflyyard/internal/configstore"
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/statechart"
+	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/wire"
 )
 
@@ -92,14 +92,14 @@
 }
 
 // headMoved reports whether a transaction's check of the head row fails.
-func (w *configWorld) headMoved(tx platform.Transaction) bool {
+func (w *configWorld) headMoved(tx storeapi.Transaction) bool {
 	row, err := w.store.Get(atOnce(), tx.Checks[0].Key)
 	return err == nil && row.Version != tx.Checks[0].Version
 }
 
 // writtenChange returns the ID of the change that a transaction makes.
-func writtenChange(tx platform.Transaction) model.ChangeID {
-	row := platform.Row{Key: tx.Puts[1].Key, Value: tx.Puts[1].Value}
+func writtenChange(tx storeapi.Transaction) model.ChangeID {
+	row := storeapi.Row{Key: tx.Puts[1].Key, Value: tx.Puts[1].Value}
 	change, err := configstore.DecodeChange(row)
 	if err != nil {
 		panic(err)
@@ -125,11 +125,11 @@
 
 // admit lets the host write under its member row as it is now.
 func (h *configHost) admit() {
-	versions, err := h.w.store.Commit(atOnce(), platform.Transaction{Puts: []platform.Put{{Key: h.memberKey()}}})
+	versions, err := h.w.store.Commit(atOnce(), storeapi.Transaction{Puts: []storeapi.Put{{Key: h.memberKey()}}})
 	if err != nil {
 		panic(err)
 	}
-	h.step(configstore.Admit{Allowed: true, Member: platform.Check{Key: h.memberKey(), Version: versions[0]}})
+	h.step(configstore.Admit{Allowed: true, Member: storeapi.Check{Key: h.memberKey(), Version: versions[0]}})
 }
 
 // step hands an input to the host's present life. A paused host gets it when
@@ -172,30 +172,30 @@
 	store := h.w.store
 	switch a := action.(type) {
 	case configstore.ListRows:
-		h.call(false, func(result platform.Result) func() {
+		h.call(false, func(result storeapi.Result) func() {
 			in := configstore.RowsListed{Call: a.Call, Result: result}
-			if result == platform.ResultOK {
+			if result == storeapi.ResultOK {
 				in.Rows, _ = store.List(atOnce(), a.Prefix, a.After, a.Limit)
 			}
 			return reply(in)
 		})
 	case configstore.ReadRow:
-		h.call(false, func(result platform.Result) func() {
+		h.call(false, func(result storeapi.Result) func() {
 			in := configstore.RowRead{Call: a.Call, Result: result}
-			if result == platform.ResultOK {
+			if result == storeapi.ResultOK {
 				row, err := store.Get(atOnce(), a.Key)
-				in.Row, in.Result = row, platform.ResultOf(err)
+				in.Row, in.Result = row, storeapi.ResultOf(err)
 			}
 			return reply(in)
 		})
 	case configstore.Commit:
-		h.call(true, func(result platform.Result) func() {
+		h.call(true, func(result storeapi.Result) func() {
 			in := configstore.Committed{Call: a.Call, Result: result}
 			lostRace := false
-			if result == platform.ResultOK {
+			if result == storeapi.ResultOK {
 				versions, err := store.Commit(atOnce(), a.Transaction)
-				in.Versions, in.Result = versions, platform.ResultOf(err)
-				lostRace = in.Result == platform.ResultConflict && h.w.headMoved(a.Transaction)
+				in.Versions, in.Result = versions, storeapi.ResultOf(err)
+				lostRace = in.Result == storeapi.ResultConflict && h.w.headMoved(a.Transaction)
 			}
 			return func() {
 				h.written, h.lostRace = writtenChange(a.Transaction), lostRace
@@ -205,13 +205,13 @@
 	case configstore.ReadObject:
 		h.object(func() func() {
 			value, err := store.GetObject(atOnce(), a.Key)
-			return reply(configstore.ObjectRead{Call: a.Call, Result: platform.ResultOf(err), Value: value})
-		}, reply(configstore.ObjectRead{Call: a.Call, Result: platform.ResultUnavailable}))
+			return reply(configstore.ObjectRead{Call: a.Call, Result: storeapi.ResultOf(err), Value: value})
+		}, reply(configstore.ObjectRead{Call: a.Call, Result: storeapi.ResultUnavailable}))
 	case configstore.WriteObject:
 		h.object(func() func() {
 			err := store.PutObject(atOnce(), a.Key, a.Value)
-			return reply(configstore.ObjectWritten{Call: a.Call, Result: platform.ResultOf(err)})
-		}, reply(configstore.ObjectWritten{Call: a.Call, Result: platform.ResultUnavailable}))
+			return reply(configstore.ObjectWritten{Call: a.Call, Result: storeapi.ResultOf(err)})
+		}, reply(configstore.ObjectWritten{Call: a.Call, Result: storeapi.ResultUnavailable}))
 	case configstore.Publish:
 		h.tell(a)
 	case configstore.Answer:
@@ -235,13 +235,13 @@
 
 // call makes a call of the table service. result does it when it is given
 // ResultOK, and returns what delivers its result.
-func (h *configHost) call(isWrite bool, result func(platform.Result) func()) {
-	lost := platform.ResultUnavailable
+func (h *configHost) call(isWrite bool, result func(storeapi.Result) func()) {
+	lost := storeapi.ResultUnavailable
 	if isWrite {
-		lost = platform.ResultInDoubt
+		lost = storeapi.ResultInDoubt
 	}
-	h.path.send(isWrite, func() func() { return result(platform.ResultOK) },
-		func() { result(platform.ResultUnavailable)() }, func() { result(lost)() })
+	h.path.send(isWrite, func() func() { return result(storeapi.ResultOK) },
+		func() { result(storeapi.ResultUnavailable)() }, func() { result(lost)() })
 }
 
 // object makes a call of the object store.
--- a/internal/faultmatrix/lease_cells_test.go
+++ b/internal/faultmatrix/lease_cells_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"dragonflyyard/internal/ownership"
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // Sizes and times of a run of the lease's candidates.
@@ -104,7 +104,7 @@
 	lease.Epoch++
 	w.notef("the row is overwritten with epoch %d", lease.Epoch)
 	value := ownership.EncodeLease(lease)
-	_, _ = w.store.Commit(atOnce(), platform.Transaction{Puts: []platform.Put{
+	_, _ = w.store.Commit(atOnce(), storeapi.Transaction{Puts: []storeapi.Put{
 		{Key: ownership.RowKey("r"), Value: value}, {Key: ownership.EpochKey("r"), Value: value}}})
 }
 
--- a/internal/faultmatrix/lease_world_test.go
+++ b/internal/faultmatrix/lease_world_test.go
@@ -8,8 +8,8 @@
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ownership"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/statechart"
+	"dragonflyyard/internal/storeapi"
 )
 
 // leaseHost is one entry host with its candidate.
@@ -109,21 +109,21 @@
 	}
 	switch a := action.(type) {
 	case ownership.ReadRow:
-		failed := reply(ownership.RowRead{Call: a.Call, Result: platform.ResultUnavailable})
+		failed := reply(ownership.RowRead{Call: a.Call, Result: storeapi.ResultUnavailable})
 		h.path.send(false, func() func() {
 			row, _ := h.w.store.Get(atOnce(), a.Key)
-			return reply(ownership.RowRead{Call: a.Call, Result: platform.ResultOK, Row: row})
+			return reply(ownership.RowRead{Call: a.Call, Result: storeapi.ResultOK, Row: row})
 		}, failed, failed)
 	case ownership.CommitRow:
 		h.path.send(true, func() func() {
 			versions, err := h.w.store.Commit(atOnce(), a.Transaction)
-			result := platform.ResultOK
-			if errors.Is(err, platform.ErrConflict) {
-				result = platform.ResultConflict
+			result := storeapi.ResultOK
+			if errors.Is(err, storeapi.ErrConflict) {
+				result = storeapi.ResultConflict
 			}
 			return reply(ownership.RowCommitted{Call: a.Call, Result: result, Versions: versions})
-		}, reply(ownership.RowCommitted{Call: a.Call, Result: platform.ResultUnavailable}),
-			reply(ownership.RowCommitted{Call: a.Call, Result: platform.ResultInDoubt}))
+		}, reply(ownership.RowCommitted{Call: a.Call, Result: storeapi.ResultUnavailable}),
+			reply(ownership.RowCommitted{Call: a.Call, Result: storeapi.ResultInDoubt}))
 	case ownership.Acquired:
 		h.w.acquired(h, a)
 	case ownership.HandedOver:
@@ -186,7 +186,7 @@
 	}
 	check := h.candidate.Check()
 	w.after(w.between(0, leaseLongPause), func() {
-		tx := platform.Transaction{Checks: []platform.Check{check}, Puts: []platform.Put{{Key: "decision"}}}
+		tx := storeapi.Transaction{Checks: []storeapi.Check{check}, Puts: []storeapi.Put{{Key: "decision"}}}
 		if _, err := w.store.Commit(atOnce(), tx); err != nil {
 			return
 		}
--- a/internal/membership/roster.go
+++ b/internal/membership/roster.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // Keys of the roster's rows. Both prefixes are followed by the entry host's ID.
@@ -70,15 +70,15 @@
 // RosterListed is the result of ListRoster.
 type RosterListed struct {
 	Call   uint64
-	Result platform.Result
-	Rows   []platform.Row
+	Result storeapi.Result
+	Rows   []storeapi.Row
 }
 
 // RosterCommitted is the result of CommitRoster.
 type RosterCommitted struct {
 	Call     uint64
-	Result   platform.Result
-	Versions []platform.RowVersion
+	Result   storeapi.Result
+	Versions []storeapi.RowVersion
 }
 
 // PeerStated is what another entry host said in answer to a question that was
@@ -108,7 +108,7 @@
 // CommitRoster asks for a transaction; the answer is RosterCommitted.
 type CommitRoster struct {
 	Call        uint64
-	Transaction platform.Transaction
+	Transaction storeapi.Transaction
 }
 
 // RosterChanged tells that the roster's view is another one.
@@ -125,7 +125,7 @@
 	// Member is set while this host's own row exists, as last read or written.
 	Member bool
 	// Check is the precondition that this host's row still exists.
-	Check platform.Check
+	Check storeapi.Check
 	// ConfirmedAt is when the last confirmed write of this host's beat was sent.
 	ConfirmedAt time.Time
 	// Established is set while this host may write configuration.
@@ -145,8 +145,8 @@
 // rosterMember is one member as its rows were last read.
 type rosterMember struct {
 	host EntryHost
-	row  platform.RowVersion
-	beat platform.Row
+	row  storeapi.RowVersion
+	beat storeapi.Row
 	// stable is when the rows were first seen as they are. A seal changes the
 	// version of the beat row only, not its value.
 	stable time.Time
@@ -156,7 +156,7 @@
 	return m.row == old.row && bytes.Equal(m.beat.Value, old.beat.Value)
 }
 
-func decodeMember(row platform.Row) (EntryHost, error) {
+func decodeMember(row storeapi.Row) (EntryHost, error) {
 	var host EntryHost
 	if err := json.Unmarshal(row.Value, &host); err != nil {
 		return EntryHost{}, errors.CombineErrors(ErrMalformedRow, err)
@@ -169,7 +169,7 @@
 
 // decodeRoster returns the members of the roster's rows. A member whose row
 // cannot be decoded is known by its ID alone, and is removed like a silent one.
-func decodeRoster(rows []platform.Row) map[model.EntryID]*rosterMember {
+func decodeRoster(rows []storeapi.Row) map[model.EntryID]*rosterMember {
 	members := map[model.EntryID]*rosterMember{}
 	for _, row := range rows {
 		if !strings.HasPrefix(row.Key, rosterMemberPrefix) {
--- a/internal/membership/roster_test.go
+++ b/internal/membership/roster_test.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/storeapi"
 )
 
 func TestRosterFormsAndIsEstablished(t *testing.T) {
@@ -95,10 +95,10 @@
 	if !fresh.roster.View().Established {
 		t.Fatal("not established beside members that rely on nobody")
 	}
-	if _, err := store.Commit(context.Background(), held[0].Transaction); !errors.Is(err, platform.ErrConflict) {
+	if _, err := store.Commit(context.Background(), held[0].Transaction); !errors.Is(err, storeapi.ErrConflict) {
 		t.Errorf("a beat from before the seal: %v, want a conflict", err)
 	}
-	member.step(*now, RosterCommitted{Call: held[0].Call, Result: platform.ResultInDoubt})
+	member.step(*now, RosterCommitted{Call: held[0].Call, Result: storeapi.ResultInDoubt})
 	runRoster(now, 4*time.Second, member, hosts[1], fresh)
 	want := []model.EntryID{"e2", "e3"}
 	if view := member.roster.View(); !view.MayRely || !slices.Equal(view.RelyOn, want) {
@@ -212,8 +212,8 @@
 	runRoster(now, 3*time.Second, hosts...)
 	check := hosts[1].roster.View().Check
 	runRoster(now, DefaultRosterLimits().RemoveAfter+5*time.Second, hosts[0])
-	write := platform.Transaction{Checks: []platform.Check{check}, Puts: []platform.Put{{Key: "config"}}}
-	if _, err := store.Commit(context.Background(), write); !errors.Is(err, platform.ErrConflict) {
+	write := storeapi.Transaction{Checks: []storeapi.Check{check}, Puts: []storeapi.Put{{Key: "config"}}}
+	if _, err := store.Commit(context.Background(), write); !errors.Is(err, storeapi.ErrConflict) {
 		t.Errorf("a removed member's write: %v, want a conflict", err)
 	}
 	runRoster(now, 3*time.Second, hosts...)
@@ -277,7 +277,7 @@
 	f.Add("e1", []byte(`{"id":"e2"}`))
 	f.Add("", []byte(`{`))
 	f.Fuzz(func(t *testing.T, id string, value []byte) {
-		rows := []platform.Row{
+		rows := []storeapi.Row{
 			{Key: rosterBeatPrefix + id, Version: 2},
 			{Key: rosterMemberPrefix + id, Value: value, Version: 1},
 		}
--- a/internal/membership/rosterbeat.go
+++ b/internal/membership/rosterbeat.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // beat is the value of a beat row. It names the members on whose statements the
@@ -30,7 +30,7 @@
 	return value
 }
 
-func decodeBeat(row platform.Row) (beat, error) {
+func decodeBeat(row storeapi.Row) (beat, error) {
 	var b beat
 	if err := json.Unmarshal(row.Value, &b); err != nil {
 		return beat{}, errors.CombineErrors(ErrMalformedRow, err)
@@ -42,7 +42,7 @@
 type reliance struct {
 	// beatRow is the version of the own beat row. Each beat checks it, so that a
 	// seal ends all beats that are on their way.
-	beatRow platform.RowVersion
+	beatRow storeapi.RowVersion
 	beats   uint64
 	// confirmed is what the last confirmed beat named.
 	confirmed []model.EntryID
@@ -64,7 +64,7 @@
 
 // confirm takes in that the last beat took effect. Those before it never will,
 // since they checked an earlier version of the row.
-func (r *reliance) confirm(version platform.RowVersion) {
+func (r *reliance) confirm(version storeapi.RowVersion) {
 	r.beatRow = version
 	r.confirmed, r.unconfirmed, r.namedNobody = r.last, nil, false
 }
@@ -127,9 +127,9 @@
 func (r *Roster) beat(now time.Time) []RosterAction {
 	r.nextBeat = now.Add(r.limits.BeatEvery)
 	key := rosterBeatPrefix + string(r.self.ID)
-	return r.send(now, commitBeat, platform.Transaction{
-		Checks: []platform.Check{r.view.Check, {Key: key, Version: r.reliance.beatRow}},
-		Puts:   []platform.Put{{Key: key, Value: encodeBeat(r.reliance.send(r.toRelyOn()))}},
+	return r.send(now, commitBeat, storeapi.Transaction{
+		Checks: []storeapi.Check{r.view.Check, {Key: key, Version: r.reliance.beatRow}},
+		Puts:   []storeapi.Put{{Key: key, Value: encodeBeat(r.reliance.send(r.toRelyOn()))}},
 	})
 }
 
--- a/internal/membership/rostercore.go
+++ b/internal/membership/rostercore.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // Roster is one entry host's part in the roster of entry hosts. It writes the
@@ -117,7 +117,7 @@
 		return
 	}
 	r.listCall = 0
-	if in.Result != platform.ResultOK {
+	if in.Result != storeapi.ResultOK {
 		return
 	}
 	members := decodeRoster(in.Rows)
@@ -145,7 +145,7 @@
 		return
 	}
 	r.view.Member, r.view.Established = false, false
-	r.view.Check = platform.Check{}
+	r.view.Check = storeapi.Check{}
 	r.view.ConfirmedAt = time.Time{}
 	r.knownBy = map[model.EntryID]bool{}
 	r.sealed = map[model.EntryID]sealState{}
@@ -167,7 +167,7 @@
 		return
 	}
 	r.commitCall, r.commitEnded = 0, now
-	if in.Result != platform.ResultOK {
+	if in.Result != storeapi.ResultOK {
 		r.nextRead = now
 		if r.commit.kind == commitBeat {
 			r.nextBeat = now.Add(r.limits.ReadEvery)
@@ -177,7 +177,7 @@
 	switch r.commit.kind {
 	case commitJoin:
 		r.view.Member, r.joinedAt = true, now
-		r.view.Check = platform.Check{Key: rosterMemberPrefix + string(r.self.ID), Version: in.Versions[0]}
+		r.view.Check = storeapi.Check{Key: rosterMemberPrefix + string(r.self.ID), Version: in.Versions[0]}
 		r.view.ConfirmedAt = r.commit.sentAt
 		r.reliance = reliance{beatRow: in.Versions[1]}
 		r.nextBeat = r.commit.sentAt.Add(r.limits.BeatEvery)
@@ -249,7 +249,7 @@
 	if !r.listedSince.After(r.commit.sentAt) && r.commit.kind == commitJoin {
 		return nil
 	}
-	var present platform.RowVersion
+	var present storeapi.RowVersion
 	if own := r.members[r.self.ID]; own != nil {
 		if own.host.Incarnation > r.self.Incarnation {
 			return nil
@@ -261,9 +261,9 @@
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode roster row"))
 	}
 	key := rosterMemberPrefix + string(r.self.ID)
-	return r.send(now, commitJoin, platform.Transaction{
-		Checks: []platform.Check{{Key: key, Version: present}},
-		Puts: []platform.Put{
+	return r.send(now, commitJoin, storeapi.Transaction{
+		Checks: []storeapi.Check{{Key: key, Version: present}},
+		Puts: []storeapi.Put{
 			{Key: key, Value: value},
 			{Key: rosterBeatPrefix + string(r.self.ID), Value: encodeBeat(beat{})},
 		},
@@ -281,8 +281,8 @@
 		return nil
 	}
 	r.leaveTries++
-	return r.send(now, commitLeave, platform.Transaction{
-		Checks:  []platform.Check{r.view.Check},
+	return r.send(now, commitLeave, storeapi.Transaction{
+		Checks:  []storeapi.Check{r.view.Check},
 		Deletes: []string{r.view.Check.Key, rosterBeatPrefix + string(r.self.ID)},
 	})
 }
@@ -297,15 +297,15 @@
 		// A failed try is made again after the next reads.
 		m.stable = now.Add(2*r.limits.ReadEvery - r.limits.RemoveAfter)
 		member, beat := rosterMemberPrefix+string(other.ID), rosterBeatPrefix+string(other.ID)
-		return r.send(now, commitRemove, platform.Transaction{
-			Checks:  []platform.Check{{Key: member, Version: m.row}, {Key: beat, Version: m.beat.Version}},
+		return r.send(now, commitRemove, storeapi.Transaction{
+			Checks:  []storeapi.Check{{Key: member, Version: m.row}, {Key: beat, Version: m.beat.Version}},
 			Deletes: []string{member, beat},
 		})
 	}
 	return nil
 }
 
-func (r *Roster) send(now time.Time, kind commitKind, tx platform.Transaction) []RosterAction {
+func (r *Roster) send(now time.Time, kind commitKind, tx storeapi.Transaction) []RosterAction {
 	r.commit = rosterCommit{kind: kind, sentAt: now}
 	r.commitCall = r.newCall()
 	return []RosterAction{CommitRoster{Call: r.commitCall, Transaction: tx}}
--- a/internal/membership/rosterestablish.go
+++ b/internal/membership/rosterestablish.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // A host that cannot read the table service goes on by the statements of the
@@ -71,9 +71,9 @@
 			continue
 		}
 		member, beat := rosterMemberPrefix+string(other.ID), rosterBeatPrefix+string(other.ID)
-		actions := r.send(now, commitSeal, platform.Transaction{
-			Checks: []platform.Check{{Key: member, Version: m.row}, {Key: beat, Version: m.beat.Version}},
-			Puts:   []platform.Put{{Key: beat, Value: m.beat.Value}},
+		actions := r.send(now, commitSeal, storeapi.Transaction{
+			Checks: []storeapi.Check{{Key: member, Version: m.row}, {Key: beat, Version: m.beat.Version}},
+			Puts:   []storeapi.Put{{Key: beat, Value: m.beat.Value}},
 		})
 		r.commit.sealing, r.commit.seal = other.ID, seal
 		return actions
--- a/internal/membership/rosterharness_test.go
+++ b/internal/membership/rosterharness_test.go
@@ -8,8 +8,8 @@
 
 	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/storeapi"
 )
 
 // rosterHost drives one roster against a store, with the answers done at once.
@@ -30,10 +30,10 @@
 		switch a := action.(type) {
 		case ListRoster:
 			rows, err := h.store.List(ctx, RosterPrefix, "", 1000)
-			h.step(now, RosterListed{Call: a.Call, Result: platform.ResultOf(err), Rows: rows})
+			h.step(now, RosterListed{Call: a.Call, Result: storeapi.ResultOf(err), Rows: rows})
 		case CommitRoster:
 			versions, err := h.store.Commit(ctx, a.Transaction)
-			h.step(now, RosterCommitted{Call: a.Call, Result: platform.ResultOf(err), Versions: versions})
+			h.step(now, RosterCommitted{Call: a.Call, Result: storeapi.ResultOf(err), Versions: versions})
 		}
 	}
 }
@@ -45,7 +45,7 @@
 		switch a := action.(type) {
 		case ListRoster:
 			rows, err := h.store.List(context.Background(), RosterPrefix, "", 1000)
-			held = append(held, h.stepHoldingCommits(now, RosterListed{Call: a.Call, Result: platform.ResultOf(err), Rows: rows})...)
+			held = append(held, h.stepHoldingCommits(now, RosterListed{Call: a.Call, Result: storeapi.ResultOf(err), Rows: rows})...)
 		case CommitRoster:
 			held = append(held, a)
 		}
@@ -94,7 +94,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tx := platform.Transaction{Puts: []platform.Put{
+	tx := storeapi.Transaction{Puts: []storeapi.Put{
 		{Key: rosterMemberPrefix + string(host.ID), Value: value},
 		{Key: rosterBeatPrefix + string(host.ID), Value: beat},
 	}}
--- a/internal/ownership/calls.go
+++ b/internal/ownership/calls.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // callLimit is how long a candidate waits for the result of a call. It is far
@@ -87,12 +87,12 @@
 	c.lastWrite++
 	lease.Owner, lease.Incarnation, lease.Write = c.id, c.incarnation, c.lastWrite
 	c.writes = append(c.writes, sentWrite{lease: lease, sentAt: now})
-	tx := platform.Transaction{
-		Checks: []platform.Check{{Key: c.key, Version: c.row.Version}},
-		Puts:   []platform.Put{{Key: c.key, Value: EncodeLease(lease)}},
+	tx := storeapi.Transaction{
+		Checks: []storeapi.Check{{Key: c.key, Version: c.row.Version}},
+		Puts:   []storeapi.Put{{Key: c.key, Value: EncodeLease(lease)}},
 	}
 	if lease.Epoch != c.lease.Epoch {
-		tx.Puts = append(tx.Puts, platform.Put{Key: c.epochKey, Value: EncodeLease(lease)})
+		tx.Puts = append(tx.Puts, storeapi.Put{Key: c.epochKey, Value: EncodeLease(lease)})
 		if c.member.Key != "" {
 			tx.Checks = append(tx.Checks, c.member)
 		}
--- a/internal/ownership/candidate.go
+++ b/internal/ownership/candidate.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/statechart"
+	"dragonflyyard/internal/storeapi"
 )
 
 // Candidate is one entry host's part in the ownership of a region's scheduler.
@@ -19,18 +19,18 @@
 	// barred keeps the candidate from taking the lease over, and member is a
 	// precondition of doing so (see Admit).
 	barred bool
-	member platform.Check
+	member storeapi.Check
 
 	machine statechart.Machine
 	// trace is told of each transition; nil for none.
 	trace func(statechart.Transition)
 	epoch model.Epoch
 	// epochVersion is the version of the row that the start of the epoch wrote.
-	epochVersion platform.RowVersion
+	epochVersion storeapi.RowVersion
 	// validUntil is the end of the held lease.
 	validUntil time.Time
 
-	row      platform.Row
+	row      storeapi.Row
 	lease    Lease
 	rowKnown bool
 	// unchangedSince is when the row's present version was first received.
@@ -95,8 +95,8 @@
 
 // Check returns the precondition that fences a write of the owner: no later
 // epoch began. It stays the same over renewals of one epoch.
-func (c *Candidate) Check() platform.Check {
-	return platform.Check{Key: c.epochKey, Version: c.epochVersion}
+func (c *Candidate) Check() storeapi.Check {
+	return storeapi.Check{Key: c.epochKey, Version: c.epochVersion}
 }
 
 // LastLease returns the lease that was last read or written, and whether any was.
@@ -107,7 +107,7 @@
 // a key is none. Only established members may own the region: an owner that
 // cannot reach the table service relies on the statements of the members it
 // knows. The check fences a host that was removed while it was paused.
-func (c *Candidate) Admit(allowed bool, member platform.Check) {
+func (c *Candidate) Admit(allowed bool, member storeapi.Check) {
 	c.barred, c.member = !allowed, member
 }
 
@@ -139,14 +139,14 @@
 	if !c.finish(in.Call) {
 		return nil
 	}
-	if in.Result != platform.ResultOK {
+	if in.Result != storeapi.ResultOK {
 		return nil
 	}
 	return c.observe(now, in.Row)
 }
 
 // observe takes in the row as it was read.
-func (c *Candidate) observe(now time.Time, row platform.Row) []Action {
+func (c *Candidate) observe(now time.Time, row storeapi.Row) []Action {
 	if c.rowKnown && row.Version == c.row.Version {
 		return nil
 	}
@@ -186,21 +186,21 @@
 		return nil
 	}
 	switch in.Result {
-	case platform.ResultOK:
+	case storeapi.ResultOK:
 		write := c.writes[len(c.writes)-1]
 		c.writes = nil
-		c.row = platform.Row{Key: c.key, Value: EncodeLease(write.lease), Version: in.Versions[0]}
+		c.row = storeapi.Row{Key: c.key, Value: EncodeLease(write.lease), Version: in.Versions[0]}
 		c.lease, c.rowKnown, c.unchangedSince = write.lease, true, now
-		var epochVersion platform.RowVersion
+		var epochVersion storeapi.RowVersion
 		if len(in.Versions) > 1 {
 			epochVersion = in.Versions[1]
 		}
 		return c.confirmed(now, write.sentAt, epochVersion)
-	case platform.ResultUnavailable:
+	case storeapi.ResultUnavailable:
 		c.writes = c.writes[:len(c.writes)-1]
 		c.fire(storeDown)
 		return nil
-	case platform.ResultConflict:
+	case storeapi.ResultConflict:
 		// The row has another version than the one known. It is either another
 		// owner's, or one of this candidate's writes that was in doubt.
 		c.writes = c.writes[:len(c.writes)-1]
@@ -217,7 +217,7 @@
 // confirmed takes in a write of this candidate that took effect. An epoch that
 // was lost is not held again: a renewal that is confirmed after the lapse leads
 // to the next epoch.
-func (c *Candidate) confirmed(now, sentAt time.Time, epochVersion platform.RowVersion) []Action {
+func (c *Candidate) confirmed(now, sentAt time.Time, epochVersion storeapi.RowVersion) []Action {
 	if c.lease.Released {
 		c.fire(releaseConfirmed)
 		return []Action{HandedOver{Confirmed: true}}
--- a/internal/ownership/candidate_test.go
+++ b/internal/ownership/candidate_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"dragonflyyard/internal/coretest"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/storeapi"
 )
 
 // tickEvery is the interval of the tests' ticks.
@@ -101,20 +101,20 @@
 // roster while it was paused, and that finds the lease row as it last knew it.
 func TestRemovedMemberTakesNoLease(t *testing.T) {
 	now, store, a, b := newPair(t)
-	versions, err := store.Commit(coretest.Cancelled(), platform.Transaction{Puts: []platform.Put{{Key: "member/b"}}})
+	versions, err := store.Commit(coretest.Cancelled(), storeapi.Transaction{Puts: []storeapi.Put{{Key: "member/b"}}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.candidate.Admit(true, platform.Check{Key: "member/b", Version: versions[0]})
+	b.candidate.Admit(true, storeapi.Check{Key: "member/b", Version: versions[0]})
 	run(t, now, 2*time.Second, a, b)
-	if _, err := store.Commit(coretest.Cancelled(), platform.Transaction{Deletes: []string{"member/b"}}); err != nil {
+	if _, err := store.Commit(coretest.Cancelled(), storeapi.Transaction{Deletes: []string{"member/b"}}); err != nil {
 		t.Fatal(err)
 	}
 	run(t, now, 10*time.Second, b)
 	if _, holds := b.candidate.Holds(*now); holds {
 		t.Error("a removed member took the lease over")
 	}
-	b.candidate.Admit(true, platform.Check{})
+	b.candidate.Admit(true, storeapi.Check{})
 	run(t, now, time.Second, b)
 	if _, holds := b.candidate.Holds(*now); !holds {
 		t.Error("the lease was not free")
@@ -126,13 +126,13 @@
 	run(t, now, 2*time.Second, a, b)
 	check := a.candidate.Check()
 	run(t, now, 5*time.Second, a, b)
-	write := platform.Transaction{Checks: []platform.Check{check}, Puts: []platform.Put{{Key: "decision"}}}
+	write := storeapi.Transaction{Checks: []storeapi.Check{check}, Puts: []storeapi.Put{{Key: "decision"}}}
 	if _, err := store.Commit(coretest.Cancelled(), write); err != nil {
 		t.Fatalf("the owner's fenced write failed after renewals: %v", err)
 	}
 	a.paused = true
 	run(t, now, 5*time.Second, b)
-	if _, err := store.Commit(coretest.Cancelled(), write); platform.ResultOf(err) != platform.ResultConflict {
+	if _, err := store.Commit(coretest.Cancelled(), write); storeapi.ResultOf(err) != storeapi.ResultConflict {
 		t.Errorf("the deposed owner's write: got %v, want a conflict", err)
 	}
 }
@@ -190,7 +190,7 @@
 			name: "deposed by another writer of the row",
 			fault: func(s *standin.Store, _, _ *host) {
 				lease := Lease{Owner: "c", Incarnation: 9, Epoch: 7, Write: 1}
-				_, _ = s.Commit(coretest.Cancelled(), platform.Transaction{Puts: []platform.Put{{Key: RowKey("r"), Value: EncodeLease(lease)}}})
+				_, _ = s.Commit(coretest.Cancelled(), storeapi.Transaction{Puts: []storeapi.Put{{Key: RowKey("r"), Value: EncodeLease(lease)}}})
 			},
 			heal:   func(_ *standin.Store, _, _ *host) {},
 			during: time.Second, after: 10 * time.Second, lost: []LossReason{LossDeposed}, holder: "any", maxEpoch: 8,
@@ -198,7 +198,7 @@
 		{
 			name: "row overwritten with what is no lease",
 			fault: func(s *standin.Store, _, _ *host) {
-				_, _ = s.Commit(coretest.Cancelled(), platform.Transaction{Puts: []platform.Put{{Key: RowKey("r"), Value: []byte("{")}}})
+				_, _ = s.Commit(coretest.Cancelled(), storeapi.Transaction{Puts: []storeapi.Put{{Key: RowKey("r"), Value: []byte("{")}}})
 			},
 			heal:   func(_ *standin.Store, _, _ *host) {},
 			during: time.Second, after: 10 * time.Second, lost: []LossReason{LossDeposed}, holder: "any", maxEpoch: 2,
@@ -286,8 +286,8 @@
 		if h.candidate.epochVersion == 0 || h == latest {
 			continue
 		}
-		write := platform.Transaction{Checks: []platform.Check{h.candidate.Check()}, Puts: []platform.Put{{Key: "decision"}}}
-		if _, err := store.Commit(coretest.Cancelled(), write); platform.ResultOf(err) != platform.ResultConflict {
+		write := storeapi.Transaction{Checks: []storeapi.Check{h.candidate.Check()}, Puts: []storeapi.Put{{Key: "decision"}}}
+		if _, err := store.Commit(coretest.Cancelled(), write); storeapi.ResultOf(err) != storeapi.ResultConflict {
 			t.Fatalf("a write under epoch %d passed although epoch %d began", h.candidate.epoch, latest.candidate.epoch)
 		}
 	}
@@ -336,7 +336,7 @@
 	f.Add([]byte(`{"owner":"a"}`))
 	f.Add([]byte(`{`))
 	f.Fuzz(func(t *testing.T, value []byte) {
-		lease, err := DecodeLease(platform.Row{Key: "k", Value: value, Version: 1})
+		lease, err := DecodeLease(storeapi.Row{Key: "k", Value: value, Version: 1})
 		if err == nil && (lease.Owner == "" || lease.Epoch == 0) {
 			t.Errorf("accepted %+v", lease)
 		}
--- a/internal/ownership/codec.go
+++ b/internal/ownership/codec.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // ErrMalformed means that a lease row does not hold a lease.
@@ -22,7 +22,7 @@
 
 // DecodeLease returns the lease of a row, or a zero lease for a row that does
 // not exist.
-func DecodeLease(row platform.Row) (Lease, error) {
+func DecodeLease(row storeapi.Row) (Lease, error) {
 	if row.Version == 0 {
 		return Lease{}, nil
 	}
--- a/internal/ownership/harness_test.go
+++ b/internal/ownership/harness_test.go
@@ -8,8 +8,8 @@
 
 	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/storeapi"
 )
 
 // host drives one candidate against a store, with the answers done at once.
@@ -65,15 +65,15 @@
 
 func (h *host) read(a ReadRow) RowRead {
 	row, err := h.store.Get(coretest.Cancelled(), a.Key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storeapi.ErrNotFound) {
 		err = nil
 	}
-	return RowRead{Call: a.Call, Result: platform.ResultOf(err), Row: row}
+	return RowRead{Call: a.Call, Result: storeapi.ResultOf(err), Row: row}
 }
 
 func (h *host) commit(a CommitRow) RowCommitted {
 	versions, err := h.store.Commit(coretest.Cancelled(), a.Transaction)
-	return RowCommitted{Call: a.Call, Result: platform.ResultOf(err), Versions: versions}
+	return RowCommitted{Call: a.Call, Result: storeapi.ResultOf(err), Versions: versions}
 }
 
 // lost returns the reasons for which the candidate lost leases.
--- a/internal/ownership/types.go
+++ b/internal/ownership/types.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"dragonflyyard/internal/model"
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // Limits are the times of a lease.
@@ -75,16 +75,16 @@
 // RowRead is the result of ReadRow. A row with version zero does not exist.
 type RowRead struct {
 	Call   uint64
-	Result platform.Result
-	Row    platform.Row
+	Result storeapi.Result
+	Row    storeapi.Row
 }
 
 // RowCommitted is the result of CommitRow. Versions are those that the table
-// service gave for the transaction's puts; they are set for platform.ResultOK.
+// service gave for the transaction's puts; they are set for storeapi.ResultOK.
 type RowCommitted struct {
 	Call     uint64
-	Result   platform.Result
-	Versions []platform.RowVersion
+	Result   storeapi.Result
+	Versions []storeapi.RowVersion
 }
 
 // Stop tells the candidate that its process is stopping: it hands the lease over.
@@ -108,7 +108,7 @@
 // CommitRow asks for a transaction; the answer is RowCommitted.
 type CommitRow struct {
 	Call        uint64
-	Transaction platform.Transaction
+	Transaction storeapi.Transaction
 }
 
 // Acquired tells that the candidate is now the owner, until ValidUntil at first.
--- a/internal/permit/owners_test.go
+++ b/internal/permit/owners_test.go
@@ -10,7 +10,7 @@
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ownership"
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // ownerHold is how long an owner whose lease lapsed acts after the roster's
@@ -44,21 +44,21 @@
 		case ownership.ReadRow:
 			w.call(e, false, func() func(error) {
 				row, err := w.store.Get(context.Background(), a.Key)
-				if errors.Is(err, platform.ErrNotFound) {
-					row = platform.Row{Key: a.Key}
+				if errors.Is(err, storeapi.ErrNotFound) {
+					row = storeapi.Row{Key: a.Key}
 				}
 				return func(error) {
-					e.ownerStep(ownership.RowRead{Call: a.Call, Result: platform.ResultOK, Row: row})
+					e.ownerStep(ownership.RowRead{Call: a.Call, Result: storeapi.ResultOK, Row: row})
 				}
-			}, func(error) { e.ownerStep(ownership.RowRead{Call: a.Call, Result: platform.ResultUnavailable}) })
+			}, func(error) { e.ownerStep(ownership.RowRead{Call: a.Call, Result: storeapi.ResultUnavailable}) })
 		case ownership.CommitRow:
 			w.call(e, true, func() func(error) {
 				versions, err := w.store.Commit(context.Background(), a.Transaction)
 				return func(error) {
-					e.ownerStep(ownership.RowCommitted{Call: a.Call, Result: platform.ResultOf(err), Versions: versions})
+					e.ownerStep(ownership.RowCommitted{Call: a.Call, Result: storeapi.ResultOf(err), Versions: versions})
 				}
 			}, func(err error) {
-				e.ownerStep(ownership.RowCommitted{Call: a.Call, Result: platform.ResultOf(err)})
+				e.ownerStep(ownership.RowCommitted{Call: a.Call, Result: storeapi.ResultOf(err)})
 			})
 		default:
 			e.takeOwnership(action)
--- a/internal/permit/processes_test.go
+++ b/internal/permit/processes_test.go
@@ -10,7 +10,7 @@
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ownership"
 	"dragonflyyard/internal/permit"
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/wire"
 )
 
@@ -125,13 +125,13 @@
 	case configstore.ListRows:
 		e.read(func() configstore.Input {
 			rows, _ := w.store.List(ctx, a.Prefix, a.After, a.Limit)
-			return configstore.RowsListed{Call: a.Call, Result: platform.ResultOK, Rows: rows}
-		}, configstore.RowsListed{Call: a.Call, Result: platform.ResultUnavailable})
+			return configstore.RowsListed{Call: a.Call, Result: storeapi.ResultOK, Rows: rows}
+		}, configstore.RowsListed{Call: a.Call, Result: storeapi.ResultUnavailable})
 	case configstore.ReadRow:
 		e.read(func() configstore.Input {
 			row, err := w.store.Get(ctx, a.Key)
-			return configstore.RowRead{Call: a.Call, Result: platform.ResultOf(err), Row: row}
-		}, configstore.RowRead{Call: a.Call, Result: platform.ResultUnavailable})
+			return configstore.RowRead{Call: a.Call, Result: storeapi.ResultOf(err), Row: row}
+		}, configstore.RowRead{Call: a.Call, Result: storeapi.ResultUnavailable})
 	case configstore.Commit:
 		w.call(e, true, func() func(error) {
 			versions, err := w.store.Commit(ctx, a.Transaction)
@@ -139,13 +139,13 @@
 				w.recordCommit(a.Transaction, versions)
 			}
 			return func(error) {
-				e.configStep(configstore.Committed{Call: a.Call, Result: platform.ResultOf(err), Versions: versions})
+				e.configStep(configstore.Committed{Call: a.Call, Result: storeapi.ResultOf(err), Versions: versions})
 			}
-		}, func(err error) { e.configStep(configstore.Committed{Call: a.Call, Result: platform.ResultOf(err)}) })
+		}, func(err error) { e.configStep(configstore.Committed{Call: a.Call, Result: storeapi.ResultOf(err)}) })
 	case configstore.ReadObject:
-		e.configStep(configstore.ObjectRead{Call: a.Call, Result: platform.ResultUnavailable})
+		e.configStep(configstore.ObjectRead{Call: a.Call, Result: storeapi.ResultUnavailable})
 	case configstore.WriteObject:
-		e.configStep(configstore.ObjectWritten{Call: a.Call, Result: platform.ResultUnavailable})
+		e.configStep(configstore.ObjectWritten{Call: a.Call, Result: storeapi.ResultUnavailable})
 	}
 }
 
@@ -185,21 +185,21 @@
 		w.call(e, false, func() func(error) {
 			rows, _ := w.store.List(ctx, membership.RosterPrefix, "", 1000)
 			return func(error) {
-				e.rosterStep(membership.RosterListed{Call: a.Call, Result: platform.ResultOK, Rows: rows})
+				e.rosterStep(membership.RosterListed{Call: a.Call, Result: storeapi.ResultOK, Rows: rows})
 			}
 		}, func(error) {
-			e.rosterStep(membership.RosterListed{Call: a.Call, Result: platform.ResultUnavailable})
+			e.rosterStep(membership.RosterListed{Call: a.Call, Result: storeapi.ResultUnavailable})
 		})
 	case membership.CommitRoster:
 		w.call(e, true, func() func(error) {
 			versions, err := w.store.Commit(ctx, a.Transaction)
 			return func(error) {
 				e.rosterStep(membership.RosterCommitted{
-					Call: a.Call, Result: platform.ResultOf(err), Versions: versions,
+					Call: a.Call, Result: storeapi.ResultOf(err), Versions: versions,
 				})
 			}
 		}, func(err error) {
-			e.rosterStep(membership.RosterCommitted{Call: a.Call, Result: platform.ResultOf(err)})
+			e.rosterStep(membership.RosterCommitted{Call: a.Call, Result: storeapi.ResultOf(err)})
 		})
 	}
 }
--- a/internal/permit/world_test.go
+++ b/internal/permit/world_test.go
@@ -9,9 +9,9 @@
 	"dragonflyyard/internal/membership"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/permit"
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/simclock"
 	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/storeapi"
 )
 
 // Times of the seeded test.
@@ -145,14 +145,14 @@
 			}
 		})
 	}
-	giveUp := platform.ErrUnavailable
+	giveUp := storeapi.ErrUnavailable
 	if write {
-		giveUp = platform.ErrInDoubt
+		giveUp = storeapi.ErrInDoubt
 	}
 	w.after(callTimeout, func() { reply(giveUp) })
 	w.send(e.name(), "store", func() {
 		if w.storeDown {
-			w.send("store", e.name(), func() { reply(platform.ErrUnavailable) })
+			w.send("store", e.name(), func() { reply(storeapi.ErrUnavailable) })
 			return
 		}
 		perform := func() {
@@ -187,9 +187,9 @@
 }
 
 // recordCommit notes when a zone's state took effect in the table service.
-func (w *world) recordCommit(tx platform.Transaction, versions []platform.RowVersion) {
+func (w *world) recordCommit(tx storeapi.Transaction, versions []storeapi.RowVersion) {
 	for i, put := range tx.Puts {
-		change, err := configstore.DecodeChange(platform.Row{Key: put.Key, Value: put.Value, Version: versions[i]})
+		change, err := configstore.DecodeChange(storeapi.Row{Key: put.Key, Value: put.Value, Version: versions[i]})
 		if err == nil && change.Zone != "" {
 			w.landed = append(w.landed, landedChange{version: change.Version, at: w.clock.Now(), state: change.Zone})
 		}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // Paths of the store's HTTP interface. PathObjects is followed by the key.
@@ -34,7 +34,7 @@
 
 // CommitRequest is the body of POST PathCommit.
 type CommitRequest struct {
-	Transactions []platform.Transaction `json:"transactions"`
+	Transactions []storeapi.Transaction `json:"transactions"`
 }
 
 // CommitResponse is the answer to POST PathCommit, in the order of the request.
@@ -44,7 +44,7 @@
 
 // RowsResponse is the answer to GET PathRows.
 type RowsResponse struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []storeapi.Row `json:"rows"`
 }
 
 // FaultsRequest is the body of POST PathFaults.
@@ -159,9 +159,9 @@
 // All else closes the connection without an answer.
 func answerError(ctx *fasthttp.RequestCtx, err error) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, storeapi.ErrNotFound):
 		ctx.Error(err.Error(), fasthttp.StatusNotFound)
-	case errors.Is(err, errDown), errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, errDown), errors.Is(err, storeapi.ErrUnavailable):
 		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
 	default:
 		ctx.HijackSetNoResponse(true)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -14,17 +14,17 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // Store is an in-memory table service and object store. It implements
-// platform.Table and platform.ObjectStore in process, and serves both over
+// storeapi.Table and storeapi.ObjectStore in process, and serves both over
 // HTTP with Handle. It is safe for concurrent use.
 type Store struct {
 	mu       sync.Mutex
 	now      func() time.Time
-	revision platform.RowVersion
-	rows     map[string]platform.Row
+	revision storeapi.RowVersion
+	rows     map[string]storeapi.Row
 	objects  map[string][]byte
 	// tableGate and objectGate apply the fault switches of the two services.
 	tableGate  *gate
@@ -36,7 +36,7 @@
 
 // Result is the result of one transaction of a batch.
 type Result struct {
-	Versions []platform.RowVersion `json:"versions,omitempty"`
+	Versions []storeapi.RowVersion `json:"versions,omitempty"`
 	Conflict bool                  `json:"conflict,omitempty"`
 }
 
@@ -48,7 +48,7 @@
 func NewStore(now func() time.Time) *Store {
 	return &Store{
 		now:        now,
-		rows:       map[string]platform.Row{},
+		rows:       map[string]storeapi.Row{},
 		objects:    map[string][]byte{},
 		tableGate:  newGate(),
 		objectGate: newGate(),
@@ -58,30 +58,30 @@
 	}
 }
 
-// Get implements platform.Table.
-func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storeapi.Table.
+func (s *Store) Get(ctx context.Context, key string) (storeapi.Row, error) {
 	s.count(s.reads, 1)
 	if err := s.tableGate.enter(ctx); err != nil {
-		return platform.Row{}, readError(err)
+		return storeapi.Row{}, readError(err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	row, ok := s.rows[key]
 	if !ok {
-		return platform.Row{}, errors.Wrapf(platform.ErrNotFound, "row %q", key)
+		return storeapi.Row{}, errors.Wrapf(storeapi.ErrNotFound, "row %q", key)
 	}
 	return row, nil
 }
 
-// List implements platform.Table.
-func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements storeapi.Table.
+func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]storeapi.Row, error) {
 	s.count(s.reads, 1)
 	if err := s.tableGate.enter(ctx); err != nil {
 		return nil, readError(err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var rows []platform.Row
+	var rows []storeapi.Row
 	for key, row := range s.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			rows = append(rows, row)
@@ -91,14 +91,14 @@
 	return rows[:min(len(rows), max(limit, 0))], nil
 }
 
-// Commit implements platform.Table.
-func (s *Store) Commit(ctx context.Context, tx platform.Transaction) ([]platform.RowVersion, error) {
-	results, err := s.CommitBatch(ctx, []platform.Transaction{tx})
+// Commit implements storeapi.Table.
+func (s *Store) Commit(ctx context.Context, tx storeapi.Transaction) ([]storeapi.RowVersion, error) {
+	results, err := s.CommitBatch(ctx, []storeapi.Transaction{tx})
 	if err != nil {
 		return nil, writeError(err)
 	}
 	if results[0].Conflict {
-		return nil, errors.Wrap(platform.ErrConflict, "check failed")
+		return nil, errors.Wrap(storeapi.ErrConflict, "check failed")
 	}
 	return results[0].Versions, nil
 }
@@ -106,7 +106,7 @@
 // CommitBatch applies independent transactions in order. A failed check fails
 // only its own transaction. A frozen store keeps the batch and applies it when
 // it wakes, also when the caller has given up.
-func (s *Store) CommitBatch(ctx context.Context, batch []platform.Transaction) ([]Result, error) {
+func (s *Store) CommitBatch(ctx context.Context, batch []storeapi.Transaction) ([]Result, error) {
 	s.count(s.writes, len(batch))
 	s.count(s.writeCalls, 1)
 	var results []Result
@@ -114,7 +114,7 @@
 	return results, err
 }
 
-// PutObject implements platform.ObjectStore.
+// PutObject implements storeapi.ObjectStore.
 func (s *Store) PutObject(ctx context.Context, key string, value []byte) error {
 	s.count(s.writes, 1)
 	s.count(s.writeCalls, 1)
@@ -127,7 +127,7 @@
 	return writeError(err)
 }
 
-// GetObject implements platform.ObjectStore.
+// GetObject implements storeapi.ObjectStore.
 func (s *Store) GetObject(ctx context.Context, key string) ([]byte, error) {
 	s.count(s.reads, 1)
 	if err := s.objectGate.enter(ctx); err != nil {
@@ -137,12 +137,12 @@
 	defer s.mu.Unlock()
 	value, ok := s.objects[key]
 	if !ok {
-		return nil, errors.Wrapf(platform.ErrNotFound, "object %q", key)
+		return nil, errors.Wrapf(storeapi.ErrNotFound, "object %q", key)
 	}
 	return append([]byte(nil), value...), nil
 }
 
-func (s *Store) applyAll(batch []platform.Transaction) []Result {
+func (s *Store) applyAll(batch []storeapi.Transaction) []Result {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	results := make([]Result, 0, len(batch))
@@ -154,17 +154,17 @@
 
 // apply runs one transaction. Row versions come from one counter over all
 // rows, so a row that was deleted and made again never has an old version.
-func (s *Store) apply(tx platform.Transaction) Result {
+func (s *Store) apply(tx storeapi.Transaction) Result {
 	for _, check := range tx.Checks {
 		if s.rows[check.Key].Version != check.Version {
 			return Result{Conflict: true}
 		}
 	}
-	var versions []platform.RowVersion
+	var versions []storeapi.RowVersion
 	for _, put := range tx.Puts {
 		s.revision++
 		value := append([]byte(nil), put.Value...)
-		s.rows[put.Key] = platform.Row{Key: put.Key, Value: value, Version: s.revision}
+		s.rows[put.Key] = storeapi.Row{Key: put.Key, Value: value, Version: s.revision}
 		versions = append(versions, s.revision)
 	}
 	for _, key := range tx.Deletes {
@@ -181,7 +181,7 @@
 
 // readError returns the error of a read that did not get through.
 func readError(err error) error {
-	return errors.Wrapf(platform.ErrUnavailable, "%v", err)
+	return errors.Wrapf(storeapi.ErrUnavailable, "%v", err)
 }
 
 // writeError tells a refused write, which changed nothing, from a write whose
@@ -191,8 +191,8 @@
 	case err == nil:
 		return nil
 	case errors.Is(err, errDown):
-		return errors.Wrapf(platform.ErrUnavailable, "%v", err)
+		return errors.Wrapf(storeapi.ErrUnavailable, "%v", err)
 	default:
-		return errors.Wrapf(platform.ErrInDoubt, "%v", err)
+		return errors.Wrapf(storeapi.ErrInDoubt, "%v", err)
 	}
 }
--- a/internal/standin/store_test.go
+++ b/internal/standin/store_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 func TestFrozenStoreAppliesHeldWritesWhenItWakes(t *testing.T) {
@@ -15,8 +15,8 @@
 	store.SetFaults(ServiceTable, Faults{Freeze: true})
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	tx := platform.Transaction{Puts: []platform.Put{{Key: "k", Value: []byte("v")}}}
-	if _, err := store.Commit(ctx, tx); !errors.Is(err, platform.ErrInDoubt) {
+	tx := storeapi.Transaction{Puts: []storeapi.Put{{Key: "k", Value: []byte("v")}}}
+	if _, err := store.Commit(ctx, tx); !errors.Is(err, storeapi.ErrInDoubt) {
 		t.Fatalf("got %v, want in doubt", err)
 	}
 	store.SetFaults(ServiceTable, Faults{})
--- a/internal/platform/result_test.go
+++ b/internal/storeapi/result_test.go
@@ -1,4 +1,4 @@
-package platform
+package storeapi
 
 import (
 	"testing"
--- a/internal/platform/platform.go
+++ b/internal/storeapi/storeapi.go
@@ -1,7 +1,7 @@
-// Package platform defines the two services of the platform that hold all
+// Package storeapi defines the two services of the platform that hold all
 // lasting state: a transactional table service and an object store. The
 // interfaces are kept small, so that fakes and stand-ins can take their place.
-package platform
+package storeapi
 
 import (
 	"context"
--- a/internal/tablestore/client.go
+++ b/internal/tablestore/client.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/ring"
+	"dragonflyyard/internal/storeapi"
 )
 
 // Paths of the two services.
@@ -22,8 +22,8 @@
 	pathObjects = "/objects/"
 )
 
-// Client is the client of both services. It implements platform.Table and
-// platform.ObjectStore and is safe for concurrent use.
+// Client is the client of both services. It implements storeapi.Table and
+// storeapi.ObjectStore and is safe for concurrent use.
 type Client struct {
 	options Options
 	http    *transport
@@ -108,17 +108,17 @@
 	return c.table.State(), c.objects.State()
 }
 
-// Get implements platform.Table.
-func (c *Client) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storeapi.Table.
+func (c *Client) Get(ctx context.Context, key string) (storeapi.Row, error) {
 	body, err := c.read(ctx, c.table, c.options.TableURL+pathRow+"?key="+url.QueryEscape(key))
 	if err != nil {
-		return platform.Row{}, err
+		return storeapi.Row{}, err
 	}
 	return decodeRow(body, key)
 }
 
-// List implements platform.Table.
-func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements storeapi.Table.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]storeapi.Row, error) {
 	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
 	body, err := c.read(ctx, c.table, c.options.TableURL+pathRows+"?"+query.Encode())
 	if err != nil {
@@ -127,12 +127,12 @@
 	return decodeRows(body, prefix, after, limit)
 }
 
-// GetObject implements platform.ObjectStore.
+// GetObject implements storeapi.ObjectStore.
 func (c *Client) GetObject(ctx context.Context, key string) ([]byte, error) {
 	return c.read(ctx, c.objects, c.objectURL(key))
 }
 
-// PutObject implements platform.ObjectStore. Objects are immutable, so a put
+// PutObject implements storeapi.ObjectStore. Objects are immutable, so a put
 // in doubt is made again.
 func (c *Client) PutObject(ctx context.Context, key string, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
@@ -144,11 +144,11 @@
 			_, err := c.http.do(methodPut, c.objectURL(key), value)
 			return err
 		})
-		inDoubt = inDoubt || errors.Is(err, platform.ErrInDoubt)
+		inDoubt = inDoubt || errors.Is(err, storeapi.ErrInDoubt)
 		return err
 	})
 	if err != nil && inDoubt {
-		return errors.Wrapf(platform.ErrInDoubt, "put object %q: %v", key, err)
+		return errors.Wrapf(storeapi.ErrInDoubt, "put object %q: %v", key, err)
 	}
 	return err
 }
@@ -170,7 +170,7 @@
 	case result := <-waiter:
 		return result.body, result.err
 	case <-ctx.Done():
-		return nil, errors.Wrapf(platform.ErrUnavailable, "read given up: %v", ctx.Err())
+		return nil, errors.Wrapf(storeapi.ErrUnavailable, "read given up: %v", ctx.Err())
 	}
 }
 
@@ -202,8 +202,8 @@
 			return err
 		})
 	})
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		err = errors.Wrapf(platform.ErrUnavailable, "read: %v", err)
+	if err != nil && !errors.Is(err, storeapi.ErrNotFound) {
+		err = errors.Wrapf(storeapi.ErrUnavailable, "read: %v", err)
 	}
 	return readResult{body: body, err: err}
 }
@@ -216,7 +216,7 @@
 	c.mu.Unlock()
 	for tries := 1; ; tries++ {
 		err := operation()
-		if err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, errRefused) {
+		if err == nil || errors.Is(err, storeapi.ErrNotFound) || errors.Is(err, errRefused) {
 			return err
 		}
 		c.mu.Lock()
@@ -235,7 +235,7 @@
 // refuse counts and returns the error of a call that the client did not make.
 func (c *Client) refuse(format string, args ...any) error {
 	c.count.refused.Inc(1)
-	err := errors.Wrapf(platform.ErrUnavailable, format, args...)
+	err := errors.Wrapf(storeapi.ErrUnavailable, format, args...)
 	return errors.Mark(err, errRefused)
 }
 
@@ -254,7 +254,7 @@
 func (c *Client) report(breaker *Breaker, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err == nil || errors.Is(err, platform.ErrNotFound) {
+	if err == nil || errors.Is(err, storeapi.ErrNotFound) {
 		breaker.Success()
 		return
 	}
--- a/internal/tablestore/client_test.go
+++ b/internal/tablestore/client_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/storeapi"
 )
 
 // together runs count calls at the same time.
@@ -89,10 +89,10 @@
 	_ = listener.Close()
 	client := New(DefaultOptions(address, address))
 	defer client.Close()
-	if _, err := client.Commit(context.Background(), put("k", "v")); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := client.Commit(context.Background(), put("k", "v")); !errors.Is(err, storeapi.ErrUnavailable) {
 		t.Errorf("commit: %v", err)
 	}
-	if err := client.PutObject(context.Background(), "k", nil); !errors.Is(err, platform.ErrUnavailable) {
+	if err := client.PutObject(context.Background(), "k", nil); !errors.Is(err, storeapi.ErrUnavailable) {
 		t.Errorf("put object: %v", err)
 	}
 }
@@ -109,7 +109,7 @@
 	client.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), brief)
 	defer cancel()
-	if _, err := client.Commit(ctx, put("k", "v")); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := client.Commit(ctx, put("k", "v")); !errors.Is(err, storeapi.ErrUnavailable) {
 		t.Errorf("got %v, want unavailable", err)
 	}
 	if got := store.Stats().Writes.Total; got != 0 {
@@ -122,7 +122,7 @@
 	client := newTestClient(t, store, generous)
 	store.SetFaults(standin.ServiceTable, standin.Faults{Down: true})
 	for range 200 {
-		if _, err := client.Get(context.Background(), "k"); !errors.Is(err, platform.ErrUnavailable) {
+		if _, err := client.Get(context.Background(), "k"); !errors.Is(err, storeapi.ErrUnavailable) {
 			t.Fatalf("got %v, want unavailable", err)
 		}
 	}
@@ -132,7 +132,7 @@
 	store.SetFaults(standin.ServiceTable, standin.Faults{})
 	for deadline := time.Now().Add(generous); ; time.Sleep(10 * time.Millisecond) {
 		_, err := client.Get(context.Background(), "k")
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, storeapi.ErrNotFound) {
 			return
 		}
 		if time.Now().After(deadline) {
@@ -193,7 +193,7 @@
 	f.Add([]byte(`{"results":[]}`))
 	f.Add([]byte(`{"results":null`))
 	f.Fuzz(func(t *testing.T, reply []byte) {
-		batch := []*queuedCommit{{tx: platform.Transaction{Puts: []platform.Put{{Key: "a"}, {Key: "b"}}}}}
+		batch := []*queuedCommit{{tx: storeapi.Transaction{Puts: []storeapi.Put{{Key: "a"}, {Key: "b"}}}}}
 		var answer commitAnswer
 		if err := decodeCommit(reply, batch, &answer); err != nil {
 			return
--- a/internal/tablestore/commit.go
+++ b/internal/tablestore/commit.go
@@ -8,12 +8,12 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // queuedCommit is a transaction that waits for a commit call.
 type queuedCommit struct {
-	tx platform.Transaction
+	tx storeapi.Transaction
 	// claimed is set by whoever decides first: the duty that sends the
 	// transaction, or the caller who gives up.
 	claimed atomic.Bool
@@ -21,28 +21,28 @@
 }
 
 type commitResult struct {
-	versions []platform.RowVersion
+	versions []storeapi.RowVersion
 	err      error
 }
 
 // commitAnswer is the body of the answer to a commit call.
 type commitAnswer struct {
 	Results []struct {
-		Versions []platform.RowVersion `json:"versions"`
+		Versions []storeapi.RowVersion `json:"versions"`
 		Conflict bool                  `json:"conflict"`
 	} `json:"results"`
 }
 
-// Commit implements platform.Table. A transaction that was certainly not taken
+// Commit implements storeapi.Table. A transaction that was certainly not taken
 // is tried again; one in doubt is not, as only its caller can resolve it.
-func (c *Client) Commit(ctx context.Context, tx platform.Transaction) ([]platform.RowVersion, error) {
+func (c *Client) Commit(ctx context.Context, tx storeapi.Transaction) ([]storeapi.RowVersion, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
 	defer cancel()
-	var versions []platform.RowVersion
+	var versions []storeapi.RowVersion
 	var final error
 	err := c.retry(ctx, func() error {
 		versions, final = c.commitOnce(ctx, tx)
-		if errors.Is(final, platform.ErrConflict) || errors.Is(final, platform.ErrInDoubt) {
+		if errors.Is(final, storeapi.ErrConflict) || errors.Is(final, storeapi.ErrInDoubt) {
 			return nil
 		}
 		return final
@@ -54,7 +54,7 @@
 }
 
 // commitOnce queues a transaction and waits for its result.
-func (c *Client) commitOnce(ctx context.Context, tx platform.Transaction) ([]platform.RowVersion, error) {
+func (c *Client) commitOnce(ctx context.Context, tx storeapi.Transaction) ([]storeapi.RowVersion, error) {
 	q := &queuedCommit{tx: tx, done: make(chan commitResult, 1)}
 	if !c.queue.TryPush(q) {
 		return nil, c.refuse("%d transactions wait", c.options.MaxQueued)
@@ -169,7 +169,7 @@
 			c.countDoubt(err)
 			q.done <- commitResult{err: err}
 		case answer.Results[i].Conflict:
-			q.done <- commitResult{err: errors.Wrap(platform.ErrConflict, "check failed")}
+			q.done <- commitResult{err: errors.Wrap(storeapi.ErrConflict, "check failed")}
 		default:
 			q.done <- commitResult{versions: answer.Results[i].Versions}
 		}
@@ -177,7 +177,7 @@
 }
 
 func (c *Client) countDoubt(err error) {
-	if errors.Is(err, platform.ErrInDoubt) {
+	if errors.Is(err, storeapi.ErrInDoubt) {
 		c.count.inDoubt.Inc(1)
 	}
 }
@@ -186,7 +186,7 @@
 // all of it in doubt.
 func (c *Client) sendBatch(batch []*queuedCommit) (commitAnswer, error) {
 	request := struct {
-		Transactions []platform.Transaction `json:"transactions"`
+		Transactions []storeapi.Transaction `json:"transactions"`
 	}{}
 	for _, q := range batch {
 		request.Transactions = append(request.Transactions, q.tx)
@@ -194,14 +194,14 @@
 	var answer commitAnswer
 	body, err := json.Marshal(request)
 	if err != nil {
-		return answer, errors.Wrapf(platform.ErrUnavailable, "encode transaction: %v", err)
+		return answer, errors.Wrapf(storeapi.ErrUnavailable, "encode transaction: %v", err)
 	}
 	reply, err := c.http.do(methodPost, c.options.TableURL+pathCommit, body)
 	if err != nil {
 		return answer, err
 	}
 	if err := decodeCommit(reply, batch, &answer); err != nil {
-		return answer, errors.Wrapf(platform.ErrInDoubt, "malformed answer: %v", err)
+		return answer, errors.Wrapf(storeapi.ErrInDoubt, "malformed answer: %v", err)
 	}
 	return answer, nil
 }
--- a/internal/tablestore/contract_test.go
+++ b/internal/tablestore/contract_test.go
@@ -12,8 +12,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"dragonflyyard/internal/platform"
 	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/storeapi"
 )
 
 // generous bounds calls that are expected to be answered.
@@ -24,8 +24,8 @@
 
 // service is an implementation under test, with the store behind it.
 type service struct {
-	platform.Table
-	platform.ObjectStore
+	storeapi.Table
+	storeapi.ObjectStore
 	store *standin.Store
 }
 
@@ -88,14 +88,14 @@
 	return generous
 }
 
-func put(key, value string, checks ...platform.Check) platform.Transaction {
-	return platform.Transaction{Checks: checks, Puts: []platform.Put{{Key: key, Value: []byte(value)}}}
+func put(key, value string, checks ...storeapi.Check) storeapi.Transaction {
+	return storeapi.Transaction{Checks: checks, Puts: []storeapi.Put{{Key: key, Value: []byte(value)}}}
 }
 
-func commit(t *testing.T, s service, tx platform.Transaction, want error) []platform.RowVersion {
+func commit(t *testing.T, s service, tx storeapi.Transaction, want error) []storeapi.RowVersion {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), generous)
-	if want != nil && !errors.Is(want, platform.ErrConflict) {
+	if want != nil && !errors.Is(want, storeapi.ErrConflict) {
 		cancel()
 		ctx, cancel = context.WithTimeout(context.Background(), 4*brief)
 	}
@@ -107,7 +107,7 @@
 	return versions
 }
 
-func mustGet(t *testing.T, s service, key, value string) platform.Row {
+func mustGet(t *testing.T, s service, key, value string) storeapi.Row {
 	t.Helper()
 	row, err := s.Get(context.Background(), key)
 	if err != nil || string(row.Value) != value || row.Key != key {
@@ -119,7 +119,7 @@
 func wantReadError(t *testing.T, s service, key string, want error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), generous)
-	if errors.Is(want, platform.ErrUnavailable) {
+	if errors.Is(want, storeapi.ErrUnavailable) {
 		cancel()
 		ctx, cancel = context.WithTimeout(context.Background(), 4*brief)
 	}
@@ -158,7 +158,7 @@
 
 func tableCases() []contractCase {
 	return []contractCase{
-		{name: "absent row", run: func(t *testing.T, s service) { wantReadError(t, s, "k", platform.ErrNotFound) }},
+		{name: "absent row", run: func(t *testing.T, s service) { wantReadError(t, s, "k", storeapi.ErrNotFound) }},
 		{name: "put and get", run: func(t *testing.T, s service) {
 			versions := commit(t, s, put("k", "v"), nil)
 			if row := mustGet(t, s, "k", "v"); row.Version != versions[0] {
@@ -172,26 +172,26 @@
 			}
 		}},
 		{name: "check of absence", run: func(t *testing.T, s service) {
-			commit(t, s, put("k", "v", platform.Check{Key: "k"}), nil)
-			commit(t, s, put("k", "w", platform.Check{Key: "k"}), platform.ErrConflict)
+			commit(t, s, put("k", "v", storeapi.Check{Key: "k"}), nil)
+			commit(t, s, put("k", "w", storeapi.Check{Key: "k"}), storeapi.ErrConflict)
 			mustGet(t, s, "k", "v")
 		}},
 		{name: "failed check changes nothing", run: func(t *testing.T, s service) {
-			tx := platform.Transaction{
-				Checks:  []platform.Check{{Key: "x", Version: 99}},
-				Puts:    []platform.Put{{Key: "a"}, {Key: "b"}},
+			tx := storeapi.Transaction{
+				Checks:  []storeapi.Check{{Key: "x", Version: 99}},
+				Puts:    []storeapi.Put{{Key: "a"}, {Key: "b"}},
 				Deletes: []string{"k"},
 			}
 			commit(t, s, put("k", "v"), nil)
-			commit(t, s, tx, platform.ErrConflict)
-			wantReadError(t, s, "a", platform.ErrNotFound)
+			commit(t, s, tx, storeapi.ErrConflict)
+			wantReadError(t, s, "a", storeapi.ErrNotFound)
 			mustGet(t, s, "k", "v")
 		}},
 		{name: "row made again has another version", run: func(t *testing.T, s service) {
 			first := commit(t, s, put("k", "v"), nil)
-			commit(t, s, platform.Transaction{Deletes: []string{"k"}}, nil)
+			commit(t, s, storeapi.Transaction{Deletes: []string{"k"}}, nil)
 			commit(t, s, put("k", "v"), nil)
-			commit(t, s, put("k", "w", platform.Check{Key: "k", Version: first[0]}), platform.ErrConflict)
+			commit(t, s, put("k", "w", storeapi.Check{Key: "k", Version: first[0]}), storeapi.ErrConflict)
 		}},
 		{name: "list", run: testList},
 		{name: "racing transactions", run: testRace},
@@ -234,13 +234,13 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			_, err := s.Commit(context.Background(), put(key, fmt.Sprint(i), platform.Check{Key: key}))
+			_, err := s.Commit(context.Background(), put(key, fmt.Sprint(i), storeapi.Check{Key: key}))
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
 			case err == nil:
 				wins[key]++
-			case errors.Is(err, platform.ErrConflict):
+			case errors.Is(err, storeapi.ErrConflict):
 				conflicts++
 			default:
 				t.Errorf("row %s: %v", key, err)
@@ -264,44 +264,44 @@
 			name: "down", table: standin.Faults{Down: true},
 			before: func(t *testing.T, s service) { commit(t, s, put("k", "v"), nil) },
 			run: func(t *testing.T, s service) {
-				commit(t, s, put("k", "w"), platform.ErrUnavailable)
-				wantReadError(t, s, "k", platform.ErrUnavailable)
+				commit(t, s, put("k", "w"), storeapi.ErrUnavailable)
+				wantReadError(t, s, "k", storeapi.ErrUnavailable)
 			},
 			healed: func(t *testing.T, s service) { mustGet(t, s, "k", "v") },
 		},
 		{
 			name: "answer lost after the write took effect", table: standin.Faults{LoseAnswers: 1},
-			run:    func(t *testing.T, s service) { commit(t, s, put("k", "v"), platform.ErrInDoubt) },
+			run:    func(t *testing.T, s service) { commit(t, s, put("k", "v"), storeapi.ErrInDoubt) },
 			healed: func(t *testing.T, s service) { mustGet(t, s, "k", "v") },
 		},
 		{
 			name: "answer lost, then the same transaction again", table: standin.Faults{LoseAnswers: 1},
 			run: func(t *testing.T, s service) {
-				tx := put("k", "v", platform.Check{Key: "k"})
-				commit(t, s, tx, platform.ErrInDoubt)
-				commit(t, s, tx, platform.ErrConflict)
+				tx := put("k", "v", storeapi.Check{Key: "k"})
+				commit(t, s, tx, storeapi.ErrInDoubt)
+				commit(t, s, tx, storeapi.ErrConflict)
 			},
 		},
 		{
 			name: "frozen: the write takes effect when the service wakes", table: standin.Faults{Freeze: true},
-			run:    func(t *testing.T, s service) { commit(t, s, put("k", "v"), platform.ErrInDoubt) },
+			run:    func(t *testing.T, s service) { commit(t, s, put("k", "v"), storeapi.ErrInDoubt) },
 			healed: func(t *testing.T, s service) { mustGet(t, s, "k", "v") },
 		},
 		{
 			name: "frozen: reads", table: standin.Faults{Freeze: true},
-			run: func(t *testing.T, s service) { wantReadError(t, s, "k", platform.ErrUnavailable) },
+			run: func(t *testing.T, s service) { wantReadError(t, s, "k", storeapi.ErrUnavailable) },
 		},
 		{
 			name: "silent connection: no effect", table: standin.Faults{Silent: true},
 			run: func(t *testing.T, s service) {
-				commit(t, s, put("k", "v"), platform.ErrInDoubt)
-				wantReadError(t, s, "k", platform.ErrUnavailable)
+				commit(t, s, put("k", "v"), storeapi.ErrInDoubt)
+				wantReadError(t, s, "k", storeapi.ErrUnavailable)
 			},
-			healed: func(t *testing.T, s service) { wantReadError(t, s, "k", platform.ErrNotFound) },
+			healed: func(t *testing.T, s service) { wantReadError(t, s, "k", storeapi.ErrNotFound) },
 		},
 		{
 			name: "slower than the deadline", table: standin.Faults{DelayMS: 3000},
-			run: func(t *testing.T, s service) { commit(t, s, put("k", "v"), platform.ErrInDoubt) },
+			run: func(t *testing.T, s service) { commit(t, s, put("k", "v"), storeapi.ErrInDoubt) },
 		},
 		{
 			name: "object store down: the table service goes on", blobs: standin.Faults{Down: true},
@@ -335,13 +335,13 @@
 	return []contractCase{
 		{name: "object put and get", run: func(t *testing.T, s service) { store(t, s); fetch(t, s) }},
 		{name: "object absent", run: func(t *testing.T, s service) {
-			if _, err := s.GetObject(context.Background(), "a"); !errors.Is(err, platform.ErrNotFound) {
+			if _, err := s.GetObject(context.Background(), "a"); !errors.Is(err, storeapi.ErrNotFound) {
 				t.Errorf("got %v", err)
 			}
 		}},
-		{name: "objects down", blobs: standin.Faults{Down: true}, run: fails(platform.ErrUnavailable)},
-		{name: "objects frozen", blobs: standin.Faults{Freeze: true}, run: fails(platform.ErrInDoubt), healed: fetch},
-		{name: "answers of objects lost", blobs: standin.Faults{LoseAnswers: -1}, run: fails(platform.ErrInDoubt), healed: fetch},
+		{name: "objects down", blobs: standin.Faults{Down: true}, run: fails(storeapi.ErrUnavailable)},
+		{name: "objects frozen", blobs: standin.Faults{Freeze: true}, run: fails(storeapi.ErrInDoubt), healed: fetch},
+		{name: "answers of objects lost", blobs: standin.Faults{LoseAnswers: -1}, run: fails(storeapi.ErrInDoubt), healed: fetch},
 		{name: "table service down: objects go on", table: standin.Faults{Down: true},
 			run: func(t *testing.T, s service) { store(t, s); fetch(t, s) }},
 	}
--- a/internal/tablestore/decode.go
+++ b/internal/tablestore/decode.go
@@ -6,32 +6,32 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // decodeRow decodes the answer to a read of one row. It refuses the row of
 // another key and one without a version.
-func decodeRow(body []byte, key string) (platform.Row, error) {
-	var row platform.Row
+func decodeRow(body []byte, key string) (storeapi.Row, error) {
+	var row storeapi.Row
 	if err := json.Unmarshal(body, &row); err != nil {
-		return platform.Row{}, malformed("row %q: %v", key, err)
+		return storeapi.Row{}, malformed("row %q: %v", key, err)
 	}
 	if row.Key != key || row.Version == 0 {
-		return platform.Row{}, malformed("row %q: got %q of version %d", key, row.Key, row.Version)
+		return storeapi.Row{}, malformed("row %q: got %q of version %d", key, row.Key, row.Version)
 	}
 	return row, nil
 }
 
 // decodeRows decodes the answer to a list. It refuses rows that were not asked
 // for, that are out of order and that are more than the limit.
-func decodeRows(body []byte, prefix, after string, limit int) ([]platform.Row, error) {
+func decodeRows(body []byte, prefix, after string, limit int) ([]storeapi.Row, error) {
 	var page struct {
 		Rows json.RawMessage `json:"rows"`
 	}
 	if err := json.Unmarshal(body, &page); err != nil {
 		return nil, malformed("rows %q: %v", prefix, err)
 	}
-	var rows []platform.Row
+	var rows []storeapi.Row
 	if err := json.Unmarshal(page.Rows, &rows); err != nil || len(rows) > max(limit, 0) {
 		return nil, malformed("rows %q: no list of up to %d rows", prefix, limit)
 	}
@@ -45,5 +45,5 @@
 }
 
 func malformed(format string, args ...any) error {
-	return errors.Wrapf(platform.ErrUnavailable, "malformed answer: "+format, args...)
+	return errors.Wrapf(storeapi.ErrUnavailable, "malformed answer: "+format, args...)
 }
--- a/internal/tablestore/decode_test.go
+++ b/internal/tablestore/decode_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 func TestAnswersToReads(t *testing.T) {
@@ -35,7 +35,7 @@
 		if c.list {
 			_, err = decodeRows([]byte(c.body), "p/", "p/a", 2)
 		}
-		if (err == nil) != c.ok || (err != nil && !errors.Is(err, platform.ErrUnavailable)) {
+		if (err == nil) != c.ok || (err != nil && !errors.Is(err, storeapi.ErrUnavailable)) {
 			t.Errorf("%s: got %v", c.name, err)
 		}
 	}
--- a/internal/tablestore/transport.go
+++ b/internal/tablestore/transport.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"dragonflyyard/internal/platform"
+	"dragonflyyard/internal/storeapi"
 )
 
 // Methods of calls.
@@ -76,9 +76,9 @@
 	var dial *dialError
 	notSent := errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns)
 	if method == methodGet || notSent {
-		return errors.Wrapf(platform.ErrUnavailable, "%v", err)
+		return errors.Wrapf(storeapi.ErrUnavailable, "%v", err)
 	}
-	return errors.Wrapf(platform.ErrInDoubt, "%v", err)
+	return errors.Wrapf(storeapi.ErrInDoubt, "%v", err)
 }
 
 func statusError(method string, status int, body []byte) error {
@@ -86,10 +86,10 @@
 	case status == fasthttp.StatusOK:
 		return nil
 	case status == fasthttp.StatusNotFound:
-		return errors.Wrapf(platform.ErrNotFound, "%s", body)
+		return errors.Wrapf(storeapi.ErrNotFound, "%s", body)
 	case status == fasthttp.StatusServiceUnavailable, status >= 400 && status < 500, method == methodGet:
-		return errors.Wrapf(platform.ErrUnavailable, "status %d: %s", status, body)
+		return errors.Wrapf(storeapi.ErrUnavailable, "status %d: %s", status, body)
 	default:
-		return errors.Wrapf(platform.ErrInDoubt, "status %d: %s", status, body)
+		return errors.Wrapf(storeapi.ErrInDoubt, "status %d: %s", status, body)
 	}
 }
