--- a/cmd/dragonfly-agent/main.go
+++ b/cmd/dragonfly-agent/main.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"dragonflyyard/internal/agent"
+	"dragonflyyard/internal/deployed"
 	"dragonflyyard/internal/program"
 	"dragonflyyard/internal/settings"
 )
@@ -26,5 +27,5 @@
 			}
 			return p.Run(ctx)
 		},
-	})
+	}, deployed.AgentCommand())
 }
--- a/cmd/dragonfly-entry/main.go
+++ b/cmd/dragonfly-entry/main.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/deployed"
 	"dragonflyyard/internal/entry"
 	"dragonflyyard/internal/program"
 	"dragonflyyard/internal/settings"
@@ -27,5 +28,5 @@
 			}
 			return p.Run(ctx)
 		},
-	})
+	}, deployed.EntryCommand())
 }
--- /dev/null
+++ b/internal/deployed/agent.go
@@ -0,0 +1,41 @@
+package deployed
+
+import (
+	"context"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"dragonflyyard/internal/jobagent"
+	"dragonflyyard/internal/settings"
+	"dragonflyyard/internal/taskrunner"
+	"dragonflyyard/platform"
+)
+
+// RunAgent runs the agent beside a worker until ctx is done. reloadSettings
+// reads the settings anew.
+func RunAgent(ctx context.Context, s settings.DeployedAgent, log *zap.Logger, registry metrics.Registry, reloadSettings func() error) error {
+	log.Info("process_started", zap.String("host", s.Host), zap.String("zone", string(s.Zone)), zap.String("role", "agent"))
+	store := platform.NewStore(s.StoreAddress, registry)
+	agent := jobagent.New(s.Host, taskrunner.DefaultSettings(s.LongestLease), store, platform.NewWorkerCalls(s.WorkerAddress), log, registry)
+	control := platform.NewControlServer(platform.WorkerEvents{
+		Heartbeat: agent.Heartbeat,
+		Left:      agent.Left,
+		Malformed: func(worker string, err error) {
+			log.Warn("heartbeat_malformed", zap.String("worker", worker), zap.Error(err))
+		},
+	})
+	group, ctx := errgroup.WithContext(ctx)
+	if err := serve(ctx, group, control, s.ControlAddress); err != nil {
+		return err
+	}
+	if err := serve(ctx, group, metricsServer(registry), s.MetricsAddress); err != nil {
+		return err
+	}
+	group.Go(func() error { reload(ctx, log, reloadSettings); return nil })
+	group.Go(func() error { return agent.Run(ctx) })
+	err := group.Wait()
+	log.Info("process_stopped", zap.String("host", s.Host), zap.Error(err))
+	return err
+}
--- /dev/null
+++ b/internal/deployed/entry.go
@@ -0,0 +1,78 @@
+package deployed
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"dragonflyyard/internal/jobentry"
+	"dragonflyyard/internal/queueconfig"
+	"dragonflyyard/internal/schedulerhost"
+	"dragonflyyard/internal/settings"
+	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/platform"
+)
+
+// drainShare is the share of the grace after SIGTERM in which callers are still
+// served, while the balancer sends no new connections.
+const drainShare = 0.55
+
+// RunEntry runs an entry host until ctx is done, then stops gracefully.
+// reloadSettings reads the settings anew.
+func RunEntry(ctx context.Context, s settings.DeployedEntry, log *zap.Logger, registry metrics.Registry, reloadSettings func() error) error {
+	log.Info("process_started", zap.String("host", string(s.Host)), zap.String("zone", string(s.Zone)), zap.String("role", "entry"))
+	store := platform.NewStore(s.StoreAddress, registry)
+	view := jobentry.NewView(operatorRows(), store, log)
+	service := jobentry.NewService(view, store, log, registry)
+	scheduler := schedulerhost.New(s.Host, s.Region, store, view.Scheduling, log, registry)
+
+	var stopping atomic.Bool
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	group, serving := errgroup.WithContext(serving)
+	front := platform.NewFrontServer(service.Answer, stopping.Load)
+	ready := platform.NewReadyServer(func() bool { return !stopping.Load() && view.Ready() })
+	if err := serve(serving, group, front, s.CallersAddress); err != nil {
+		return err
+	}
+	if err := serve(serving, group, ready, s.ReadinessAddress); err != nil {
+		return err
+	}
+	if err := serve(serving, group, metricsServer(registry), s.MetricsAddress); err != nil {
+		return err
+	}
+	group.Go(func() error { view.Run(serving); return nil })
+	group.Go(func() error { reload(serving, log, reloadSettings); return nil })
+	group.Go(func() error { return scheduler.Run(ctx) })
+	group.Go(func() error {
+		select {
+		case <-serving.Done():
+			return nil
+		case <-ctx.Done():
+		}
+		stopping.Store(true)
+		log.Info("process_stopping", zap.String("host", string(s.Host)))
+		time.Sleep(time.Duration(drainShare * float64(s.StopGrace)))
+		stopServing()
+		return nil
+	})
+	err := group.Wait()
+	log.Info("process_stopped", zap.String("host", string(s.Host)), zap.Error(err))
+	return err
+}
+
+func operatorRows() jobentry.OperatorRows {
+	return jobentry.OperatorRows{
+		Table:     platform.TableOperator,
+		ConfigKey: platform.KeyConfig,
+		Config: func(row storeapi.Row) (*queueconfig.Config, error) {
+			decoded, err := platform.DecodeOperatorRow(row)
+			return decoded.Config, err
+		},
+		EvacuatedZone: platform.EvacuatedZoneOf,
+	}
+}
--- /dev/null
+++ b/internal/dispatch/room.go
@@ -0,0 +1,244 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/workload"
+)
+
+// room is the capacity that is free while a plan is made.
+type room struct {
+	core    *Core
+	now     Now
+	workers []*worker
+	free    map[*worker]workload.Demand
+	// steps counts the tasks of each step on each worker.
+	steps map[stepOnWorker]int
+}
+
+type stepOnWorker struct {
+	job    model.JobID
+	step   stepKey
+	worker *worker
+}
+
+func (c *Core) newRoom(now Now) *room {
+	r := &room{core: c, now: now, free: map[*worker]workload.Demand{}, steps: map[stepOnWorker]int{}}
+	for _, w := range c.sortedWorkers() {
+		for id := range w.orders {
+			r.steps[stepOnWorker{id.Task.Job, stepKey{id.Task.Occurrence, id.Task.Step}, w}]++
+		}
+		if !c.takesTasks(now, w) {
+			continue
+		}
+		r.workers = append(r.workers, w)
+		r.free[w] = w.Capacity.Sub(w.used)
+	}
+	return r
+}
+
+// takesTasks reports whether new tasks may go to a worker.
+func (c *Core) takesTasks(now Now, w *worker) bool {
+	return w.State == workload.WorkerReady && !c.evacuated[w.Zone] &&
+		now.StoreMS-w.SentMS <= c.settings.SilentAfter.Milliseconds() && !c.sick.Held(now.time(), w.Worker)
+}
+
+// allowed reports whether a worker may run a unit's tasks at all.
+func allowed(u *unit, w *worker) bool {
+	step := u.spec()
+	return w.Service == u.job.Service && step.PerTask.Fits(w.Capacity) &&
+		(step.Label == "" || slices.Contains(w.Labels, step.Label))
+}
+
+// underLimit reports whether one more of the step's tasks may go to a worker.
+func (r *room) underLimit(u *unit, w *worker) bool {
+	limit := u.spec().MaxPerWorker
+	return limit == 0 || r.steps[stepOnWorker{u.job.ID, stepKey{u.occurrence, u.step}, w}] < limit
+}
+
+func (r *room) take(u *unit, w *worker) {
+	r.free[w] = r.free[w].Sub(u.spec().PerTask)
+	r.steps[stepOnWorker{u.job.ID, stepKey{u.occurrence, u.step}, w}]++
+}
+
+func (r *room) giveBack(u *unit, w *worker) {
+	r.free[w] = r.free[w].Add(u.spec().PerTask)
+	r.steps[stepOnWorker{u.job.ID, stepKey{u.occurrence, u.step}, w}]--
+}
+
+// placement is where one task of a unit goes.
+type placement struct {
+	task   int
+	worker *worker
+}
+
+// place returns workers for the unit's tasks, taken out of the room. A gang is
+// placed whole or not at all.
+func (r *room) place(u *unit) []placement {
+	if !u.gang() {
+		return r.placeEach(u, r.workers)
+	}
+	if u.spec().SameRack {
+		if placed := r.placeInOneRack(u); placed != nil || !r.mayLeaveRack(u) {
+			return placed
+		}
+	}
+	return r.placeWhole(u, r.workers)
+}
+
+func (r *room) placeWhole(u *unit, workers []*worker) []placement {
+	placed := r.placeEach(u, workers)
+	if len(placed) == len(u.tasks) {
+		return placed
+	}
+	for _, p := range placed {
+		r.giveBack(u, p.worker)
+	}
+	return nil
+}
+
+func (r *room) placeEach(u *unit, workers []*worker) []placement {
+	var placed []placement
+	for _, task := range u.tasks {
+		w := r.best(u, workers)
+		if w == nil {
+			return placed
+		}
+		r.take(u, w)
+		placed = append(placed, placement{task, w})
+	}
+	return placed
+}
+
+// best returns the worker that a task of the unit fits into with the least left
+// over, in the preferred rack when there is room, or nil.
+func (r *room) best(u *unit, workers []*worker) *worker {
+	step := u.spec()
+	local := step.PreferredRack != "" && !r.mayLeaveRack(u)
+	var best *worker
+	for _, w := range workers {
+		if !allowed(u, w) || !step.PerTask.Fits(r.free[w]) || !r.underLimit(u, w) {
+			continue
+		}
+		if local && string(w.Rack) != step.PreferredRack {
+			continue
+		}
+		if best == nil || r.compare(u, w, best) < 0 {
+			best = w
+		}
+	}
+	return best
+}
+
+// compare orders workers for a task: near its data, then least left over.
+func (r *room) compare(u *unit, a, b *worker) int {
+	step := u.spec()
+	near := func(w *worker) bool { return step.PreferredRack != "" && string(w.Rack) == step.PreferredRack }
+	return cmp.Or(
+		compareBool(near(b), near(a)),
+		compareBool(r.core.sick.Probing(a.Worker), r.core.sick.Probing(b.Worker)),
+		cmp.Compare(leftOver(r.free[a], a.Capacity, step.PerTask), leftOver(r.free[b], b.Capacity, step.PerTask)),
+		cmp.Compare(a.Host, b.Host),
+	)
+}
+
+// leftOver returns the share of a worker that stays free after a task, its
+// scarcest dimensions weighed like the others.
+func leftOver(free, capacity, demand workload.Demand) float64 {
+	rest := free.Sub(demand)
+	share := func(part, whole int) float64 {
+		if whole == 0 {
+			return 0
+		}
+		return float64(part) / float64(whole)
+	}
+	return share(rest.MilliCores, capacity.MilliCores) + share(rest.MemoryMB, capacity.MemoryMB) + share(rest.Accelerators, capacity.Accelerators)
+}
+
+// Waits for a place near the data, or in one rack.
+const (
+	// rackPatience is the share of the extra time away from the data that a task
+	// waits for a place near it.
+	rackPatience = 0.5
+	// maxRackWait bounds that wait; beyond it objectives are missed anyway.
+	maxRackWait = 6 * time.Second
+)
+
+// mayLeaveRack reports whether a unit no longer waits for the rack that suits
+// it: it is urgent, it waited long enough, or no such rack could hold it.
+func (r *room) mayLeaveRack(u *unit) bool {
+	step := u.spec()
+	if u.job.Priority == 0 {
+		return true
+	}
+	extra := time.Duration((r.core.settings.RemoteFactor - 1) * rackPatience * float64(step.Estimate))
+	waited := time.Duration(r.now.StoreMS-u.readyMS) * time.Millisecond
+	return waited > min(extra, maxRackWait) || !r.rackExists(u)
+}
+
+// rackExists reports whether a rack that suits the unit could hold it when empty.
+func (r *room) rackExists(u *unit) bool {
+	step := u.spec()
+	slots := map[model.RackID]int{}
+	for _, w := range r.workers {
+		if !allowed(u, w) {
+			continue
+		}
+		if step.PreferredRack == "" || string(w.Rack) == step.PreferredRack {
+			slots[w.Rack] += tasksThatFit(step, w.Capacity)
+		}
+	}
+	for _, n := range slots {
+		if !step.SameRack || n >= len(u.tasks) {
+			return true
+		}
+	}
+	return false
+}
+
+// tasksThatFit returns how many tasks of a step fit into an amount.
+func tasksThatFit(step *workload.Step, amount workload.Demand) int {
+	most := workload.MaxTasks
+	if step.MaxPerWorker > 0 {
+		most = step.MaxPerWorker
+	}
+	for _, d := range [][2]int{
+		{amount.MilliCores, step.PerTask.MilliCores}, {amount.MemoryMB, step.PerTask.MemoryMB}, {amount.Accelerators, step.PerTask.Accelerators},
+	} {
+		if d[1] > 0 {
+			most = min(most, max(0, d[0])/d[1])
+		}
+	}
+	return most
+}
+
+// placeInOneRack places a gang inside the rack with the least room that holds it.
+func (r *room) placeInOneRack(u *unit) []placement {
+	byRack := map[model.RackID][]*worker{}
+	slots := map[model.RackID]int{}
+	for _, w := range r.workers {
+		if allowed(u, w) {
+			byRack[w.Rack] = append(byRack[w.Rack], w)
+			slots[w.Rack] += tasksThatFit(u.spec(), r.free[w])
+		}
+	}
+	racks := make([]model.RackID, 0, len(byRack))
+	for rack := range byRack {
+		if slots[rack] >= len(u.tasks) {
+			racks = append(racks, rack)
+		}
+	}
+	preferred := func(rack model.RackID) bool { return string(rack) == u.spec().PreferredRack }
+	slices.SortFunc(racks, func(a, b model.RackID) int {
+		return cmp.Or(compareBool(preferred(b), preferred(a)), cmp.Compare(slots[a], slots[b]), cmp.Compare(a, b))
+	})
+	for _, rack := range racks {
+		if placed := r.placeWhole(u, byRack[rack]); placed != nil {
+			return placed
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/jobagent/rows.go
@@ -0,0 +1,164 @@
+package jobagent
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"dragonflyyard/internal/rowcodec"
+	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/taskrunner"
+	"dragonflyyard/internal/workload"
+)
+
+// retryRow is the pause between two reads of the worker's row at the start.
+const retryRow = 150 * time.Millisecond
+
+// loadRow reads what an earlier process of this agent announced.
+func (a *Agent) loadRow(ctx context.Context) {
+	for ctx.Err() == nil {
+		row, err := a.store.Get(ctx, workload.WorkerKey(a.host))
+		var announced workload.Announcement
+		if err == nil {
+			announced, err = a.decodeWorker(row)
+		}
+		if err == nil || errors.Is(err, storeapi.ErrNotFound) {
+			a.push(ctx, func(time.Time) { a.core.RowLoaded(announced, row.Version) })
+			return
+		}
+		a.log.Warn("store_read_failed", zap.String("table", workload.TableWorkers), zap.Error(err))
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryRow):
+		}
+	}
+}
+
+// decodeWorker decodes the worker's row. One that can't be read counts as void,
+// since this agent is its only writer besides the scheduler.
+func (a *Agent) decodeWorker(row storeapi.Row) (workload.Announcement, error) {
+	var announced workload.Announcement
+	if row.Version == 0 {
+		return announced, nil
+	}
+	if err := rowcodec.Decode(row.Value, &announced); err != nil {
+		a.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+		return workload.Announcement{State: workload.WorkerGone}, nil
+	}
+	return announced, nil
+}
+
+// announce writes the worker's row.
+func (a *Agent) announce(ctx context.Context, action taskrunner.Announce) {
+	key := workload.WorkerKey(a.host)
+	versions, err := a.store.Commit(ctx, storeapi.Transaction{
+		Checks: []storeapi.Check{{Key: key, Version: action.Version}},
+		Puts:   []storeapi.Put{{Key: key, Value: rowcodec.Encode(&action.Row)}},
+	})
+	var version storeapi.RowVersion
+	var present workload.Announcement
+	var conflict *storeapi.Conflict
+	switch {
+	case err == nil:
+		version = versions[0]
+	case errors.As(err, &conflict):
+		row := conflict.Find(key)
+		version = row.Version
+		present, _ = a.decodeWorker(row)
+	default:
+		a.log.Warn("announcement_failed", zap.Error(err))
+	}
+	a.push(ctx, func(now time.Time) {
+		a.core.Announced(now, action, storeapi.ResultOf(err), present, version)
+	})
+}
+
+// commitEnds removes the orders of ended runs and puts their ends.
+func (a *Agent) commitEnds(ctx context.Context, action taskrunner.CommitEnds) {
+	tx := storeapi.Transaction{}
+	for i := range action.Ends {
+		end := &action.Ends[i]
+		tx.Checks = append(tx.Checks, storeapi.Check{Key: end.Key, Version: end.Version})
+		tx.Deletes = append(tx.Deletes, end.Key)
+		tx.Puts = append(tx.Puts, storeapi.Put{Key: workload.EndKey(end.ID), Value: rowcodec.Encode(&end.End)})
+	}
+	_, err := a.store.Commit(ctx, tx)
+	present := map[workload.RunID]taskrunner.PresentOrder{}
+	var conflict *storeapi.Conflict
+	switch {
+	case err == nil:
+		a.ends.Inc(int64(len(action.Ends)))
+	case errors.As(err, &conflict):
+		present = a.presentOrders(conflict)
+	default:
+		a.log.Warn("ends_not_committed", zap.Int("ends", len(action.Ends)), zap.Error(err))
+	}
+	a.push(ctx, func(now time.Time) {
+		a.core.EndsCommitted(now, action.Ends, storeapi.ResultOf(err), present)
+	})
+}
+
+// presentOrders returns the orders that a refused transaction showed.
+func (a *Agent) presentOrders(conflict *storeapi.Conflict) map[workload.RunID]taskrunner.PresentOrder {
+	present := map[workload.RunID]taskrunner.PresentOrder{}
+	for _, row := range conflict.Rows {
+		if row.Version == 0 {
+			continue
+		}
+		if order, id, ok := a.decodeOrder(row); ok {
+			present[id] = taskrunner.PresentOrder{Order: order, Version: row.Version}
+		}
+	}
+	return present
+}
+
+func (a *Agent) decodeOrder(row storeapi.Row) (workload.Order, workload.RunID, bool) {
+	var order workload.Order
+	err := rowcodec.Decode(row.Value, &order)
+	if err != nil {
+		a.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+		return order, workload.RunID{}, false
+	}
+	id, err := order.ID()
+	if err != nil {
+		a.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+	}
+	return order, id, err == nil
+}
+
+// scanned takes in all orders of this host.
+func (a *Agent) scanned(s storeapi.Snapshot, maybeSent bool) {
+	present := map[workload.RunID]bool{}
+	for _, row := range s.Rows {
+		if order, id, ok := a.decodeOrder(row); ok {
+			present[id] = true
+			a.core.OrderSeen(order, row.Version, maybeSent)
+		}
+	}
+	a.core.OrdersLoaded(present, s.Version)
+}
+
+// changed takes in changes of the table, which holds other hosts' orders, too.
+func (a *Agent) changed(changes []storeapi.Change, prefix string) {
+	for _, change := range changes {
+		rest, mine := strings.CutPrefix(change.Key, prefix)
+		if !mine {
+			continue
+		}
+		if !change.Deleted {
+			if order, _, ok := a.decodeOrder(change.Row); ok {
+				a.core.OrderSeen(order, change.Version, false)
+			}
+			continue
+		}
+		id, err := workload.ParseRunID(rest)
+		if err != nil {
+			a.log.Error("row_malformed", zap.String("key", change.Key), zap.Error(err))
+			continue
+		}
+		a.core.OrderGone(id, change.Version)
+	}
+}
--- /dev/null
+++ b/internal/jobentry/service.go
@@ -0,0 +1,213 @@
+// Package jobentry answers callers on an entry host: it stores what they
+// submit or cancel and tells them what the store holds. It keeps no job itself,
+// so that any entry host answers for any job.
+package jobentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/queueconfig"
+	"dragonflyyard/internal/rowcodec"
+	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/workload"
+)
+
+// Times of calls.
+const (
+	// answerMargin is how long before the caller's deadline an answer is given.
+	answerMargin = 150 * time.Millisecond
+	// retryPause is the pause before a write in doubt is sent again.
+	retryPause = 60 * time.Millisecond
+	// storeRetryAfter is when a caller may find the store back; half of it more
+	// is drawn, so that callers return spread out.
+	storeRetryAfter = time.Second
+	// unsupportedRetryAfter is for jobs that only another release runs.
+	unsupportedRetryAfter = time.Minute
+)
+
+// Store is what an entry host needs of the store.
+type Store interface {
+	storeapi.Table
+	storeapi.Feed
+	storeapi.Clock
+}
+
+// Service answers the calls of callers. It is safe for concurrent use.
+type Service struct {
+	view     *View
+	store    Store
+	log      *zap.Logger
+	registry metrics.Registry
+	latency  metrics.Timer
+}
+
+// NewService returns the service of an entry host.
+func NewService(view *View, store Store, log *zap.Logger, registry metrics.Registry) *Service {
+	return &Service{view: view, store: store, log: log, registry: registry, latency: metrics.GetOrRegisterTimer("calls.latency", registry)}
+}
+
+// Answer answers one call.
+func (s *Service) Answer(call Call) Outcome {
+	began := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), call.Deadline.Add(-answerMargin))
+	defer cancel()
+	outcome, job, age := s.answer(ctx, call)
+	s.latency.UpdateSince(began)
+	metrics.GetOrRegisterCounter("calls."+string(call.Kind)+"."+string(outcome.Kind), s.registry).Inc(1)
+	s.log.Info("call_answered", zap.String("call", string(call.Kind)), zap.String("job", job), zap.String("path", call.Path),
+		zap.String("outcome", string(outcome.Kind)), zap.String("state", string(outcome.State)), zap.String("reason", outcome.Reason),
+		zap.Duration("view_age", age), zap.Duration("took", time.Since(began)))
+	return outcome
+}
+
+func (s *Service) answer(ctx context.Context, call Call) (Outcome, string, time.Duration) {
+	config, age, known := s.view.Config(ctx)
+	if !known {
+		return rejected("the configuration is not known", s.retryAfter()), "", age
+	}
+	queue, id, found := config.QueueOf(call.Host, call.Path)
+	if !found {
+		return Outcome{Kind: OutcomeUnknownQueue, Reason: "no queue has this path"}, "", age
+	}
+	account, known := config.AccountOf(call.Key)
+	if !known && !queue.Anonymous {
+		return Outcome{Kind: OutcomeUnauthorized, Reason: "unknown key"}, id, age
+	}
+	switch call.Kind {
+	case CallSubmit:
+		return s.submit(ctx, call, queue, account, id), id, age
+	case CallCancel:
+		return s.cancel(ctx, account, model.JobID(id)), id, age
+	case CallState:
+		return s.state(ctx, account, model.JobID(id)), id, age
+	default:
+		return s.count(ctx, queue), id, age
+	}
+}
+
+// retryAfter returns when a caller may find the store back.
+func (s *Service) retryAfter() time.Duration {
+	return storeRetryAfter + rand.N(storeRetryAfter/2)
+}
+
+func (s *Service) submit(ctx context.Context, call Call, queue *queueconfig.Queue, account model.ClientAccountID, id string) Outcome {
+	if queue.NeedsAdvice {
+		return Outcome{Kind: OutcomeUnsupported, Reason: "the queue's workers are chosen by another service", RetryAfter: unsupportedRetryAfter}
+	}
+	job, err := call.DecodeJob(id)
+	switch {
+	case errors.Is(err, workload.ErrInvalidJob):
+		return Outcome{Kind: OutcomeInvalid, Reason: err.Error()}
+	case err != nil:
+		return Outcome{Kind: OutcomeUnsupported, Reason: err.Error(), RetryAfter: unsupportedRetryAfter}
+	}
+	job.Account, job.Queue, job.Service, job.Priority = account, queue.Name, queue.Service, queue.Priority
+	job.MaxAttempts, job.SlackFactor, job.TargetDuration = queue.MaxAttempts, queue.SlackFactor, queue.TargetDuration
+	job.AcceptedMS, _ = s.store.StoreTime(time.Now())
+	key := workload.JobKey(job.ID)
+	conflict, outcome := s.write(ctx, storeapi.Transaction{
+		Checks: []storeapi.Check{{Key: key}},
+		Puts:   []storeapi.Put{{Key: key, Value: rowcodec.Encode(job)}},
+	})
+	if conflict == nil {
+		return outcome
+	}
+	return s.resubmitted(job, conflict.Find(key))
+}
+
+// resubmitted answers a submission whose ID is stored already.
+func (s *Service) resubmitted(job *workload.Job, row storeapi.Row) Outcome {
+	stored := &workload.Job{}
+	if err := rowcodec.Decode(row.Value, stored); err != nil {
+		s.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+		return Outcome{Kind: OutcomeInDoubt, Reason: "the stored job can't be read"}
+	}
+	if !stored.SameSubmission(job) {
+		return Outcome{Kind: OutcomeInvalid, Reason: "another job has this ID"}
+	}
+	return Outcome{Kind: OutcomeAccepted, Reason: "stored before"}
+}
+
+// write makes a transaction until its result is known. It returns a conflict,
+// or else the outcome. Once a try was in doubt, nothing is called rejected.
+func (s *Service) write(ctx context.Context, tx storeapi.Transaction) (*storeapi.Conflict, Outcome) {
+	inDoubt := false
+	for {
+		_, err := s.store.Commit(ctx, tx)
+		var conflict *storeapi.Conflict
+		switch {
+		case err == nil:
+			return nil, Outcome{Kind: OutcomeAccepted}
+		case errors.As(err, &conflict):
+			return conflict, Outcome{}
+		case errors.Is(err, storeapi.ErrUnavailable) && !inDoubt:
+			return nil, rejected("the store did not take it: "+err.Error(), s.retryAfter())
+		}
+		inDoubt = true
+		select {
+		case <-ctx.Done():
+			return nil, Outcome{Kind: OutcomeInDoubt, Reason: err.Error()}
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (s *Service) cancel(ctx context.Context, account model.ClientAccountID, id model.JobID) Outcome {
+	job, outcome := s.job(ctx, account, id)
+	if job == nil {
+		return outcome
+	}
+	key := workload.CancelKey(id)
+	_, outcome = s.write(ctx, storeapi.Transaction{Puts: []storeapi.Put{{Key: key, Value: rowcodec.Encode(true)}}})
+	return outcome
+}
+
+// job returns a stored job of an account, or the outcome that says why not.
+func (s *Service) job(ctx context.Context, account model.ClientAccountID, id model.JobID) (*workload.Job, Outcome) {
+	row, err := s.store.Get(ctx, workload.JobKey(id))
+	if errors.Is(err, storeapi.ErrNotFound) {
+		return nil, Outcome{Kind: OutcomeUnknownJob}
+	}
+	if err != nil {
+		return nil, rejected(err.Error(), s.retryAfter())
+	}
+	job := &workload.Job{}
+	if err := rowcodec.Decode(row.Value, job); err != nil {
+		s.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+		return nil, rejected("the stored job can't be read", s.retryAfter())
+	}
+	if job.Account != account {
+		return nil, Outcome{Kind: OutcomeUnknownJob, Reason: "a job of another account"}
+	}
+	return job, Outcome{}
+}
+
+func (s *Service) state(ctx context.Context, account model.ClientAccountID, id model.JobID) Outcome {
+	row, err := s.store.Get(ctx, workload.ProgressKey(id))
+	if errors.Is(err, storeapi.ErrNotFound) {
+		job, outcome := s.job(ctx, account, id)
+		if job == nil {
+			return outcome
+		}
+		return Outcome{Kind: OutcomeState, State: workload.StateQueued}
+	}
+	if err != nil {
+		return rejected(err.Error(), s.retryAfter())
+	}
+	progress := workload.Progress{}
+	if err := rowcodec.Decode(row.Value, &progress); err != nil {
+		s.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+		return rejected("the job's progress can't be read", s.retryAfter())
+	}
+	if progress.Account != account {
+		return Outcome{Kind: OutcomeUnknownJob, Reason: "a job of another account"}
+	}
+	return Outcome{Kind: OutcomeState, State: progress.State}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -45,6 +45,8 @@
 	Load func(path string) (S, error)
 	// LogLevel returns the level that the settings ask for.
 	LogLevel func(settings S) string
+	// Logger makes the program's logger; nil for logging.NewLogger.
+	Logger func(level string) (*zap.Logger, error)
 	// Run runs until ctx is done, then stops gracefully.
 	Run func(ctx context.Context, settings S, logger *zap.Logger) error
 }
@@ -55,15 +57,15 @@
 SIGTERM and SIGINT begin a graceful stop.`
 
 // Main runs a program and ends the process with its exit code.
-func Main[S any](spec Spec[S]) {
+func Main[S any](spec Spec[S], subcommands ...*cli.Command) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	code := Execute(ctx, spec, os.Args, os.Stdout, os.Stderr)
+	code := Execute(ctx, spec, os.Args, os.Stdout, os.Stderr, subcommands...)
 	stop()
 	os.Exit(code)
 }
 
 // Execute runs a program with the given arguments and returns its exit code.
-func Execute[S any](ctx context.Context, spec Spec[S], args []string, out, errOut io.Writer) int {
+func Execute[S any](ctx context.Context, spec Spec[S], args []string, out, errOut io.Writer, subcommands ...*cli.Command) int {
 	command := &cli.Command{
 		Name: spec.Name, Usage: spec.Summary, Description: spec.Description + "\n" + exitCodes,
 		Version: version(), Writer: out, ErrWriter: errOut,
@@ -71,21 +73,37 @@
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 			return errors.Mark(err, ErrUsage)
 		},
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE` (YAML)"},
-			&cli.BoolFlag{Name: "check-settings", Usage: "check the settings and exit"},
-		},
-		Commands: []*cli.Command{versionCommand(spec.Name)},
-		Action: func(ctx context.Context, c *cli.Command) error {
-			if c.Args().Present() {
-				return errors.Wrapf(ErrUsage, "unexpected argument %q", c.Args().First())
-			}
-			return run(ctx, spec, c)
-		},
+		Flags:    settingsFlags(),
+		Commands: append([]*cli.Command{versionCommand(spec.Name)}, subcommands...),
+		Action:   action(spec),
 	}
 	return exitCode(command.Run(ctx, args), errOut)
 }
 
+// SettingsVariable names the settings file where no flag does.
+const SettingsVariable = "DRAGONFLYYARD_CONFIG"
+
+func settingsFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE` (YAML)", Sources: cli.EnvVars(SettingsVariable)},
+		&cli.BoolFlag{Name: "check-settings", Usage: "check the settings and exit"},
+	}
+}
+
+func action[S any](spec Spec[S]) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		if c.Args().Present() {
+			return errors.Wrapf(ErrUsage, "unexpected argument %q", c.Args().First())
+		}
+		return run(ctx, spec, c)
+	}
+}
+
+// Subcommand returns a command that runs a second kind of process of a program.
+func Subcommand[S any](spec Spec[S]) *cli.Command {
+	return &cli.Command{Name: spec.Name, Usage: spec.Summary, Description: spec.Description, Flags: settingsFlags(), Action: action(spec)}
+}
+
 func run[S any](ctx context.Context, spec Spec[S], c *cli.Command) error {
 	path := c.String("settings")
 	if path == "" {
@@ -99,7 +117,11 @@
 		_, err := fmt.Fprintf(c.Root().Writer, "%s: settings are valid\n", path)
 		return err
 	}
-	logger, err := logging.NewLogger(spec.LogLevel(settings))
+	newLogger := spec.Logger
+	if newLogger == nil {
+		newLogger = logging.NewLogger
+	}
+	logger, err := newLogger(spec.LogLevel(settings))
 	if err != nil {
 		return errors.Mark(err, ErrUsage)
 	}
--- /dev/null
+++ b/internal/rowcodec/rowcodec.go
@@ -0,0 +1,41 @@
+// Package rowcodec encodes the values of the store's rows as CBOR.
+package rowcodec
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/ugorji/go/codec"
+)
+
+// ErrMalformed means that a row's value is not what its table holds.
+var ErrMalformed = errors.New("rowcodec: malformed row")
+
+var handle = newHandle()
+
+func newHandle() *codec.CborHandle {
+	h := &codec.CborHandle{}
+	h.Canonical = true
+	h.StructToArray = false
+	return h
+}
+
+// Encode returns the CBOR encoding of a value. Equal values have equal bytes.
+func Encode(value any) []byte {
+	var out []byte
+	if err := codec.NewEncoderBytes(&out, handle).Encode(value); err != nil {
+		// Only types that cannot be encoded at all fail.
+		panic(errors.Wrap(err, "rowcodec: encode"))
+	}
+	return out
+}
+
+// Decode decodes a row's value into target. It returns ErrMalformed.
+func Decode(data []byte, target any) error {
+	decoder := codec.NewDecoderBytes(data, handle)
+	if err := decoder.Decode(target); err != nil {
+		return errors.CombineErrors(errors.Wrap(ErrMalformed, "decode"), err)
+	}
+	if read := decoder.NumBytesRead(); read != len(data) {
+		return errors.Wrapf(ErrMalformed, "%d bytes behind the value", len(data)-read)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/schedulerhost/lease.go
@@ -0,0 +1,171 @@
+// Package schedulerhost runs the scheduler of a deployment on the entry host
+// that holds its lease: it does the reads and transactions that the cores of
+// packages ownership and dispatch decide.
+package schedulerhost
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/ownership"
+	"dragonflyyard/internal/ring"
+	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/workload"
+)
+
+// Store is what the scheduler needs of the store.
+type Store interface {
+	storeapi.Table
+	storeapi.Feed
+	storeapi.Clock
+}
+
+// View is what operators configured, as one entry host knows it.
+type View struct {
+	Guaranteed map[model.ClientAccountID]int
+	Evacuated  map[model.AvailabilityZoneName]bool
+	// AsOf is an instant up to which the view is complete.
+	AsOf time.Time
+}
+
+// Host is one entry host's part in running the scheduler.
+type Host struct {
+	id          model.EntryID
+	incarnation model.Incarnation
+	store       Store
+	view        func() View
+	log         *zap.Logger
+	registry    metrics.Registry
+
+	candidate *ownership.Candidate
+	inputs    *ring.Ring[func(now time.Time) []ownership.Action]
+	// leave ends the session of the epoch that is held.
+	leave context.CancelFunc
+	ended chan struct{}
+}
+
+// leaseTick is the longest time between two steps of the candidate.
+const leaseTick = 60 * time.Millisecond
+
+// New returns the part of an entry host. view returns the newest configuration.
+func New(id model.EntryID, region model.RegionName, store Store, view func() View, log *zap.Logger, registry metrics.Registry) *Host {
+	incarnation := model.Incarnation(time.Now().UnixMilli())
+	return &Host{
+		id: id, incarnation: incarnation, store: store, view: view, log: log, registry: registry,
+		candidate: ownership.NewCandidate(ownership.DefaultLimits(), region, id, incarnation),
+		inputs:    ring.New[func(now time.Time) []ownership.Action]("lease.inputs", 64, registry),
+	}
+}
+
+// handOverWithin bounds the writing of a lease's release at a planned stop.
+const handOverWithin = 2 * time.Second
+
+// Run takes part until ctx is done, then hands the lease over.
+func (h *Host) Run(ctx context.Context) error {
+	calls, stopCalls := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopCalls()
+	tick := time.NewTicker(leaseTick)
+	defer tick.Stop()
+	defer h.endSession()
+	stopping := ctx.Done()
+	var giveUp <-chan time.Time
+	for {
+		var actions []ownership.Action
+		select {
+		case <-stopping:
+			stopping, giveUp = nil, time.After(handOverWithin)
+			h.endSession()
+			actions = h.candidate.Step(time.Now(), ownership.Stop{})
+		case <-giveUp:
+			return nil
+		case <-tick.C:
+			actions = h.candidate.Step(time.Now(), ownership.Tick{})
+		case input := <-h.inputs.Out():
+			actions = input(time.Now())
+		}
+		if done := h.do(calls, actions); done {
+			return nil
+		}
+	}
+}
+
+// do does the candidate's actions. It returns true once the lease was handed over.
+func (h *Host) do(ctx context.Context, actions []ownership.Action) bool {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case ownership.ReadRow:
+			go h.read(ctx, action)
+		case ownership.CommitRow:
+			go h.commit(ctx, action)
+		case ownership.Acquired:
+			h.log.Info("scheduler_acquired", zap.Uint64("epoch", uint64(action.Epoch)))
+			h.beginSession(ctx, action.Epoch)
+		case ownership.Lost:
+			h.log.Warn("scheduler_lost", zap.Uint64("epoch", uint64(action.Epoch)), zap.String("reason", string(action.Reason)))
+			h.endSession()
+		case ownership.Observed:
+			h.log.Info("scheduler_observed", zap.String("owner", string(action.Lease.Owner)), zap.Uint64("epoch", uint64(action.Lease.Epoch)))
+		case ownership.HandedOver:
+			h.log.Info("scheduler_handed_over", zap.Bool("confirmed", action.Confirmed))
+			return true
+		}
+	}
+	return false
+}
+
+// leaseKey maps the candidate's keys into the control table.
+func leaseKey(key string) string { return workload.TableControl + "/" + key }
+
+func (h *Host) read(ctx context.Context, action ownership.ReadRow) {
+	row, err := h.store.Get(ctx, leaseKey(action.Key))
+	if errors.Is(err, storeapi.ErrNotFound) {
+		row, err = storeapi.Row{}, nil
+	}
+	row.Key = action.Key
+	result := ownership.RowRead{Call: action.Call, Result: storeapi.ResultOf(err), Row: row}
+	h.inputs.Push(ctx, func(now time.Time) []ownership.Action { return h.candidate.Step(now, result) })
+}
+
+func (h *Host) commit(ctx context.Context, action ownership.CommitRow) {
+	tx := storeapi.Transaction{}
+	for _, check := range action.Transaction.Checks {
+		tx.Checks = append(tx.Checks, storeapi.Check{Key: leaseKey(check.Key), Version: check.Version})
+	}
+	for _, put := range action.Transaction.Puts {
+		tx.Puts = append(tx.Puts, storeapi.Put{Key: leaseKey(put.Key), Value: put.Value})
+	}
+	versions, err := h.store.Commit(ctx, tx)
+	if err != nil {
+		h.log.Warn("lease_write_failed", zap.Error(err))
+	}
+	result := ownership.RowCommitted{Call: action.Call, Result: storeapi.ResultOf(err), Versions: versions}
+	h.inputs.Push(ctx, func(now time.Time) []ownership.Action { return h.candidate.Step(now, result) })
+}
+
+func (h *Host) beginSession(ctx context.Context, epoch model.Epoch) {
+	h.endSession()
+	ctx, h.leave = context.WithCancel(ctx)
+	h.ended = make(chan struct{})
+	check := h.candidate.Check()
+	check.Key = leaseKey(check.Key)
+	s := newSession(h, epoch, check)
+	go func(ended chan struct{}) {
+		defer close(ended)
+		s.run(ctx)
+	}(h.ended)
+}
+
+// endSession stops deciding under the held epoch. What is under way may still
+// take effect until a successor's fence.
+func (h *Host) endSession() {
+	if h.leave != nil {
+		h.leave()
+		<-h.ended
+		h.leave = nil
+	}
+}
--- /dev/null
+++ b/internal/schedulerhost/load.go
@@ -0,0 +1,178 @@
+package schedulerhost
+
+import (
+	"context"
+	"strings"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/rowcodec"
+	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/tablewatch"
+	"dragonflyyard/internal/workload"
+)
+
+// maxScans bounds the scans under way while a session loads.
+const maxScans = 8
+
+// watched are the tables that others write and the scheduler follows.
+var watched = []string{workload.TableInbox, workload.TableWorkers, workload.TableEnds}
+
+// load reads all tables and returns the versions from which the watched ones go on.
+func (s *session) load(ctx context.Context) (map[string]storeapi.RowVersion, error) {
+	tables := append([]string{workload.TableProgress}, watched...)
+	tables = append(tables, workload.OrderTables()...)
+	snapshots := make([]storeapi.Snapshot, len(tables))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxScans)
+	for i, table := range tables {
+		group.Go(func() error {
+			var err error
+			snapshots[i], err = s.scan(ctx, table)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	versions := map[string]storeapi.RowVersion{}
+	for i, table := range watched {
+		versions[table] = snapshots[i+1].Version
+	}
+	progress := s.decodeProgress(snapshots[0])
+	s.takeInbox(snapshots[1].Rows, progress)
+	s.takeWorkers(snapshots[2].Rows)
+	orders := 0
+	for _, snapshot := range snapshots[1+len(watched):] {
+		orders += len(snapshot.Rows)
+		s.takeOrders(snapshot.Rows)
+	}
+	s.takeEnds(snapshots[3].Rows)
+	stats := s.core.Stats()
+	s.log.Info("scheduler_loaded", zap.Uint64("epoch", uint64(s.epoch)), zap.Int("jobs", stats.Jobs),
+		zap.Int("workers", stats.Workers), zap.Int("orders", orders), zap.Int("ends", len(snapshots[3].Rows)))
+	return versions, nil
+}
+
+// scan reads a table until it succeeds or the session ends.
+func (s *session) scan(ctx context.Context, table string) (storeapi.Snapshot, error) {
+	for pause := retryFirst; ; pause = min(2*pause, retryLongest) {
+		snapshot, err := s.store.Scan(ctx, table+"/")
+		if err == nil {
+			return snapshot, nil
+		}
+		s.log.Warn("store_read_failed", zap.String("table", table), zap.Error(err))
+		if !sleep(ctx, pause) {
+			return snapshot, err
+		}
+	}
+}
+
+// watch follows the tables that others write.
+func (s *session) watch(ctx context.Context, versions map[string]storeapi.RowVersion) {
+	take := map[string]func([]storeapi.Row){
+		workload.TableInbox:   func(rows []storeapi.Row) { s.takeInbox(rows, nil) },
+		workload.TableWorkers: s.takeWorkers,
+		workload.TableEnds:    s.takeEnds,
+	}
+	for _, table := range watched {
+		input := func(rows []storeapi.Row) { s.inputs.Push(ctx, func() { take[table](rows) }) }
+		watch := tablewatch.New(tablewatch.DefaultSettings(), s.store, table, table+"/", tablewatch.Handler{
+			Scanned: func(snapshot storeapi.Snapshot) { input(snapshot.Rows) },
+			Changed: func(changes []storeapi.Change) { input(written(changes)) },
+			Failed: func(err error) {
+				s.log.Warn("store_read_failed", zap.String("table", table), zap.Error(err))
+			},
+		})
+		if table == workload.TableWorkers {
+			s.workers = watch
+		}
+		go watch.Run(ctx, versions[table])
+	}
+}
+
+// written returns the rows that were put. Only the scheduler itself deletes
+// rows of the watched tables.
+func written(changes []storeapi.Change) []storeapi.Row {
+	var rows []storeapi.Row
+	for _, change := range changes {
+		if !change.Deleted {
+			rows = append(rows, change.Row)
+		}
+	}
+	return rows
+}
+
+func (s *session) malformed(row storeapi.Row, err error) {
+	s.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+}
+
+func (s *session) decodeProgress(snapshot storeapi.Snapshot) map[model.JobID]*workload.Progress {
+	out := map[model.JobID]*workload.Progress{}
+	for _, row := range snapshot.Rows {
+		progress := &workload.Progress{}
+		if err := rowcodec.Decode(row.Value, progress); err != nil {
+			s.malformed(row, err)
+			continue
+		}
+		out[model.JobID(strings.TrimPrefix(row.Key, workload.TableProgress+"/"))] = progress
+	}
+	return out
+}
+
+// takeInbox takes in jobs and cancellations. progress holds what is kept of
+// jobs that began before this session.
+func (s *session) takeInbox(rows []storeapi.Row, progress map[model.JobID]*workload.Progress) {
+	for _, row := range rows {
+		id, cancel, err := workload.JobOfKey(row.Key)
+		switch {
+		case err != nil:
+			s.malformed(row, err)
+		case cancel:
+			s.core.CancelSeen(id)
+		default:
+			job := &workload.Job{}
+			if err := rowcodec.Decode(row.Value, job); err != nil || job.ID != id || job.Check() != nil {
+				s.malformed(row, err)
+				continue
+			}
+			s.core.JobSeen(job, progress[id])
+		}
+	}
+}
+
+func (s *session) takeWorkers(rows []storeapi.Row) {
+	for _, row := range rows {
+		var announced workload.Announcement
+		if err := rowcodec.Decode(row.Value, &announced); err != nil {
+			s.malformed(row, err)
+			continue
+		}
+		s.core.WorkerSeen(announced, row.Version)
+	}
+}
+
+func (s *session) takeOrders(rows []storeapi.Row) {
+	for _, row := range rows {
+		var order workload.Order
+		if err := rowcodec.Decode(row.Value, &order); err != nil {
+			s.malformed(row, err)
+			continue
+		}
+		s.core.OrderSeen(order, row.Version)
+	}
+}
+
+func (s *session) takeEnds(rows []storeapi.Row) {
+	now, _ := s.now()
+	for _, row := range rows {
+		var end workload.End
+		if err := rowcodec.Decode(row.Value, &end); err != nil {
+			s.malformed(row, err)
+			continue
+		}
+		s.core.EndSeen(now, row.Key, end)
+	}
+}
--- /dev/null
+++ b/internal/schedulerhost/session.go
@@ -0,0 +1,265 @@
+package schedulerhost
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"dragonflyyard/internal/dispatch"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/ring"
+	"dragonflyyard/internal/rowcodec"
+	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/tablewatch"
+	"dragonflyyard/internal/workload"
+)
+
+// Times of a session.
+const (
+	// planEvery is the longest time between two plans.
+	planEvery = 100 * time.Millisecond
+	// gather is how long inputs are gathered before a plan answers them.
+	gather = 8 * time.Millisecond
+	// maxViewAge is the age of the configuration beyond which nothing starts. It
+	// leaves room inside the platform's bound of 5 s for evacuations.
+	maxViewAge = 2 * time.Second
+	// retryFirst and retryLongest bound the pause before a transaction is sent again.
+	retryFirst   = 60 * time.Millisecond
+	retryLongest = 400 * time.Millisecond
+)
+
+// maxSessionInputs bounds what the watches read and the core has not taken in.
+const maxSessionInputs = 4096
+
+// errDeposed means that another owner has fenced this one off.
+var errDeposed = errors.New("another owner took the scheduler over")
+
+// fence is the value of the row that each transaction of an owner rewrites.
+type fence struct {
+	Epoch    model.Epoch `codec:"e"`
+	Sequence uint64      `codec:"s"`
+}
+
+// session is the scheduling under one epoch.
+type session struct {
+	host  *Host
+	epoch model.Epoch
+	// begin is the check of the epoch's row, under which the fence is taken.
+	begin storeapi.Check
+	store Store
+	log   *zap.Logger
+	core  *dispatch.Core
+
+	fenceVersion storeapi.RowVersion
+	sequence     uint64
+	inputs       *ring.Ring[func()]
+	workers      *tablewatch.Watch
+	plans        metrics.Timer
+	commits      metrics.Timer
+}
+
+func newSession(h *Host, epoch model.Epoch, begin storeapi.Check) *session {
+	return &session{
+		host: h, epoch: epoch, begin: begin, store: h.store, log: h.log,
+		core:    dispatch.New(dispatch.DefaultSettings()),
+		inputs:  ring.New[func()]("scheduler.inputs", maxSessionInputs, nil),
+		plans:   metrics.GetOrRegisterTimer("scheduler.plans", h.registry),
+		commits: metrics.GetOrRegisterTimer("scheduler.commits", h.registry),
+	}
+}
+
+// run schedules until ctx is done or another owner is seen.
+func (s *session) run(ctx context.Context) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	if err := s.takeFence(ctx); err != nil {
+		s.log.Warn("scheduler_session_ended", zap.Uint64("epoch", uint64(s.epoch)), zap.Error(err))
+		return
+	}
+	versions, err := s.load(ctx)
+	if err != nil {
+		s.log.Warn("scheduler_session_ended", zap.Uint64("epoch", uint64(s.epoch)), zap.Error(err))
+		return
+	}
+	s.watch(ctx, versions)
+	err = s.loop(ctx)
+	s.log.Info("scheduler_session_ended", zap.Uint64("epoch", uint64(s.epoch)), zap.Error(err))
+}
+
+// takeFence writes the fence under a check of the epoch: from then on no
+// transaction of a former owner takes effect.
+func (s *session) takeFence(ctx context.Context) error {
+	for pause := retryFirst; ; pause = min(2*pause, retryLongest) {
+		row, err := s.store.Get(ctx, workload.KeyFence)
+		if err == nil || errors.Is(err, storeapi.ErrNotFound) {
+			s.fenceVersion = row.Version
+			return s.commit(ctx, storeapi.Transaction{Checks: []storeapi.Check{s.begin}}, nil)
+		}
+		if !sleep(ctx, pause) {
+			return ctx.Err()
+		}
+	}
+}
+
+// commit makes a transaction under the fence, until its result is known.
+// applied is told the version of its puts; it may be nil. The result is nil
+// when it took effect, errRefused when another check failed, and errDeposed.
+func (s *session) commit(ctx context.Context, tx storeapi.Transaction, applied func(storeapi.RowVersion)) error {
+	s.sequence++
+	mark := fence{s.epoch, s.sequence}
+	tx.Checks = append(tx.Checks, storeapi.Check{Key: workload.KeyFence, Version: s.fenceVersion})
+	tx.Puts = append(tx.Puts, storeapi.Put{Key: workload.KeyFence, Value: rowcodec.Encode(&mark)})
+	began := time.Now()
+	defer s.commits.UpdateSince(began)
+	for pause := retryFirst; ; pause = min(2*pause, retryLongest) {
+		versions, err := s.store.Commit(ctx, tx)
+		var conflict *storeapi.Conflict
+		switch {
+		case err == nil:
+			return s.took(versions[len(versions)-1], applied)
+		case errors.As(err, &conflict):
+			return s.resolve(conflict, mark, applied)
+		}
+		s.log.Warn("scheduler_write_failed", zap.Error(err), zap.Uint64("sequence", mark.Sequence))
+		if !sleep(ctx, pause/2+rand.N(pause/2)) {
+			return ctx.Err()
+		}
+	}
+}
+
+var errRefused = errors.New("another check of the transaction failed")
+
+func (s *session) took(version storeapi.RowVersion, applied func(storeapi.RowVersion)) error {
+	s.fenceVersion = version
+	if applied != nil {
+		applied(version)
+	}
+	return nil
+}
+
+// resolve tells a transaction that took effect in an earlier try, whose answer
+// was lost, from a refused one and from the end of the epoch.
+func (s *session) resolve(conflict *storeapi.Conflict, mark fence, applied func(storeapi.RowVersion)) error {
+	row := conflict.Find(workload.KeyFence)
+	if row.Version == s.fenceVersion {
+		return errRefused
+	}
+	var present fence
+	if err := rowcodec.Decode(row.Value, &present); err != nil || present != mark {
+		return errDeposed
+	}
+	return s.took(row.Version, applied)
+}
+
+// loop plans until ctx is done or another owner is seen.
+func (s *session) loop(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		case input := <-s.inputs.Out():
+			input()
+			sleep(ctx, gather)
+		}
+		s.drain()
+		if err := s.plan(ctx); err != nil {
+			return err
+		}
+		timer.Reset(planEvery)
+	}
+}
+
+func (s *session) drain() {
+	for {
+		select {
+		case input := <-s.inputs.Out():
+			input()
+		default:
+			return
+		}
+	}
+}
+
+// plan decides and commits once.
+func (s *session) plan(ctx context.Context) error {
+	now, ready := s.now()
+	view := s.host.view()
+	if !ready || time.Since(view.AsOf) > maxViewAge {
+		return nil
+	}
+	s.core.Configure(view.Guaranteed, view.Evacuated)
+	began := time.Now()
+	batches := s.core.Plan(now)
+	if pending := s.core.PlanPending(now); pending != nil {
+		batches = append(batches, pending)
+	}
+	s.plans.UpdateSince(began)
+	s.logDecisions()
+	for _, batch := range batches {
+		if err := s.commitBatch(ctx, batch); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *session) commitBatch(ctx context.Context, batch *dispatch.Batch) error {
+	puts := len(batch.Tx.Puts)
+	err := s.commit(ctx, batch.Tx, func(version storeapi.RowVersion) {
+		versions := make([]storeapi.RowVersion, puts)
+		for i := range versions {
+			versions[i] = version
+		}
+		now, _ := s.now()
+		s.core.Committed(now, batch, versions)
+	})
+	s.logDecisions()
+	if errors.Is(err, errRefused) && batch.Guarded {
+		now, _ := s.now()
+		s.core.Refused(now, batch)
+		s.log.Info("scheduler_batch_refused", zap.Int("checks", len(batch.Tx.Checks)))
+		return nil
+	}
+	return err
+}
+
+// now returns the time of a decision, and false before the store's clock is known.
+func (s *session) now() (dispatch.Now, bool) {
+	at := time.Now()
+	storeMS, known := s.store.StoreTime(at)
+	now := dispatch.Now{StoreMS: storeMS, UnixMS: at.UnixMilli(), StoreWellSinceMS: storeMS}
+	if s.workers == nil {
+		return now, known
+	}
+	if since, well := s.workers.WellSince(); well {
+		now.StoreWellSinceMS = storeMS - at.Sub(since).Milliseconds()
+	}
+	return now, known
+}
+
+func (s *session) logDecisions() {
+	for _, d := range s.core.Decisions() {
+		s.log.Info(d.Kind, zap.String("job", string(d.Job)), zap.String("task", d.Task), zap.Int("run", d.Run),
+			zap.String("worker", string(d.Worker)), zap.String("reason", d.Reason), zap.Int64("age_ms", d.AgeMS),
+			zap.Uint64("epoch", uint64(s.epoch)))
+	}
+}
+
+// sleep waits, and returns false when ctx ends first.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -87,12 +87,17 @@
 	c.intRange(key+".memory_mb", r.MemoryMB, 1, maxMemoryMB)
 }
 
-func (c *checker) process(p *Process) {
-	switch p.LogLevel {
+// level checks the level of the log.
+func (c *checker) level(key, value string) {
+	switch value {
 	case "debug", "info", "warn", "error":
 	default:
-		c.report("process.log_level", "debug, info, warn, error", "%q is not a level", p.LogLevel)
+		c.report(key, "debug, info, warn, error", "%q is not a level", value)
 	}
+}
+
+func (c *checker) process(p *Process) {
+	c.level("process.log_level", p.LogLevel)
 	c.intRange("process.timeline_events", p.TimelineEvents, 16, 1<<20)
 	c.durationRange("process.stop_timeout", p.StopTimeout, time.Second, maxDuration)
 	c.durationRange("process.drain_delay", p.DrainDelay, 0, time.Minute)
--- /dev/null
+++ b/internal/settings/deployed.go
@@ -0,0 +1,89 @@
+package settings
+
+import (
+	"time"
+
+	"dragonflyyard/internal/model"
+)
+
+// DeployedEntry is the settings of an entry host on a deployment of the platform.
+type DeployedEntry struct {
+	Host   model.EntryID              `yaml:"host"`
+	Region model.RegionName           `yaml:"region"`
+	Zone   model.AvailabilityZoneName `yaml:"zone"`
+	// CallersAddress and ReadinessAddress (IP:port) are where callers and the
+	// balancer connect.
+	CallersAddress   string `yaml:"callers_address"`
+	ReadinessAddress string `yaml:"readiness_address"`
+	// MetricsAddress (IP:port) serves counters and histograms as text.
+	MetricsAddress string `yaml:"metrics_address"`
+	// StoreAddress (IP:port) is the platform's store.
+	StoreAddress string `yaml:"store_address"`
+	// StopGrace is how long after SIGTERM the platform kills the process.
+	StopGrace time.Duration `yaml:"stop_grace"`
+	LogLevel  string        `yaml:"log_level"`
+}
+
+// DeployedAgent is the settings of an agent on a deployment of the platform.
+type DeployedAgent struct {
+	Host   string                     `yaml:"host"`
+	Region model.RegionName           `yaml:"region"`
+	Zone   model.AvailabilityZoneName `yaml:"zone"`
+	// ControlAddress (IP:port) is where the worker registers, and WorkerAddress
+	// where it takes orders.
+	ControlAddress string `yaml:"control_address"`
+	WorkerAddress  string `yaml:"worker_address"`
+	MetricsAddress string `yaml:"metrics_address"`
+	StoreAddress   string `yaml:"store_address"`
+	// LongestLease is the longest lease that a worker accepts.
+	LongestLease time.Duration `yaml:"longest_lease"`
+	LogLevel     string        `yaml:"log_level"`
+}
+
+// Bounds of the times of a deployment.
+const (
+	shortestStopGrace = time.Second
+	shortestLease     = 2 * time.Second
+)
+
+// LoadDeployedEntry reads and checks the settings of a deployed entry host.
+func LoadDeployedEntry(path string) (DeployedEntry, error) { return load(path, ParseDeployedEntry) }
+
+// LoadDeployedAgent reads and checks the settings of a deployed agent.
+func LoadDeployedAgent(path string) (DeployedAgent, error) { return load(path, ParseDeployedAgent) }
+
+// ParseDeployedEntry decodes and checks the settings of a deployed entry host.
+// The error is of type strictyaml.Problems.
+func ParseDeployedEntry(name string, data []byte) (DeployedEntry, error) {
+	s := DeployedEntry{StopGrace: 6 * time.Second, LogLevel: "info"}
+	err := parse(name, data, &s, func(c *checker) {
+		c.name("host", string(s.Host))
+		c.name("region", string(s.Region))
+		c.name("zone", string(s.Zone))
+		c.address("callers_address", s.CallersAddress)
+		c.address("readiness_address", s.ReadinessAddress)
+		c.address("metrics_address", s.MetricsAddress)
+		c.address("store_address", s.StoreAddress)
+		c.durationRange("stop_grace", s.StopGrace, shortestStopGrace, time.Minute)
+		c.level("log_level", s.LogLevel)
+	})
+	return s, err
+}
+
+// ParseDeployedAgent decodes and checks the settings of a deployed agent. The
+// error is of type strictyaml.Problems.
+func ParseDeployedAgent(name string, data []byte) (DeployedAgent, error) {
+	s := DeployedAgent{LongestLease: 10 * time.Second, LogLevel: "info"}
+	err := parse(name, data, &s, func(c *checker) {
+		c.name("host", s.Host)
+		c.name("region", string(s.Region))
+		c.name("zone", string(s.Zone))
+		c.address("control_address", s.ControlAddress)
+		c.address("worker_address", s.WorkerAddress)
+		c.address("metrics_address", s.MetricsAddress)
+		c.address("store_address", s.StoreAddress)
+		c.durationRange("longest_lease", s.LongestLease, shortestLease, time.Minute)
+		c.level("log_level", s.LogLevel)
+	})
+	return s, err
+}
--- /dev/null
+++ b/internal/tablewatch/watch.go
@@ -0,0 +1,161 @@
+// Package tablewatch follows one table of the store: a scan, then its changes,
+// with short waits, so that a connection that went silent or a lost history is
+// noticed within about a second. A scan now and then finds what a feed left out.
+package tablewatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dragonflyyard/internal/storeapi"
+)
+
+// Settings are the times of a watch.
+type Settings struct {
+	// Wait is how long one read of changes waits at the store.
+	Wait time.Duration
+	// RescanEvery is the interval of scans beside the changes.
+	RescanEvery time.Duration
+	// FirstPause and LongestPause bound the pause after a failed read, which
+	// doubles and is drawn from its upper half.
+	FirstPause, LongestPause time.Duration
+}
+
+// DefaultSettings returns the times in use.
+func DefaultSettings() Settings {
+	return Settings{
+		Wait: time.Second, RescanEvery: 6 * time.Second,
+		FirstPause: 80 * time.Millisecond, LongestPause: 500 * time.Millisecond,
+	}
+}
+
+// Handler takes what a watch reads. Its methods are called from one goroutine.
+type Handler struct {
+	// Scanned is given all rows under the prefix.
+	Scanned func(storeapi.Snapshot)
+	// Changed is given changes of the whole table.
+	Changed func([]storeapi.Change)
+	// Failed is told of a read that failed; it may be nil.
+	Failed func(error)
+}
+
+// Watch follows the rows under a prefix of a table.
+type Watch struct {
+	settings Settings
+	feed     storeapi.Feed
+	table    string
+	prefix   string
+	handler  Handler
+
+	mu sync.Mutex
+	// asOf is when the last successful read was sent.
+	asOf time.Time
+	// wellSince is since when no read failed; zero while the last one did.
+	wellSince time.Time
+}
+
+// New returns a watch of the rows of a table whose keys start with prefix,
+// which begins with the table's name.
+func New(settings Settings, feed storeapi.Feed, table, prefix string, handler Handler) *Watch {
+	return &Watch{settings: settings, feed: feed, table: table, prefix: prefix, handler: handler}
+}
+
+// AsOf returns an instant up to which everything was read, zero before the first read.
+func (w *Watch) AsOf() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.asOf
+}
+
+// WellSince returns since when no read failed, and false while the last one did.
+func (w *Watch) WellSince() (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.wellSince, !w.wellSince.IsZero()
+}
+
+// Run follows the table until ctx is done. from is the version of a scan that
+// was made before; 0 begins with a scan.
+func (w *Watch) Run(ctx context.Context, from storeapi.RowVersion) {
+	version, scanned := from, from != 0
+	pause := w.settings.FirstPause
+	nextScan := time.Now().Add(w.rescanIn())
+	for ctx.Err() == nil {
+		var err error
+		sentAt := time.Now()
+		if !scanned || sentAt.After(nextScan) {
+			version, err = w.scan(ctx, version)
+			scanned = scanned || err == nil
+			nextScan = time.Now().Add(w.rescanIn())
+		} else {
+			version, err = w.changes(ctx, version)
+		}
+		if errors.Is(err, storeapi.ErrHistoryGone) {
+			scanned = false
+		}
+		if err == nil {
+			w.succeeded(sentAt)
+			pause = w.settings.FirstPause
+			continue
+		}
+		w.failed(err)
+		sleep(ctx, pause/2+rand.N(pause/2))
+		pause = min(2*pause, w.settings.LongestPause)
+	}
+}
+
+func (w *Watch) rescanIn() time.Duration {
+	return w.settings.RescanEvery/2 + rand.N(w.settings.RescanEvery)
+}
+
+// scan reads all rows and returns the version from which changes go on.
+func (w *Watch) scan(ctx context.Context, version storeapi.RowVersion) (storeapi.RowVersion, error) {
+	snapshot, err := w.feed.Scan(ctx, w.prefix)
+	if err != nil {
+		return version, err
+	}
+	w.handler.Scanned(snapshot)
+	return snapshot.Version, nil
+}
+
+func (w *Watch) changes(ctx context.Context, version storeapi.RowVersion) (storeapi.RowVersion, error) {
+	changes, err := w.feed.Changes(ctx, w.table, version, w.settings.Wait)
+	if err != nil {
+		return version, err
+	}
+	if len(changes.Rows) > 0 {
+		w.handler.Changed(changes.Rows)
+	}
+	return changes.Version, nil
+}
+
+func (w *Watch) succeeded(sentAt time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.asOf = sentAt
+	if w.wellSince.IsZero() {
+		w.wellSince = sentAt
+	}
+}
+
+func (w *Watch) failed(err error) {
+	w.mu.Lock()
+	w.wellSince = time.Time{}
+	w.mu.Unlock()
+	if w.handler.Failed != nil {
+		w.handler.Failed(err)
+	}
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/taskrunner/announce.go
@@ -0,0 +1,164 @@
+package taskrunner
+
+import (
+	"time"
+
+	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/workload"
+)
+
+// announcedRow is the worker's row in the store.
+type announcedRow struct {
+	known   bool
+	version storeapi.RowVersion
+	// confirmed is set once an announcement of this generation took effect.
+	confirmed bool
+	pending   bool
+	nextAt    time.Time
+	// clockMS is the worker's clock before the outstanding announcement was sent.
+	clockMS int64
+	// doubtful are announcements without an answer, by when they were sent.
+	doubtful map[int64]int64
+}
+
+func (a *announcedRow) announceNow() { a.nextAt = time.Time{} }
+
+// lease bounds how far the worker's lease may be extended.
+type lease struct {
+	// basisMS is the worker's clock before the last confirmed announcement.
+	basisMS int64
+	known   bool
+	// endsAt is when the lease that was granted last has ended for certain.
+	endsAt time.Time
+}
+
+// reregister asks for a new announcement under a higher generation.
+func (c *Core) reregister() {
+	c.generation++
+	c.row.confirmed = false
+	c.row.doubtful = nil
+	c.lease.known = false
+	c.row.announceNow()
+}
+
+// RowLoaded takes in the worker's row as an earlier process left it. Version
+// zero means that there is none.
+func (c *Core) RowLoaded(row workload.Announcement, version storeapi.RowVersion) {
+	c.row.known, c.row.version = true, version
+	c.generation = max(c.generation, row.Generation+1)
+	if version == 0 || row.State == workload.WorkerGone || c.statusKnown {
+		return
+	}
+	c.life = max(c.life, row.Incarnation)
+	if c.life != row.Incarnation {
+		return
+	}
+	c.status = Heartbeat{
+		Worker: row.Worker, Incarnation: row.Incarnation, Service: row.Service, Zone: row.Zone, Rack: row.Rack,
+		Labels: row.Labels, Capacity: row.Capacity, Draining: row.State == workload.WorkerDraining,
+	}
+	c.statusKnown = true
+}
+
+// announce returns the announcement that is due, if any.
+func (c *Core) announce(now time.Time, storeMS int64) []Action {
+	if !c.row.known || c.row.pending || !c.statusKnown || now.Before(c.row.nextAt) || (!c.lists.known && !c.left) {
+		return nil
+	}
+	row := workload.Announcement{
+		Host: c.host, Worker: c.status.Worker, Incarnation: c.status.Incarnation, Service: c.status.Service,
+		Zone: c.status.Zone, Rack: c.status.Rack, Labels: c.status.Labels, Capacity: c.status.Capacity,
+		State: workload.WorkerReady, Generation: c.generation, SentMS: storeMS, Running: c.lists.running,
+	}
+	switch {
+	case c.left:
+		row.State, row.Running = workload.WorkerGone, nil
+	case c.status.Draining:
+		row.State, row.LeavesInMS = workload.WorkerDraining, c.status.LeavesIn.Milliseconds()
+	}
+	c.row.pending = true
+	c.row.clockMS = c.clock(now)
+	c.row.nextAt = now.Add(c.settings.AnnounceEvery)
+	return []Action{Announce{Row: row, Version: c.row.version}}
+}
+
+// Announced takes in the result of an announcement. On a conflict, present is
+// the row that lies in the store, with version zero when there is none.
+func (c *Core) Announced(now time.Time, sent Announce, result storeapi.Result, present workload.Announcement, version storeapi.RowVersion) {
+	c.row.pending = false
+	current := sent.Row.Generation == c.generation && sent.Row.Incarnation == c.status.Incarnation
+	switch result {
+	case storeapi.ResultOK:
+		c.row.version = version
+		if current {
+			c.confirm(c.row.clockMS)
+		}
+	case storeapi.ResultConflict:
+		c.announceConflict(present, version)
+	default:
+		if c.row.doubtful == nil {
+			c.row.doubtful = map[int64]int64{}
+		}
+		if current && result == storeapi.ResultInDoubt {
+			c.row.doubtful[sent.Row.SentMS] = c.row.clockMS
+		}
+		c.row.nextAt = now.Add(c.settings.RetryPause)
+	}
+}
+
+func (c *Core) confirm(clockMS int64) {
+	c.row.confirmed = true
+	c.row.doubtful = nil
+	c.lease.basisMS, c.lease.known = max(c.lease.basisMS, clockMS), true
+}
+
+// announceConflict takes in the row that stands instead of the expected one: an
+// earlier announcement whose answer was lost, or the scheduler's word that the
+// worker is gone.
+func (c *Core) announceConflict(present workload.Announcement, version storeapi.RowVersion) {
+	c.row.version = version
+	c.row.announceNow()
+	clockMS, mine := c.row.doubtful[present.SentMS]
+	if mine && present.Generation == c.generation && present.State != workload.WorkerGone {
+		c.confirm(clockMS)
+		return
+	}
+	c.note("worker_row_lost", nil, string(present.State))
+	c.generation = max(c.generation, present.Generation)
+	c.reregister()
+}
+
+// clock returns a lower bound of the worker's clock.
+func (c *Core) clock(now time.Time) int64 {
+	return c.lists.clockMS + now.Sub(c.lists.receivedAt).Milliseconds()
+}
+
+// leaseEnd returns the end of the lease that may be granted now on the worker's
+// clock, or 0 for none.
+func (c *Core) leaseEnd(now time.Time) int64 {
+	if !c.row.confirmed || !c.lease.known || !c.lists.known || c.left {
+		return 0
+	}
+	end := min(c.clock(now)+c.settings.LeaseStep.Milliseconds(), c.lease.basisMS+c.settings.LeaseBound.Milliseconds())
+	if end <= c.clock(now) {
+		return 0
+	}
+	return end
+}
+
+// Slowness of the worker's clock and the longest way of a call to it.
+const (
+	clockTolerance = 1.03
+	callMargin     = 300 * time.Millisecond
+)
+
+// granted notes a lease that is being granted.
+func (c *Core) granted(now time.Time, endMS int64) {
+	if endMS == 0 {
+		return
+	}
+	remaining := time.Duration(float64(endMS-c.clock(now))*clockTolerance) * time.Millisecond
+	if end := now.Add(remaining + callMargin); end.After(c.lease.endsAt) {
+		c.lease.endsAt = end
+	}
+}
--- /dev/null
+++ b/internal/workload/rows.go
@@ -0,0 +1,216 @@
+package workload
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"dragonflyyard/internal/model"
+)
+
+// Tables of the store. The key of a row is "TABLE/REST".
+const (
+	// TableInbox holds what entry hosts accepted: jobs and cancellations.
+	TableInbox = "inbox"
+	// TableProgress holds the progress of each job that began or ended.
+	TableProgress = "progress"
+	// TableWorkers holds the announcement of each worker, written by its agent.
+	TableWorkers = "workers"
+	// TableEnds holds ends of runs that the scheduler has not taken in yet.
+	TableEnds = "ends"
+	// TableControl holds the scheduler's lease and the counts of queues.
+	TableControl = "control"
+	// orderTables is over how many tables the orders are spread, so that a
+	// change wakes few agents. The store allows 100 tables.
+	orderTables = 24
+)
+
+// Keys of single rows and prefixes of row kinds.
+const (
+	PrefixJobs    = TableInbox + "/job/"
+	PrefixCancels = TableInbox + "/cancel/"
+	// KeyFence is the row that each transaction of the scheduler rewrites. Its
+	// version chains them, so that one of a former owner is refused.
+	KeyFence = TableControl + "/fence"
+	// KeyPending holds the number of jobs by queue that have not begun.
+	KeyPending = TableControl + "/pending"
+)
+
+// JobKey returns the key of a job's row.
+func JobKey(id model.JobID) string { return PrefixJobs + string(id) }
+
+// CancelKey returns the key of the row that cancels a job.
+func CancelKey(id model.JobID) string { return PrefixCancels + string(id) }
+
+// ProgressKey returns the key of a job's progress.
+func ProgressKey(id model.JobID) string { return TableProgress + "/" + string(id) }
+
+// WorkerKey returns the key of the announcement of the worker beside an agent.
+func WorkerKey(host string) string { return TableWorkers + "/" + host }
+
+// OrderTable returns the table that holds the orders for a worker.
+func OrderTable(host string) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(host))
+	return fmt.Sprintf("orders-%02d", h.Sum32()%orderTables)
+}
+
+// OrderTables returns the names of all tables of orders.
+func OrderTables() []string {
+	names := make([]string, orderTables)
+	for i := range names {
+		names[i] = fmt.Sprintf("orders-%02d", i)
+	}
+	return names
+}
+
+// OrderPrefix returns the prefix of the keys of a worker's orders.
+func OrderPrefix(host string) string { return OrderTable(host) + "/" + host + "/" }
+
+// RunID names one run of a task.
+type RunID struct {
+	Task TaskRef
+	Run  int
+}
+
+// String returns "TASK/RUN".
+func (r RunID) String() string { return r.Task.String() + "/" + strconv.Itoa(r.Run) }
+
+// ParseRunID parses what RunID.String returns.
+func ParseRunID(text string) (RunID, error) {
+	task, number, _ := strings.Cut(text, "/")
+	ref, err := ParseTaskRef(task)
+	if err != nil {
+		return RunID{}, err
+	}
+	run, err := strconv.Atoi(number)
+	if err != nil || run < 1 {
+		return RunID{}, errors.Newf("run %q of task %q", number, task)
+	}
+	return RunID{ref, run}, nil
+}
+
+// EndKey returns the key of the end of a run.
+func EndKey(run RunID) string { return TableEnds + "/" + run.String() }
+
+// Order tells the agent beside a worker to run a task, or to stop it.
+type Order struct {
+	Task string `codec:"t"`
+	Run  int    `codec:"r"`
+	// Host names the agent's machine, Worker its worker, and Incarnation the
+	// life of the worker that the order is for.
+	Host        string            `codec:"h"`
+	Worker      model.WorkerID    `codec:"w"`
+	Incarnation model.Incarnation `codec:"i"`
+	Spec        string            `codec:"x"`
+	Checkpoint  string            `codec:"c,omitempty"`
+	// StartByMS is the store's time after which the task must not be started.
+	StartByMS int64 `codec:"b"`
+	// Stop asks for the end of the run.
+	Stop bool `codec:"s,omitempty"`
+}
+
+// Key returns the key of the order's row.
+func (o *Order) Key() string {
+	return OrderPrefix(o.Host) + o.Task + "/" + strconv.Itoa(o.Run)
+}
+
+// ID returns the run that the order is for. It returns an error for an order
+// that no scheduler writes.
+func (o *Order) ID() (RunID, error) {
+	ref, err := ParseTaskRef(o.Task)
+	return RunID{ref, o.Run}, err
+}
+
+// EndKind says how a run ended.
+type EndKind string
+
+// Kinds of ends.
+const (
+	EndDone    EndKind = "done"
+	EndFailed  EndKind = "failed"
+	EndStopped EndKind = "stopped"
+	// EndLapsed means that the worker's lease ran out.
+	EndLapsed EndKind = "lapsed"
+	// EndBroken means that another member of the gang ended.
+	EndBroken EndKind = "broken"
+	// EndAlone means that the other members of the gang did not come.
+	EndAlone EndKind = "alone"
+	// EndLost means that the worker's life ended with the run.
+	EndLost EndKind = "lost"
+	// EndNotStarted means that the run never began and never will.
+	EndNotStarted EndKind = "not_started"
+)
+
+// End tells how a run ended.
+type End struct {
+	Task string  `codec:"t"`
+	Run  int     `codec:"r"`
+	Host string  `codec:"h"`
+	Kind EndKind `codec:"k"`
+	// Checkpoint is the work that was saved; empty for none.
+	Checkpoint string `codec:"c,omitempty"`
+	// Detail says why a run was not started, for logs.
+	Detail string `codec:"d,omitempty"`
+}
+
+// WorkerState is what a worker says of itself.
+type WorkerState string
+
+// States of a worker.
+const (
+	WorkerReady    WorkerState = "ready"
+	WorkerDraining WorkerState = "draining"
+	// WorkerGone is one that left or whose lease lapsed.
+	WorkerGone WorkerState = "gone"
+)
+
+// RunningTask is a run that a worker reports.
+type RunningTask struct {
+	Task string `codec:"t"`
+	Run  int    `codec:"r"`
+	// Checkpoint is the work saved so far.
+	Checkpoint string `codec:"c,omitempty"`
+	// Percent is how much of the work is done; for a long-running task, how
+	// much of it is at work.
+	Percent int `codec:"p,omitempty"`
+}
+
+// Announcement is what an agent writes of its worker.
+type Announcement struct {
+	Host        string                     `codec:"h"`
+	Worker      model.WorkerID             `codec:"w"`
+	Incarnation model.Incarnation          `codec:"i"`
+	Service     string                     `codec:"v"`
+	Zone        model.AvailabilityZoneName `codec:"z"`
+	Rack        model.RackID               `codec:"k"`
+	Labels      []string                   `codec:"l"`
+	Capacity    Demand                     `codec:"c"`
+	State       WorkerState                `codec:"s"`
+	// LeavesInMS is the least time that a draining worker goes on.
+	LeavesInMS int64 `codec:"o,omitempty"`
+	// Generation rises with each life of the agent or of the worker. It is the
+	// fencing token of the agent's calls to the worker.
+	Generation uint64 `codec:"g"`
+	// SentMS is when the announcement was sent, on the store's clock.
+	SentMS  int64         `codec:"t"`
+	Running []RunningTask `codec:"r,omitempty"`
+}
+
+// ErrRowKey means that a row's key does not name what the row should hold.
+var ErrRowKey = errors.New("unexpected row key")
+
+// JobOfKey returns the job that a key of the inbox names, and whether it is a
+// cancellation.
+func JobOfKey(key string) (id model.JobID, cancel bool, err error) {
+	if rest, found := strings.CutPrefix(key, PrefixJobs); found {
+		return model.JobID(rest), false, nil
+	}
+	if rest, found := strings.CutPrefix(key, PrefixCancels); found {
+		return model.JobID(rest), true, nil
+	}
+	return "", false, errors.Wrapf(ErrRowKey, "%q", key)
+}
