Read the ends after the orders when an owner loads

Ruled out: the agent (it removed the order and put the end in one transaction), the former owner (fenced). Change: orders first, ends after. TestLoadMissesNoEnd failed first. The first owner's hand-over is tested, too.

--- a/internal/schedulerhost/load.go
+++ b/internal/schedulerhost/load.go
@@ -20,42 +20,51 @@
 // watched are the tables that others write and the scheduler follows.
 var watched = []string{workload.TableInbox, workload.TableWorkers, workload.TableEnds}
 
-// load reads all tables and returns the versions from which the watched ones go on.
+// load reads all tables and returns the versions from which the watched ones
+// go on. An agent removes an order and puts its end in one transaction, so the
+// ends are read after the orders: each run is in one of the two, or in both.
 func (s *session) load(ctx context.Context) (map[string]storeapi.RowVersion, error) {
-	tables := append([]string{workload.TableProgress}, watched...)
-	tables = append(tables, workload.OrderTables()...)
-	snapshots := make([]storeapi.Snapshot, len(tables))
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(maxScans)
-	for i, table := range tables {
-		group.Go(func() error {
-			var err error
-			snapshots[i], err = s.scan(ctx, table)
-			return err
-		})
+	orders, err := s.scanAll(ctx, workload.OrderTables())
+	if err != nil {
+		return nil, err
 	}
-	if err := group.Wait(); err != nil {
+	others, err := s.scanAll(ctx, append([]string{workload.TableProgress}, watched...))
+	if err != nil {
 		return nil, err
 	}
 	versions := map[string]storeapi.RowVersion{}
 	for i, table := range watched {
-		versions[table] = snapshots[i+1].Version
+		versions[table] = others[i+1].Version
 	}
-	progress := s.decodeProgress(snapshots[0])
-	s.takeInbox(snapshots[1].Rows, progress)
-	s.takeWorkers(snapshots[2].Rows)
-	orders := 0
-	for _, snapshot := range snapshots[1+len(watched):] {
-		orders += len(snapshot.Rows)
+	s.takeInbox(others[1].Rows, s.decodeProgress(others[0]))
+	s.takeWorkers(others[2].Rows)
+	found := 0
+	for _, snapshot := range orders {
+		found += len(snapshot.Rows)
 		s.takeOrders(snapshot.Rows)
 	}
-	s.takeEnds(snapshots[3].Rows)
+	s.takeEnds(others[3].Rows)
 	stats := s.core.Stats()
 	s.log.Info("scheduler_loaded", zap.Uint64("epoch", uint64(s.epoch)), zap.Int("jobs", stats.Jobs),
-		zap.Int("workers", stats.Workers), zap.Int("orders", orders), zap.Int("ends", len(snapshots[3].Rows)))
+		zap.Int("workers", stats.Workers), zap.Int("orders", found), zap.Int("ends", len(others[3].Rows)))
 	return versions, nil
 }
 
+// scanAll reads tables, in any order.
+func (s *session) scanAll(ctx context.Context, tables []string) ([]storeapi.Snapshot, error) {
+	snapshots := make([]storeapi.Snapshot, len(tables))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxScans)
+	for i, table := range tables {
+		group.Go(func() error {
+			var err error
+			snapshots[i], err = s.scan(ctx, table)
+			return err
+		})
+	}
+	return snapshots, group.Wait()
+}
+
 // scan reads a table until it succeeds or the session ends.
 func (s *session) scan(ctx context.Context, table string) (storeapi.Snapshot, error) {
 	for pause := retryFirst; ; pause = min(2*pause, retryLongest) {
--- /dev/null
+++ b/internal/schedulerhost/session_test.go
@@ -0,0 +1,198 @@
+package schedulerhost
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/rowcodec"
+	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/workload"
+)
+
+// hookedStore calls afterScan with the prefix of each scan that was answered.
+type hookedStore struct {
+	*standin.Store
+	afterScan func(prefix string)
+}
+
+func (s *hookedStore) Scan(ctx context.Context, prefix string) (storeapi.Snapshot, error) {
+	snapshot, err := s.Store.Scan(ctx, prefix)
+	s.afterScan(prefix)
+	return snapshot, err
+}
+
+func put(t *testing.T, store storeapi.Table, key string, value any) {
+	t.Helper()
+	tx := storeapi.Transaction{Puts: []storeapi.Put{{Key: key, Value: rowcodec.Encode(value)}}}
+	if _, err := store.Commit(context.Background(), tx); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// testHost is a host whose order table is scanned last.
+func testHost() string {
+	tables := workload.OrderTables()
+	for i := 0; ; i++ {
+		host := "side-" + strconv.Itoa(i)
+		if workload.OrderTable(host) == tables[len(tables)-1] {
+			return host
+		}
+	}
+}
+
+func testSession(t *testing.T, store Store) *session {
+	t.Helper()
+	view := func() View { return View{AsOf: time.Now()} }
+	h := New("entry-1", "region", store, view, zap.NewNop(), metrics.NewRegistry())
+	s := newSession(h, 1, storeapi.Check{Key: leaseKey("head/epoch/region")})
+	if err := s.takeFence(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func oneTaskJob() *workload.Job {
+	return &workload.Job{
+		ID: "00000000000000aa", Account: "a", Queue: "q", Service: "s", MaxAttempts: 2, SlackFactor: 2, Occurrences: 1,
+		Steps: []workload.Step{{Tasks: 1, PerTask: workload.Demand{MilliCores: 1000, MemoryMB: 10}, Estimate: time.Second}},
+	}
+}
+
+// TestLoadMissesNoEnd: an agent commits the end of a run while a new owner
+// loads. The owner must know the order or the end, or it starts the task again.
+func TestLoadMissesNoEnd(t *testing.T) {
+	store := &hookedStore{Store: standin.NewStore(time.Now)}
+	host := testHost()
+	job := oneTaskJob()
+	order := workload.Order{Task: string(job.ID) + ".0.0.0", Run: 1, Host: host, Worker: "w", Incarnation: 5}
+	put(t, store, workload.JobKey(job.ID), job)
+	put(t, store, workload.WorkerKey(host), &workload.Announcement{
+		Host: host, Worker: "w", Incarnation: 5, Service: "s", Zone: "z", State: workload.WorkerReady,
+		Capacity: workload.Demand{MilliCores: 9000, MemoryMB: 1000}, SentMS: time.Now().UnixMilli(),
+	})
+	put(t, store, order.Key(), &order)
+	store.afterScan = func(prefix string) {
+		if prefix != workload.TableEnds+"/" {
+			return
+		}
+		end := workload.End{Task: order.Task, Run: 1, Host: host, Kind: workload.EndDone}
+		id, _ := order.ID()
+		tx := storeapi.Transaction{
+			Puts:    []storeapi.Put{{Key: workload.EndKey(id), Value: rowcodec.Encode(&end)}},
+			Deletes: []string{order.Key()},
+		}
+		if _, err := store.Commit(context.Background(), tx); err != nil {
+			t.Error(err)
+		}
+	}
+	s := testSession(t, store)
+	if _, err := s.load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	now, _ := s.now()
+	for _, batch := range s.core.Plan(now) {
+		for _, p := range batch.Tx.Puts {
+			if strings.HasPrefix(p.Key, "orders-") {
+				t.Errorf("the task is ordered again: %s", p.Key)
+			}
+		}
+	}
+}
+
+// TestFence: a transaction of a former owner is refused, one whose answer was
+// lost is recognized when it is sent again.
+func TestFence(t *testing.T) {
+	store := &hookedStore{Store: standin.NewStore(time.Now), afterScan: func(string) {}}
+	former := testSession(t, store)
+	store.SetFaults(standin.ServiceTable, standin.Faults{LoseAnswers: 1})
+	if err := former.commit(t.Context(), storeapi.Transaction{Puts: []storeapi.Put{{Key: "progress/x", Value: []byte{1}}}}, nil); err != nil {
+		t.Fatalf("a write whose answer was lost: %v", err)
+	}
+	rows, err := store.List(t.Context(), "progress/", "", 10)
+	if err != nil || len(rows) != 1 {
+		t.Fatalf("rows %v, %v", rows, err)
+	}
+	next := testSession(t, store)
+	if err := former.commit(t.Context(), storeapi.Transaction{}, nil); err != errDeposed {
+		t.Errorf("the former owner's write gives %v", err)
+	}
+	check := storeapi.Check{Key: "progress/x", Version: 1 << 40}
+	if err := next.commit(t.Context(), storeapi.Transaction{Checks: []storeapi.Check{check}}, nil); err != errRefused {
+		t.Errorf("a write with a failed check gives %v", err)
+	}
+	if err := next.commit(t.Context(), storeapi.Transaction{}, nil); err != nil {
+		t.Errorf("the present owner's next write gives %v", err)
+	}
+}
+
+// TestOwnerIsReplaced runs two entry hosts; the second one takes over what the
+// first one began.
+func TestOwnerIsReplaced(t *testing.T) {
+	store := standin.NewStore(time.Now)
+	job := oneTaskJob()
+	put(t, store, workload.JobKey(job.ID), job)
+	put(t, store, workload.WorkerKey("h"), &workload.Announcement{
+		Host: "h", Worker: "w", Service: "s", Zone: "z", State: workload.WorkerReady,
+		Capacity: workload.Demand{MilliCores: 9000, MemoryMB: 1000}, SentMS: time.Now().UnixMilli() + 60_000,
+	})
+	run := func(id model.EntryID) (stop func()) {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		view := func() View { return View{AsOf: time.Now()} }
+		h := New(id, "region", store, view, zap.NewNop(), metrics.NewRegistry())
+		go func() {
+			defer close(done)
+			if err := h.Run(ctx); err != nil {
+				t.Error(err)
+			}
+		}()
+		return func() { cancel(); <-done }
+	}
+	stopFirst := run("entry-1")
+	waitFor(t, store, func(keys []string) bool {
+		return slices.ContainsFunc(keys, func(k string) bool { return strings.HasPrefix(k, "orders-") })
+	})
+	stopFirst()
+	stopSecond := run("entry-2")
+	defer stopSecond()
+	id := workload.RunID{Task: workload.TaskRef{Job: job.ID}, Run: 1}
+	order := workload.Order{Task: id.Task.String(), Run: 1, Host: "h"}
+	end := workload.End{Task: order.Task, Run: 1, Host: "h", Kind: workload.EndDone}
+	tx := storeapi.Transaction{Puts: []storeapi.Put{{Key: workload.EndKey(id), Value: rowcodec.Encode(&end)}}, Deletes: []string{order.Key()}}
+	if _, err := store.Commit(t.Context(), tx); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, store, func([]string) bool {
+		row, err := store.Get(context.Background(), workload.ProgressKey(job.ID))
+		var progress workload.Progress
+		return err == nil && rowcodec.Decode(row.Value, &progress) == nil && progress.State == workload.StateCompleted
+	})
+}
+
+// waitFor polls the keys of all rows until a condition holds.
+func waitFor(t *testing.T, store *standin.Store, holds func(keys []string) bool) {
+	t.Helper()
+	for {
+		snapshot, err := store.Scan(t.Context(), "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var keys []string
+		for _, row := range snapshot.Rows {
+			keys = append(keys, row.Key)
+		}
+		if holds(keys) {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -26,6 +26,11 @@
 	revision storeapi.RowVersion
 	rows     map[string]storeapi.Row
 	objects  map[string][]byte
+	// history holds changes for feeds, from after the version forgotten on;
+	// changed is closed and replaced at each change.
+	history   []storeapi.Change
+	forgotten storeapi.RowVersion
+	changed   chan struct{}
 	// tableGate and objectGate apply the fault switches of the two services.
 	tableGate  *gate
 	objectGate *gate
@@ -38,6 +43,8 @@
 type Result struct {
 	Versions []storeapi.RowVersion `json:"versions,omitempty"`
 	Conflict bool                  `json:"conflict,omitempty"`
+	// Present holds the checked rows as they are, of a conflict.
+	Present []storeapi.Row `json:"present,omitempty"`
 }
 
 // errLost tells the HTTP front that the effect took place and that the answer
@@ -50,6 +57,7 @@
 		now:        now,
 		rows:       map[string]storeapi.Row{},
 		objects:    map[string][]byte{},
+		changed:    make(chan struct{}),
 		tableGate:  newGate(),
 		objectGate: newGate(),
 		reads:      &rateCounter{},
@@ -98,7 +106,7 @@
 		return nil, writeError(err)
 	}
 	if results[0].Conflict {
-		return nil, errors.Wrap(storeapi.ErrConflict, "check failed")
+		return nil, &storeapi.Conflict{Rows: results[0].Present}
 	}
 	return results[0].Versions, nil
 }
@@ -157,7 +165,7 @@
 func (s *Store) apply(tx storeapi.Transaction) Result {
 	for _, check := range tx.Checks {
 		if s.rows[check.Key].Version != check.Version {
-			return Result{Conflict: true}
+			return Result{Conflict: true, Present: s.present(tx.Checks)}
 		}
 	}
 	var versions []storeapi.RowVersion
@@ -165,14 +173,31 @@
 		s.revision++
 		value := append([]byte(nil), put.Value...)
 		s.rows[put.Key] = storeapi.Row{Key: put.Key, Value: value, Version: s.revision}
+		s.record(storeapi.Change{Row: s.rows[put.Key]})
 		versions = append(versions, s.revision)
 	}
 	for _, key := range tx.Deletes {
+		if _, exists := s.rows[key]; !exists {
+			continue
+		}
+		s.revision++
 		delete(s.rows, key)
+		s.record(storeapi.Change{Row: storeapi.Row{Key: key, Version: s.revision}, Deleted: true})
 	}
 	return Result{Versions: versions}
 }
 
+// present returns the rows that checks name, as they are.
+func (s *Store) present(checks []storeapi.Check) []storeapi.Row {
+	var rows []storeapi.Row
+	for _, check := range checks {
+		if row, exists := s.rows[check.Key]; exists {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
 func (s *Store) count(counter *rateCounter, n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
