--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -137,7 +137,8 @@
 func unsaved(now Now, o *order) float64 {
 	seconds := 0.0
 	if o.reportedMS > 0 {
-		seconds = float64(now.StoreMS-o.reportedMS) / 1000
+		// Processes know the store's time to some milliseconds only.
+		seconds = max(0, float64(now.StoreMS-o.reportedMS)/1000)
 	}
 	if o.step().Checkpoints {
 		seconds = min(seconds, savedLossSeconds)
--- /dev/null
+++ b/internal/dispatch/preempt_test.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"dragonflyyard/internal/workload"
+)
+
+// fill runs jobs of one task with one accelerator until two workers are full.
+func fill(r *rig) []workload.Order {
+	r.worker("h1", "r1", nil)
+	r.worker("h2", "r1", nil)
+	for i := range 16 {
+		r.job(jobID(i+1), nil)
+	}
+	return r.plan()
+}
+
+func urgentGang(r *rig, id string, tasks int) {
+	r.job(id, func(j *workload.Job) {
+		j.Account, j.Priority = "gold", 0
+		j.Steps[0].Tasks, j.Steps[0].Gang, j.Steps[0].PerTask.Accelerators = tasks, true, 4
+	})
+}
+
+// TestPreemptionStopsNoMoreThanNeeded: capacity that is being freed counts, also
+// when the agents' clocks run ahead and runs look younger than nothing.
+func TestPreemptionStopsNoMoreThanNeeded(t *testing.T) {
+	r := newRig(t)
+	started := fill(r)
+	if len(started) != 16 {
+		t.Fatalf("%d of 16 tasks started", len(started))
+	}
+	r.pass(3 * time.Second)
+	urgentGang(r, "00000000000000ff", 2)
+	r.plan()
+	victims := r.stopping()
+	if len(victims) != 8 {
+		t.Fatalf("%d runs are stopped for 8 accelerators", len(victims))
+	}
+	// One victim is gone; the others' worker reports runs from the future.
+	r.end(victims[0], workload.EndStopped, "")
+	r.pass(100 * time.Millisecond)
+	for _, host := range []string{"h1", "h2"} {
+		r.worker(host, "r1", func(a *workload.Announcement) {
+			a.SentMS = r.now.StoreMS + 900
+			for _, o := range r.orders {
+				if o.Host == host {
+					a.Running = append(a.Running, workload.RunningTask{Task: o.Task, Run: o.Run})
+				}
+			}
+		})
+	}
+	r.plan()
+	if n := len(r.stopping()); n != 7 {
+		t.Errorf("%d runs are being stopped after one of 8 has ended", n)
+	}
+	for _, o := range victims[1:] {
+		r.end(o, workload.EndStopped, "")
+	}
+	gang := 0
+	for _, o := range r.plan() {
+		if o.Task[:16] == "00000000000000ff" {
+			gang++
+		}
+	}
+	if gang != 2 {
+		t.Errorf("%d of 2 members of the urgent gang started", gang)
+	}
+}
+
+func TestPreemptionStaysInsideTheGuarantee(t *testing.T) {
+	r := newRig(t)
+	fill(r)
+	r.pass(time.Second)
+	urgentGang(r, "00000000000000f1", 5) // 20 accelerators of 16 guaranteed
+	r.plan()
+	if n := len(r.stopping()); n != 0 {
+		t.Errorf("%d runs are stopped for work beyond the guarantee", n)
+	}
+}
+
+func TestPreemptionTakesTheLeastUnsavedWork(t *testing.T) {
+	r := newRig(t)
+	r.worker("h1", "r1", nil)
+	for i, checkpoints := range []bool{false, true, false, false} {
+		r.job(jobID(i+1), func(j *workload.Job) {
+			j.Steps[0].PerTask.Accelerators = 2
+			j.Steps[0].Checkpoints = checkpoints
+		})
+	}
+	started := r.plan()
+	r.worker("h1", "r1", func(a *workload.Announcement) {
+		for _, o := range started {
+			a.Running = append(a.Running, workload.RunningTask{Task: o.Task, Run: o.Run})
+		}
+	})
+	r.pass(4 * time.Second)
+	r.worker("h1", "r1", nil)
+	r.job("00000000000000f1", func(j *workload.Job) {
+		j.Account, j.Priority = "gold", 0
+		j.Steps[0].PerTask.Accelerators = 2
+	})
+	r.plan()
+	stopped := r.stopping()
+	if len(stopped) != 1 || stopped[0].Task != jobID(2)+".0.0.0" {
+		t.Errorf("stopped %v, want the one task that saves its work", stopped)
+	}
+}
