Take the own host's lease over at once, let a lapsed owner go on until it is fenced, preempt for urgent work beyond the guarantee

Ruled out: dropping the lease; without it two hosts would fence each other for ever. Change: a host takes its own former process's lease at once; leases last 1.6 s, as the fence alone keeps a former owner from deciding; preemption beyond the guarantee throws away at most half as much work as the urgent work is, and nothing for a gang that would not fit.

--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -2,20 +2,29 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/workload"
 )
 
-// entitled reports whether a unit may stop others' work: it is of priority 0
-// and within what is guaranteed to its account.
-func (c *Core) entitled(u *unit) bool {
+// maxLossShare is how much unsaved work may be thrown away for urgent work that
+// is not guaranteed, as a share of that work.
+const maxLossShare = 0.5
+
+// mayThrowAway returns how many core seconds of others' unsaved work a unit may
+// throw away: any for work of priority 0 inside what is guaranteed to its
+// account, a share of its own work beyond that, and none for other priorities.
+func (c *Core) mayThrowAway(u *unit) float64 {
 	if u.job.Priority != 0 {
-		return false
+		return 0
 	}
 	need := len(u.tasks) * u.spec().PerTask.Accelerators
-	return c.urgentInUse(u.job.Account)+need <= c.guaranteed[u.job.Account]
+	if c.urgentInUse(u.job.Account)+need <= c.guaranteed[u.job.Account] {
+		return math.Inf(1)
+	}
+	return maxLossShare * float64(len(u.tasks)) * u.spec().PerTask.Cores() * u.spec().Estimate.Seconds()
 }
 
 // urgentInUse returns the accelerators that an account's jobs of priority 0 hold.
@@ -32,14 +41,45 @@
 	return used
 }
 
+// claims collects where the missing tasks of a unit go and what is stopped there.
+type claims struct {
+	unit    *unit
+	places  []*worker
+	victims []*order
+	chosen  map[*order]bool
+	// coming is what will be free beyond the room, by what is being stopped.
+	coming map[*worker]workload.Demand
+	cost   float64
+}
+
 // claim makes room for those tasks of a unit that found no place. What is being
 // stopped already counts as free. The room that it will get is taken out of r,
 // so that nothing else starts there meanwhile.
 func (c *Core) claim(now Now, r *room, u *unit, placed []placement) {
 	missing := len(u.tasks) - len(placed)
-	if missing <= 0 || !c.entitled(u) {
+	if missing <= 0 || u.job.Priority != 0 {
+		return
+	}
+	most := c.mayThrowAway(u)
+	cl := &claims{unit: u, chosen: map[*order]bool{}, coming: comingFree(r)}
+	for range missing {
+		if !c.claimOne(now, r, cl) {
+			break
+		}
+	}
+	if cl.cost > most || (u.gang() && len(cl.places) < missing) {
+		for _, w := range cl.places {
+			r.giveBack(u, w)
+		}
 		return
 	}
+	for _, o := range cl.victims {
+		c.preempt(o, u)
+	}
+}
+
+// comingFree returns what is being stopped on each worker.
+func comingFree(r *room) map[*worker]workload.Demand {
 	coming := map[*worker]workload.Demand{}
 	for _, w := range r.workers {
 		for _, o := range w.orders {
@@ -48,39 +88,46 @@
 			}
 		}
 	}
-	for range missing {
-		w, victims := c.cheapest(now, r, u, coming)
-		if w == nil {
-			return
-		}
-		for _, o := range victims {
-			c.preempt(o, u)
-			coming[o.worker] = coming[o.worker].Add(o.demand)
-		}
-		r.take(u, w)
+	return coming
+}
+
+// claimOne chooses a worker for one more task, and what is stopped there.
+func (c *Core) claimOne(now Now, r *room, cl *claims) bool {
+	w, victims := c.cheapest(now, r, cl)
+	if w == nil {
+		return false
+	}
+	for _, o := range victims {
+		cl.chosen[o] = true
+		cl.cost += unsaved(now, o)
+		cl.coming[o.worker] = cl.coming[o.worker].Add(o.demand)
 	}
+	cl.victims = append(cl.victims, victims...)
+	cl.places = append(cl.places, w)
+	r.take(cl.unit, w)
+	return true
 }
 
 // preempt stops a run, and with it the other members of its gang.
 func (c *Core) preempt(o *order, u *unit) {
-	o.wantStop("room for " + string(u.job.ID) + ", which its account is guaranteed")
+	o.wantStop("room for urgent " + string(u.job.ID))
 	c.decide(Decision{Kind: "run_preempted", Job: o.job.ID, Task: o.Task, Run: o.Run, Worker: o.Worker, Reason: o.stopReason, AgeMS: -1})
 	if o.step().Gang {
 		c.breakGang(o.job, o.id)
 	}
 }
 
-// cheapest returns the worker on which room for one task of the unit costs the
-// least unsaved work, and the runs to stop there. There may be none to stop.
-func (c *Core) cheapest(now Now, r *room, u *unit, coming map[*worker]workload.Demand) (*worker, []*order) {
+// cheapest returns the worker on which room for one more task costs the least
+// unsaved work, and the runs to stop there. There may be none to stop.
+func (c *Core) cheapest(now Now, r *room, cl *claims) (*worker, []*order) {
 	var best *worker
 	var bestVictims []*order
 	bestCost := 0.0
 	for _, w := range r.workers {
-		if !allowed(u, w) || !r.underLimit(u, w) {
+		if !allowed(cl.unit, w) || !r.underLimit(cl.unit, w) {
 			continue
 		}
-		victims, cost, ok := c.victims(now, u, w, r.free[w].Add(coming[w]))
+		victims, cost, ok := victimsOn(now, w, r.free[w].Add(cl.coming[w]), cl)
 		if ok && (best == nil || cost < bestCost) {
 			best, bestVictims, bestCost = w, victims, cost
 		}
@@ -88,13 +135,14 @@
 	return best, bestVictims
 }
 
-// victims returns runs on a worker that make room for one task when stopped,
+// victimsOn returns runs on a worker that make room for one task when stopped,
 // those with the least unsaved work first, and no more than needed.
-func (c *Core) victims(now Now, u *unit, w *worker, free workload.Demand) (victims []*order, cost float64, ok bool) {
-	demand := u.spec().PerTask
+func victimsOn(now Now, w *worker, free workload.Demand, cl *claims) (victims []*order, cost float64, ok bool) {
+	demand := cl.unit.spec().PerTask
 	candidates := make([]*order, 0, len(w.orders))
 	for _, o := range sortedOrders(w.orders) {
-		if !o.stopWanted && o.job.Priority > u.job.Priority && !o.step().LongRunning && o.version != 0 {
+		lower := o.job.Priority > cl.unit.job.Priority && !o.step().LongRunning
+		if lower && !o.stopWanted && !cl.chosen[o] && o.version != 0 {
 			candidates = append(candidates, o)
 		}
 	}
--- a/internal/ownership/calls.go
+++ b/internal/ownership/calls.go
@@ -59,12 +59,14 @@
 }
 
 // isFree reports whether the row's lease may be taken: it was released, it is
-// this process's own lapsed one, or it did not change for a lease's time.
+// this host's own, lapsed or of an ended process, or it did not change for a
+// lease's time.
 func (c *Candidate) isFree(now time.Time) bool {
 	if c.row.Version == 0 || c.lease.Released {
 		return true
 	}
-	if c.lease.Owner == c.id && c.lease.Incarnation == c.incarnation {
+	if c.lease.Owner == c.id {
+		// A host runs one process at a time, so a former incarnation has ended.
 		return true
 	}
 	return now.Sub(c.unchangedSince) >= c.limits.Duration+c.limits.Margin
--- a/internal/schedulerhost/lease.go
+++ b/internal/schedulerhost/lease.go
@@ -45,8 +45,9 @@
 	candidate *ownership.Candidate
 	inputs    *ring.Ring[func(now time.Time) []ownership.Action]
 	// leave ends the session of the epoch that is held.
-	leave context.CancelFunc
-	ended chan struct{}
+	leave   context.CancelFunc
+	ended   chan struct{}
+	beganAt time.Time
 }
 
 // leaseTick is the longest time between two steps of the candidate.
@@ -57,11 +58,21 @@
 	incarnation := model.Incarnation(time.Now().UnixMilli())
 	return &Host{
 		id: id, incarnation: incarnation, store: store, view: view, log: log, registry: registry,
-		candidate: ownership.NewCandidate(ownership.DefaultLimits(), region, id, incarnation),
+		candidate: ownership.NewCandidate(leaseLimits(), region, id, incarnation),
 		inputs:    ring.New[func(now time.Time) []ownership.Action]("lease.inputs", 64, registry),
 	}
 }
 
+// leaseLimits are shorter than those of package ownership: here a lease only
+// says when another host takes over, since the fence alone keeps a former owner
+// from deciding.
+func leaseLimits() ownership.Limits {
+	limits := ownership.DefaultLimits()
+	limits.Duration = 1600 * time.Millisecond
+	limits.RenewEvery = 400 * time.Millisecond
+	return limits
+}
+
 // handOverWithin bounds the writing of a lease's release at a planned stop.
 const handOverWithin = 2 * time.Second
 
@@ -85,6 +96,7 @@
 			return nil
 		case <-tick.C:
 			actions = h.candidate.Step(time.Now(), ownership.Tick{})
+			h.restartSession(calls)
 		case input := <-h.inputs.Out():
 			actions = input(time.Now())
 		}
@@ -106,8 +118,12 @@
 			h.log.Info("scheduler_acquired", zap.Uint64("epoch", uint64(action.Epoch)))
 			h.beginSession(ctx, action.Epoch)
 		case ownership.Lost:
+			// A lapsed owner goes on until another one has taken the fence: each
+			// of its transactions is refused from then on.
 			h.log.Warn("scheduler_lost", zap.Uint64("epoch", uint64(action.Epoch)), zap.String("reason", string(action.Reason)))
-			h.endSession()
+			if action.Reason != ownership.LossLapsed {
+				h.endSession()
+			}
 		case ownership.Observed:
 			h.log.Info("scheduler_observed", zap.String("owner", string(action.Lease.Owner)), zap.Uint64("epoch", uint64(action.Lease.Epoch)))
 		case ownership.HandedOver:
@@ -147,8 +163,14 @@
 	h.inputs.Push(ctx, func(now time.Time) []ownership.Action { return h.candidate.Step(now, result) })
 }
 
+// beginSession schedules under a new epoch. A session that still runs goes on:
+// no other owner has taken its fence.
 func (h *Host) beginSession(ctx context.Context, epoch model.Epoch) {
+	if h.running() {
+		return
+	}
 	h.endSession()
+	h.beganAt = time.Now()
 	ctx, h.leave = context.WithCancel(ctx)
 	h.ended = make(chan struct{})
 	check := h.candidate.Check()
@@ -160,6 +182,30 @@
 	}(h.ended)
 }
 
+// sessionRestart is the least time between two sessions of one epoch.
+const sessionRestart = 500 * time.Millisecond
+
+// restartSession begins a session anew that ended although the lease is held.
+func (h *Host) restartSession(ctx context.Context) {
+	epoch, held := h.candidate.Holds(time.Now())
+	if held && h.leave != nil && !h.running() && time.Since(h.beganAt) > sessionRestart {
+		h.beginSession(ctx, epoch)
+	}
+}
+
+// running reports whether a session goes on.
+func (h *Host) running() bool {
+	if h.leave == nil {
+		return false
+	}
+	select {
+	case <-h.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 // endSession stops deciding under the held epoch. What is under way may still
 // take effect until a successor's fence.
 func (h *Host) endSession() {
