Bound what urgent work throws away in total, and hold capacity for wide work

Ruled out: the guarantee (it is not reached here). Change: the work thrown away for a step counts over its whole wait; beyond it, and for lower priorities after 3 s, the capacity that frees first is held back. TestUrgentWorkBeyondTheGuaranteeStopsOnce.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -105,6 +105,9 @@
 	readySinceMS map[stepKey]int64
 	// notBeforeMS holds a step back after a worker did not start its task.
 	notBeforeMS map[stepKey]int64
+	// thrownAway counts the core seconds of others' work that were thrown away
+	// for each step.
+	thrownAway map[stepKey]float64
 }
 
 type stepKey struct{ occurrence, step int }
--- /dev/null
+++ b/internal/dispatch/hold.go
@@ -0,0 +1,118 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"dragonflyyard/internal/workload"
+)
+
+// Holding capacity back for wide work.
+const (
+	// holdAfter is how long work of lower priority waits before capacity is held
+	// back for it, so that small tasks don't keep it out for good.
+	holdAfter = 3 * time.Second
+	// maxHolds bounds the units of lower priority that capacity is held for.
+	maxHolds = 1
+	// unknownRunTime is taken for tasks without an estimate.
+	unknownRunTime = 5 * time.Second
+)
+
+// mayHold reports whether capacity is held back for a unit of lower priority.
+func (r *room) mayHold(u *unit) bool {
+	waited := time.Duration(r.now.StoreMS-u.readyMS) * time.Millisecond
+	if u.rank.hopeless || waited < holdAfter || r.holds >= maxHolds {
+		return false
+	}
+	r.holds++
+	return true
+}
+
+// hold keeps the room in which tasks of a unit will fit soonest from what comes
+// later in the plan. A gang that would never fit holds nothing.
+func (r *room) hold(u *unit, tasks int) {
+	var held []*worker
+	for range tasks {
+		w := r.soonest(u)
+		if w == nil {
+			break
+		}
+		r.take(u, w)
+		held = append(held, w)
+	}
+	if u.gang() && len(held) < tasks {
+		for _, w := range held {
+			r.giveBack(u, w)
+		}
+	}
+}
+
+// soonest returns the worker on which one more task of a unit fits first, by
+// the expected ends of what runs there, or nil.
+func (r *room) soonest(u *unit) *worker {
+	var best *worker
+	bestSeconds := math.Inf(1)
+	for _, w := range r.workers {
+		if !allowed(u, w) || !r.underLimit(u, w) {
+			continue
+		}
+		if seconds := r.secondsUntilFree(u, w); seconds < bestSeconds {
+			best, bestSeconds = w, seconds
+		}
+	}
+	return best
+}
+
+// secondsUntilFree returns the expected time until a task of a unit fits into a
+// worker; infinity when it won't.
+func (r *room) secondsUntilFree(u *unit, w *worker) float64 {
+	free, demand := r.free[w], u.spec().PerTask
+	if demand.Fits(free) {
+		return 0
+	}
+	running := sortedOrders(w.orders)
+	slices.SortStableFunc(running, func(a, b *order) int {
+		return cmp.Compare(expectedSeconds(r.now, a), expectedSeconds(r.now, b))
+	})
+	for _, o := range running {
+		if o.step().LongRunning && !o.stopWanted {
+			continue
+		}
+		if free = free.Add(o.demand); demand.Fits(free) {
+			return expectedSeconds(r.now, o)
+		}
+	}
+	return math.Inf(1)
+}
+
+// expectedSeconds returns how much longer a run is expected to take.
+func expectedSeconds(now Now, o *order) float64 {
+	if o.stopWanted {
+		return 0
+	}
+	estimate := o.step().Estimate
+	if estimate == 0 {
+		estimate = unknownRunTime
+	}
+	ran := time.Duration(0)
+	if o.reportedMS > 0 {
+		ran = time.Duration(now.StoreMS-o.reportedMS) * time.Millisecond
+	}
+	// A run past its estimate is expected to take a quarter of it more.
+	return max(estimate-ran, estimate/4).Seconds()
+}
+
+// comingFree returns what is being stopped on each worker.
+func comingFree(r *room) map[*worker]workload.Demand {
+	coming := map[*worker]workload.Demand{}
+	for _, w := range r.workers {
+		for _, o := range w.orders {
+			if o.stopWanted {
+				coming[w] = coming[w].Add(o.demand)
+			}
+		}
+	}
+	return coming
+}
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -17,7 +17,10 @@
 	if progress == nil {
 		progress = workload.NewProgress(accepted.Account)
 	}
-	j := &job{Job: accepted, progress: progress, orders: map[workload.RunID]*order{}, readySinceMS: map[stepKey]int64{}, notBeforeMS: map[stepKey]int64{}}
+	j := &job{
+		Job: accepted, progress: progress, orders: map[workload.RunID]*order{},
+		readySinceMS: map[stepKey]int64{}, notBeforeMS: map[stepKey]int64{}, thrownAway: map[stepKey]float64{},
+	}
 	c.jobs[accepted.ID] = j
 	c.decide(Decision{Kind: "job_seen", Job: j.ID, Reason: string(progress.State), AgeMS: -1})
 	if c.cancelled[accepted.ID] {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -59,7 +59,11 @@
 		if len(placed) > 0 {
 			out = append(out, c.order(now, u, placed)...)
 		}
-		c.claim(now, r, u, placed)
+		if u.job.Priority == 0 {
+			c.claim(now, r, u, placed)
+		} else if missing := len(u.tasks) - len(placed); missing > 0 && r.mayHold(u) {
+			r.hold(u, missing)
+		}
 	}
 	return out
 }
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -24,7 +24,8 @@
 	if c.urgentInUse(u.job.Account)+need <= c.guaranteed[u.job.Account] {
 		return math.Inf(1)
 	}
-	return maxLossShare * float64(len(u.tasks)) * u.spec().PerTask.Cores() * u.spec().Estimate.Seconds()
+	most := maxLossShare * float64(len(u.tasks)) * u.spec().PerTask.Cores() * u.spec().Estimate.Seconds()
+	return most - u.job.thrownAway[u.key()]
 }
 
 // urgentInUse returns the accelerators that an account's jobs of priority 0 hold.
@@ -71,26 +72,15 @@
 		for _, w := range cl.places {
 			r.giveBack(u, w)
 		}
+		r.hold(u, missing)
 		return
 	}
+	u.job.thrownAway[u.key()] += cl.cost
 	for _, o := range cl.victims {
 		c.preempt(o, u)
 	}
 }
 
-// comingFree returns what is being stopped on each worker.
-func comingFree(r *room) map[*worker]workload.Demand {
-	coming := map[*worker]workload.Demand{}
-	for _, w := range r.workers {
-		for _, o := range w.orders {
-			if o.stopWanted {
-				coming[w] = coming[w].Add(o.demand)
-			}
-		}
-	}
-	return coming
-}
-
 // claimOne chooses a worker for one more task, and what is stopped there.
 func (c *Core) claimOne(now Now, r *room, cl *claims) bool {
 	w, victims := c.cheapest(now, r, cl)
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -108,3 +108,58 @@
 		t.Errorf("stopped %v, want the one task that saves its work", stopped)
 	}
 }
+
+// TestUrgentWorkBeyondTheGuaranteeStopsOnce: a wide urgent gang may throw a
+// bounded amount of work away; then it holds capacity and waits. It must not
+// stop again and again what took the place of the stopped runs.
+func TestUrgentWorkBeyondTheGuaranteeStopsOnce(t *testing.T) {
+	r := newRig(t)
+	for i := range 4 {
+		r.worker(jobID(i)[12:], "r1", nil)
+	}
+	for i := range 64 {
+		r.job(jobID(i+1), func(j *workload.Job) { j.Steps[0].Estimate = 8 * time.Second })
+	}
+	r.plan()
+	r.job("00000000000000ff", func(j *workload.Job) {
+		j.Account, j.Priority = "bronze", 0
+		j.Steps[0].Tasks, j.Steps[0].Gang, j.Steps[0].PerTask.Accelerators = 4, true, 8
+	})
+	began := map[string]time.Duration{}
+	stops := map[string]bool{}
+	ended := 0
+	for at := time.Duration(0); at < 12*time.Second; at += 100 * time.Millisecond {
+		for _, o := range r.plan() {
+			if o.Task[:16] == "00000000000000ff" {
+				began[o.Task] = at
+			}
+		}
+		for _, o := range r.stopping() {
+			if !stops[o.Task+jobID(o.Run)] {
+				stops[o.Task+jobID(o.Run)] = true
+				continue
+			}
+			r.end(o, workload.EndStopped, "")
+		}
+		// Running tasks end after 8 s, one after the other.
+		if at > 8*time.Second {
+			for _, o := range r.orders {
+				if !o.Stop && ended < 64 && o.Task[:16] != "00000000000000ff" {
+					r.end(o, workload.EndDone, "")
+					ended++
+					break
+				}
+			}
+		}
+		r.pass(100 * time.Millisecond)
+		for i := range 4 {
+			r.worker(jobID(i)[12:], "r1", nil)
+		}
+	}
+	if len(began) != 4 {
+		t.Errorf("%d of 4 members of the gang began", len(began))
+	}
+	if len(stops) > 32 {
+		t.Errorf("%d runs were stopped for a gang of 32 accelerators", len(stops))
+	}
+}
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -17,6 +17,8 @@
 	free    map[*worker]workload.Demand
 	// steps counts the tasks of each step on each worker.
 	steps map[stepOnWorker]int
+	// holds counts the units of lower priority that capacity is held for.
+	holds int
 }
 
 type stepOnWorker struct {
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -22,6 +22,7 @@
 
 func (u *unit) spec() *workload.Step { return &u.job.Steps[u.step] }
 func (u *unit) gang() bool           { return u.spec().Gang }
+func (u *unit) key() stepKey         { return stepKey{u.occurrence, u.step} }
 
 // rank orders units: lower comes first.
 type rank struct {
