Count a cost for every stop, so that a worker being vacated is kept

Ruled out: the reservation (it was there, on another worker each time). Change: unsaved work counts from the decision, and each stop costs a second of the run. TestVacatedWorkersAreKept.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -121,7 +121,7 @@
 	demand workload.Demand
 	// version is that of the order's row; 0 until it is committed.
 	version storeapi.RowVersion
-	// decidedMS is when the order was decided, 0 when a former owner did.
+	// decidedMS is when the order was decided, or taken over from a former owner.
 	decidedMS int64
 	// stopWanted asks for the run's end; stopReason says why.
 	stopWanted bool
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -94,7 +94,7 @@
 
 // OrderSeen takes in an order that a former owner wrote. The workers and jobs
 // are taken in first. An order of an unknown job gets a stop.
-func (c *Core) OrderSeen(row workload.Order, version storeapi.RowVersion) {
+func (c *Core) OrderSeen(now Now, row workload.Order, version storeapi.RowVersion) {
 	id, err := row.ID()
 	if err != nil {
 		return
@@ -108,7 +108,7 @@
 		w = &worker{Announcement: workload.Announcement{Host: row.Host, State: workload.WorkerGone}, orders: map[workload.RunID]*order{}}
 		c.workers[row.Host] = w
 	}
-	o := &order{Order: row, id: id, job: j, worker: w, version: version, demand: j.Steps[id.Task.Step].PerTask}
+	o := &order{Order: row, id: id, job: j, worker: w, version: version, demand: j.Steps[id.Task.Step].PerTask, decidedMS: now.StoreMS}
 	j.progress.Begin(j.Job, id.Task.Occurrence)
 	c.link(o)
 	if task := j.progress.Task(id.Task); task != nil {
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -166,18 +166,24 @@
 	return kept
 }
 
-// savedLossSeconds is the work that a run which saves its work loses on average
-// when it is stopped and resumed elsewhere.
-const savedLossSeconds = 0.5
+// Work that a stop costs, in seconds of a run.
+const (
+	// stopSeconds is what every stop costs, for the start and the end of a run.
+	// It makes a worker that is being vacated cheaper than any other.
+	stopSeconds = 1.0
+	// savedLossSeconds is what a run that saves its work loses on average.
+	savedLossSeconds = 0.5
+)
 
 // unsaved returns the core seconds of work that stopping a run throws away; of
 // a gang, those of all its members.
 func unsaved(now Now, o *order) float64 {
-	seconds := 0.0
-	if o.reportedMS > 0 {
-		// Processes know the store's time to some milliseconds only.
-		seconds = max(0, float64(now.StoreMS-o.reportedMS)/1000)
+	since := o.reportedMS
+	if since == 0 {
+		since = o.decidedMS
 	}
+	// Processes know the store's time to some milliseconds only.
+	seconds := max(0, float64(now.StoreMS-since)/1000)
 	if o.step().Checkpoints {
 		seconds = min(seconds, savedLossSeconds)
 	}
@@ -185,5 +191,5 @@
 	if o.step().Gang {
 		members = o.step().Tasks
 	}
-	return seconds * o.demand.Cores() * float64(members)
+	return (seconds + stopSeconds) * o.demand.Cores() * float64(members)
 }
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -163,3 +163,36 @@
 		t.Errorf("%d runs were stopped for a gang of 32 accelerators", len(stops))
 	}
 }
+
+// TestVacatedWorkersAreKept: single urgent tasks of a whole worker each. While
+// the stopped runs end one by one, no run on another worker is stopped instead,
+// though it is as young.
+func TestVacatedWorkersAreKept(t *testing.T) {
+	r := newRig(t)
+	for i := range 4 {
+		r.worker(jobID(i)[12:], "r1", nil)
+	}
+	for i := range 64 {
+		r.job(jobID(i+1), nil)
+	}
+	r.plan()
+	r.job("00000000000000ff", func(j *workload.Job) {
+		j.Account, j.Priority = "gold", 0
+		j.Steps[0].Tasks, j.Steps[0].PerTask.Accelerators = 2, 8
+	})
+	stopped := map[string]bool{}
+	for range 20 {
+		r.plan()
+		stopping := r.stopping()
+		for _, o := range stopping {
+			stopped[o.Task+jobID(o.Run)] = true
+		}
+		if len(stopping) > 0 {
+			r.end(stopping[0], workload.EndStopped, "")
+		}
+		r.pass(50 * time.Millisecond)
+	}
+	if len(stopped) != 16 {
+		t.Errorf("%d runs were stopped for two workers of 8 accelerators", len(stopped))
+	}
+}
--- a/internal/schedulerhost/load.go
+++ b/internal/schedulerhost/load.go
@@ -164,13 +164,14 @@
 }
 
 func (s *session) takeOrders(rows []storeapi.Row) {
+	now, _ := s.now()
 	for _, row := range rows {
 		var order workload.Order
 		if err := rowcodec.Decode(row.Value, &order); err != nil {
 			s.malformed(row, err)
 			continue
 		}
-		s.core.OrderSeen(order, row.Version)
+		s.core.OrderSeen(now, order, row.Version)
 	}
 }
 
