Look at the worker before an old order is given up after a restart

Ruled out: the scheduler (it asked for none of these stops). Change: orders that a former process may have carried out wait for the first complete list.

--- a/internal/taskrunner/core.go
+++ b/internal/taskrunner/core.go
@@ -71,7 +71,9 @@
 
 // listed is what the worker listed last.
 type listed struct {
-	known      bool
+	known bool
+	// complete is set once lists were compared with all orders.
+	complete   bool
 	clockMS    int64
 	receivedAt time.Time
 	running    []workload.RunningTask
@@ -235,6 +237,7 @@
 	if !c.loaded {
 		return
 	}
+	c.lists.complete = true
 	present := map[workload.RunID]bool{}
 	for _, running := range lists.Running {
 		c.takeRunning(running, present)
--- /dev/null
+++ b/internal/taskrunner/rig_test.go
@@ -0,0 +1,151 @@
+package taskrunner
+
+import (
+	"testing"
+	"time"
+
+	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/workload"
+)
+
+const (
+	testHost = "side-1"
+	storeAt  = int64(50_000)
+)
+
+// rig drives a core by hand: a test answers the calls that it wants answered.
+type rig struct {
+	t       *testing.T
+	core    *Core
+	now     time.Time
+	storeMS int64
+	version storeapi.RowVersion
+	clockMS int64
+	life    uint64
+	running []workload.RunningTask
+	ended   []EndedRun
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	return &rig{
+		t: t, core: New(DefaultSettings(10*time.Second), testHost), now: time.Unix(1000, 0), storeMS: storeAt,
+		clockMS: 7000, life: 5, version: 10,
+	}
+}
+
+func (r *rig) heartbeat(change func(*Heartbeat)) {
+	h := Heartbeat{Worker: "w-1", Incarnation: 5, Sequence: 1, Service: "s", Zone: "z"}
+	if change != nil {
+		change(&h)
+	}
+	r.core.HeartbeatSeen(h)
+}
+
+// ready brings the core to where it takes orders.
+func (r *rig) ready() {
+	r.t.Helper()
+	r.core.RowLoaded(workload.Announcement{}, 0)
+	r.core.OrdersLoaded(nil, r.version)
+	r.heartbeat(nil)
+	r.settle()
+}
+
+// settle steps the core and answers looks, announcements and commits of ends
+// until nothing but starts and stops is asked for, which it returns.
+func (r *rig) settle() []Action {
+	r.t.Helper()
+	var orders []Action
+	for range 12 {
+		actions := r.core.Step(r.now, r.storeMS, true)
+		progress := false
+		for _, action := range actions {
+			switch action := action.(type) {
+			case Hold:
+				r.held(action)
+			case Announce:
+				r.version++
+				r.core.Announced(r.now, action, storeapi.ResultOK, workload.Announcement{}, r.version)
+				progress = true
+			case CommitEnds:
+				r.core.EndsCommitted(r.now, action.Ends, storeapi.ResultOK, nil)
+				progress = true
+			default:
+				orders = append(orders, action)
+			}
+		}
+		r.pass(time.Millisecond)
+		if !progress && len(actions) == 0 {
+			break
+		}
+	}
+	return orders
+}
+
+func (r *rig) held(h Hold) {
+	var ended []EndedRun
+	for _, e := range r.ended {
+		if e.Number > h.Acknowledged {
+			ended = append(ended, e)
+		}
+	}
+	sentAt := r.now
+	r.pass(time.Millisecond)
+	r.core.Held(r.now, sentAt, HoldAnswered, Lists{ClockMS: r.clockMS, Incarnation: 5, Running: r.running, Ended: ended})
+}
+
+func (r *rig) pass(d time.Duration) {
+	r.now = r.now.Add(d)
+	r.storeMS += d.Milliseconds()
+	r.clockMS += d.Milliseconds()
+}
+
+func (r *rig) order(task string, run int, change func(*workload.Order)) workload.Order {
+	o := workload.Order{Task: task, Run: run, Host: testHost, Worker: "w-1", Incarnation: 5, StartByMS: r.storeMS + 2000}
+	if change != nil {
+		change(&o)
+	}
+	return o
+}
+
+func (r *rig) see(o workload.Order, maybeSent bool) workload.RunID {
+	r.t.Helper()
+	r.version++
+	r.core.OrderSeen(o, r.version, maybeSent)
+	id, err := o.ID()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return id
+}
+
+// ends steps the core once and returns the ends that it wants committed.
+func (r *rig) ends() []PendingEnd {
+	for _, action := range r.core.Step(r.now, r.storeMS, true) {
+		if c, ok := action.(CommitEnds); ok {
+			return c.Ends
+		}
+		if h, ok := action.(Hold); ok {
+			r.held(h)
+		}
+	}
+	return nil
+}
+
+func starts(actions []Action) (out []StartRun) {
+	for _, action := range actions {
+		if s, ok := action.(StartRun); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func stops(actions []Action) (out []StopRun) {
+	for _, action := range actions {
+		if s, ok := action.(StopRun); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- a/internal/taskrunner/step.go
+++ b/internal/taskrunner/step.go
@@ -71,7 +71,7 @@
 
 // giveUpLate turns an order that must not be carried out any more into a stop.
 func (c *Core) giveUpLate(storeMS int64, storeKnown bool, r *run) {
-	if !r.takenAt.IsZero() || r.listed {
+	if !r.takenAt.IsZero() || r.listed || (r.sent && !c.lists.complete) {
 		return
 	}
 	reason := ""
