Answer calls at once while the store does not answer

Ruled out: a shorter write time-out alone; a slow store takes 1 s for a transaction. Change: a failed read of the operators' rows, which are read all the time, turns calls away at once with a time to come back; a write in doubt is answered as such; after a failure feeds ask without waiting.

--- a/internal/jobentry/service.go
+++ b/internal/jobentry/service.go
@@ -69,6 +69,9 @@
 
 func (s *Service) answer(ctx context.Context, call Call) (Outcome, string, time.Duration) {
 	config, age, known := s.view.Config(ctx)
+	if known && s.view.StoreAway() {
+		return rejected("the store does not answer", s.retryAfter()), "", age
+	}
 	if !known {
 		return rejected("the configuration is not known", s.retryAfter()), "", age
 	}
@@ -151,6 +154,9 @@
 			return nil, rejected("the store did not take it: "+err.Error(), s.retryAfter())
 		}
 		inDoubt = true
+		if s.view.StoreAway() {
+			return nil, Outcome{Kind: OutcomeInDoubt, Reason: "the store does not answer: " + err.Error(), RetryAfter: s.retryAfter()}
+		}
 		select {
 		case <-ctx.Done():
 			return nil, Outcome{Kind: OutcomeInDoubt, Reason: err.Error()}
--- a/internal/jobentry/view.go
+++ b/internal/jobentry/view.go
@@ -174,7 +174,7 @@
 // Config returns the configuration to decide a call by, read anew when what is
 // known is not fresh. It returns false when that fails and the view is too old.
 func (v *View) Config(ctx context.Context) (*queueconfig.Config, time.Duration, bool) {
-	if time.Since(v.asOf()) > freshFor {
+	if time.Since(v.asOf()) > freshFor && !v.StoreAway() {
 		v.refresh(ctx)
 	}
 	age := time.Since(v.asOf())
@@ -183,6 +183,13 @@
 	return v.config, age, v.config != nil && age <= maxAge
 }
 
+// StoreAway reports whether the last read of the operators' rows failed. The
+// watch asks again within half a second; calls need not wait for the same answer.
+func (v *View) StoreAway() bool {
+	_, well := v.watch.WellSince()
+	return !well
+}
+
 func (v *View) refresh(ctx context.Context) {
 	v.reading.Lock()
 	defer v.reading.Unlock()
--- a/internal/tablewatch/watch.go
+++ b/internal/tablewatch/watch.go
@@ -123,7 +123,12 @@
 }
 
 func (w *Watch) changes(ctx context.Context, version storeapi.RowVersion) (storeapi.RowVersion, error) {
-	changes, err := w.feed.Changes(ctx, w.table, version, w.settings.Wait)
+	wait := w.settings.Wait
+	if _, well := w.WellSince(); !well {
+		// After a failure the question is whether the store answers at all.
+		wait = 0
+	}
+	changes, err := w.feed.Changes(ctx, w.table, version, wait)
 	if err != nil {
 		return version, err
 	}
