Reach the store through an entry host while the own way fails

Ruled out: forwarding calls between entry hosts, which would serve callers but not agents. Change: package storerelay; all writes are conditional, so the way does not matter. A peer that has no store either refuses at once; a write in doubt is not repeated another way. Peers are found through rows and kept while the store is away.

--- a/internal/deployed/agent.go
+++ b/internal/deployed/agent.go
@@ -9,7 +9,9 @@
 
 	"dragonflyyard/internal/jobagent"
 	"dragonflyyard/internal/settings"
+	"dragonflyyard/internal/storerelay"
 	"dragonflyyard/internal/taskrunner"
+	"dragonflyyard/internal/workload"
 	"dragonflyyard/platform"
 )
 
@@ -17,7 +19,9 @@
 // reads the settings anew.
 func RunAgent(ctx context.Context, s settings.DeployedAgent, log *zap.Logger, registry metrics.Registry, reloadSettings func() error) error {
 	log.Info("process_started", zap.String("host", s.Host), zap.String("zone", string(s.Zone)), zap.String("role", "agent"))
-	store := platform.NewStore(s.StoreAddress, registry)
+	direct := platform.NewStore(s.StoreAddress, registry)
+	book := storerelay.NewBook(direct, workload.PrefixRelays, s.Host, storerelay.Peer{Zone: s.Zone}, log)
+	store := storerelay.NewClient(direct, book.Peers, log, registry)
 	agent := jobagent.New(s.Host, taskrunner.DefaultSettings(s.LongestLease), store, platform.NewWorkerCalls(s.WorkerAddress), log, registry)
 	control := platform.NewControlServer(platform.WorkerEvents{
 		Heartbeat: agent.Heartbeat,
@@ -33,6 +37,7 @@
 	if err := serve(ctx, group, metricsServer(registry), s.MetricsAddress); err != nil {
 		return err
 	}
+	group.Go(func() error { book.Run(ctx); return nil })
 	group.Go(func() error { reload(ctx, log, reloadSettings); return nil })
 	group.Go(func() error { return agent.Run(ctx) })
 	err := group.Wait()
--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -14,6 +14,8 @@
 	"dragonflyyard/internal/schedulerhost"
 	"dragonflyyard/internal/settings"
 	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/storerelay"
+	"dragonflyyard/internal/workload"
 	"dragonflyyard/platform"
 )
 
@@ -25,7 +27,9 @@
 // reloadSettings reads the settings anew.
 func RunEntry(ctx context.Context, s settings.DeployedEntry, log *zap.Logger, registry metrics.Registry, reloadSettings func() error) error {
 	log.Info("process_started", zap.String("host", string(s.Host)), zap.String("zone", string(s.Zone)), zap.String("role", "entry"))
-	store := platform.NewStore(s.StoreAddress, registry)
+	direct := platform.NewStore(s.StoreAddress, registry)
+	book := storerelay.NewBook(direct, workload.PrefixRelays, string(s.Host), storerelay.Peer{Address: s.RelayAddress, Zone: s.Zone}, log)
+	store := storerelay.NewClient(direct, book.Peers, log, registry)
 	view := jobentry.NewView(operatorRows(), store, log)
 	service := jobentry.NewService(view, store, log, registry)
 	scheduler := schedulerhost.New(s.Host, s.Region, store, view.Scheduling, log, registry)
@@ -45,6 +49,10 @@
 	if err := serve(serving, group, metricsServer(registry), s.MetricsAddress); err != nil {
 		return err
 	}
+	if err := serve(serving, group, storerelay.NewServer(direct, store.DirectAway), s.RelayAddress); err != nil {
+		return err
+	}
+	group.Go(func() error { book.Run(serving); return nil })
 	group.Go(func() error { view.Run(serving); return nil })
 	group.Go(func() error { reload(serving, log, reloadSettings); return nil })
 	group.Go(func() error { return scheduler.Run(ctx) })
--- a/internal/settings/deployed.go
+++ b/internal/settings/deployed.go
@@ -17,6 +17,9 @@
 	ReadinessAddress string `yaml:"readiness_address"`
 	// MetricsAddress (IP:port) serves counters and histograms as text.
 	MetricsAddress string `yaml:"metrics_address"`
+	// RelayAddress (IP:port) is where other processes reach the store through
+	// this one.
+	RelayAddress string `yaml:"relay_address"`
 	// StoreAddress (IP:port) is the platform's store.
 	StoreAddress string `yaml:"store_address"`
 	// StopGrace is how long after SIGTERM the platform kills the process.
@@ -63,6 +66,7 @@
 		c.address("callers_address", s.CallersAddress)
 		c.address("readiness_address", s.ReadinessAddress)
 		c.address("metrics_address", s.MetricsAddress)
+		c.address("relay_address", s.RelayAddress)
 		c.address("store_address", s.StoreAddress)
 		c.durationRange("stop_grace", s.StopGrace, shortestStopGrace, time.Minute)
 		c.level("log_level", s.LogLevel)
--- a/platform/store_test.go
+++ b/internal/storeclock/clock_test.go
@@ -1,4 +1,4 @@
-package platform
+package storeclock
 
 import (
 	"testing"
@@ -6,10 +6,10 @@
 )
 
 func TestStoreClock(t *testing.T) {
-	s := &Store{}
+	var c Clock
 	begin := time.Now()
 	at := func(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
-	if _, known := s.StoreTime(begin); known {
+	if _, known := c.Time(begin); known {
 		t.Fatal("the clock is known before the first answer")
 	}
 	cases := []struct {
@@ -24,11 +24,11 @@
 		{"a shorter transaction", 6018, 1018, 1020, 6018, 6020},
 		{"the store is ahead of the bound", 20_000, 1100, 1104, 20_000, 20_004},
 	}
-	for _, c := range cases {
-		s.observeClock(c.nowMS, at(c.sent), at(c.answer))
-		got, _ := s.StoreTime(at(c.answer))
-		if got < c.low || got > c.high {
-			t.Errorf("%s: the clock is %d, want %d to %d", c.name, got, c.low, c.high)
+	for _, tc := range cases {
+		c.Observe(tc.nowMS, at(tc.sent), at(tc.answer))
+		got, _ := c.Time(at(tc.answer))
+		if got < tc.low || got > tc.high {
+			t.Errorf("%s: the clock is %d, want %d to %d", tc.name, got, tc.low, tc.high)
 		}
 	}
 }
--- /dev/null
+++ b/internal/storerelay/peers.go
@@ -0,0 +1,140 @@
+package storerelay
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/rowcodec"
+	"dragonflyyard/internal/storeapi"
+)
+
+// Peer is an entry host that relays, as its row tells.
+type Peer struct {
+	// Address (IP:port) is where the relay listens.
+	Address string                     `codec:"a"`
+	Zone    model.AvailabilityZoneName `codec:"z"`
+	// SentMS is when the row was written, on the store's clock.
+	SentMS int64 `codec:"t"`
+}
+
+// Times of the book of peers.
+const (
+	// writeEvery is how often an entry host writes its row.
+	writeEvery = 15 * time.Second
+	// readEvery is how often the rows are read.
+	readEvery = 8 * time.Second
+	// readRetry is the pause after a failed read or write.
+	readRetry = 500 * time.Millisecond
+	// forgetAfter is the age from which a row is ignored.
+	forgetAfter = time.Minute
+)
+
+// Book knows the entry hosts that relay. It keeps what it knows while the store
+// is away. It is safe for concurrent use.
+type Book struct {
+	store  Store
+	prefix string
+	self   Peer
+	host   string
+	log    *zap.Logger
+
+	mu    sync.Mutex
+	peers []string
+}
+
+// NewBook returns a book that reads the rows under a prefix. self is this
+// host's own relay; an empty address is none.
+func NewBook(store Store, prefix, host string, self Peer, log *zap.Logger) *Book {
+	return &Book{store: store, prefix: prefix, host: host, self: self, log: log}
+}
+
+// Peers returns the relay addresses of other hosts, those of the own zone first.
+func (b *Book) Peers() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.peers
+}
+
+// Run keeps the book until ctx is done.
+func (b *Book) Run(ctx context.Context) {
+	var written time.Time
+	for ctx.Err() == nil {
+		pause := readEvery/2 + rand.N(readEvery)
+		if b.self.Address != "" && time.Since(written) > writeEvery {
+			if b.write(ctx) {
+				written = time.Now()
+			} else {
+				pause = readRetry
+			}
+		}
+		if !b.read(ctx) {
+			pause = readRetry
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (b *Book) write(ctx context.Context) bool {
+	row := b.self
+	row.SentMS, _ = b.store.StoreTime(time.Now())
+	_, err := b.store.Commit(ctx, storeapi.Transaction{Puts: []storeapi.Put{{Key: b.prefix + b.host, Value: rowcodec.Encode(&row)}}})
+	if err != nil {
+		b.log.Warn("relay_row_not_written", zap.Error(err))
+	}
+	return err == nil
+}
+
+func (b *Book) read(ctx context.Context) bool {
+	snapshot, err := b.store.Scan(ctx, b.prefix)
+	if err != nil {
+		b.log.Warn("relay_rows_not_read", zap.Error(err))
+		return false
+	}
+	nowMS, _ := b.store.StoreTime(time.Now())
+	var found []Peer
+	for _, row := range snapshot.Rows {
+		var peer Peer
+		if err := rowcodec.Decode(row.Value, &peer); err != nil {
+			b.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+			continue
+		}
+		if row.Key != b.prefix+b.host && nowMS-peer.SentMS < forgetAfter.Milliseconds() {
+			found = append(found, peer)
+		}
+	}
+	b.take(found)
+	return true
+}
+
+// take keeps the peers, the near ones first and otherwise in random order, so
+// that hosts spread over them.
+func (b *Book) take(found []Peer) {
+	rand.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
+	slices.SortStableFunc(found, func(x, y Peer) int {
+		return cmp.Compare(b.distance(x), b.distance(y))
+	})
+	addresses := make([]string, len(found))
+	for i, peer := range found {
+		addresses[i] = peer.Address
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers = addresses
+}
+
+func (b *Book) distance(peer Peer) int {
+	if peer.Zone == b.self.Zone {
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/storerelay/relay_test.go
@@ -0,0 +1,206 @@
+package storerelay
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/storeapi"
+)
+
+// twoWays is a store with a direct way that a test can cut, and a relay to it.
+type twoWays struct {
+	*Client
+	store *standin.Store
+	// direct is the client's own way; its faults don't concern the relay.
+	direct *cutStore
+	peer   string
+}
+
+// cutStore fails its calls with err while it is set.
+type cutStore struct {
+	Store
+	err error
+}
+
+func (s *cutStore) Get(ctx context.Context, key string) (storeapi.Row, error) {
+	if s.err != nil {
+		return storeapi.Row{}, s.err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *cutStore) Commit(ctx context.Context, tx storeapi.Transaction) ([]storeapi.RowVersion, error) {
+	if s.err != nil {
+		return nil, s.err
+	}
+	return s.Store.Commit(ctx, tx)
+}
+
+func newTwoWays(t *testing.T, away func() bool) *twoWays {
+	t.Helper()
+	store := standin.NewStore(time.Now)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(store, away)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Shutdown() })
+	w := &twoWays{store: store, direct: &cutStore{Store: store}, peer: listener.Addr().String()}
+	w.Client = NewClient(w.direct, func() []string { return []string{w.peer} }, zap.NewNop(), metrics.NewRegistry())
+	return w
+}
+
+func put(key string) storeapi.Transaction {
+	return storeapi.Transaction{Checks: []storeapi.Check{{Key: key}}, Puts: []storeapi.Put{{Key: key, Value: []byte("v")}}}
+}
+
+var errAway = errors.Wrap(storeapi.ErrUnavailable, "turned away")
+
+func TestCallsGoThroughAPeer(t *testing.T) {
+	w := newTwoWays(t, func() bool { return false })
+	w.direct.err = errAway
+	ctx := t.Context()
+	if _, err := w.Commit(ctx, put("t/a")); err != nil {
+		t.Fatal(err)
+	}
+	row, err := w.Get(ctx, "t/a")
+	if err != nil || string(row.Value) != "v" {
+		t.Errorf("row %+v, %v", row, err)
+	}
+	_, err = w.Commit(ctx, put("t/a"))
+	var conflict *storeapi.Conflict
+	if !errors.As(err, &conflict) || conflict.Find("t/a").Version != row.Version {
+		t.Errorf("a refused transaction gives %v", err)
+	}
+	if _, err := w.Get(ctx, "t/none"); !errors.Is(err, storeapi.ErrNotFound) {
+		t.Errorf("a missing row gives %v", err)
+	}
+	snapshot, err := w.Scan(ctx, "t/")
+	if err != nil || len(snapshot.Rows) != 1 {
+		t.Errorf("scan %+v, %v", snapshot, err)
+	}
+	w.store.ForgetHistory()
+	w.mu.Lock()
+	w.failing, w.probeAt = true, time.Now().Add(time.Hour)
+	w.mu.Unlock()
+	if _, err := w.Changes(ctx, "t", 0, 0); !errors.Is(err, storeapi.ErrHistoryGone) {
+		t.Errorf("a forgotten history gives %v", err)
+	}
+	if !w.DirectAway() {
+		t.Error("the direct way counts as working")
+	}
+}
+
+// TestDoubtIsNotRepeated: a write that may have taken effect directly is not
+// sent again through a peer, whose refusal would look like a definite answer.
+func TestDoubtIsNotRepeated(t *testing.T) {
+	w := newTwoWays(t, func() bool { return false })
+	w.direct.err = errors.Wrap(storeapi.ErrInDoubt, "no answer")
+	if _, err := w.Commit(t.Context(), put("t/a")); !errors.Is(err, storeapi.ErrInDoubt) {
+		t.Errorf("a write in doubt gives %v", err)
+	}
+	if _, err := w.store.Get(t.Context(), "t/a"); !errors.Is(err, storeapi.ErrNotFound) {
+		t.Error("the write was sent again")
+	}
+}
+
+func TestRelayWithoutStoreRefuses(t *testing.T) {
+	w := newTwoWays(t, func() bool { return true })
+	w.direct.err = errAway
+	if _, err := w.Commit(t.Context(), put("t/a")); !errors.Is(err, storeapi.ErrUnavailable) {
+		t.Errorf("a relay without a store gives %v", err)
+	}
+}
+
+func TestPeerThatIsGone(t *testing.T) {
+	w := newTwoWays(t, func() bool { return false })
+	w.direct.err = errAway
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.peer = listener.Addr().String()
+	_ = listener.Close()
+	if _, err := w.Commit(t.Context(), put("t/a")); !errors.Is(err, storeapi.ErrUnavailable) {
+		t.Errorf("a peer that is gone gives %v", err)
+	}
+	if peers := w.usable(); len(peers) != 0 {
+		t.Errorf("the peer is asked again at once: %v", peers)
+	}
+}
+
+// TestLostAnswerThroughAPeer: the peer took the transaction and its answer never
+// came, so the write is in doubt.
+func TestLostAnswerThroughAPeer(t *testing.T) {
+	w := newTwoWays(t, func() bool { return false })
+	w.direct.err = errAway
+	w.store.SetFaults(standin.ServiceTable, standin.Faults{LoseAnswers: 1})
+	if _, err := w.Commit(t.Context(), put("t/a")); !errors.Is(err, storeapi.ErrInDoubt) {
+		t.Errorf("a lost answer gives %v", err)
+	}
+}
+
+func TestMalformedCallsChangeNothing(t *testing.T) {
+	w := newTwoWays(t, func() bool { return false })
+	cases := []struct {
+		path, body string
+		want       int
+	}{
+		{"/store/commit", "\xff\xff", fasthttp.StatusBadRequest},
+		{"/store/commit", "", fasthttp.StatusBadRequest},
+		{"/store/none", "\xa0", fasthttp.StatusNotFound},
+		{"/store/commit", "\xa0", fasthttp.StatusOK},
+	}
+	for _, c := range cases {
+		status, _, err := fasthttp.Post(nil, "http://"+w.peer+c.path, nil)
+		if c.body != "" {
+			req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			req.Header.SetMethod(fasthttp.MethodPost)
+			req.SetRequestURI("http://" + w.peer + c.path)
+			req.SetBodyString(c.body)
+			err = fasthttp.Do(req, resp)
+			status = resp.StatusCode()
+		}
+		if err != nil || status != c.want {
+			t.Errorf("%s %q: status %d, %v, want %d", c.path, c.body, status, err, c.want)
+		}
+	}
+	if snapshot, err := w.store.Scan(t.Context(), ""); err != nil || len(snapshot.Rows) != 0 {
+		t.Errorf("rows %v, %v", snapshot.Rows, err)
+	}
+}
+
+func TestBookOfPeers(t *testing.T) {
+	store := standin.NewStore(time.Now)
+	rows := map[string]Peer{
+		"near": {Address: "10.0.0.1:1", Zone: "z1"}, "far": {Address: "10.0.0.2:1", Zone: "z2"}, "old": {Address: "10.0.0.3:1", Zone: "z1"},
+	}
+	for host, peer := range rows {
+		b := NewBook(store, "c/relay/", host, peer, zap.NewNop())
+		if !b.write(t.Context()) {
+			t.Fatal("not written")
+		}
+	}
+	b := NewBook(store, "c/relay/", "me", Peer{Zone: "z1"}, zap.NewNop())
+	b.take([]Peer{rows["far"], rows["near"]})
+	if got := b.Peers(); len(got) != 2 || got[0] != "10.0.0.1:1" {
+		t.Errorf("peers %v, want the near one first", got)
+	}
+	store.SetFaults(standin.ServiceTable, standin.Faults{Down: true})
+	if b.read(t.Context()) || len(b.Peers()) != 2 {
+		t.Error("peers are forgotten while the store is away")
+	}
+	store.SetFaults(standin.ServiceTable, standin.Faults{})
+	if !b.read(t.Context()) || len(b.Peers()) != 3 {
+		t.Errorf("peers %v after a read", b.Peers())
+	}
+}
--- /dev/null
+++ b/internal/storerelay/server.go
@@ -0,0 +1,97 @@
+package storerelay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"dragonflyyard/internal/rowcodec"
+	"dragonflyyard/internal/storeapi"
+)
+
+// maxRequestBytes is above the largest transaction, 1 MB.
+const maxRequestBytes = 2 << 20
+
+// NewServer returns the HTTP server of an entry host that passes calls on to
+// its own store. away reports whether that store does not answer it: then calls
+// are refused at once.
+func NewServer(store Store, away func() bool) *fasthttp.Server {
+	r := &relay{store: store, away: away}
+	return &fasthttp.Server{
+		MaxRequestBodySize:    maxRequestBytes,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		Handler:               r.handle,
+	}
+}
+
+type relay struct {
+	store Store
+	away  func() bool
+}
+
+func (r *relay) handle(ctx *fasthttp.RequestCtx) {
+	call, known := map[string]func(context.Context, request) response{
+		pathGet: r.get, pathList: r.list, pathScan: r.scan, pathChanges: r.changes, pathCommit: r.commit,
+	}[string(ctx.Path())]
+	if !known {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	var in request
+	if err := rowcodec.Decode(ctx.PostBody(), &in); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	out := response{Result: storeapi.ResultUnavailable, Detail: "the relay has no store either"}
+	if !r.away() {
+		out = call(context.Background(), in)
+		out.StoreMS, _ = r.store.StoreTime(time.Now())
+	}
+	ctx.SetBody(rowcodec.Encode(&out))
+}
+
+func (r *relay) get(ctx context.Context, in request) response {
+	row, err := r.store.Get(ctx, in.Key)
+	if err != nil {
+		return failed(err)
+	}
+	return response{Result: storeapi.ResultOK, Rows: []storeapi.Row{row}}
+}
+
+func (r *relay) list(ctx context.Context, in request) response {
+	rows, err := r.store.List(ctx, in.Key, in.After, in.Limit)
+	if err != nil {
+		return failed(err)
+	}
+	return response{Result: storeapi.ResultOK, Rows: rows}
+}
+
+func (r *relay) scan(ctx context.Context, in request) response {
+	snapshot, err := r.store.Scan(ctx, in.Key)
+	if err != nil {
+		return failed(err)
+	}
+	return response{Result: storeapi.ResultOK, Rows: snapshot.Rows, Version: snapshot.Version}
+}
+
+func (r *relay) changes(ctx context.Context, in request) response {
+	changes, err := r.store.Changes(ctx, in.Key, in.From, time.Duration(in.WaitMS)*time.Millisecond)
+	if err != nil {
+		return failed(err)
+	}
+	return response{Result: storeapi.ResultOK, Changes: changes.Rows, Version: changes.Version}
+}
+
+func (r *relay) commit(ctx context.Context, in request) response {
+	if len(in.Tx.Checks)+len(in.Tx.Puts)+len(in.Tx.Deletes) == 0 {
+		return failed(errors.Wrap(storeapi.ErrUnavailable, "empty transaction"))
+	}
+	versions, err := r.store.Commit(ctx, in.Tx)
+	if err != nil {
+		return failed(err)
+	}
+	return response{Result: storeapi.ResultOK, Versions: versions}
+}
--- a/internal/workload/rows.go
+++ b/internal/workload/rows.go
@@ -35,6 +35,8 @@
 	// KeyFence is the row that each transaction of the scheduler rewrites. Its
 	// version chains them, so that one of a former owner is refused.
 	KeyFence = TableControl + "/fence"
+	// PrefixRelays begins the keys of the entry hosts that relay.
+	PrefixRelays = TableControl + "/relay/"
 	// KeyPending holds the number of jobs by queue that have not begun.
 	KeyPending = TableControl + "/pending"
 )
