Claim and hold room for urgent work inside one rack

Ruled out: waiting without claiming; racks of three workers rarely empty by themselves. Change: claims and holds are made for sets of workers (a rack, the preferred rack, all); urgent work leaves its rack after 1.3 s, inside the bound of 2.7 s for guaranteed work. TestUrgentGangClaimsOneRack.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -33,28 +33,43 @@
 // hold keeps the room in which tasks of a unit will fit soonest from what comes
 // later in the plan. A gang that would never fit holds nothing.
 func (r *room) hold(u *unit, tasks int) {
-	var held []*worker
+	var best []*worker
+	bestSeconds := math.Inf(1)
+	for _, set := range r.workerSets(u) {
+		held, seconds := r.takeSoonest(u, tasks, set)
+		for _, w := range held {
+			r.giveBack(u, w)
+		}
+		enough := len(held) == tasks || (!u.gang() && len(held) > len(best))
+		if enough && seconds < bestSeconds {
+			best, bestSeconds = held, seconds
+		}
+	}
+	for _, w := range best {
+		r.take(u, w)
+	}
+}
+
+// takeSoonest takes the room for tasks of a unit on workers of a set, where
+// they fit first, and returns the expected time until the last of them fits.
+func (r *room) takeSoonest(u *unit, tasks int, set []*worker) (held []*worker, last float64) {
 	for range tasks {
-		w := r.soonest(u)
+		w, seconds := r.soonest(u, set)
 		if w == nil {
 			break
 		}
 		r.take(u, w)
 		held = append(held, w)
+		last = max(last, seconds)
 	}
-	if u.gang() && len(held) < tasks {
-		for _, w := range held {
-			r.giveBack(u, w)
-		}
-	}
+	return held, last
 }
 
-// soonest returns the worker on which one more task of a unit fits first, by
-// the expected ends of what runs there, or nil.
-func (r *room) soonest(u *unit) *worker {
-	var best *worker
-	bestSeconds := math.Inf(1)
-	for _, w := range r.workers {
+// soonest returns the worker of a set on which one more task of a unit fits
+// first, by the expected ends of what runs there, or nil.
+func (r *room) soonest(u *unit, set []*worker) (best *worker, bestSeconds float64) {
+	bestSeconds = math.Inf(1)
+	for _, w := range set {
 		if !allowed(u, w) || !r.underLimit(u, w) {
 			continue
 		}
@@ -62,7 +77,7 @@
 			best, bestSeconds = w, seconds
 		}
 	}
-	return best
+	return best, bestSeconds
 }
 
 // secondsUntilFree returns the expected time until a task of a unit fits into a
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -45,6 +45,7 @@
 // claims collects where the missing tasks of a unit go and what is stopped there.
 type claims struct {
 	unit    *unit
+	workers []*worker
 	places  []*worker
 	victims []*order
 	chosen  map[*order]bool
@@ -62,21 +63,29 @@
 		return
 	}
 	most := c.mayThrowAway(u)
-	cl := &claims{unit: u, chosen: map[*order]bool{}, coming: comingFree(r)}
-	for range missing {
-		if !c.claimOne(now, r, cl) {
-			break
+	var best *claims
+	for _, set := range r.workerSets(u) {
+		cl := &claims{unit: u, workers: set, chosen: map[*order]bool{}, coming: comingFree(r)}
+		for len(cl.places) < missing && c.claimOne(now, r, cl) {
+			continue
 		}
-	}
-	if cl.cost > most || (u.gang() && len(cl.places) < missing) {
 		for _, w := range cl.places {
 			r.giveBack(u, w)
 		}
+		whole := len(cl.places) == missing || (!u.gang() && len(cl.places) > 0)
+		if whole && cl.cost <= most && (best == nil || cl.cost < best.cost) {
+			best = cl
+		}
+	}
+	if best == nil {
 		r.hold(u, missing)
 		return
 	}
-	u.job.thrownAway[u.key()] += cl.cost
-	for _, o := range cl.victims {
+	u.job.thrownAway[u.key()] += best.cost
+	for _, w := range best.places {
+		r.take(u, w)
+	}
+	for _, o := range best.victims {
 		c.preempt(o, u)
 	}
 }
@@ -113,7 +122,7 @@
 	var best *worker
 	var bestVictims []*order
 	bestCost := 0.0
-	for _, w := range r.workers {
+	for _, w := range cl.workers {
 		if !allowed(cl.unit, w) || !r.underLimit(cl.unit, w) {
 			continue
 		}
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -196,3 +196,37 @@
 		t.Errorf("%d runs were stopped for two workers of 8 accelerators", len(stopped))
 	}
 }
+
+// TestUrgentGangClaimsOneRack: two racks are full. A gang that takes three times
+// as long across racks gets room inside one of them.
+func TestUrgentGangClaimsOneRack(t *testing.T) {
+	r := newRig(t)
+	for _, host := range []string{"a1", "a2", "b1", "b2"} {
+		r.worker(host, "rack-"+host[:1], nil)
+	}
+	for i := range 32 {
+		r.job(jobID(i+1), nil)
+	}
+	r.plan()
+	r.job("00000000000000ff", func(j *workload.Job) {
+		j.Account, j.Priority = "gold", 0
+		j.Steps[0].Tasks, j.Steps[0].Gang, j.Steps[0].SameRack, j.Steps[0].PerTask.Accelerators = 2, true, true, 8
+	})
+	r.plan()
+	racks := map[byte]int{}
+	for _, o := range r.stopping() {
+		racks[o.Host[0]]++
+	}
+	if len(racks) != 1 {
+		t.Fatalf("runs are stopped in racks %v", racks)
+	}
+	for _, o := range r.stopping() {
+		r.end(o, workload.EndStopped, "")
+	}
+	placed := r.plan()
+	for _, o := range placed {
+		if o.Task[:16] == "00000000000000ff" && racks[o.Host[0]] == 0 {
+			t.Errorf("%s is placed on %s", o.Task, o.Host)
+		}
+	}
+}
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -167,18 +167,48 @@
 	rackPatience = 0.5
 	// maxRackWait bounds that wait; beyond it objectives are missed anyway.
 	maxRackWait = 6 * time.Second
+	// maxUrgentRackWait is the same for work of priority 0. It leaves time to stop
+	// others' work inside the platform's bound for guaranteed work, 2.7 s.
+	maxUrgentRackWait = 1300 * time.Millisecond
 )
 
 // mayLeaveRack reports whether a unit no longer waits for the rack that suits
-// it: it is urgent, it waited long enough, or no such rack could hold it.
+// it: it waited long enough, or no such rack could hold it.
 func (r *room) mayLeaveRack(u *unit) bool {
 	step := u.spec()
+	extra := time.Duration((r.core.settings.RemoteFactor - 1) * rackPatience * float64(step.Estimate))
+	longest := maxRackWait
 	if u.job.Priority == 0 {
-		return true
+		longest = maxUrgentRackWait
 	}
-	extra := time.Duration((r.core.settings.RemoteFactor - 1) * rackPatience * float64(step.Estimate))
 	waited := time.Duration(r.now.StoreMS-u.readyMS) * time.Millisecond
-	return waited > min(extra, maxRackWait) || !r.rackExists(u)
+	return waited > min(extra, longest) || !r.rackExists(u)
+}
+
+// workerSets returns the sets of workers of which one is to take a unit: the
+// racks that suit it, or all workers once it may leave them.
+func (r *room) workerSets(u *unit) [][]*worker {
+	step := u.spec()
+	inOneRack := u.gang() && step.SameRack
+	if (!inOneRack && step.PreferredRack == "") || r.mayLeaveRack(u) {
+		return [][]*worker{r.workers}
+	}
+	byRack := map[model.RackID][]*worker{}
+	var racks []model.RackID
+	for _, w := range r.workers {
+		if !inOneRack && string(w.Rack) != step.PreferredRack {
+			continue
+		}
+		if byRack[w.Rack] == nil {
+			racks = append(racks, w.Rack)
+		}
+		byRack[w.Rack] = append(byRack[w.Rack], w)
+	}
+	sets := make([][]*worker, len(racks))
+	for i, rack := range racks {
+		sets[i] = byRack[rack]
+	}
+	return sets
 }
 
 // rackExists reports whether a rack that suits the unit could hold it when empty.
