Begin runs that stand still again elsewhere

Change: agents report how long a run's progress has not moved, at once at 0.9 s; the scheduler stops runs that lose little, keeps new work off the worker for 4 s, and expects ends by progress.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -130,8 +130,10 @@
 	alone bool
 	// retryMS is when a refused stop is written again.
 	retryMS int64
-	report  workload.RunningTask
-	// reportedMS is when the worker first reported the run.
+	// report is what the worker said last of the run, at reportMS; reportedMS is
+	// when it first said it.
+	report     workload.RunningTask
+	reportMS   int64
 	reportedMS int64
 }
 
@@ -143,6 +145,8 @@
 	version storeapi.RowVersion
 	used    workload.Demand
 	orders  map[workload.RunID]*order
+	// avoidUntilMS is until when a worker gets no tasks on which some stood still.
+	avoidUntilMS int64
 }
 
 // Decision is one thing that the core decided or came to believe, for the log.
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -102,23 +102,38 @@
 	return math.Inf(1)
 }
 
-// expectedSeconds returns how much longer a run is expected to take.
+// leastPercent is the progress from which it tells how long a run takes.
+const leastPercent = 5
+
+// expectedSeconds returns how much longer a run is expected to take: by its
+// progress where that is known, else by its estimate.
 func expectedSeconds(now Now, o *order) float64 {
 	if o.stopWanted {
 		return 0
 	}
+	ran := now.ranSince(o.reportedMS)
+	if o.report.Percent >= leastPercent && !o.step().LongRunning {
+		atReport := max(0, time.Duration(o.reportMS-o.reportedMS)*time.Millisecond)
+		left := atReport * time.Duration(100-o.report.Percent) / time.Duration(o.report.Percent)
+		return max(left-now.ranSince(o.reportMS), 0).Seconds()
+	}
 	estimate := o.step().Estimate
 	if estimate == 0 {
 		estimate = unknownRunTime
 	}
-	ran := time.Duration(0)
-	if o.reportedMS > 0 {
-		ran = time.Duration(now.StoreMS-o.reportedMS) * time.Millisecond
-	}
 	// A run past its estimate is expected to take a quarter of it more.
 	return max(estimate-ran, estimate/4).Seconds()
 }
 
+// ranSince returns the time since an instant of the store's clock, 0 for none.
+func (n Now) ranSince(ms int64) time.Duration {
+	if ms == 0 {
+		return 0
+	}
+	// Processes know the store's time to some milliseconds only.
+	return max(0, time.Duration(n.StoreMS-ms)*time.Millisecond)
+}
+
 // comingFree returns what is being stopped on each worker.
 func comingFree(r *room) map[*worker]workload.Demand {
 	coming := map[*worker]workload.Demand{}
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -88,7 +88,7 @@
 		if o.reportedMS == 0 {
 			o.reportedMS = w.SentMS
 		}
-		o.report = running
+		o.report, o.reportMS = running, w.SentMS
 	}
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -32,6 +32,7 @@
 // state; guarded ones become so by Committed.
 func (c *Core) Plan(now Now) []*Batch {
 	c.stampEnded(now)
+	c.stopStalled(now)
 	orders := c.startTasks(now)
 	batches := c.writeBack(orders)
 	batches = append(batches, c.stops(now)...)
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -191,8 +191,7 @@
 	if since == 0 {
 		since = o.decidedMS
 	}
-	// Processes know the store's time to some milliseconds only.
-	seconds := max(0, float64(now.StoreMS-since)/1000)
+	seconds := now.ranSince(since).Seconds()
 	if o.step().Checkpoints {
 		seconds = min(seconds, savedLossSeconds)
 	}
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -44,7 +44,7 @@
 
 // takesTasks reports whether new tasks may go to a worker.
 func (c *Core) takesTasks(now Now, w *worker) bool {
-	return w.State == workload.WorkerReady && !c.evacuated[w.Zone] &&
+	return w.State == workload.WorkerReady && !c.evacuated[w.Zone] && now.StoreMS >= w.avoidUntilMS &&
 		now.StoreMS-w.SentMS <= c.settings.SilentAfter.Milliseconds() && !c.sick.Held(now.time(), w.Worker)
 }
 
--- a/internal/taskrunner/core.go
+++ b/internal/taskrunner/core.go
@@ -57,7 +57,12 @@
 	// listed is set once the worker listed the run as running.
 	listed     bool
 	checkpoint string
-	stopping   bool
+	// percent is the progress that was listed last, and movedAt when it changed.
+	percent int
+	movedAt time.Time
+	// stallTold is set once a stall was announced.
+	stallTold bool
+	stopping  bool
 	// stopAt is when the worker confirmed the stop; zero before.
 	stopAt   time.Time
 	inFlight bool
@@ -239,8 +244,8 @@
 	}
 	c.lists.complete = true
 	present := map[workload.RunID]bool{}
-	for _, running := range lists.Running {
-		c.takeRunning(running, present)
+	for i := range lists.Running {
+		c.takeRunning(now, &lists.Running[i], present)
 	}
 	for _, ended := range lists.Ended {
 		c.takeEnded(ended, present)
@@ -258,7 +263,7 @@
 	c.acknowledge()
 }
 
-func (c *Core) takeRunning(running workload.RunningTask, present map[workload.RunID]bool) {
+func (c *Core) takeRunning(now time.Time, running *workload.RunningTask, present map[workload.RunID]bool) {
 	ref, err := workload.ParseTaskRef(running.Task)
 	if err != nil {
 		return
@@ -273,9 +278,21 @@
 		}
 		return
 	}
+	if !r.listed || r.percent != running.Percent {
+		r.percent, r.movedAt, r.stallTold = running.Percent, now, false
+	}
 	r.sent, r.listed, r.checkpoint = true, true, running.Checkpoint
+	running.StalledMS = now.Sub(r.movedAt).Milliseconds()
+	if running.StalledMS >= stallTold.Milliseconds() && !r.stallTold {
+		r.stallTold = true
+		c.row.announceNow()
+	}
 }
 
+// stallTold is the stall that is announced at once; the scheduler decides what
+// it means for a task of this length.
+const stallTold = 900 * time.Millisecond
+
 func (c *Core) takeEnded(ended EndedRun, present map[workload.RunID]bool) {
 	c.lists.highest = max(c.lists.highest, ended.Number)
 	ref, err := workload.ParseTaskRef(ended.Task)
--- a/internal/taskrunner/types.go
+++ b/internal/taskrunner/types.go
@@ -180,7 +180,7 @@
 		LeaseBound:    12 * time.Second,
 		LeaseStep:     min(holdMax, 8*time.Second),
 		AnnounceEvery: time.Second,
-		HoldWait:      1500 * time.Millisecond,
+		HoldWait:      time.Second,
 		RetryPause:    150 * time.Millisecond,
 		MaxCalls:      8,
 		MaxEnds:       40,
--- a/internal/workload/rows.go
+++ b/internal/workload/rows.go
@@ -179,6 +179,8 @@
 	// Percent is how much of the work is done; for a long-running task, how
 	// much of it is at work.
 	Percent int `codec:"p,omitempty"`
+	// StalledMS is for how long Percent has not moved.
+	StalledMS int64 `codec:"s,omitempty"`
 }
 
 // Announcement is what an agent writes of its worker.
