Count a failed run once over a change of the scheduler's owner

Ruled out: two failures (the worker listed one). Change: the run that was counted last is kept for all tasks, not for gangs alone. TestEndIsCountedOnceOverAChangeOfOwner failed first.

--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -121,7 +121,8 @@
 	}
 }
 
-// taskFailed counts a failure. Of a gang's run one failure counts.
+// taskFailed counts a failure, once for each run: of a gang several members may
+// report it, and a former owner may have counted it before.
 func (c *Core) taskFailed(now Now, j *job, run workload.RunID, o *order) {
 	if o != nil {
 		if v := c.sick.Failed(now.time(), o.Worker, j.ID); v.Quarantined {
@@ -134,7 +135,7 @@
 		ref = gangTask(ref)
 	}
 	task := j.progress.Task(ref)
-	if step.Gang && task.FailedRun >= run.Run {
+	if task.FailedRun >= run.Run {
 		return
 	}
 	task.Failures++
--- /dev/null
+++ b/internal/dispatch/ends_test.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"dragonflyyard/internal/rowcodec"
+	"dragonflyyard/internal/workload"
+)
+
+// TestEndIsCountedOnceOverAChangeOfOwner: the former owner wrote the progress
+// that counts a failure, and lost its lease before it deleted the end's row.
+func TestEndIsCountedOnceOverAChangeOfOwner(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		r := newRig(t)
+		r.worker("h1", "r1", nil)
+		job := r.job(jobID(1), func(j *workload.Job) { j.Steps[0].Gang = gang })
+		order := r.plan()[0]
+		r.end(order, workload.EndFailed, "")
+		var progress workload.Progress
+		for _, b := range r.core.Plan(r.now) {
+			for _, put := range b.Tx.Puts {
+				if put.Key == workload.ProgressKey(job.ID) {
+					if err := rowcodec.Decode(put.Value, &progress); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+		}
+		next := newRig(t)
+		next.worker("h1", "r1", nil)
+		next.core.JobSeen(job, &progress)
+		next.end(order, workload.EndFailed, "")
+		if state := next.state(jobID(1)); state != workload.StateRunning {
+			t.Errorf("gang %v: the job is %s after one failure of two allowed", gang, state)
+		}
+		next.pass(time.Second)
+		if again := next.plan(); len(again) != 1 || again[0].Run < 2 {
+			t.Errorf("gang %v: ordered %+v, want one later run", gang, again)
+		}
+	}
+}
