--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -62,6 +62,23 @@
 	if missing <= 0 || u.job.Priority != 0 {
 		return
 	}
+	best := c.bestClaims(now, r, u, missing)
+	if best == nil {
+		r.hold(u, missing)
+		return
+	}
+	u.job.thrownAway[u.key()] += best.cost
+	for _, w := range best.places {
+		r.take(u, w)
+	}
+	for _, o := range best.victims {
+		c.preempt(o, u)
+	}
+}
+
+// bestClaims returns the claims for missing tasks that throw the least work
+// away and no more than the unit may, or nil. A gang is claimed for whole.
+func (c *Core) bestClaims(now Now, r *room, u *unit, missing int) *claims {
 	most := c.mayThrowAway(u)
 	var best *claims
 	for _, set := range r.workerSets(u) {
@@ -77,17 +94,7 @@
 			best = cl
 		}
 	}
-	if best == nil {
-		r.hold(u, missing)
-		return
-	}
-	u.job.thrownAway[u.key()] += best.cost
-	for _, w := range best.places {
-		r.take(u, w)
-	}
-	for _, o := range best.victims {
-		c.preempt(o, u)
-	}
+	return best
 }
 
 // claimOne chooses a worker for one more task, and what is stopped there.
