--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -8,41 +8,36 @@
 
 func encode(value any) []byte { return rowcodec.Encode(value) }
 
-// retryAfterMS is how long a refused stop waits for the end that refused it.
-const retryAfterMS = 400
-
 // Committed takes in that a batch took effect. versions are those of its puts.
 func (c *Core) Committed(now Now, b *Batch, versions []storeapi.RowVersion) {
-	for i, o := range b.orders {
-		if b.lapsed != nil {
-			break
+	switch b.Kind {
+	case BatchMain:
+		for i, o := range b.orders {
+			o.version = versions[b.putAt[i]]
 		}
-		o.version = versions[b.putAt[i]]
-		if b.Guarded {
-			o.Stop = true
-			c.decide(Decision{Kind: "run_stop_ordered", Job: o.job.ID, Task: o.Task, Run: o.Run, Worker: o.Worker, Reason: o.stopReason, AgeMS: -1})
+	case BatchVoid:
+		c.voided(now, b, versions[0])
+	case BatchInbox:
+		if b.job.inboxLeft--; b.job.inboxLeft == 0 {
+			delete(c.jobs, b.job.ID)
+			c.dropKeys = append(c.dropKeys, workload.ProgressKey(b.job.ID))
 		}
 	}
-	if b.lapsed != nil {
-		b.lapsed.version = versions[0]
-		c.lapseCommitted(now, b)
-	}
 }
 
-// Refused takes in that a guarded batch was refused because an agent had
-// written one of its rows. The end that explains it arrives as an input.
-func (c *Core) Refused(now Now, b *Batch) {
-	for _, o := range b.orders {
-		o.alone, o.retryMS = true, now.StoreMS+retryAfterMS
-	}
-	if b.lapsed != nil {
+// Refused takes in that a batch of another kind than BatchMain took no effect,
+// or that this is not known. It is decided anew.
+func (c *Core) Refused(b *Batch) {
+	switch b.Kind {
+	case BatchVoid:
 		c.lapsing = false
+	case BatchInbox:
+		b.job.collecting = false
 	}
 }
 
 // lapse returns the batch that takes the most silent worker as gone, once its
-// lease has ended for certain: its announcement becomes void under a check of
-// its version, and its orders are removed in the same transaction.
+// lease has ended for certain.
 func (c *Core) lapse(now Now) *Batch {
 	settled := now.StoreMS-now.StoreWellSinceMS >= c.settings.Settle.Milliseconds()
 	if !settled || c.lapsing {
@@ -50,48 +45,31 @@
 	}
 	for _, w := range c.sortedWorkers() {
 		silent := now.StoreMS-w.SentMS > c.settings.LapseAfter.Milliseconds()
-		if w.State == workload.WorkerGone && len(w.orders) == 0 || !silent {
+		if (w.State == workload.WorkerGone && len(w.orders) == 0) || !silent || w.version == 0 {
 			continue
 		}
-		if b := lapseBatch(w); b != nil {
-			c.lapsing = true
-			c.decide(Decision{Kind: "worker_lapsing", Worker: w.Worker, Reason: "no announcement", AgeMS: now.StoreMS - w.SentMS})
-			return b
-		}
+		c.lapsing = true
+		c.decide(Decision{Kind: "worker_lapsing", Worker: w.Worker, Reason: "no announcement", AgeMS: now.StoreMS - w.SentMS})
+		gone := w.Announcement
+		gone.State, gone.Running = workload.WorkerGone, nil
+		b := &Batch{Kind: BatchVoid, Host: w.Host}
+		key := workload.WorkerKey(w.Host)
+		b.Tx.Checks = []storeapi.Check{{Key: key, Version: w.version}}
+		b.Tx.Puts = []storeapi.Put{{Key: key, Value: encode(&gone)}}
+		return b
 	}
 	return nil
 }
 
-// lapseBatch returns nil while an order of the worker is being written. A
-// worker with more orders than a transaction holds loses them in several.
-func lapseBatch(w *worker) *Batch {
-	gone := w.Announcement
-	gone.State, gone.Running = workload.WorkerGone, nil
-	b := &Batch{Guarded: true, lapsed: w}
-	key := workload.WorkerKey(w.Host)
-	b.Tx.Checks = append(b.Tx.Checks, storeapi.Check{Key: key, Version: w.version})
-	b.Tx.Puts = append(b.Tx.Puts, storeapi.Put{Key: key, Value: encode(&gone)})
-	for _, o := range sortedOrders(w.orders) {
-		if o.version == 0 {
-			return nil
-		}
-		if len(b.orders) >= maxStops {
-			break
-		}
-		b.orders = append(b.orders, o)
-		b.Tx.Checks = append(b.Tx.Checks, storeapi.Check{Key: o.Key(), Version: o.version})
-		b.Tx.Deletes = append(b.Tx.Deletes, o.Key())
-	}
-	return b
-}
-
-// lapseCommitted ends the runs of a worker that is gone.
-func (c *Core) lapseCommitted(now Now, b *Batch) {
+// voided ends the runs of a worker that is gone. The ends that it reported
+// before were taken in.
+func (c *Core) voided(now Now, b *Batch, version storeapi.RowVersion) {
 	c.lapsing = false
-	w := b.lapsed
-	w.State, w.Running = workload.WorkerGone, nil
-	for _, o := range b.orders {
+	w := c.workers[b.Host]
+	w.State, w.Running, w.version = workload.WorkerGone, nil, version
+	for _, o := range sortedOrders(w.orders) {
 		c.unlink(o)
+		c.dropKeys = append(c.dropKeys, o.Key())
 		end := workload.End{Task: o.Task, Run: o.Run, Kind: workload.EndLapsed, Checkpoint: o.report.Checkpoint}
 		c.decide(Decision{Kind: "run_ended", Job: o.job.ID, Task: o.Task, Run: o.Run, Worker: o.Worker, Reason: "worker gone", AgeMS: now.StoreMS - w.SentMS})
 		c.apply(now, o.job, o.id, end, nil)
@@ -99,19 +77,21 @@
 }
 
 // collect returns the batches that delete jobs whose time to be asked for has
-// passed. Their orders have ended.
+// passed. Their orders have ended. A job leaves the inbox before its progress
+// goes, so that no successor takes it for a new one.
 func (c *Core) collect(now Now) []*Batch {
 	var out []*Batch
 	for _, j := range c.sortedJobs() {
 		kept := now.StoreMS - j.progress.EndedMS
-		if !j.progress.State.Final() || len(j.orders) > 0 || j.progress.EndedMS == 0 || kept < c.settings.Retention.Milliseconds() {
+		if !j.progress.State.Final() || len(j.orders) > 0 || j.progress.EndedMS == 0 || j.collecting || kept < c.settings.Retention.Milliseconds() {
 			continue
 		}
-		delete(c.jobs, j.ID)
 		c.collected[j.ID] = true
-		out = append(out, &Batch{Tx: storeapi.Transaction{Deletes: []string{
-			workload.JobKey(j.ID), workload.CancelKey(j.ID), workload.ProgressKey(j.ID),
-		}}})
+		jobs, cancels := workload.JobKeys(j.ID), workload.CancelKeys(j.ID)
+		j.collecting, j.inboxLeft = true, len(jobs)
+		for i := range jobs {
+			out = append(out, &Batch{Kind: BatchInbox, job: j, Tx: storeapi.Transaction{Deletes: []string{jobs[i], cancels[i]}}})
+		}
 	}
 	return out
 }
@@ -145,7 +125,7 @@
 		return nil
 	}
 	c.pending = pendingCounts{counts, now.StoreMS}
-	return &Batch{Tx: storeapi.Transaction{Puts: []storeapi.Put{
+	return &Batch{Kind: BatchMain, Tx: storeapi.Transaction{Puts: []storeapi.Put{
 		{Key: workload.KeyPending, Value: encode(&Pending{now.StoreMS, counts})},
 	}}}
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -9,8 +9,8 @@
 //   - an order row exists from before a run can begin until its end is known,
 //     and its demand counts against the worker for that long;
 //   - a task has no new run while it has an order;
-//   - the end of a run leaves the store only in the transaction that writes
-//     what follows from it.
+//   - the end of a run leaves the store only after what follows from it was
+//     written; taken in twice, it changes nothing.
 package dispatch
 
 import (
@@ -48,7 +48,7 @@
 		// Below a gang's wait for its members, the shortest of the platform's bounds.
 		StartWithin: 2 * time.Second,
 		LapseAfter:  13500 * time.Millisecond,
-		SilentAfter: 4 * time.Second,
+		SilentAfter: 3 * time.Second,
 		// Workers that lapsed in an outage are back about 2 s after its end.
 		Settle:       3 * time.Second,
 		Retention:    4 * time.Minute,
@@ -80,8 +80,10 @@
 	guaranteed map[model.ClientAccountID]int
 	evacuated  map[model.AvailabilityZoneName]bool
 	sick       *quarantine.Tracker
-	// endKeys are rows of ends that were taken in and not deleted yet.
-	endKeys []string
+	// endKeys are rows of ends that were taken in, and dropKeys rows of orders
+	// and progress that are needed no more; none is deleted yet.
+	endKeys  []string
+	dropKeys []string
 	// cancelled are cancellations of jobs that were not seen yet.
 	cancelled map[model.JobID]bool
 	// seenEnds are ends that were taken in; a second report changes nothing.
@@ -101,6 +103,10 @@
 	orders   map[workload.RunID]*order
 	// dirty is set when progress differs from its row.
 	dirty bool
+	// collecting is set while the job's rows are being deleted; inboxLeft counts
+	// the parts of the inbox that it is not deleted from yet.
+	collecting bool
+	inboxLeft  int
 	// readySinceMS tells since when each step could have started.
 	readySinceMS map[stepKey]int64
 	// notBeforeMS holds a step back after a worker did not start its task.
@@ -126,10 +132,6 @@
 	// stopWanted asks for the run's end; stopReason says why.
 	stopWanted bool
 	stopReason string
-	// alone makes the stop a transaction of its own after a refused one.
-	alone bool
-	// retryMS is when a refused stop is written again.
-	retryMS int64
 	// report is what the worker said last of the run, at reportMS; reportedMS is
 	// when it first said it.
 	report     workload.RunningTask
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -36,6 +36,11 @@
 	c.decide(Decision{Kind: "run_ended", Job: j.ID, Task: end.Task, Run: end.Run, Worker: workerOf(o), Reason: string(end.Kind) + " " + end.Detail, AgeMS: -1})
 	if o != nil {
 		c.unlink(o)
+		c.dropKeys = append(c.dropKeys, o.Key())
+	}
+	if task := j.progress.Task(ref); task != nil && task.LastRun > end.Run {
+		// The run was given up before, and another one has its place.
+		return
 	}
 	c.apply(now, j, run, end, o)
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -5,40 +5,52 @@
 	"dragonflyyard/internal/workload"
 )
 
-// Bounds of a transaction of the store, which allows 100 entries and 1 MB.
+// maxPuts bounds the rows of a transaction; the store allows 100 and 1 MB.
+const maxPuts = 60
+
+// BatchKind says how a batch is made.
+type BatchKind string
+
+// Kinds of batches.
 const (
-	maxPuts  = 60
-	maxStops = 30
+	// BatchMain batches write the scheduler's own rows under its fence. They are
+	// refused only when the epoch has ended.
+	BatchMain BatchKind = "main"
+	// BatchVoid voids the row of a worker that is gone, under a check of its
+	// version. After it the worker reports no more ends; those that it reported
+	// are taken in before Committed is called.
+	BatchVoid BatchKind = "void"
+	// BatchInbox deletes a job from the inbox.
+	BatchInbox BatchKind = "inbox"
+	// BatchEnds deletes ends that were taken in. Nothing waits for it.
+	BatchEnds BatchKind = "ends"
 )
 
-// Batch is one transaction that the scheduler asks for. The caller adds the
-// fence of its epoch. A batch that is not Guarded is refused only when the
-// epoch has ended.
+// Batch is one transaction that the scheduler asks for. For main batches the
+// caller adds the fence of its epoch.
 type Batch struct {
-	Tx storeapi.Transaction
-	// Guarded batches check rows that agents write, too.
-	Guarded bool
+	Tx   storeapi.Transaction
+	Kind BatchKind
+	// Host is that of the worker, of batches about one.
+	Host string
 
 	orders []*order
 	// putAt holds the index of each order's row among the puts.
-	putAt  []int
-	lapsed *worker
-	dirty  []*job
-	ends   []string
+	putAt []int
+	job   *job
 }
 
 // Plan decides what to do now and returns the transactions, in the order in
-// which they are to be made. Unguarded ones are already part of the core's
-// state; guarded ones become so by Committed.
+// which they are to be made. Main batches are already part of the core's state.
 func (c *Core) Plan(now Now) []*Batch {
 	c.stampEnded(now)
 	c.stopStalled(now)
-	orders := c.startTasks(now)
+	orders := append(c.startTasks(now), c.stops()...)
 	batches := c.writeBack(orders)
-	batches = append(batches, c.stops(now)...)
 	if b := c.lapse(now); b != nil {
 		batches = append(batches, b)
 	}
+	batches = append(batches, c.dropEnds()...)
 	return append(batches, c.collect(now)...)
 }
 
@@ -116,27 +128,44 @@
 	return o
 }
 
-// writeBack returns the batches that write changed progress, new orders and
-// the deletion of ends, in this order.
+// stops returns the orders whose runs are to end and whose agents are not told yet.
+func (c *Core) stops() []*order {
+	var out []*order
+	for _, j := range c.sortedJobs() {
+		for _, o := range sortedOrders(j.orders) {
+			if o.stopWanted && !o.Stop && o.version != 0 {
+				o.Stop = true
+				out = append(out, o)
+				c.decide(Decision{Kind: "run_stop_ordered", Job: j.ID, Task: o.Task, Run: o.Run, Worker: o.Worker, Reason: o.stopReason, AgeMS: -1})
+			}
+		}
+	}
+	return out
+}
+
+// writeBack returns the batches that write changed progress and orders and
+// delete what is needed no more, in this order.
 func (c *Core) writeBack(orders []*order) []*Batch {
 	w := batchWriter{}
 	for _, j := range c.sortedJobs() {
 		if j.dirty {
-			w.progress(j)
+			b := w.next()
+			b.Tx.Puts = append(b.Tx.Puts, storeapi.Put{Key: workload.ProgressKey(j.ID), Value: encode(j.progress)})
 			j.dirty = false
 		}
 	}
 	for _, o := range orders {
-		w.order(o)
+		w.next().addOrder(o)
 	}
-	for _, key := range c.endKeys {
-		w.drop(key)
+	for _, key := range c.dropKeys {
+		b := w.next()
+		b.Tx.Deletes = append(b.Tx.Deletes, key)
 	}
-	c.endKeys = nil
+	c.dropKeys = nil
 	return w.batches
 }
 
-// batchWriter spreads writes over batches.
+// batchWriter spreads writes over main batches.
 type batchWriter struct{ batches []*Batch }
 
 func (w *batchWriter) next() *Batch {
@@ -146,61 +175,32 @@
 			return last
 		}
 	}
-	b := &Batch{}
+	b := &Batch{Kind: BatchMain}
 	w.batches = append(w.batches, b)
 	return b
 }
 
-func (w *batchWriter) progress(j *job) {
-	b := w.next()
-	b.Tx.Puts = append(b.Tx.Puts, storeapi.Put{Key: workload.ProgressKey(j.ID), Value: encode(j.progress)})
-	b.dirty = append(b.dirty, j)
-}
-
-func (w *batchWriter) order(o *order) {
-	b := w.next()
-	b.addOrder(o)
-}
-
 func (b *Batch) addOrder(o *order) {
 	b.orders = append(b.orders, o)
 	b.putAt = append(b.putAt, len(b.Tx.Puts))
 	b.Tx.Puts = append(b.Tx.Puts, storeapi.Put{Key: o.Key(), Value: encode(&o.Order)})
 }
 
-func (w *batchWriter) drop(key string) {
-	b := w.next()
-	b.Tx.Deletes = append(b.Tx.Deletes, key)
-	b.ends = append(b.ends, key)
-}
-
-// stops returns the batches that ask agents to end runs. The order's row is
-// checked, since the agent removes it when the run ends.
-func (c *Core) stops(now Now) []*Batch {
+// dropEnds returns the batches that delete ends, one for each host that
+// reported some.
+func (c *Core) dropEnds() []*Batch {
+	byPart := map[string]*Batch{}
 	var out []*Batch
-	var shared *Batch
-	for _, j := range c.sortedJobs() {
-		for _, o := range sortedOrders(j.orders) {
-			if !o.stopWanted || o.Stop || o.version == 0 || now.StoreMS < o.retryMS {
-				continue
-			}
-			b := &Batch{Guarded: true}
-			if !o.alone {
-				if shared == nil || len(shared.orders) >= maxStops {
-					shared = b
-					out = append(out, shared)
-				}
-				b = shared
-			} else {
-				out = append(out, b)
-			}
-			stopping := o.Order
-			stopping.Stop = true
-			b.Tx.Checks = append(b.Tx.Checks, storeapi.Check{Key: o.Key(), Version: o.version})
-			b.orders = append(b.orders, o)
-			b.putAt = append(b.putAt, len(b.Tx.Puts))
-			b.Tx.Puts = append(b.Tx.Puts, storeapi.Put{Key: o.Key(), Value: encode(&stopping)})
+	for _, key := range c.endKeys {
+		_, part, _ := storeapi.SplitKey(key)
+		b := byPart[part]
+		if b == nil || len(b.Tx.Deletes) >= maxPuts {
+			b = &Batch{Kind: BatchEnds}
+			byPart[part] = b
+			out = append(out, b)
 		}
+		b.Tx.Deletes = append(b.Tx.Deletes, key)
 	}
+	c.endKeys = nil
 	return out
 }
--- a/internal/jobagent/agent.go
+++ b/internal/jobagent/agent.go
@@ -141,8 +141,6 @@
 		a.hold(ctx, action)
 	case taskrunner.Announce:
 		a.announce(ctx, action)
-	case taskrunner.CommitEnds:
-		a.commitEnds(ctx, action)
 	}
 }
 
--- a/internal/jobagent/rows.go
+++ b/internal/jobagent/rows.go
@@ -51,65 +51,45 @@
 	return announced, nil
 }
 
-// announce writes the worker's row.
+// announce writes the worker's row, and the ends of runs with it.
 func (a *Agent) announce(ctx context.Context, action taskrunner.Announce) {
 	key := workload.WorkerKey(a.host)
-	versions, err := a.store.Commit(ctx, storeapi.Transaction{
+	tx := storeapi.Transaction{
 		Checks: []storeapi.Check{{Key: key, Version: action.Version}},
 		Puts:   []storeapi.Put{{Key: key, Value: rowcodec.Encode(&action.Row)}},
-	})
-	var version storeapi.RowVersion
-	var present workload.Announcement
-	var conflict *storeapi.Conflict
-	switch {
-	case err == nil:
-		version = versions[0]
-	case errors.As(err, &conflict):
-		row := conflict.Find(key)
-		version = row.Version
-		present, _ = a.decodeWorker(row)
-	default:
-		a.log.Warn("announcement_failed", zap.Error(err))
 	}
-	a.push(ctx, func(now time.Time) {
-		a.core.Announced(now, action, storeapi.ResultOf(err), present, version)
-	})
-}
-
-// commitEnds removes the orders of ended runs and puts their ends.
-func (a *Agent) commitEnds(ctx context.Context, action taskrunner.CommitEnds) {
-	tx := storeapi.Transaction{}
 	for i := range action.Ends {
 		end := &action.Ends[i]
-		tx.Checks = append(tx.Checks, storeapi.Check{Key: end.Key, Version: end.Version})
-		tx.Deletes = append(tx.Deletes, end.Key)
-		tx.Puts = append(tx.Puts, storeapi.Put{Key: workload.EndKey(end.ID), Value: rowcodec.Encode(&end.End)})
+		endKey := workload.EndKey(a.host, end.ID)
+		tx.Checks = append(tx.Checks, storeapi.Check{Key: endKey})
+		tx.Puts = append(tx.Puts, storeapi.Put{Key: endKey, Value: rowcodec.Encode(&end.End)})
 	}
-	_, err := a.store.Commit(ctx, tx)
-	present := map[workload.RunID]taskrunner.PresentOrder{}
+	versions, err := a.store.Commit(ctx, tx)
+	var version storeapi.RowVersion
+	var present taskrunner.Present
 	var conflict *storeapi.Conflict
 	switch {
 	case err == nil:
+		version = versions[0]
 		a.ends.Inc(int64(len(action.Ends)))
 	case errors.As(err, &conflict):
-		present = a.presentOrders(conflict)
+		present = a.present(conflict, key, action.Ends)
 	default:
-		a.log.Warn("ends_not_committed", zap.Int("ends", len(action.Ends)), zap.Error(err))
+		a.log.Warn("announcement_failed", zap.Int("ends", len(action.Ends)), zap.Error(err))
 	}
 	a.push(ctx, func(now time.Time) {
-		a.core.EndsCommitted(now, action.Ends, storeapi.ResultOf(err), present)
+		a.core.Announced(now, action, storeapi.ResultOf(err), version, present)
 	})
 }
 
-// presentOrders returns the orders that a refused transaction showed.
-func (a *Agent) presentOrders(conflict *storeapi.Conflict) map[workload.RunID]taskrunner.PresentOrder {
-	present := map[workload.RunID]taskrunner.PresentOrder{}
-	for _, row := range conflict.Rows {
-		if row.Version == 0 {
-			continue
-		}
-		if order, id, ok := a.decodeOrder(row); ok {
-			present[id] = taskrunner.PresentOrder{Order: order, Version: row.Version}
+// present returns what a refused announcement showed.
+func (a *Agent) present(conflict *storeapi.Conflict, key string, ends []taskrunner.PendingEnd) taskrunner.Present {
+	row := conflict.Find(key)
+	present := taskrunner.Present{Version: row.Version}
+	present.Row, _ = a.decodeWorker(row)
+	for _, end := range ends {
+		if conflict.Find(workload.EndKey(a.host, end.ID)).Version != 0 {
+			present.Reported = append(present.Reported, end)
 		}
 	}
 	return present
--- a/internal/jobentry/count.go
+++ b/internal/jobentry/count.go
@@ -39,7 +39,7 @@
 }
 
 func (s *Service) countRows(ctx context.Context, queue *queueconfig.Queue) Outcome {
-	jobs, err := s.store.Scan(ctx, workload.PrefixJobs)
+	jobs, err := s.store.Scan(ctx, workload.ScanJobs)
 	if err != nil {
 		return rejected(err.Error(), s.retryAfter())
 	}
@@ -51,13 +51,15 @@
 	for _, row := range begun.Rows {
 		known[row.Key] = true
 	}
+	counted := map[model.JobID]bool{}
 	count := 0
 	for _, row := range jobs.Rows {
 		var job workload.Job
 		if err := rowcodec.Decode(row.Value, &job); err != nil {
 			return rejected("a stored job can't be read: "+err.Error(), s.retryAfter())
 		}
-		if job.Queue == queue.Name && !known[workload.ProgressKey(model.JobID(job.ID))] {
+		if job.Queue == queue.Name && !known[workload.ProgressKey(job.ID)] && !counted[job.ID] {
+			counted[job.ID] = true
 			count++
 		}
 	}
--- a/internal/jobentry/service.go
+++ b/internal/jobentry/service.go
@@ -114,15 +114,22 @@
 	job.Account, job.Queue, job.Service, job.Priority = account, queue.Name, queue.Service, queue.Priority
 	job.MaxAttempts, job.SlackFactor, job.TargetDuration = queue.MaxAttempts, queue.SlackFactor, queue.TargetDuration
 	job.AcceptedMS, _ = s.store.StoreTime(time.Now())
-	key := workload.JobKey(job.ID)
-	conflict, outcome := s.write(ctx, storeapi.Transaction{
-		Checks: []storeapi.Check{{Key: key}},
-		Puts:   []storeapi.Put{{Key: key, Value: rowcodec.Encode(job)}},
-	})
-	if conflict == nil {
-		return outcome
+	value := rowcodec.Encode(job)
+	var outcome Outcome
+	for _, key := range workload.JobKeys(job.ID) {
+		var conflict *storeapi.Conflict
+		conflict, outcome = s.write(ctx, storeapi.Transaction{
+			Checks: []storeapi.Check{{Key: key}},
+			Puts:   []storeapi.Put{{Key: key, Value: value}},
+		})
+		if conflict != nil {
+			return s.resubmitted(job, conflict.Find(key))
+		}
+		if outcome.Kind != OutcomeRejected {
+			return outcome
+		}
 	}
-	return s.resubmitted(job, conflict.Find(key))
+	return outcome
 }
 
 // resubmitted answers a submission whose ID is stored already.
@@ -170,19 +177,20 @@
 	if job == nil {
 		return outcome
 	}
-	key := workload.CancelKey(id)
-	_, outcome = s.write(ctx, storeapi.Transaction{Puts: []storeapi.Put{{Key: key, Value: rowcodec.Encode(true)}}})
+	for _, key := range workload.CancelKeys(id) {
+		_, outcome = s.write(ctx, storeapi.Transaction{Puts: []storeapi.Put{{Key: key, Value: rowcodec.Encode(true)}}})
+		if outcome.Kind != OutcomeRejected {
+			return outcome
+		}
+	}
 	return outcome
 }
 
 // job returns a stored job of an account, or the outcome that says why not.
 func (s *Service) job(ctx context.Context, account model.ClientAccountID, id model.JobID) (*workload.Job, Outcome) {
-	row, err := s.store.Get(ctx, workload.JobKey(id))
-	if errors.Is(err, storeapi.ErrNotFound) {
-		return nil, Outcome{Kind: OutcomeUnknownJob}
-	}
-	if err != nil {
-		return nil, rejected(err.Error(), s.retryAfter())
+	row, outcome := s.jobRow(ctx, id)
+	if row.Version == 0 {
+		return nil, outcome
 	}
 	job := &workload.Job{}
 	if err := rowcodec.Decode(row.Value, job); err != nil {
@@ -195,6 +203,22 @@
 	return job, Outcome{}
 }
 
+// jobRow returns the row of a job, or the outcome that says why there is none.
+// A job is unknown only when it lies in none of its parts.
+func (s *Service) jobRow(ctx context.Context, id model.JobID) (storeapi.Row, Outcome) {
+	outcome := Outcome{Kind: OutcomeUnknownJob}
+	for _, key := range workload.JobKeys(id) {
+		row, err := s.store.Get(ctx, key)
+		if err == nil {
+			return row, Outcome{}
+		}
+		if !errors.Is(err, storeapi.ErrNotFound) {
+			outcome = rejected(err.Error(), s.retryAfter())
+		}
+	}
+	return storeapi.Row{}, outcome
+}
+
 func (s *Service) state(ctx context.Context, account model.ClientAccountID, id model.JobID) Outcome {
 	row, err := s.store.Get(ctx, workload.ProgressKey(id))
 	if errors.Is(err, storeapi.ErrNotFound) {
--- a/internal/schedulerhost/lease.go
+++ b/internal/schedulerhost/lease.go
@@ -134,11 +134,8 @@
 	return false
 }
 
-// leaseKey maps the candidate's keys into the control table.
-func leaseKey(key string) string { return workload.TableControl + "/" + key }
-
 func (h *Host) read(ctx context.Context, action ownership.ReadRow) {
-	row, err := h.store.Get(ctx, leaseKey(action.Key))
+	row, err := h.store.Get(ctx, workload.LeaseKey(action.Key))
 	if errors.Is(err, storeapi.ErrNotFound) {
 		row, err = storeapi.Row{}, nil
 	}
@@ -150,10 +147,10 @@
 func (h *Host) commit(ctx context.Context, action ownership.CommitRow) {
 	tx := storeapi.Transaction{}
 	for _, check := range action.Transaction.Checks {
-		tx.Checks = append(tx.Checks, storeapi.Check{Key: leaseKey(check.Key), Version: check.Version})
+		tx.Checks = append(tx.Checks, storeapi.Check{Key: workload.LeaseKey(check.Key), Version: check.Version})
 	}
 	for _, put := range action.Transaction.Puts {
-		tx.Puts = append(tx.Puts, storeapi.Put{Key: leaseKey(put.Key), Value: put.Value})
+		tx.Puts = append(tx.Puts, storeapi.Put{Key: workload.LeaseKey(put.Key), Value: put.Value})
 	}
 	versions, err := h.store.Commit(ctx, tx)
 	if err != nil {
@@ -173,9 +170,7 @@
 	h.beganAt = time.Now()
 	ctx, h.leave = context.WithCancel(ctx)
 	h.ended = make(chan struct{})
-	check := h.candidate.Check()
-	check.Key = leaseKey(check.Key)
-	s := newSession(h, epoch, check)
+	s := newSession(h, epoch)
 	go func(ended chan struct{}) {
 		defer close(ended)
 		s.run(ctx)
--- a/internal/schedulerhost/load.go
+++ b/internal/schedulerhost/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -14,51 +15,60 @@
 	"dragonflyyard/internal/workload"
 )
 
+// rescanEvery is the interval of scans beside the feeds; a scan reads each part.
+const rescanEvery = 15 * time.Second
+
 // maxScans bounds the scans under way while a session loads.
 const maxScans = 8
 
-// watched are the tables that others write and the scheduler follows.
-var watched = []string{workload.TableInbox, workload.TableWorkers, workload.TableEnds}
+// Prefixes of the tables that others write and the scheduler follows.
+const (
+	scanInbox   = workload.TableInbox + "@" + storeapi.AllParts + "/"
+	scanWorkers = workload.TableWorkers + "@" + storeapi.AllParts + "/"
+	scanEnds    = workload.TableEnds + "@" + storeapi.AllParts + "/"
+)
+
+var watched = []string{scanInbox, scanWorkers, scanEnds}
 
 // load reads all tables and returns the versions from which the watched ones
-// go on. An agent removes an order and puts its end in one transaction, so the
-// ends are read after the orders: each run is in one of the two, or in both.
+// go on. An order is deleted only by the scheduler, after its end was written,
+// so each run is found in an order, in an end, or in both.
 func (s *session) load(ctx context.Context) (map[string]storeapi.RowVersion, error) {
-	orders, err := s.scanAll(ctx, workload.OrderTables())
-	if err != nil {
-		return nil, err
+	tables := append([]string{workload.TableProgress + "/"}, watched...)
+	for _, table := range workload.OrderTables() {
+		tables = append(tables, table+"/")
 	}
-	others, err := s.scanAll(ctx, append([]string{workload.TableProgress}, watched...))
+	found, err := s.scanAll(ctx, tables)
 	if err != nil {
 		return nil, err
 	}
 	versions := map[string]storeapi.RowVersion{}
-	for i, table := range watched {
-		versions[table] = others[i+1].Version
+	for i, prefix := range watched {
+		versions[prefix] = found[i+1].Version
 	}
-	s.takeInbox(others[1].Rows, s.decodeProgress(others[0]))
-	s.takeWorkers(others[2].Rows)
-	found := 0
-	for _, snapshot := range orders {
-		found += len(snapshot.Rows)
+	s.takeInbox(found[1].Rows, s.decodeProgress(found[0]))
+	s.takeWorkers(found[2].Rows)
+	orders := 0
+	for _, snapshot := range found[1+len(watched):] {
+		orders += len(snapshot.Rows)
 		s.takeOrders(snapshot.Rows)
 	}
-	s.takeEnds(others[3].Rows)
+	s.takeEnds(found[3].Rows)
 	stats := s.core.Stats()
 	s.log.Info("scheduler_loaded", zap.Uint64("epoch", uint64(s.epoch)), zap.Int("jobs", stats.Jobs),
-		zap.Int("workers", stats.Workers), zap.Int("orders", found), zap.Int("ends", len(others[3].Rows)))
+		zap.Int("workers", stats.Workers), zap.Int("orders", orders), zap.Int("ends", len(found[3].Rows)))
 	return versions, nil
 }
 
 // scanAll reads tables, in any order.
-func (s *session) scanAll(ctx context.Context, tables []string) ([]storeapi.Snapshot, error) {
-	snapshots := make([]storeapi.Snapshot, len(tables))
+func (s *session) scanAll(ctx context.Context, prefixes []string) ([]storeapi.Snapshot, error) {
+	snapshots := make([]storeapi.Snapshot, len(prefixes))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(maxScans)
-	for i, table := range tables {
+	for i, prefix := range prefixes {
 		group.Go(func() error {
 			var err error
-			snapshots[i], err = s.scan(ctx, table)
+			snapshots[i], err = s.scan(ctx, prefix)
 			return err
 		})
 	}
@@ -66,13 +76,13 @@
 }
 
 // scan reads a table until it succeeds or the session ends.
-func (s *session) scan(ctx context.Context, table string) (storeapi.Snapshot, error) {
+func (s *session) scan(ctx context.Context, prefix string) (storeapi.Snapshot, error) {
 	for pause := retryFirst; ; pause = min(2*pause, retryLongest) {
-		snapshot, err := s.store.Scan(ctx, table+"/")
+		snapshot, err := s.store.Scan(ctx, prefix)
 		if err == nil {
 			return snapshot, nil
 		}
-		s.log.Warn("store_read_failed", zap.String("table", table), zap.Error(err))
+		s.log.Warn("store_read_failed", zap.String("table", prefix), zap.Error(err))
 		if !sleep(ctx, pause) {
 			return snapshot, err
 		}
@@ -82,23 +92,26 @@
 // watch follows the tables that others write.
 func (s *session) watch(ctx context.Context, versions map[string]storeapi.RowVersion) {
 	take := map[string]func([]storeapi.Row){
-		workload.TableInbox:   func(rows []storeapi.Row) { s.takeInbox(rows, nil) },
-		workload.TableWorkers: s.takeWorkers,
-		workload.TableEnds:    s.takeEnds,
+		scanInbox:   func(rows []storeapi.Row) { s.takeInbox(rows, nil) },
+		scanWorkers: s.takeWorkers,
+		scanEnds:    s.takeEnds,
 	}
-	for _, table := range watched {
-		input := func(rows []storeapi.Row) { s.inputs.Push(ctx, func() { take[table](rows) }) }
-		watch := tablewatch.New(tablewatch.DefaultSettings(), s.store, table, table+"/", tablewatch.Handler{
+	settings := tablewatch.DefaultSettings()
+	settings.RescanEvery = rescanEvery
+	for _, prefix := range watched {
+		input := func(rows []storeapi.Row) { s.inputs.Push(ctx, func() { take[prefix](rows) }) }
+		table, _, _ := storeapi.SplitKey(prefix)
+		watch := tablewatch.New(settings, s.store, table, prefix, tablewatch.Handler{
 			Scanned: func(snapshot storeapi.Snapshot) { input(snapshot.Rows) },
 			Changed: func(changes []storeapi.Change) { input(written(changes)) },
 			Failed: func(err error) {
 				s.log.Warn("store_read_failed", zap.String("table", table), zap.Error(err))
 			},
 		})
-		if table == workload.TableWorkers {
+		if prefix == scanWorkers {
 			s.workers = watch
 		}
-		go watch.Run(ctx, versions[table])
+		go watch.Run(ctx, versions[prefix])
 	}
 }
 
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -48,8 +48,6 @@
 type session struct {
 	host  *Host
 	epoch model.Epoch
-	// begin is the check of the epoch's row, under which the fence is taken.
-	begin storeapi.Check
 	store Store
 	log   *zap.Logger
 	core  *dispatch.Core
@@ -62,9 +60,9 @@
 	commits      metrics.Timer
 }
 
-func newSession(h *Host, epoch model.Epoch, begin storeapi.Check) *session {
+func newSession(h *Host, epoch model.Epoch) *session {
 	return &session{
-		host: h, epoch: epoch, begin: begin, store: h.store, log: h.log,
+		host: h, epoch: epoch, store: h.store, log: h.log,
 		core:    dispatch.New(dispatch.DefaultSettings()),
 		inputs:  ring.New[func()]("scheduler.inputs", maxSessionInputs, nil),
 		plans:   metrics.GetOrRegisterTimer("scheduler.plans", h.registry),
@@ -90,14 +88,23 @@
 	s.log.Info("scheduler_session_ended", zap.Uint64("epoch", uint64(s.epoch)), zap.Error(err))
 }
 
-// takeFence writes the fence under a check of the epoch: from then on no
-// transaction of a former owner takes effect.
+// takeFence writes the fence: from then on no transaction of a former owner
+// takes effect. A higher epoch in the fence means that this one has ended.
 func (s *session) takeFence(ctx context.Context) error {
 	for pause := retryFirst; ; pause = min(2*pause, retryLongest) {
 		row, err := s.store.Get(ctx, workload.KeyFence)
 		if err == nil || errors.Is(err, storeapi.ErrNotFound) {
+			var present fence
+			if row.Version != 0 {
+				if err := rowcodec.Decode(row.Value, &present); err != nil {
+					s.malformed(row, err)
+				}
+			}
+			if present.Epoch > s.epoch {
+				return errDeposed
+			}
 			s.fenceVersion = row.Version
-			return s.commit(ctx, storeapi.Transaction{Checks: []storeapi.Check{s.begin}}, nil)
+			return s.commit(ctx, storeapi.Transaction{}, nil)
 		}
 		if !sleep(ctx, pause) {
 			return ctx.Err()
@@ -211,23 +218,66 @@
 }
 
 func (s *session) commitBatch(ctx context.Context, batch *dispatch.Batch) error {
-	puts := len(batch.Tx.Puts)
-	err := s.commit(ctx, batch.Tx, func(version storeapi.RowVersion) {
-		versions := make([]storeapi.RowVersion, puts)
-		for i := range versions {
-			versions[i] = version
+	defer s.logDecisions()
+	switch batch.Kind {
+	case dispatch.BatchMain:
+		return s.commit(ctx, batch.Tx, func(version storeapi.RowVersion) {
+			versions := make([]storeapi.RowVersion, len(batch.Tx.Puts))
+			for i := range versions {
+				versions[i] = version
+			}
+			s.committed(batch, versions)
+		})
+	case dispatch.BatchEnds:
+		s.dropLater(ctx, batch)
+	default:
+		s.commitOther(ctx, batch)
+	}
+	return nil
+}
+
+func (s *session) committed(batch *dispatch.Batch, versions []storeapi.RowVersion) {
+	now, _ := s.now()
+	s.core.Committed(now, batch, versions)
+}
+
+// commitOther makes a batch outside the scheduler's own rows, once.
+func (s *session) commitOther(ctx context.Context, batch *dispatch.Batch) {
+	versions, err := s.store.Commit(ctx, batch.Tx)
+	if err == nil && batch.Kind == dispatch.BatchVoid {
+		var ends storeapi.Snapshot
+		if ends, err = s.store.Scan(ctx, workload.EndsPrefix(batch.Host)); err == nil {
+			s.takeEnds(ends.Rows)
 		}
-		now, _ := s.now()
-		s.core.Committed(now, batch, versions)
-	})
-	s.logDecisions()
-	if errors.Is(err, errRefused) && batch.Guarded {
-		now, _ := s.now()
-		s.core.Refused(now, batch)
-		s.log.Info("scheduler_batch_refused", zap.Int("checks", len(batch.Tx.Checks)))
-		return nil
 	}
-	return err
+	if err != nil {
+		s.log.Warn("scheduler_batch_refused", zap.String("kind", string(batch.Kind)), zap.String("host", batch.Host), zap.Error(err))
+		s.core.Refused(batch)
+		return
+	}
+	s.committed(batch, versions)
+}
+
+// dropTries bounds how often a batch of taken ends is sent. A successor deletes
+// what is left.
+const dropTries = 4
+
+// dropLater deletes taken ends while the scheduler goes on.
+func (s *session) dropLater(ctx context.Context, batch *dispatch.Batch) {
+	go func() {
+		pause := retryFirst
+		for range dropTries {
+			_, err := s.store.Commit(ctx, batch.Tx)
+			if err == nil {
+				return
+			}
+			s.log.Warn("ends_not_deleted", zap.Int("ends", len(batch.Tx.Deletes)), zap.Error(err))
+			if !sleep(ctx, pause) {
+				return
+			}
+			pause = min(2*pause, retryLongest)
+		}
+	}()
 }
 
 // now returns the time of a decision, and false before the store's clock is known.
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -163,6 +163,10 @@
 // apply runs one transaction. Row versions come from one counter over all
 // rows, so a row that was deleted and made again never has an old version.
 func (s *Store) apply(tx storeapi.Transaction) Result {
+	// A transaction over several parts is refused on the platform.
+	if parts := partsOf(tx); len(parts) > 1 {
+		panic(errors.AssertionFailedf("standin: a transaction over the parts %v", parts))
+	}
 	for _, check := range tx.Checks {
 		if s.rows[check.Key].Version != check.Version {
 			return Result{Conflict: true, Present: s.present(tx.Checks)}
@@ -187,6 +191,25 @@
 	return Result{Versions: versions}
 }
 
+// partsOf returns the parts that a transaction has rows of.
+func partsOf(tx storeapi.Transaction) map[string]bool {
+	parts := map[string]bool{}
+	add := func(key string) {
+		_, part, _ := storeapi.SplitKey(key)
+		parts[part] = true
+	}
+	for _, check := range tx.Checks {
+		add(check.Key)
+	}
+	for _, put := range tx.Puts {
+		add(put.Key)
+	}
+	for _, key := range tx.Deletes {
+		add(key)
+	}
+	return parts
+}
+
 // present returns the rows that checks name, as they are.
 func (s *Store) present(checks []storeapi.Check) []storeapi.Row {
 	var rows []storeapi.Row
--- a/internal/storeapi/feed.go
+++ b/internal/storeapi/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,11 +33,31 @@
 	Version RowVersion
 }
 
+// AllParts stands for every part of a table in the prefix of a scan.
+const AllParts = "*"
+
+// SplitKey divides a key into its table, part and the key inside the part.
+func SplitKey(key string) (table, part, rest string) {
+	table, rest, _ = strings.Cut(key, "/")
+	table, part, _ = strings.Cut(table, "@")
+	return table, part, rest
+}
+
+// JoinKey is the inverse of SplitKey.
+func JoinKey(table, part, rest string) string {
+	if part != "" {
+		table += "@" + part
+	}
+	return table + "/" + rest
+}
+
 // Feed reads tables of a store that keeps a history of changes. Keys are
-// "TABLE/REST"; the rows of a Feed carry the whole key.
+// "TABLE/REST", or "TABLE@PART/REST" where a table has several parts. A
+// transaction has rows of one part only; parts are written side by side.
 type Feed interface {
 	// Scan returns all rows whose key starts with the prefix, which names a
-	// table and may go on. It returns ErrUnavailable.
+	// table and a part, or AllParts, and may go on. The rows of one part are as
+	// of one moment each. It returns ErrUnavailable.
 	Scan(ctx context.Context, prefix string) (Snapshot, error)
 	// Changes waits up to wait for changes of a table after a version. It
 	// returns ErrHistoryGone or ErrUnavailable.
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -39,10 +39,9 @@
 	relayed metrics.Counter
 
 	mu sync.Mutex
-	// failing is set while the last direct call failed; probeAt is when the
-	// direct way is tried again.
-	failing bool
-	probeAt time.Time
+	// failing holds the parts whose last direct call failed, with when the direct
+	// way is tried again. The store may refuse single parts.
+	failing map[string]time.Time
 	// avoid holds until when each peer is left alone.
 	avoid map[string]time.Time
 	http  map[string]*fasthttp.HostClient
@@ -52,16 +51,21 @@
 // nearest first.
 func NewClient(direct Store, peers func() []string, log *zap.Logger, registry metrics.Registry) *Client {
 	return &Client{
-		direct: direct, peers: peers, log: log, avoid: map[string]time.Time{}, http: map[string]*fasthttp.HostClient{},
+		direct: direct, peers: peers, log: log, failing: map[string]time.Time{}, avoid: map[string]time.Time{}, http: map[string]*fasthttp.HostClient{},
 		relayed: metrics.GetOrRegisterCounter("store.relayed", registry),
 	}
 }
 
-// DirectAway reports whether the last direct call failed.
-func (c *Client) DirectAway() bool {
+// DirectAway reports whether the last direct call for the part of a key failed.
+func (c *Client) DirectAway(key string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.failing
+	return !c.failing[partOf(key)].IsZero()
+}
+
+func partOf(key string) string {
+	_, part, _ := storeapi.SplitKey(key)
+	return part
 }
 
 // StoreTime implements storeapi.Clock: the tighter of what the two ways tell.
@@ -136,9 +140,10 @@
 // write in doubt is not repeated here: its caller knows what to check.
 func (c *Client) do(ctx context.Context, direct func() error, path string, in request, within time.Duration, take func(*response)) error {
 	err := errors.Wrap(storeapi.ErrUnavailable, "the store does not answer this host")
-	if c.tryDirect() {
+	part := partOf(in.subject())
+	if c.tryDirect(part) {
 		err = direct()
-		if c.directDone(err); !errors.Is(err, storeapi.ErrUnavailable) {
+		if c.directDone(part, err); !errors.Is(err, storeapi.ErrUnavailable) {
 			return err
 		}
 	}
@@ -157,30 +162,37 @@
 	return err
 }
 
-// tryDirect reports whether the direct way is tried now.
-func (c *Client) tryDirect() bool {
+// tryDirect reports whether the direct way to a part is tried now.
+func (c *Client) tryDirect(part string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if c.failing && now.Before(c.probeAt) {
+	probeAt, failing := c.failing[part]
+	if failing && now.Before(probeAt) {
 		return false
 	}
-	c.probeAt = now.Add(probeEvery)
+	if failing {
+		c.failing[part] = now.Add(probeEvery)
+	}
 	return true
 }
 
 // directDone notes how a direct call ended.
-func (c *Client) directDone(err error) {
+func (c *Client) directDone(part string, err error) {
 	failed := errors.Is(err, storeapi.ErrUnavailable) || errors.Is(err, storeapi.ErrInDoubt)
 	c.mu.Lock()
-	changed := c.failing != failed
-	c.failing = failed
+	_, before := c.failing[part]
+	if failed {
+		c.failing[part] = time.Now().Add(probeEvery)
+	} else {
+		delete(c.failing, part)
+	}
 	c.mu.Unlock()
 	switch {
-	case changed && failed:
-		c.log.Warn("store_lost", zap.Error(err))
-	case changed:
-		c.log.Info("store_regained")
+	case failed && !before:
+		c.log.Warn("store_lost", zap.String("part", part), zap.Error(err))
+	case before && !failed:
+		c.log.Info("store_regained", zap.String("part", part))
 	}
 }
 
--- a/internal/storerelay/message.go
+++ b/internal/storerelay/message.go
@@ -34,6 +34,22 @@
 	Tx     storeapi.Transaction `codec:"t"`
 }
 
+// subject returns a key of the part that the call is about.
+func (r *request) subject() string {
+	switch {
+	case r.Key != "":
+		return r.Key
+	case len(r.Tx.Puts) > 0:
+		return r.Tx.Puts[0].Key
+	case len(r.Tx.Deletes) > 0:
+		return r.Tx.Deletes[0]
+	case len(r.Tx.Checks) > 0:
+		return r.Tx.Checks[0].Key
+	default:
+		return ""
+	}
+}
+
 // Results besides those of storeapi.Result.
 const resultHistoryGone storeapi.Result = "history_gone"
 
--- a/internal/storerelay/server.go
+++ b/internal/storerelay/server.go
@@ -15,9 +15,9 @@
 const maxRequestBytes = 2 << 20
 
 // NewServer returns the HTTP server of an entry host that passes calls on to
-// its own store. away reports whether that store does not answer it: then calls
-// are refused at once.
-func NewServer(store Store, away func() bool) *fasthttp.Server {
+// its own store. away reports whether that store does not answer it for the part
+// of a key: then calls are refused at once.
+func NewServer(store Store, away func(key string) bool) *fasthttp.Server {
 	r := &relay{store: store, away: away}
 	return &fasthttp.Server{
 		MaxRequestBodySize:    maxRequestBytes,
@@ -29,7 +29,7 @@
 
 type relay struct {
 	store Store
-	away  func() bool
+	away  func(key string) bool
 }
 
 func (r *relay) handle(ctx *fasthttp.RequestCtx) {
@@ -46,7 +46,7 @@
 		return
 	}
 	out := response{Result: storeapi.ResultUnavailable, Detail: "the relay has no store either"}
-	if !r.away() {
+	if !r.away(in.subject()) {
 		out = call(context.Background(), in)
 		out.StoreMS, _ = r.store.StoreTime(time.Now())
 	}
--- a/internal/taskrunner/announce.go
+++ b/internal/taskrunner/announce.go
@@ -18,7 +18,14 @@
 	// clockMS is the worker's clock before the outstanding announcement was sent.
 	clockMS int64
 	// doubtful are announcements without an answer, by when they were sent.
-	doubtful map[int64]int64
+	doubtful map[int64]doubtful
+	failures int
+}
+
+// doubtful is an announcement that may have taken effect.
+type doubtful struct {
+	clockMS int64
+	ends    []PendingEnd
 }
 
 func (a *announcedRow) announceNow() { a.nextAt = time.Time{} }
@@ -79,13 +86,45 @@
 	c.row.pending = true
 	c.row.clockMS = c.clock(now)
 	c.row.nextAt = now.Add(c.settings.AnnounceEvery)
-	return []Action{Announce{Row: row, Version: c.row.version}}
+	return []Action{Announce{Row: row, Version: c.row.version, Ends: c.unreported()}}
 }
 
-// Announced takes in the result of an announcement. On a conflict, present is
-// the row that lies in the store, with version zero when there is none.
-func (c *Core) Announced(now time.Time, sent Announce, result storeapi.Result, present workload.Announcement, version storeapi.RowVersion) {
+// unreported returns ends that are to be reported.
+func (c *Core) unreported() []PendingEnd {
+	var ends []PendingEnd
+	for _, r := range c.sortedRuns() {
+		if r.end != nil && !r.reported && len(ends) < c.settings.MaxEnds {
+			ends = append(ends, PendingEnd{ID: r.id, End: *r.end})
+		}
+	}
+	return ends
+}
+
+func (c *Core) endsReported(ends []PendingEnd) {
+	for _, end := range ends {
+		if r := c.runs[end.ID]; r != nil {
+			r.reported = true
+		}
+	}
+	c.acknowledge()
+}
+
+// Present is what a refused announcement showed: the worker's row as it lies in
+// the store, with version zero when there is none, and those of the ends that
+// had been reported before.
+type Present struct {
+	Row      workload.Announcement
+	Version  storeapi.RowVersion
+	Reported []PendingEnd
+}
+
+// Announced takes in the result of an announcement. version is that of the row
+// it wrote.
+func (c *Core) Announced(now time.Time, sent Announce, result storeapi.Result, version storeapi.RowVersion, present Present) {
 	c.row.pending = false
+	if result == storeapi.ResultOK || result == storeapi.ResultConflict {
+		c.row.failures = 0
+	}
 	current := sent.Row.Generation == c.generation && sent.Row.Incarnation == c.status.Incarnation
 	switch result {
 	case storeapi.ResultOK:
@@ -93,19 +132,32 @@
 		if current {
 			c.confirm(c.row.clockMS)
 		}
+		c.endsReported(sent.Ends)
 	case storeapi.ResultConflict:
-		c.announceConflict(present, version)
+		c.endsReported(present.Reported)
+		if present.Version == sent.Version {
+			c.row.announceNow()
+			return
+		}
+		c.announceConflict(present.Row, present.Version)
 	default:
 		if c.row.doubtful == nil {
-			c.row.doubtful = map[int64]int64{}
+			c.row.doubtful = map[int64]doubtful{}
 		}
 		if current && result == storeapi.ResultInDoubt {
-			c.row.doubtful[sent.Row.SentMS] = c.row.clockMS
+			c.row.doubtful[sent.Row.SentMS] = doubtful{c.row.clockMS, sent.Ends}
 		}
-		c.row.nextAt = now.Add(c.settings.RetryPause)
+		c.row.nextAt = now.Add(c.pauseAfterFailure())
+		c.row.failures++
 	}
 }
 
+// pauseAfterFailure returns the pause before the next announcement, so that
+// many agents do not crowd a slow store.
+func (c *Core) pauseAfterFailure() time.Duration {
+	return min(c.settings.RetryPause<<min(c.row.failures, 10), c.settings.MaxPause)
+}
+
 func (c *Core) confirm(clockMS int64) {
 	c.row.confirmed = true
 	c.row.doubtful = nil
@@ -118,9 +170,10 @@
 func (c *Core) announceConflict(present workload.Announcement, version storeapi.RowVersion) {
 	c.row.version = version
 	c.row.announceNow()
-	clockMS, mine := c.row.doubtful[present.SentMS]
+	sent, mine := c.row.doubtful[present.SentMS]
 	if mine && present.Generation == c.generation && present.State != workload.WorkerGone {
-		c.confirm(clockMS)
+		c.confirm(sent.clockMS)
+		c.endsReported(sent.ends)
 		return
 	}
 	c.note("worker_row_lost", nil, string(present.State))
--- a/internal/taskrunner/core.go
+++ b/internal/taskrunner/core.go
@@ -29,10 +29,7 @@
 	strays map[workload.RunID]time.Time
 	calls  int
 
-	hold       holdState
-	committing bool
-	// commitAt is when the next transaction of ends may be made.
-	commitAt time.Time
+	hold holdState
 
 	notes []Note
 }
@@ -72,6 +69,8 @@
 	// is that of the worker's list, 0 for an end that it does not list.
 	end    *workload.End
 	number uint64
+	// reported is set once the end was committed; the scheduler then removes the order.
+	reported bool
 }
 
 // listed is what the worker listed last.
@@ -204,6 +203,7 @@
 	if r.end != nil {
 		return
 	}
+	c.row.announceNow()
 	r.end = &workload.End{Task: r.Task, Run: r.Run, Host: c.host, Kind: kind, Checkpoint: checkpoint, Detail: detail}
 	c.note("run_ended", r, string(kind)+" "+detail)
 }
@@ -328,39 +328,9 @@
 func (c *Core) acknowledge() {
 	upTo := c.lists.highest
 	for _, r := range c.runs {
-		if r.end != nil && r.number > 0 {
+		if r.end != nil && !r.reported && r.number > 0 {
 			upTo = min(upTo, r.number-1)
 		}
 	}
 	c.lists.acknowledged = max(c.lists.acknowledged, upTo)
 }
-
-// EndsCommitted takes in the result of a transaction of ends. On a conflict,
-// present holds the orders that still exist, with their versions.
-func (c *Core) EndsCommitted(now time.Time, ends []PendingEnd, result storeapi.Result, present map[workload.RunID]PresentOrder) {
-	c.committing = false
-	switch result {
-	case storeapi.ResultOK:
-		for _, end := range ends {
-			delete(c.runs, end.ID)
-		}
-	case storeapi.ResultConflict:
-		for _, end := range ends {
-			if o, exists := present[end.ID]; exists {
-				c.OrderSeen(o.Order, o.Version, true)
-			} else {
-				// The end was committed before, or the worker was taken as gone.
-				delete(c.runs, end.ID)
-			}
-		}
-	default:
-		c.commitAt = now.Add(c.settings.RetryPause)
-	}
-	c.acknowledge()
-}
-
-// PresentOrder is an order as a refused transaction showed it.
-type PresentOrder struct {
-	Order   workload.Order
-	Version storeapi.RowVersion
-}
--- a/internal/taskrunner/step.go
+++ b/internal/taskrunner/step.go
@@ -16,9 +16,6 @@
 	if !c.loaded {
 		return c.holdDue(now)
 	}
-	if storeKnown {
-		out = append(out, c.announce(now, storeMS)...)
-	}
 	c.lapseUnreachable(now)
 	for _, r := range c.sortedRuns() {
 		if action := c.order(now, storeMS, storeKnown, r); action != nil {
@@ -26,7 +23,9 @@
 		}
 	}
 	out = append(out, c.stopStrays(now)...)
-	out = append(out, c.commitEnds(now)...)
+	if storeKnown {
+		out = append(out, c.announce(now, storeMS)...)
+	}
 	return append(out, c.holdDue(now)...)
 }
 
@@ -188,24 +187,6 @@
 	return out
 }
 
-// commitEnds returns the transaction of ends that is due, if any.
-func (c *Core) commitEnds(now time.Time) []Action {
-	if c.committing || now.Before(c.commitAt) {
-		return nil
-	}
-	var ends []PendingEnd
-	for _, r := range c.sortedRuns() {
-		if r.end != nil && len(ends) < c.settings.MaxEnds {
-			ends = append(ends, PendingEnd{ID: r.id, End: *r.end, Key: r.Key(), Version: r.version})
-		}
-	}
-	if len(ends) == 0 {
-		return nil
-	}
-	c.committing = true
-	return []Action{CommitEnds{ends}}
-}
-
 // holdDue returns the look at the worker that is due, if any.
 func (c *Core) holdDue(now time.Time) []Action {
 	if c.hold.pending || now.Before(c.hold.nextAt) || !c.statusKnown || c.left || !c.row.known {
@@ -225,12 +206,10 @@
 	return []Action{Hold{Worker: c.status.Worker, LeaseEndMS: end, Acknowledged: c.lists.acknowledged, Generation: c.generation, Wait: wait}}
 }
 
+// uncommitted reports whether an end is not reported yet, or a stop's end not known.
 func (c *Core) uncommitted() bool {
-	if c.committing {
-		return true
-	}
 	for _, r := range c.runs {
-		if r.end != nil || (!r.stopAt.IsZero() && r.end == nil) {
+		if !r.reported && (r.end != nil || !r.stopAt.IsZero()) {
 			return true
 		}
 	}
--- a/internal/taskrunner/types.go
+++ b/internal/taskrunner/types.go
@@ -7,8 +7,9 @@
 // store that may be away for seconds.
 //
 // What binds all decisions:
-//   - a run begins only while its order row exists, and the row goes only
-//     together with the report of the run's end;
+//   - a run begins only while its order row exists;
+//   - an end is reported only together with the worker's row, so that none
+//     comes after the scheduler took the worker as gone;
 //   - the worker's lease ends at most Settings.LeaseBound after the last
 //     announcement that the store confirmed;
 //   - an end is acknowledged to the worker only after it was committed.
@@ -92,7 +93,7 @@
 	HoldFailed    HoldResult = "failed"
 )
 
-// Action is one of StartRun, StopRun, Hold, Announce and CommitEnds.
+// Action is one of StartRun, StopRun, Hold and Announce.
 type Action interface{ isAction() }
 
 // StartRun asks the worker to run a task. The answer goes to Core.Started.
@@ -127,30 +128,25 @@
 	Wait time.Duration
 }
 
-// Announce writes the worker's row under a check of its version. The answer
-// goes to Core.Announced.
+// Announce writes the worker's row under a check of its version, and with it
+// the ends of runs, each under a check that it was not reported before. The
+// answer goes to Core.Announced.
 type Announce struct {
 	Row     workload.Announcement
 	Version storeapi.RowVersion
+	Ends    []PendingEnd
 }
 
-// CommitEnds removes the orders of ended runs and puts their ends. The answer
-// goes to Core.EndsCommitted.
-type CommitEnds struct{ Ends []PendingEnd }
-
-// PendingEnd is an end with the order that it removes.
+// PendingEnd is an end that is being reported.
 type PendingEnd struct {
-	ID      workload.RunID
-	End     workload.End
-	Key     string
-	Version storeapi.RowVersion
+	ID  workload.RunID
+	End workload.End
 }
 
-func (StartRun) isAction()   {}
-func (StopRun) isAction()    {}
-func (Hold) isAction()       {}
-func (Announce) isAction()   {}
-func (CommitEnds) isAction() {}
+func (StartRun) isAction() {}
+func (StopRun) isAction()  {}
+func (Hold) isAction()     {}
+func (Announce) isAction() {}
 
 // Settings are the limits of the core.
 type Settings struct {
@@ -164,11 +160,13 @@
 	AnnounceEvery time.Duration
 	// HoldWait is how long a look at the worker waits for an end.
 	HoldWait time.Duration
-	// RetryPause is the pause before a refused order is sent again.
+	// RetryPause is the pause before a refused order is sent again, and the
+	// first one after a failed announcement; that doubles up to MaxPause.
 	RetryPause time.Duration
+	MaxPause   time.Duration
 	// MaxCalls bounds starts and stops under way at the same time.
 	MaxCalls int
-	// MaxEnds bounds the ends in one transaction of two rows each.
+	// MaxEnds bounds the ends in one announcement.
 	MaxEnds int
 }
 
@@ -182,6 +180,7 @@
 		AnnounceEvery: time.Second,
 		HoldWait:      time.Second,
 		RetryPause:    150 * time.Millisecond,
+		MaxPause:      time.Second,
 		MaxCalls:      8,
 		MaxEnds:       40,
 	}
--- a/internal/workload/rows.go
+++ b/internal/workload/rows.go
@@ -9,9 +9,15 @@
 	"github.com/cockroachdb/errors"
 
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/storeapi"
 )
 
-// Tables of the store. The key of a row is "TABLE/REST".
+// Tables of the store. The key of a row is "TABLE/REST", or "TABLE@PART/REST".
+//
+// The platform makes the transactions of one part one after another, 150 a
+// second and far fewer while it is slow. So only the scheduler writes the part
+// without a name; each host writes a part of its own, and jobs come in through
+// several.
 const (
 	// TableInbox holds what entry hosts accepted: jobs and cancellations.
 	TableInbox = "inbox"
@@ -30,28 +36,59 @@
 
 // Keys of single rows and prefixes of row kinds.
 const (
-	PrefixJobs    = TableInbox + "/job/"
-	PrefixCancels = TableInbox + "/cancel/"
+	prefixJob    = "job/"
+	prefixCancel = "cancel/"
+	// ScanJobs is the prefix of a scan of all accepted jobs.
+	ScanJobs = TableInbox + "@" + storeapi.AllParts + "/" + prefixJob
 	// KeyFence is the row that each transaction of the scheduler rewrites. Its
 	// version chains them, so that one of a former owner is refused.
 	KeyFence = TableControl + "/fence"
 	// PrefixRelays begins the keys of the entry hosts that relay.
-	PrefixRelays = TableControl + "/relay/"
+	PrefixRelays = TableControl + "@relay/"
 	// KeyPending holds the number of jobs by queue that have not begun.
 	KeyPending = TableControl + "/pending"
 )
 
-// JobKey returns the key of a job's row.
-func JobKey(id model.JobID) string { return PrefixJobs + string(id) }
+// LeaseKey returns the key of a row of the scheduler's lease.
+func LeaseKey(name string) string { return storeapi.JoinKey(TableControl, "lease", name) }
 
-// CancelKey returns the key of the row that cancels a job.
-func CancelKey(id model.JobID) string { return PrefixCancels + string(id) }
+// inboxParts is over how many parts the inbox is spread.
+const inboxParts = 16
+
+// inboxPartsOf returns the two parts that a job may come in through. The second
+// one is used while the first one takes no writes; a job that lies in both is one.
+func inboxPartsOf(id model.JobID) [2]string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	first := h.Sum32() % inboxParts
+	second := (first + inboxParts/2) % inboxParts
+	return [2]string{fmt.Sprintf("in-%02d", first), fmt.Sprintf("in-%02d", second)}
+}
+
+// JobKeys returns the keys of a job's row, the one to try first before the other.
+func JobKeys(id model.JobID) [2]string {
+	parts := inboxPartsOf(id)
+	return [2]string{
+		storeapi.JoinKey(TableInbox, parts[0], prefixJob+string(id)), storeapi.JoinKey(TableInbox, parts[1], prefixJob+string(id)),
+	}
+}
+
+// CancelKeys returns the keys of the row that cancels a job, like JobKeys.
+func CancelKeys(id model.JobID) [2]string {
+	parts := inboxPartsOf(id)
+	return [2]string{
+		storeapi.JoinKey(TableInbox, parts[0], prefixCancel+string(id)), storeapi.JoinKey(TableInbox, parts[1], prefixCancel+string(id)),
+	}
+}
+
+// hostPart returns the part that the agent of a host writes.
+func hostPart(host string) string { return "h-" + host }
 
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(id model.JobID) string { return TableProgress + "/" + string(id) }
 
 // WorkerKey returns the key of the announcement of the worker beside an agent.
-func WorkerKey(host string) string { return TableWorkers + "/" + host }
+func WorkerKey(host string) string { return storeapi.JoinKey(TableWorkers, hostPart(host), host) }
 
 // OrderTable returns the table that holds the orders for a worker.
 func OrderTable(host string) string {
@@ -95,8 +132,13 @@
 	return RunID{ref, run}, nil
 }
 
-// EndKey returns the key of the end of a run.
-func EndKey(run RunID) string { return TableEnds + "/" + run.String() }
+// EndKey returns the key of the end of a run, as the agent of a host reports it.
+func EndKey(host string, run RunID) string {
+	return storeapi.JoinKey(TableEnds, hostPart(host), run.String())
+}
+
+// EndsPrefix returns the prefix of the keys of the ends that a host reported.
+func EndsPrefix(host string) string { return storeapi.JoinKey(TableEnds, hostPart(host), "") }
 
 // Order tells the agent beside a worker to run a task, or to stop it.
 type Order struct {
@@ -210,10 +252,11 @@
 // JobOfKey returns the job that a key of the inbox names, and whether it is a
 // cancellation.
 func JobOfKey(key string) (id model.JobID, cancel bool, err error) {
-	if rest, found := strings.CutPrefix(key, PrefixJobs); found {
+	_, _, inside := storeapi.SplitKey(key)
+	if rest, found := strings.CutPrefix(inside, prefixJob); found {
 		return model.JobID(rest), false, nil
 	}
-	if rest, found := strings.CutPrefix(key, PrefixCancels); found {
+	if rest, found := strings.CutPrefix(inside, prefixCancel); found {
 		return model.JobID(rest), true, nil
 	}
 	return "", false, errors.Wrapf(ErrRowKey, "%q", key)
