--- a/internal/taskrunner/announce.go
+++ b/internal/taskrunner/announce.go
@@ -147,15 +147,16 @@
 		if current && result == storeapi.ResultInDoubt {
 			c.row.doubtful[sent.Row.SentMS] = doubtful{c.row.clockMS, sent.Ends}
 		}
-		c.row.nextAt = now.Add(c.pauseAfterFailure())
+		c.row.nextAt = now.Add(c.pauseAfter(c.row.failures))
 		c.row.failures++
 	}
 }
 
-// pauseAfterFailure returns the pause before the next announcement, so that
-// many agents do not crowd a slow store.
-func (c *Core) pauseAfterFailure() time.Duration {
-	return min(c.settings.RetryPause<<min(c.row.failures, 10), c.settings.MaxPause)
+// pauseAfter returns the pause after a failed call, with the number of those
+// that failed before it: a slow store is not crowded by many agents, nor a
+// worker that is gone dialled without end.
+func (c *Core) pauseAfter(failures int) time.Duration {
+	return min(c.settings.RetryPause<<min(failures, 10), c.settings.MaxPause)
 }
 
 func (c *Core) confirm(clockMS int64) {
--- a/internal/taskrunner/core.go
+++ b/internal/taskrunner/core.go
@@ -90,6 +90,8 @@
 	pending bool
 	nextAt  time.Time
 	failed  bool
+	// failures counts looks without an answer, since the last one with one.
+	failures int
 }
 
 // New returns a core for the worker beside an agent on a host.
@@ -211,9 +213,13 @@
 // Held takes in the result of a look at the worker that was sent at sentAt.
 func (c *Core) Held(now, sentAt time.Time, result HoldResult, lists Lists) {
 	c.hold.pending, c.hold.failed = false, result == HoldFailed
+	if result == HoldAnswered {
+		c.hold.failures = 0
+	}
 	switch result {
 	case HoldFailed:
-		c.hold.nextAt = now.Add(c.settings.RetryPause)
+		c.hold.nextAt = now.Add(c.pauseAfter(c.hold.failures))
+		c.hold.failures++
 		return
 	case HoldFenced:
 		// Another process of this agent used a higher token meanwhile.
@@ -223,7 +229,8 @@
 		c.hold.nextAt = now.Add(c.settings.RetryPause)
 		return
 	case HoldOtherLife:
-		c.hold.nextAt = now.Add(c.settings.RetryPause)
+		c.hold.nextAt = now.Add(c.pauseAfter(c.hold.failures))
+		c.hold.failures++
 		c.statusKnown = false
 		return
 	}
@@ -234,6 +241,10 @@
 		c.beginLife(lists.Incarnation, "lists")
 	}
 	c.hold.nextAt = now
+	if now.Sub(sentAt) < c.settings.RetryPause && len(lists.Ended) == 0 {
+		// The worker does not wait, as one that is stopping.
+		c.hold.nextAt = now.Add(c.settings.RetryPause)
+	}
 	c.takeLists(now, sentAt, lists)
 }
 
--- a/internal/taskrunner/core_test.go
+++ b/internal/taskrunner/core_test.go
@@ -68,6 +68,10 @@
 		t.Fatalf("%d starts", n)
 	}
 	r.core.Started(r.now, id, OrderInDoubt)
+	if n := len(starts(r.settle())); n != 0 {
+		t.Fatalf("%d starts at once after one without an answer", n)
+	}
+	r.pass(200 * time.Millisecond)
 	if n := len(starts(r.settle())); n != 1 {
 		t.Fatalf("%d starts after one without an answer", n)
 	}
@@ -295,3 +299,42 @@
 		t.Errorf("ends %+v are reported again", a.Ends)
 	}
 }
+
+// TestLooksAreSpaced: a worker that is gone, or that does not wait, is not asked
+// in a loop.
+func TestLooksAreSpaced(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer func(*rig, Hold)
+		most   int
+	}{
+		{"no answer", func(r *rig, _ Hold) { r.core.Held(r.now, r.now, HoldFailed, Lists{}) }, 13},
+		{"another life", func(r *rig, _ Hold) {
+			r.core.Held(r.now, r.now, HoldOtherLife, Lists{})
+			r.heartbeat(nil)
+		}, 13},
+		{"answers at once", func(r *rig, h Hold) { r.held(h) }, 70},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t)
+			r.ready()
+			looks := 0
+			for end := r.now.Add(10 * time.Second); r.now.Before(end); r.pass(5 * time.Millisecond) {
+				for _, action := range r.core.Step(r.now, r.storeMS, true) {
+					switch action := action.(type) {
+					case Hold:
+						looks++
+						c.answer(r, action)
+					case Announce:
+						r.version++
+						r.core.Announced(r.now, action, storeapi.ResultOK, r.version, Present{})
+					}
+				}
+			}
+			if looks > c.most || looks < 5 {
+				t.Errorf("%d looks in 10 s, want 5 to %d", looks, c.most)
+			}
+		})
+	}
+}
--- a/internal/taskrunner/step.go
+++ b/internal/taskrunner/step.go
@@ -125,14 +125,12 @@
 		return
 	}
 	r.inFlight = false
-	r.retryAt = now.Add(c.settings.RetryPause)
+	r.retryAt = now.Add(c.pauseAfter(r.refusals))
 	switch result {
 	case OrderTaken:
 		r.takenAt = now
 		c.note("run_started", r, "")
 		return
-	case OrderInDoubt:
-		r.retryAt = now
 	case OrderStale:
 		// It ended or was stopped there: the lists tell, or it never began.
 		r.stopping = true
