--- a/internal/tablewatch/watch.go
+++ b/internal/tablewatch/watch.go
@@ -102,6 +102,9 @@
 			pause = w.settings.FirstPause
 			continue
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		w.failed(err)
 		sleep(ctx, pause/2+rand.N(pause/2))
 		pause = min(2*pause, w.settings.LongestPause)
