--- a/internal/deployed/path_test.go
+++ b/internal/deployed/path_test.go
@@ -28,7 +28,6 @@
 	address string
 	entries []string
 	workers []*standin.JobWorker
-	stops   []func()
 }
 
 func listenOn(t *testing.T, handler fasthttp.RequestHandler) string {
