Let work that is too late claim nothing

Ruled out: the bound on what is thrown away (its last tasks were inside the guarantee, where there is none). Change: such work neither claims nor holds room. TestHopelessWorkStopsNothing failed first.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -23,13 +23,20 @@
 // mayHold reports whether capacity is held back for a unit of lower priority.
 func (r *room) mayHold(u *unit) bool {
 	waited := time.Duration(r.now.StoreMS-u.readyMS) * time.Millisecond
-	if u.rank.hopeless || waited < holdAfter || r.holds >= maxHolds {
+	if waited < holdAfter || r.holds >= maxHolds {
 		return false
 	}
 	r.holds++
 	return true
 }
 
+// holdFor holds room for missing tasks of a unit of lower priority.
+func (r *room) holdFor(u *unit, missing int) {
+	if missing > 0 && r.mayHold(u) {
+		r.hold(u, missing)
+	}
+}
+
 // hold keeps the room in which tasks of a unit will fit soonest from what comes
 // later in the plan. A gang that would never fit holds nothing.
 func (r *room) hold(u *unit, tasks int) {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -72,10 +72,13 @@
 		if len(placed) > 0 {
 			out = append(out, c.order(now, u, placed)...)
 		}
-		if u.job.Priority == 0 {
+		switch {
+		case u.rank.hopeless:
+			// It is placed after all others, so what it claimed would go to them.
+		case u.job.Priority == 0:
 			c.claim(now, r, u, placed)
-		} else if missing := len(u.tasks) - len(placed); missing > 0 && r.mayHold(u) {
-			r.hold(u, missing)
+		default:
+			r.holdFor(u, len(u.tasks)-len(placed))
 		}
 	}
 	return out
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -238,3 +238,27 @@
 		}
 	}
 }
+
+// TestHopelessWorkStopsNothing: urgent work that comes too late to be of use is
+// placed after all others. What it stopped would start again in its place.
+func TestHopelessWorkStopsNothing(t *testing.T) {
+	r := newRig(t)
+	r.worker("h1", "r1", nil)
+	r.worker("h2", "r1", nil)
+	r.job("00000000000000ff", func(j *workload.Job) {
+		j.Account, j.Priority, j.Steps[0].PerTask.Accelerators = "gold", 0, 8
+		j.AcceptedMS -= 120_000
+	})
+	for i := range 16 {
+		r.job(jobID(i+1), func(j *workload.Job) { j.Steps[0].Estimate = 20 * time.Second })
+	}
+	for range 20 {
+		r.plan()
+		if n := len(r.stopping()); n != 0 {
+			t.Fatalf("%d runs are stopped for work that is too late", n)
+		}
+		r.pass(200 * time.Millisecond)
+		r.worker("h1", "r1", nil)
+		r.worker("h2", "r1", nil)
+	}
+}
