Report ends in the scheduler's part while the own one is away; four ways into the inbox

Ruled out: one part for all, which a slow store makes far too slow. Change: a job may come in through four of 16 parts; an agent whose announcements fail reports ends in the scheduler's part under a check of their orders, so that none comes after the scheduler gave the run up. TestEndsWithoutTheOwnPart.

--- a/internal/jobagent/agent.go
+++ b/internal/jobagent/agent.go
@@ -141,6 +141,8 @@
 		a.hold(ctx, action)
 	case taskrunner.Announce:
 		a.announce(ctx, action)
+	case taskrunner.ReportEnds:
+		a.reportEnds(ctx, action)
 	}
 }
 
--- a/internal/jobagent/rows.go
+++ b/internal/jobagent/rows.go
@@ -95,6 +95,51 @@
 	return present
 }
 
+// reportEnds reports ends in the scheduler's own part.
+func (a *Agent) reportEnds(ctx context.Context, action taskrunner.ReportEnds) {
+	tx := storeapi.Transaction{}
+	for i := range action.Ends {
+		end := &action.Ends[i]
+		key := workload.SharedEndKey(end.ID)
+		tx.Checks = append(tx.Checks, storeapi.Check{Key: end.OrderKey, Version: end.OrderVersion}, storeapi.Check{Key: key})
+		tx.Puts = append(tx.Puts, storeapi.Put{Key: key, Value: rowcodec.Encode(&end.End)})
+	}
+	_, err := a.store.Commit(ctx, tx)
+	var reported []taskrunner.PendingEnd
+	orders := map[workload.RunID]taskrunner.PresentOrder{}
+	var conflict *storeapi.Conflict
+	switch {
+	case err == nil:
+		a.ends.Inc(int64(len(action.Ends)))
+	case errors.As(err, &conflict):
+		reported, orders = a.presentEnds(conflict, action.Ends)
+	default:
+		a.log.Warn("ends_not_reported", zap.Int("ends", len(action.Ends)), zap.Error(err))
+	}
+	a.push(ctx, func(now time.Time) {
+		a.core.EndsReported(now, action, storeapi.ResultOf(err), reported, orders)
+	})
+}
+
+// presentEnds returns what a refused report showed.
+func (a *Agent) presentEnds(conflict *storeapi.Conflict, ends []taskrunner.PendingEnd) ([]taskrunner.PendingEnd, map[workload.RunID]taskrunner.PresentOrder) {
+	var reported []taskrunner.PendingEnd
+	orders := map[workload.RunID]taskrunner.PresentOrder{}
+	for _, end := range ends {
+		if conflict.Find(workload.SharedEndKey(end.ID)).Version != 0 {
+			reported = append(reported, end)
+		}
+		row := conflict.Find(end.OrderKey)
+		if row.Version == 0 {
+			continue
+		}
+		if order, id, ok := a.decodeOrder(row); ok {
+			orders[id] = taskrunner.PresentOrder{Order: order, Version: row.Version}
+		}
+	}
+	return reported, orders
+}
+
 func (a *Agent) decodeOrder(row storeapi.Row) (workload.Order, workload.RunID, bool) {
 	var order workload.Order
 	err := rowcodec.Decode(row.Value, &order)
--- a/internal/taskrunner/announce.go
+++ b/internal/taskrunner/announce.go
@@ -94,7 +94,7 @@
 	var ends []PendingEnd
 	for _, r := range c.sortedRuns() {
 		if r.end != nil && !r.reported && len(ends) < c.settings.MaxEnds {
-			ends = append(ends, PendingEnd{ID: r.id, End: *r.end})
+			ends = append(ends, PendingEnd{ID: r.id, End: *r.end, OrderKey: r.Key(), OrderVersion: r.version})
 		}
 	}
 	return ends
@@ -216,3 +216,45 @@
 		c.lease.endsAt = end
 	}
 }
+
+// reportApart returns the report of ends that is due while announcements fail.
+func (c *Core) reportApart(now time.Time) []Action {
+	if c.row.failures == 0 || c.reporting || now.Before(c.reportAt) {
+		return nil
+	}
+	ends := c.unreported()
+	if len(ends) == 0 {
+		return nil
+	}
+	c.reporting = true
+	return []Action{ReportEnds{ends}}
+}
+
+// EndsReported takes in the result of a ReportEnds. On a conflict, reported
+// holds the ends that had been reported before, and orders the orders that
+// still exist.
+func (c *Core) EndsReported(now time.Time, sent ReportEnds, result storeapi.Result, reported []PendingEnd, orders map[workload.RunID]PresentOrder) {
+	c.reporting = false
+	c.reportAt = now.Add(c.settings.RetryPause)
+	switch result {
+	case storeapi.ResultOK:
+		c.endsReported(sent.Ends)
+	case storeapi.ResultConflict:
+		c.endsReported(reported)
+		for _, end := range sent.Ends {
+			if o, exists := orders[end.ID]; exists {
+				c.OrderSeen(o.Order, o.Version, true)
+			} else {
+				// The scheduler took the worker as gone, or knows the end.
+				delete(c.runs, end.ID)
+			}
+		}
+		c.acknowledge()
+	}
+}
+
+// PresentOrder is an order as a refused report showed it.
+type PresentOrder struct {
+	Order   workload.Order
+	Version storeapi.RowVersion
+}
--- a/internal/taskrunner/core.go
+++ b/internal/taskrunner/core.go
@@ -30,6 +30,9 @@
 	calls  int
 
 	hold holdState
+	// reporting is set while a ReportEnds is under way; the next one is due at reportAt.
+	reporting bool
+	reportAt  time.Time
 
 	notes []Note
 }
--- a/internal/taskrunner/core_test.go
+++ b/internal/taskrunner/core_test.go
@@ -338,3 +338,34 @@
 		})
 	}
 }
+
+// TestEndsWithoutTheOwnPart: the part of the store that the agent announces in
+// takes no writes. Ends are reported in the scheduler's part, under their orders.
+func TestEndsWithoutTheOwnPart(t *testing.T) {
+	r := newRig(t)
+	r.ready()
+	id := r.see(r.order(taskA, 1, func(o *workload.Order) { o.StartByMS = r.storeMS - 1 }), false)
+	sent := r.awaitEnds()
+	r.core.Announced(r.now, sent, storeapi.ResultUnavailable, 0, Present{})
+	report := r.awaitReport()
+	if len(report.Ends) != 1 || report.Ends[0].OrderVersion == 0 {
+		t.Fatalf("report %+v", report)
+	}
+	changed := r.core.runs[id].Order
+	changed.Stop = true
+	r.core.EndsReported(r.now, report, storeapi.ResultConflict, nil, map[workload.RunID]PresentOrder{id: {Order: changed, Version: 500}})
+	r.core.row.failures = 1
+	report = r.awaitReport()
+	if len(report.Ends) != 1 || report.Ends[0].OrderVersion != 500 {
+		t.Fatalf("report %+v after the order had changed", report)
+	}
+	r.core.EndsReported(r.now, report, storeapi.ResultOK, nil, nil)
+	if a := r.awaitEnds(); len(a.Ends) != 0 {
+		t.Errorf("the end is reported again: %+v", a.Ends)
+	}
+	r.core.runs[id].reported = false
+	r.core.EndsReported(r.now, report, storeapi.ResultConflict, nil, nil)
+	if len(r.core.runs) != 0 {
+		t.Error("a run whose order is gone is kept")
+	}
+}
--- a/internal/taskrunner/rig_test.go
+++ b/internal/taskrunner/rig_test.go
@@ -166,3 +166,22 @@
 	}
 	return out
 }
+
+// awaitReport steps the core until it wants ends reported apart. Announcements
+// go on failing.
+func (r *rig) awaitReport() ReportEnds {
+	for range 20 {
+		for _, action := range r.core.Step(r.now, r.storeMS, true) {
+			switch action := action.(type) {
+			case ReportEnds:
+				return action
+			case Announce:
+				r.core.Announced(r.now, action, storeapi.ResultUnavailable, 0, Present{})
+			case Hold:
+				r.held(action)
+			}
+		}
+		r.pass(100 * time.Millisecond)
+	}
+	return ReportEnds{}
+}
--- a/internal/taskrunner/step.go
+++ b/internal/taskrunner/step.go
@@ -26,6 +26,7 @@
 	if storeKnown {
 		out = append(out, c.announce(now, storeMS)...)
 	}
+	out = append(out, c.reportApart(now)...)
 	return append(out, c.holdDue(now)...)
 }
 
--- a/internal/taskrunner/types.go
+++ b/internal/taskrunner/types.go
@@ -93,7 +93,7 @@
 	HoldFailed    HoldResult = "failed"
 )
 
-// Action is one of StartRun, StopRun, Hold and Announce.
+// Action is one of StartRun, StopRun, Hold, Announce and ReportEnds.
 type Action interface{ isAction() }
 
 // StartRun asks the worker to run a task. The answer goes to Core.Started.
@@ -137,16 +137,24 @@
 	Ends    []PendingEnd
 }
 
+// ReportEnds reports ends in the scheduler's own part, each under a check of its
+// order, while announcements fail. The answer goes to Core.EndsReported.
+type ReportEnds struct{ Ends []PendingEnd }
+
 // PendingEnd is an end that is being reported.
 type PendingEnd struct {
 	ID  workload.RunID
 	End workload.End
+	// OrderKey and OrderVersion are those of the run's order.
+	OrderKey     string
+	OrderVersion storeapi.RowVersion
 }
 
-func (StartRun) isAction() {}
-func (StopRun) isAction()  {}
-func (Hold) isAction()     {}
-func (Announce) isAction() {}
+func (StartRun) isAction()   {}
+func (StopRun) isAction()    {}
+func (Hold) isAction()       {}
+func (Announce) isAction()   {}
+func (ReportEnds) isAction() {}
 
 // Settings are the limits of the core.
 type Settings struct {
@@ -166,7 +174,7 @@
 	MaxPause   time.Duration
 	// MaxCalls bounds starts and stops under way at the same time.
 	MaxCalls int
-	// MaxEnds bounds the ends in one announcement.
+	// MaxEnds bounds the ends in one announcement or report.
 	MaxEnds int
 }
 
@@ -182,6 +190,6 @@
 		RetryPause:    150 * time.Millisecond,
 		MaxPause:      time.Second,
 		MaxCalls:      8,
-		MaxEnds:       40,
+		MaxEnds:       30,
 	}
 }
--- a/internal/workload/rows.go
+++ b/internal/workload/rows.go
@@ -52,34 +52,34 @@
 // LeaseKey returns the key of a row of the scheduler's lease.
 func LeaseKey(name string) string { return storeapi.JoinKey(TableControl, "lease", name) }
 
-// inboxParts is over how many parts the inbox is spread.
-const inboxParts = 16
+// Parts of the inbox.
+const (
+	// inboxParts is over how many parts the inbox is spread.
+	inboxParts = 16
+	// inboxChoices is through how many of them one job may come in. The store may
+	// refuse some parts and serve the others; a job that lies in several is one.
+	inboxChoices = 4
+)
 
-// inboxPartsOf returns the two parts that a job may come in through. The second
-// one is used while the first one takes no writes; a job that lies in both is one.
-func inboxPartsOf(id model.JobID) [2]string {
+// inboxKeys returns the keys of a row about a job, in the order in which the
+// parts of the inbox are tried.
+func inboxKeys(prefix string, id model.JobID) []string {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
-	first := h.Sum32() % inboxParts
-	second := (first + inboxParts/2) % inboxParts
-	return [2]string{fmt.Sprintf("in-%02d", first), fmt.Sprintf("in-%02d", second)}
-}
-
-// JobKeys returns the keys of a job's row, the one to try first before the other.
-func JobKeys(id model.JobID) [2]string {
-	parts := inboxPartsOf(id)
-	return [2]string{
-		storeapi.JoinKey(TableInbox, parts[0], prefixJob+string(id)), storeapi.JoinKey(TableInbox, parts[1], prefixJob+string(id)),
+	first := h.Sum32()
+	keys := make([]string, inboxChoices)
+	for i := range keys {
+		part := fmt.Sprintf("in-%02d", (first+uint32(i)*inboxParts/inboxChoices)%inboxParts)
+		keys[i] = storeapi.JoinKey(TableInbox, part, prefix+string(id))
 	}
+	return keys
 }
 
+// JobKeys returns the keys of a job's row, the one to try first before the others.
+func JobKeys(id model.JobID) []string { return inboxKeys(prefixJob, id) }
+
 // CancelKeys returns the keys of the row that cancels a job, like JobKeys.
-func CancelKeys(id model.JobID) [2]string {
-	parts := inboxPartsOf(id)
-	return [2]string{
-		storeapi.JoinKey(TableInbox, parts[0], prefixCancel+string(id)), storeapi.JoinKey(TableInbox, parts[1], prefixCancel+string(id)),
-	}
-}
+func CancelKeys(id model.JobID) []string { return inboxKeys(prefixCancel, id) }
 
 // hostPart returns the part that the agent of a host writes.
 func hostPart(host string) string { return "h-" + host }
@@ -137,6 +137,10 @@
 	return storeapi.JoinKey(TableEnds, hostPart(host), run.String())
 }
 
+// SharedEndKey returns the key of the end of a run in the scheduler's own part,
+// for an agent whose own part takes no writes.
+func SharedEndKey(run RunID) string { return TableEnds + "/" + run.String() }
+
 // EndsPrefix returns the prefix of the keys of the ends that a host reported.
 func EndsPrefix(host string) string { return storeapi.JoinKey(TableEnds, hostPart(host), "") }
 
