--- a/internal/deployed/agent.go
+++ b/internal/deployed/agent.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dragonflyyard/internal/jobagent"
+	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/settings"
 	"dragonflyyard/internal/storerelay"
 	"dragonflyyard/internal/taskrunner"
@@ -27,7 +28,7 @@
 		Heartbeat: agent.Heartbeat,
 		Left:      agent.Left,
 		Malformed: func(worker string, err error) {
-			log.Warn("heartbeat_malformed", zap.String("worker", worker), zap.Error(err))
+			log.Warn("heartbeat_malformed", zap.String("worker", worker), logging.Err(err))
 		},
 	})
 	group, ctx := errgroup.WithContext(ctx)
@@ -41,6 +42,6 @@
 	group.Go(func() error { reload(ctx, log, reloadSettings); return nil })
 	group.Go(func() error { return agent.Run(ctx) })
 	err := group.Wait()
-	log.Info("process_stopped", zap.String("host", s.Host), zap.Error(err))
+	log.Info("process_stopped", zap.String("host", s.Host), logging.Err(err))
 	return err
 }
--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dragonflyyard/internal/jobentry"
+	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/queueconfig"
 	"dragonflyyard/internal/schedulerhost"
 	"dragonflyyard/internal/settings"
@@ -69,7 +70,7 @@
 		return nil
 	})
 	err := group.Wait()
-	log.Info("process_stopped", zap.String("host", string(s.Host)), zap.Error(err))
+	log.Info("process_stopped", zap.String("host", string(s.Host)), logging.Err(err))
 	return err
 }
 
--- a/internal/deployed/serve.go
+++ b/internal/deployed/serve.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"dragonflyyard/internal/httpserver"
+	"dragonflyyard/internal/logging"
 )
 
 // listen opens a listener, again while the address is still held by the former
@@ -84,7 +85,7 @@
 			return
 		case <-signals:
 			if err := check(); err != nil {
-				log.Error("settings_refused", zap.Error(err))
+				log.Error("settings_refused", logging.Err(err))
 				continue
 			}
 			log.Info("settings_reloaded")
--- a/internal/jobagent/agent.go
+++ b/internal/jobagent/agent.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ring"
 	"dragonflyyard/internal/storeapi"
@@ -150,7 +151,7 @@
 	sentAt := time.Now()
 	lists, result, err := a.worker.Hold(action)
 	if err != nil {
-		a.log.Warn("worker_unreachable", zap.Error(err), zap.Duration("after", time.Since(sentAt)))
+		a.log.Warn("worker_unreachable", logging.Err(err), zap.Duration("after", time.Since(sentAt)))
 	}
 	a.push(ctx, func(now time.Time) { a.core.Held(now, sentAt, result, lists) })
 }
@@ -166,7 +167,7 @@
 			a.push(ctx, func(time.Time) { a.scanned(s, maybeSent) })
 		},
 		Changed: func(changes []storeapi.Change) { a.push(ctx, func(time.Time) { a.changed(changes, prefix) }) },
-		Failed:  func(err error) { a.log.Warn("store_read_failed", zap.String("table", "orders"), zap.Error(err)) },
+		Failed:  func(err error) { a.log.Warn("store_read_failed", zap.String("table", "orders"), logging.Err(err)) },
 	}
 	tablewatch.New(tablewatch.DefaultSettings(), a.store, workload.OrderTable(a.host), prefix, handler).Run(ctx, 0)
 }
--- a/internal/jobagent/rows.go
+++ b/internal/jobagent/rows.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/taskrunner"
@@ -29,7 +30,7 @@
 			a.push(ctx, func(time.Time) { a.core.RowLoaded(announced, row.Version) })
 			return
 		}
-		a.log.Warn("store_read_failed", zap.String("table", workload.TableWorkers), zap.Error(err))
+		a.log.Warn("store_read_failed", zap.String("table", workload.TableWorkers), logging.Err(err))
 		select {
 		case <-ctx.Done():
 		case <-time.After(retryRow):
@@ -45,7 +46,7 @@
 		return announced, nil
 	}
 	if err := rowcodec.Decode(row.Value, &announced); err != nil {
-		a.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+		a.log.Error("row_malformed", zap.String("key", row.Key), logging.Err(err))
 		return workload.Announcement{State: workload.WorkerGone}, nil
 	}
 	return announced, nil
@@ -75,7 +76,7 @@
 	case errors.As(err, &conflict):
 		present = a.present(conflict, key, action.Ends)
 	default:
-		a.log.Warn("announcement_failed", zap.Int("ends", len(action.Ends)), zap.Error(err))
+		a.log.Warn("announcement_failed", zap.Int("ends", len(action.Ends)), logging.Err(err))
 	}
 	a.push(ctx, func(now time.Time) {
 		a.core.Announced(now, action, storeapi.ResultOf(err), version, present)
@@ -114,7 +115,7 @@
 	case errors.As(err, &conflict):
 		reported, orders = a.presentEnds(conflict, action.Ends)
 	default:
-		a.log.Warn("ends_not_reported", zap.Int("ends", len(action.Ends)), zap.Error(err))
+		a.log.Warn("ends_not_reported", zap.Int("ends", len(action.Ends)), logging.Err(err))
 	}
 	a.push(ctx, func(now time.Time) {
 		a.core.EndsReported(now, action, storeapi.ResultOf(err), reported, orders)
@@ -144,12 +145,12 @@
 	var order workload.Order
 	err := rowcodec.Decode(row.Value, &order)
 	if err != nil {
-		a.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+		a.log.Error("row_malformed", zap.String("key", row.Key), logging.Err(err))
 		return order, workload.RunID{}, false
 	}
 	id, err := order.ID()
 	if err != nil {
-		a.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+		a.log.Error("row_malformed", zap.String("key", row.Key), logging.Err(err))
 	}
 	return order, id, err == nil
 }
@@ -181,7 +182,7 @@
 		}
 		id, err := workload.ParseRunID(rest)
 		if err != nil {
-			a.log.Error("row_malformed", zap.String("key", change.Key), zap.Error(err))
+			a.log.Error("row_malformed", zap.String("key", change.Key), logging.Err(err))
 			continue
 		}
 		a.core.OrderGone(id, change.Version)
--- a/internal/jobentry/service.go
+++ b/internal/jobentry/service.go
@@ -6,12 +6,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"path"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/queueconfig"
 	"dragonflyyard/internal/rowcodec"
@@ -58,40 +60,40 @@
 	began := time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), call.Deadline.Add(-answerMargin))
 	defer cancel()
-	outcome, job, age := s.answer(ctx, call)
+	outcome, age := s.answer(ctx, call)
 	s.latency.UpdateSince(began)
 	metrics.GetOrRegisterCounter("calls."+string(call.Kind)+"."+string(outcome.Kind), s.registry).Inc(1)
-	s.log.Info("call_answered", zap.String("call", string(call.Kind)), zap.String("job", job), zap.String("path", call.Path),
+	s.log.Info("call_answered", zap.String("call", string(call.Kind)), zap.String("job", path.Base(call.Path)), zap.String("path", call.Path),
 		zap.String("outcome", string(outcome.Kind)), zap.String("state", string(outcome.State)), zap.String("reason", outcome.Reason),
 		zap.Duration("view_age", age), zap.Duration("took", time.Since(began)))
 	return outcome
 }
 
-func (s *Service) answer(ctx context.Context, call Call) (Outcome, string, time.Duration) {
+func (s *Service) answer(ctx context.Context, call Call) (Outcome, time.Duration) {
 	config, age, known := s.view.Config(ctx)
 	if known && s.view.StoreAway() {
-		return rejected("the store does not answer", s.retryAfter()), "", age
+		return rejected("the store does not answer", s.retryAfter()), age
 	}
 	if !known {
-		return rejected("the configuration is not known", s.retryAfter()), "", age
+		return rejected("the configuration is not known", s.retryAfter()), age
 	}
 	queue, id, found := config.QueueOf(call.Host, call.Path)
 	if !found {
-		return Outcome{Kind: OutcomeUnknownQueue, Reason: "no queue has this path"}, "", age
+		return Outcome{Kind: OutcomeUnknownQueue, Reason: "no queue has this path"}, age
 	}
 	account, known := config.AccountOf(call.Key)
 	if !known && !queue.Anonymous {
-		return Outcome{Kind: OutcomeUnauthorized, Reason: "unknown key"}, id, age
+		return Outcome{Kind: OutcomeUnauthorized, Reason: "unknown key"}, age
 	}
 	switch call.Kind {
 	case CallSubmit:
-		return s.submit(ctx, call, queue, account, id), id, age
+		return s.submit(ctx, call, queue, account, id), age
 	case CallCancel:
-		return s.cancel(ctx, account, model.JobID(id)), id, age
+		return s.cancel(ctx, account, model.JobID(id)), age
 	case CallState:
-		return s.state(ctx, account, model.JobID(id)), id, age
+		return s.state(ctx, account, model.JobID(id)), age
 	default:
-		return s.count(ctx, queue), id, age
+		return s.count(ctx, queue), age
 	}
 }
 
@@ -136,7 +138,7 @@
 func (s *Service) resubmitted(job *workload.Job, row storeapi.Row) Outcome {
 	stored := &workload.Job{}
 	if err := rowcodec.Decode(row.Value, stored); err != nil {
-		s.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+		s.log.Error("row_malformed", zap.String("key", row.Key), logging.Err(err))
 		return Outcome{Kind: OutcomeInDoubt, Reason: "the stored job can't be read"}
 	}
 	if !stored.SameSubmission(job) {
@@ -194,7 +196,7 @@
 	}
 	job := &workload.Job{}
 	if err := rowcodec.Decode(row.Value, job); err != nil {
-		s.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+		s.log.Error("row_malformed", zap.String("key", row.Key), logging.Err(err))
 		return nil, rejected("the stored job can't be read", s.retryAfter())
 	}
 	if job.Account != account {
@@ -233,7 +235,7 @@
 	}
 	progress := workload.Progress{}
 	if err := rowcodec.Decode(row.Value, &progress); err != nil {
-		s.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+		s.log.Error("row_malformed", zap.String("key", row.Key), logging.Err(err))
 		return rejected("the job's progress can't be read", s.retryAfter())
 	}
 	if progress.Account != account {
--- a/internal/jobentry/view.go
+++ b/internal/jobentry/view.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/queueconfig"
 	"dragonflyyard/internal/schedulerhost"
@@ -75,7 +76,7 @@
 	v.watch = tablewatch.New(settings, store, rows.Table, rows.Table+"/", tablewatch.Handler{
 		Scanned: v.scanned,
 		Changed: v.changed,
-		Failed:  func(err error) { log.Warn("store_read_failed", zap.String("table", rows.Table), zap.Error(err)) },
+		Failed:  func(err error) { log.Warn("store_read_failed", zap.String("table", rows.Table), logging.Err(err)) },
 	})
 	return v
 }
@@ -140,7 +141,7 @@
 	}
 	config, err := v.rows.Config(row)
 	if err != nil {
-		v.log.Error("configuration_malformed", zap.Uint64("row_version", uint64(row.Version)), zap.Error(err))
+		v.log.Error("configuration_malformed", zap.Uint64("row_version", uint64(row.Version)), logging.Err(err))
 		return
 	}
 	v.mu.Lock()
@@ -200,7 +201,7 @@
 	row, err := v.store.Get(ctx, v.rows.ConfigKey)
 	if err != nil {
 		if !errors.Is(err, storeapi.ErrNotFound) {
-			v.log.Warn("configuration_not_read", zap.Error(err), zap.Duration("age", time.Since(v.asOf())))
+			v.log.Warn("configuration_not_read", logging.Err(err), zap.Duration("age", time.Since(v.asOf())))
 		}
 		return
 	}
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -91,3 +91,12 @@
 	}
 	return nil
 }
+
+// Err returns the field of an error, with its message and without the stack
+// trace that zap would add.
+func Err(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/internal/schedulerhost/lease.go
+++ b/internal/schedulerhost/lease.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ownership"
 	"dragonflyyard/internal/ring"
@@ -154,7 +155,7 @@
 	}
 	versions, err := h.store.Commit(ctx, tx)
 	if err != nil {
-		h.log.Warn("lease_write_failed", zap.Error(err))
+		h.log.Warn("lease_write_failed", logging.Err(err))
 	}
 	result := ownership.RowCommitted{Call: action.Call, Result: storeapi.ResultOf(err), Versions: versions}
 	h.inputs.Push(ctx, func(now time.Time) []ownership.Action { return h.candidate.Step(now, result) })
--- a/internal/schedulerhost/load.go
+++ b/internal/schedulerhost/load.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/storeapi"
@@ -82,7 +83,7 @@
 		if err == nil {
 			return snapshot, nil
 		}
-		s.log.Warn("store_read_failed", zap.String("table", prefix), zap.Error(err))
+		s.log.Warn("store_read_failed", zap.String("table", prefix), logging.Err(err))
 		if !sleep(ctx, pause) {
 			return snapshot, err
 		}
@@ -105,7 +106,7 @@
 			Scanned: func(snapshot storeapi.Snapshot) { input(snapshot.Rows) },
 			Changed: func(changes []storeapi.Change) { input(written(changes)) },
 			Failed: func(err error) {
-				s.log.Warn("store_read_failed", zap.String("table", table), zap.Error(err))
+				s.log.Warn("store_read_failed", zap.String("table", table), logging.Err(err))
 			},
 		})
 		if prefix == scanWorkers {
@@ -128,7 +129,7 @@
 }
 
 func (s *session) malformed(row storeapi.Row, err error) {
-	s.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+	s.log.Error("row_malformed", zap.String("key", row.Key), logging.Err(err))
 }
 
 func (s *session) decodeProgress(snapshot storeapi.Snapshot) map[model.JobID]*workload.Progress {
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"dragonflyyard/internal/dispatch"
+	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ring"
 	"dragonflyyard/internal/rowcodec"
@@ -75,17 +76,17 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	if err := s.takeFence(ctx); err != nil {
-		s.log.Warn("scheduler_session_ended", zap.Uint64("epoch", uint64(s.epoch)), zap.Error(err))
+		s.log.Warn("scheduler_session_ended", zap.Uint64("epoch", uint64(s.epoch)), logging.Err(err))
 		return
 	}
 	versions, err := s.load(ctx)
 	if err != nil {
-		s.log.Warn("scheduler_session_ended", zap.Uint64("epoch", uint64(s.epoch)), zap.Error(err))
+		s.log.Warn("scheduler_session_ended", zap.Uint64("epoch", uint64(s.epoch)), logging.Err(err))
 		return
 	}
 	s.watch(ctx, versions)
 	err = s.loop(ctx)
-	s.log.Info("scheduler_session_ended", zap.Uint64("epoch", uint64(s.epoch)), zap.Error(err))
+	s.log.Info("scheduler_session_ended", zap.Uint64("epoch", uint64(s.epoch)), logging.Err(err))
 }
 
 // takeFence writes the fence: from then on no transaction of a former owner
@@ -131,7 +132,7 @@
 		case errors.As(err, &conflict):
 			return s.resolve(conflict, mark, applied)
 		}
-		s.log.Warn("scheduler_write_failed", zap.Error(err), zap.Uint64("sequence", mark.Sequence))
+		s.log.Warn("scheduler_write_failed", logging.Err(err), zap.Uint64("sequence", mark.Sequence))
 		if !sleep(ctx, pause/2+rand.N(pause/2)) {
 			return ctx.Err()
 		}
@@ -251,7 +252,7 @@
 		}
 	}
 	if err != nil {
-		s.log.Warn("scheduler_batch_refused", zap.String("kind", string(batch.Kind)), zap.String("host", batch.Host), zap.Error(err))
+		s.log.Warn("scheduler_batch_refused", zap.String("kind", string(batch.Kind)), zap.String("host", batch.Host), logging.Err(err))
 		s.core.Refused(batch)
 		return
 	}
@@ -271,7 +272,7 @@
 			if err == nil {
 				return
 			}
-			s.log.Warn("ends_not_deleted", zap.Int("ends", len(batch.Tx.Deletes)), zap.Error(err))
+			s.log.Warn("ends_not_deleted", zap.Int("ends", len(batch.Tx.Deletes)), logging.Err(err))
 			if !sleep(ctx, pause) {
 				return
 			}
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/storeclock"
@@ -190,7 +191,7 @@
 	c.mu.Unlock()
 	switch {
 	case failed && !before:
-		c.log.Warn("store_lost", zap.String("part", part), zap.Error(err))
+		c.log.Warn("store_lost", zap.String("part", part), logging.Err(err))
 	case before && !failed:
 		c.log.Info("store_regained", zap.String("part", part))
 	}
--- a/internal/storerelay/peers.go
+++ b/internal/storerelay/peers.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/storeapi"
@@ -89,7 +90,7 @@
 	row.SentMS, _ = b.store.StoreTime(time.Now())
 	_, err := b.store.Commit(ctx, storeapi.Transaction{Puts: []storeapi.Put{{Key: b.prefix + b.host, Value: rowcodec.Encode(&row)}}})
 	if err != nil {
-		b.log.Warn("relay_row_not_written", zap.Error(err))
+		b.log.Warn("relay_row_not_written", logging.Err(err))
 	}
 	return err == nil
 }
@@ -97,7 +98,7 @@
 func (b *Book) read(ctx context.Context) bool {
 	snapshot, err := b.store.Scan(ctx, b.prefix)
 	if err != nil {
-		b.log.Warn("relay_rows_not_read", zap.Error(err))
+		b.log.Warn("relay_rows_not_read", logging.Err(err))
 		return false
 	}
 	nowMS, _ := b.store.StoreTime(time.Now())
@@ -105,7 +106,7 @@
 	for _, row := range snapshot.Rows {
 		var peer Peer
 		if err := rowcodec.Decode(row.Value, &peer); err != nil {
-			b.log.Error("row_malformed", zap.String("key", row.Key), zap.Error(err))
+			b.log.Error("row_malformed", zap.String("key", row.Key), logging.Err(err))
 			continue
 		}
 		if row.Key != b.prefix+b.host && nowMS-peer.SentMS < forgetAfter.Milliseconds() {
