Answer the first calls of a process by a read of their own

Cause: a watch that had read nothing counted as one whose store does not answer, so an entry host turned calls away for the first milliseconds of its life. Change: only a failed read counts. TestFirstCallOfAProcess failed first.

--- a/internal/jobentry/service_test.go
+++ b/internal/jobentry/service_test.go
@@ -171,6 +171,17 @@
 	}
 }
 
+// TestFirstCallOfAProcess: a call comes before the watch has read anything. It
+// is answered by a read of its own, not turned away.
+func TestFirstCallOfAProcess(t *testing.T) {
+	service, store := newService(t)
+	fresh := NewView(service.view.rows, store, zap.NewNop())
+	first := NewService(fresh, store, zap.NewNop(), metrics.NewRegistry())
+	if got := first.Answer(testCall(CallSubmit, "/q/"+testJob, "k")); got.Kind != OutcomeAccepted {
+		t.Errorf("the first call gives %+v", got)
+	}
+}
+
 func TestViewNeverGoesBack(t *testing.T) {
 	service, store := newService(t)
 	view := service.view
--- a/internal/jobentry/view.go
+++ b/internal/jobentry/view.go
@@ -186,10 +186,7 @@
 
 // StoreAway reports whether the last read of the operators' rows failed. The
 // watch asks again within half a second; calls need not wait for the same answer.
-func (v *View) StoreAway() bool {
-	_, well := v.watch.WellSince()
-	return !well
-}
+func (v *View) StoreAway() bool { return v.watch.Failing() }
 
 func (v *View) refresh(ctx context.Context) {
 	v.reading.Lock()
--- a/internal/tablewatch/watch.go
+++ b/internal/tablewatch/watch.go
@@ -54,8 +54,10 @@
 	mu sync.Mutex
 	// asOf is when the last successful read was sent.
 	asOf time.Time
-	// wellSince is since when no read failed; zero while the last one did.
+	// wellSince is since when no read failed; zero before the first success and
+	// while the last one failed.
 	wellSince time.Time
+	failing   bool
 }
 
 // New returns a watch of the rows of a table whose keys start with prefix,
@@ -78,6 +80,14 @@
 	return w.wellSince, !w.wellSince.IsZero()
 }
 
+// Failing reports whether the last read failed. A watch that has read nothing
+// yet does not fail.
+func (w *Watch) Failing() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failing
+}
+
 // Run follows the table until ctx is done. from is the version of a scan that
 // was made before; 0 begins with a scan.
 func (w *Watch) Run(ctx context.Context, from storeapi.RowVersion) {
@@ -145,6 +155,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.asOf = sentAt
+	w.failing = false
 	if w.wellSince.IsZero() {
 		w.wellSince = sentAt
 	}
@@ -153,6 +164,7 @@
 func (w *Watch) failed(err error) {
 	w.mu.Lock()
 	w.wellSince = time.Time{}
+	w.failing = true
 	w.mu.Unlock()
 	if w.handler.Failed != nil {
 		w.handler.Failed(err)
