--- a/internal/jobentry/service_test.go
+++ b/internal/jobentry/service_test.go
@@ -29,6 +29,9 @@
 }
 
 func (s *faultyStore) Commit(ctx context.Context, tx storeapi.Transaction) ([]storeapi.RowVersion, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Wrap(storeapi.ErrUnavailable, err.Error())
+	}
 	s.mu.Lock()
 	var next error
 	if len(s.line) > 0 {
