--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
-# Targets: build, test, demo, faults, docs, policy, capacity. Each stops by itself.
+# Targets: build, test, demo, faults, docs, policy, capacity, soak. Each stops by itself.
 GO ?= go
 
-.PHONY: build test lint race demo faults docs policy capacity clean
+.PHONY: build test lint race demo faults docs policy capacity soak clean
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -38,3 +38,9 @@
 
 capacity: build
 	$(GO) run ./internal/tools/capacity
+
+# Runs the deployed programs under faults, SEEDS seeds from SEED on.
+SEED ?= 1
+SEEDS ?= 1
+soak: build
+	$(GO) run ./internal/tools/soak --seed $(SEED) --seeds $(SEEDS)
--- a/internal/standin/feed.go
+++ b/internal/standin/feed.go
@@ -106,3 +106,9 @@
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
+
+// Seed puts a row as an operator would.
+func (s *Store) Seed(key string, value []byte) error {
+	_, err := s.Commit(context.Background(), storeapi.Transaction{Puts: []storeapi.Put{{Key: key, Value: value}}})
+	return err
+}
--- a/internal/standin/jobworker.go
+++ b/internal/standin/jobworker.go
@@ -25,6 +25,42 @@
 	number   uint64
 	started  []string
 	draining bool
+	observe  func(RunEvent)
+}
+
+// RunEventKind says what happened to a run on a worker.
+type RunEventKind string
+
+// Kinds of events of a run.
+const (
+	RunBegan RunEventKind = "began"
+	RunEnded RunEventKind = "ended"
+	// RunNoted means that the agent acknowledged the run's end.
+	RunNoted RunEventKind = "noted"
+)
+
+// RunEvent is what happened to a run on a worker.
+type RunEvent struct {
+	Kind   RunEventKind
+	Worker string
+	Task   string
+	Run    int
+	// How is how the run ended; a new life of the worker ends it as "lost".
+	How string
+	At  time.Time
+}
+
+// Observe registers a function that is told of each event, under the worker's lock.
+func (w *JobWorker) Observe(observe func(RunEvent)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.observe = observe
+}
+
+func (w *JobWorker) tell(kind RunEventKind, run jobRun, how string) {
+	if w.observe != nil {
+		w.observe(RunEvent{kind, w.id, run.task, run.run, how, time.Now()})
+	}
 }
 
 type jobRun struct {
@@ -49,6 +85,9 @@
 func (w *JobWorker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for run := range w.runs {
+		w.tell(RunEnded, run, "lost")
+	}
 	w.began = time.Now()
 	w.born = max(w.born+1, w.began.UnixMilli())
 	w.token, w.lease, w.number = 0, 0, 0
@@ -176,6 +215,7 @@
 	}
 	w.runs[run] = time.Now().Add(length)
 	w.started = append(w.started, in.Task)
+	w.tell(RunBegan, run, "")
 	return ""
 }
 
@@ -188,6 +228,7 @@
 	delete(w.runs, run)
 	w.number++
 	w.ended = append(w.ended, endedRun{w.number, run, how})
+	w.tell(RunEnded, run, how)
 }
 
 // settle ends what is done, and everything once the lease has ended.
@@ -208,7 +249,9 @@
 	for _, e := range w.ended {
 		if e.number > in.LastSeen {
 			kept = append(kept, e)
+			continue
 		}
+		w.tell(RunNoted, e.jobRun, e.how)
 	}
 	w.ended = kept
 	for end := time.Now().Add(time.Duration(in.WaitMS) * time.Millisecond); len(w.ended) == 0 && time.Now().Before(end); {
