End runs of a worker's former life only behind the fence of the present one

The run went on while the scheduler started it elsewhere. Ruled out: the scheduler (it acted on the reported end); the stand-in's versions, a fault of its own that made agents and owners lose their rows to themselves and is mended here, too: a transaction gives all its rows one version and answers with it. Change: after a new life, runs of the former one end only after a look under a higher generation, which keeps starts under way out; what that look lists is stopped first. TestStartThatReachedTheNextLife.

--- a/internal/jobagent/agent.go
+++ b/internal/jobagent/agent.go
@@ -153,7 +153,7 @@
 	if err != nil {
 		a.log.Warn("worker_unreachable", logging.Err(err), zap.Duration("after", time.Since(sentAt)))
 	}
-	a.push(ctx, func(now time.Time) { a.core.Held(now, sentAt, result, lists) })
+	a.push(ctx, func(now time.Time) { a.core.Held(now, sentAt, action, result, lists) })
 }
 
 // followOrders keeps the core's orders like the store's.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,6 +7,18 @@
 	"time"
 )
 
+// seeds are run in CI. All but the first one failed once; the names say why.
+var seeds = []struct {
+	name string
+	seed uint64
+}{
+	{"none failed", 7},
+	// A start reached a worker that had just begun another life; its end was
+	// reported as lost while the run was at work (TestStartThatReachedTheNextLife).
+	{"start taken by the next life, four starts too many", 11},
+	{"start taken by the next life, five starts too many", 35},
+}
+
 // TestShortSoak runs the programs as processes under some seconds of faults.
 func TestShortSoak(t *testing.T) {
 	binaries := t.TempDir()
@@ -14,14 +26,18 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	report, err := Run(Config{Seed: 7, Disturbed: 6 * time.Second, Entries: 2, Agents: 3, Binaries: binaries, Dir: t.TempDir()})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, broken := range report.Broken {
-		t.Error(broken)
-	}
-	if report.Accepted == 0 || report.Starts == 0 || report.Faults == 0 {
-		t.Errorf("%d jobs accepted, %d starts, %d faults: the soak does nothing", report.Accepted, report.Starts, report.Faults)
+	for _, c := range seeds {
+		t.Run(c.name, func(t *testing.T) {
+			report, err := Run(Config{Seed: c.seed, Disturbed: 5 * time.Second, Entries: 2, Agents: 3, Binaries: binaries, Dir: t.TempDir()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, broken := range report.Broken {
+				t.Error(broken)
+			}
+			if report.Accepted == 0 || report.Starts == 0 || report.Faults == 0 {
+				t.Errorf("%d jobs accepted, %d starts, %d faults: the soak does nothing", report.Accepted, report.Starts, report.Faults)
+			}
+		})
 	}
 }
--- a/internal/standin/rows_http.go
+++ b/internal/standin/rows_http.go
@@ -147,7 +147,7 @@
 }
 
 func (s *Store) answerTransaction(within context.Context, ctx *fasthttp.RequestCtx, tx storeapi.Transaction) {
-	_, err := s.Commit(within, tx)
+	versions, err := s.Commit(within, tx)
 	var conflict *storeapi.Conflict
 	switch {
 	case errors.As(err, &conflict):
@@ -163,9 +163,10 @@
 		// The answer is lost: the connection ends without one.
 		_ = ctx.Conn().Close()
 	default:
-		s.mu.Lock()
-		version := s.revision
-		s.mu.Unlock()
+		var version storeapi.RowVersion
+		if len(versions) > 0 {
+			version = versions[0]
+		}
 		s.answer(ctx, rowsAnswer{Version: uint64(version)})
 	}
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -160,8 +160,8 @@
 	return results
 }
 
-// apply runs one transaction. Row versions come from one counter over all
-// rows, so a row that was deleted and made again never has an old version.
+// apply runs one transaction. Its rows get one version, from one counter over
+// all rows, so a row that was deleted and made again never has an old version.
 func (s *Store) apply(tx storeapi.Transaction) Result {
 	// A transaction over several parts is refused on the platform.
 	if parts := partsOf(tx); len(parts) > 1 {
@@ -173,8 +173,8 @@
 		}
 	}
 	var versions []storeapi.RowVersion
+	s.revision++
 	for _, put := range tx.Puts {
-		s.revision++
 		value := append([]byte(nil), put.Value...)
 		s.rows[put.Key] = storeapi.Row{Key: put.Key, Value: value, Version: s.revision}
 		s.record(storeapi.Change{Row: s.rows[put.Key]})
@@ -184,7 +184,6 @@
 		if _, exists := s.rows[key]; !exists {
 			continue
 		}
-		s.revision++
 		delete(s.rows, key)
 		s.record(storeapi.Change{Row: storeapi.Row{Key: key, Version: s.revision}, Deleted: true})
 	}
--- a/internal/taskrunner/announce.go
+++ b/internal/taskrunner/announce.go
@@ -42,6 +42,7 @@
 // reregister asks for a new announcement under a higher generation.
 func (c *Core) reregister() {
 	c.generation++
+	c.lists.fenced = false
 	c.row.confirmed = false
 	c.row.doubtful = nil
 	c.lease.known = false
--- a/internal/taskrunner/core.go
+++ b/internal/taskrunner/core.go
@@ -79,6 +79,8 @@
 // listed is what the worker listed last.
 type listed struct {
 	known bool
+	// fenced is set once the worker saw the present generation.
+	fenced bool
 	// complete is set once lists were compared with all orders.
 	complete   bool
 	clockMS    int64
@@ -135,8 +137,10 @@
 	c.status, c.statusKnown = h, true
 }
 
-// beginLife takes in that the worker began another life: nothing that was
-// ordered of the former one runs any more.
+// beginLife takes in that the worker began another life. What ran in the former
+// one is gone; but a start that was under way may have reached the new one,
+// which knows no fencing token yet. So runs of the former life are ended only
+// after a look under the new generation, which keeps out what is still under way.
 func (c *Core) beginLife(life model.Incarnation, source string) {
 	c.note("worker_life", nil, source)
 	c.life, c.left, c.statusKnown = life, false, false
@@ -144,10 +148,8 @@
 	c.strays = map[workload.RunID]time.Time{}
 	c.reregister()
 	for _, r := range c.runs {
-		if r.Incarnation < life {
-			c.finish(r, workload.EndLost, "", "the worker began another life")
-		}
-		r.number = 0
+		r.number, r.listed = 0, false
+		r.takenAt, r.stopAt = time.Time{}, time.Time{}
 	}
 	c.hold.nextAt = time.Time{}
 }
@@ -214,7 +216,7 @@
 }
 
 // Held takes in the result of a look at the worker that was sent at sentAt.
-func (c *Core) Held(now, sentAt time.Time, result HoldResult, lists Lists) {
+func (c *Core) Held(now, sentAt time.Time, sent Hold, result HoldResult, lists Lists) {
 	c.hold.pending, c.hold.failed = false, result == HoldFailed
 	if result == HoldAnswered {
 		c.hold.failures = 0
@@ -248,6 +250,7 @@
 		// The worker does not wait, as one that is stopping.
 		c.hold.nextAt = now.Add(c.settings.RetryPause)
 	}
+	c.lists.fenced = c.lists.fenced || sent.Generation == c.generation
 	c.takeLists(now, sentAt, lists)
 }
 
@@ -315,7 +318,7 @@
 	}
 	id := workload.RunID{Task: ref, Run: ended.Run}
 	present[id] = true
-	if r := c.runs[id]; r != nil && r.Incarnation == c.life {
+	if r := c.runs[id]; r != nil {
 		c.finish(r, ended.Kind, ended.Checkpoint, "")
 		r.number = ended.Number
 	}
--- a/internal/taskrunner/core_test.go
+++ b/internal/taskrunner/core_test.go
@@ -125,7 +125,7 @@
 		want   workload.EndKind
 	}{
 		{"a new life of the worker", func(r *rig) {
-			r.life = 6
+			r.life, r.running = 6, nil
 			r.heartbeat(func(h *Heartbeat) { h.Incarnation = 6 })
 		}, workload.EndLost},
 		{"the worker left", func(r *rig) { r.core.Left("w-1") }, workload.EndLost},
@@ -308,9 +308,9 @@
 		answer func(*rig, Hold)
 		most   int
 	}{
-		{"no answer", func(r *rig, _ Hold) { r.core.Held(r.now, r.now, HoldFailed, Lists{}) }, 13},
-		{"another life", func(r *rig, _ Hold) {
-			r.core.Held(r.now, r.now, HoldOtherLife, Lists{})
+		{"no answer", func(r *rig, h Hold) { r.core.Held(r.now, r.now, h, HoldFailed, Lists{}) }, 13},
+		{"another life", func(r *rig, h Hold) {
+			r.core.Held(r.now, r.now, h, HoldOtherLife, Lists{})
 			r.heartbeat(nil)
 		}, 13},
 		{"answers at once", func(r *rig, h Hold) { r.held(h) }, 70},
@@ -369,3 +369,34 @@
 		t.Error("a run whose order is gone is kept")
 	}
 }
+
+// TestStartThatReachedTheNextLife: the worker began another life just before a
+// start arrived, and took it there. The run is stopped, and its end reported
+// only when it is no longer listed: until then it must not begin elsewhere.
+func TestStartThatReachedTheNextLife(t *testing.T) {
+	r := newRig(t)
+	r.ready()
+	id := r.see(r.order(taskA, 1, nil), false)
+	if n := len(starts(r.settle())); n != 1 {
+		t.Fatalf("%d starts", n)
+	}
+	r.core.Started(r.now, id, OrderTaken)
+	r.pass(200 * time.Millisecond)
+	r.life = 6
+	r.heartbeat(func(h *Heartbeat) { h.Incarnation = 6 })
+	r.running = []workload.RunningTask{{Task: taskA, Run: 1}}
+	stopped := stops(r.settle())
+	if len(r.reported) != 0 {
+		t.Fatalf("the end %+v is reported while the run is at work", r.reported)
+	}
+	if len(stopped) != 1 || stopped[0].Task != taskA {
+		t.Fatalf("stops %+v", stopped)
+	}
+	r.core.Stopped(r.now, taskA, 1, OrderTaken)
+	r.running, r.ended = nil, []EndedRun{{Number: 1, Task: taskA, Run: 1, Kind: workload.EndStopped}}
+	r.pass(time.Second)
+	r.settle()
+	if len(r.reported) != 1 || r.reported[0].End.Kind != workload.EndStopped {
+		t.Errorf("reported %+v, want stopped", r.reported)
+	}
+}
--- a/internal/taskrunner/step.go
+++ b/internal/taskrunner/step.go
@@ -57,8 +57,7 @@
 		return nil
 	}
 	if c.statusKnown && r.Incarnation < c.life {
-		c.finish(r, workload.EndLost, "", "ordered of a former life")
-		return nil
+		return c.endFormer(now, r)
 	}
 	if !r.stopping {
 		c.giveUpLate(storeMS, storeKnown, r)
@@ -69,6 +68,19 @@
 	return c.start(now, storeKnown, r)
 }
 
+// endFormer ends a run that was ordered of a former life of the worker. One that
+// the present life lists was started there, and is stopped first.
+func (c *Core) endFormer(now time.Time, r *run) Action {
+	if !c.lists.fenced || !c.lists.complete {
+		return nil
+	}
+	if r.listed {
+		return c.stop(now, r)
+	}
+	c.finish(r, workload.EndLost, "", "ordered of a former life")
+	return nil
+}
+
 // giveUpLate turns an order that must not be carried out any more into a stop.
 func (c *Core) giveUpLate(storeMS int64, storeKnown bool, r *run) {
 	if !r.takenAt.IsZero() || r.listed || (r.sent && !c.lists.complete) {
@@ -96,7 +108,7 @@
 		return nil
 	}
 	c.begin(r)
-	return StopRun{Task: r.Task, Run: r.Run, Worker: r.Worker, Generation: c.generation}
+	return StopRun{Task: r.Task, Run: r.Run, Worker: c.status.Worker, Generation: c.generation}
 }
 
 func (c *Core) start(now time.Time, storeKnown bool, r *run) Action {
