Move runs off slow workers (tried)

Cause: workers that turn slow for 7 s make runs three to eight times as long. Change: the speed of each run from its reports, against others of its step and its own before; runs that end sooner elsewhere are stopped there, and the worker gets no tasks for 2.5 s.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -81,6 +81,7 @@
 			r.holdFor(u, len(u.tasks)-len(placed))
 		}
 	}
+	c.moveSlow(now, r)
 	return out
 }
 
