--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -114,8 +114,6 @@
 	// thrownAway counts the core seconds of others' work that were thrown away
 	// for each step.
 	thrownAway map[stepKey]float64
-	// rates holds how fast the tasks of each step progress.
-	rates map[stepKey]*rates
 }
 
 type stepKey struct{ occurrence, step int }
@@ -139,11 +137,6 @@
 	report     workload.RunningTask
 	reportMS   int64
 	reportedMS int64
-	// rate is the run's speed between its last two reports rateSpan apart, in
-	// hundredths a second, and best the highest. The next span begins at markMS.
-	rate, best  float64
-	markMS      int64
-	markPercent int
 }
 
 func (o *order) step() *workload.Step { return &o.job.Steps[o.id.Task.Step] }
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -20,7 +20,6 @@
 	j := &job{
 		Job: accepted, progress: progress, orders: map[workload.RunID]*order{},
 		readySinceMS: map[stepKey]int64{}, notBeforeMS: map[stepKey]int64{}, thrownAway: map[stepKey]float64{},
-		rates: map[stepKey]*rates{},
 	}
 	c.jobs[accepted.ID] = j
 	c.decide(Decision{Kind: "job_seen", Job: j.ID, Reason: string(progress.State), AgeMS: -1})
@@ -90,7 +89,6 @@
 			o.reportedMS = w.SentMS
 		}
 		o.report, o.reportMS = running, w.SentMS
-		o.takeProgress(running, w.SentMS)
 	}
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -81,7 +81,6 @@
 			r.holdFor(u, len(u.tasks)-len(placed))
 		}
 	}
-	c.moveSlow(now, r)
 	return out
 }
 
