Place tasks on workers without recent failures first

Ruled out: what the workers say of their health (it is false either way). Change: a worker on which a task failed within 6 s, with no success since, or on which the same job failed, comes after the others; quarantine after two jobs, not three. TestFailedTaskGoesElsewhere failed first.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -54,7 +54,7 @@
 		Retention:    4 * time.Minute,
 		RemoteFactor: 3,
 		Quarantine: quarantine.Settings{
-			JobsPerWorker: 3, WorkersPerJob: 1 << 20, FailuresPerJob: 1 << 20,
+			JobsPerWorker: 2, WorkersPerJob: 1 << 20, FailuresPerJob: 1 << 20,
 			Window: 20 * time.Second, Hold: 5 * time.Second, MaxHold: 30 * time.Second,
 		},
 	}
@@ -149,6 +149,9 @@
 	orders  map[workload.RunID]*order
 	// avoidUntilMS is until when a worker gets no tasks on which some stood still.
 	avoidUntilMS int64
+	// suspectUntilMS is until when a worker comes after the others, on which the
+	// last task that ended had failed.
+	suspectUntilMS int64
 }
 
 // Decision is one thing that the core decided or came to believe, for the log.
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"time"
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/workload"
@@ -110,6 +111,7 @@
 func (c *Core) taskDone(now Now, j *job, run workload.RunID, o *order) {
 	if o != nil {
 		c.sick.Succeeded(o.Worker)
+		o.worker.suspectUntilMS = 0
 	}
 	if j.Steps[run.Task.Step].Gang {
 		for i := range j.progress.Occurrences[run.Task.Occurrence].Steps[run.Task.Step] {
@@ -126,10 +128,15 @@
 	}
 }
 
+// suspectFor is how long a worker comes after the others on which a task failed;
+// unhealthy workers fail what they start for some seconds.
+const suspectFor = 6 * time.Second
+
 // taskFailed counts a failure, once for each run: of a gang several members may
 // report it, and a former owner may have counted it before.
 func (c *Core) taskFailed(now Now, j *job, run workload.RunID, o *order) {
 	if o != nil {
+		o.worker.suspectUntilMS = now.StoreMS + suspectFor.Milliseconds()
 		if v := c.sick.Failed(now.time(), o.Worker, j.ID); v.Quarantined {
 			c.decide(Decision{Kind: "worker_quarantined", Worker: o.Worker, Reason: "tasks of several jobs failed", AgeMS: -1})
 		}
--- a/internal/dispatch/ends_test.go
+++ b/internal/dispatch/ends_test.go
@@ -40,3 +40,28 @@
 		}
 	}
 }
+
+// TestFailedTaskGoesElsewhere: a worker fails all that it starts. The task's
+// second and last attempt, and other jobs' tasks, go to other workers while
+// there is room.
+func TestFailedTaskGoesElsewhere(t *testing.T) {
+	r := newRig(t)
+	r.worker("h1", "r1", func(a *workload.Announcement) { a.Capacity.Accelerators = 4 })
+	r.job(jobID(1), nil)
+	first := r.plan()[0]
+	r.worker("h2", "r1", nil)
+	r.end(first, workload.EndFailed, "")
+	r.job(jobID(2), nil)
+	r.pass(100 * time.Millisecond)
+	for _, o := range r.plan() {
+		if o.Host != "h2" {
+			t.Errorf("%s run %d goes to %s, on which a task has just failed", o.Task, o.Run, o.Host)
+		}
+	}
+	// Without another worker with room, the doubtful one is used.
+	r.worker("h2", "r1", func(a *workload.Announcement) { a.State = workload.WorkerDraining })
+	r.job(jobID(3), nil)
+	if again := r.plan(); len(again) != 1 || again[0].Host != "h1" {
+		t.Errorf("ordered %+v, want one on the only worker with room", again)
+	}
+}
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -135,11 +135,19 @@
 	return best
 }
 
-// compare orders workers for a task: near its data, then least left over.
+// doubtful reports whether a task of the unit is likely to fail on a worker: one
+// has just failed there, or one of the same job did.
+func (r *room) doubtful(u *unit, w *worker) bool {
+	return r.now.StoreMS < w.suspectUntilMS || slices.Contains(r.core.sick.FailedOn(u.job.ID), w.Worker)
+}
+
+// compare orders workers for a task: without failures, near its data, then least
+// left over.
 func (r *room) compare(u *unit, a, b *worker) int {
 	step := u.spec()
 	near := func(w *worker) bool { return step.PreferredRack != "" && string(w.Rack) == step.PreferredRack }
 	return cmp.Or(
+		compareBool(r.doubtful(u, a), r.doubtful(u, b)),
 		compareBool(near(b), near(a)),
 		compareBool(r.core.sick.Probing(a.Worker), r.core.sick.Probing(b.Worker)),
 		cmp.Compare(leftOver(r.free[a], a.Capacity, step.PerTask), leftOver(r.free[b], b.Capacity, step.PerTask)),
