Keep one pause and one interface of the store

Cause: three packages had their own wait that a context cuts short, four their own union of the store's interfaces; read for the landing. No change of behaviour; the tests of the packages pass.

--- a/internal/jobagent/agent.go
+++ b/internal/jobagent/agent.go
@@ -26,13 +26,6 @@
 // maxInputs bounds the inputs that wait for the core.
 const maxInputs = 1024
 
-// Store is what an agent needs of the store.
-type Store interface {
-	storeapi.Table
-	storeapi.Feed
-	storeapi.Clock
-}
-
 // Worker is the worker beside the agent.
 type Worker interface {
 	Start(taskrunner.StartRun) taskrunner.OrderResult
@@ -43,7 +36,7 @@
 // Agent runs beside one worker.
 type Agent struct {
 	host   string
-	store  Store
+	store  storeapi.Store
 	worker Worker
 	log    *zap.Logger
 	core   *taskrunner.Core
@@ -53,7 +46,7 @@
 }
 
 // New returns the agent of a host.
-func New(host string, settings taskrunner.Settings, store Store, worker Worker, log *zap.Logger, registry metrics.Registry) *Agent {
+func New(host string, settings taskrunner.Settings, store storeapi.Store, worker Worker, log *zap.Logger, registry metrics.Registry) *Agent {
 	return &Agent{
 		host: host, store: store, worker: worker, log: log, core: taskrunner.New(settings, host),
 		inputs: ring.New[func(now time.Time)]("agent.inputs", maxInputs, registry),
--- a/internal/jobentry/service.go
+++ b/internal/jobentry/service.go
@@ -36,24 +36,17 @@
 	unsupportedRetryAfter = time.Minute
 )
 
-// Store is what an entry host needs of the store.
-type Store interface {
-	storeapi.Table
-	storeapi.Feed
-	storeapi.Clock
-}
-
 // Service answers the calls of callers. It is safe for concurrent use.
 type Service struct {
 	view     *View
-	store    Store
+	store    storeapi.Store
 	log      *zap.Logger
 	registry metrics.Registry
 	latency  metrics.Timer
 }
 
 // NewService returns the service of an entry host.
-func NewService(view *View, store Store, log *zap.Logger, registry metrics.Registry) *Service {
+func NewService(view *View, store storeapi.Store, log *zap.Logger, registry metrics.Registry) *Service {
 	return &Service{view: view, store: store, log: log, registry: registry, latency: metrics.GetOrRegisterTimer("calls.latency", registry)}
 }
 
--- a/internal/jobentry/view.go
+++ b/internal/jobentry/view.go
@@ -42,10 +42,7 @@
 // back to an earlier version.
 type View struct {
 	rows  OperatorRows
-	store interface {
-		storeapi.Table
-		storeapi.Feed
-	}
+	store storeapi.Store
 	log   *zap.Logger
 	watch *tablewatch.Watch
 	// reading lets one read at a time refresh the view.
@@ -62,10 +59,7 @@
 }
 
 // NewView returns a view that knows nothing.
-func NewView(rows OperatorRows, store interface {
-	storeapi.Table
-	storeapi.Feed
-}, log *zap.Logger) *View {
+func NewView(rows OperatorRows, store storeapi.Store, log *zap.Logger) *View {
 	v := &View{
 		rows: rows, store: store, log: log,
 		evacuated: map[model.AvailabilityZoneName]storeapi.RowVersion{},
--- a/internal/schedulerhost/lease.go
+++ b/internal/schedulerhost/lease.go
@@ -19,13 +19,6 @@
 	"dragonflyyard/internal/workload"
 )
 
-// Store is what the scheduler needs of the store.
-type Store interface {
-	storeapi.Table
-	storeapi.Feed
-	storeapi.Clock
-}
-
 // View is what operators configured, as one entry host knows it.
 type View struct {
 	Guaranteed map[model.ClientAccountID]int
@@ -38,7 +31,7 @@
 type Host struct {
 	id          model.EntryID
 	incarnation model.Incarnation
-	store       Store
+	store       storeapi.Store
 	view        func() View
 	log         *zap.Logger
 	registry    metrics.Registry
@@ -55,7 +48,7 @@
 const leaseTick = 60 * time.Millisecond
 
 // New returns the part of an entry host. view returns the newest configuration.
-func New(id model.EntryID, region model.RegionName, store Store, view func() View, log *zap.Logger, registry metrics.Registry) *Host {
+func New(id model.EntryID, region model.RegionName, store storeapi.Store, view func() View, log *zap.Logger, registry metrics.Registry) *Host {
 	incarnation := model.Incarnation(time.Now().UnixMilli())
 	return &Host{
 		id: id, incarnation: incarnation, store: store, view: view, log: log, registry: registry,
--- a/internal/schedulerhost/load.go
+++ b/internal/schedulerhost/load.go
@@ -10,6 +10,7 @@
 
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/pause"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/tablewatch"
@@ -78,13 +79,13 @@
 
 // scan reads a table until it succeeds or the session ends.
 func (s *session) scan(ctx context.Context, prefix string) (storeapi.Snapshot, error) {
-	for pause := retryFirst; ; pause = min(2*pause, retryLongest) {
+	for backoff := retryFirst; ; backoff = min(2*backoff, retryLongest) {
 		snapshot, err := s.store.Scan(ctx, prefix)
 		if err == nil {
 			return snapshot, nil
 		}
 		s.log.Warn("store_read_failed", zap.String("table", prefix), logging.Err(err))
-		if !sleep(ctx, pause) {
+		if !pause.For(ctx, backoff) {
 			return snapshot, err
 		}
 	}
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -12,6 +12,7 @@
 	"dragonflyyard/internal/dispatch"
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/pause"
 	"dragonflyyard/internal/ring"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/storeapi"
@@ -28,7 +29,7 @@
 	// maxViewAge is the age of the configuration beyond which nothing starts. It
 	// leaves room inside the platform's bound of 5 s for evacuations.
 	maxViewAge = 2 * time.Second
-	// retryFirst and retryLongest bound the pause before a transaction is sent again.
+	// retryFirst and retryLongest bound the backoff before a transaction is sent again.
 	retryFirst   = 60 * time.Millisecond
 	retryLongest = 400 * time.Millisecond
 )
@@ -49,7 +50,7 @@
 type session struct {
 	host  *Host
 	epoch model.Epoch
-	store Store
+	store storeapi.Store
 	log   *zap.Logger
 	core  *dispatch.Core
 
@@ -92,7 +93,7 @@
 // takeFence writes the fence: from then on no transaction of a former owner
 // takes effect. A higher epoch in the fence means that this one has ended.
 func (s *session) takeFence(ctx context.Context) error {
-	for pause := retryFirst; ; pause = min(2*pause, retryLongest) {
+	for backoff := retryFirst; ; backoff = min(2*backoff, retryLongest) {
 		row, err := s.store.Get(ctx, workload.KeyFence)
 		if err == nil || errors.Is(err, storeapi.ErrNotFound) {
 			var present fence
@@ -107,7 +108,7 @@
 			s.fenceVersion = row.Version
 			return s.commit(ctx, storeapi.Transaction{}, nil)
 		}
-		if !sleep(ctx, pause) {
+		if !pause.For(ctx, backoff) {
 			return ctx.Err()
 		}
 	}
@@ -123,7 +124,7 @@
 	tx.Puts = append(tx.Puts, storeapi.Put{Key: workload.KeyFence, Value: rowcodec.Encode(&mark)})
 	began := time.Now()
 	defer s.commits.UpdateSince(began)
-	for pause := retryFirst; ; pause = min(2*pause, retryLongest) {
+	for backoff := retryFirst; ; backoff = min(2*backoff, retryLongest) {
 		versions, err := s.store.Commit(ctx, tx)
 		var conflict *storeapi.Conflict
 		switch {
@@ -133,7 +134,7 @@
 			return s.resolve(conflict, mark, applied)
 		}
 		s.log.Warn("scheduler_write_failed", logging.Err(err), zap.Uint64("sequence", mark.Sequence))
-		if !sleep(ctx, pause/2+rand.N(pause/2)) {
+		if !pause.For(ctx, backoff/2+rand.N(backoff/2)) {
 			return ctx.Err()
 		}
 	}
@@ -174,7 +175,7 @@
 		case <-timer.C:
 		case input := <-s.inputs.Out():
 			input()
-			sleep(ctx, gather)
+			pause.For(ctx, gather)
 		}
 		s.drain()
 		if err := s.plan(ctx); err != nil {
@@ -266,17 +267,17 @@
 // dropLater deletes taken ends while the scheduler goes on.
 func (s *session) dropLater(ctx context.Context, batch *dispatch.Batch) {
 	go func() {
-		pause := retryFirst
+		backoff := retryFirst
 		for range dropTries {
 			_, err := s.store.Commit(ctx, batch.Tx)
 			if err == nil {
 				return
 			}
 			s.log.Warn("ends_not_deleted", zap.Int("ends", len(batch.Tx.Deletes)), logging.Err(err))
-			if !sleep(ctx, pause) {
+			if !pause.For(ctx, backoff) {
 				return
 			}
-			pause = min(2*pause, retryLongest)
+			backoff = min(2*backoff, retryLongest)
 		}
 	}()
 }
@@ -302,15 +303,3 @@
 			zap.Uint64("epoch", uint64(s.epoch)))
 	}
 }
-
-// sleep waits, and returns false when ctx ends first.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/schedulerhost/session_test.go
+++ b/internal/schedulerhost/session_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-func testSession(t *testing.T, store Store) *session {
+func testSession(t *testing.T, store storeapi.Store) *session {
 	t.Helper()
 	view := func() View { return View{AsOf: time.Now()} }
 	h := New("entry-1", "region", store, view, zap.NewNop(), metrics.NewRegistry())
--- a/internal/storeapi/feed.go
+++ b/internal/storeapi/feed.go
@@ -71,6 +71,13 @@
 	StoreTime(now time.Time) (ms int64, known bool)
 }
 
+// Store is a store with all that processes of a deployment need of it.
+type Store interface {
+	Table
+	Feed
+	Clock
+}
+
 // Conflict is the error of a transaction whose checks failed, with the rows
 // that the checks named as they are now. It wraps ErrConflict.
 type Conflict struct{ Rows []Row }
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -33,7 +33,7 @@
 // Client reaches the store directly, or through a peer while that fails. It is
 // safe for concurrent use.
 type Client struct {
-	direct  Store
+	direct  storeapi.Store
 	peers   func() []string
 	log     *zap.Logger
 	clock   storeclock.Clock
@@ -50,7 +50,7 @@
 
 // NewClient returns a client. peers returns the relay addresses of entry hosts,
 // nearest first.
-func NewClient(direct Store, peers func() []string, log *zap.Logger, registry metrics.Registry) *Client {
+func NewClient(direct storeapi.Store, peers func() []string, log *zap.Logger, registry metrics.Registry) *Client {
 	return &Client{
 		direct: direct, peers: peers, log: log, failing: map[string]time.Time{}, avoid: map[string]time.Time{}, http: map[string]*fasthttp.HostClient{},
 		relayed: metrics.GetOrRegisterCounter("store.relayed", registry),
--- a/internal/storerelay/message.go
+++ b/internal/storerelay/message.go
@@ -96,13 +96,6 @@
 	}
 }
 
-// Store is a store as both sides of the relay see it.
-type Store interface {
-	storeapi.Table
-	storeapi.Feed
-	storeapi.Clock
-}
-
 // callMargin is how much longer a relayed call may take than the same call of
 // the entry host: one way between zones, twice, and a busy machine.
 const callMargin = 250 * time.Millisecond
--- a/internal/storerelay/peers.go
+++ b/internal/storerelay/peers.go
@@ -40,7 +40,7 @@
 // Book knows the entry hosts that relay. It keeps what it knows while the store
 // is away. It is safe for concurrent use.
 type Book struct {
-	store  Store
+	store  storeapi.Store
 	prefix string
 	self   Peer
 	host   string
@@ -52,7 +52,7 @@
 
 // NewBook returns a book that reads the rows under a prefix. self is this
 // host's own relay; an empty address is none.
-func NewBook(store Store, prefix, host string, self Peer, log *zap.Logger) *Book {
+func NewBook(store storeapi.Store, prefix, host string, self Peer, log *zap.Logger) *Book {
 	return &Book{store: store, prefix: prefix, host: host, self: self, log: log}
 }
 
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -26,7 +26,7 @@
 
 // cutStore fails its calls with err while it is set.
 type cutStore struct {
-	Store
+	storeapi.Store
 	err error
 }
 
--- a/internal/storerelay/server.go
+++ b/internal/storerelay/server.go
@@ -17,7 +17,7 @@
 // NewServer returns the HTTP server of an entry host that passes calls on to
 // its own store. away reports whether that store does not answer it for the part
 // of a key: then calls are refused at once.
-func NewServer(store Store, away func(key string) bool) *fasthttp.Server {
+func NewServer(store storeapi.Store, away func(key string) bool) *fasthttp.Server {
 	r := &relay{store: store, away: away}
 	return &fasthttp.Server{
 		MaxRequestBodySize:    maxRequestBytes,
@@ -28,7 +28,7 @@
 }
 
 type relay struct {
-	store Store
+	store storeapi.Store
 	away  func(key string) bool
 }
 
--- a/internal/tablestore/client.go
+++ b/internal/tablestore/client.go
@@ -5,11 +5,11 @@
 	"net/url"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"dragonflyyard/internal/pause"
 	"dragonflyyard/internal/ring"
 	"dragonflyyard/internal/storeapi"
 )
@@ -222,7 +222,7 @@
 		c.mu.Lock()
 		wait, again := c.retries.Next(tries)
 		c.mu.Unlock()
-		if !again || !sleep(ctx, wait) {
+		if !again || !pause.For(ctx, wait) {
 			return err
 		}
 		c.count.retried.Inc(1)
@@ -279,20 +279,8 @@
 		if taken {
 			return nil
 		}
-		if !sleep(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			return c.refuse("rate share used up")
 		}
 	}
 }
-
-// sleep waits, and returns false when the context ends first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/tablewatch/watch.go
+++ b/internal/tablewatch/watch.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dragonflyyard/internal/pause"
 	"dragonflyyard/internal/storeapi"
 )
 
@@ -20,7 +21,7 @@
 	Wait time.Duration
 	// RescanEvery is the interval of scans beside the changes.
 	RescanEvery time.Duration
-	// FirstPause and LongestPause bound the pause after a failed read, which
+	// FirstPause and LongestPause bound the backoff after a failed read, which
 	// doubles and is drawn from its upper half.
 	FirstPause, LongestPause time.Duration
 }
@@ -92,7 +93,7 @@
 // was made before; 0 begins with a scan.
 func (w *Watch) Run(ctx context.Context, from storeapi.RowVersion) {
 	version, scanned := from, from != 0
-	pause := w.settings.FirstPause
+	backoff := w.settings.FirstPause
 	nextScan := time.Now().Add(w.rescanIn())
 	for ctx.Err() == nil {
 		var err error
@@ -109,15 +110,15 @@
 		}
 		if err == nil {
 			w.succeeded(sentAt)
-			pause = w.settings.FirstPause
+			backoff = w.settings.FirstPause
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		w.failed(err)
-		sleep(ctx, pause/2+rand.N(pause/2))
-		pause = min(2*pause, w.settings.LongestPause)
+		pause.For(ctx, backoff/2+rand.N(backoff/2))
+		backoff = min(2*backoff, w.settings.LongestPause)
 	}
 }
 
@@ -170,12 +171,3 @@
 		w.handler.Failed(err)
 	}
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
