--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 
 demo: build
 	$(GO) run ./internal/tools/demo
+	$(GO) run ./internal/tools/soak --for 5s --verbose
 
 capacity: build
 	$(GO) run ./internal/tools/capacity
