Let one failure on a worker weigh less than distance

Change: a worker that failed the same job comes last as before; a late failure alone counts after the rack.

--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -135,20 +135,24 @@
 	return best
 }
 
-// doubtful reports whether a task of the unit is likely to fail on a worker: one
-// has just failed there, or one of the same job did.
-func (r *room) doubtful(u *unit, w *worker) bool {
-	return r.now.StoreMS < w.suspectUntilMS || slices.Contains(r.core.sick.FailedOn(u.job.ID), w.Worker)
+// failedOn reports whether a task of the unit's job failed on a worker.
+func (r *room) failedOn(u *unit, w *worker) bool {
+	return slices.Contains(r.core.sick.FailedOn(u.job.ID), w.Worker)
 }
 
-// compare orders workers for a task: without failures, near its data, then least
-// left over.
+// suspect reports whether the last task that ended on a worker failed lately.
+// One failure is often the task's own, so it does not outweigh distance.
+func (r *room) suspect(w *worker) bool { return r.now.StoreMS < w.suspectUntilMS }
+
+// compare orders workers for a task: those that have not failed its job, near
+// its data, without a late failure, then least left over.
 func (r *room) compare(u *unit, a, b *worker) int {
 	step := u.spec()
 	near := func(w *worker) bool { return step.PreferredRack != "" && string(w.Rack) == step.PreferredRack }
 	return cmp.Or(
-		compareBool(r.doubtful(u, a), r.doubtful(u, b)),
+		compareBool(r.failedOn(u, a), r.failedOn(u, b)),
 		compareBool(near(b), near(a)),
+		compareBool(r.suspect(a), r.suspect(b)),
 		compareBool(r.core.sick.Probing(a.Worker), r.core.sick.Probing(b.Worker)),
 		cmp.Compare(leftOver(r.free[a], a.Capacity, step.PerTask), leftOver(r.free[b], b.Capacity, step.PerTask)),
 		cmp.Compare(a.Host, b.Host),
