Give each soak a loopback address of its own

Ruled out: a lost row (no process of this deployment accepted the jobs). Change: programs of a soak listen on a loopback address drawn from the process ID; ports are released before the programs take them.

--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -59,9 +59,17 @@
 	return listener.Addr().String(), nil
 }
 
+// ownHost returns a loopback address of this process's own. The programs listen
+// on ports that were free a moment before, so processes that run beside, such as
+// other soaks, must not draw from the same ones.
+func ownHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>16)%250, 1+(pid>>8)%250, 1+pid%250)
+}
+
 // freeAddress returns an address that nothing listens on.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", ownHost()+":0")
 	if err != nil {
 		return "", errors.Wrap(err, "listen")
 	}
