Name the reader's error as the cause of a bad frame

On a frame over the limit the WebSocket library sends a close frame and then fails the read. A heartbeat that fell due between the two failed with "close sent", and that became the connection's cause, so the log hid the bad frame. Change: the writer leaves the cause to the reader when a close was sent.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/websocket"
 
 	"dragonflyyard/internal/event"
@@ -193,7 +194,11 @@
 	writer := make(chan struct{})
 	go func() {
 		defer close(writer)
-		c.close(c.write())
+		// After a bad frame the WebSocket library sends a close frame and then
+		// fails the read; the read's error is the cause.
+		if err := c.write(); !errors.Is(err, websocket.ErrCloseSent) {
+			c.close(err)
+		}
 	}()
 	c.close(c.read(deliver))
 	<-writer
--- a/internal/link/contract_test.go
+++ b/internal/link/contract_test.go
@@ -138,6 +138,34 @@
 	}
 }
 
+// TestCauseOfAConnectionThatTheReaderEnds lets heartbeats fall due after the
+// close frame that the WebSocket library sends for a bad frame, and before the
+// reader names the cause.
+func TestCauseOfAConnectionThatTheReaderEnds(t *testing.T) {
+	server, address, _ := startHub(t, contractOptions())
+	peer := greet(t, address, 1)
+	conn := server.nextUp(t)
+	closing := make(chan struct{})
+	peer.ws.SetCloseHandler(func(int, string) error { close(closing); return nil })
+	go func() {
+		for {
+			if _, _, err := peer.ws.ReadMessage(); err != nil {
+				return
+			}
+		}
+	}()
+	body := websocket.FormatCloseMessage(websocket.CloseMessageTooBig, "")
+	if err := conn.ws.WriteControl(websocket.CloseMessage, body, time.Now().Add(limit)); err != nil {
+		t.Fatal(err)
+	}
+	<-closing
+	time.Sleep(5 * testOptions().Heartbeat)
+	peer.send(make([]byte, wire.MaxFrameBytes+1))
+	if o := server.nextLoss(t); !errors.Is(o.cause, wire.ErrFrameSize) {
+		t.Errorf("got %v, want %v", o.cause, wire.ErrFrameSize)
+	}
+}
+
 // TestMessagesThatChangeNothing sends what a connection has to bear.
 func TestMessagesThatChangeNothing(t *testing.T) {
 	cases := map[string]wire.Message{
