--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -9,18 +9,13 @@
 	"dragonflyyard/internal/workload"
 )
 
-// How much unsaved work may be thrown away for urgent work that is not
-// guaranteed, as a share of that work.
-const (
-	maxLossShare = 0.5
-	// closingLossShare is the same for a job that is about to be too late.
-	closingLossShare = 2.0
-)
+// maxLossShare is how much unsaved work may be thrown away for urgent work that
+// is not guaranteed, as a share of that work.
+const maxLossShare = 0.5
 
 // mayThrowAway returns how many core seconds of others' unsaved work a unit may
 // throw away: any for work of priority 0 inside what is guaranteed to its
-// account, a share of its own work beyond that, more before it is too late, and
-// none for other priorities.
+// account, a share of its own work beyond that, and none for other priorities.
 func (c *Core) mayThrowAway(u *unit) float64 {
 	if u.job.Priority != 0 {
 		return 0
@@ -29,11 +24,7 @@
 	if c.urgentInUse(u.job.Account)+need <= c.guaranteed[u.job.Account] {
 		return math.Inf(1)
 	}
-	share := maxLossShare
-	if u.rank.closing {
-		share = closingLossShare
-	}
-	most := share * float64(len(u.tasks)) * u.spec().PerTask.Cores() * u.spec().Estimate.Seconds()
+	most := maxLossShare * float64(len(u.tasks)) * u.spec().PerTask.Cores() * u.spec().Estimate.Seconds()
 	return most - u.job.thrownAway[u.key()]
 }
 
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
 	"dragonflyyard/internal/workload"
 )
@@ -30,8 +29,6 @@
 	// hopeless is set when the job can't be done in three times its objective.
 	hopeless bool
 	priority int
-	// closing is set while the job can just be done before it is hopeless.
-	closing bool
 	// late is set when the job can't meet its objective any more.
 	late bool
 	// work is the job's remaining estimated work in core seconds.
@@ -40,7 +37,7 @@
 
 func (r rank) compare(o rank) int {
 	return cmp.Or(compareBool(r.hopeless, o.hopeless), cmp.Compare(r.priority, o.priority),
-		compareBool(o.closing, r.closing), compareBool(r.late, o.late), cmp.Compare(r.work, o.work))
+		compareBool(r.late, o.late), cmp.Compare(r.work, o.work))
 }
 
 func compareBool(a, b bool) int {
@@ -148,14 +145,6 @@
 // nothing to its caller.
 const lateFactor = 3
 
-// Estimates are rough, so a job's remaining time is taken as between half its
-// estimate and a quarter more, and a second for its start and the report of its end.
-const (
-	leastOfEstimate = 0.5
-	mostOfEstimate  = 1.25
-	startAndReport  = time.Second
-)
-
 // rank returns the order of an occurrence among all.
 func (j *job) rank(now Now, occurrence *workload.OccurrenceProgress, k int) rank {
 	longest := make([]float64, len(j.Steps))
@@ -183,12 +172,11 @@
 	}
 	objective := j.SlackFactor*float64(j.ChainWork().Milliseconds()) + float64(j.TargetDuration.Milliseconds())
 	spent := float64(now.StoreMS - since)
-	left := lateFactor*objective - spent
+	// Estimates are rough, so a job counts as late only once its time is spent.
 	return rank{
-		hopeless: left < 0,
+		hopeless: spent > lateFactor*objective,
 		priority: j.Priority,
-		closing:  left > leastOfEstimate*chain && left < mostOfEstimate*chain+float64(startAndReport.Milliseconds()),
-		late:     spent+leastOfEstimate*chain > objective,
+		late:     spent+chain/2 > objective,
 		work:     work,
 	}
 }
