Scan while a feed is silent instead of taking the store as away

While the store forgot its history its feeds answered nothing for a second. Each host's read of changes timed out, and that marked the store's unnamed part as away for all calls of the process: for 1.2 s (8.03 to 9.2 s) every entry host refused submissions, the owner wrote nothing and jobs accepted at 7.3 to 8.9 s were seen at 9.19 s, although reads and transactions were served all the while. Thirteen urgent jobs were late by it. Ruled out: the store itself (agents' transactions succeeded), and the relay, which only passed the refusals on. Change: a read of changes that fails is returned at once, without marking the store; the watch then scans in the same round, and counts the store as failing only when that fails, too. A lost history leads to the scan without a pause. Tests failed first: a watch over a feed that fails counted as failing; a client whose feed is silent counted the store as away.

--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -115,8 +115,12 @@
 	return snapshot, err
 }
 
-// Changes implements storeapi.Feed.
+// Changes implements storeapi.Feed. A feed that does not answer while other calls
+// do says nothing about the store: the caller scans the table.
 func (c *Client) Changes(ctx context.Context, table string, after storeapi.RowVersion, wait time.Duration) (storeapi.Changes, error) {
+	if !c.DirectAway(table) {
+		return c.direct.Changes(ctx, table, after, wait)
+	}
 	var changes storeapi.Changes
 	err := c.do(ctx, func() (err error) {
 		changes, err = c.direct.Changes(ctx, table, after, wait)
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -37,6 +37,13 @@
 	return s.Store.Get(ctx, key)
 }
 
+func (s *cutStore) Changes(ctx context.Context, table string, after storeapi.RowVersion, wait time.Duration) (storeapi.Changes, error) {
+	if s.err != nil {
+		return storeapi.Changes{}, s.err
+	}
+	return s.Store.Changes(ctx, table, after, wait)
+}
+
 func (s *cutStore) Commit(ctx context.Context, tx storeapi.Transaction) ([]storeapi.RowVersion, error) {
 	if s.err != nil {
 		return nil, s.err
@@ -235,3 +242,29 @@
 		t.Error("the direct way counts as failing")
 	}
 }
+
+// TestSilentFeedIsNoFailureOfTheStore: reads of changes may stay unanswered
+// while the store serves all else. Only another call tells that it is away;
+// then changes are read through a peer.
+func TestSilentFeedIsNoFailureOfTheStore(t *testing.T) {
+	w := newTwoWays(t, func(string) bool { return false })
+	if _, err := w.Commit(t.Context(), put("t/a")); err != nil {
+		t.Fatal(err)
+	}
+	w.direct.err = errAway
+	if _, err := w.Changes(t.Context(), "t", 0, 0); !errors.Is(err, storeapi.ErrUnavailable) {
+		t.Fatalf("a silent feed gives %v", err)
+	}
+	if w.DirectAway("t/a") {
+		t.Fatal("the store counts as away because of its feed")
+	}
+	if _, err := w.Get(t.Context(), "t/a"); err != nil {
+		t.Fatal(err)
+	}
+	if !w.DirectAway("t/a") {
+		t.Fatal("the store does not count as away after a read failed")
+	}
+	if changes, err := w.Changes(t.Context(), "t", 0, 0); err != nil || len(changes.Rows) != 1 {
+		t.Errorf("through a peer: %+v, %v", changes, err)
+	}
+}
--- a/internal/tablewatch/watch.go
+++ b/internal/tablewatch/watch.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"dragonflyyard/internal/pause"
 	"dragonflyyard/internal/storeapi"
 )
@@ -40,7 +38,7 @@
 	Scanned func(storeapi.Snapshot)
 	// Changed is given changes of the whole table.
 	Changed func([]storeapi.Change)
-	// Failed is told of a read that failed; it may be nil.
+	// Failed is told of each read that failed; it may be nil.
 	Failed func(error)
 }
 
@@ -96,27 +94,33 @@
 	backoff := w.settings.FirstPause
 	nextScan := time.Now().Add(w.rescanIn())
 	for ctx.Err() == nil {
-		var err error
 		sentAt := time.Now()
-		if !scanned || sentAt.After(nextScan) {
+		following := scanned && sentAt.Before(nextScan)
+		var feedErr, err error
+		if following {
+			version, feedErr = w.changes(ctx, version)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if feedErr != nil {
+			w.tell(feedErr)
+			// The feed may be silent or its history lost while the store answers.
+			sentAt = time.Now()
+		}
+		if !following || feedErr != nil {
 			version, err = w.scan(ctx, version)
 			scanned = scanned || err == nil
 			nextScan = time.Now().Add(w.rescanIn())
-		} else {
-			version, err = w.changes(ctx, version)
 		}
-		if errors.Is(err, storeapi.ErrHistoryGone) {
-			scanned = false
+		if ctx.Err() != nil {
+			return
 		}
-		if err == nil {
-			w.succeeded(sentAt)
+		w.ended(sentAt, err)
+		if err == nil && feedErr == nil {
 			backoff = w.settings.FirstPause
 			continue
 		}
-		if ctx.Err() != nil {
-			return
-		}
-		w.failed(err)
 		pause.For(ctx, backoff/2+rand.N(backoff/2))
 		backoff = min(2*backoff, w.settings.LongestPause)
 	}
@@ -152,21 +156,25 @@
 	return changes.Version, nil
 }
 
-func (w *Watch) succeeded(sentAt time.Time) {
+// ended notes how a round of reads ended whose last one was sent at sentAt.
+func (w *Watch) ended(sentAt time.Time, err error) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.asOf = sentAt
-	w.failing = false
-	if w.wellSince.IsZero() {
-		w.wellSince = sentAt
+	switch w.failing = err != nil; {
+	case err != nil:
+		w.wellSince = time.Time{}
+	case w.wellSince.IsZero():
+		w.asOf, w.wellSince = sentAt, sentAt
+	default:
+		w.asOf = sentAt
+	}
+	w.mu.Unlock()
+	if err != nil {
+		w.tell(err)
 	}
 }
 
-func (w *Watch) failed(err error) {
-	w.mu.Lock()
-	w.wellSince = time.Time{}
-	w.failing = true
-	w.mu.Unlock()
+// tell passes a failure on to the handler.
+func (w *Watch) tell(err error) {
 	if w.handler.Failed != nil {
 		w.handler.Failed(err)
 	}
--- a/internal/tablewatch/watch_test.go
+++ b/internal/tablewatch/watch_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"dragonflyyard/internal/standin"
 	"dragonflyyard/internal/storeapi"
 )
@@ -76,3 +78,52 @@
 		t.Error("the end of the watch counts as a failure of the store")
 	}
 }
+
+// silentFeed answers scans, and no read of changes.
+type silentFeed struct {
+	*standin.Store
+	err   error
+	scans chan struct{}
+}
+
+func (f *silentFeed) Changes(context.Context, string, storeapi.RowVersion, time.Duration) (storeapi.Changes, error) {
+	return storeapi.Changes{}, f.err
+}
+
+func (f *silentFeed) Scan(ctx context.Context, prefix string) (storeapi.Snapshot, error) {
+	snapshot, err := f.Store.Scan(ctx, prefix)
+	select {
+	case f.scans <- struct{}{}:
+	case <-ctx.Done():
+	}
+	return snapshot, err
+}
+
+// TestScansWhileTheFeedFails: a feed that is silent, or has lost its history,
+// is no failure of a store that answers scans.
+func TestScansWhileTheFeedFails(t *testing.T) {
+	for _, err := range []error{storeapi.ErrUnavailable, storeapi.ErrHistoryGone} {
+		feed := &silentFeed{Store: standin.NewStore(time.Now), err: err, scans: make(chan struct{})}
+		var failures []error
+		scanned := 0
+		w := New(DefaultSettings(), feed, "t", "t/", Handler{
+			Scanned: func(storeapi.Snapshot) { scanned++ },
+			Changed: func([]storeapi.Change) {},
+			Failed:  func(err error) { failures = append(failures, err) },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { w.Run(ctx, 0); close(done) }()
+		for range 4 {
+			<-feed.scans
+			if w.Failing() {
+				t.Errorf("%v: the watch counts the store as failing", err)
+			}
+		}
+		cancel()
+		<-done
+		if scanned < 3 || len(failures) < 3 || !errors.Is(failures[0], err) {
+			t.Errorf("%v: %d scans, failures told: %v", err, scanned, failures)
+		}
+	}
+}
