Send a transaction again soon when its answer is lost

Each lost answer held its sender for 1.5 s, the owner's whole queue among them, and counted as a failure of the store: for half a second all calls for that part went through peers, which had lost answers, too. Ruled out: slow commits (answers that came took 8 to 20 ms in these logs). Change: a try of a transaction waits four times the usual latency of its part, 250 ms at least, and twice as long after each try without an answer. Three such tries in a row, not one, count as a failure of the way to the store. Callers settle what is in doubt by sending the same transaction again, as before. Tests failed first: a lost answer counted as a failure; a try had no bound of its own.

--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -43,6 +43,8 @@
 	// failing holds the parts whose last direct call failed, with when the direct
 	// way is tried again. The store may refuse single parts.
 	failing map[string]time.Time
+	// patience holds how soon each part answers transactions.
+	patience map[string]*patience
 	// avoid holds until when each peer is left alone.
 	avoid map[string]time.Time
 	http  map[string]*fasthttp.HostClient
@@ -52,7 +54,7 @@
 // nearest first.
 func NewClient(direct storeapi.Store, peers func() []string, log *zap.Logger, registry metrics.Registry) *Client {
 	return &Client{
-		direct: direct, peers: peers, log: log, failing: map[string]time.Time{}, avoid: map[string]time.Time{}, http: map[string]*fasthttp.HostClient{},
+		direct: direct, peers: peers, log: log, failing: map[string]time.Time{}, patience: map[string]*patience{}, avoid: map[string]time.Time{}, http: map[string]*fasthttp.HostClient{},
 		relayed: metrics.GetOrRegisterCounter("store.relayed", registry),
 	}
 }
@@ -135,12 +137,41 @@
 func (c *Client) Commit(ctx context.Context, tx storeapi.Transaction) ([]storeapi.RowVersion, error) {
 	var versions []storeapi.RowVersion
 	err := c.do(ctx, func() (err error) {
-		versions, err = c.direct.Commit(ctx, tx)
+		versions, err = c.commitDirect(ctx, tx)
 		return err
 	}, pathCommit, request{Tx: tx}, writeWithin, func(r *response) { versions = r.Versions })
 	return versions, err
 }
 
+// commitDirect makes one try of a transaction.
+func (c *Client) commitDirect(ctx context.Context, tx storeapi.Transaction) ([]storeapi.RowVersion, error) {
+	in := request{Tx: tx}
+	part := partOf(in.subject())
+	c.mu.Lock()
+	within := c.patienceOf(part).next()
+	c.mu.Unlock()
+	try, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	sentAt := time.Now()
+	versions, err := c.direct.Commit(try, tx)
+	if err == nil || errors.Is(err, storeapi.ErrConflict) {
+		c.mu.Lock()
+		c.patienceOf(part).answered(time.Since(sentAt))
+		c.mu.Unlock()
+	}
+	return versions, err
+}
+
+// patienceOf returns what is known of a part's latency. c.mu is held.
+func (c *Client) patienceOf(part string) *patience {
+	p := c.patience[part]
+	if p == nil {
+		p = &patience{}
+		c.patience[part] = p
+	}
+	return p
+}
+
 // do makes a call directly unless that fails at present, then through peers. A
 // write in doubt is not repeated here: its caller knows what to check.
 func (c *Client) do(ctx context.Context, direct func() error, path string, in request, within time.Duration, take func(*response)) error {
@@ -185,21 +216,23 @@
 	return true
 }
 
-// directDone notes how a direct call ended.
+// directDone notes how a direct call ended. A lost answer changes nothing.
 func (c *Client) directDone(part string, err error) {
-	failed := errors.Is(err, storeapi.ErrUnavailable) || errors.Is(err, storeapi.ErrInDoubt)
 	c.mu.Lock()
+	doubt := errors.Is(err, storeapi.ErrInDoubt)
+	failed := errors.Is(err, storeapi.ErrUnavailable) || (doubt && c.patienceOf(part).unanswered())
 	_, before := c.failing[part]
-	if failed {
+	switch {
+	case failed:
 		c.failing[part] = time.Now().Add(probeEvery)
-	} else {
+	case !doubt:
 		delete(c.failing, part)
 	}
 	c.mu.Unlock()
 	switch {
 	case failed && !before:
 		c.log.Warn("store_lost", zap.String("part", part), logging.Err(err))
-	case before && !failed:
+	case before && !failed && !doubt:
 		c.log.Info("store_regained", zap.String("part", part))
 	}
 }
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -28,6 +28,8 @@
 type cutStore struct {
 	storeapi.Store
 	err error
+	// commit is told the deadline of each transaction; it may be nil.
+	commit func(deadline time.Time)
 }
 
 func (s *cutStore) Get(ctx context.Context, key string) (storeapi.Row, error) {
@@ -45,6 +47,10 @@
 }
 
 func (s *cutStore) Commit(ctx context.Context, tx storeapi.Transaction) ([]storeapi.RowVersion, error) {
+	if s.commit != nil {
+		deadline, _ := ctx.Deadline()
+		s.commit(deadline)
+	}
 	if s.err != nil {
 		return nil, s.err
 	}
