Keep nothing of jobs whose rows are deleted

Change: taken ends belong to their job and go with it; a deleted job is remembered for a minute, in which a read from before may still show it. The test can't be built on the old code; what it counts could only grow there.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -1,6 +1,10 @@
 package dispatch
 
 import (
+	"maps"
+	"time"
+
+	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/workload"
@@ -20,6 +24,8 @@
 	case BatchInbox:
 		if b.job.inboxLeft--; b.job.inboxLeft == 0 {
 			delete(c.jobs, b.job.ID)
+			delete(c.cancelled, b.job.ID)
+			c.collected[b.job.ID] = now.StoreMS
 			c.dropKeys = append(c.dropKeys, workload.ProgressKey(b.job.ID))
 		}
 	}
@@ -76,17 +82,21 @@
 	}
 }
 
+// collectedFor is how long a job is remembered whose rows were deleted, many
+// times as long as a read from before the deletion may be under way.
+const collectedFor = time.Minute
+
 // collect returns the batches that delete jobs whose time to be asked for has
 // passed. Their orders have ended. A job leaves the inbox before its progress
 // goes, so that no successor takes it for a new one.
 func (c *Core) collect(now Now) []*Batch {
+	maps.DeleteFunc(c.collected, func(_ model.JobID, atMS int64) bool { return now.StoreMS-atMS > collectedFor.Milliseconds() })
 	var out []*Batch
 	for _, j := range c.sortedJobs() {
 		kept := now.StoreMS - j.progress.EndedMS
 		if !j.progress.State.Final() || len(j.orders) > 0 || j.progress.EndedMS == 0 || j.collecting || kept < c.settings.Retention.Milliseconds() {
 			continue
 		}
-		c.collected[j.ID] = true
 		jobs, cancels := workload.JobKeys(j.ID), workload.CancelKeys(j.ID)
 		j.collecting, j.inboxLeft = true, len(jobs)
 		for i := range jobs {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -86,10 +86,9 @@
 	dropKeys []string
 	// cancelled are cancellations of jobs that were not seen yet.
 	cancelled map[model.JobID]bool
-	// seenEnds are ends that were taken in; a second report changes nothing.
-	seenEnds map[string]bool
-	// collected are jobs whose rows were deleted; a read from before shows them again.
-	collected map[model.JobID]bool
+	// collected holds when the rows of jobs were deleted, on the store's clock; a
+	// read from before shows them again.
+	collected map[model.JobID]int64
 	pending   pendingCounts
 	decisions []Decision
 	// lapsing is set while the lapse of a worker is being written.
@@ -101,6 +100,8 @@
 	*workload.Job
 	progress *workload.Progress
 	orders   map[workload.RunID]*order
+	// seenEnds are ends that were taken in; a second report changes nothing.
+	seenEnds map[string]bool
 	// dirty is set when progress differs from its row.
 	dirty bool
 	// collecting is set while the job's rows are being deleted; inboxLeft counts
@@ -171,7 +172,7 @@
 	return &Core{
 		settings: settings, jobs: map[model.JobID]*job{}, workers: map[string]*worker{},
 		guaranteed: map[model.ClientAccountID]int{}, evacuated: map[model.AvailabilityZoneName]bool{},
-		cancelled: map[model.JobID]bool{}, seenEnds: map[string]bool{}, collected: map[model.JobID]bool{},
+		cancelled: map[model.JobID]bool{}, collected: map[model.JobID]int64{},
 		sick: quarantine.NewTracker(settings.Quarantine, quarantine.State{}),
 	}
 }
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -19,16 +19,19 @@
 // EndSeen takes in the end of a run, which lies under a key until the next
 // batch. A second report of the same end changes nothing.
 func (c *Core) EndSeen(now Now, key string, end workload.End) {
-	if c.seenEnds[key] {
-		return
-	}
-	c.seenEnds[key] = true
-	c.endKeys = append(c.endKeys, key)
 	ref, err := workload.ParseTaskRef(end.Task)
 	if err != nil {
+		c.endKeys = append(c.endKeys, key)
 		return
 	}
 	j := c.jobs[ref.Job]
+	if j != nil {
+		if j.seenEnds[key] {
+			return
+		}
+		j.seenEnds[key] = true
+	}
+	c.endKeys = append(c.endKeys, key)
 	if j == nil || ref.Step >= len(j.Steps) || ref.Index >= j.Steps[ref.Step].Tasks {
 		return
 	}
--- a/internal/dispatch/ends_test.go
+++ b/internal/dispatch/ends_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/workload"
 )
@@ -65,3 +66,33 @@
 		t.Errorf("ordered %+v, want one on the only worker with room", again)
 	}
 }
+
+// TestCollectedJobsLeaveNothing: an owner that goes on for months keeps nothing
+// of jobs whose rows are deleted, but for the moment in which a read from before
+// may still show them.
+func TestCollectedJobsLeaveNothing(t *testing.T) {
+	r := newRig(t)
+	r.worker("h1", "r1", nil)
+	for i := range 5 {
+		job := r.job(jobID(i+1), nil)
+		for _, o := range r.plan() {
+			r.end(o, workload.EndDone, "")
+		}
+		r.core.CancelSeen(job.ID)
+		r.plan()
+	}
+	r.pass(DefaultSettings().Retention + time.Second)
+	r.plan()
+	r.plan()
+	// A read from before the deletion shows the first job again.
+	r.job(jobID(1), nil)
+	r.core.CancelSeen(model.JobID(jobID(1)))
+	if stats := r.core.Stats(); stats.Jobs != 0 {
+		t.Fatalf("%d jobs are kept", stats.Jobs)
+	}
+	r.pass(2 * collectedFor)
+	r.plan()
+	if n := len(r.core.collected) + len(r.core.cancelled) + len(r.core.endKeys); n != 0 {
+		t.Errorf("kept of deleted jobs: %v, %v, %v", r.core.collected, r.core.cancelled, r.core.endKeys)
+	}
+}
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -11,14 +11,14 @@
 
 // JobSeen takes in an accepted job, with its progress when there is any.
 func (c *Core) JobSeen(accepted *workload.Job, progress *workload.Progress) {
-	if c.jobs[accepted.ID] != nil || c.collected[accepted.ID] {
+	if _, collected := c.collected[accepted.ID]; collected || c.jobs[accepted.ID] != nil {
 		return
 	}
 	if progress == nil {
 		progress = workload.NewProgress(accepted.Account)
 	}
 	j := &job{
-		Job: accepted, progress: progress, orders: map[workload.RunID]*order{},
+		Job: accepted, progress: progress, orders: map[workload.RunID]*order{}, seenEnds: map[string]bool{},
 		readySinceMS: map[stepKey]int64{}, notBeforeMS: map[stepKey]int64{}, thrownAway: map[stepKey]float64{},
 	}
 	c.jobs[accepted.ID] = j
@@ -33,7 +33,9 @@
 func (c *Core) CancelSeen(id model.JobID) {
 	j := c.jobs[id]
 	if j == nil {
-		c.cancelled[id] = true
+		if _, collected := c.collected[id]; !collected {
+			c.cancelled[id] = true
+		}
 		return
 	}
 	c.finish(j, workload.StateCancelled, "cancelled by its caller")
