Let urgent tasks of their own take the room that they may

An urgent job of 9 tasks, each a whole worker wide and not a gang, was accepted at 26.6 s and done at 66.8 s: room for all missing tasks would have thrown away more than the job may, so none was made, and tasks began only as workers emptied. Ruled out: the change of owner at 35 s (tasks waited before and after), racks (none asked for), and the guarantee (the job was beyond it). Change: claims for tasks that are no gang end at what may be thrown away, the cheapest first; capacity is held for the rest. A gang is still claimed whole. The test failed first: nothing was stopped for a job of which one task could have had room for little.

--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -74,38 +74,43 @@
 	for _, o := range best.victims {
 		c.preempt(o, u)
 	}
+	if rest := missing - len(best.places); rest > 0 {
+		r.hold(u, rest)
+	}
 }
 
 // bestClaims returns the claims for missing tasks that throw the least work
-// away and no more than the unit may, or nil. A gang is claimed for whole.
+// away and no more than the unit may, or nil. A gang is claimed for whole; of
+// other tasks those come first for which room costs the least.
 func (c *Core) bestClaims(now Now, r *room, u *unit, missing int) *claims {
 	most := c.mayThrowAway(u)
 	var best *claims
 	for _, set := range r.workerSets(u) {
 		cl := &claims{unit: u, workers: set, chosen: map[*order]bool{}, coming: comingFree(r)}
-		for len(cl.places) < missing && c.claimOne(now, r, cl) {
+		for len(cl.places) < missing && c.claimOne(now, r, cl, most) {
 			continue
 		}
 		for _, w := range cl.places {
 			r.giveBack(u, w)
 		}
 		whole := len(cl.places) == missing || (!u.gang() && len(cl.places) > 0)
-		if whole && cl.cost <= most && (best == nil || cl.cost < best.cost) {
+		if whole && (best == nil || cl.cost < best.cost) {
 			best = cl
 		}
 	}
 	return best
 }
 
-// claimOne chooses a worker for one more task, and what is stopped there.
-func (c *Core) claimOne(now Now, r *room, cl *claims) bool {
-	w, victims := c.cheapest(now, r, cl)
-	if w == nil {
+// claimOne chooses a worker for one more task, and what is stopped there. It
+// returns false when there is none, or none inside what may be thrown away.
+func (c *Core) claimOne(now Now, r *room, cl *claims, most float64) bool {
+	w, victims, cost := c.cheapest(now, r, cl)
+	if w == nil || cl.cost+cost > most {
 		return false
 	}
+	cl.cost += cost
 	for _, o := range victims {
 		cl.chosen[o] = true
-		cl.cost += unsaved(now, o)
 		cl.coming[o.worker] = cl.coming[o.worker].Add(o.demand)
 	}
 	cl.victims = append(cl.victims, victims...)
@@ -124,11 +129,8 @@
 }
 
 // cheapest returns the worker on which room for one more task costs the least
-// unsaved work, and the runs to stop there. There may be none to stop.
-func (c *Core) cheapest(now Now, r *room, cl *claims) (*worker, []*order) {
-	var best *worker
-	var bestVictims []*order
-	bestCost := 0.0
+// unsaved work, the runs to stop there, and that work. There may be none to stop.
+func (c *Core) cheapest(now Now, r *room, cl *claims) (best *worker, bestVictims []*order, bestCost float64) {
 	for _, w := range cl.workers {
 		if !allowed(cl.unit, w) || !r.underLimit(cl.unit, w) {
 			continue
@@ -138,7 +140,7 @@
 			best, bestVictims, bestCost = w, victims, cost
 		}
 	}
-	return best, bestVictims
+	return best, bestVictims, bestCost
 }
 
 // victimsOn returns runs on a worker that make room for one task when stopped,
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -262,3 +262,40 @@
 		r.worker("h2", "r1", nil)
 	}
 }
+
+// TestUrgentTasksTakeTheRoomTheyMay: the tasks of a wide urgent job need no
+// company. Those for which room costs little get it, although room for all
+// would cost more than the job may throw away.
+func TestUrgentTasksTakeTheRoomTheyMay(t *testing.T) {
+	r := newRig(t)
+	for i, host := range []string{"h1", "h2", "h3"} {
+		r.worker(host, "r1", nil)
+		r.job(jobID(i+1), func(j *workload.Job) {
+			j.Steps[0].PerTask.Accelerators, j.Steps[0].Estimate = 8, 30*time.Second
+			j.Steps[0].Checkpoints = host == "h2"
+		})
+	}
+	running := r.plan()
+	if len(running) != 3 {
+		t.Fatalf("%d of 3 tasks started", len(running))
+	}
+	r.pass(20 * time.Second)
+	for _, o := range running {
+		r.worker(o.Host, "r1", func(a *workload.Announcement) {
+			a.SentMS = r.now.StoreMS
+			a.Running = []workload.RunningTask{{Task: o.Task, Run: o.Run}}
+		})
+	}
+	r.pass(2 * time.Second)
+	for _, o := range running {
+		r.worker(o.Host, "r1", func(a *workload.Announcement) { a.Running = []workload.RunningTask{{Task: o.Task, Run: o.Run}} })
+	}
+	r.job("00000000000000f1", func(j *workload.Job) {
+		j.Priority, j.Steps[0].Tasks, j.Steps[0].PerTask.Accelerators = 0, 3, 8
+	})
+	r.plan()
+	stopped := r.stopping()
+	if len(stopped) != 1 || stopped[0].Task != jobID(2)+".0.0.0" {
+		t.Errorf("stopped %+v, want the one task that saves its work", stopped)
+	}
+}
