--- a/internal/storerelay/patience_test.go
+++ b/internal/storerelay/patience_test.go
@@ -20,8 +20,10 @@
 	expect("nothing is known", shortestTry)
 	p.answered(10 * time.Millisecond)
 	expect("the store answers soon", shortestTry)
-	if p.unanswered() || p.unanswered() {
-		t.Error("two lost answers count as a failure")
+	for range maxDoubts - 1 {
+		if p.unanswered() {
+			t.Error("a few lost answers count as a failure")
+		}
 	}
 	expect("two tries got no answer", min(4*shortestTry, longestTry))
 	if !p.unanswered() {
