Weigh late jobs by what they are worth, and let urgent work stop as much as it does

And a step's share of others' work shrank with the tasks that had begun: after one claim it was below zero, and later tasks of the step claimed nothing. Change: of one priority, the job with the least work for its worth comes first; a late job's work counts five times. Urgent work beyond the guarantee may throw away as much as its whole step does (half of its waiting tasks' before). The case of urgent tasks that take the room they may now lets its runs work 20 s before, not after, their first report, so that stopping two of them exceeds the larger share, too; what it asks for is the same.

--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -10,12 +10,13 @@
 )
 
 // maxLossShare is how much unsaved work may be thrown away for urgent work that
-// is not guaranteed, as a share of that work.
-const maxLossShare = 0.5
+// is not guaranteed, as a share of that work. A loss delays work that has time;
+// waiting makes urgent work late.
+const maxLossShare = 1.0
 
 // mayThrowAway returns how many core seconds of others' unsaved work a unit may
 // throw away: any for work of priority 0 inside what is guaranteed to its
-// account, a share of its own work beyond that, and none for other priorities.
+// account, a share of its step's work beyond that, and none for other priorities.
 func (c *Core) mayThrowAway(u *unit) float64 {
 	if u.job.Priority != 0 {
 		return 0
@@ -24,8 +25,9 @@
 	if c.urgentInUse(u.job.Account)+need <= c.guaranteed[u.job.Account] {
 		return math.Inf(1)
 	}
-	most := maxLossShare * float64(len(u.tasks)) * u.spec().PerTask.Cores() * u.spec().Estimate.Seconds()
-	return most - u.job.thrownAway[u.key()]
+	step := u.spec()
+	most := maxLossShare * float64(step.Tasks) * step.PerTask.Cores() * step.Estimate.Seconds()
+	return max(0, most-u.job.thrownAway[u.key()])
 }
 
 // urgentInUse returns the accelerators that an account's jobs of priority 0 hold.
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -279,14 +279,14 @@
 	if len(running) != 3 {
 		t.Fatalf("%d of 3 tasks started", len(running))
 	}
-	r.pass(20 * time.Second)
+	r.pass(2 * time.Second)
 	for _, o := range running {
 		r.worker(o.Host, "r1", func(a *workload.Announcement) {
 			a.SentMS = r.now.StoreMS
 			a.Running = []workload.RunningTask{{Task: o.Task, Run: o.Run}}
 		})
 	}
-	r.pass(2 * time.Second)
+	r.pass(20 * time.Second)
 	for _, o := range running {
 		r.worker(o.Host, "r1", func(a *workload.Announcement) { a.Running = []workload.RunningTask{{Task: o.Task, Run: o.Run}} })
 	}
@@ -299,3 +299,38 @@
 		t.Errorf("stopped %+v, want the one task that saves its work", stopped)
 	}
 }
+
+// TestStartedTasksKeepTheirShare: an urgent job may throw away as much as its
+// step does, however much of the step began before.
+func TestStartedTasksKeepTheirShare(t *testing.T) {
+	r := newRig(t)
+	r.worker("h1", "r1", nil)
+	r.worker("h2", "r1", nil)
+	for i := range 16 {
+		r.job(jobID(i+1), nil)
+	}
+	r.plan()
+	draining := func(a *workload.Announcement) { a.State = workload.WorkerDraining }
+	r.worker("h2", "r1", draining)
+	r.job("00000000000000ff", func(j *workload.Job) {
+		j.Account, j.Priority = "bronze", 0
+		j.Steps[0].Tasks, j.Steps[0].PerTask.Accelerators = 2, 8
+	})
+	stopAll := func(host string) {
+		t.Helper()
+		r.plan()
+		stopping := r.stopping()
+		if len(stopping) != 8 {
+			t.Errorf("%d runs are stopped for 8 accelerators on %s", len(stopping), host)
+		}
+		for _, o := range stopping {
+			r.end(o, workload.EndStopped, "")
+		}
+		if started := r.plan(); len(started) == 0 || started[0].Task[:16] != "00000000000000ff" {
+			t.Errorf("started on %s: %+v", host, started)
+		}
+	}
+	stopAll("h1")
+	r.worker("h2", "r1", nil)
+	stopAll("h2")
+}
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -29,15 +29,29 @@
 	// hopeless is set when the job can't be done in three times its objective.
 	hopeless bool
 	priority int
-	// late is set when the job can't meet its objective any more.
+	// late is set when the job can't meet its objective any more. Ending late is
+	// worth a part to its caller.
 	late bool
 	// work is the job's remaining estimated work in core seconds.
 	work float64
 }
 
+// lateWeight is how many times as much a job in its objective is worth as a late
+// one; the ratios that deployments state are from 3 to 10.
+const lateWeight = 5
+
 func (r rank) compare(o rank) int {
 	return cmp.Or(compareBool(r.hopeless, o.hopeless), cmp.Compare(r.priority, o.priority),
-		compareBool(r.late, o.late), cmp.Compare(r.work, o.work))
+		cmp.Compare(r.workPerWorth(), o.workPerWorth()))
+}
+
+// workPerWorth puts short jobs first, as the mean wait asks for, and weighs the
+// work of late jobs by how little they are still worth.
+func (r rank) workPerWorth() float64 {
+	if r.late {
+		return lateWeight * r.work
+	}
+	return r.work
 }
 
 func compareBool(a, b bool) int {
