Let one goroutine ask for the store's return, and learn slow stores from reads

Each loop asked for itself, at most once in 0.5 s, and each question sent into the silence waited for its whole bound of 0.7 s. Callers that asked meanwhile were refused until their time ended. Change: callers and loops no longer ask a part that fails. Client.Probe asks the failing parts in turn, each 150 ms on entry hosts and 500 ms on agents, without waiting for answers; one part that answers has the others asked at once. The view pauses at most 0.2 s between failed reads.

--- a/internal/deployed/agent.go
+++ b/internal/deployed/agent.go
@@ -39,6 +39,7 @@
 		return err
 	}
 	group.Go(func() error { book.Run(ctx); return nil })
+	group.Go(func() error { store.Probe(ctx, agentProbeEvery); return nil })
 	group.Go(func() error { reload(ctx, log, reloadSettings); return nil })
 	group.Go(func() error { return agent.Run(ctx) })
 	err := group.Wait()
--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -24,6 +24,13 @@
 // served, while the balancer sends no new connections.
 const drainShare = 0.55
 
+// How often a process asks a store that is away. Entry hosts are few, and callers
+// wait for them; agents are as many as workers, and their runs go on meanwhile.
+const (
+	entryProbeEvery = 150 * time.Millisecond
+	agentProbeEvery = 500 * time.Millisecond
+)
+
 // RunEntry runs an entry host until ctx is done, then stops gracefully.
 // reloadSettings reads the settings anew.
 func RunEntry(ctx context.Context, s settings.DeployedEntry, log *zap.Logger, registry metrics.Registry, reloadSettings func() error) error {
@@ -54,6 +61,7 @@
 		return err
 	}
 	group.Go(func() error { book.Run(serving); return nil })
+	group.Go(func() error { store.Probe(serving, entryProbeEvery); return nil })
 	group.Go(func() error { view.Run(serving); return nil })
 	group.Go(func() error { reload(serving, log, reloadSettings); return nil })
 	group.Go(func() error { return scheduler.Run(ctx) })
--- a/internal/jobentry/view.go
+++ b/internal/jobentry/view.go
@@ -36,6 +36,9 @@
 	maxAge = 1600 * time.Millisecond
 	// watchWait is how long one read waits for changes, well below maxAge.
 	watchWait = 500 * time.Millisecond
+	// longestPause is the longest pause between two reads that fail; callers are
+	// refused until one succeeds.
+	longestPause = 200 * time.Millisecond
 )
 
 // View is what operators configured, as this entry host knows it. It never goes
@@ -66,7 +69,7 @@
 		lifted:    map[model.AvailabilityZoneName]storeapi.RowVersion{},
 	}
 	settings := tablewatch.DefaultSettings()
-	settings.Wait = watchWait
+	settings.Wait, settings.LongestPause = watchWait, longestPause
 	v.watch = tablewatch.New(settings, store, rows.Table, rows.Table+"/", tablewatch.Handler{
 		Scanned: v.scanned,
 		Changed: v.changed,
@@ -179,7 +182,7 @@
 }
 
 // StoreAway reports whether the last read of the operators' rows failed. The
-// watch asks again within half a second; calls need not wait for the same answer.
+// watch asks again soon; calls need not wait for the same answer.
 func (v *View) StoreAway() bool { return v.watch.Failing() }
 
 func (v *View) refresh(ctx context.Context) {
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -19,8 +19,6 @@
 
 // Times of the choice between the two ways.
 const (
-	// probeEvery is how often the direct way is tried while it fails.
-	probeEvery = 500 * time.Millisecond
 	// avoidPeer is how long a peer is left alone that could not be reached.
 	avoidPeer = 3 * time.Second
 	// peerDial bounds the opening of a connection to a peer.
@@ -40,21 +38,24 @@
 	relayed metrics.Counter
 
 	mu sync.Mutex
-	// failing holds the parts whose last direct call failed, with when the direct
-	// way is tried again. The store may refuse single parts.
-	failing map[string]time.Time
-	// patience holds how soon each part answers transactions.
+	// failing holds the parts whose last direct call failed. The store may refuse
+	// single parts.
+	failing map[string]failure
+	// patience holds how soon each part answers transactions, and reads how soon
+	// reads are answered that don't wait for changes.
 	patience map[string]*patience
+	reads    patience
 	// avoid holds until when each peer is left alone.
 	avoid map[string]time.Time
 	http  map[string]*fasthttp.HostClient
 }
 
 // NewClient returns a client. peers returns the relay addresses of entry hosts,
-// nearest first.
+// nearest first. A part that failed is asked directly again once Probe found that
+// it answers.
 func NewClient(direct storeapi.Store, peers func() []string, log *zap.Logger, registry metrics.Registry) *Client {
 	return &Client{
-		direct: direct, peers: peers, log: log, failing: map[string]time.Time{}, patience: map[string]*patience{}, avoid: map[string]time.Time{}, http: map[string]*fasthttp.HostClient{},
+		direct: direct, peers: peers, log: log, failing: map[string]failure{}, patience: map[string]*patience{}, avoid: map[string]time.Time{}, http: map[string]*fasthttp.HostClient{},
 		relayed: metrics.GetOrRegisterCounter("store.relayed", registry),
 	}
 }
@@ -63,7 +64,8 @@
 func (c *Client) DirectAway(key string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.failing[partOf(key)].IsZero()
+	_, failing := c.failing[partOf(key)]
+	return failing
 }
 
 func partOf(key string) string {
@@ -148,7 +150,7 @@
 	in := request{Tx: tx}
 	part := partOf(in.subject())
 	c.mu.Lock()
-	within := c.patienceOf(part).next()
+	within := c.patienceOf(part).next(c.reads.usual)
 	c.mu.Unlock()
 	try, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
@@ -162,6 +164,16 @@
 	return versions, err
 }
 
+// readDone takes in how soon a read of a row or a page was answered.
+func (c *Client) readDone(latency time.Duration, err error) {
+	if err != nil && !errors.Is(err, storeapi.ErrNotFound) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reads.answered(latency)
+}
+
 // patienceOf returns what is known of a part's latency. c.mu is held.
 func (c *Client) patienceOf(part string) *patience {
 	p := c.patience[part]
@@ -176,13 +188,16 @@
 // write in doubt is not repeated here: its caller knows what to check.
 func (c *Client) do(ctx context.Context, direct func() error, path string, in request, within time.Duration, take func(*response)) error {
 	err := errors.Wrap(storeapi.ErrUnavailable, "the store does not answer this host")
-	part := partOf(in.subject())
-	if c.tryDirect(part) {
+	if key := in.subject(); !c.DirectAway(key) {
+		sentAt := time.Now()
 		if err = direct(); err != nil && ctx.Err() != nil {
 			// The caller's time ended; that says nothing about the store.
 			return err
 		}
-		if c.directDone(part, err); !errors.Is(err, storeapi.ErrUnavailable) {
+		if path == pathGet || path == pathList {
+			c.readDone(time.Since(sentAt), err)
+		}
+		if c.directDone(key, err); !errors.Is(err, storeapi.ErrUnavailable) {
 			return err
 		}
 	}
@@ -201,31 +216,17 @@
 	return err
 }
 
-// tryDirect reports whether the direct way to a part is tried now.
-func (c *Client) tryDirect(part string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	probeAt, failing := c.failing[part]
-	if failing && now.Before(probeAt) {
-		return false
-	}
-	if failing {
-		c.failing[part] = now.Add(probeEvery)
-	}
-	return true
-}
-
-// directDone notes how a direct call ended. A lost answer changes nothing.
-func (c *Client) directDone(part string, err error) {
+// directDone notes how a direct call about a key ended. A lost answer changes nothing.
+func (c *Client) directDone(key string, err error) {
+	part := partOf(key)
 	c.mu.Lock()
 	doubt := errors.Is(err, storeapi.ErrInDoubt)
 	failed := errors.Is(err, storeapi.ErrUnavailable) || (doubt && c.patienceOf(part).unanswered())
 	_, before := c.failing[part]
 	switch {
-	case failed:
-		c.failing[part] = time.Now().Add(probeEvery)
-	case !doubt:
+	case failed && !before:
+		c.failing[part] = failure{key: key, probedAt: time.Now()}
+	case !failed && !doubt:
 		delete(c.failing, part)
 	}
 	c.mu.Unlock()
--- a/internal/storerelay/patience.go
+++ b/internal/storerelay/patience.go
@@ -28,9 +28,11 @@
 }
 
 // next returns how long the next try waits, twice as long after each try that
-// was not answered.
-func (p *patience) next() time.Duration {
-	return min(max(shortestTry, slowerBy*p.usual)<<p.doubts, longestTry)
+// was not answered. usualRead is the smoothed latency of reads: they tell that
+// the store has turned slow before a transaction does.
+func (p *patience) next(usualRead time.Duration) time.Duration {
+	usual := max(p.usual, usualRead)
+	return min(max(shortestTry, slowerBy*usual)<<p.doubts, longestTry)
 }
 
 // answered takes in the latency of an answer.
--- a/internal/storerelay/patience_test.go
+++ b/internal/storerelay/patience_test.go
@@ -13,7 +13,7 @@
 	var p patience
 	expect := func(what string, want time.Duration) {
 		t.Helper()
-		if got := p.next(); got != want {
+		if got := p.next(0); got != want {
 			t.Errorf("%s: waits %v, want %v", what, got, want)
 		}
 	}
@@ -35,7 +35,7 @@
 	for range 10 {
 		p.answered(200 * time.Millisecond)
 	}
-	if got := p.next(); got < 3*200*time.Millisecond {
+	if got := p.next(0); got < 3*200*time.Millisecond {
 		t.Errorf("waits %v for a store that takes 200 ms", got)
 	}
 }
@@ -72,3 +72,26 @@
 		t.Errorf("the try waits %v, want at most %v", patient, shortestTry)
 	}
 }
+
+// TestSlowReadsMakeTriesPatient: reads tell that the store has turned slow, so
+// the first transaction of a slow spell is not sent twice.
+func TestSlowReadsMakeTriesPatient(t *testing.T) {
+	w := newTwoWays(t, func(string) bool { return false })
+	var patient time.Duration
+	w.direct.commit = func(deadline time.Time) { patient = time.Until(deadline) }
+	if _, err := w.Commit(t.Context(), put("t/a")); err != nil {
+		t.Fatal(err)
+	}
+	w.direct.slow = 300 * time.Millisecond
+	for range 2 {
+		if _, err := w.Get(t.Context(), "t/a"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := w.Commit(t.Context(), put("t/b")); err != nil {
+		t.Fatal(err)
+	}
+	if patient < 800*time.Millisecond {
+		t.Errorf("a try waits %v while reads take %v", patient, w.direct.slow)
+	}
+}
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,15 +31,37 @@
 	err error
 	// commit is told the deadline of each transaction; it may be nil.
 	commit func(deadline time.Time)
+	// reads counts the reads of single rows, pages and tables.
+	reads atomic.Int32
+	// slow is how long a read of a row takes.
+	slow time.Duration
 }
 
 func (s *cutStore) Get(ctx context.Context, key string) (storeapi.Row, error) {
+	s.reads.Add(1)
+	time.Sleep(s.slow)
 	if s.err != nil {
 		return storeapi.Row{}, s.err
 	}
 	return s.Store.Get(ctx, key)
 }
 
+func (s *cutStore) List(ctx context.Context, prefix, after string, limit int) ([]storeapi.Row, error) {
+	s.reads.Add(1)
+	if s.err != nil {
+		return nil, s.err
+	}
+	return s.Store.List(ctx, prefix, after, limit)
+}
+
+func (s *cutStore) Scan(ctx context.Context, prefix string) (storeapi.Snapshot, error) {
+	s.reads.Add(1)
+	if s.err != nil {
+		return storeapi.Snapshot{}, s.err
+	}
+	return s.Store.Scan(ctx, prefix)
+}
+
 func (s *cutStore) Changes(ctx context.Context, table string, after storeapi.RowVersion, wait time.Duration) (storeapi.Changes, error) {
 	if s.err != nil {
 		return storeapi.Changes{}, s.err
@@ -103,7 +126,7 @@
 	}
 	w.store.ForgetHistory()
 	w.mu.Lock()
-	w.failing[""] = time.Now().Add(time.Hour)
+	w.failing[""] = failure{key: "t"}
 	w.mu.Unlock()
 	if _, err := w.Changes(ctx, "t", 0, 0); !errors.Is(err, storeapi.ErrHistoryGone) {
 		t.Errorf("a forgotten history gives %v", err)
