Keep weak entry hosts and large rows out of the way of the store's return

Entry hosts write their processor's share and link into their relay rows; one that knows a much stronger peer leaves a free lease to others for 0.7 s. Also: urgent tasks of their own inside what is guaranteed to their account get room at any cost, though the whole job exceeds it (TestPromisedTasksGetTheirRoom failed before). Tests with the change: TestProbesAskForNoRows, TestDeferredTakeOver, TestStrongerPeers.

--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -36,11 +36,11 @@
 func RunEntry(ctx context.Context, s settings.DeployedEntry, log *zap.Logger, registry metrics.Registry, reloadSettings func() error) error {
 	log.Info("process_started", zap.String("host", string(s.Host)), zap.String("zone", string(s.Zone)), zap.String("role", "entry"))
 	direct := platform.NewStore(s.StoreAddress, registry)
-	book := storerelay.NewBook(direct, workload.PrefixRelays, string(s.Host), storerelay.Peer{Address: s.RelayAddress, Zone: s.Zone}, log)
+	book := storerelay.NewBook(direct, workload.PrefixRelays, string(s.Host), storerelay.Peer{Address: s.RelayAddress, Zone: s.Zone, Cores: s.Cores, LinkMbps: s.LinkMbps}, log)
 	store := storerelay.NewClient(direct, book.Peers, log, registry)
 	view := jobentry.NewView(operatorRows(), store, log)
 	service := jobentry.NewService(view, store, log, registry)
-	scheduler := schedulerhost.New(s.Host, s.Region, store, view.Scheduling, log, registry)
+	scheduler := schedulerhost.New(s.Host, s.Region, store, view.Scheduling, book.StrongerPeer, log, registry)
 
 	var stopping atomic.Bool
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"dragonflyyard/internal/model"
@@ -14,20 +13,29 @@
 // waiting makes urgent work late.
 const maxLossShare = 1.0
 
-// mayThrowAway returns how many core seconds of others' unsaved work a unit may
-// throw away: any for work of priority 0 inside what is guaranteed to its
-// account, a share of its step's work beyond that, and none for other priorities.
-func (c *Core) mayThrowAway(u *unit) float64 {
-	if u.job.Priority != 0 {
-		return 0
-	}
-	need := len(u.tasks) * u.spec().PerTask.Accelerators
-	if c.urgentInUse(u.job.Account)+need <= c.guaranteed[u.job.Account] {
-		return math.Inf(1)
-	}
+// budget is how much of others' work a unit may have stopped.
+type budget struct {
+	// promised is the number of tasks inside what is guaranteed to the account.
+	// For them any work may be thrown away.
+	promised int
+	// coreSeconds of unsaved work may be thrown away for the other tasks.
+	coreSeconds float64
+}
+
+// budgetOf returns the budget of a unit of priority 0. A gang is promised whole
+// or not at all.
+func (c *Core) budgetOf(u *unit) budget {
 	step := u.spec()
-	most := maxLossShare * float64(step.Tasks) * step.PerTask.Cores() * step.Estimate.Seconds()
-	return max(0, most-u.job.thrownAway[u.key()])
+	own := float64(step.Tasks) * step.PerTask.Cores() * step.Estimate.Seconds()
+	b := budget{coreSeconds: max(0, maxLossShare*own-u.job.thrownAway[u.key()])}
+	free := c.guaranteed[u.job.Account] - c.urgentInUse(u.job.Account)
+	switch need := step.PerTask.Accelerators; {
+	case len(u.tasks)*need <= free:
+		b.promised = len(u.tasks)
+	case !u.gang() && free > 0:
+		b.promised = free / need
+	}
+	return b
 }
 
 // urgentInUse returns the accelerators that an account's jobs of priority 0 hold.
@@ -47,13 +55,16 @@
 // claims collects where the missing tasks of a unit go and what is stopped there.
 type claims struct {
 	unit    *unit
+	budget  budget
 	workers []*worker
 	places  []*worker
 	victims []*order
 	chosen  map[*order]bool
 	// coming is what will be free beyond the room, by what is being stopped.
 	coming map[*worker]workload.Demand
-	cost   float64
+	// cost is the work that is thrown away, and charged the part of it that
+	// counts against the budget.
+	cost, charged float64
 }
 
 // claim makes room for those tasks of a unit that found no place. What is being
@@ -69,7 +80,7 @@
 		r.hold(u, missing)
 		return
 	}
-	u.job.thrownAway[u.key()] += best.cost
+	u.job.thrownAway[u.key()] += best.charged
 	for _, w := range best.places {
 		r.take(u, w)
 	}
@@ -85,11 +96,11 @@
 // away and no more than the unit may, or nil. A gang is claimed for whole; of
 // other tasks those come first for which room costs the least.
 func (c *Core) bestClaims(now Now, r *room, u *unit, missing int) *claims {
-	most := c.mayThrowAway(u)
+	b := c.budgetOf(u)
 	var best *claims
 	for _, set := range r.workerSets(u) {
-		cl := &claims{unit: u, workers: set, chosen: map[*order]bool{}, coming: comingFree(r)}
-		for len(cl.places) < missing && c.claimOne(now, r, cl, most) {
+		cl := &claims{unit: u, budget: b, workers: set, chosen: map[*order]bool{}, coming: comingFree(r)}
+		for len(cl.places) < missing && c.claimOne(now, r, cl) {
 			continue
 		}
 		for _, w := range cl.places {
@@ -105,11 +116,17 @@
 
 // claimOne chooses a worker for one more task, and what is stopped there. It
 // returns false when there is none, or none inside what may be thrown away.
-func (c *Core) claimOne(now Now, r *room, cl *claims, most float64) bool {
+func (c *Core) claimOne(now Now, r *room, cl *claims) bool {
 	w, victims, cost := c.cheapest(now, r, cl)
-	if w == nil || cl.cost+cost > most {
+	if w == nil {
 		return false
 	}
+	if len(cl.places) >= cl.budget.promised {
+		if cl.charged+cost > cl.budget.coreSeconds {
+			return false
+		}
+		cl.charged += cost
+	}
 	cl.cost += cost
 	for _, o := range victims {
 		cl.chosen[o] = true
--- a/internal/dispatch/preempt_test.go
+++ b/internal/dispatch/preempt_test.go
@@ -334,3 +334,29 @@
 	r.worker("h2", "r1", nil)
 	stopAll("h2")
 }
+
+// TestPromisedTasksGetTheirRoom: of three urgent tasks two are inside what is
+// guaranteed to their account. They get room at any cost; the third does not.
+func TestPromisedTasksGetTheirRoom(t *testing.T) {
+	r := newRig(t)
+	hosts := []string{"h1", "h2", "h3"}
+	for i, host := range hosts {
+		r.worker(host, "r1", nil)
+		r.job(jobID(i+1), func(j *workload.Job) {
+			j.Steps[0].PerTask.Accelerators, j.Steps[0].Estimate = 8, 30*time.Second
+		})
+	}
+	r.plan()
+	r.pass(20 * time.Second)
+	for _, host := range hosts {
+		r.worker(host, "r1", nil)
+	}
+	r.job("00000000000000ff", func(j *workload.Job) {
+		j.Account, j.Priority = "gold", 0
+		j.Steps[0].Tasks, j.Steps[0].PerTask.Accelerators = 3, 8
+	})
+	r.plan()
+	if n := len(r.stopping()); n != 2 {
+		t.Errorf("%d runs are stopped for two promised tasks of three", n)
+	}
+}
--- a/internal/ownership/calls.go
+++ b/internal/ownership/calls.go
@@ -60,16 +60,17 @@
 
 // isFree reports whether the row's lease may be taken: it was released, it is
 // this host's own, lapsed or of an ended process, or it did not change for a
-// lease's time.
+// lease's time. A candidate that defers to others waits longer.
 func (c *Candidate) isFree(now time.Time) bool {
-	if c.row.Version == 0 || c.lease.Released {
-		return true
-	}
-	if c.lease.Owner == c.id {
+	if c.row.Version == 0 || c.lease.Owner == c.id {
 		// A host runs one process at a time, so a former incarnation has ended.
 		return true
 	}
-	return now.Sub(c.unchangedSince) >= c.limits.Duration+c.limits.Margin
+	wait := c.deferral
+	if !c.lease.Released {
+		wait += c.limits.Duration + c.limits.Margin
+	}
+	return now.Sub(c.unchangedSince) >= wait
 }
 
 // read reads the row, as each poll does.
--- a/internal/ownership/candidate.go
+++ b/internal/ownership/candidate.go
@@ -20,6 +20,8 @@
 	// precondition of doing so (see Admit).
 	barred bool
 	member storeapi.Check
+	// deferral is how much longer this candidate leaves a free lease to others.
+	deferral time.Duration
 
 	machine statechart.Machine
 	// trace is told of each transition; nil for none.
@@ -111,6 +113,10 @@
 	c.barred, c.member = !allowed, member
 }
 
+// Defer tells how much longer than others the candidate waits before it takes a
+// lease that another host left.
+func (c *Candidate) Defer(by time.Duration) { c.deferral = by }
+
 // Step takes one input and returns the actions to do, in order.
 func (c *Candidate) Step(now time.Time, in Input) []Action {
 	actions := c.lapse(now)
--- a/internal/ownership/candidate_test.go
+++ b/internal/ownership/candidate_test.go
@@ -342,3 +342,44 @@
 		}
 	})
 }
+
+// TestDeferredTakeOver: a candidate that defers takes a lease that was released,
+// or not renewed, only that much later; one that nobody held it takes at once.
+func TestDeferredTakeOver(t *testing.T) {
+	const deferral = 700 * time.Millisecond
+	limits := DefaultLimits()
+	for _, row := range []struct {
+		name  string
+		lease *Lease
+		wait  time.Duration
+	}{
+		{"never held", nil, 0},
+		{"released", &Lease{Owner: "other", Epoch: 3, Released: true}, deferral},
+		{"left", &Lease{Owner: "other", Epoch: 3}, limits.Duration + limits.Margin + deferral},
+	} {
+		began := time.Unix(1000, 0)
+		c := NewCandidate(limits, "region", "weak", 1)
+		c.Defer(deferral)
+		stored := storeapi.Row{Key: c.Key()}
+		if row.lease != nil {
+			stored.Value, stored.Version = EncodeLease(*row.lease), 7
+		}
+		tookAt := time.Duration(-1)
+		for at := time.Duration(0); at < 10*time.Second && tookAt < 0; at += 10 * time.Millisecond {
+			actions := c.Step(began.Add(at), Tick{})
+			for len(actions) > 0 && tookAt < 0 {
+				action := actions[0]
+				actions = actions[1:]
+				switch action := action.(type) {
+				case ReadRow:
+					actions = append(actions, c.Step(began.Add(at), RowRead{Call: action.Call, Result: storeapi.ResultOK, Row: stored})...)
+				case CommitRow:
+					tookAt = at
+				}
+			}
+		}
+		if tookAt < row.wait || tookAt > row.wait+2*limits.PollEvery {
+			t.Errorf("%s: taken after %v, want %v", row.name, tookAt, row.wait)
+		}
+	}
+}
--- a/internal/schedulerhost/lease.go
+++ b/internal/schedulerhost/lease.go
@@ -33,8 +33,10 @@
 	incarnation model.Incarnation
 	store       storeapi.Store
 	view        func() View
-	log         *zap.Logger
-	registry    metrics.Registry
+	// outranked reports whether an entry host is known that is much stronger.
+	outranked func() bool
+	log       *zap.Logger
+	registry  metrics.Registry
 
 	candidate *ownership.Candidate
 	inputs    *ring.Ring[func(now time.Time) []ownership.Action]
@@ -47,11 +49,16 @@
 // leaseTick is the longest time between two steps of the candidate.
 const leaseTick = 60 * time.Millisecond
 
-// New returns the part of an entry host. view returns the newest configuration.
-func New(id model.EntryID, region model.RegionName, store storeapi.Store, view func() View, log *zap.Logger, registry metrics.Registry) *Host {
+// deferTakeOver is how long a weak entry host leaves a free lease to stronger
+// ones: two polls of theirs. The owner reads all tables and writes all orders.
+const deferTakeOver = 700 * time.Millisecond
+
+// New returns the part of an entry host. view returns the newest configuration,
+// and outranked whether another entry host is much stronger.
+func New(id model.EntryID, region model.RegionName, store storeapi.Store, view func() View, outranked func() bool, log *zap.Logger, registry metrics.Registry) *Host {
 	incarnation := model.Incarnation(time.Now().UnixMilli())
 	return &Host{
-		id: id, incarnation: incarnation, store: store, view: view, log: log, registry: registry,
+		id: id, incarnation: incarnation, store: store, view: view, outranked: outranked, log: log, registry: registry,
 		candidate: ownership.NewCandidate(leaseLimits(), region, id, incarnation),
 		inputs:    ring.New[func(now time.Time) []ownership.Action]("lease.inputs", 64, registry),
 	}
@@ -89,6 +96,7 @@
 		case <-giveUp:
 			return nil
 		case <-tick.C:
+			h.deferToStronger()
 			actions = h.candidate.Step(time.Now(), ownership.Tick{})
 			h.restartSession(calls)
 		case input := <-h.inputs.Out():
@@ -100,6 +108,14 @@
 	}
 }
 
+func (h *Host) deferToStronger() {
+	if h.outranked() {
+		h.candidate.Defer(deferTakeOver)
+	} else {
+		h.candidate.Defer(0)
+	}
+}
+
 // do does the candidate's actions. It returns true once the lease was handed over.
 func (h *Host) do(ctx context.Context, actions []ownership.Action) bool {
 	for _, action := range actions {
--- a/internal/schedulerhost/session_test.go
+++ b/internal/schedulerhost/session_test.go
@@ -52,7 +52,7 @@
 func testSession(t *testing.T, store storeapi.Store) *session {
 	t.Helper()
 	view := func() View { return View{AsOf: time.Now()} }
-	h := New("entry-1", "region", store, view, zap.NewNop(), metrics.NewRegistry())
+	h := New("entry-1", "region", store, view, func() bool { return false }, zap.NewNop(), metrics.NewRegistry())
 	s := newSession(h, 1)
 	if err := s.takeFence(t.Context()); err != nil {
 		t.Fatal(err)
@@ -146,7 +146,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		view := func() View { return View{AsOf: time.Now()} }
-		h := New(id, "region", store, view, zap.NewNop(), metrics.NewRegistry())
+		h := New(id, "region", store, view, func() bool { return false }, zap.NewNop(), metrics.NewRegistry())
 		go func() {
 			defer close(done)
 			if err := h.Run(ctx); err != nil {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -28,6 +28,13 @@
 }
 
 // durationRange checks a duration, with both bounds allowed.
+// positiveUpTo checks a number above zero.
+func (c *checker) positiveUpTo(key string, value, high float64) {
+	if !(value > 0 && value <= high) {
+		c.report(key, fmt.Sprintf("above 0 and at most %g", high), "%g is out of range", value)
+	}
+}
+
 func (c *checker) durationRange(key string, value, low, high time.Duration) {
 	if value < low || value > high {
 		c.report(key, fmt.Sprintf("%s to %s", low, high), "%s is out of range", value)
--- a/internal/settings/deployed.go
+++ b/internal/settings/deployed.go
@@ -24,7 +24,11 @@
 	StoreAddress string `yaml:"store_address"`
 	// StopGrace is how long after SIGTERM the platform kills the process.
 	StopGrace time.Duration `yaml:"stop_grace"`
-	LogLevel  string        `yaml:"log_level"`
+	// Cores and LinkMbps are the host's share of a processor and its network link;
+	// a host that knows a much stronger one leaves the scheduler to it.
+	Cores    float64 `yaml:"cores"`
+	LinkMbps float64 `yaml:"link_mbps"`
+	LogLevel string  `yaml:"log_level"`
 }
 
 // DeployedAgent is the settings of an agent on a deployment of the platform.
@@ -47,6 +51,8 @@
 const (
 	shortestStopGrace = time.Second
 	shortestLease     = 2 * time.Second
+	mostCores         = 1024
+	mostLinkMbps      = 1e6
 )
 
 // LoadDeployedEntry reads and checks the settings of a deployed entry host.
@@ -58,7 +64,7 @@
 // ParseDeployedEntry decodes and checks the settings of a deployed entry host.
 // The error is of type strictyaml.Problems.
 func ParseDeployedEntry(name string, data []byte) (DeployedEntry, error) {
-	s := DeployedEntry{StopGrace: 6 * time.Second, LogLevel: "info"}
+	s := DeployedEntry{StopGrace: 6 * time.Second, Cores: 1, LinkMbps: 1000, LogLevel: "info"}
 	err := parse(name, data, &s, func(c *checker) {
 		c.name("host", string(s.Host))
 		c.name("region", string(s.Region))
@@ -69,6 +75,8 @@
 		c.address("relay_address", s.RelayAddress)
 		c.address("store_address", s.StoreAddress)
 		c.durationRange("stop_grace", s.StopGrace, shortestStopGrace, time.Minute)
+		c.positiveUpTo("cores", s.Cores, mostCores)
+		c.positiveUpTo("link_mbps", s.LinkMbps, mostLinkMbps)
 		c.level("log_level", s.LogLevel)
 	})
 	return s, err
--- a/internal/storerelay/peers.go
+++ b/internal/storerelay/peers.go
@@ -21,6 +21,9 @@
 	// Address (IP:port) is where the relay listens.
 	Address string                     `codec:"a"`
 	Zone    model.AvailabilityZoneName `codec:"z"`
+	// Cores and LinkMbps are the host's share of a processor and its network link.
+	Cores    float64 `codec:"c"`
+	LinkMbps float64 `codec:"l"`
 	// SentMS is when the row was written, on the store's clock.
 	SentMS int64 `codec:"t"`
 }
@@ -46,8 +49,9 @@
 	host   string
 	log    *zap.Logger
 
-	mu    sync.Mutex
-	peers []string
+	mu       sync.Mutex
+	peers    []string
+	stronger bool
 }
 
 // NewBook returns a book that reads the rows under a prefix. self is this
@@ -63,6 +67,23 @@
 	return b.peers
 }
 
+// muchStronger is how many times the processor or the link of a peer exceeds the
+// own one for it to count as stronger. Hosts of like size don't.
+const muchStronger = 3
+
+// StrongerPeer reports whether a peer has much more processor or network, and
+// none of both less.
+func (b *Book) StrongerPeer() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stronger
+}
+
+func (p Peer) muchStrongerThan(other Peer) bool {
+	cores, link := p.Cores/other.Cores, p.LinkMbps/other.LinkMbps
+	return cores >= 1 && link >= 1 && max(cores, link) >= muchStronger
+}
+
 // Run keeps the book until ctx is done.
 func (b *Book) Run(ctx context.Context) {
 	var written time.Time
@@ -131,6 +152,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers = addresses
+	b.stronger = slices.ContainsFunc(found, func(p Peer) bool { return p.muchStrongerThan(b.self) })
 }
 
 func (b *Book) distance(peer Peer) int {
--- a/internal/storerelay/probe.go
+++ b/internal/storerelay/probe.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"dragonflyyard/internal/storeapi"
 )
 
@@ -72,17 +74,19 @@
 	}
 }
 
-// answers reports whether the part of a key answers a read; for all parts of a
-// table, whether they all do.
+// probeRow is the key of a row that no table holds: the answer carries no rows,
+// which may be large where the link is slow.
+const probeRow = "-"
+
+// answers reports whether the part of a key answers a read. All parts of a table
+// are taken to answer when the table does.
 func (c *Client) answers(ctx context.Context, key string) bool {
 	table, part, _ := storeapi.SplitKey(key)
-	var err error
 	if part == storeapi.AllParts {
-		_, err = c.direct.Scan(ctx, key)
-	} else {
-		_, err = c.direct.List(ctx, storeapi.JoinKey(table, part, ""), "", 1)
+		part = ""
 	}
-	return err == nil
+	_, err := c.direct.Get(ctx, storeapi.JoinKey(table, part, probeRow))
+	return err == nil || errors.Is(err, storeapi.ErrNotFound)
 }
 
 func (c *Client) failingKeys() []string {
--- a/internal/storerelay/probe_test.go
+++ b/internal/storerelay/probe_test.go
@@ -82,3 +82,23 @@
 		}
 	}
 }
+
+// TestProbesAskForNoRows: a large row behind a slow link would take longer than
+// the pause between two probes.
+func TestProbesAskForNoRows(t *testing.T) {
+	w := newTwoWays(t, func(string) bool { return true })
+	for _, key := range []string{"t/a", "t@p1/a", "u@p1/a"} {
+		if _, err := w.Commit(t.Context(), put(key)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w.direct.rows.Store(0)
+	for _, key := range []string{"t/a", "t", "t@p1/a", "u@*/"} {
+		if !w.answers(t.Context(), key) {
+			t.Errorf("%s counts as failing", key)
+		}
+	}
+	if n := w.direct.rows.Load(); n != 0 {
+		t.Errorf("probes read %d rows", n)
+	}
+}
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -33,6 +33,8 @@
 	commit func(deadline time.Time)
 	// reads counts the reads of single rows, pages and tables.
 	reads atomic.Int32
+	// rows counts the rows that reads returned.
+	rows atomic.Int32
 	// slow is how long a read of a row takes.
 	slow time.Duration
 }
@@ -43,7 +45,11 @@
 	if s.err != nil {
 		return storeapi.Row{}, s.err
 	}
-	return s.Store.Get(ctx, key)
+	row, err := s.Store.Get(ctx, key)
+	if err == nil {
+		s.rows.Add(1)
+	}
+	return row, err
 }
 
 func (s *cutStore) List(ctx context.Context, prefix, after string, limit int) ([]storeapi.Row, error) {
@@ -51,7 +57,9 @@
 	if s.err != nil {
 		return nil, s.err
 	}
-	return s.Store.List(ctx, prefix, after, limit)
+	rows, err := s.Store.List(ctx, prefix, after, limit)
+	s.rows.Add(int32(len(rows)))
+	return rows, err
 }
 
 func (s *cutStore) Scan(ctx context.Context, prefix string) (storeapi.Snapshot, error) {
@@ -59,7 +67,9 @@
 	if s.err != nil {
 		return storeapi.Snapshot{}, s.err
 	}
-	return s.Store.Scan(ctx, prefix)
+	snapshot, err := s.Store.Scan(ctx, prefix)
+	s.rows.Add(int32(len(snapshot.Rows)))
+	return snapshot, err
 }
 
 func (s *cutStore) Changes(ctx context.Context, table string, after storeapi.RowVersion, wait time.Duration) (storeapi.Changes, error) {
@@ -297,3 +307,25 @@
 		t.Errorf("through a peer: %+v, %v", changes, err)
 	}
 }
+
+// TestStrongerPeers: a host leaves work to a peer that has several times its
+// processor or link, not to one of like size or of less of the other.
+func TestStrongerPeers(t *testing.T) {
+	self := Peer{Cores: 0.2, LinkMbps: 10}
+	for _, c := range []struct {
+		peer Peer
+		want bool
+	}{
+		{Peer{Cores: 0.8, LinkMbps: 200}, true},
+		{Peer{Cores: 0.2, LinkMbps: 200}, true},
+		{Peer{Cores: 0.4, LinkMbps: 20}, false},
+		{Peer{Cores: 0.1, LinkMbps: 200}, false},
+		{self, false},
+	} {
+		b := NewBook(standin.NewStore(time.Now), "c/relay/", "me", self, zap.NewNop())
+		b.take([]Peer{c.peer})
+		if got := b.StrongerPeer(); got != c.want {
+			t.Errorf("a peer of %+v counts as stronger: %v", c.peer, got)
+		}
+	}
+}
