--- a/internal/storerelay/probe.go
+++ b/internal/storerelay/probe.go
@@ -15,8 +15,7 @@
 
 // failure is a part of the store that does not answer this host.
 type failure struct {
-	// key is one that the failed call was about; reading it tells whether the part
-	// answers again.
+	// key is one that the failed call was about; it names the part to ask.
 	key string
 	// probedAt is when the part was asked last.
 	probedAt time.Time
