Count claims of a plan against a guarantee, and take over a former owner's stops

Cause: budgetOf counted the accelerators of ordered tasks only, so two urgent jobs of one account that each fit into its guarantee had any work stopped for twice as much. A successor read orders that a former owner had asked to stop as orders that go on, and took every run as just begun, since it had not seen any begin: it stopped others beside those, and the oldest as readily as the youngest. Ruled out: partly placed jobs (their orders are linked before the claim is weighed) and several plans of one owner (what is being stopped counts as free); both have a test now. Change: a plan counts what each account's urgent work holds and claims, once for all of its jobs. An order row that asks for a stop is taken over as one. Unsaved work is at least the reported progress times the estimate.

--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -116,8 +116,11 @@
 	if task := j.progress.Task(id.Task); task != nil {
 		task.LastRun = max(task.LastRun, id.Run)
 	}
-	if j.progress.State.Final() {
+	switch {
+	case j.progress.State.Final():
 		o.wantStop("job " + string(j.progress.State))
+	case row.Stop:
+		o.wantStop("a former owner stopped it")
 	}
 	c.takeReports(w)
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -71,6 +71,7 @@
 		placed := r.place(u)
 		if len(placed) > 0 {
 			out = append(out, c.order(now, u, placed)...)
+			r.countUrgent(u, len(placed))
 		}
 		switch {
 		case u.rank.hopeless:
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -23,12 +23,13 @@
 }
 
 // budgetOf returns the budget of a unit of priority 0. A gang is promised whole
-// or not at all.
-func (c *Core) budgetOf(u *unit) budget {
+// or not at all. What its account's urgent tasks hold or claim in this plan counts
+// against the guarantee.
+func (r *room) budgetOf(u *unit) budget {
 	step := u.spec()
 	own := float64(step.Tasks) * step.PerTask.Cores() * step.Estimate.Seconds()
 	b := budget{coreSeconds: max(0, maxLossShare*own-u.job.thrownAway[u.key()])}
-	free := c.guaranteed[u.job.Account] - c.urgentInUse(u.job.Account)
+	free := r.core.guaranteed[u.job.Account] - r.urgent[u.job.Account]
 	switch need := step.PerTask.Accelerators; {
 	case len(u.tasks)*need <= free:
 		b.promised = len(u.tasks)
@@ -38,20 +39,28 @@
 	return b
 }
 
-// urgentInUse returns the accelerators that an account's jobs of priority 0 hold.
-func (c *Core) urgentInUse(account model.ClientAccountID) int {
-	used := 0
+// urgentInUse returns the accelerators that each account's jobs of priority 0 hold.
+func (c *Core) urgentInUse() map[model.ClientAccountID]int {
+	used := map[model.ClientAccountID]int{}
 	for _, j := range c.jobs {
-		if j.Account != account || j.Priority != 0 {
+		if j.Priority != 0 {
 			continue
 		}
 		for _, o := range j.orders {
-			used += o.demand.Accelerators
+			used[j.Account] += o.demand.Accelerators
 		}
 	}
 	return used
 }
 
+// countUrgent counts tasks of a unit, that were placed or claimed room, against
+// the guarantee of its account for the rest of the plan.
+func (r *room) countUrgent(u *unit, tasks int) {
+	if u.job.Priority == 0 {
+		r.urgent[u.job.Account] += tasks * u.spec().PerTask.Accelerators
+	}
+}
+
 // claims collects where the missing tasks of a unit go and what is stopped there.
 type claims struct {
 	unit    *unit
@@ -84,6 +93,7 @@
 	for _, w := range best.places {
 		r.take(u, w)
 	}
+	r.countUrgent(u, len(best.places))
 	for _, o := range best.victims {
 		c.preempt(o, u)
 	}
@@ -96,7 +106,7 @@
 // away and no more than the unit may, or nil. A gang is claimed for whole; of
 // other tasks those come first for which room costs the least.
 func (c *Core) bestClaims(now Now, r *room, u *unit, missing int) *claims {
-	b := c.budgetOf(u)
+	b := r.budgetOf(u)
 	var best *claims
 	for _, set := range r.workerSets(u) {
 		cl := &claims{unit: u, budget: b, workers: set, chosen: map[*order]bool{}, coming: comingFree(r)}
@@ -213,13 +223,15 @@
 )
 
 // unsaved returns the core seconds of work that stopping a run throws away; of
-// a gang, those of all its members.
+// a gang, those of all its members. An owner that took a run over has not seen it
+// begin, so its progress counts, too.
 func unsaved(now Now, o *order) float64 {
 	since := o.reportedMS
 	if since == 0 {
 		since = o.decidedMS
 	}
-	seconds := now.ranSince(since).Seconds()
+	worked := float64(o.report.Percent) / 100 * o.step().Estimate.Seconds()
+	seconds := max(now.ranSince(since).Seconds(), worked)
 	if o.step().Checkpoints {
 		seconds = min(seconds, savedLossSeconds)
 	}
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -19,6 +19,9 @@
 	steps map[stepOnWorker]int
 	// holds counts the units of lower priority that capacity is held for.
 	holds int
+	// urgent counts the accelerators that each account's work of priority 0 holds
+	// or claims.
+	urgent map[model.ClientAccountID]int
 }
 
 type stepOnWorker struct {
@@ -28,7 +31,7 @@
 }
 
 func (c *Core) newRoom(now Now) *room {
-	r := &room{core: c, now: now, free: map[*worker]workload.Demand{}, steps: map[stepOnWorker]int{}}
+	r := &room{core: c, now: now, free: map[*worker]workload.Demand{}, steps: map[stepOnWorker]int{}, urgent: c.urgentInUse()}
 	for _, w := range c.sortedWorkers() {
 		for id := range w.orders {
 			r.steps[stepOnWorker{id.Task.Job, stepKey{id.Task.Occurrence, id.Task.Step}, w}]++
