Read a lease seldom where many entry hosts wait for it, and tell of new owners only

Cause: each of 55 entry hosts read the lease every 0.3 s, 183 reads a second of a deployment that does nothing, and logged each renewal that it saw as scheduler_observed, a third of all lines. Ruled out: fewer candidates (any number of hosts may be lost at once, so each one stays a candidate) and a feed (one host's reads become as many as the renewals). Change: all hosts together read every 50 ms, one host at most every 0.3 s and at least every second; the next call of a follower is due when the lease comes free, not at the next poll after it. Observed is what its comment says: another owner, epoch or release.

--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -40,7 +40,7 @@
 	store := storerelay.NewClient(direct, book.Peers, log, registry)
 	view := jobentry.NewView(operatorRows(), store, log)
 	service := jobentry.NewService(view, store, log, registry)
-	scheduler := schedulerhost.New(s.Host, s.Region, store, view.Scheduling, book.StrongerPeer, log, registry)
+	scheduler := schedulerhost.New(s.Host, s.Region, store, view.Scheduling, book.Standing, log, registry)
 
 	var stopping atomic.Bool
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/ownership/calls.go
+++ b/internal/ownership/calls.go
@@ -58,27 +58,42 @@
 	return c.write(now, Lease{Epoch: c.lease.Epoch + 1})
 }
 
-// isFree reports whether the row's lease may be taken: it was released, it is
-// this host's own, lapsed or of an ended process, or it did not change for a
-// lease's time. A candidate that defers to others waits longer.
-func (c *Candidate) isFree(now time.Time) bool {
+// isFree reports whether the row's lease may be taken.
+func (c *Candidate) isFree(now time.Time) bool { return !now.Before(c.freeAt()) }
+
+// freeAt returns from when the row's lease may be taken: at once when it is this
+// host's own, lapsed or of an ended process, otherwise when it was released or
+// did not change for a lease's time. A candidate that defers to others waits longer.
+func (c *Candidate) freeAt() time.Time {
 	if c.row.Version == 0 || c.lease.Owner == c.id {
 		// A host runs one process at a time, so a former incarnation has ended.
-		return true
+		return c.unchangedSince
 	}
 	wait := c.deferral
 	if !c.lease.Released {
 		wait += c.limits.Duration + c.limits.Margin
 	}
-	return now.Sub(c.unchangedSince) >= wait
+	return c.unchangedSince.Add(wait)
 }
 
-// read reads the row, as each poll does.
+// read reads the row, as each poll does. The next call is due after the poll
+// interval, or once the lease may be taken if that is sooner; calls are not closer
+// than the interval of the limits.
 func (c *Candidate) read(now time.Time) []Action {
-	c.nextCall = now.Add(c.limits.PollEvery)
+	c.nextCall = now.Add(c.pollEvery)
+	if free := c.freeAt(); c.rowKnown && free.Before(c.nextCall) {
+		c.nextCall = latest(free, now.Add(c.limits.PollEvery))
+	}
 	return c.readNow(now)
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // readNow reads without waiting for the next poll.
 func (c *Candidate) readNow(now time.Time) []Action {
 	return []Action{ReadRow{Call: c.newCall(now), Key: c.key}}
--- a/internal/ownership/candidate.go
+++ b/internal/ownership/candidate.go
@@ -22,6 +22,8 @@
 	member storeapi.Check
 	// deferral is how much longer this candidate leaves a free lease to others.
 	deferral time.Duration
+	// pollEvery is the interval of reads while another host holds the lease.
+	pollEvery time.Duration
 
 	machine statechart.Machine
 	// trace is told of each transition; nil for none.
@@ -64,6 +66,7 @@
 func NewCandidate(limits Limits, region model.RegionName, id model.EntryID, incarnation model.Incarnation) *Candidate {
 	return &Candidate{
 		limits:      limits,
+		pollEvery:   limits.PollEvery,
 		key:         RowKey(region),
 		epochKey:    EpochKey(region),
 		id:          id,
@@ -117,6 +120,13 @@
 // lease that another host left.
 func (c *Candidate) Defer(by time.Duration) { c.deferral = by }
 
+// PollEvery sets the interval of reads while another host holds the lease, at
+// least that of the limits. Many candidates may each read seldom: the first of
+// them that sees a free lease takes it.
+func (c *Candidate) PollEvery(interval time.Duration) {
+	c.pollEvery = max(interval, c.limits.PollEvery)
+}
+
 // Step takes one input and returns the actions to do, in order.
 func (c *Candidate) Step(now time.Time, in Input) []Action {
 	actions := c.lapse(now)
@@ -162,6 +172,7 @@
 		// its time, under the next epoch that this candidate knows of.
 		lease = Lease{Epoch: c.lease.Epoch}
 	}
+	renewed := c.rowKnown && lease.Owner == c.lease.Owner && lease.Epoch == c.lease.Epoch && lease.Released == c.lease.Released
 	c.row, c.lease, c.rowKnown = row, lease, true
 	c.unchangedSince = now
 	if sentAt, mine := c.takeWrite(lease); mine {
@@ -174,7 +185,11 @@
 	if c.isFree(now) {
 		c.nextCall = now
 	}
-	return append(c.deposed(), Observed{Lease: lease})
+	actions := c.deposed()
+	if renewed && len(actions) == 0 {
+		return nil
+	}
+	return append(actions, Observed{Lease: lease})
 }
 
 // deposed ends a held lease after another owner's write was seen.
--- a/internal/schedulerhost/lease.go
+++ b/internal/schedulerhost/lease.go
@@ -16,6 +16,7 @@
 	"dragonflyyard/internal/ownership"
 	"dragonflyyard/internal/ring"
 	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/storerelay"
 	"dragonflyyard/internal/workload"
 )
 
@@ -33,10 +34,10 @@
 	incarnation model.Incarnation
 	store       storeapi.Store
 	view        func() View
-	// outranked reports whether an entry host is known that is much stronger.
-	outranked func() bool
-	log       *zap.Logger
-	registry  metrics.Registry
+	// standing tells how this host stands among the entry hosts.
+	standing func() storerelay.Standing
+	log      *zap.Logger
+	registry metrics.Registry
 
 	candidate *ownership.Candidate
 	inputs    *ring.Ring[func(now time.Time) []ownership.Action]
@@ -53,12 +54,22 @@
 // ones: two polls of theirs. The owner reads all tables and writes all orders.
 const deferTakeOver = 700 * time.Millisecond
 
+// How often the lease is read. Load pattern: tens of entry hosts that all wait for
+// one lease, whose reads would be most of what an idle deployment asks of the store.
+const (
+	// readsApart is the time between two reads of all hosts together.
+	readsApart = 50 * time.Millisecond
+	// longestPoll bounds the interval of one host. It is below the time after which
+	// a lease is free, so that a host has read the row shortly before it takes it.
+	longestPoll = time.Second
+)
+
 // New returns the part of an entry host. view returns the newest configuration,
-// and outranked whether another entry host is much stronger.
-func New(id model.EntryID, region model.RegionName, store storeapi.Store, view func() View, outranked func() bool, log *zap.Logger, registry metrics.Registry) *Host {
+// and standing how the host stands among the entry hosts.
+func New(id model.EntryID, region model.RegionName, store storeapi.Store, view func() View, standing func() storerelay.Standing, log *zap.Logger, registry metrics.Registry) *Host {
 	incarnation := model.Incarnation(time.Now().UnixMilli())
 	return &Host{
-		id: id, incarnation: incarnation, store: store, view: view, outranked: outranked, log: log, registry: registry,
+		id: id, incarnation: incarnation, store: store, view: view, standing: standing, log: log, registry: registry,
 		candidate: ownership.NewCandidate(leaseLimits(), region, id, incarnation),
 		inputs:    ring.New[func(now time.Time) []ownership.Action]("lease.inputs", 64, registry),
 	}
@@ -96,7 +107,7 @@
 		case <-giveUp:
 			return nil
 		case <-tick.C:
-			h.deferToStronger()
+			h.takeStanding()
 			actions = h.candidate.Step(time.Now(), ownership.Tick{})
 			h.restartSession(calls)
 		case input := <-h.inputs.Out():
@@ -108,8 +119,11 @@
 	}
 }
 
-func (h *Host) deferToStronger() {
-	if h.outranked() {
+// takeStanding adapts the candidate to the other entry hosts that are known.
+func (h *Host) takeStanding() {
+	standing := h.standing()
+	h.candidate.PollEvery(min(time.Duration(standing.Peers+1)*readsApart, longestPoll))
+	if standing.Outranked {
 		h.candidate.Defer(deferTakeOver)
 	} else {
 		h.candidate.Defer(0)
--- a/internal/schedulerhost/session_test.go
+++ b/internal/schedulerhost/session_test.go
@@ -15,6 +15,7 @@
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/standin"
 	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/storerelay"
 	"dragonflyyard/internal/workload"
 )
 
@@ -52,7 +53,7 @@
 func testSession(t *testing.T, store storeapi.Store) *session {
 	t.Helper()
 	view := func() View { return View{AsOf: time.Now()} }
-	h := New("entry-1", "region", store, view, func() bool { return false }, zap.NewNop(), metrics.NewRegistry())
+	h := New("entry-1", "region", store, view, func() storerelay.Standing { return storerelay.Standing{} }, zap.NewNop(), metrics.NewRegistry())
 	s := newSession(h, 1)
 	if err := s.takeFence(t.Context()); err != nil {
 		t.Fatal(err)
@@ -146,7 +147,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		view := func() View { return View{AsOf: time.Now()} }
-		h := New(id, "region", store, view, func() bool { return false }, zap.NewNop(), metrics.NewRegistry())
+		h := New(id, "region", store, view, func() storerelay.Standing { return storerelay.Standing{} }, zap.NewNop(), metrics.NewRegistry())
 		go func() {
 			defer close(done)
 			if err := h.Run(ctx); err != nil {
--- a/internal/storerelay/peers.go
+++ b/internal/storerelay/peers.go
@@ -49,9 +49,9 @@
 	host   string
 	log    *zap.Logger
 
-	mu       sync.Mutex
-	peers    []string
-	stronger bool
+	mu        sync.Mutex
+	peers     []string
+	outranked bool
 }
 
 // NewBook returns a book that reads the rows under a prefix. self is this
@@ -71,12 +71,20 @@
 // own one for it to count as stronger. Hosts of like size don't.
 const muchStronger = 3
 
-// StrongerPeer reports whether a peer has much more processor or network, and
-// none of both less.
-func (b *Book) StrongerPeer() bool {
+// Standing is how an entry host stands among those that relay.
+type Standing struct {
+	// Peers is the number of other hosts.
+	Peers int
+	// Outranked is set when a peer has much more processor or network, and none of
+	// both less.
+	Outranked bool
+}
+
+// Standing returns how this host stands among its peers.
+func (b *Book) Standing() Standing {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.stronger
+	return Standing{Peers: len(b.peers), Outranked: b.outranked}
 }
 
 func (p Peer) muchStrongerThan(other Peer) bool {
@@ -152,7 +160,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peers = addresses
-	b.stronger = slices.ContainsFunc(found, func(p Peer) bool { return p.muchStrongerThan(b.self) })
+	b.outranked = slices.ContainsFunc(found, func(p Peer) bool { return p.muchStrongerThan(b.self) })
 }
 
 func (b *Book) distance(peer Peer) int {
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -324,7 +324,7 @@
 	} {
 		b := NewBook(standin.NewStore(time.Now), "c/relay/", "me", self, zap.NewNop())
 		b.take([]Peer{c.peer})
-		if got := b.StrongerPeer(); got != c.want {
+		if got := b.Standing().Outranked; got != c.want {
 			t.Errorf("a peer of %+v counts as stronger: %v", c.peer, got)
 		}
 	}
