--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -125,7 +125,7 @@
 			continue
 		}
 		gangs[o.gangRun()] = len(out)
-		out = append(out, victim{orders: []*order{o}, demand: o.demand, unsaved: r.unsaved(o)})
+		out = append(out, victim{orders: []*order{o}, demand: o.demand, unsaved: unsaved(r.now, o)})
 	}
 	slices.SortStableFunc(out, func(a, b victim) int { return cmp.Compare(a.unsaved, b.unsaved) })
 	r.stoppable[w] = out
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -16,7 +16,6 @@
 import (
 	"time"
 
-	"dragonflyyard/internal/estimate"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/quarantine"
 	"dragonflyyard/internal/storeapi"
@@ -81,7 +80,6 @@
 	guaranteed map[model.ClientAccountID]int
 	evacuated  map[model.AvailabilityZoneName]bool
 	sick       *quarantine.Tracker
-	runTimes   *estimate.Predictor
 	// endKeys are rows of ends that were taken in, and dropKeys rows of orders
 	// and progress that are needed no more; none is deleted yet.
 	endKeys  []string
@@ -132,7 +130,6 @@
 	version storeapi.RowVersion
 	// decidedMS is when the order was decided, or taken over from a former owner.
 	decidedMS int64
-	takenOver bool
 	// stopWanted asks for the run's end; stopReason says why.
 	stopWanted bool
 	stopReason string
@@ -176,7 +173,7 @@
 		settings: settings, jobs: map[model.JobID]*job{}, workers: map[string]*worker{},
 		guaranteed: map[model.ClientAccountID]int{}, evacuated: map[model.AvailabilityZoneName]bool{},
 		cancelled: map[model.JobID]bool{}, collected: map[model.JobID]int64{},
-		sick: quarantine.NewTracker(settings.Quarantine, quarantine.State{}), runTimes: estimate.NewPredictor(nil),
+		sick: quarantine.NewTracker(settings.Quarantine, quarantine.State{}),
 	}
 }
 
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -116,7 +116,6 @@
 	if o != nil {
 		c.sick.Succeeded(o.Worker)
 		o.worker.suspectUntilMS = 0
-		c.learn(now, o)
 	}
 	if j.Steps[run.Task.Step].Gang {
 		for i := range j.progress.Occurrences[run.Task.Occurrence].Steps[run.Task.Step] {
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -94,7 +94,7 @@
 	ends := make([]ending, 0, len(w.orders))
 	for _, o := range sortedOrders(w.orders) {
 		if !o.step().LongRunning || o.stopWanted {
-			ends = append(ends, ending{r.expectedSeconds(o), o.demand})
+			ends = append(ends, ending{expectedSeconds(r.now, o), o.demand})
 		}
 	}
 	slices.SortStableFunc(ends, func(a, b ending) int { return cmp.Compare(a.seconds, b.seconds) })
@@ -122,8 +122,7 @@
 
 // expectedSeconds returns how much longer a run is expected to take: by its
 // progress where that is known, else by its estimate.
-func (r *room) expectedSeconds(o *order) float64 {
-	now := r.now
+func expectedSeconds(now Now, o *order) float64 {
 	if o.stopWanted {
 		return 0
 	}
@@ -133,7 +132,7 @@
 		left := atReport * time.Duration(100-o.report.Percent) / time.Duration(o.report.Percent)
 		return max(left-now.ranSince(o.reportMS), 0).Seconds()
 	}
-	estimate := r.core.runTime(o.job, o.step())
+	estimate := o.step().Estimate
 	if estimate == 0 {
 		estimate = unknownRunTime
 	}
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -23,7 +23,7 @@
 // against the guarantee.
 func (r *room) budgetOf(u *unit) budget {
 	step := u.spec()
-	own := float64(step.Tasks) * step.PerTask.Cores() * r.core.runTime(u.job, step).Seconds()
+	own := float64(step.Tasks) * step.PerTask.Cores() * step.Estimate.Seconds()
 	b := budget{coreSeconds: max(0, maxLossShare*own-u.job.thrownAway[u.key()])}
 	free := r.core.guaranteed[u.job.Account] - r.urgent[u.job.Account]
 	switch need := step.PerTask.Accelerators; {
@@ -130,13 +130,13 @@
 // unsaved returns the core seconds of work that stopping a run throws away; of
 // a gang, those of all its members. An owner that took a run over has not seen it
 // begin, so its progress counts, too.
-func (r *room) unsaved(o *order) float64 {
+func unsaved(now Now, o *order) float64 {
 	since := o.reportedMS
 	if since == 0 {
 		since = o.decidedMS
 	}
-	worked := float64(o.report.Percent) / 100 * r.core.runTime(o.job, o.step()).Seconds()
-	seconds := max(r.now.ranSince(since).Seconds(), worked)
+	worked := float64(o.report.Percent) / 100 * o.step().Estimate.Seconds()
+	seconds := max(now.ranSince(since).Seconds(), worked)
 	if o.step().Checkpoints {
 		seconds = min(seconds, savedLossSeconds)
 	}
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -205,7 +205,7 @@
 // it: it waited long enough, or no such rack could hold it.
 func (r *room) mayLeaveRack(u *unit) bool {
 	step := u.spec()
-	extra := time.Duration((r.core.settings.RemoteFactor - 1) * rackPatience * float64(r.core.runTime(u.job, step)))
+	extra := time.Duration((r.core.settings.RemoteFactor - 1) * rackPatience * float64(step.Estimate))
 	longest := maxRackWait
 	if u.job.Priority == 0 {
 		longest = maxUrgentRackWait
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
 	"dragonflyyard/internal/workload"
 )
@@ -74,7 +73,7 @@
 			continue
 		}
 		c.beginDue(now, j)
-		out = append(out, c.jobUnits(now, j)...)
+		out = append(out, j.units(now)...)
 	}
 	slices.SortStableFunc(out, func(a, b *unit) int {
 		return cmp.Or(a.rank.compare(b.rank), cmp.Compare(a.job.AcceptedMS, b.job.AcceptedMS))
@@ -98,8 +97,8 @@
 	}
 }
 
-// jobUnits returns a job's units of all occurrences that began.
-func (c *Core) jobUnits(now Now, j *job) []*unit {
+// units returns the job's units of all occurrences that began.
+func (j *job) units(now Now) []*unit {
 	var out []*unit
 	for _, k := range slices.Sorted(maps.Keys(j.progress.Occurrences)) {
 		occurrence := j.progress.Occurrences[k]
@@ -114,7 +113,7 @@
 				continue
 			}
 			if !ranked {
-				r, ranked = c.rank(now, j, occurrence, k), true
+				r, ranked = j.rank(now, occurrence, k), true
 			}
 			key := stepKey{k, step}
 			if now.StoreMS < j.notBeforeMS[key] {
@@ -161,14 +160,13 @@
 const lateFactor = 3
 
 // rank returns the order of an occurrence among all.
-func (c *Core) rank(now Now, j *job, occurrence *workload.OccurrenceProgress, k int) rank {
-	longest, whole := make([]time.Duration, len(j.Steps)), make([]time.Duration, len(j.Steps))
-	var chain, wholeChain time.Duration
-	var work float64
+func (j *job) rank(now Now, occurrence *workload.OccurrenceProgress, k int) rank {
+	longest := make([]float64, len(j.Steps))
+	var chain, work float64
 	for i := range j.Steps {
 		step := &j.Steps[i]
 		for _, before := range step.After {
-			longest[i], whole[i] = max(longest[i], longest[before]), max(whole[i], whole[before])
+			longest[i] = max(longest[i], longest[before])
 		}
 		left := 0
 		for _, task := range occurrence.Steps[i] {
@@ -176,22 +174,19 @@
 				left++
 			}
 		}
-		runTime := c.runTime(j, step)
-		whole[i] += max(runTime, step.Estimate)
 		if left > 0 {
-			longest[i] += runTime
-			work += float64(left) * step.PerTask.Cores() * runTime.Seconds()
+			longest[i] += float64(step.Estimate.Milliseconds())
+			work += float64(left) * step.PerTask.Cores() * step.Estimate.Seconds()
 		}
-		chain, wholeChain = max(chain, longest[i]), max(wholeChain, whole[i])
+		chain = max(chain, longest[i])
 	}
 	since := j.AcceptedMS
 	if j.Scheduled() {
 		since = now.StoreMS - (now.UnixMS - j.DueUnixMS(k))
 	}
-	// Neither what is learned nor what was declared is sure, so the longer of both
-	// says what is late or of no use any more.
-	objective := time.Duration(j.SlackFactor*float64(wholeChain)) + j.TargetDuration
-	spent := time.Duration(now.StoreMS-since) * time.Millisecond
+	objective := j.SlackFactor*float64(j.ChainWork().Milliseconds()) + float64(j.TargetDuration.Milliseconds())
+	spent := float64(now.StoreMS - since)
+	// Estimates are rough, so a job counts as late only once its time is spent.
 	return rank{
 		hopeless: spent > lateFactor*objective,
 		priority: j.Priority,
