Ask the store less and wait for it less where there are hundreds of workers

A gang of 78 tasks took two transactions. Ruled out: reads of the configuration (2 a second and host; its age must stay below 1.6 s), announcements (1 a second; workers count as silent after 3 s).

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -84,6 +84,8 @@
 	// and progress that are needed no more; none is deleted yet.
 	endKeys  []string
 	dropKeys []string
+	// droppedMS is when ends were last deleted.
+	droppedMS int64
 	// cancelled are cancellations of jobs that were not seen yet.
 	cancelled map[model.JobID]bool
 	// collected holds when the rows of jobs were deleted, on the store's clock; a
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -1,12 +1,20 @@
 package dispatch
 
 import (
+	"time"
+
 	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/workload"
 )
 
-// maxPuts bounds the rows of a transaction; the store allows 100 and 1 MB.
-const maxPuts = 60
+// Bounds of a transaction. Load pattern: an urgent gang of dozens of tasks on a
+// store that is sixty times slower, where each transaction more takes half a second.
+const (
+	// maxRows bounds its rows; the store allows 100 with the checks.
+	maxRows = 96
+	// maxBytes bounds what it puts; the store allows 1 MB as base64.
+	maxBytes = 600 << 10
+)
 
 // BatchKind says how a batch is made.
 type BatchKind string
@@ -50,7 +58,7 @@
 	if b := c.lapse(now); b != nil {
 		batches = append(batches, b)
 	}
-	batches = append(batches, c.dropEnds()...)
+	batches = append(batches, c.dropEnds(now)...)
 	return append(batches, c.collect(now)...)
 }
 
@@ -161,16 +169,15 @@
 	w := batchWriter{}
 	for _, j := range c.sortedJobs() {
 		if j.dirty {
-			b := w.next()
-			b.Tx.Puts = append(b.Tx.Puts, storeapi.Put{Key: workload.ProgressKey(j.ID), Value: encode(j.progress)})
+			w.put(workload.ProgressKey(j.ID), encode(j.progress))
 			j.dirty = false
 		}
 	}
 	for _, o := range orders {
-		w.next().addOrder(o)
+		w.addOrder(o)
 	}
 	for _, key := range c.dropKeys {
-		b := w.next()
+		b := w.next(0)
 		b.Tx.Deletes = append(b.Tx.Deletes, key)
 	}
 	c.dropKeys = nil
@@ -178,41 +185,62 @@
 }
 
 // batchWriter spreads writes over main batches.
-type batchWriter struct{ batches []*Batch }
+type batchWriter struct {
+	batches []*Batch
+	// bytes is the size of what the last batch puts.
+	bytes int
+}
 
-func (w *batchWriter) next() *Batch {
+// next returns the batch that takes one more row of some bytes.
+func (w *batchWriter) next(bytes int) *Batch {
 	if n := len(w.batches); n > 0 {
 		last := w.batches[n-1]
-		if len(last.Tx.Puts)+len(last.Tx.Deletes) < maxPuts {
+		if len(last.Tx.Puts)+len(last.Tx.Deletes) < maxRows && w.bytes+bytes <= maxBytes {
+			w.bytes += bytes
 			return last
 		}
 	}
 	b := &Batch{Kind: BatchMain}
-	w.batches = append(w.batches, b)
+	w.batches, w.bytes = append(w.batches, b), bytes
+	return b
+}
+
+func (w *batchWriter) put(key string, value []byte) *Batch {
+	b := w.next(len(value))
+	b.Tx.Puts = append(b.Tx.Puts, storeapi.Put{Key: key, Value: value})
 	return b
 }
 
-func (b *Batch) addOrder(o *order) {
+func (w *batchWriter) addOrder(o *order) {
+	b := w.put(o.Key(), encode(&o.Order))
 	b.orders = append(b.orders, o)
-	b.putAt = append(b.putAt, len(b.Tx.Puts))
-	b.Tx.Puts = append(b.Tx.Puts, storeapi.Put{Key: o.Key(), Value: encode(&o.Order)})
+	b.putAt = append(b.putAt, len(b.Tx.Puts)-1)
 }
 
+// dropEvery is how long ends that were taken in wait to be deleted, so that one
+// transaction deletes several of a host. A successor takes them in once more.
+const dropEvery = time.Second
+
 // dropEnds returns the batches that delete ends, one for each host that
 // reported some.
-func (c *Core) dropEnds() []*Batch {
+func (c *Core) dropEnds(now Now) []*Batch {
+	if now.StoreMS-c.droppedMS < dropEvery.Milliseconds() {
+		return nil
+	}
 	byPart := map[string]*Batch{}
 	var out []*Batch
 	for _, key := range c.endKeys {
 		_, part, _ := storeapi.SplitKey(key)
 		b := byPart[part]
-		if b == nil || len(b.Tx.Deletes) >= maxPuts {
+		if b == nil || len(b.Tx.Deletes) >= maxRows {
 			b = &Batch{Kind: BatchEnds}
 			byPart[part] = b
 			out = append(out, b)
 		}
 		b.Tx.Deletes = append(b.Tx.Deletes, key)
 	}
-	c.endKeys = nil
+	if len(out) > 0 {
+		c.endKeys, c.droppedMS = nil, now.StoreMS
+	}
 	return out
 }
--- a/internal/schedulerhost/load.go
+++ b/internal/schedulerhost/load.go
@@ -20,8 +20,13 @@
 // rescanEvery is the interval of scans beside the feeds; a scan reads each part.
 const rescanEvery = 15 * time.Second
 
-// maxScans bounds the scans under way while a session loads.
-const maxScans = 8
+// maxScans bounds the scans under way while a session loads. Three of them read
+// many parts each, see package partscan.
+const maxScans = 16
+
+// gatherWorkers is the pause after changes of the workers' rows, which hundreds
+// of agents write. Starts and ends do not wait for them.
+const gatherWorkers = 50 * time.Millisecond
 
 // Prefixes of the tables that others write and the scheduler follows.
 const (
@@ -102,6 +107,10 @@
 	settings.RescanEvery = rescanEvery
 	for _, prefix := range watched {
 		input := func(rows []storeapi.Row) { s.inputs.Push(ctx, func() { take[prefix](rows) }) }
+		settings.Gather = 0
+		if prefix == scanWorkers {
+			settings.Gather = gatherWorkers
+		}
 		table, _, _ := storeapi.SplitKey(prefix)
 		watch := tablewatch.New(settings, s.store, table, prefix, tablewatch.Handler{
 			Scanned: func(snapshot storeapi.Snapshot) { input(snapshot.Rows) },
--- a/internal/tablewatch/watch.go
+++ b/internal/tablewatch/watch.go
@@ -19,6 +19,9 @@
 	Wait time.Duration
 	// RescanEvery is the interval of scans beside the changes.
 	RescanEvery time.Duration
+	// Gather is the pause after a read that showed changes, so that many small ones
+	// are read together.
+	Gather time.Duration
 	// FirstPause and LongestPause bound the backoff after a failed read, which
 	// doubles and is drawn from its upper half.
 	FirstPause, LongestPause time.Duration
@@ -152,6 +155,7 @@
 	}
 	if len(changes.Rows) > 0 {
 		w.handler.Changed(changes.Rows)
+		pause.For(ctx, w.settings.Gather)
 	}
 	return changes.Version, nil
 }
--- a/internal/tablewatch/watch_test.go
+++ b/internal/tablewatch/watch_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -127,3 +129,36 @@
 		}
 	}
 }
+
+// TestGather: changes that come one after the other are read together.
+func TestGather(t *testing.T) {
+	const changes = 40
+	reads := func(gather time.Duration) int {
+		var calls int
+		synctest.Test(t, func(t *testing.T) {
+			store := standin.NewStore(time.Now)
+			settings := DefaultSettings()
+			settings.Gather = gather
+			seen := make(chan int, changes)
+			w := New(settings, store, "t", "t/", Handler{
+				Scanned: func(storeapi.Snapshot) {},
+				Changed: func(rows []storeapi.Change) { calls++; seen <- len(rows) },
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			go w.Run(ctx, 0)
+			for i := range changes {
+				time.Sleep(5 * time.Millisecond)
+				put(t, store, fmt.Sprintf("t/%d", i))
+			}
+			for got := 0; got < changes; {
+				got += <-seen
+			}
+			cancel()
+			synctest.Wait()
+		})
+		return calls
+	}
+	if alone, together := reads(0), reads(50*time.Millisecond); alone < changes/2 || together > changes/5 {
+		t.Errorf("%d reads of %d changes alone, %d together", alone, changes, together)
+	}
+}
--- a/internal/workload/rows.go
+++ b/internal/workload/rows.go
@@ -31,7 +31,7 @@
 	TableControl = "control"
 	// orderTables is over how many tables the orders are spread, so that a
 	// change wakes few agents. The store allows 100 tables.
-	orderTables = 24
+	orderTables = 72
 )
 
 // Keys of single rows and prefixes of row kinds.
