Keep urgent gangs that are not guaranteed in their rack for as long as that is sooner

Cause: urgent gangs of one rack left it after at most 1.3 s, or after their estimate if that was shorter. Ruled out: guaranteed gangs, which take the room in their rack at once (test). Change: the wait is the extra time away from the data by half, at least 1.3 s and at most 6 s, as for other work; guaranteed work keeps its shorter wait, for the bound of 2.7 s.

--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -196,9 +196,13 @@
 	rackPatience = 0.5
 	// maxRackWait bounds that wait; beyond it objectives are missed anyway.
 	maxRackWait = 6 * time.Second
-	// maxUrgentRackWait is the same for work of priority 0. It leaves time to stop
-	// others' work inside the platform's bound for guaranteed work, 2.7 s.
-	maxUrgentRackWait = 1300 * time.Millisecond
+	// guaranteedRackWait is the wait of guaranteed work. It leaves time to stop
+	// others' work inside the platform's bound, 2.7 s.
+	guaranteedRackWait = 1300 * time.Millisecond
+	// leastRackWait is the wait of other work whose estimate is short: a task away
+	// from its data misses its objective whenever it begins, and estimates of short
+	// tasks are off by several times.
+	leastRackWait = 1300 * time.Millisecond
 )
 
 // mayLeaveRack reports whether a unit no longer waits for the rack that suits
@@ -206,12 +210,12 @@
 func (r *room) mayLeaveRack(u *unit) bool {
 	step := u.spec()
 	extra := time.Duration((r.core.settings.RemoteFactor - 1) * rackPatience * float64(step.Estimate))
-	longest := maxRackWait
-	if u.job.Priority == 0 {
-		longest = maxUrgentRackWait
+	patience := max(min(extra, maxRackWait), leastRackWait)
+	if u.job.Priority == 0 && r.budgetOf(u).promised >= len(u.tasks) {
+		patience = min(extra, guaranteedRackWait)
 	}
 	waited := time.Duration(r.now.StoreMS-u.readyMS) * time.Millisecond
-	return waited > min(extra, longest) || !r.rackExists(u)
+	return waited > patience || !r.rackExists(u)
 }
 
 // workerSets returns the sets of workers of which one is to take a unit: the
