--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -84,6 +84,8 @@
 	// and progress that are needed no more; none is deleted yet.
 	endKeys  []string
 	dropKeys []string
+	// droppedMS is when ends were last deleted.
+	droppedMS int64
 	// cancelled are cancellations of jobs that were not seen yet.
 	cancelled map[model.JobID]bool
 	// collected holds when the rows of jobs were deleted, on the store's clock; a
@@ -115,6 +117,8 @@
 	// thrownAway counts the core seconds of others' work that were thrown away
 	// for each step.
 	thrownAway map[stepKey]float64
+	// claimedMS is when others' work was last stopped for each step.
+	claimedMS map[stepKey]int64
 }
 
 type stepKey struct{ occurrence, step int }
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -19,7 +19,7 @@
 	}
 	j := &job{
 		Job: accepted, progress: progress, orders: map[workload.RunID]*order{}, seenEnds: map[string]bool{},
-		readySinceMS: map[stepKey]int64{}, notBeforeMS: map[stepKey]int64{}, thrownAway: map[stepKey]float64{},
+		readySinceMS: map[stepKey]int64{}, notBeforeMS: map[stepKey]int64{}, thrownAway: map[stepKey]float64{}, claimedMS: map[stepKey]int64{},
 	}
 	c.jobs[accepted.ID] = j
 	c.decide(Decision{Kind: "job_seen", Job: j.ID, Reason: string(progress.State), AgeMS: -1})
@@ -116,8 +116,11 @@
 	if task := j.progress.Task(id.Task); task != nil {
 		task.LastRun = max(task.LastRun, id.Run)
 	}
-	if j.progress.State.Final() {
+	switch {
+	case j.progress.State.Final():
 		o.wantStop("job " + string(j.progress.State))
+	case row.Stop:
+		o.wantStop("a former owner stopped it")
 	}
 	c.takeReports(w)
 }
