Try failed tasks again where starts go well, and order of workers that are seen

The tracker of failures kept each job that ever failed for good. Change: units with a failure keep off workers that failed something at once in the last 6 s, as long as the others could hold them, also when they claim or hold room; a last attempt goes first where a start went well in the last 5 s; workers that have announced nothing to this owner come after those that have. Jobs are forgotten by the tracker when they end.

--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -69,7 +69,7 @@
 // with the least unsaved work first and no more than needed, and false when
 // there is not enough.
 func (cl *claims) costOn(w *worker) (claimCost, bool) {
-	if !allowed(cl.unit, w) || !cl.room.underLimit(cl.unit, w) {
+	if !cl.room.allowed(cl.unit, w) || !cl.room.underLimit(cl.unit, w) {
 		return claimCost{}, false
 	}
 	demand := cl.unit.spec().PerTask
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -93,6 +93,8 @@
 	collected map[model.JobID]int64
 	pending   pendingCounts
 	decisions []Decision
+	// beganMS is when the first plan was made.
+	beganMS int64
 	// lapsing is set while the lapse of a worker is being written.
 	lapsing bool
 }
@@ -134,6 +136,8 @@
 	version storeapi.RowVersion
 	// decidedMS is when the order was decided, or taken over from a former owner.
 	decidedMS int64
+	// takenOver is set for the order of a former owner.
+	takenOver bool
 	// stopWanted asks for the run's end; stopReason says why.
 	stopWanted bool
 	stopReason string
@@ -157,6 +161,10 @@
 	// suspectUntilMS is until when a worker comes after the others, on which the
 	// last task that ended had failed.
 	suspectUntilMS int64
+	// badUntilMS is the same for a task that failed at once.
+	badUntilMS int64
+	// soundMS is when the newest run was ordered whose start went well.
+	soundMS int64
 }
 
 // Decision is one thing that the core decided or came to believe, for the log.
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -116,6 +116,7 @@
 	if o != nil {
 		c.sick.Succeeded(o.Worker)
 		o.worker.suspectUntilMS = 0
+		o.worker.startWentWell(o, now.StoreMS)
 	}
 	if j.Steps[run.Task.Step].Gang {
 		for i := range j.progress.Occurrences[run.Task.Occurrence].Steps[run.Task.Step] {
@@ -140,7 +141,7 @@
 // report it, and a former owner may have counted it before.
 func (c *Core) taskFailed(now Now, j *job, run workload.RunID, o *order) {
 	if o != nil {
-		o.worker.suspectUntilMS = now.StoreMS + suspectFor.Milliseconds()
+		o.worker.failed(o, now.StoreMS)
 		if v := c.sick.Failed(now.time(), o.Worker, j.ID); v.Quarantined {
 			c.decide(Decision{Kind: "worker_quarantined", Worker: o.Worker, Reason: "tasks of several jobs failed", AgeMS: -1})
 		}
--- a/internal/dispatch/guarantee_test.go
+++ b/internal/dispatch/guarantee_test.go
@@ -134,3 +134,30 @@
 		}
 	}
 }
+
+// TestSuccessorPrefersWorkersItHasSeen: after a loss of power rows tell of lives of
+// workers that have ended. What is ordered of them is lost, so a new owner takes a
+// worker first that announced itself since.
+func TestSuccessorPrefersWorkersItHasSeen(t *testing.T) {
+	r := newRig(t)
+	r.worker("h1", "r1", nil)
+	r.worker("h2", "r1", nil)
+	r.pass(2 * time.Second)
+	next := newRig(t)
+	next.now, next.version = r.now, r.version
+	for _, w := range r.core.sortedWorkers() {
+		next.version++
+		next.core.WorkerSeen(w.Announcement, next.version)
+	}
+	next.plan()
+	next.pass(300 * time.Millisecond)
+	next.worker("h2", "r1", func(a *workload.Announcement) { a.Incarnation = 2 })
+	next.job(jobID(1), nil)
+	if placed := next.plan(); len(placed) != 1 || placed[0].Host != "h2" {
+		t.Errorf("ordered %+v", placed)
+	}
+	next.job(jobID(2), func(j *workload.Job) { j.Steps[0].PerTask.Accelerators = 8 })
+	if placed := next.plan(); len(placed) != 1 || placed[0].Host != "h1" {
+		t.Errorf("a worker that is not seen yet is not used: %+v", placed)
+	}
+}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -61,7 +61,7 @@
 // they fit first, and returns the expected time until the last of them fits.
 func (r *room) takeSoonest(u *unit, tasks int, set []*worker) (held []*worker, last float64) {
 	c := newChoice(set, func(w *worker) (float64, bool) {
-		if !allowed(u, w) || !r.underLimit(u, w) {
+		if !r.allowed(u, w) || !r.underLimit(u, w) {
 			return 0, false
 		}
 		seconds := r.secondsUntilFree(u, w)
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -91,6 +91,7 @@
 			o.reportedMS = w.SentMS
 		}
 		o.report, o.reportMS = running, w.SentMS
+		w.startWentWell(o, w.SentMS)
 	}
 }
 
@@ -110,7 +111,7 @@
 		w = &worker{Announcement: workload.Announcement{Host: row.Host, State: workload.WorkerGone}, orders: map[workload.RunID]*order{}}
 		c.workers[row.Host] = w
 	}
-	o := &order{Order: row, id: id, job: j, worker: w, version: version, demand: j.Steps[id.Task.Step].PerTask, decidedMS: now.StoreMS}
+	o := &order{Order: row, id: id, job: j, worker: w, version: version, demand: j.Steps[id.Task.Step].PerTask, decidedMS: now.StoreMS, takenOver: true}
 	j.progress.Begin(j.Job, id.Task.Occurrence)
 	c.link(o)
 	if task := j.progress.Task(id.Task); task != nil {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -51,6 +51,9 @@
 // Plan decides what to do now and returns the transactions, in the order in
 // which they are to be made. Main batches are already part of the core's state.
 func (c *Core) Plan(now Now) []*Batch {
+	if c.beganMS == 0 {
+		c.beganMS = now.StoreMS
+	}
 	c.stampEnded(now)
 	c.stopStalled(now)
 	orders := append(c.startTasks(now), c.stops()...)
@@ -67,6 +70,7 @@
 	for _, j := range c.jobs {
 		if j.progress.State.Final() && j.progress.EndedMS == 0 {
 			j.progress.EndedMS, j.dirty = now.StoreMS, true
+			c.sick.JobEnded(j.ID)
 		}
 	}
 }
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -63,13 +63,6 @@
 		now.StoreMS-w.SentMS <= c.settings.SilentAfter.Milliseconds() && !c.sick.Held(now.time(), w.Worker)
 }
 
-// allowed reports whether a worker may run a unit's tasks at all.
-func allowed(u *unit, w *worker) bool {
-	step := u.spec()
-	return w.Service == u.job.Service && step.PerTask.Fits(w.Capacity) &&
-		(step.Label == "" || slices.Contains(w.Labels, step.Label))
-}
-
 // underLimit reports whether one more of the step's tasks may go to a worker.
 func (r *room) underLimit(u *unit, w *worker) bool {
 	limit := u.spec().MaxPerWorker
@@ -135,18 +128,22 @@
 // fitness says how well a worker suits a task that fits into it.
 type fitness struct {
 	// failed is set when a task of the job failed there, far when it is away from
-	// the task's data.
-	failed, far, suspect, probing bool
+	// the task's data, and unseen when the worker has announced nothing to this
+	// owner: after a loss of power its row may tell of a life that has ended.
+	failed, far, unseen, suspect, probing bool
+	// unproven is set at a last attempt when no start went well there lately.
+	unproven bool
 	// left is the share of the worker that stays free.
 	left float64
 }
 
-// before puts workers first that have not failed the job, near its data, without
-// a late failure, then those with the least left over.
+// before puts workers first that have not failed the job, near its data, seen, without
+// a late failure, proven for a last attempt, then those with the least left over.
 func (f *fitness) before(o *fitness) bool {
 	return cmp.Or(
-		compareBool(f.failed, o.failed), compareBool(f.far, o.far), compareBool(f.suspect, o.suspect),
-		compareBool(f.probing, o.probing), cmp.Compare(f.left, o.left),
+		compareBool(f.failed, o.failed), compareBool(f.far, o.far), compareBool(f.unseen, o.unseen),
+		compareBool(f.suspect, o.suspect), compareBool(f.probing, o.probing),
+		compareBool(f.unproven, o.unproven), cmp.Compare(f.left, o.left),
 	) < 0
 }
 
@@ -154,7 +151,7 @@
 // task can't go there now.
 func (r *room) fitness(u *unit, w *worker) (fitness, bool) {
 	step := u.spec()
-	if !step.PerTask.Fits(r.free[w]) || !allowed(u, w) || !r.underLimit(u, w) {
+	if !step.PerTask.Fits(r.free[w]) || !r.allowed(u, w) || !r.underLimit(u, w) {
 		return fitness{}, false
 	}
 	far := step.PreferredRack != "" && string(w.Rack) != step.PreferredRack
@@ -162,8 +159,9 @@
 		return fitness{}, false
 	}
 	return fitness{
-		failed: r.failedOn(u, w), far: far, suspect: r.suspect(w), probing: r.core.sick.Probing(w.Worker),
-		left: leftOver(r.free[w], w.Capacity, step.PerTask),
+		failed: r.failedOn(u, w), far: far, unseen: w.SentMS < r.core.beganMS, suspect: r.suspect(w), probing: r.core.sick.Probing(w.Worker),
+		unproven: u.lastAttempt() && !r.sound(w),
+		left:     leftOver(r.free[w], w.Capacity, step.PerTask),
 	}, true
 }
 
@@ -249,7 +247,7 @@
 	step := u.spec()
 	slots := map[model.RackID]int{}
 	for _, w := range r.workers {
-		if !allowed(u, w) {
+		if !r.allowed(u, w) {
 			continue
 		}
 		if step.PreferredRack == "" || string(w.Rack) == step.PreferredRack {
@@ -285,7 +283,7 @@
 	byRack := map[model.RackID][]*worker{}
 	slots := map[model.RackID]int{}
 	for _, w := range r.workers {
-		if allowed(u, w) {
+		if r.allowed(u, w) {
 			byRack[w.Rack] = append(byRack[w.Rack], w)
 			slots[w.Rack] += tasksThatFit(u.spec(), r.free[w])
 		}
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -19,6 +19,11 @@
 	// readyMS is since when the unit could have started.
 	readyMS int64
 	rank    rank
+	// failed is the most failures of one of the tasks.
+	failed int
+	// avoid are the workers that the unit keeps off, once avoidKnown is set.
+	avoid      []*worker
+	avoidKnown bool
 }
 
 func (u *unit) spec() *workload.Step { return &u.job.Steps[u.step] }
@@ -165,6 +170,7 @@
 	if len(u.tasks) == 0 {
 		return nil
 	}
+	u.failed = u.failures()
 	return u
 }
 
