--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -19,23 +19,21 @@
 	chosen  map[*order]bool
 	// coming is what will be free beyond the room, by what is being stopped.
 	coming map[*worker]workload.Demand
-	// reluctance weighs what is stopped, and charged is the work that is thrown away
-	// and counts against the budget.
-	reluctance, charged float64
+	// cost is the work that is thrown away, and charged the part of it that
+	// counts against the budget.
+	cost, charged float64
 }
 
-// claimCost is what is stopped on a worker for one more task. There may be nothing
-// to stop.
+// claimCost is what is stopped on a worker for one more task, and the unsaved
+// work of it. There may be nothing to stop.
 type claimCost struct {
 	victims []victim
-	// unsaved is the work that is thrown away, in core seconds, and reluctance
-	// what is chosen by.
-	unsaved, reluctance float64
+	cost    float64
 }
 
 func newClaims(r *room, u *unit, b budget, workers []*worker) *claims {
 	cl := &claims{room: r, unit: u, budget: b, chosen: map[*order]bool{}, coming: maps.Clone(r.coming)}
-	cl.workers = newChoice(workers, cl.costOn, func(a, b *claimCost) bool { return a.reluctance < b.reluctance })
+	cl.workers = newChoice(workers, cl.costOn, func(a, b *claimCost) bool { return a.cost < b.cost })
 	return cl
 }
 
@@ -47,12 +45,12 @@
 		return false
 	}
 	if len(cl.places) >= cl.budget.promised {
-		if cl.charged+c.unsaved > cl.budget.coreSeconds {
+		if cl.charged+c.cost > cl.budget.coreSeconds {
 			return false
 		}
-		cl.charged += c.unsaved
+		cl.charged += c.cost
 	}
-	cl.reluctance += c.reluctance
+	cl.cost += c.cost
 	cl.victims = append(cl.victims, c.victims...)
 	cl.places = append(cl.places, w)
 	cl.room.take(cl.unit, w)
@@ -67,8 +65,9 @@
 	return true
 }
 
-// costOn returns what is stopped on a worker to make room for one task, what costs
-// least first and no more than needed, and false when there is not enough.
+// costOn returns what is stopped on a worker to make room for one task, the runs
+// with the least unsaved work first and no more than needed, and false when
+// there is not enough.
 func (cl *claims) costOn(w *worker) (claimCost, bool) {
 	if !cl.room.allowed(cl.unit, w) || !cl.room.underLimit(cl.unit, w) {
 		return claimCost{}, false
@@ -90,8 +89,7 @@
 	}
 	out.victims = withoutNeedless(out.victims, free, demand)
 	for _, v := range out.victims {
-		out.unsaved += v.unsaved
-		out.reluctance += v.reluctance
+		out.cost += v.unsaved
 	}
 	return out, true
 }
@@ -104,17 +102,13 @@
 	// unsaved is the work that is thrown away, that of a gang's members elsewhere
 	// included, in core seconds.
 	unsaved float64
-	// reluctance adds the work that the tasks lost by stops before. The youngest run
-	// is often one that was just stopped and began again; without it such a task
-	// would be stopped each time and never end.
-	reluctance float64
 }
 
 // all returns the runs that end with the victim, those on other workers, too.
 func (v *victim) all() []*order { return v.orders[0].group() }
 
-// stoppableOn returns what urgent work may stop on a worker, the least reluctance
-// first.
+// stoppableOn returns what urgent work may stop on a worker, the least unsaved
+// work first.
 func (r *room) stoppableOn(w *worker) []victim {
 	if known, ok := r.stoppable[w]; ok {
 		return known
@@ -131,10 +125,9 @@
 			continue
 		}
 		gangs[o.gangRun()] = len(out)
-		lost := unsaved(r.now, o)
-		out = append(out, victim{orders: []*order{o}, demand: o.demand, unsaved: lost, reluctance: lost + o.job.stoppedWork[o.lossKey()]})
+		out = append(out, victim{orders: []*order{o}, demand: o.demand, unsaved: unsaved(r.now, o)})
 	}
-	slices.SortStableFunc(out, func(a, b victim) int { return cmp.Compare(a.reluctance, b.reluctance) })
+	slices.SortStableFunc(out, func(a, b victim) int { return cmp.Compare(a.unsaved, b.unsaved) })
 	r.stoppable[w] = out
 	return out
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -119,9 +119,6 @@
 	// thrownAway counts the core seconds of others' work that were thrown away
 	// for each step.
 	thrownAway map[stepKey]float64
-	// stoppedWork is the work of each task that stops for urgent work threw away, in
-	// core seconds; that of a gang stands at its first task.
-	stoppedWork map[workload.TaskRef]float64
 	// claimedMS is when others' work was last stopped for each step.
 	claimedMS map[stepKey]int64
 }
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -175,14 +175,6 @@
 
 func (o *order) gangRun() gangRun { return gangRunOf(o.id) }
 
-// lossKey returns the task at which the work is counted that stops throw away.
-func (o *order) lossKey() workload.TaskRef {
-	if o.step().Gang {
-		return gangTask(o.id.Task)
-	}
-	return o.id.Task
-}
-
 // group returns the orders that end with this one: the members of its gang, or
 // itself alone.
 func (o *order) group() []*order {
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// bestClaims returns the claims for missing tasks that cost the least and throw no
-// more work away than the unit may, or nil. A gang is claimed for whole; of
+// bestClaims returns the claims for missing tasks that throw the least work
+// away and no more than the unit may, or nil. A gang is claimed for whole; of
 // other tasks those come first for which room costs the least.
 func (r *room) bestClaims(u *unit, missing int) *claims {
 	b := r.budgetOf(u)
@@ -99,7 +99,7 @@
 			r.giveBack(u, w)
 		}
 		whole := len(cl.places) == missing || (!u.gang() && len(cl.places) > 0)
-		if whole && (best == nil || cl.reluctance < best.reluctance) {
+		if whole && (best == nil || cl.cost < best.cost) {
 			best = cl
 		}
 	}
@@ -108,8 +108,6 @@
 
 // preempt stops runs, and with them the other members of their gang.
 func (r *room) preempt(v victim, u *unit) {
-	first := v.orders[0]
-	first.job.stoppedWork[first.lossKey()] += v.unsaved
 	for _, o := range v.orders {
 		o.wantStop("room for urgent " + string(u.job.ID))
 		r.core.decide(Decision{Kind: "run_preempted", Job: o.job.ID, Task: o.Task, Run: o.Run, Worker: o.Worker, Reason: o.stopReason, AgeMS: -1})
