--- a/internal/dispatch/guarantee_test.go
+++ b/internal/dispatch/guarantee_test.go
@@ -50,6 +50,35 @@
 	return next
 }
 
+// TestGuaranteeIsClaimedOnce: two urgent jobs of one account each fit into its
+// guarantee, and together exceed it. Room that the first one claims counts before
+// its tasks begin, so the second one has its own share of others' work only.
+func TestGuaranteeIsClaimedOnce(t *testing.T) {
+	r := newRig(t)
+	hosts := []string{"h1", "h2", "h3", "h4"}
+	for i, host := range hosts {
+		r.worker(host, "r1", nil)
+		r.job(jobID(i+1), func(j *workload.Job) {
+			j.Steps[0].PerTask.Accelerators, j.Steps[0].Estimate = 8, 30*time.Second
+		})
+	}
+	r.plan()
+	r.pass(20 * time.Second)
+	for _, host := range hosts {
+		r.worker(host, "r1", nil)
+	}
+	for _, id := range []string{"00000000000000f1", "00000000000000f2"} {
+		r.job(id, func(j *workload.Job) {
+			j.Account, j.Priority = "gold", 0
+			j.Steps[0].Tasks, j.Steps[0].PerTask.Accelerators = 2, 8
+		})
+	}
+	r.plan()
+	if n := len(r.stopping()); n != 2 {
+		t.Errorf("%d runs of 8 accelerators are stopped for 16 that are guaranteed", n)
+	}
+}
+
 // TestGuaranteeIsClaimedOnceOverPlans: stops that take several plans, and room
 // that is found for a part of a job, change nothing in what an account may claim.
 func TestGuaranteeIsClaimedOnceOverPlans(t *testing.T) {
