Register a test's agent before its first step

Ruled out: a fault of the product (link, middlebox); load alone, as nine runs of the cells beside each other passed. Before: with 30 ms between starting and storing, a nil pointer in withConn on the first run. After: two runs pass with 30 ms before and after each start. Conclusion: a fault of the test's world; no check changed.

--- a/internal/faultmatrix/link_cells_test.go
+++ b/internal/faultmatrix/link_cells_test.go
@@ -89,14 +89,14 @@
 }
 
 func (w *linkWorld) restartAgent() {
-	w.agent.stop()
+	w.agentNow().stop()
 	w.startAgent(2)
 }
 
 // restartEntry starts the entry host's next life, on another port: the kernel may
 // have given the former one away.
 func (w *linkWorld) restartEntry() {
-	w.entry.stop()
+	w.entryNow().stop()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		w.t.Error(err)
@@ -171,10 +171,7 @@
 func (w *linkWorld) withConn(use func(*link.Conn)) {
 	deadline := time.Now().Add(linkLimit)
 	for time.Now().Before(deadline) {
-		w.mu.Lock()
-		agent := w.agent
-		w.mu.Unlock()
-		if c := agent.hub.Conn("entry"); c != nil {
+		if c := w.agentNow().hub.Conn("entry"); c != nil {
 			use(c)
 			return
 		}
--- a/internal/faultmatrix/link_world_test.go
+++ b/internal/faultmatrix/link_world_test.go
@@ -67,8 +67,8 @@
 	w.target = listener.Addr().String()
 	w.startEntry(listener, 1)
 	t.Cleanup(func() {
-		w.agent.stop()
-		w.entry.stop()
+		w.agentNow().stop()
+		w.entryNow().stop()
 		box.Close()
 	})
 	return w
@@ -136,11 +136,26 @@
 	p := &linkProcess{hub: link.NewHub(identity, w.options(true), nil, nil, time.Now)}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
+	// The agent's first steps may set off what reads and stops it.
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.agent = p
 	p.done.Go(func() { p.hub.Dial(ctx, w.box.Address()) })
 	p.done.Go(func() { w.sendAll(ctx, p.hub) })
+}
+
+// agentNow returns the agent's present life.
+func (w *linkWorld) agentNow() *linkProcess {
 	w.mu.Lock()
-	w.agent = p
-	w.mu.Unlock()
+	defer w.mu.Unlock()
+	return w.agent
+}
+
+// entryNow returns the entry host's present life.
+func (w *linkWorld) entryNow() *linkProcess {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.entry
 }
 
 func (p *linkProcess) stop() {
