Push committed jobs, orders and ends to the processes that wait for them

Ruled out: plans and commits of the owner (milliseconds); shorter waits of a feed, as it hears nothing however often it is asked; scans of all parts each 0.2 s, which would be most of the calls to the store. Change: package rowpush. An entry host pushes a committed job or cancellation to the scheduler, the scheduler its committed orders to their agents, an agent its committed ends to the scheduler. A push is a hint: the feed brings what is lost, and an agent ignores what its feed has passed, as it may have been removed since. Also: the first row of an entry host's relay carried no age, as the store's clock was not known, and its peers ignored it for its first 15 s. It is written after a read now.

--- a/internal/deployed/agent.go
+++ b/internal/deployed/agent.go
@@ -9,6 +9,7 @@
 
 	"dragonflyyard/internal/jobagent"
 	"dragonflyyard/internal/logging"
+	"dragonflyyard/internal/rowpush"
 	"dragonflyyard/internal/settings"
 	"dragonflyyard/internal/storerelay"
 	"dragonflyyard/internal/taskrunner"
@@ -23,7 +24,8 @@
 	direct := platform.NewStore(s.StoreAddress, registry)
 	book := storerelay.NewBook(direct, workload.PrefixRelays, s.Host, storerelay.Peer{Zone: s.Zone}, log)
 	store := storerelay.NewClient(direct, book.Peers, log, registry)
-	agent := jobagent.New(s.Host, taskrunner.DefaultSettings(s.LongestLease), store, platform.NewWorkerCalls(s.WorkerAddress), log, registry)
+	pushes := rowpush.NewSender(s.PushAddress, agentPushes, log, registry)
+	agent := jobagent.New(s.Host, s.PushAddress, taskrunner.DefaultSettings(s.LongestLease), store, platform.NewWorkerCalls(s.WorkerAddress), pushes, log, registry)
 	control := platform.NewControlServer(platform.WorkerEvents{
 		Heartbeat: agent.Heartbeat,
 		Left:      agent.Left,
@@ -38,6 +40,10 @@
 	if err := serve(ctx, group, metricsServer(registry), s.MetricsAddress); err != nil {
 		return err
 	}
+	if err := serve(ctx, group, rowpush.NewServer(agent.OrdersPushed), s.PushAddress); err != nil {
+		return err
+	}
+	group.Go(func() error { pushes.Run(ctx); return nil })
 	group.Go(func() error { book.Run(ctx); return nil })
 	group.Go(func() error { store.Probe(ctx, agentProbeEvery); return nil })
 	group.Go(func() error { reload(ctx, log, reloadSettings); return nil })
--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -12,6 +12,7 @@
 	"dragonflyyard/internal/jobentry"
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/queueconfig"
+	"dragonflyyard/internal/rowpush"
 	"dragonflyyard/internal/schedulerhost"
 	"dragonflyyard/internal/settings"
 	"dragonflyyard/internal/storeapi"
@@ -31,6 +32,13 @@
 	agentProbeEvery = 500 * time.Millisecond
 )
 
+// Pushes of a process under way at the same time. Those to processes that don't
+// answer take 0.4 s each, and a third of hundreds of agents may be cut off.
+const (
+	entryPushes = 64
+	agentPushes = 2
+)
+
 // RunEntry runs an entry host until ctx is done, then stops gracefully.
 // reloadSettings reads the settings anew.
 func RunEntry(ctx context.Context, s settings.DeployedEntry, log *zap.Logger, registry metrics.Registry, reloadSettings func() error) error {
@@ -39,8 +47,14 @@
 	book := storerelay.NewBook(direct, workload.PrefixRelays, string(s.Host), storerelay.Peer{Address: s.RelayAddress, Zone: s.Zone, Cores: s.Cores, LinkMbps: s.LinkMbps}, log)
 	store := storerelay.NewClient(direct, book.Peers, log, registry)
 	view := jobentry.NewView(operatorRows(), store, log)
-	service := jobentry.NewService(view, store, log, registry)
-	scheduler := schedulerhost.New(s.Host, s.Region, store, view.Scheduling, book.Standing, log, registry)
+	pushes := rowpush.NewSender(s.RelayAddress, entryPushes, log, registry)
+	scheduler := schedulerhost.New(s.Host, s.Region, store, view.Scheduling, book.Standing, pushes, log, registry)
+	service := jobentry.NewService(view, store, func(row storeapi.Row) {
+		rows := []storeapi.Row{row}
+		if !scheduler.RowsPushed("", rows) {
+			pushes.Push(book.AddressOf(string(scheduler.Owner())), rows)
+		}
+	}, log, registry)
 
 	var stopping atomic.Bool
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
@@ -57,9 +71,12 @@
 	if err := serve(serving, group, metricsServer(registry), s.MetricsAddress); err != nil {
 		return err
 	}
-	if err := serve(serving, group, storerelay.NewServer(direct, store.DirectAway), s.RelayAddress); err != nil {
+	relay := storerelay.NewServer(direct, store.DirectAway)
+	relay.Handler = rowpush.Route(scheduler.RowsPushed, relay.Handler)
+	if err := serve(serving, group, relay, s.RelayAddress); err != nil {
 		return err
 	}
+	group.Go(func() error { pushes.Run(serving); return nil })
 	group.Go(func() error { book.Run(serving); return nil })
 	group.Go(func() error { store.Probe(serving, entryProbeEvery); return nil })
 	group.Go(func() error { view.Run(serving); return nil })
--- a/internal/deployed/path_test.go
+++ b/internal/deployed/path_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +30,8 @@
 	address string
 	entries []string
 	workers []*standin.JobWorker
+	// scans counts the reads of the parts of each table.
+	scans sync.Map
 }
 
 func listenOn(t *testing.T, handler fasthttp.RequestHandler) string {
@@ -56,13 +60,24 @@
 func newSite(t *testing.T) *site {
 	t.Helper()
 	s := &site{t: t, store: standin.NewStore(time.Now)}
-	s.address = listenOn(t, s.store.HandleRows)
+	s.address = listenOn(t, func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) == "/rows-parts" {
+			s.scansOf(string(ctx.QueryArgs().Peek("table"))).Add(1)
+		}
+		s.store.HandleRows(ctx)
+	})
 	if _, err := s.store.Commit(t.Context(), storeapi.Transaction{Puts: []storeapi.Put{{Key: "op/config", Value: []byte(configuration)}}}); err != nil {
 		t.Fatal(err)
 	}
 	return s
 }
 
+// scansOf returns the count of the scans of a table.
+func (s *site) scansOf(table string) *atomic.Int64 {
+	count, _ := s.scans.LoadOrStore(table, &atomic.Int64{})
+	return count.(*atomic.Int64)
+}
+
 func (s *site) run(name string, process func(ctx context.Context, log *zap.Logger, registry metrics.Registry) error) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -118,7 +133,7 @@
 	return s.run(host, func(ctx context.Context, log *zap.Logger, registry metrics.Registry) error {
 		return RunAgent(ctx, settings.DeployedAgent{
 			Host: host, Region: "region", Zone: "z", ControlAddress: control, WorkerAddress: app,
-			MetricsAddress: freeAddress(s.t), StoreAddress: s.address, LongestLease: 10 * time.Second,
+			MetricsAddress: freeAddress(s.t), StoreAddress: s.address, PushAddress: freeAddress(s.t), LongestLease: 10 * time.Second,
 		}, log, registry, noReload)
 	})
 }
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -31,6 +31,24 @@
 	}
 }
 
+// OrderRow is the row of an order, with where the agent of its worker takes
+// pushed rows; the address is empty when that is not known.
+type OrderRow struct {
+	Address string
+	Row     storeapi.Row
+}
+
+// OrderRows returns the rows of the orders that a batch wrote, once it is
+// committed.
+func (b *Batch) OrderRows() []OrderRow {
+	out := make([]OrderRow, len(b.orders))
+	for i, o := range b.orders {
+		put := b.Tx.Puts[b.putAt[i]]
+		out[i] = OrderRow{o.worker.Address, storeapi.Row{Key: put.Key, Value: put.Value, Version: o.version}}
+	}
+	return out
+}
+
 // Refused takes in that a batch of another kind than BatchMain took no effect,
 // or that this is not known. It is decided anew.
 func (c *Core) Refused(b *Batch) {
--- a/internal/jobagent/agent.go
+++ b/internal/jobagent/agent.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -14,6 +15,7 @@
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ring"
+	"dragonflyyard/internal/rowpush"
 	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/tablewatch"
 	"dragonflyyard/internal/taskrunner"
@@ -35,9 +37,14 @@
 
 // Agent runs beside one worker.
 type Agent struct {
-	host   string
-	store  storeapi.Store
-	worker Worker
+	host string
+	// address is where pushed orders arrive, IP:port.
+	address string
+	store   storeapi.Store
+	worker  Worker
+	push    *rowpush.Sender
+	// owner is where the scheduler that ordered last takes pushes.
+	owner  atomic.Value
 	log    *zap.Logger
 	core   *taskrunner.Core
 	inputs *ring.Ring[func(now time.Time)]
@@ -45,10 +52,11 @@
 	ends   metrics.Counter
 }
 
-// New returns the agent of a host.
-func New(host string, settings taskrunner.Settings, store storeapi.Store, worker Worker, log *zap.Logger, registry metrics.Registry) *Agent {
+// New returns the agent of a host, whose process takes pushed orders at an
+// address (IP:port) and pushes ends with push.
+func New(host, address string, settings taskrunner.Settings, store storeapi.Store, worker Worker, push *rowpush.Sender, log *zap.Logger, registry metrics.Registry) *Agent {
 	return &Agent{
-		host: host, store: store, worker: worker, log: log, core: taskrunner.New(settings, host),
+		host: host, address: address, store: store, worker: worker, push: push, log: log, core: taskrunner.New(settings, host),
 		inputs: ring.New[func(now time.Time)]("agent.inputs", maxInputs, registry),
 		orders: metrics.GetOrRegisterTimer("agent.order_calls", registry),
 		ends:   metrics.GetOrRegisterCounter("agent.ends_committed", registry),
@@ -67,6 +75,19 @@
 	return a.inputs.TryPush(func(time.Time) { a.core.Left(worker) })
 }
 
+// OrdersPushed takes in orders that the scheduler at an address pushed. It
+// returns false when the agent has too much to do.
+func (a *Agent) OrdersPushed(from string, rows []storeapi.Row) bool {
+	a.owner.Store(from)
+	return a.inputs.TryPush(func(time.Time) {
+		for _, row := range rows {
+			if order, _, ok := a.decodeOrder(row); ok {
+				a.core.OrderPushed(order, row.Version)
+			}
+		}
+	})
+}
+
 // Run works until ctx is done.
 func (a *Agent) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -116,7 +137,7 @@
 	}
 }
 
-func (a *Agent) push(ctx context.Context, input func(now time.Time)) { a.inputs.Push(ctx, input) }
+func (a *Agent) input(ctx context.Context, input func(now time.Time)) { a.inputs.Push(ctx, input) }
 
 // do makes one call and feeds its result back.
 func (a *Agent) do(ctx context.Context, action taskrunner.Action) {
@@ -125,12 +146,12 @@
 		sentAt := time.Now()
 		result := a.worker.Start(action)
 		a.orders.UpdateSince(sentAt)
-		a.push(ctx, func(now time.Time) { a.core.Started(now, action.ID, result) })
+		a.input(ctx, func(now time.Time) { a.core.Started(now, action.ID, result) })
 	case taskrunner.StopRun:
 		sentAt := time.Now()
 		result := a.worker.Stop(action)
 		a.orders.UpdateSince(sentAt)
-		a.push(ctx, func(now time.Time) { a.core.Stopped(now, action.Task, action.Run, result) })
+		a.input(ctx, func(now time.Time) { a.core.Stopped(now, action.Task, action.Run, result) })
 	case taskrunner.Hold:
 		a.hold(ctx, action)
 	case taskrunner.Announce:
@@ -146,7 +167,7 @@
 	if err != nil {
 		a.log.Warn("worker_unreachable", logging.Err(err), zap.Duration("after", time.Since(sentAt)))
 	}
-	a.push(ctx, func(now time.Time) { a.core.Held(now, sentAt, action, result, lists) })
+	a.input(ctx, func(now time.Time) { a.core.Held(now, sentAt, action, result, lists) })
 }
 
 // followOrders keeps the core's orders like the store's.
@@ -157,9 +178,9 @@
 		Scanned: func(s storeapi.Snapshot) {
 			maybeSent := first
 			first = false
-			a.push(ctx, func(time.Time) { a.scanned(s, maybeSent) })
+			a.input(ctx, func(time.Time) { a.scanned(s, maybeSent) })
 		},
-		Changed: func(changes []storeapi.Change) { a.push(ctx, func(time.Time) { a.changed(changes, prefix) }) },
+		Changed: func(changes []storeapi.Change) { a.input(ctx, func(time.Time) { a.changed(changes, prefix) }) },
 		Failed:  func(err error) { a.log.Warn("store_read_failed", zap.String("table", "orders"), logging.Err(err)) },
 	}
 	tablewatch.New(tablewatch.DefaultSettings(), a.store, workload.OrderTable(a.host), prefix, handler).Run(ctx, 0)
--- a/internal/jobagent/rows.go
+++ b/internal/jobagent/rows.go
@@ -27,7 +27,7 @@
 			announced, err = a.decodeWorker(row)
 		}
 		if err == nil || errors.Is(err, storeapi.ErrNotFound) {
-			a.push(ctx, func(time.Time) { a.core.RowLoaded(announced, row.Version) })
+			a.input(ctx, func(time.Time) { a.core.RowLoaded(announced, row.Version) })
 			return
 		}
 		a.log.Warn("store_read_failed", zap.String("table", workload.TableWorkers), logging.Err(err))
@@ -55,6 +55,7 @@
 // announce writes the worker's row, and the ends of runs with it.
 func (a *Agent) announce(ctx context.Context, action taskrunner.Announce) {
 	key := workload.WorkerKey(a.host)
+	action.Row.Address = a.address
 	tx := storeapi.Transaction{
 		Checks: []storeapi.Check{{Key: key, Version: action.Version}},
 		Puts:   []storeapi.Put{{Key: key, Value: rowcodec.Encode(&action.Row)}},
@@ -73,16 +74,31 @@
 	case err == nil:
 		version = versions[0]
 		a.ends.Inc(int64(len(action.Ends)))
+		a.pushEnds(tx.Puts, versions)
 	case errors.As(err, &conflict):
 		present = a.present(conflict, key, action.Ends)
 	default:
 		a.log.Warn("announcement_failed", zap.Int("ends", len(action.Ends)), logging.Err(err))
 	}
-	a.push(ctx, func(now time.Time) {
+	a.input(ctx, func(now time.Time) {
 		a.core.Announced(now, action, storeapi.ResultOf(err), version, present)
 	})
 }
 
+// pushEnds tells the scheduler of an announcement with ends. Others come with
+// its feed.
+func (a *Agent) pushEnds(puts []storeapi.Put, versions []storeapi.RowVersion) {
+	owner, known := a.owner.Load().(string)
+	if !known || len(puts) < 2 {
+		return
+	}
+	rows := make([]storeapi.Row, len(puts))
+	for i, put := range puts {
+		rows[i] = storeapi.Row{Key: put.Key, Value: put.Value, Version: versions[i]}
+	}
+	a.push.Push(owner, rows)
+}
+
 // present returns what a refused announcement showed.
 func (a *Agent) present(conflict *storeapi.Conflict, key string, ends []taskrunner.PendingEnd) taskrunner.Present {
 	row := conflict.Find(key)
@@ -117,7 +133,7 @@
 	default:
 		a.log.Warn("ends_not_reported", zap.Int("ends", len(action.Ends)), logging.Err(err))
 	}
-	a.push(ctx, func(now time.Time) {
+	a.input(ctx, func(now time.Time) {
 		a.core.EndsReported(now, action, storeapi.ResultOf(err), reported, orders)
 	})
 }
@@ -187,4 +203,7 @@
 		}
 		a.core.OrderGone(id, change.Version)
 	}
+	if n := len(changes); n > 0 {
+		a.core.OrdersSeen(changes[n-1].Version)
+	}
 }
--- a/internal/jobentry/service.go
+++ b/internal/jobentry/service.go
@@ -38,16 +38,19 @@
 
 // Service answers the calls of callers. It is safe for concurrent use.
 type Service struct {
-	view     *View
-	store    storeapi.Store
+	view  *View
+	store storeapi.Store
+	// stored is told of each row that was committed. It must not wait.
+	stored   func(storeapi.Row)
 	log      *zap.Logger
 	registry metrics.Registry
 	latency  metrics.Timer
 }
 
-// NewService returns the service of an entry host.
-func NewService(view *View, store storeapi.Store, log *zap.Logger, registry metrics.Registry) *Service {
-	return &Service{view: view, store: store, log: log, registry: registry, latency: metrics.GetOrRegisterTimer("calls.latency", registry)}
+// NewService returns the service of an entry host. stored is told of each job and
+// cancellation that was committed; it must not wait.
+func NewService(view *View, store storeapi.Store, stored func(storeapi.Row), log *zap.Logger, registry metrics.Registry) *Service {
+	return &Service{view: view, store: store, stored: stored, log: log, registry: registry, latency: metrics.GetOrRegisterTimer("calls.latency", registry)}
 }
 
 // Answer answers one call.
@@ -148,10 +151,13 @@
 func (s *Service) write(ctx context.Context, tx storeapi.Transaction) (*storeapi.Conflict, Outcome) {
 	inDoubt := false
 	for {
-		_, err := s.store.Commit(ctx, tx)
+		versions, err := s.store.Commit(ctx, tx)
 		var conflict *storeapi.Conflict
 		switch {
 		case err == nil:
+			for i, put := range tx.Puts {
+				s.stored(storeapi.Row{Key: put.Key, Value: put.Value, Version: versions[i]})
+			}
 			return nil, Outcome{Kind: OutcomeAccepted}
 		case errors.As(err, &conflict):
 			return conflict, Outcome{}
--- a/internal/jobentry/service_test.go
+++ b/internal/jobentry/service_test.go
@@ -70,7 +70,7 @@
 	view := NewView(rows, store, zap.NewNop())
 	putRow(t, store, "op/config", uint64(1))
 	scan(t, view)
-	return NewService(view, store, zap.NewNop(), metrics.NewRegistry()), store
+	return NewService(view, store, func(storeapi.Row) {}, zap.NewNop(), metrics.NewRegistry()), store
 }
 
 func putRow(t *testing.T, store *faultyStore, key string, value any) {
@@ -179,7 +179,7 @@
 func TestFirstCallOfAProcess(t *testing.T) {
 	service, store := newService(t)
 	fresh := NewView(service.view.rows, store, zap.NewNop())
-	first := NewService(fresh, store, zap.NewNop(), metrics.NewRegistry())
+	first := NewService(fresh, store, func(storeapi.Row) {}, zap.NewNop(), metrics.NewRegistry())
 	if got := first.Answer(testCall(CallSubmit, "/q/"+testJob, "k")); got.Kind != OutcomeAccepted {
 		t.Errorf("the first call gives %+v", got)
 	}
--- a/internal/schedulerhost/lease.go
+++ b/internal/schedulerhost/lease.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,7 @@
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ownership"
 	"dragonflyyard/internal/ring"
+	"dragonflyyard/internal/rowpush"
 	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/storerelay"
 	"dragonflyyard/internal/workload"
@@ -36,9 +38,15 @@
 	view        func() View
 	// standing tells how this host stands among the entry hosts.
 	standing func() storerelay.Standing
+	push     *rowpush.Sender
 	log      *zap.Logger
 	registry metrics.Registry
 
+	// owner is the entry host that was seen last with the lease.
+	owner atomic.Value
+	// active is the session that schedules, nil for none.
+	active atomic.Pointer[session]
+
 	candidate *ownership.Candidate
 	inputs    *ring.Ring[func(now time.Time) []ownership.Action]
 	// leave ends the session of the epoch that is held.
@@ -65,11 +73,11 @@
 )
 
 // New returns the part of an entry host. view returns the newest configuration,
-// and standing how the host stands among the entry hosts.
-func New(id model.EntryID, region model.RegionName, store storeapi.Store, view func() View, standing func() storerelay.Standing, log *zap.Logger, registry metrics.Registry) *Host {
+// and standing how the host stands among the entry hosts; orders are pushed with push.
+func New(id model.EntryID, region model.RegionName, store storeapi.Store, view func() View, standing func() storerelay.Standing, push *rowpush.Sender, log *zap.Logger, registry metrics.Registry) *Host {
 	incarnation := model.Incarnation(time.Now().UnixMilli())
 	return &Host{
-		id: id, incarnation: incarnation, store: store, view: view, standing: standing, log: log, registry: registry,
+		id: id, incarnation: incarnation, store: store, view: view, standing: standing, push: push, log: log, registry: registry,
 		candidate: ownership.NewCandidate(leaseLimits(), region, id, incarnation),
 		inputs:    ring.New[func(now time.Time) []ownership.Action]("lease.inputs", 64, registry),
 	}
@@ -149,6 +157,7 @@
 				h.endSession()
 			}
 		case ownership.Observed:
+			h.owner.Store(action.Lease.Owner)
 			h.log.Info("scheduler_observed", zap.String("owner", string(action.Lease.Owner)), zap.Uint64("epoch", uint64(action.Lease.Epoch)))
 		case ownership.HandedOver:
 			h.log.Info("scheduler_handed_over", zap.Bool("confirmed", action.Confirmed))
@@ -195,12 +204,27 @@
 	ctx, h.leave = context.WithCancel(ctx)
 	h.ended = make(chan struct{})
 	s := newSession(h, epoch)
+	h.active.Store(s)
 	go func(ended chan struct{}) {
 		defer close(ended)
+		defer h.active.CompareAndSwap(s, nil)
 		s.run(ctx)
 	}(h.ended)
 }
 
+// Owner returns the entry host that was seen last with the lease, empty for none.
+func (h *Host) Owner() model.EntryID {
+	owner, _ := h.owner.Load().(model.EntryID)
+	return owner
+}
+
+// RowsPushed takes in rows of the tables that the scheduler follows. It returns
+// false when this host does not schedule, or has too much to do.
+func (h *Host) RowsPushed(_ string, rows []storeapi.Row) bool {
+	s := h.active.Load()
+	return s != nil && s.inputs.TryPush(func() { s.takeRows(rows) })
+}
+
 // sessionRestart is the least time between two sessions of one epoch.
 const sessionRestart = 500 * time.Millisecond
 
--- a/internal/schedulerhost/load.go
+++ b/internal/schedulerhost/load.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -176,6 +177,26 @@
 	}
 }
 
+// takeRows takes in rows of any of the watched tables.
+func (s *session) takeRows(rows []storeapi.Row) {
+	for _, row := range rows {
+		one := []storeapi.Row{row}
+		switch table, _, _ := storeapi.SplitKey(row.Key); table {
+		case workload.TableInbox:
+			s.takeInbox(one, nil)
+		case workload.TableWorkers:
+			s.takeWorkers(one)
+		case workload.TableEnds:
+			s.takeEnds(one)
+		default:
+			s.malformed(row, errNotWatched)
+		}
+	}
+}
+
+// errNotWatched means that a pushed row is of a table that the scheduler does not follow.
+var errNotWatched = errors.New("a table that the scheduler does not follow")
+
 func (s *session) takeWorkers(rows []storeapi.Row) {
 	for _, row := range rows {
 		var announced workload.Announcement
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -229,6 +229,7 @@
 				versions[i] = version
 			}
 			s.committed(batch, versions)
+			s.pushOrders(batch)
 		})
 	case dispatch.BatchEnds:
 		s.dropLater(ctx, batch)
@@ -243,6 +244,17 @@
 	s.core.Committed(now, batch, versions)
 }
 
+// pushOrders sends a batch's orders to their agents, those of an agent together.
+func (s *session) pushOrders(batch *dispatch.Batch) {
+	byAddress := map[string][]storeapi.Row{}
+	for _, order := range batch.OrderRows() {
+		byAddress[order.Address] = append(byAddress[order.Address], order.Row)
+	}
+	for address, rows := range byAddress {
+		s.host.push.Push(address, rows)
+	}
+}
+
 // commitOther makes a batch outside the scheduler's own rows, once.
 func (s *session) commitOther(ctx context.Context, batch *dispatch.Batch) {
 	versions, err := s.store.Commit(ctx, batch.Tx)
--- a/internal/schedulerhost/session_test.go
+++ b/internal/schedulerhost/session_test.go
@@ -13,6 +13,7 @@
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/rowcodec"
+	"dragonflyyard/internal/rowpush"
 	"dragonflyyard/internal/standin"
 	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/storerelay"
@@ -50,10 +51,13 @@
 	}
 }
 
+// noPushes returns a sender that is never run.
+func noPushes() *rowpush.Sender { return rowpush.NewSender("", 1, zap.NewNop(), metrics.NewRegistry()) }
+
 func testSession(t *testing.T, store storeapi.Store) *session {
 	t.Helper()
 	view := func() View { return View{AsOf: time.Now()} }
-	h := New("entry-1", "region", store, view, func() storerelay.Standing { return storerelay.Standing{} }, zap.NewNop(), metrics.NewRegistry())
+	h := New("entry-1", "region", store, view, func() storerelay.Standing { return storerelay.Standing{} }, noPushes(), zap.NewNop(), metrics.NewRegistry())
 	s := newSession(h, 1)
 	if err := s.takeFence(t.Context()); err != nil {
 		t.Fatal(err)
@@ -147,7 +151,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		view := func() View { return View{AsOf: time.Now()} }
-		h := New(id, "region", store, view, func() storerelay.Standing { return storerelay.Standing{} }, zap.NewNop(), metrics.NewRegistry())
+		h := New(id, "region", store, view, func() storerelay.Standing { return storerelay.Standing{} }, noPushes(), zap.NewNop(), metrics.NewRegistry())
 		go func() {
 			defer close(done)
 			if err := h.Run(ctx); err != nil {
--- a/internal/settings/deployed.go
+++ b/internal/settings/deployed.go
@@ -42,6 +42,8 @@
 	WorkerAddress  string `yaml:"worker_address"`
 	MetricsAddress string `yaml:"metrics_address"`
 	StoreAddress   string `yaml:"store_address"`
+	// PushAddress (IP:port) is where the scheduler sends orders directly.
+	PushAddress string `yaml:"push_address"`
 	// LongestLease is the longest lease that a worker accepts.
 	LongestLease time.Duration `yaml:"longest_lease"`
 	LogLevel     string        `yaml:"log_level"`
@@ -94,6 +96,7 @@
 		c.address("worker_address", s.WorkerAddress)
 		c.address("metrics_address", s.MetricsAddress)
 		c.address("store_address", s.StoreAddress)
+		c.address("push_address", s.PushAddress)
 		c.durationRange("longest_lease", s.LongestLease, shortestLease, time.Minute)
 		c.level("log_level", s.LogLevel)
 	})
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -116,7 +116,7 @@
 }
 
 func (s *site) addAgent(beating context.Context, c Config, i int, store string, checker *checker) error {
-	addresses, box, err := addresses(2, store)
+	addresses, box, err := addresses(3, store)
 	if err != nil {
 		return err
 	}
@@ -135,8 +135,8 @@
 		}
 	}()
 	return s.add(fmt.Sprintf("side-%d", i), filepath.Join(c.Binaries, "dragonfly-agent"), box, fmt.Sprintf(
-		"host: side-%d\nregion: r\nzone: z%d\ncontrol_address: %s\nworker_address: %s\nmetrics_address: %s\nstore_address: %s\nlongest_lease: 10s\n",
-		i, i%3, addresses[0], app, addresses[1], box.Address()))
+		"host: side-%d\nregion: r\nzone: z%d\ncontrol_address: %s\nworker_address: %s\nmetrics_address: %s\nstore_address: %s\npush_address: %s\nlongest_lease: 10s\n",
+		i, i%3, addresses[0], app, addresses[1], box.Address(), addresses[2]))
 }
 
 // beatEvery is the interval of the workers' heartbeats.
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -31,6 +31,8 @@
 	Freeze bool `json:"freeze"`
 	// Silent takes each call and never answers; writes have no effect.
 	Silent bool `json:"silent"`
+	// QuietFeeds lets feeds hear of no change, as while a history is being dropped.
+	QuietFeeds bool `json:"quiet_feeds"`
 }
 
 var (
@@ -55,6 +57,14 @@
 
 func newGate() *gate { return &gate{changed: make(chan struct{})} }
 
+// quietFeeds reports whether feeds hear of no change, and returns what is closed
+// when the switches change.
+func (g *gate) quietFeeds() (bool, <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.faults.QuietFeeds, g.changed
+}
+
 // SetFaults replaces the fault switches of a service.
 func (s *Store) SetFaults(service Service, faults Faults) {
 	s.gateOf(service).set(faults)
--- a/internal/standin/feed.go
+++ b/internal/standin/feed.go
@@ -58,6 +58,10 @@
 	defer timer.Stop()
 	for {
 		changes, changed, err := s.changesNow(table, after)
+		quiet, switched := s.tableGate.quietFeeds()
+		if quiet && err == nil {
+			changes, changed = storeapi.Changes{Version: after}, switched
+		}
 		if err != nil || len(changes.Rows) > 0 {
 			return changes, err
 		}
--- a/internal/storerelay/peers.go
+++ b/internal/storerelay/peers.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -49,8 +50,10 @@
 	host   string
 	log    *zap.Logger
 
-	mu        sync.Mutex
-	peers     []string
+	mu    sync.Mutex
+	peers []string
+	// addresses holds the relay address of each other host by its name.
+	addresses map[string]string
 	outranked bool
 }
 
@@ -67,6 +70,13 @@
 	return b.peers
 }
 
+// AddressOf returns the relay address of another host, empty when it is not known.
+func (b *Book) AddressOf(host string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.addresses[host]
+}
+
 // muchStronger is how many times the processor or the link of a peer exceeds the
 // own one for it to count as stronger. Hosts of like size don't.
 const muchStronger = 3
@@ -97,6 +107,9 @@
 	var written time.Time
 	for ctx.Err() == nil {
 		pause := readEvery/2 + rand.N(readEvery)
+		if !b.read(ctx) {
+			pause = readRetry
+		}
 		if b.self.Address != "" && time.Since(written) > writeEvery {
 			if b.write(ctx) {
 				written = time.Now()
@@ -104,9 +117,6 @@
 				pause = readRetry
 			}
 		}
-		if !b.read(ctx) {
-			pause = readRetry
-		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -114,9 +124,14 @@
 	}
 }
 
+// write writes the host's row, once a read has told the store's time: a row
+// without its age is ignored by all.
 func (b *Book) write(ctx context.Context) bool {
 	row := b.self
-	row.SentMS, _ = b.store.StoreTime(time.Now())
+	var known bool
+	if row.SentMS, known = b.store.StoreTime(time.Now()); !known {
+		return false
+	}
 	_, err := b.store.Commit(ctx, storeapi.Transaction{Puts: []storeapi.Put{{Key: b.prefix + b.host, Value: rowcodec.Encode(&row)}}})
 	if err != nil {
 		b.log.Warn("relay_row_not_written", logging.Err(err))
@@ -132,6 +147,7 @@
 	}
 	nowMS, _ := b.store.StoreTime(time.Now())
 	var found []Peer
+	addresses := map[string]string{}
 	for _, row := range snapshot.Rows {
 		var peer Peer
 		if err := rowcodec.Decode(row.Value, &peer); err != nil {
@@ -140,9 +156,13 @@
 		}
 		if row.Key != b.prefix+b.host && nowMS-peer.SentMS < forgetAfter.Milliseconds() {
 			found = append(found, peer)
+			addresses[strings.TrimPrefix(row.Key, b.prefix)] = peer.Address
 		}
 	}
 	b.take(found)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.addresses = addresses
 	return true
 }
 
--- a/internal/taskrunner/core.go
+++ b/internal/taskrunner/core.go
@@ -24,7 +24,9 @@
 	lease lease
 
 	loaded bool
-	runs   map[workload.RunID]*run
+	// ordersAsOf is the version up to which all changes of orders were seen.
+	ordersAsOf storeapi.RowVersion
+	runs       map[workload.RunID]*run
 	// strays are runs on the worker without an order, with when a stop was sent.
 	strays map[workload.RunID]time.Time
 	calls  int
@@ -187,6 +189,19 @@
 	r.stopping = r.stopping || o.Stop
 }
 
+// OrderPushed takes in an order that its writer sent beside the store. One that
+// the orders seen so far include may have been removed since, and is ignored.
+func (c *Core) OrderPushed(o workload.Order, version storeapi.RowVersion) {
+	if c.loaded && version > c.ordersAsOf {
+		c.OrderSeen(o, version, false)
+	}
+}
+
+// OrdersSeen takes in that all changes of orders up to a version were seen.
+func (c *Core) OrdersSeen(version storeapi.RowVersion) {
+	c.ordersAsOf = max(c.ordersAsOf, version)
+}
+
 // OrderGone takes in that an order's row was removed.
 func (c *Core) OrderGone(id workload.RunID, version storeapi.RowVersion) {
 	if r := c.runs[id]; r != nil && r.version <= version {
@@ -203,6 +218,7 @@
 		}
 	}
 	c.loaded = true
+	c.OrdersSeen(version)
 }
 
 // finish notes the end of a run, once.
--- a/internal/workload/rows.go
+++ b/internal/workload/rows.go
@@ -248,6 +248,8 @@
 	// SentMS is when the announcement was sent, on the store's clock.
 	SentMS  int64         `codec:"t"`
 	Running []RunningTask `codec:"r,omitempty"`
+	// Address is where the agent takes pushed orders, IP:port.
+	Address string `codec:"a,omitempty"`
 }
 
 // ErrRowKey means that a row's key does not name what the row should hold.
