End the runs of workers that were taken away as soon as no lease can last

Ruled out: taking a refused connection as the end of a life, since a cut may refuse connections of a worker that runs on; leases so short that they do not bridge an agent that is away for 4 s. Change: a look of which nothing was sent, and a refused start, extend no lease. A step of a lease is 5.5 s, 2.5 s once the worker drains, and the announcement of a draining worker says how long its lease may last (6 s), which the owner goes by. Up to 40 workers are taken as gone beside each other. The exploration has worlds of a draining worker and of looks without an answer now, and finds a variant that forgets those. Its long pause is 5 s and that of the variant that takes workers as gone too soon 4 s, for 6 and 5 s, as the lease that they lie inside is 5.5 s and not 8 s.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -54,25 +54,29 @@
 func (c *Core) Refused(b *Batch) {
 	switch b.Kind {
 	case BatchVoid:
-		c.lapsing = false
+		c.workers[b.Host].lapsing = false
 	case BatchInbox:
 		b.job.collecting = false
 	}
 }
 
-// lapse returns the batch that takes the most silent worker as gone, once its
-// lease has ended for certain.
-func (c *Core) lapse(now Now) *Batch {
-	settled := now.StoreMS-now.StoreWellSinceMS >= c.settings.Settle.Milliseconds()
-	if !settled || c.lapsing {
+// maxLapses bounds the workers that are taken as gone at the same time. Load
+// pattern: a tenth of hundreds of workers is taken away at one moment, and wide
+// gangs wait for the end of their runs on all of these.
+const maxLapses = 40
+
+// lapse returns batches that take silent workers as gone, whose leases have ended
+// for certain. They are made beside each other.
+func (c *Core) lapse(now Now) []*Batch {
+	if now.StoreMS-now.StoreWellSinceMS < c.settings.Settle.Milliseconds() {
 		return nil
 	}
+	var out []*Batch
 	for _, w := range c.sortedWorkers() {
-		silent := now.StoreMS-w.SentMS > c.settings.LapseAfter.Milliseconds()
-		if (w.State == workload.WorkerGone && len(w.orders) == 0) || !silent || w.version == 0 {
+		if (w.State == workload.WorkerGone && len(w.orders) == 0) || w.lapsing || w.version == 0 || !c.silent(now, w) {
 			continue
 		}
-		c.lapsing = true
+		w.lapsing = true
 		c.decide(Decision{Kind: "worker_lapsing", Worker: w.Worker, Reason: "no announcement", AgeMS: now.StoreMS - w.SentMS})
 		gone := w.Announcement
 		gone.State, gone.Running = workload.WorkerGone, nil
@@ -80,16 +84,27 @@
 		key := workload.WorkerKey(w.Host)
 		b.Tx.Checks = []storeapi.Check{{Key: key, Version: w.version}}
 		b.Tx.Puts = []storeapi.Put{{Key: key, Value: encode(&gone)}}
-		return b
+		if out = append(out, b); len(out) == maxLapses {
+			break
+		}
+	}
+	return out
+}
+
+// silent reports whether a worker's lease has ended since its last announcement.
+func (c *Core) silent(now Now, w *worker) bool {
+	longest := c.settings.LapseAfter.Milliseconds()
+	if w.LeaseForMS > 0 {
+		longest = min(longest, w.LeaseForMS)
 	}
-	return nil
+	return now.StoreMS-w.SentMS > longest
 }
 
 // voided ends the runs of a worker that is gone. The ends that it reported
 // before were taken in.
 func (c *Core) voided(now Now, b *Batch, version storeapi.RowVersion) {
-	c.lapsing = false
 	w := c.workers[b.Host]
+	w.lapsing = false
 	w.State, w.Running, w.version = workload.WorkerGone, nil, version
 	for _, o := range sortedOrders(w.orders) {
 		c.unlink(o)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -95,8 +95,6 @@
 	decisions []Decision
 	// beganMS is when the first plan was made.
 	beganMS int64
-	// lapsing is set while the lapse of a worker is being written.
-	lapsing bool
 }
 
 // job is a job with its orders.
@@ -165,6 +163,8 @@
 	badUntilMS int64
 	// soundMS is when the newest run was ordered whose start went well.
 	soundMS int64
+	// lapsing is set while it is being written that the worker is gone.
+	lapsing bool
 }
 
 // Decision is one thing that the core decided or came to believe, for the log.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -58,9 +58,7 @@
 	c.stopStalled(now)
 	orders := append(c.startTasks(now), c.stops()...)
 	batches := c.writeBack(orders)
-	if b := c.lapse(now); b != nil {
-		batches = append(batches, b)
-	}
+	batches = append(batches, c.lapse(now)...)
 	batches = append(batches, c.dropEnds(now)...)
 	return append(batches, c.collect(now)...)
 }
--- a/internal/jobprotocol/agent_test.go
+++ b/internal/jobprotocol/agent_test.go
@@ -20,7 +20,9 @@
 	startLate       callFault = "start_late"
 	stopAnswerLost  callFault = "stop_answer_lost"
 	stopLate        callFault = "stop_late"
-	lookFailed      callFault = "look_failed"
+	// lookFailed is lost on its way, and nothing of lookNotSent was sent.
+	lookFailed  callFault = "look_failed"
+	lookNotSent callFault = "look_not_sent"
 	// rowAnswerLost and rowLost are announcements without an answer, of which the
 	// first took effect; rowRefused is one that the store did not take.
 	rowAnswerLost callFault = "row_answer_lost"
@@ -28,7 +30,7 @@
 	rowRefused    callFault = "row_refused"
 )
 
-var callFaults = []callFault{startRefused, startAnswerLost, startLate, stopAnswerLost, stopLate, lookFailed, rowAnswerLost, rowLost, rowRefused}
+var callFaults = []callFault{startRefused, startAnswerLost, startLate, stopAnswerLost, stopLate, lookFailed, lookNotSent, rowAnswerLost, rowLost, rowRefused}
 
 // agent is the agent of one host.
 type agent struct {
@@ -40,6 +42,10 @@
 	// began is set once the process took in what an earlier one left behind.
 	began bool
 	fault callFault
+	// draining is set once the worker says that it drains.
+	draining bool
+	// deaf is set once the agent hears no answer to a look that the worker takes.
+	deaf bool
 }
 
 func newAgent(w *world, host string) *agent {
@@ -75,6 +81,7 @@
 	}
 	a.core.HeartbeatSeen(taskrunner.Heartbeat{
 		Worker: workerID(a.host), Incarnation: a.worker.life, Sequence: a.sequence, Service: service, Capacity: capacity,
+		Draining: a.draining,
 	})
 	a.readOrders()
 	for range n {
@@ -123,10 +130,7 @@
 	case taskrunner.StopRun:
 		a.core.Stopped(a.world.time(), action.Task, action.Run, a.stop(action))
 	case taskrunner.Hold:
-		result, lists := taskrunner.HoldFailed, taskrunner.Lists{}
-		if !a.meets(lookFailed) {
-			result, lists = a.worker.hold(action)
-		}
+		result, lists := a.look(action)
 		a.core.Held(a.world.time(), a.world.time(), action, result, lists)
 	case taskrunner.Announce:
 		a.announce(action)
@@ -135,6 +139,23 @@
 	}
 }
 
+func (a *agent) look(action taskrunner.Hold) (taskrunner.HoldResult, taskrunner.Lists) {
+	switch {
+	case a.meets(lookFailed):
+		return taskrunner.HoldFailed, taskrunner.Lists{}
+	case a.meets(lookNotSent):
+		return taskrunner.HoldNotSent, taskrunner.Lists{}
+	case a.deaf:
+		a.worker.hold(action)
+		if a.world.variant.forgetsLostLooks {
+			return taskrunner.HoldNotSent, taskrunner.Lists{}
+		}
+		return taskrunner.HoldFailed, taskrunner.Lists{}
+	default:
+		return a.worker.hold(action)
+	}
+}
+
 func (a *agent) start(action taskrunner.StartRun) taskrunner.OrderResult {
 	switch {
 	case a.meets(startRefused):
--- a/internal/jobprotocol/explore_test.go
+++ b/internal/jobprotocol/explore_test.go
@@ -141,6 +141,13 @@
 	resent = []step{{kind: stepOwner}, {kind: stepAgent, host: "h1", fault: startLate}}
 	// silent is a world in which the end was reported and the agent fell silent.
 	silent = then(ended, step{kind: stepAgent, host: "h1"}, step{kind: stepSilence})
+	// draining is a world in which the run goes on while its worker drains.
+	draining = then(running, step{kind: stepDrain, host: "h1"}, step{kind: stepAgent, host: "h1"})
+	// deaf is the same some seconds on, with looks that the worker takes and the
+	// agent hears no answer to. What was granted before the drain has ended.
+	deaf = then(draining, step{kind: stepDeaf, host: "h1"}, deafRound, briefPause, deafRound, briefPause, deafRound, briefPause, deafRound, briefPause)
+
+	deafRound, briefPause = step{kind: stepAgent, host: "h1"}, step{kind: stepBriefPause}
 	// twoOwners is a world in which the former owner ordered the run.
 	twoOwners = []step{{kind: stepTakeOver, host: "h1"}, {kind: stepFormerOwner}}
 )
@@ -153,7 +160,7 @@
 
 func TestProtocolOfRuns(t *testing.T) {
 	for name, from := range map[string][]step{
-		"accepted": accepted, "running": running, "ended": ended, "resent": resent, "silent": silent, "two owners": twoOwners,
+		"accepted": accepted, "running": running, "ended": ended, "resent": resent, "silent": silent, "draining": draining, "deaf": deaf, "two owners": twoOwners,
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := bounds{from: from, depth: 3 + *deeper, faults: 2 + *deeper/2, settleEvery: 4}
@@ -175,7 +182,10 @@
 		bounds  bounds
 	}{
 		"worker taken as gone before its lease ends": {
-			variant{lapseAfter: 5 * time.Second}, bounds{from: then(running, step{kind: stepLongPause}), depth: 4, settleEvery: never},
+			variant{lapseAfter: 4 * time.Second}, bounds{from: then(running, step{kind: stepLongPause}), depth: 4, settleEvery: never},
+		},
+		"looks without an answer forgotten": {
+			variant{forgetsLostLooks: true}, bounds{from: then(deaf, h2), depth: 3, faults: 1, settleEvery: never},
 		},
 		"runs given up without a look at their ends": {
 			variant{voidsWithoutEnds: true}, bounds{from: then(silent, h2), depth: 3, faults: 2, settleEvery: never},
--- a/internal/jobprotocol/step_test.go
+++ b/internal/jobprotocol/step_test.go
@@ -34,6 +34,12 @@
 	stepLongPause stepKind = "long_pause"
 	stepSilence   stepKind = "silence"
 	stepCancel    stepKind = "cancel"
+	// stepDrain lets a worker say from then on that it drains, and stepDeaf its
+	// agent hear no answers to looks any more. They begin worlds only.
+	stepDrain stepKind = "worker_drains"
+	stepDeaf  stepKind = "agent_hears_no_looks"
+	// stepBriefPause is shorter than the lease of a draining worker.
+	stepBriefPause stepKind = "brief_pause"
 )
 
 // step is one thing that happens in a world.
@@ -72,14 +78,10 @@
 	}
 }
 
-// Lengths of pauses, in which no process does anything: one after which an
-// order is too old, one after which a lease may end, and one after which a
-// worker is taken as gone.
-const (
-	pauseMS     = 2_200
-	longPauseMS = 6_000
-	silenceMS   = 14_000
-)
+// pauses are times in which no process does anything: one inside the lease of a
+// draining worker, one after which an order is too old, one after which a lease
+// may end, and one after which a worker is taken as gone.
+var pauses = map[stepKind]int64{stepBriefPause: 1_000, stepPause: 2_200, stepLongPause: 5_000, stepSilence: 14_000}
 
 // readings are the orders in which a new owner reads the tables that agents
 // write, while an agent goes on: those named come before the agent's round.
@@ -188,17 +190,17 @@
 		}
 		n := w.agents[s.host].worker
 		n.end(n.runs()[0], kind)
+	case stepDrain:
+		w.agents[s.host].draining = true
+	case stepDeaf:
+		w.agents[s.host].deaf = true
 	case stepReborn:
 		w.agents[s.host].worker.begin()
 	case stepAgentDies:
 		w.agents[s.host].steps(s.n)
 		w.agents[s.host].restart()
-	case stepPause:
-		w.pass(pauseMS)
-	case stepLongPause:
-		w.pass(longPauseMS)
-	case stepSilence:
-		w.pass(silenceMS)
+	case stepBriefPause, stepPause, stepLongPause, stepSilence:
+		w.pass(pauses[s.kind])
 	case stepCancel:
 		w.cancelled = true
 		key := workload.CancelKeys(theJob)[0]
--- a/internal/jobprotocol/world_test.go
+++ b/internal/jobprotocol/world_test.go
@@ -34,6 +34,8 @@
 
 // variant breaks one rule of the protocol, to show that a check finds it.
 type variant struct {
+	// forgetsLostLooks takes looks without an answer as not sent.
+	forgetsLostLooks bool
 	// lapseAfter replaces the silence after which a worker is taken as gone.
 	lapseAfter time.Duration
 	// voidsWithoutEnds gives runs up without a look at the ends that were reported.
@@ -257,6 +259,9 @@
 	for len(w.late) > 0 {
 		w.apply(step{kind: stepLate})
 	}
+	for _, host := range w.hosts {
+		w.agents[host].deaf = false
+	}
 	for range settleRounds {
 		if w.owner == nil {
 			w.owner = takeOver(w, nil, func() {})
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -211,15 +211,22 @@
 	}
 	s.plans.UpdateSince(began)
 	s.logDecisions()
+	voids := map[*dispatch.Batch]*voiding{}
 	for _, batch := range batches {
-		if err := s.commitBatch(ctx, batch); err != nil {
+		if batch.Kind == dispatch.BatchVoid {
+			voids[batch] = s.beginVoiding(ctx, batch)
+		}
+	}
+	for _, batch := range batches {
+		if err := s.commitBatch(ctx, batch, voids[batch]); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *session) commitBatch(ctx context.Context, batch *dispatch.Batch) error {
+// commitBatch makes a batch; void is set for one that was begun before.
+func (s *session) commitBatch(ctx context.Context, batch *dispatch.Batch, void *voiding) error {
 	defer s.logDecisions()
 	switch batch.Kind {
 	case dispatch.BatchMain:
@@ -233,6 +240,8 @@
 		})
 	case dispatch.BatchEnds:
 		s.dropLater(ctx, batch)
+	case dispatch.BatchVoid:
+		s.endVoiding(void)
 	default:
 		s.commitOther(ctx, batch)
 	}
@@ -258,12 +267,10 @@
 // commitOther makes a batch outside the scheduler's own rows, once.
 func (s *session) commitOther(ctx context.Context, batch *dispatch.Batch) {
 	versions, err := s.store.Commit(ctx, batch.Tx)
-	if err == nil && batch.Kind == dispatch.BatchVoid {
-		var ends storeapi.Snapshot
-		if ends, err = s.store.Scan(ctx, workload.EndsPrefix(batch.Host)); err == nil {
-			s.takeEnds(ends.Rows)
-		}
-	}
+	s.madeOther(batch, versions, err)
+}
+
+func (s *session) madeOther(batch *dispatch.Batch, versions []storeapi.RowVersion, err error) {
 	if err != nil {
 		s.log.Warn("scheduler_batch_refused", zap.String("kind", string(batch.Kind)), zap.String("host", batch.Host), logging.Err(err))
 		s.core.Refused(batch)
--- a/internal/taskrunner/announce.go
+++ b/internal/taskrunner/announce.go
@@ -65,7 +65,7 @@
 		Worker: row.Worker, Incarnation: row.Incarnation, Service: row.Service, Zone: row.Zone, Rack: row.Rack,
 		Labels: row.Labels, Capacity: row.Capacity, Draining: row.State == workload.WorkerDraining,
 	}
-	c.statusKnown = true
+	c.statusKnown, c.drained = true, c.status.Draining
 }
 
 // announce returns the announcement that is due, if any.
@@ -84,6 +84,10 @@
 	case c.status.Draining:
 		row.State, row.LeavesInMS = workload.WorkerDraining, c.status.LeavesIn.Milliseconds()
 	}
+	if c.drained && !c.left {
+		// What was granted before ends in this time, too.
+		row.LeaseForMS = (slowest(c.settings.LeaseStep) + callMargin).Milliseconds()
+	}
 	c.row.pending = true
 	c.row.clockMS = c.clock(now)
 	c.row.nextAt = now.Add(c.settings.AnnounceEvery)
@@ -194,7 +198,11 @@
 	if !c.row.confirmed || !c.lease.known || !c.lists.known || c.left {
 		return 0
 	}
-	end := min(c.clock(now)+c.settings.LeaseStep.Milliseconds(), c.lease.basisMS+c.settings.LeaseBound.Milliseconds())
+	step, bound := c.settings.LeaseStep, c.settings.LeaseBound
+	if c.drained {
+		step, bound = c.settings.DrainLeaseStep, c.settings.LeaseStep
+	}
+	end := min(c.clock(now)+step.Milliseconds(), c.lease.basisMS+bound.Milliseconds())
 	if end <= c.clock(now) {
 		return 0
 	}
@@ -207,12 +215,15 @@
 	callMargin     = 300 * time.Millisecond
 )
 
-// granted notes a lease that is being granted.
+// slowest returns how long a time of the worker's clock may take.
+func slowest(d time.Duration) time.Duration { return time.Duration(float64(d) * clockTolerance) }
+
+// granted notes a lease that the worker took, or may have taken.
 func (c *Core) granted(now time.Time, endMS int64) {
 	if endMS == 0 {
 		return
 	}
-	remaining := time.Duration(float64(endMS-c.clock(now))*clockTolerance) * time.Millisecond
+	remaining := slowest(time.Duration(endMS-c.clock(now)) * time.Millisecond)
 	if end := now.Add(remaining + callMargin); end.After(c.lease.endsAt) {
 		c.lease.endsAt = end
 	}
--- a/internal/taskrunner/core.go
+++ b/internal/taskrunner/core.go
@@ -15,10 +15,12 @@
 
 	status      Heartbeat
 	statusKnown bool
-	left        bool
-	life        model.Incarnation
-	generation  uint64
-	row         announcedRow
+	// drained is set once the present life of the worker was seen to drain.
+	drained    bool
+	left       bool
+	life       model.Incarnation
+	generation uint64
+	row        announcedRow
 
 	lists listed
 	lease lease
@@ -29,7 +31,8 @@
 	runs       map[workload.RunID]*run
 	// strays are runs on the worker without an order, with when a stop was sent.
 	strays map[workload.RunID]time.Time
-	calls  int
+	// calls counts the starts and stops under way, starting the starts alone.
+	calls, starting int
 
 	hold holdState
 	// reporting is set while a ReportEnds is under way; the next one is due at reportAt.
@@ -54,6 +57,8 @@
 	version storeapi.RowVersion
 	// sent is set when a start may have reached the worker.
 	sent bool
+	// leaseEndMS is the end of the lease that the last start asked for.
+	leaseEndMS int64
 	// takenAt is when the worker confirmed the start; zero before.
 	takenAt time.Time
 	// listed is set once the worker listed the run as running.
@@ -137,6 +142,7 @@
 		c.row.announceNow()
 	}
 	c.status, c.statusKnown = h, true
+	c.drained = c.drained || h.Draining
 }
 
 // beginLife takes in that the worker began another life. What ran in the former
@@ -145,7 +151,7 @@
 // after a look under the new generation, which keeps out what is still under way.
 func (c *Core) beginLife(life model.Incarnation, source string) {
 	c.note("worker_life", nil, source)
-	c.life, c.left, c.statusKnown = life, false, false
+	c.life, c.left, c.drained, c.statusKnown = life, false, false, false
 	c.lists, c.lease = listed{}, lease{}
 	c.strays = map[workload.RunID]time.Time{}
 	c.reregister()
@@ -233,12 +239,15 @@
 
 // Held takes in the result of a look at the worker that was sent at sentAt.
 func (c *Core) Held(now, sentAt time.Time, sent Hold, result HoldResult, lists Lists) {
-	c.hold.pending, c.hold.failed = false, result == HoldFailed
+	c.hold.pending, c.hold.failed = false, result == HoldFailed || result == HoldNotSent
 	if result == HoldAnswered {
 		c.hold.failures = 0
 	}
+	if result != HoldNotSent {
+		c.granted(now, sent.LeaseEndMS)
+	}
 	switch result {
-	case HoldFailed:
+	case HoldFailed, HoldNotSent:
 		c.hold.nextAt = now.Add(c.pauseAfter(c.hold.failures))
 		c.hold.failures++
 		return
--- a/internal/taskrunner/step.go
+++ b/internal/taskrunner/step.go
@@ -39,9 +39,9 @@
 }
 
 // lapseUnreachable ends the runs of a worker that can't be asked, once the
-// lease that was granted last has ended.
+// lease that was granted last has ended and no call is under way that extends it.
 func (c *Core) lapseUnreachable(now time.Time) {
-	if !c.hold.failed || c.lease.endsAt.IsZero() || now.Before(c.lease.endsAt) {
+	if !c.hold.failed || c.hold.pending || c.starting > 0 || c.lease.endsAt.IsZero() || now.Before(c.lease.endsAt) {
 		return
 	}
 	for _, r := range c.runs {
@@ -120,8 +120,8 @@
 		return nil
 	}
 	c.begin(r)
-	r.sent = true
-	c.granted(now, end)
+	c.starting++
+	r.sent, r.leaseEndMS = true, end
 	return StartRun{ID: r.id, Worker: r.Worker, Spec: r.Spec, Checkpoint: r.Checkpoint, LeaseEndMS: end, Generation: c.generation}
 }
 
@@ -133,11 +133,16 @@
 // Started takes in the result of a start.
 func (c *Core) Started(now time.Time, id workload.RunID, result OrderResult) {
 	c.calls--
+	c.starting--
 	r := c.runs[id]
 	if r == nil {
+		// Its order is gone, so nothing waits for its lease to end.
 		return
 	}
 	r.inFlight = false
+	if result != OrderRefused {
+		c.granted(now, r.leaseEndMS)
+	}
 	r.retryAt = now.Add(c.pauseAfter(r.refusals))
 	switch result {
 	case OrderTaken:
@@ -212,7 +217,6 @@
 		wait = 0
 	}
 	end := c.leaseEnd(now)
-	c.granted(now, end)
 	c.hold.pending = true
 	return []Action{Hold{Worker: c.status.Worker, LeaseEndMS: end, Acknowledged: c.lists.acknowledged, Generation: c.generation, Wait: wait}}
 }
--- a/internal/taskrunner/types.go
+++ b/internal/taskrunner/types.go
@@ -90,7 +90,10 @@
 	HoldAnswered  HoldResult = "answered"
 	HoldOtherLife HoldResult = "other_life"
 	HoldFenced    HoldResult = "fenced"
-	HoldFailed    HoldResult = "failed"
+	// HoldFailed means that no answer came; the worker may have taken the call.
+	HoldFailed HoldResult = "failed"
+	// HoldNotSent means that nothing reached the worker.
+	HoldNotSent HoldResult = "not_sent"
 )
 
 // Action is one of StartRun, StopRun, Hold, Announce and ReportEnds.
@@ -164,6 +167,9 @@
 	// LeaseStep is how far ahead one call extends the lease; at most the bound
 	// of the worker.
 	LeaseStep time.Duration
+	// DrainLeaseStep is the same for a worker that drains, of which no lease ends
+	// later than LeaseStep after a confirmed announcement.
+	DrainLeaseStep time.Duration
 	// AnnounceEvery is the interval of announcements.
 	AnnounceEvery time.Duration
 	// HoldWait is how long a look at the worker waits for an end.
@@ -183,13 +189,17 @@
 func DefaultSettings(holdMax time.Duration) Settings {
 	return Settings{
 		// With the worker's clock 2 % slow this ends before dispatch's LapseAfter.
-		LeaseBound:    12 * time.Second,
-		LeaseStep:     min(holdMax, 8*time.Second),
-		AnnounceEvery: time.Second,
-		HoldWait:      time.Second,
-		RetryPause:    150 * time.Millisecond,
-		MaxPause:      time.Second,
-		MaxCalls:      8,
-		MaxEnds:       30,
+		LeaseBound: 12 * time.Second,
+		// A worker goes on while its agent is away for 4 s, the longest freeze or
+		// restart of one machine, and had its last look a second before.
+		LeaseStep: min(holdMax, 5500*time.Millisecond),
+		// Two looks and a call without an answer.
+		DrainLeaseStep: 2500 * time.Millisecond,
+		AnnounceEvery:  time.Second,
+		HoldWait:       time.Second,
+		RetryPause:     150 * time.Millisecond,
+		MaxPause:       time.Second,
+		MaxCalls:       8,
+		MaxEnds:        30,
 	}
 }
--- a/internal/workload/rows.go
+++ b/internal/workload/rows.go
@@ -245,6 +245,9 @@
 	// Generation rises with each life of the agent or of the worker. It is the
 	// fencing token of the agent's calls to the worker.
 	Generation uint64 `codec:"g"`
+	// LeaseForMS is how long after SentMS the worker's lease may last at the longest,
+	// by the slowest clock; 0 stands for dispatch.Settings.LapseAfter.
+	LeaseForMS int64 `codec:"f,omitempty"`
 	// SentMS is when the announcement was sent, on the store's clock.
 	SentMS  int64         `codec:"t"`
 	Running []RunningTask `codec:"r,omitempty"`
