Leave the scheduler's part of a slow store to the scheduler

Each of 240 announcements goes without an answer once; the agents then reported their ends in the scheduler's own part, which takes two transactions a second at that time and answered "too many calls on this part", also to the scheduler, whose one transaction took 4.5 s. Ruled out: the lease (the same host held it all the while), plans (milliseconds). Change: ends are reported apart once announcements were refused for 1 s or stayed without an answer for 5 s, no longer after the first failure.

--- a/internal/taskrunner/announce.go
+++ b/internal/taskrunner/announce.go
@@ -20,6 +20,42 @@
 	// doubtful are announcements without an answer, by when they were sent.
 	doubtful map[int64]doubtful
 	failures int
+	// failingSince is when the first of the failed announcements in a row ended,
+	// and refusedSince when the first one was refused; zero for none.
+	failingSince, refusedSince time.Time
+}
+
+// When ends are reported in the scheduler's own part. Load pattern: a store that is
+// sixty times slower, on which each announcement of hundreds of agents goes without
+// an answer once or twice. A part takes two transactions a second then, and the
+// scheduler's own would wait for seconds behind reports that their hosts' parts
+// take as soon.
+const (
+	// apartAfterRefusal is how long announcements are refused before.
+	apartAfterRefusal = time.Second
+	// apartAfterDoubt is the same for announcements that stay without an answer.
+	apartAfterDoubt = 5 * time.Second
+)
+
+// failed notes a failed announcement.
+func (a *announcedRow) failed(now time.Time, result storeapi.Result) {
+	a.failures++
+	if a.failingSince.IsZero() {
+		a.failingSince = now
+	}
+	if a.refusedSince.IsZero() && result != storeapi.ResultInDoubt {
+		a.refusedSince = now
+	}
+}
+
+func (a *announcedRow) answered() {
+	a.failures, a.failingSince, a.refusedSince = 0, time.Time{}, time.Time{}
+}
+
+// failsForLong reports whether ends go to the scheduler's own part.
+func (a *announcedRow) failsForLong(now time.Time) bool {
+	return (!a.refusedSince.IsZero() && now.Sub(a.refusedSince) >= apartAfterRefusal) ||
+		(!a.failingSince.IsZero() && now.Sub(a.failingSince) >= apartAfterDoubt)
 }
 
 // doubtful is an announcement that may have taken effect.
@@ -128,7 +164,7 @@
 func (c *Core) Announced(now time.Time, sent Announce, result storeapi.Result, version storeapi.RowVersion, present Present) {
 	c.row.pending = false
 	if result == storeapi.ResultOK || result == storeapi.ResultConflict {
-		c.row.failures = 0
+		c.row.answered()
 	}
 	current := sent.Row.Generation == c.generation && sent.Row.Incarnation == c.status.Incarnation
 	switch result {
@@ -153,7 +189,7 @@
 			c.row.doubtful[sent.Row.SentMS] = doubtful{c.row.clockMS, sent.Ends}
 		}
 		c.row.nextAt = now.Add(c.pauseAfter(c.row.failures))
-		c.row.failures++
+		c.row.failed(now, result)
 	}
 }
 
@@ -229,9 +265,10 @@
 	}
 }
 
-// reportApart returns the report of ends that is due while announcements fail.
+// reportApart returns the report of ends that is due while announcements fail for
+// long.
 func (c *Core) reportApart(now time.Time) []Action {
-	if c.row.failures == 0 || c.reporting || now.Before(c.reportAt) {
+	if !c.row.failsForLong(now) || c.reporting || now.Before(c.reportAt) {
 		return nil
 	}
 	ends := c.unreported()
