Write the counts of waiting jobs with what the scheduler writes anyway

Cause: on a store that is sixty times slower a plan of the scheduler waits half a second and more for each of its transactions, and the counts of waiting jobs took one of their own in each plan of that time. Change: they go into the last main batch that has room.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"dragonflyyard/internal/model"
@@ -156,19 +157,26 @@
 // may be told counts that are 2 s old.
 const pendingEveryMS = 800
 
-// PlanPending returns the batch that writes the counts of waiting jobs, or nil.
-func (c *Core) PlanPending(now Now) *Batch {
+// WithPending adds the counts of waiting jobs to the batches of a plan when they
+// are due: to the last main batch that has room, since each transaction more takes
+// half a second on a slow store, or else in a batch of their own.
+func (c *Core) WithPending(now Now, batches []*Batch) []*Batch {
+	if now.StoreMS-c.pending.writtenMS < pendingEveryMS {
+		return batches
+	}
 	counts := map[string]int{}
 	for _, j := range c.jobs {
 		if j.progress.State == workload.StateQueued {
 			counts[j.Queue]++
 		}
 	}
-	if now.StoreMS-c.pending.writtenMS < pendingEveryMS {
-		return nil
-	}
 	c.pending = pendingCounts{counts, now.StoreMS}
-	return &Batch{Kind: BatchMain, Tx: storeapi.Transaction{Puts: []storeapi.Put{
-		{Key: workload.KeyPending, Value: encode(&Pending{now.StoreMS, counts})},
-	}}}
+	put := storeapi.Put{Key: workload.KeyPending, Value: encode(&Pending{now.StoreMS, counts})}
+	for _, b := range slices.Backward(batches) {
+		if b.Kind == BatchMain && len(b.Tx.Puts)+len(b.Tx.Deletes) < maxRows {
+			b.Tx.Puts = append(b.Tx.Puts, put)
+			return batches
+		}
+	}
+	return append(batches, &Batch{Kind: BatchMain, Tx: storeapi.Transaction{Puts: []storeapi.Put{put}}})
 }
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -205,10 +205,7 @@
 	}
 	s.core.Configure(view.Guaranteed, view.Evacuated)
 	began := time.Now()
-	batches := s.core.Plan(now)
-	if pending := s.core.PlanPending(now); pending != nil {
-		batches = append(batches, pending)
-	}
+	batches := s.core.WithPending(now, s.core.Plan(now))
 	s.plans.UpdateSince(began)
 	s.logDecisions()
 	voids := map[*dispatch.Batch]*voiding{}
