--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -119,8 +119,6 @@
 	thrownAway map[stepKey]float64
 	// claimedMS is when others' work was last stopped for each step.
 	claimedMS map[stepKey]int64
-	// preempted holds the steps of which a run was stopped for urgent work.
-	preempted map[stepKey]bool
 }
 
 type stepKey struct{ occurrence, step int }
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -23,7 +23,7 @@
 // mayHold reports whether capacity is held back for a unit of lower priority.
 func (r *room) mayHold(u *unit) bool {
 	waited := time.Duration(r.now.StoreMS-u.readyMS) * time.Millisecond
-	if (waited < holdAfter && !u.job.preempted[u.key()]) || r.holds >= maxHolds {
+	if waited < holdAfter || r.holds >= maxHolds {
 		return false
 	}
 	r.holds++
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -19,7 +19,7 @@
 	}
 	j := &job{
 		Job: accepted, progress: progress, orders: map[workload.RunID]*order{}, seenEnds: map[string]bool{},
-		readySinceMS: map[stepKey]int64{}, notBeforeMS: map[stepKey]int64{}, thrownAway: map[stepKey]float64{}, claimedMS: map[stepKey]int64{}, preempted: map[stepKey]bool{},
+		readySinceMS: map[stepKey]int64{}, notBeforeMS: map[stepKey]int64{}, thrownAway: map[stepKey]float64{}, claimedMS: map[stepKey]int64{},
 	}
 	c.jobs[accepted.ID] = j
 	c.decide(Decision{Kind: "job_seen", Job: j.ID, Reason: string(progress.State), AgeMS: -1})
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -110,7 +110,6 @@
 func (r *room) preempt(v victim, u *unit) {
 	for _, o := range v.orders {
 		o.wantStop("room for urgent " + string(u.job.ID))
-		o.job.preempted[stepKey{o.id.Task.Occurrence, o.id.Task.Step}] = true
 		r.core.decide(Decision{Kind: "run_preempted", Job: o.job.ID, Task: o.Task, Run: o.Run, Worker: o.Worker, Reason: o.stopReason, AgeMS: -1})
 	}
 	for _, o := range v.all() {
