--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -41,11 +41,6 @@
 	return u.failed > 0 && u.failed+1 >= u.job.MaxAttempts
 }
 
-// wantsProof reports whether a unit goes to workers first on which a start went
-// well lately: a last attempt, and a gang, which one bad worker fails whole, while
-// bad workers are about.
-func (r *room) wantsProof(u *unit) bool { return u.lastAttempt() || (r.anyBad && u.gang()) }
-
 // avoided returns the workers that a unit with a failure keeps off: those that
 // failed something at once lately; none when the other ones could not hold it.
 // Units without a failure go there after all other workers only, since a job that
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -24,8 +24,6 @@
 	urgent map[model.ClientAccountID]int
 	// coming is what is being stopped on each worker.
 	coming map[*worker]workload.Demand
-	// anyBad is set while a worker is known that fails what it starts.
-	anyBad bool
 	// ending and stoppable keep, for workers that were looked at, the expected ends
 	// of their runs and what may be stopped there.
 	ending    map[*worker][]ending
@@ -54,7 +52,6 @@
 			continue
 		}
 		r.workers = append(r.workers, w)
-		r.anyBad = r.anyBad || now.StoreMS < w.badUntilMS
 		r.free[w] = w.Capacity.Sub(w.used)
 	}
 	return r
@@ -134,8 +131,7 @@
 	// the task's data, and unseen when the worker has announced nothing to this
 	// owner: after a loss of power its row may tell of a life that has ended.
 	failed, far, unseen, suspect, probing bool
-	// unproven is set when no start went well there lately, for a last attempt and
-	// for a gang while some workers fail what they start.
+	// unproven is set at a last attempt when no start went well there lately.
 	unproven bool
 	// left is the share of the worker that stays free.
 	left float64
@@ -164,7 +160,7 @@
 	}
 	return fitness{
 		failed: r.failedOn(u, w), far: far, unseen: w.SentMS < r.core.beganMS, suspect: r.suspect(w), probing: r.core.sick.Probing(w.Worker),
-		unproven: r.wantsProof(u) && !r.sound(w),
+		unproven: u.lastAttempt() && !r.sound(w),
 		left:     leftOver(r.free[w], w.Capacity, step.PerTask),
 	}, true
 }
