--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -191,7 +191,7 @@
 const (
 	// rackPatience is the share of the extra time away from the data that a task
 	// waits for a place near it.
-	rackPatience = 1.0
+	rackPatience = 0.5
 	// maxRackWait bounds that wait; beyond it objectives are missed anyway.
 	maxRackWait = 6 * time.Second
 	// guaranteedRackWait is the wait of guaranteed work. It leaves time to stop
