Count the lease of a start whose order is gone before its answer

Other runs could have been given up up to 2.5 s before their lease had ended. Change: any start that may have arrived counts, with the latest end that was asked for. Test that failed first: TestLeaseOfAForgottenStart.

--- a/internal/rowpush/send.go
+++ b/internal/rowpush/send.go
@@ -21,8 +21,8 @@
 	// sendWithin bounds one push, dialling included. Later the feed has shown the
 	// rows, unless it is as slow.
 	sendWithin = 400 * time.Millisecond
-	// maxWaiting bounds the pushes that wait: two gangs of a worker each on all of
-	// hundreds of workers.
+	// maxWaiting bounds the pushes that wait. Load pattern: orders for all of
+	// hundreds of workers within a few plans.
 	maxWaiting = 1024
 )
 
--- a/internal/taskrunner/announce.go
+++ b/internal/taskrunner/announce.go
@@ -71,6 +71,8 @@
 	// basisMS is the worker's clock before the last confirmed announcement.
 	basisMS int64
 	known   bool
+	// askedMS is the latest end that a start asked for, on the worker's clock.
+	askedMS int64
 	// endsAt is when the lease that was granted last has ended for certain.
 	endsAt time.Time
 }
--- a/internal/taskrunner/apart_test.go
+++ b/internal/taskrunner/apart_test.go
@@ -25,11 +25,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := newRig(t)
 			r.ready()
-			id := r.see(r.order(taskA, 1, nil), false)
-			r.settle()
-			r.core.Started(r.now, id, OrderTaken)
-			r.running = []workload.RunningTask{{Task: taskA, Run: 1}}
-			r.settle()
+			r.runs(taskA)
 			r.running, r.ended = nil, []EndedRun{{Number: 1, Task: taskA, Run: 1, Kind: workload.EndDone}}
 			if after := r.firstReport(c.result, 10*time.Second); after < c.earliest || after > c.latest {
 				t.Errorf("reported apart after %s, want %s to %s", after, c.earliest, c.latest)
--- a/internal/taskrunner/core.go
+++ b/internal/taskrunner/core.go
@@ -57,8 +57,6 @@
 	version storeapi.RowVersion
 	// sent is set when a start may have reached the worker.
 	sent bool
-	// leaseEndMS is the end of the lease that the last start asked for.
-	leaseEndMS int64
 	// takenAt is when the worker confirmed the start; zero before.
 	takenAt time.Time
 	// listed is set once the worker listed the run as running.
--- a/internal/taskrunner/leaving_test.go
+++ b/internal/taskrunner/leaving_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"dragonflyyard/internal/storeapi"
-	"dragonflyyard/internal/workload"
 )
 
 // TestRunsOfAVanishedWorker: a worker is taken away after a short notice, and its
@@ -25,11 +24,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := newRig(t)
 			r.ready()
-			id := r.see(r.order(taskA, 1, nil), false)
-			r.settle()
-			r.core.Started(r.now, id, OrderTaken)
-			r.running = []workload.RunningTask{{Task: taskA, Run: 1}}
-			r.settle()
+			r.runs(taskA)
 			r.heartbeat(func(h *Heartbeat) { h.Sequence, h.Draining, h.LeavesIn = 2, true, time.Second })
 			after := r.firstEnd(c.look, 10*time.Second)
 			if c.within == 0 && after != 0 {
@@ -64,6 +59,30 @@
 	return 0
 }
 
+// TestLeaseOfAForgottenStart: a start extends the lease of all that runs on the
+// worker, also when its own order is removed before its answer.
+func TestLeaseOfAForgottenStart(t *testing.T) {
+	for _, c := range []struct {
+		result  OrderResult
+		extends bool
+	}{{OrderTaken, true}, {OrderInDoubt, true}, {OrderRefused, false}} {
+		r := newRig(t)
+		r.ready()
+		r.runs(taskA)
+		r.pass(700 * time.Millisecond)
+		id := r.see(r.order(taskB, 1, nil), false)
+		if n := len(starts(r.core.Step(r.now, r.storeMS, true))); n != 1 {
+			t.Fatalf("%d starts", n)
+		}
+		r.core.OrderGone(id, r.version+1)
+		before := r.core.lease.endsAt
+		r.core.Started(r.now, id, c.result)
+		if extended := r.core.lease.endsAt.After(before); extended != c.extends {
+			t.Errorf("%s: extended %v, want %v", c.result, extended, c.extends)
+		}
+	}
+}
+
 // TestAnnouncedLeaseHolds: what a draining worker's agent grants ends before the
 // announced time, also what it granted before the worker drained.
 func TestAnnouncedLeaseHolds(t *testing.T) {
--- a/internal/taskrunner/rig_test.go
+++ b/internal/taskrunner/rig_test.go
@@ -120,6 +120,16 @@
 	return id
 }
 
+// runs brings an ordered run to where the worker lists it.
+func (r *rig) runs(task string) {
+	r.t.Helper()
+	id := r.see(r.order(task, 1, nil), false)
+	r.settle()
+	r.core.Started(r.now, id, OrderTaken)
+	r.running = append(r.running, workload.RunningTask{Task: task, Run: 1})
+	r.settle()
+}
+
 // ends steps the core once and returns the announcement with the ends that it
 // wants committed.
 func (r *rig) ends() Announce {
--- a/internal/taskrunner/step.go
+++ b/internal/taskrunner/step.go
@@ -121,7 +121,8 @@
 	}
 	c.begin(r)
 	c.starting++
-	r.sent, r.leaseEndMS = true, end
+	r.sent = true
+	c.lease.askedMS = max(c.lease.askedMS, end)
 	return StartRun{ID: r.id, Worker: r.Worker, Spec: r.Spec, Checkpoint: r.Checkpoint, LeaseEndMS: end, Generation: c.generation}
 }
 
@@ -134,15 +135,15 @@
 func (c *Core) Started(now time.Time, id workload.RunID, result OrderResult) {
 	c.calls--
 	c.starting--
+	if result != OrderRefused {
+		// The lease holds for all runs, also when this one's order is gone.
+		c.granted(now, c.lease.askedMS)
+	}
 	r := c.runs[id]
 	if r == nil {
-		// Its order is gone, so nothing waits for its lease to end.
 		return
 	}
 	r.inFlight = false
-	if result != OrderRefused {
-		c.granted(now, r.leaseEndMS)
-	}
 	r.retryAt = now.Add(c.pauseAfter(r.refusals))
 	switch result {
 	case OrderTaken:
