--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -3,19 +3,21 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
 )
 
-// smallJob is a job of tasks that take a tenth of an executor for a second.
-func smallJob(n int, label string) *job {
-	j := &job{queue: smallQueue, id: fmt.Sprintf("%016x", 0xb0000000+n), key: otherAPIKey, tasks: 2, milliCores: 11000, label: label}
+// smallJob is a job of tasks that take five cores, each about as long as spec says.
+func smallJob(n int, spec time.Duration, label string) *job {
+	j := &job{queue: smallQueue, id: fmt.Sprintf("%016x", 0xb0000000+n), key: otherAPIKey, tasks: 2, milliCores: 5000, label: label}
 	need := ""
 	if label != "" {
 		need = fmt.Sprintf(`,"required_label":%q`, label)
 	}
-	j.body = fmt.Sprintf(`{"spec":"1s","steps":[{"count":%d,"cpu":%d,"memory_request_mb":4000,"gpu":1,"estimate_ms":1000%s}]}`, j.tasks, j.milliCores, need)
+	j.body = fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":%d,"memory_request_mb":4000,"estimate_ms":%d%s}]}`,
+		spec, j.tasks, j.milliCores, spec.Milliseconds(), need)
 	return j
 }
 
@@ -23,7 +25,7 @@
 func (c *clients) submitEvery(interval, lasting time.Duration, first int, labels ...string) []*job {
 	var out []*job
 	for end := time.Now().Add(lasting); time.Now().Before(end); time.Sleep(interval) {
-		j := smallJob(first+len(out), labels[len(out)%len(labels)])
+		j := smallJob(first+len(out), c.length, labels[len(out)%len(labels)])
 		out = append(out, j)
 		go c.submit(j)
 	}
@@ -148,6 +150,7 @@
 	time.Sleep(4 * time.Second)
 	e := s.executors[1]
 	done := make(chan struct{})
+	var failed error
 	go func() {
 		defer close(done)
 		time.Sleep(3 * time.Second)
@@ -157,7 +160,7 @@
 		time.Sleep(4 * time.Second)
 		e.crash()
 		time.Sleep(500 * time.Millisecond)
-		e.boot("")
+		failed = errors.Join(failed, e.boot(""))
 		time.Sleep(500 * time.Millisecond)
 		if trouble {
 			e.stepClock(-2 * time.Second)
@@ -165,10 +168,14 @@
 		time.Sleep(100 * time.Millisecond)
 		e.crash()
 		time.Sleep(500 * time.Millisecond)
-		e.boot("")
+		failed = errors.Join(failed, e.boot(""))
 	}()
+	c.length = 4 * time.Second
 	jobs := c.submitEvery(time.Second, 30*time.Second, 0, "a", "b", "c")
 	<-done
+	if failed != nil {
+		return nil, failed
+	}
 	return c.lost(jobs), nil
 }
 
@@ -187,6 +194,6 @@
 	if trouble {
 		s.executors[0].crash()
 	}
-	jobs = append(jobs, c.submitEvery(time.Second, 30*time.Second, 100, "")...)
+	jobs = append(jobs, c.submitEvery(3*time.Second, 30*time.Second, 100, "")...)
 	return c.lost(jobs), nil
 }
--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -28,10 +28,12 @@
 	mu   sync.Mutex
 	jobs []*job
 	next int
+	// length is about how long the tasks of small jobs take.
+	length time.Duration
 }
 
 func newClients(s *site) *clients {
-	return &clients{site: s, http: &http.Client{Timeout: callDeadline}}
+	return &clients{site: s, http: &http.Client{Timeout: callDeadline}, length: time.Second}
 }
 
 // call makes one call at one frontend machine; status 0 means that there was no answer.
@@ -138,16 +140,19 @@
 	for _, j := range open {
 		began, done := c.site.history.jobRuns(j.id)
 		if state := c.state(j); still[j] && !final(state) {
-			out = append(out, fmt.Sprintf("accepted job %s is shown as %s and had nothing running for 3 s, %v after the end of the traffic, with executors idle; runs begun %d, done %d of %d tasks",
+			out = append(out, fmt.Sprintf("accepted job %s is shown as %s and had nothing running for 3 s, %v after the end of the traffic, with executors idle; runs begun %d, tasks done %d of %d",
 				j.id, state, finishAfter, began, done, j.tasks))
 		}
 	}
 	return out
 }
 
-// idleFor reports whether nothing of a job runs while there is capacity for its tasks twice over, and under half of the
+// idleFor reports whether nothing of a job runs, and not all of its tasks have ended done, while there is capacity for its tasks twice over, and under half of the
 // service's capacity is in use.
 func (c *clients) idleFor(j *job) bool {
+	if _, done := c.site.history.jobRuns(j.id); done == j.tasks {
+		return false
+	}
 	room, total, used := 0, 0, 0
 	for _, e := range c.site.executors {
 		own, cpu, up := e.inUse(j.id, c.milliCores)
--- a/review/stage/executor.go
+++ b/review/stage/executor.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"hash/fnv"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -47,13 +48,16 @@
 	history *history
 	// machine is the side machine, where it registers at control.
 	machine, control string
-	service, zone    string
-	labels           []string
+	// address is where it takes calls.
+	address       string
+	service, zone string
+	labels        []string
 
 	mu sync.Mutex
 	// clockOffset is the difference of the machine's time of day from true time.
 	clockOffset time.Duration
 	up          bool
+	server      *http.Server
 	id          string
 	born        int64
 	began       time.Time
@@ -77,9 +81,16 @@
 }
 
 // boot begins a life. An empty id keeps that of the life before.
-func (e *executor) boot(id string) {
+func (e *executor) boot(id string) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	listener, err := net.Listen("tcp4", e.address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: e}
+	e.server = server
+	go func() { _ = server.Serve(listener) }()
 	if id != "" {
 		e.id = id
 	}
@@ -91,17 +102,27 @@
 	case e.booted <- struct{}{}:
 	default:
 	}
+	return nil
 }
 
-// crash ends the life and all that runs.
+// crash ends the life and all that runs; nothing listens at its address then.
 func (e *executor) crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if !e.up {
+		return
+	}
 	e.record.add(e.machine, "executor %s crashes with %d tasks running", e.id, len(e.runs))
 	for run := range e.runs {
 		e.history.end(e.machine, run, "crashed")
 	}
+	e.off()
+}
+
+// off ends the process. The caller holds e.mu.
+func (e *executor) off() {
 	e.up, e.runs, e.ended = false, map[runRef]runState{}, nil
+	_ = e.server.Close()
 }
 
 func (e *executor) clock() int64 { return 1 + time.Since(e.began).Milliseconds() }
--- a/review/stage/record.go
+++ b/review/stage/record.go
@@ -97,19 +97,21 @@
 	}
 }
 
-// jobRuns counts the runs of a job that began, and those that ended done.
+// jobRuns counts the runs of a job that began, and its tasks that have ended done.
 func (h *history) jobRuns(job string) (began, done int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	tasks := map[string]bool{}
 	for _, t := range h.runs {
-		if jobOf(t.task) == job {
-			began++
-			if t.how == "done" {
-				done++
-			}
+		if jobOf(t.task) != job {
+			continue
+		}
+		began++
+		if t.how == "done" {
+			tasks[t.task] = true
 		}
 	}
-	return began, done
+	return began, len(tasks)
 }
 
 // twice returns the breaks of the rule TWICE: two runs of a task at the same time, or a start after an end done of which
--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -150,14 +150,14 @@
 		record: s.record, history: s.history, machine: name, control: fmt.Sprintf("%s:%d", ip, portControl),
 		service: serviceName, zone: zone, labels: []string{kind, "r1-1"}, booted: make(chan struct{}, 1),
 	}
-	if _, err := s.listen(machine, portApp, e); err != nil {
-		return err
-	}
+	e.address = fmt.Sprintf("%s:%d", ip, portApp)
 	s.executors = append(s.executors, e)
 	if err := s.launch(name, command, "deploy/agent.yaml.tmpl", s.values(name, ip, zone, storeAddress)); err != nil {
 		return err
 	}
-	e.boot(fmt.Sprintf("i-7f3a91c%d", i))
+	if err := e.boot(fmt.Sprintf("i-7f3a91c%d", i)); err != nil {
+		return err
+	}
 	go e.work(s.stop)
 	go e.beat(s.stop)
 	return nil
@@ -282,6 +282,13 @@
 	for _, p := range s.processes {
 		<-p.ended
 	}
+	for _, e := range s.executors {
+		e.mu.Lock()
+		if e.up {
+			e.off()
+		}
+		e.mu.Unlock()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	for _, server := range s.servers {
