--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// sixKinds are the kinds of six executors, so that one of them is less than the largest share that the site files show.
+var sixKinds = []string{"a", "b", "c", "d", "e", "f"}
+
 // smallJob is a job of tasks that take five cores, each about as long as spec says.
 func smallJob(n int, spec time.Duration, label string) *job {
 	j := &job{queue: smallQueue, id: fmt.Sprintf("%016x", 0xb0000000+n), key: otherAPIKey, tasks: 2, milliCores: 5000, label: label}
@@ -115,7 +118,7 @@
 
 // foreignPing: a ping of another writer, for a service that the manifest doesn't name, reaches one side machine.
 func foreignPing(r *record, trouble bool) ([]string, error) {
-	s, err := newSite(r, []string{"a", "b", "c"})
+	s, err := newSite(r, sixKinds)
 	if s != nil {
 		defer s.close()
 	}
@@ -139,7 +142,7 @@
 // clockStep: the time of day of a side machine is ahead for some seconds, and its executor goes down and up just before and
 // after it is put right.
 func clockStep(r *record, trouble bool) ([]string, error) {
-	s, err := newSite(r, []string{"a", "b", "c"})
+	s, err := newSite(r, sixKinds)
 	if s != nil {
 		defer s.close()
 	}
@@ -181,7 +184,7 @@
 
 // executorGone: the executor of one side machine crashes and doesn't come back; its machine and agent live on.
 func executorGone(r *record, trouble bool) ([]string, error) {
-	s, err := newSite(r, []string{"a", "a", "a"})
+	s, err := newSite(r, []string{"a", "a", "a", "a", "a", "a"})
 	if s != nil {
 		defer s.close()
 	}
--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -29,6 +29,9 @@
 	portMetrics   = 7015
 )
 
+// lastMachine is the number of the last loopback address of a site, which is that of the store.
+const lastMachine = 10
+
 const (
 	serviceName  = "huvo11a"
 	queueHost    = "nony24.example"
@@ -75,7 +78,7 @@
 		n := os.Getpid() + 61*try
 		prefix := fmt.Sprintf("127.%d.%d", 20+(n>>8)%200, n%250+1)
 		free := true
-		for machine := 1; machine <= 9 && free; machine++ {
+		for machine := 1; machine <= lastMachine && free; machine++ {
 			for _, port := range []int{portFrontend, portReadiness, portStore, portControl, portApp, portInternal, portMetrics} {
 				listener, err := net.Listen("tcp4", fmt.Sprintf("%s.%d:%d", prefix, machine, port))
 				if err != nil {
@@ -104,7 +107,7 @@
 	}
 	s := &site{dir: dir, net: prefix, record: r, history: newHistory(r), store: newStore(r), stop: make(chan struct{})}
 	s.store.put("op", "config", []byte(config))
-	storeAddress, err := s.listen(9, portStore, s.store)
+	storeAddress, err := s.listen(lastMachine, portStore, s.store)
 	if err != nil {
 		return s, err
 	}
