--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -17,8 +17,10 @@
 	queue, id, key, body string
 	tasks                int
 	milliCores           int
+	gpus                 int
 	label                string
 	accepted             bool
+	acceptedAt           time.Time
 }
 
 // clients hands jobs in and asks for their states, as the platform's clients do.
@@ -67,7 +69,7 @@
 		c.site.record.add("client", "POST %s%s -> %d  %.150s", j.queue, j.id, status, j.body)
 		if status/100 == 2 {
 			c.mu.Lock()
-			j.accepted = true
+			j.accepted, j.acceptedAt = true, time.Now()
 			c.mu.Unlock()
 			return
 		}
@@ -153,31 +155,35 @@
 	if _, done := c.site.history.jobRuns(j.id); done == j.tasks {
 		return false
 	}
-	room, total, used := 0, 0, 0
+	room, totalCPU, usedCPU, totalGPU, usedGPU := 0, 0, 0, 0, 0
 	for _, e := range c.site.executors {
-		own, cpu, up := e.inUse(j.id, c.milliCores)
+		own, cpu, gpu, up := e.inUse(j.id, c.demand)
 		if own > 0 {
 			return false
 		}
 		if !up {
 			continue
 		}
-		total, used = total+executorCPU, used+cpu
+		totalCPU, usedCPU, totalGPU, usedGPU = totalCPU+executorCPU, usedCPU+cpu, totalGPU+executorGPU, usedGPU+gpu
 		if e.suits(j.label) {
-			room += (executorCPU - cpu) / max(j.milliCores, 1)
+			fits := (executorCPU - cpu) / max(j.milliCores, 1)
+			if j.gpus > 0 {
+				fits = min(fits, (executorGPU-gpu)/j.gpus)
+			}
+			room += fits
 		}
 	}
-	return room >= 2*j.tasks && 2*used < total
+	return room >= 2*j.tasks && 2*usedCPU < totalCPU && 2*usedGPU < totalGPU
 }
 
-// milliCores returns what a task of a job takes.
-func (c *clients) milliCores(job string) int {
+// demand returns what a task of a job takes.
+func (c *clients) demand(job string) (milliCores, gpus int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, j := range c.jobs {
 		if j.id == job {
-			return j.milliCores
+			return j.milliCores, j.gpus
 		}
 	}
-	return 0
+	return 0, 0
 }
--- a/review/stage/executor.go
+++ b/review/stage/executor.go
@@ -5,11 +5,13 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -33,6 +35,25 @@
 type runState struct {
 	began  time.Time
 	length time.Duration
+	// lasts is set for a task that runs until it is stopped; it fails after length, if that isn't 0.
+	lasts bool
+}
+
+// newRun begins a run of a task. The text of a spec is how long the task takes, or "lasts", followed by the shortest time
+// until it fails, if it does.
+func newRun(run runRef, spec string) (runState, error) {
+	length, lasts := strings.CutPrefix(spec, "lasts")
+	if lasts && length == "" {
+		return runState{began: time.Now(), lasts: true}, nil
+	}
+	parsed, err := time.ParseDuration(strings.TrimSpace(length))
+	if lasts {
+		// Between one and three times the shortest time, by the task and its run.
+		h := fnv.New32a()
+		_, _ = fmt.Fprint(h, run.task, "/", run.run)
+		return runState{began: time.Now(), length: parsed + time.Duration(float64(2*parsed)*float64(h.Sum32()%1000)/1000), lasts: true}, err
+	}
+	return runState{began: time.Now(), length: uneven(parsed, run.task)}, err
 }
 
 type endRow struct {
@@ -57,18 +78,20 @@
 	// clockOffset is the difference of the machine's time of day from true time.
 	clockOffset time.Duration
 	up          bool
-	server      *http.Server
-	id          string
-	born        int64
-	began       time.Time
-	sequence    int
-	token       uint64
-	leaseMS     int64
-	runs        map[runRef]runState
-	highest     map[string]int
-	ended       []endRow
-	number      uint64
-	lastLapse   time.Time
+	// busy is set while all starts are refused with 503.
+	busy      bool
+	server    *http.Server
+	id        string
+	born      int64
+	began     time.Time
+	sequence  int
+	token     uint64
+	leaseMS   int64
+	runs      map[runRef]runState
+	highest   map[string]int
+	ended     []endRow
+	number    uint64
+	lastLapse time.Time
 	// booted wakes beat, so that a life begins with a ping.
 	booted chan struct{}
 }
@@ -263,12 +286,16 @@
 		e.reply(w, http.StatusConflict, map[string]any{"reason": "old"})
 		return
 	}
-	length, err := time.ParseDuration(in.Spec)
+	if e.busy {
+		e.reply(w, http.StatusServiceUnavailable, nil)
+		return
+	}
+	state, err := newRun(run, in.Spec)
 	if err != nil {
 		e.reply(w, http.StatusBadRequest, nil)
 		return
 	}
-	e.runs[run] = runState{time.Now(), uneven(length, run.task)}
+	e.runs[run] = state
 	e.history.start(e.machine, run)
 	e.reply(w, http.StatusOK, nil)
 }
@@ -296,6 +323,12 @@
 	}
 	for run, state := range e.runs {
 		switch {
+		case state.lasts && (state.length == 0 || time.Since(state.began) < state.length):
+			if lapsed {
+				e.end(run, "lapsed")
+			}
+		case state.lasts:
+			e.end(run, "failed")
 		case time.Since(state.began) >= state.length:
 			e.end(run, "done")
 		case lapsed:
@@ -349,8 +382,11 @@
 	}
 	running, finished := [][]any{}, [][]any{}
 	for run, state := range e.runs {
-		percent := int(100 * time.Since(state.began) / max(state.length, 1))
-		running = append(running, []any{run.task, run.run, "", min(percent, 99), 100})
+		percent := min(99, int(100*time.Since(state.began)/max(state.length, 1)))
+		if state.lasts {
+			percent = 100
+		}
+		running = append(running, []any{run.task, run.run, "", percent, 100})
 	}
 	for _, end := range e.ended[:min(len(e.ended), maxEndsListed)] {
 		finished = append(finished, []any{end.number, end.task, end.run, end.how, ""})
@@ -358,17 +394,26 @@
 	e.reply(w, http.StatusOK, map[string]any{"running": running, "finished": finished})
 }
 
-// inUse returns how many tasks of a job run here, the processor time that all tasks here take, and whether the executor is up.
-func (e *executor) inUse(job string, milliCores func(job string) int) (own, cpu int, up bool) {
+// inUse returns how many tasks of a job run here, the processor time and the accelerators that all tasks here take, and whether the
+// executor is up.
+func (e *executor) inUse(job string, demand func(job string) (milliCores, gpus int)) (own, cpu, gpu int, up bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for run := range e.runs {
 		if jobOf(run.task) == job {
 			own++
 		}
-		cpu += milliCores(jobOf(run.task))
+		c, g := demand(jobOf(run.task))
+		cpu, gpu = cpu+c, gpu+g
 	}
-	return own, cpu, e.up
+	return own, cpu, gpu, e.up
+}
+
+func (e *executor) setBusy(busy bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.busy = busy
+	e.record.add(e.machine, "refuses all starts with 503: %v", busy)
 }
 
 // suits reports whether the executor has a label; the empty one suits all.
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -15,6 +15,12 @@
 	"foreign-ping":  foreignPing,
 	"clock-step":    clockStep,
 	"executor-gone": executorGone,
+	"guarantee":     guarantee,
+	"waiting-gang":  waitingGang,
+	"pending":       pendingCount,
+	"many-due":      manyDue,
+	"long-task":     longTask,
+	"lasting-task":  lastingTask,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -30,7 +30,7 @@
 )
 
 // lastMachine is the number of the last loopback address of a site, which is that of the store.
-const lastMachine = 10
+const lastMachine = 16
 
 const (
 	serviceName  = "huvo11a"
@@ -38,14 +38,16 @@
 	apiKey       = "d4a3hwrr6x73d3zji9n7"
 	bigQueue     = "/lohu930/"
 	smallQueue   = "/pufi791/"
+	urgentQueue  = "/pule252/"
 	otherAPIKey  = "3hh2b9wu3fexd9dnn2ct"
 	callDeadline = 3 * time.Second
 )
 
-// config is the manifest: two queues and two tenants.
+// config is the manifest: a queue of each priority and two tenants.
 const config = `{"version":7,"routes":[
 {"name":"r-ce7ejsm","host":"nony24.example","path_prefix":"/lohu930/","kind":"non_idempotent","timeout_ms":3000,"target_duration_ms":3000,"priority":2,"service":"huvo11a","max_attempts":2,"slack_factor":3.0,"anonymous":false},
-{"name":"r-zzyyjsg","host":"nony24.example","path_prefix":"/pufi791/","kind":"non_idempotent","timeout_ms":3000,"target_duration_ms":1000,"priority":1,"service":"huvo11a","max_attempts":3,"slack_factor":3.0,"anonymous":false}],
+{"name":"r-zzyyjsg","host":"nony24.example","path_prefix":"/pufi791/","kind":"non_idempotent","timeout_ms":3000,"target_duration_ms":1000,"priority":1,"service":"huvo11a","max_attempts":3,"slack_factor":3.0,"anonymous":false},
+{"name":"r-3ajwyy7","host":"nony24.example","path_prefix":"/pule252/","kind":"non_idempotent","timeout_ms":3000,"target_duration_ms":250,"priority":0,"service":"huvo11a","max_attempts":2,"slack_factor":1.5,"anonymous":false}],
 "services":[{"name":"huvo11a","health_path":"/health","max_connections":64,"protocol":"h1","tls":false,"cold_start_s":0.0,"cold_per_s":0.0,"enforces_capacity":false,"standby":false}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 "tenants":[{"name":"kaje80","api_keys":["d4a3hwrr6x73d3zji9n7"],"priority":1,"guaranteed":{"gpu":8}},{"name":"vola31","api_keys":["3hh2b9wu3fexd9dnn2ct"],"priority":1,"guaranteed":{"gpu":8}}]}`
