--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 for program in bin/review-stage target/dragonfly-entry target/dragonfly-agent; do
 	[ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-TROUBLE=${TROUBLE:-1} exec bin/review-stage guarantee review/2/record.txt
+TROUBLE=${TROUBLE:-1} exec bin/review-stage repetitions review/2/record.txt
