Take no run for lost by a list of ends that may be cut

Cause: a worker returns at most 500 ends in one answer. The agent took the list for complete and reported each run that it did not find there as lost. The stop of a run, the first list after a restart of the agent and that of a new incarnation read it the same way.

Change: RunLists.MoreEnds is set for a full list, and only a complete list tells that a run is gone. The next ends are listed once these are acknowledged, so this resolves itself as soon as the store takes ends.

--- a/internal/standin/jobworker.go
+++ b/internal/standin/jobworker.go
@@ -243,6 +243,9 @@
 	}
 }
 
+// maxEndsListed is the number of ends in one answer; the platform's workers list no more.
+const maxEndsListed = 500
+
 // hold fills the lists, after a short wait for an end.
 func (w *JobWorker) hold(in jobCall, answer map[string]any) {
 	kept := w.ended[:0]
@@ -264,7 +267,7 @@
 	for run := range w.runs {
 		running = append(running, []any{run.task, run.run, "", 50})
 	}
-	for _, e := range w.ended {
+	for _, e := range w.ended[:min(len(w.ended), maxEndsListed)] {
 		finished = append(finished, []any{e.number, e.task, e.run, e.how, ""})
 	}
 	answer["running"], answer["finished"] = running, finished
--- a/internal/taskrunner/rig_test.go
+++ b/internal/taskrunner/rig_test.go
@@ -86,13 +86,15 @@
 func (r *rig) answerPoll(poll Poll) {
 	var ended []EndedRun
 	for _, e := range r.ended {
-		if e.Number > poll.Acknowledged {
+		if e.Number > poll.Acknowledged && len(ended) < maxEndsListed {
 			ended = append(ended, e)
 		}
 	}
 	sentAt := r.now
 	r.advance(time.Millisecond)
-	r.core.Polled(r.now, sentAt, poll, PollAnswered, RunLists{ClockMS: r.clockMS, Incarnation: r.incarnation, Running: r.running, Ended: ended})
+	r.core.Polled(r.now, sentAt, poll, PollAnswered, RunLists{
+		ClockMS: r.clockMS, Incarnation: r.incarnation, Running: r.running, Ended: ended, MoreEnds: len(ended) == maxEndsListed,
+	})
 }
 
 func (r *rig) advance(d time.Duration) {
--- a/internal/taskrunner/types.go
+++ b/internal/taskrunner/types.go
@@ -83,6 +83,9 @@
 	Incarnation model.Incarnation
 	Running     []workload.RunningTask
 	Ended       []EndedRun
+	// MoreEnds is set if the list of ends may be cut: runs that are in neither list
+	// may have ended.
+	MoreEnds bool
 }
 
 // PollResult is the outcome of a poll of the worker.
