Announce again at once while ends are left out

Cause: an announcement holds 30 ends, and the next one is due a second later unless another run ends meanwhile. Change: a full announcement that took effect is followed by the next one at once. An announcement that fails still backs off. Result: TestManyEndsAreReportedAtOnce failed before (done 120, acknowledged 120 of 600) and passes; go test ./internal/taskrunner passes.

--- a/internal/taskrunner/announce.go
+++ b/internal/taskrunner/announce.go
@@ -185,6 +185,10 @@
 			c.confirm(c.row.clockMS)
 		}
 		c.markReported(sent.Ends)
+		if len(sent.Ends) >= c.settings.MaxEnds {
+			// Further ends were left out.
+			c.row.announceNow()
+		}
 	case storeapi.ResultConflict:
 		c.markReported(conflict.Reported)
 		if conflict.Version == sent.Version {
--- a/internal/taskrunner/cutlist_test.go
+++ b/internal/taskrunner/cutlist_test.go
@@ -119,3 +119,17 @@
 		t.Errorf("%d runs ended as done, reported: %v", maxEndsListed+1, kinds)
 	}
 }
+
+// TestManyEndsAreReportedAtOnce guards against ends that wait for the next regular
+// announcement because one announcement holds few of them. The platform expects the ends
+// of a worker to be acknowledged within 4 s.
+func TestManyEndsAreReportedAtOnce(t *testing.T) {
+	r := newRig(t)
+	r.ready()
+	tasks := r.startMany(maxEndsListed + 100)
+	r.endAll(workload.EndDone)
+	r.advance(time.Second)
+	if kinds := r.reportedKinds(4 * time.Second); kinds[workload.EndDone] != len(tasks) || r.core.lists.acknowledged != uint64(len(tasks)) {
+		t.Errorf("%d runs ended as done, reported: %v, acknowledged: %d", len(tasks), kinds, r.core.lists.acknowledged)
+	}
+}
