Keep the progress of a job within one row of the store

Cause: the progress row held each occurrence that is done and the tasks of each that is due, until the store refused it for its size. Ruled out: change of owner, rates, slow plans (docs/incidents).

Change: done occurrences become ranges once there are more than 500; occurrences begin in order while the unfinished ones leave room; checkpoints that don't fit are dropped.

--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -18,6 +18,7 @@
 	if progress == nil {
 		progress = workload.NewProgress(accepted.Account)
 	}
+	progress.DropUnstarted()
 	j := &job{
 		Job: accepted, progress: progress, orders: map[workload.RunID]*order{}, seenEnds: map[string]bool{},
 		readySinceMS: map[stepKey]int64{}, notBeforeMS: map[stepKey]int64{}, preemptedWork: map[stepKey]float64{}, lastPreemptionMS: map[stepKey]int64{},
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"dragonflyyard/internal/storeapi"
@@ -181,7 +182,7 @@
 	w := batchWriter{}
 	for _, j := range c.sortedJobs() {
 		if j.dirty {
-			w.put(workload.ProgressKey(j.ID), encode(j.progress))
+			w.put(workload.ProgressKey(j.ID), c.encodeProgress(j))
 			j.dirty = false
 		}
 	}
@@ -196,6 +197,19 @@
 	return w.batches
 }
 
+// encodeProgress encodes a job's progress. Checkpoints that don't fit into the row are
+// dropped: the next runs of these tasks repeat the work.
+func (c *Core) encodeProgress(j *job) []byte {
+	j.progress.FoldDone()
+	value := encode(j.progress)
+	if len(value) <= workload.MaxRowBytes {
+		return value
+	}
+	c.recordDecision(Decision{Kind: "checkpoints_dropped", Job: j.ID, Reason: fmt.Sprintf("the progress row takes %d bytes", len(value)), AgeMS: -1})
+	j.progress.DropCheckpoints()
+	return encode(j.progress)
+}
+
 // batchWriter distributes writes over main batches.
 type batchWriter struct {
 	batches []*Batch
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -90,7 +90,7 @@
 		if j.progress.State.Final() {
 			continue
 		}
-		c.beginDueOccurrences(now, j)
+		j.progress.BeginDue(j.Job, now.UnixMS)
 		out = append(out, j.units(now)...)
 	}
 	slices.SortStableFunc(out, func(a, b *unit) int {
@@ -99,22 +99,6 @@
 	return out
 }
 
-// beginDueOccurrences begins the job's occurrences that are due.
-func (c *Core) beginDueOccurrences(now Now, j *job) {
-	if !j.Scheduled() {
-		for k := range j.Occurrences {
-			j.progress.EnsureOccurrence(j.Job, k)
-		}
-		return
-	}
-	for k := range j.Occurrences {
-		if now.UnixMS < j.DueUnixMS(k) {
-			return
-		}
-		j.progress.EnsureOccurrence(j.Job, k)
-	}
-}
-
 // units returns the job's units of all occurrences that have begun.
 func (j *job) units(now Now) []*unit {
 	var out []*unit
--- a/internal/workload/progress.go
+++ b/internal/workload/progress.go
@@ -46,8 +46,12 @@
 	Account model.ClientAccountID `codec:"a"`
 	// EndedMS is the time on the store's clock at which the job reached a final state.
 	EndedMS int64 `codec:"e,omitempty"`
-	// Occurrences holds the occurrences that have started, by number.
+	// Occurrences holds the occurrences that have started, by number, except those in
+	// DoneRanges.
 	Occurrences map[int]*OccurrenceProgress `codec:"o,omitempty"`
+	// DoneRanges holds the first and the last number of ranges of occurrences that are
+	// done, in ascending order. See FoldDone.
+	DoneRanges [][2]int `codec:"d,omitempty"`
 	// DoneOccurrences is the number of occurrences that are done.
 	DoneOccurrences int `codec:"n,omitempty"`
 }
@@ -65,6 +69,9 @@
 	if o := p.Occurrences[occurrence]; o != nil {
 		return o
 	}
+	if p.inDoneRange(occurrence) {
+		return &OccurrenceProgress{Done: true}
+	}
 	o := &OccurrenceProgress{Steps: make([][]TaskProgress, len(job.Steps))}
 	for i, step := range job.Steps {
 		o.Steps[i] = make([]TaskProgress, step.Tasks)
