Bound the announcement of a worker by the size of a row

What callers would see: all tasks of a worker run again elsewhere after 13.5 s, once it runs more than some 1,100 small tasks or one task has a huge checkpoint.

Cause: an announcement lists all running tasks with their checkpoints; the store refuses the row for its size, and the agent repeats it. Change: as many tasks are listed as fit, the others in the announcements that follow; checkpoints over 4,000 bytes are ignored and logged. Result: before, rows of 151,356 bytes (2,500 tasks) and 295,064 bytes (long checkpoints), 49,152 allowed. After, both tests pass, with -race all of taskrunner and workload.

--- a/internal/taskrunner/announce.go
+++ b/internal/taskrunner/announce.go
@@ -22,6 +22,9 @@
 	// inDoubt holds the announcements without an answer, keyed by their SentMS.
 	inDoubt  map[int64]inDoubtAnnouncement
 	failures int
+	// nextReport is the index of the running task with which the next announcement
+	// begins.
+	nextReport int
 	// failingSince is when the first announcement of the current series of
 	// failures failed, and refusedSince when the first of them was refused; zero
 	// for none.
@@ -123,7 +126,7 @@
 	row := workload.Announcement{
 		Host: c.host, Worker: c.status.Worker, Incarnation: c.status.Incarnation, Service: c.status.Service,
 		Zone: c.status.Zone, Rack: c.status.Rack, Labels: c.status.Labels, Capacity: c.status.Capacity,
-		State: workload.WorkerReady, Generation: c.generation, SentMS: storeMS, Running: c.lists.running,
+		State: workload.WorkerReady, Generation: c.generation, SentMS: storeMS, Running: c.nextReports(),
 	}
 	switch {
 	case c.workerLeft:
@@ -141,6 +144,42 @@
 	return []Action{Announce{Row: row, Version: c.row.version, Ends: c.unreported()}}
 }
 
+// Sizes that bound the row of an announcement, in bytes. Load pattern: over a thousand
+// small tasks on one worker.
+const (
+	// maxReportBytes bounds the encoding of the running tasks. The rest of the row is
+	// left for what the worker says of itself.
+	maxReportBytes = workload.MaxRowBytes - 6<<10
+	// reportBytes is the largest encoding of a running task without its texts.
+	reportBytes = 32
+)
+
+// nextReports returns the running tasks to announce: all of them if the row has room, or
+// else those that follow the ones announced last, so that each is announced in turn.
+func (c *Core) nextReports() []workload.RunningTask {
+	running := c.lists.running
+	first := 0
+	if len(running) > 0 {
+		first = c.row.nextReport % len(running)
+	}
+	out, room := make([]workload.RunningTask, 0, len(running)), maxReportBytes
+	for i := range running {
+		next := running[(first+i)%len(running)]
+		size := reportBytes + len(next.Task) + len(next.Checkpoint)
+		switch {
+		case size > maxReportBytes:
+			// No task of this system has such a name.
+		case size > room:
+			c.row.nextReport = first + i
+			return out
+		default:
+			out, room = append(out, next), room-size
+		}
+	}
+	c.row.nextReport = 0
+	return out
+}
+
 // unreported returns the ends that are not committed yet, at most MaxEnds.
 func (c *Core) unreported() []PendingEnd {
 	var ends []PendingEnd
--- a/internal/taskrunner/core.go
+++ b/internal/taskrunner/core.go
@@ -67,6 +67,8 @@
 	// seenRunning is set once the worker listed the run as running.
 	seenRunning bool
 	checkpoint  string
+	// checkpointIgnored is set once a checkpoint of the run was too large to store.
+	checkpointIgnored bool
 	// percent is the progress that the worker listed last, and progressAt when it
 	// last changed.
 	percent    int
--- a/internal/taskrunner/lists.go
+++ b/internal/taskrunner/lists.go
@@ -1,6 +1,7 @@
 package taskrunner
 
 import (
+	"fmt"
 	"time"
 
 	"dragonflyyard/internal/workload"
@@ -35,6 +36,10 @@
 }
 
 func (c *Core) applyRunning(now time.Time, running *workload.RunningTask, listedRuns map[workload.RunID]bool) {
+	checkpointSize := len(running.Checkpoint)
+	if checkpointSize > workload.MaxCheckpointBytes {
+		running.Checkpoint = ""
+	}
 	ref, err := workload.ParseTaskRef(running.Task)
 	if err != nil {
 		return
@@ -49,6 +54,9 @@
 		}
 		return
 	}
+	if checkpointSize > workload.MaxCheckpointBytes {
+		c.ignoreCheckpoint(r, checkpointSize)
+	}
 	if !r.seenRunning || r.percent != running.Percent {
 		r.percent, r.progressAt, r.stallAnnounced = running.Percent, now, false
 	}
@@ -73,9 +81,23 @@
 	}
 	id := workload.RunID{Task: ref, Run: ended.Run}
 	listedRuns[id] = true
-	if r := c.runs[id]; r != nil {
-		c.recordEnd(r, ended.Kind, ended.Checkpoint, "")
-		r.endNumber = ended.Number
+	r := c.runs[id]
+	if r == nil {
+		return
+	}
+	if len(ended.Checkpoint) > workload.MaxCheckpointBytes {
+		c.ignoreCheckpoint(r, len(ended.Checkpoint))
+		ended.Checkpoint = ""
+	}
+	c.recordEnd(r, ended.Kind, ended.Checkpoint, "")
+	r.endNumber = ended.Number
+}
+
+// ignoreCheckpoint notes, once for each run, a checkpoint that is too large to store.
+func (c *Core) ignoreCheckpoint(r *run, size int) {
+	if !r.checkpointIgnored {
+		r.checkpointIgnored = true
+		c.note("checkpoint_ignored", r, fmt.Sprintf("%d bytes (allowed: %d)", size, workload.MaxCheckpointBytes))
 	}
 }
 
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -25,6 +26,9 @@
 	MaxOccurrences = 10_000
 	// MaxSpecBytes is the maximum length of Job.Spec.
 	MaxSpecBytes = 4000
+	// MaxCheckpointBytes is the maximum length of a checkpoint that is stored. Longer
+	// ones are ignored.
+	MaxCheckpointBytes = 4000
 )
 
 // Resources is a vector of compute resources: a request, a capacity or a free amount.
@@ -117,6 +121,12 @@
 // Scheduled reports whether the job's occurrences have due times.
 func (j *Job) Scheduled() bool { return j.FirstRunUnixMS != 0 }
 
+// LongRunning reports whether a step of the job runs until the job is cancelled, so that
+// no occurrence is ever done.
+func (j *Job) LongRunning() bool {
+	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.LongRunning })
+}
+
 // DueUnixMS returns the due time of an occurrence as Unix time in milliseconds.
 func (j *Job) DueUnixMS(occurrence int) int64 {
 	return j.FirstRunUnixMS + int64(occurrence)*j.IntervalMS
