Bound the row of pending counts by the size of a row

What callers would see: nothing is started any more for any tenant once jobs wait in some 1,000 queues or more.

Cause: the row holds a count for each queue with waiting jobs, and the configuration may hold thousands of queues. Change: queues that don't fit are left out and the row says so; entry hosts count the job rows for a queue that is left out, as they do without a scheduler.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -154,6 +154,25 @@
 	// AsOfMS is when the jobs were counted, on the store's clock.
 	AsOfMS  int64          `codec:"t"`
 	ByQueue map[string]int `codec:"q"`
+	// Partial is set if queues with jobs are left out because the row has no room.
+	Partial bool `codec:"p,omitempty"`
+}
+
+// pendingEntryBytes is the largest encoding of a queue's count, without its name.
+const pendingEntryBytes = 12
+
+// newPending returns the row of the counts. It leaves out queues that don't fit.
+func newPending(asOfMS int64, counts map[string]int) *Pending {
+	out := &Pending{AsOfMS: asOfMS, ByQueue: map[string]int{}}
+	room := workload.MaxRowBytes - 2*pendingEntryBytes
+	for _, queue := range slices.Sorted(maps.Keys(counts)) {
+		if room -= len(queue) + pendingEntryBytes; room < 0 {
+			out.Partial = true
+			break
+		}
+		out.ByQueue[queue] = counts[queue]
+	}
+	return out
 }
 
 // pendingIntervalMS is the interval at which the counts are written; callers may
@@ -175,7 +194,7 @@
 		}
 	}
 	c.pending = pendingCounts{counts, now.StoreMS}
-	put := storeapi.Put{Key: workload.KeyPending, Value: encode(&Pending{now.StoreMS, counts})}
+	put := storeapi.Put{Key: workload.KeyPending, Value: encode(newPending(now.StoreMS, counts))}
 	for _, b := range slices.Backward(batches) {
 		if b.Kind == BatchMain && len(b.Tx.Puts)+len(b.Tx.Deletes) < maxBatchRows {
 			b.Tx.Puts = append(b.Tx.Puts, put)
--- a/internal/dispatch/progress_size_test.go
+++ b/internal/dispatch/progress_size_test.go
@@ -178,3 +178,22 @@
 		t.Errorf("job is %s", state)
 	}
 }
+
+// TestPendingCountsOfManyQueuesFitIntoRow guards against a row of counts that the store
+// rejects. The row says that it leaves queues out.
+func TestPendingCountsOfManyQueuesFitIntoRow(t *testing.T) {
+	r := newRig(t)
+	const queues = 2000
+	for i := range queues {
+		r.job(jobID(i), func(j *workload.Job) { j.Queue, j.Service = strings.Repeat("q", 40)+jobID(i), "elsewhere" })
+	}
+	for _, b := range r.core.WithPending(r.now, nil) {
+		var pending Pending
+		if put := b.Tx.Puts[0]; len(put.Value) > workload.MaxRowBytes || rowcodec.Decode(put.Value, &pending) != nil {
+			t.Fatalf("row of %d bytes (allowed: %d)", len(put.Value), workload.MaxRowBytes)
+		}
+		if !pending.Partial || len(pending.ByQueue) == 0 || len(pending.ByQueue) >= queues {
+			t.Errorf("%d of %d queues, partial: %v", len(pending.ByQueue), queues, pending.Partial)
+		}
+	}
+}
--- a/internal/jobentry/count.go
+++ b/internal/jobentry/count.go
@@ -19,7 +19,8 @@
 const maxCountAge = 1500 * time.Millisecond
 
 // count returns the number of jobs of a queue that have not started. It uses the
-// scheduler's counts while they are recent, otherwise it counts the job rows.
+// scheduler's counts while they are recent and include the queue, otherwise it counts
+// the job rows.
 func (s *Service) count(ctx context.Context, queue *queueconfig.Queue) Outcome {
 	row, err := s.store.Get(ctx, workload.KeyPending)
 	if err != nil && !errors.Is(err, storeapi.ErrNotFound) {
@@ -33,7 +34,9 @@
 	}
 	nowMS, known := s.store.StoreTime(time.Now())
 	if known && pending.AsOfMS > 0 && nowMS-pending.AsOfMS <= maxCountAge.Milliseconds() {
-		return Outcome{Kind: OutcomeCount, Count: pending.ByQueue[queue.Name]}
+		if count, listed := pending.ByQueue[queue.Name]; listed || !pending.Partial {
+			return Outcome{Kind: OutcomeCount, Count: count}
+		}
 	}
 	return s.countRows(ctx, queue)
 }
--- a/internal/jobentry/service_test.go
+++ b/internal/jobentry/service_test.go
@@ -245,3 +245,16 @@
 		t.Errorf("with a view %s old: %+v, want a rejection with a retry delay", time.Since(service.view.asOf()), got)
 	}
 }
+
+// TestCountOfQueueLeftOut guards against reporting no pending jobs for a queue that the
+// scheduler's row of counts leaves out.
+func TestCountOfQueueLeftOut(t *testing.T) {
+	service, store := newService(t)
+	if got := service.Answer(testCall(CallSubmit, "/q/"+testJob, "k")); got.Kind != OutcomeAccepted {
+		t.Fatal(got)
+	}
+	putRow(t, store, workload.KeyPending, &dispatch.Pending{AsOfMS: time.Now().UnixMilli(), ByQueue: map[string]int{"a": 7}, Partial: true})
+	if got := service.Answer(testCall(CallCount, "/q/", "k")); got.Kind != OutcomeCount || got.Count != 1 {
+		t.Errorf("count of a queue that is left out: %+v, want 1", got)
+	}
+}
