Don't repeat a transaction that the store can never accept

Cause: statuses 400 and 403 counted as a store that is away, upon which every caller repeats its call; the owner did so for ever, through its peers too, and an entry host told callers to come back.

Change: storeapi.ErrRejected, also through relays. The owner commits such a batch row by row, leaves out the rejected row and sets its job aside, whose ends keep their rows; a job that can't be stored is rejected for good when it is handed in. The stand-in of the store rejects and cuts as the platform's does.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -131,7 +131,7 @@
 	var out []*Batch
 	for _, j := range c.sortedJobs() {
 		age := now.StoreMS - j.progress.EndedMS
-		if !j.progress.State.Final() || len(j.orders) > 0 || j.progress.EndedMS == 0 || j.deleting || age < c.settings.Retention.Milliseconds() {
+		if !j.progress.State.Final() || len(j.orders) > 0 || j.progress.EndedMS == 0 || j.deleting || j.setAside || age < c.settings.Retention.Milliseconds() {
 			continue
 		}
 		jobs, cancels := workload.JobKeys(j.ID), workload.CancelKeys(j.ID)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -118,6 +118,8 @@
 	seenEnds map[string]bool
 	// dirty is set when progress differs from its row in the store.
 	dirty bool
+	// setAside is set once the store has rejected a row of the job.
+	setAside bool
 	// deleting is set while the job's rows are being deleted. inboxPartsLeft
 	// counts the parts of the inbox that still hold the job.
 	deleting       bool
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -32,7 +32,9 @@
 		}
 		j.seenEnds[key] = true
 	}
-	c.processedEndKeys = append(c.processedEndKeys, key)
+	if j == nil || !j.setAside {
+		c.processedEndKeys = append(c.processedEndKeys, key)
+	}
 	if j == nil || ref.Step >= len(j.Steps) || ref.Index >= j.Steps[ref.Step].Tasks {
 		return
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -181,7 +181,7 @@
 func (c *Core) writeBack(orders []*order) []*Batch {
 	w := batchWriter{}
 	for _, j := range c.sortedJobs() {
-		if j.dirty {
+		if j.dirty && !j.setAside {
 			w.put(workload.ProgressKey(j.ID), c.encodeProgress(j))
 			j.dirty = false
 		}
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -87,7 +87,7 @@
 func (c *Core) units(now Now) []*unit {
 	var out []*unit
 	for _, j := range c.sortedJobs() {
-		if j.progress.State.Final() {
+		if j.progress.State.Final() || j.setAside {
 			continue
 		}
 		j.progress.BeginDue(j.Job, now.UnixMS)
--- a/internal/jobentry/service.go
+++ b/internal/jobentry/service.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"path"
 	"time"
@@ -120,6 +121,12 @@
 	job.MaxAttempts, job.SlackFactor, job.TargetDuration = queue.MaxAttempts, queue.SlackFactor, queue.TargetDuration
 	job.AcceptedMS, _ = s.store.StoreTime(time.Now())
 	value := rowcodec.Encode(job)
+	if len(value) > workload.MaxRowBytes {
+		return Outcome{Kind: OutcomeInvalid, Reason: fmt.Sprintf("the job takes %d bytes to store (allowed: %d)", len(value), workload.MaxRowBytes)}
+	}
+	if most := job.MaxUnfinishedOccurrences(); job.Occurrences > most && job.LongRunning() {
+		return Outcome{Kind: OutcomeInvalid, Reason: fmt.Sprintf("%d repetitions of tasks that run until the job is cancelled (allowed for its steps: %d)", job.Occurrences, most)}
+	}
 	var outcome Outcome
 	for _, key := range workload.JobKeys(job.ID) {
 		var conflict *storeapi.Conflict
@@ -168,6 +175,8 @@
 			return nil, Outcome{Kind: OutcomeAccepted}
 		case errors.As(err, &conflict):
 			return conflict, Outcome{}
+		case errors.Is(err, storeapi.ErrRejected):
+			return nil, Outcome{Kind: OutcomeInvalid, Reason: err.Error()}
 		case errors.Is(err, storeapi.ErrUnavailable) && !inDoubt:
 			return nil, rejected("the store did not apply the write: "+err.Error(), s.retryAfter())
 		}
--- a/internal/jobentry/service_test.go
+++ b/internal/jobentry/service_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -246,6 +248,37 @@
 	}
 }
 
+// TestJobsThatCannotBeStored guards against accepting a job whose rows the store rejects,
+// and against sending its caller away with a time to come back: it never fits.
+func TestJobsThatCannotBeStored(t *testing.T) {
+	service, store := newService(t)
+	long := workload.Step{Tasks: 1, Label: strings.Repeat("x", workload.MaxRowBytes)}
+	lasting := workload.Step{Tasks: workload.MaxTasks, LongRunning: true}
+	cases := []struct {
+		name       string
+		job        workload.Job
+		commitErrs []error
+		want       OutcomeKind
+	}{
+		{"row too large", workload.Job{Occurrences: 1, Steps: []workload.Step{long}}, nil, OutcomeInvalid},
+		{"lasting tasks of many occurrences", workload.Job{Occurrences: 100, Steps: []workload.Step{lasting}}, nil, OutcomeInvalid},
+		{"lasting tasks", workload.Job{Occurrences: 1, Steps: []workload.Step{lasting}}, nil, OutcomeAccepted},
+		{"rejected by the store", workload.Job{Occurrences: 1, Steps: []workload.Step{{Tasks: 1}}}, []error{errors.Wrap(storeapi.ErrRejected, "400")}, OutcomeInvalid},
+	}
+	for i, c := range cases {
+		store.commitErrs = c.commitErrs
+		call := testCall(CallSubmit, fmt.Sprintf("/q/%016x", i), "k")
+		call.DecodeJob = func(id string) (*workload.Job, error) {
+			job := c.job
+			job.ID = model.JobID(id)
+			return &job, job.Check()
+		}
+		if got := service.Answer(call); got.Kind != c.want || (c.want == OutcomeInvalid && got.RetryAfter != 0) {
+			t.Errorf("%s: %+v, want %s", c.name, got, c.want)
+		}
+	}
+}
+
 // TestCountOfQueueLeftOut guards against reporting no pending jobs for a queue that the
 // scheduler's row of counts leaves out.
 func TestCountOfQueueLeftOut(t *testing.T) {
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -58,6 +58,8 @@
 
 	fenceVersion storeapi.RowVersion
 	sequence     uint64
+	// rejectedRows counts the rows that the store rejected.
+	rejectedRows int
 	inputs       *ring.Ring[func()]
 	workers      *tablewatch.Watch
 	plans        metrics.Timer
@@ -119,7 +121,8 @@
 // commitFenced commits a transaction under the fence and retries until its outcome is
 // known. applied, if not nil, is called with the version of the transaction's puts.
 // The error is nil if the transaction took effect, errCheckFailed if another check
-// failed, errFenced if another owner has acquired the fence, or that of ctx.
+// failed, errFenced if another owner has acquired the fence, storeapi.ErrRejected if the
+// store can never accept the transaction, or that of ctx.
 func (s *session) commitFenced(ctx context.Context, tx storeapi.Transaction, applied func(storeapi.RowVersion)) error {
 	s.sequence++
 	proposed := fence{s.epoch, s.sequence}
@@ -135,6 +138,8 @@
 			return s.recordCommit(versions[len(versions)-1], applied)
 		case errors.As(err, &conflict):
 			return s.resolveConflict(conflict, proposed, applied)
+		case errors.Is(err, storeapi.ErrRejected):
+			return err
 		}
 		s.log.Warn("scheduler_write_failed", logging.Err(err), zap.Uint64("sequence", proposed.Sequence))
 		if !pause.For(ctx, backoff/2+rand.N(backoff/2)) {
@@ -222,7 +227,12 @@
 			voidings[batch] = s.startVoiding(ctx, batch)
 		}
 	}
+	rejected := s.rejectedRows
 	for _, batch := range batches {
+		if batch.Kind == dispatch.BatchEnds && s.rejectedRows > rejected {
+			// The effects of these ends may be in a rejected row.
+			continue
+		}
 		if err := s.commitBatch(ctx, batch, voidings[batch]); err != nil {
 			return err
 		}
@@ -237,14 +247,7 @@
 	defer s.logDecisions()
 	switch batch.Kind {
 	case dispatch.BatchMain:
-		return s.commitFenced(ctx, batch.Tx, func(version storeapi.RowVersion) {
-			versions := make([]storeapi.RowVersion, len(batch.Tx.Puts))
-			for i := range versions {
-				versions[i] = version
-			}
-			s.reportCommitted(batch, versions)
-			s.pushOrders(batch)
-		})
+		return s.commitMain(ctx, batch)
 	case dispatch.BatchEnds:
 		s.deleteEndsAsync(ctx, batch)
 	case dispatch.BatchWorkerLost:
@@ -255,6 +258,36 @@
 	return nil
 }
 
+// commitMain commits a main batch under the fence. If the store rejects it, its rows are
+// committed one by one. The rows that are rejected themselves are reported to the core
+// and left out, so that the jobs of all other rows go on.
+func (s *session) commitMain(ctx context.Context, batch *dispatch.Batch) error {
+	err := s.commitFenced(ctx, batch.Tx, func(version storeapi.RowVersion) {
+		versions := make([]storeapi.RowVersion, len(batch.Tx.Puts))
+		for i := range versions {
+			versions[i] = version
+		}
+		s.reportCommitted(batch, versions)
+		s.pushOrders(batch)
+	})
+	if !errors.Is(err, storeapi.ErrRejected) {
+		return err
+	}
+	rows := batch.Split()
+	if len(rows) == 1 {
+		s.log.Error("row_rejected", zap.String("key", batch.FirstKey()), logging.Err(err))
+		s.rejectedRows++
+		s.core.Rejected(batch)
+		return nil
+	}
+	for _, row := range rows {
+		if err := s.commitMain(ctx, row); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // reportCommitted tells the core that a batch took effect, with the versions of its puts.
 func (s *session) reportCommitted(batch *dispatch.Batch, versions []storeapi.RowVersion) {
 	now, _ := s.now()
--- a/internal/standin/rows_http.go
+++ b/internal/standin/rows_http.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -44,6 +46,16 @@
 	NowMS   int64     `json:"now_ms"`
 }
 
+// Limits of the deployment platform's store.
+const (
+	maxRowBytes         = 64 << 10
+	maxTransactionRows  = 100
+	maxTransactionBytes = 1 << 20
+	maxPageRows         = 500
+	maxPageBytes        = 1 << 20
+	maxPageParts        = 1000
+)
+
 // HandleRows serves the store over HTTP as the deployment platform does.
 func (s *Store) HandleRows(ctx *fasthttp.RequestCtx) {
 	within, cancel := context.WithTimeout(context.Background(), 40*time.Second)
@@ -55,7 +67,8 @@
 		s.rowsTransaction(within, ctx)
 	case "/rows-get":
 		snapshot, err := s.Scan(within, storeapi.JoinKey(table, part, ""))
-		s.answerRows(ctx, rangeOf(snapshot.Rows, string(args.Peek("source")), string(args.Peek("target"))), snapshot.Version, err)
+		rows, more := page(rangeOf(snapshot.Rows, string(args.Peek("source")), string(args.Peek("target"))), args.GetUintOrZero("limit"))
+		s.answerRows(ctx, rows, more, snapshot.Version, err)
 	case "/rows-feed":
 		after, _ := strconv.ParseUint(string(args.Peek("after")), 10, 64)
 		wait, _ := strconv.Atoi(string(args.Peek("wait_ms")))
@@ -64,10 +77,10 @@
 		for _, change := range changes.Rows {
 			rows = append(rows, toRowsRow(change.Row, change.Deleted))
 		}
-		s.answerRows(ctx, rows, changes.Version, err)
+		s.answerRows(ctx, rows, false, changes.Version, err)
 	case "/rows-parts":
 		snapshot, err := s.Scan(within, storeapi.JoinKey(table, storeapi.AllParts, ""))
-		s.answerParts(ctx, snapshot, err)
+		s.answerParts(ctx, snapshot, string(args.Peek("after")), err)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -85,18 +98,33 @@
 	return out
 }
 
-func (s *Store) answerRows(ctx *fasthttp.RequestCtx, rows []rowsRow, version storeapi.RowVersion, err error) {
+// page returns the first rows that one answer holds, and whether there are more. A limit
+// of 0 stands for none.
+func page(rows []rowsRow, limit int) ([]rowsRow, bool) {
+	if limit == 0 || limit > maxPageRows {
+		limit = maxPageRows
+	}
+	bytes := 0
+	for i := range rows {
+		if bytes += len(rows[i].Value); i == limit || (i > 0 && bytes > maxPageBytes) {
+			return rows[:i], true
+		}
+	}
+	return rows, false
+}
+
+func (s *Store) answerRows(ctx *fasthttp.RequestCtx, rows []rowsRow, more bool, version storeapi.RowVersion, err error) {
 	switch {
 	case errors.Is(err, storeapi.ErrHistoryGone):
 		ctx.SetStatusCode(fasthttp.StatusGone)
 	case err != nil:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	default:
-		s.answer(ctx, rowsAnswer{Rows: rows, Version: uint64(version)})
+		s.answer(ctx, rowsAnswer{Rows: rows, More: more, Version: uint64(version)})
 	}
 }
 
-func (s *Store) answerParts(ctx *fasthttp.RequestCtx, snapshot storeapi.Snapshot, err error) {
+func (s *Store) answerParts(ctx *fasthttp.RequestCtx, snapshot storeapi.Snapshot, after string, err error) {
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
@@ -104,11 +132,15 @@
 	out := rowsAnswer{Version: uint64(snapshot.Version)}
 	seen := map[string]bool{}
 	for _, row := range snapshot.Rows {
-		if _, part, _ := storeapi.SplitKey(row.Key); !seen[part] {
+		if _, part, _ := storeapi.SplitKey(row.Key); !seen[part] && (after == "" || part > after) {
 			seen[part] = true
 			out.Parts = append(out.Parts, part)
 		}
 	}
+	slices.Sort(out.Parts)
+	if len(out.Parts) > maxPageParts {
+		out.Parts, out.More = out.Parts[:maxPageParts], true
+	}
 	s.answer(ctx, out)
 }
 
@@ -123,12 +155,32 @@
 	ctx.SetBody(body)
 }
 
+// rejection returns why the store never applies a transaction of a size, or "".
+func (t *rowsTransaction) rejection(bytes int) string {
+	if n := len(t.Precondition) + len(t.Put) + len(t.Remove); n > maxTransactionRows {
+		return fmt.Sprintf("%d entries (allowed: %d)", n, maxTransactionRows)
+	}
+	if bytes > maxTransactionBytes {
+		return fmt.Sprintf("%d bytes (allowed: %d)", bytes, maxTransactionBytes)
+	}
+	for i := range t.Put {
+		if n := len(t.Put[i].Value); n > maxRowBytes {
+			return fmt.Sprintf("row %q of %d bytes (allowed: %d)", t.Put[i].Key, n, maxRowBytes)
+		}
+	}
+	return ""
+}
+
 func (s *Store) rowsTransaction(within context.Context, ctx *fasthttp.RequestCtx) {
 	var in rowsTransaction
 	if err := json.Unmarshal(ctx.PostBody(), &in); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
+	if reason := in.rejection(len(ctx.PostBody())); reason != "" {
+		ctx.Error(reason, fasthttp.StatusBadRequest)
+		return
+	}
 	tx := storeapi.Transaction{}
 	for i := range in.Precondition {
 		tx.Checks = append(tx.Checks, storeapi.Check{Key: in.Precondition[i].fullKey(), Version: storeapi.RowVersion(in.Precondition[i].Version)})
--- a/internal/storeapi/result.go
+++ b/internal/storeapi/result.go
@@ -12,6 +12,8 @@
 	ResultNotFound    Result = "not_found"
 	ResultConflict    Result = "conflict"
 	ResultUnavailable Result = "unavailable"
+	// ResultRejected means that the write can never be accepted.
+	ResultRejected Result = "rejected"
 	// ResultInDoubt means that a write may or may not have taken effect.
 	ResultInDoubt Result = "in_doubt"
 )
@@ -28,6 +30,8 @@
 		return ResultConflict
 	case errors.Is(err, ErrUnavailable):
 		return ResultUnavailable
+	case errors.Is(err, ErrRejected):
+		return ResultRejected
 	default:
 		return ResultInDoubt
 	}
--- a/internal/storeapi/result_test.go
+++ b/internal/storeapi/result_test.go
@@ -15,6 +15,7 @@
 		{errors.Wrap(ErrNotFound, "read"), ResultNotFound},
 		{errors.Wrap(ErrConflict, "commit"), ResultConflict},
 		{errors.Wrap(ErrUnavailable, "commit"), ResultUnavailable},
+		{errors.Wrap(ErrRejected, "commit"), ResultRejected},
 		{errors.Wrap(ErrInDoubt, "commit"), ResultInDoubt},
 		{errors.New("of no known kind"), ResultInDoubt},
 	}
--- a/internal/storeapi/storeapi.go
+++ b/internal/storeapi/storeapi.go
@@ -16,6 +16,9 @@
 	// ErrInDoubt means that a write was sent but not answered, so it may have
 	// taken effect. The caller reads the state back before it reports a result.
 	ErrInDoubt = errors.New("platform write in doubt")
+	// ErrRejected means that the service can never accept the write, for example since
+	// a value is too large; nothing changed. The same write must not be repeated.
+	ErrRejected = errors.New("platform write rejected")
 	// ErrConflict means that a check of a transaction failed; nothing changed.
 	ErrConflict = errors.New("platform transaction conflict")
 	// ErrNotFound means that the row or object does not exist.
@@ -61,7 +64,8 @@
 	// greater than after, in key order, or ErrUnavailable.
 	List(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 	// Commit applies a transaction. It returns the new version of each put row
-	// in the order of tx.Puts, or ErrConflict, ErrUnavailable or ErrInDoubt.
+	// in the order of tx.Puts, or ErrConflict, ErrUnavailable, ErrRejected or
+	// ErrInDoubt.
 	Commit(ctx context.Context, tx Transaction) ([]RowVersion, error)
 }
 
--- a/internal/storerelay/message.go
+++ b/internal/storerelay/message.go
@@ -89,6 +89,8 @@
 		return &storeapi.Conflict{Rows: r.Rows}
 	case storeapi.ResultNotFound:
 		return errors.Wrap(storeapi.ErrNotFound, r.Detail)
+	case storeapi.ResultRejected:
+		return errors.Wrap(storeapi.ErrRejected, r.Detail)
 	case storeapi.ResultInDoubt:
 		return errors.Wrap(storeapi.ErrInDoubt, r.Detail)
 	case resultHistoryGone:
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -332,3 +332,21 @@
 		}
 	}
 }
+
+// TestRejectionsAreRelayed guards against a relayed write that is repeated for ever: the
+// caller must learn that the store can never accept it.
+func TestRejectionsAreRelayed(t *testing.T) {
+	w := newRelayedClient(t, func(string) bool { return false })
+	rejecting := &faultyStore{Store: w.store, err: errors.Wrap(storeapi.ErrRejected, "row too large")}
+	server := NewServer(rejecting, func(string) bool { return false })
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Shutdown() })
+	w.peer, w.direct.err = listener.Addr().String(), errStoreUnavailable
+	if _, err := w.Commit(t.Context(), put("t/a")); !errors.Is(err, storeapi.ErrRejected) {
+		t.Errorf("error %v, want ErrRejected", err)
+	}
+}
