Refuse messages that are nested too deeply

Reported by operators of other systems: a very deeply nested entry ended the processes that read it.

Cause: the codec follows nested values in fields that it skips by recursion, without its limit of depth. A pushed message or a relayed call may have 2 MB. Evidence: 2,097,152 nested arrays in an unknown field decode without an error and leave 256 MB of stack (runtime.MemStats, one run); 65,536, the most that a row holds, 8 MB. An agent may take 152 MB, an entry host 184 to 536.

--- a/internal/rowcodec/rowcodec.go
+++ b/internal/rowcodec/rowcodec.go
@@ -30,8 +30,11 @@
 }
 
 // Decode decodes a row's value into target. It returns ErrMalformed if the value
-// does not decode or if bytes follow it.
+// does not decode, is nested too deeply, or if bytes follow it.
 func Decode(data []byte, target any) error {
+	if err := checkNesting(data); err != nil {
+		return errors.CombineErrors(errors.Wrap(ErrMalformed, "check"), err)
+	}
 	decoder := codec.NewDecoderBytes(data, handle)
 	if err := decoder.Decode(target); err != nil {
 		return errors.CombineErrors(errors.Wrap(ErrMalformed, "decode"), err)
