Use no entry of another writer that no process here writes

Cause: heartbeats and the rows of workers and relays were believed if they decoded. A worker's row that is sent in the future never counts as silent, so that tasks are ordered to a worker that doesn't exist for good; labels of megabytes make the row of a real worker too large for the store; a relay's row sent in the future never expires; one odd job row has each count of pending jobs refused.

--- a/internal/jobagent/rows.go
+++ b/internal/jobagent/rows.go
@@ -48,7 +48,11 @@
 	if row.Version == 0 {
 		return announced, nil
 	}
-	if err := rowcodec.Decode(row.Value, &announced); err != nil {
+	err := rowcodec.Decode(row.Value, &announced)
+	if err == nil {
+		err = announced.Check(row.Key)
+	}
+	if err != nil {
 		a.log.Error("row_malformed", zap.String("key", row.Key), logging.Err(err))
 		return workload.Announcement{State: workload.WorkerGone}, nil
 	}
--- a/internal/jobentry/count.go
+++ b/internal/jobentry/count.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"dragonflyyard/internal/dispatch"
+	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/queueconfig"
 	"dragonflyyard/internal/rowcodec"
@@ -61,7 +63,8 @@
 	for _, row := range jobs.Rows {
 		var job workload.Job
 		if err := rowcodec.Decode(row.Value, &job); err != nil {
-			return rejected("cannot decode a stored job: "+err.Error(), s.retryAfter())
+			s.log.Error("row_malformed", zap.String("key", row.Key), logging.Err(err))
+			continue
 		}
 		if job.Queue == queue.Name && !started[workload.ProgressKey(job.ID)] && !counted[job.ID] {
 			counted[job.ID] = true
--- a/internal/jobentry/service_test.go
+++ b/internal/jobentry/service_test.go
@@ -291,3 +291,18 @@
 		t.Errorf("count of a queue that is left out: %+v, want 1", got)
 	}
 }
+
+// TestCountPassesOverOddRow guards against refusing each count of pending jobs because
+// of one row that another writer left.
+func TestCountPassesOverOddRow(t *testing.T) {
+	service, store := newService(t)
+	if got := service.Answer(testCall(CallSubmit, "/q/"+testJob, "k")); got.Kind != OutcomeAccepted {
+		t.Fatal(got)
+	}
+	if err := store.Seed(workload.JobKeys("00000000000000ff")[0], []byte("\xff")); err != nil {
+		t.Fatal(err)
+	}
+	if got := service.Answer(testCall(CallCount, "/q/", "k")); got.Kind != OutcomeCount || got.Count != 1 {
+		t.Errorf("count beside an odd row: %+v, want 1", got)
+	}
+}
--- a/internal/schedulerhost/load.go
+++ b/internal/schedulerhost/load.go
@@ -201,12 +201,22 @@
 var errNotWatched = errors.New("the scheduler does not watch the row's table")
 
 func (s *session) applyWorkers(rows []storeapi.Row) {
+	now, known := s.now()
 	for _, row := range rows {
 		var announcement workload.Announcement
-		if err := rowcodec.Decode(row.Value, &announcement); err != nil {
+		err := rowcodec.Decode(row.Value, &announcement)
+		if err == nil {
+			err = announcement.Check(row.Key)
+		}
+		if err != nil {
 			s.logMalformed(row, err)
 			continue
 		}
+		if known {
+			// Nothing is read before it is sent. A later time, by a wrong clock or from
+			// another writer, would keep a worker in use that is gone.
+			announcement.SentMS = min(announcement.SentMS, now.StoreMS)
+		}
 		s.core.WorkerSeen(announcement, row.Version)
 	}
 }
--- a/internal/storerelay/peers.go
+++ b/internal/storerelay/peers.go
@@ -15,6 +15,7 @@
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/workload"
 )
 
 // Peer is the store row of an entry host that relays calls.
@@ -152,11 +153,17 @@
 	addresses := map[string]string{}
 	for _, row := range snapshot.Rows {
 		var peer Peer
-		if err := rowcodec.Decode(row.Value, &peer); err != nil {
+		err := rowcodec.Decode(row.Value, &peer)
+		if err == nil {
+			err = workload.CheckAddress(peer.Address)
+		}
+		if err != nil {
 			d.log.Error("row_malformed", zap.String("key", row.Key), logging.Err(err))
 			continue
 		}
-		if row.Key != d.prefix+d.host && nowMS-peer.SentMS < maxRowAge.Milliseconds() {
+		// A write time far ahead is as wrong as an old one: the row would never expire.
+		recent := peer.SentMS > nowMS-maxRowAge.Milliseconds() && peer.SentMS < nowMS+maxRowAge.Milliseconds()
+		if row.Key != d.prefix+d.host && recent {
 			found = append(found, peer)
 			addresses[strings.TrimPrefix(row.Key, d.prefix)] = peer.Address
 		}
--- a/internal/storerelay/peers_test.go
+++ b/internal/storerelay/peers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,3 +58,32 @@
 		t.Errorf("addresses %v", other.addresses)
 	}
 }
+
+// TestOddPeerRowsAreIgnored guards against calling an address that no host has, and
+// against a row of another writer that never expires.
+func TestOddPeerRowsAreIgnored(t *testing.T) {
+	store := standin.NewStore(time.Now)
+	now := time.Now().UnixMilli()
+	for name, peer := range map[string]Peer{
+		"good":              {Address: "10.0.0.1:7000", SentMS: now},
+		"port-out-of-range": {Address: "10.0.0.2:65536", SentMS: now},
+		"no-port":           {Address: "10.0.0.3", SentMS: now},
+		"far-ahead":         {Address: "10.0.0.4:7000", SentMS: now + time.Hour.Milliseconds()},
+		"largest-time":      {Address: "10.0.0.5:7000", SentMS: math.MaxInt64},
+		"smallest-time":     {Address: "10.0.0.6:7000", SentMS: math.MinInt64},
+	} {
+		if err := store.Seed("c/relay/"+name, rowcodec.Encode(&peer)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := store.Seed("c/relay/nested", []byte("\xa1\x61a"+strings.Repeat("\x81", 1<<15)+"\x01")); err != nil {
+		t.Fatal(err)
+	}
+	d := NewPeerDirectory(store, "c/relay/", "self", Peer{Zone: "z"}, zap.NewNop())
+	if !d.read(t.Context()) {
+		t.Fatal("the rows were not read")
+	}
+	if peers := d.Peers(); len(peers) != 1 || peers[0] != "10.0.0.1:7000" {
+		t.Errorf("peers %v, want only the good one", peers)
+	}
+}
