Believe the worker, not the highest incarnation that a heartbeat names

Cause: the agent took the highest incarnation in any heartbeat for the newest and ignored all others from then on. Evidence: the tests on the code before; after such a heartbeat no start and no poll goes to the worker that answers. Change: another identity is a claim, which the agent probes and adopts when the worker answers under it; the incarnation in the worker's own answer counts, be it lower or higher; answers to polls that were meant for a former incarnation are ignored.

--- a/internal/taskrunner/announce.go
+++ b/internal/taskrunner/announce.go
@@ -107,15 +107,16 @@
 	if version == 0 || row.State == workload.WorkerGone || c.statusKnown {
 		return
 	}
-	c.incarnation = max(c.incarnation, row.Incarnation)
-	if c.incarnation != row.Incarnation {
-		return
-	}
+	c.incarnation = row.Incarnation
 	c.status = Heartbeat{
 		Worker: row.Worker, Incarnation: row.Incarnation, Service: row.Service, Zone: row.Zone, Rack: row.Rack,
 		Labels: row.Labels, Capacity: row.Capacity, Draining: row.State == workload.WorkerDraining,
 	}
 	c.statusKnown, c.drainSeen = true, c.status.Draining
+	if claimed := c.claim; claimed.known {
+		c.claim = claim{}
+		c.HeartbeatSeen(claimed.heartbeat)
+	}
 }
 
 // announcementDue returns the announcement that is due, if any.
--- a/internal/taskrunner/core.go
+++ b/internal/taskrunner/core.go
@@ -21,8 +21,13 @@
 	drainSeen   bool
 	workerLeft  bool
 	incarnation model.Incarnation
-	generation  uint64
-	row         announcedRow
+	// formerIncarnations holds the incarnations before the current one. They are higher
+	// if the worker's clock was set back.
+	formerIncarnations map[model.Incarnation]bool
+
+	generation uint64
+	claim      claim
+	row        announcedRow
 
 	lists workerLists
 	lease lease
@@ -118,7 +123,7 @@
 
 // New returns a core for the worker on a host.
 func New(settings Settings, host string) *Core {
-	return &Core{settings: settings, host: host, runs: map[workload.RunID]*run{}, strays: map[workload.RunID]time.Time{}}
+	return &Core{settings: settings, host: host, formerIncarnations: map[model.Incarnation]bool{}, runs: map[workload.RunID]*run{}, strays: map[workload.RunID]time.Time{}}
 }
 
 // Notes returns the notes since the last call.
@@ -136,57 +141,6 @@
 	c.notes = append(c.notes, n)
 }
 
-// HeartbeatSeen processes a heartbeat of the worker. A delayed heartbeat, of a
-// former incarnation or with an older sequence, is ignored.
-func (c *Core) HeartbeatSeen(h Heartbeat) {
-	if h.Incarnation < c.incarnation || (c.statusKnown && h.Incarnation == c.status.Incarnation && h.Sequence < c.status.Sequence) {
-		return
-	}
-	if c.workerLeft && h.Incarnation == c.incarnation {
-		return
-	}
-	if h.Incarnation > c.incarnation || (c.statusKnown && h.Worker != c.status.Worker) {
-		c.beginIncarnation(h.Incarnation, "heartbeat")
-	}
-	if !c.statusKnown || c.status.Draining != h.Draining || c.status.Worker != h.Worker {
-		c.row.announceNow()
-	}
-	c.status, c.statusKnown = h, true
-	c.drainSeen = c.drainSeen || h.Draining
-}
-
-// beginIncarnation resets the state for a restarted worker. The runs of the
-// former incarnation are gone, but a start that was in flight may have reached
-// the new one, which knows no fencing token yet. Runs of the former incarnation
-// are therefore ended only after a poll under the new generation, which fences
-// off calls that are still in flight.
-func (c *Core) beginIncarnation(incarnation model.Incarnation, source string) {
-	c.note("worker_life", nil, source)
-	c.incarnation, c.workerLeft, c.drainSeen, c.statusKnown = incarnation, false, false, false
-	c.lists, c.lease = workerLists{}, lease{}
-	c.strays = map[workload.RunID]time.Time{}
-	c.reregister()
-	for _, r := range c.runs {
-		r.endNumber, r.seenRunning = 0, false
-		r.startConfirmedAt, r.stopConfirmedAt = time.Time{}, time.Time{}
-	}
-	c.poll.nextAt = time.Time{}
-}
-
-// WorkerLeft processes the worker's departure: all runs on it have ended.
-func (c *Core) WorkerLeft(worker model.WorkerID) {
-	if !c.statusKnown || worker != c.status.Worker || c.workerLeft {
-		return
-	}
-	c.workerLeft = true
-	c.note("worker_left", nil, string(worker))
-	c.row.announceNow()
-	for _, r := range c.runs {
-		c.recordEnd(r, workload.EndLost, r.checkpoint, "worker left")
-		r.endNumber = 0
-	}
-}
-
 // OrderSeen processes an order as read from the store. maybeSent is set for
 // orders that an earlier process of this agent may have carried out.
 func (c *Core) OrderSeen(o workload.Order, version storeapi.RowVersion, maybeSent bool) {
@@ -251,7 +205,16 @@
 
 // Polled processes the result of a poll that was sent at sentAt.
 func (c *Core) Polled(now, sentAt time.Time, sent Poll, result PollResult, lists RunLists) {
-	c.poll.pending, c.poll.failed = false, result == PollFailed || result == PollNotSent
+	if sent.Probe {
+		c.probed(now, sent, result, lists)
+		return
+	}
+	c.poll.pending = false
+	if sent.Incarnation != c.incarnation || sent.Worker != c.status.Worker {
+		c.recordOutdatedPoll(now, sent, result)
+		return
+	}
+	c.poll.failed = result == PollFailed || result == PollNotSent
 	if result == PollAnswered {
 		c.poll.failures = 0
 	}
@@ -276,10 +239,7 @@
 		c.statusKnown = false
 		return
 	}
-	if lists.Incarnation < c.incarnation {
-		return
-	}
-	if lists.Incarnation > c.incarnation {
+	if lists.Incarnation != c.incarnation {
 		c.beginIncarnation(lists.Incarnation, "lists")
 	}
 	c.poll.nextAt = now
--- a/internal/taskrunner/rig_test.go
+++ b/internal/taskrunner/rig_test.go
@@ -84,6 +84,10 @@
 }
 
 func (r *rig) answerPoll(poll Poll) {
+	if poll.Worker != "w-1" {
+		r.core.Polled(r.now, r.now, poll, PollOtherIncarnation, RunLists{})
+		return
+	}
 	var ended []EndedRun
 	for _, e := range r.ended {
 		if e.Number > poll.Acknowledged && len(ended) < maxEndsListed {
--- a/internal/taskrunner/step.go
+++ b/internal/taskrunner/step.go
@@ -15,7 +15,7 @@
 func (c *Core) Step(now time.Time, storeMS int64, storeKnown bool) []Action {
 	var out []Action
 	if !c.ordersLoaded {
-		return c.pollDue(now)
+		return append(c.probeDue(now), c.pollDue(now)...)
 	}
 	c.endUnreachable(now)
 	for _, r := range c.sortedRuns() {
@@ -28,6 +28,7 @@
 		out = append(out, c.announcementDue(now, storeMS)...)
 	}
 	out = append(out, c.sharedReportDue(now)...)
+	out = append(out, c.probeDue(now)...)
 	return append(out, c.pollDue(now)...)
 }
 
@@ -57,7 +58,7 @@
 	if r.end != nil || r.inFlight {
 		return nil
 	}
-	if c.statusKnown && r.Incarnation < c.incarnation {
+	if c.statusKnown && (r.Incarnation < c.incarnation || c.formerIncarnations[r.Incarnation]) {
 		return c.endFormerIncarnation(now, r)
 	}
 	if !r.stopping {
@@ -225,7 +226,7 @@
 	}
 	end := c.leaseEnd(now)
 	c.poll.pending = true
-	return []Action{Poll{Worker: c.status.Worker, LeaseEndMS: end, Acknowledged: c.lists.acknowledged, Generation: c.generation, Wait: wait}}
+	return []Action{Poll{Worker: c.status.Worker, Incarnation: c.incarnation, LeaseEndMS: end, Acknowledged: c.lists.acknowledged, Generation: c.generation, Wait: wait}}
 }
 
 // hasUncommittedEnd reports whether an end is not committed yet, or the end of a
--- a/internal/taskrunner/types.go
+++ b/internal/taskrunner/types.go
@@ -129,6 +129,12 @@
 // to Core.Polled.
 type Poll struct {
 	Worker model.WorkerID
+	// Incarnation is the incarnation that the poll is meant for. A worker that restarts
+	// may keep its ID, so another one may answer.
+	Incarnation model.Incarnation
+	// Probe is set for a poll that finds out whether the worker is the one that a
+	// heartbeat names. Only the incarnation in its answer counts.
+	Probe bool
 	// LeaseEndMS is the new end of the lease on the worker's clock; 0 does not
 	// extend it.
 	LeaseEndMS   int64
