--- a/internal/dispatch/progress_size_test.go
+++ b/internal/dispatch/progress_size_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/workload"
 )
@@ -86,39 +87,42 @@
 	}
 }
 
+// planProgress makes and commits a plan, passes on its new orders and returns the job's
+// progress row.
+func (r *rig) planProgress(id model.JobID, ordered func(workload.Order)) (row []byte) {
+	r.t.Helper()
+	for _, b := range r.core.Plan(r.now) {
+		for _, put := range b.Tx.Puts {
+			if put.Key == workload.ProgressKey(id) {
+				row = put.Value
+			}
+		}
+		for _, o := range r.commit(b) {
+			ordered(o)
+		}
+	}
+	return row
+}
+
 // TestTakeoverStartsNoFoldedOccurrenceAgain guards against starting occurrences again
 // that were done under a former owner and that the progress row holds as ranges.
 func TestTakeoverStartsNoFoldedOccurrenceAgain(t *testing.T) {
 	former := newRig(t)
 	job := former.repeatedJob(1000, 1, 5*time.Millisecond)
 	former.advance(3 * time.Second)
-	var row []byte
 	var unfinished workload.Order
 	for former.core.jobs[job.ID].progress.DoneOccurrences < 600 {
 		former.worker("h1", "r1", nil)
-		for _, b := range former.core.Plan(former.now) {
-			for _, put := range b.Tx.Puts {
-				if put.Key == workload.ProgressKey(job.ID) {
-					row = put.Value
-				}
-			}
-			for _, o := range former.commit(b) {
-				if strings.Contains(o.Task, ".100.0.") {
-					unfinished = o
-					continue
-				}
-				former.end(o, workload.EndDone, "")
+		former.planProgress(job.ID, func(o workload.Order) {
+			if strings.Contains(o.Task, ".100.0.") {
+				unfinished = o
+				return
 			}
-		}
+			former.end(o, workload.EndDone, "")
+		})
 		former.advance(100 * time.Millisecond)
 	}
-	for _, b := range former.core.Plan(former.now) {
-		for _, put := range b.Tx.Puts {
-			if put.Key == workload.ProgressKey(job.ID) {
-				row = put.Value
-			}
-		}
-	}
+	row := former.planProgress(job.ID, func(workload.Order) {})
 	progress := &workload.Progress{}
 	if err := rowcodec.Decode(row, progress); err != nil {
 		t.Fatal(err)
--- a/internal/standin/rows_http_test.go
+++ b/internal/standin/rows_http_test.go
@@ -28,11 +28,6 @@
 // store does, so that tests notice a reader that takes a page for all rows.
 func TestAnswersOfStoreAreCut(t *testing.T) {
 	s := NewStore(time.Now)
-	for i := range maxPageParts + 1 {
-		if err := s.Seed(storeapi.JoinKey("t", fmt.Sprintf("p-%04d", i), "k"), []byte("v")); err != nil {
-			t.Fatal(err)
-		}
-	}
 	for i := range maxPageRows + 1 {
 		if err := s.Seed(storeapi.JoinKey("t", "", fmt.Sprintf("k-%04d", i)), []byte("v")); err != nil {
 			t.Fatal(err)
@@ -52,6 +47,16 @@
 	if a := s.get(t, "/rows-get?table=large&part="); len(a.Rows) != maxPageBytes/maxRowBytes || !a.More {
 		t.Errorf("%d large rows, more: %v", len(a.Rows), a.More)
 	}
+}
+
+// TestListOfPartsIsCut checks the same for the list of a table's parts.
+func TestListOfPartsIsCut(t *testing.T) {
+	s := NewStore(time.Now)
+	for i := range maxPageParts + 2 {
+		if err := s.Seed(storeapi.JoinKey("t", fmt.Sprintf("p-%04d", i), "k"), []byte("v")); err != nil {
+			t.Fatal(err)
+		}
+	}
 	a := s.get(t, "/rows-parts?table=t")
 	if len(a.Parts) != maxPageParts || !a.More {
 		t.Errorf("%d parts, more: %v", len(a.Parts), a.More)
