--- a/internal/workload/check.go
+++ b/internal/workload/check.go
@@ -1,7 +1,8 @@
 package workload
 
 import (
-	"net/netip"
+	"net"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 
@@ -35,14 +36,14 @@
 	return nil
 }
 
-// CheckAddress returns an error unless the text is an IP address with a port above 0.
+// CheckAddress returns an error unless the text is a host and a port from 1 to 65535.
 func CheckAddress(text string) error {
-	address, err := netip.ParseAddrPort(text)
+	host, port, err := net.SplitHostPort(text)
 	if err != nil {
 		return errors.Wrap(err, "address")
 	}
-	if address.Port() == 0 {
-		return errors.Newf("address %q has no port", text)
+	if number, err := strconv.ParseUint(port, 10, 16); host == "" || number == 0 || err != nil {
+		return errors.Newf("address %q has no host or its port is out of range", text)
 	}
 	return nil
 }
