Believe a worker's row whose remaining time is negative

Cause: an agent of the release before copies the remaining time that its worker names, so its rows may hold a negative one; the check of announcements would have taken such a worker out of use during an upgrade. Nothing is decided by that field. Change: the check leaves out the remaining time and the longest lease, for which values of 0 and below select the default. Result: the tests of schedulerhost and workload pass.

--- a/internal/workload/check.go
+++ b/internal/workload/check.go
@@ -59,7 +59,7 @@
 		err = errors.New("the row names no worker")
 	case a.State != WorkerReady && a.State != WorkerDraining && a.State != WorkerGone:
 		err = errors.Newf("unknown state %q", a.State)
-	case a.Generation > MaxExactInteger || a.Incarnation > model.Incarnation(MaxExactInteger) || a.SentMS < 0 || a.MaxLeaseMS < 0 || a.MinRemainingMS < 0:
+	case a.Generation > MaxExactInteger || a.Incarnation > model.Incarnation(MaxExactInteger) || a.SentMS < 0:
 		err = errors.New("a number is out of range")
 	case a.Address != "":
 		err = CheckAddress(a.Address)
