End a relayed call with its caller's time

Cause: a call through a peer waited 0.95 s for a read and 1.75 s for a write, for one silent peer after the other, without regard to the caller's deadline; a timeout that was the caller's own counted against the peer. Change: the wait ends with the caller's deadline, and such an end says nothing about the peer or the store. Test: TestRelayedCallEndsWithItsCaller failed before: 0.951 and 1.751 s for a caller that waits 0.3 s, and two of three peers no longer called.

--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -196,8 +196,8 @@
 	err := errors.Wrap(storeapi.ErrUnavailable, "direct calls of this host to the store fail")
 	if key := in.partKey(); !c.DirectUnavailable(key) {
 		sentAt := time.Now()
-		if err = direct(); err != nil && ctx.Err() != nil {
-			// The caller's context ended, which is no evidence of a store failure.
+		if err = direct(); err != nil && ended(ctx) {
+			// The caller's time ended, which is no evidence of a store failure.
 			return err
 		}
 		if path == pathGet || path == pathList {
@@ -222,6 +222,13 @@
 	return err
 }
 
+// ended reports whether a context is done or its deadline has passed. A call that is
+// bounded by the deadline may return just before the context is done.
+func ended(ctx context.Context) bool {
+	deadline, limited := ctx.Deadline()
+	return ctx.Err() != nil || (limited && !time.Now().Before(deadline))
+}
+
 // recordDirectCall records the result of a direct call about a key: it marks the
 // part as failing or clears the mark. A single transaction without a response
 // changes neither.
@@ -267,6 +274,10 @@
 	if err := ctx.Err(); err != nil {
 		return nil, false, err
 	}
+	timeout += callMargin
+	if deadline, limited := ctx.Deadline(); limited {
+		timeout = min(timeout, time.Until(deadline))
+	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
@@ -275,10 +286,12 @@
 	req.SetBodyRaw(rowcodec.Encode(&in))
 	sentAt := time.Now()
 	c.relayed.Inc(1)
-	if err := c.clientOf(peer).DoTimeout(req, resp, timeout+callMargin); err != nil {
-		c.mu.Lock()
-		c.avoidUntil[peer] = time.Now().Add(peerBackoff)
-		c.mu.Unlock()
+	if err := c.clientOf(peer).DoTimeout(req, resp, timeout); err != nil {
+		if !ended(ctx) {
+			c.mu.Lock()
+			c.avoidUntil[peer] = time.Now().Add(peerBackoff)
+			c.mu.Unlock()
+		}
 		return nil, !errors.Is(err, errDial), err
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
