Read the configuration when it changed, not for each call

Cause: each call read the whole configuration again once the view was 0.4 s old, one after the other under a mutex that knew no deadline, and the watch scanned it every 3 to 9 s. Evidence: groups of four calls answered within 4 ms after one read; see the postmortem. Ruled out: the watch alone; the view was young enough to answer from. Change: a feed without changes shows that the view is current; calls answer from one of at most 1.6 s, and with an older one wait for the read in progress, within their own time. Periodic scans cover the evacuations only. Calls that count stored jobs at the same time share one scan. Tests failed before: TestUnchangedConfigurationIsReadOnce (231 reads), TestCallsShareOneRead and TestCallsWaitForTheReadInProgress (did not end).

--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -107,6 +107,7 @@
 			decoded, err := platform.DecodeOperatorRow(row)
 			return decoded.Config, err
 		},
-		EvacuatedZone: platform.EvacuatedZoneOf,
+		EvacuationPrefix: platform.PrefixEvacuate,
+		EvacuatedZone:    platform.EvacuatedZoneOf,
 	}
 }
--- a/internal/jobentry/count.go
+++ b/internal/jobentry/count.go
@@ -43,33 +43,50 @@
 	return s.countRows(ctx, queue)
 }
 
-// countRows counts the stored jobs of a queue that have no progress row. A job
-// that is stored under several of its keys counts once.
+// countRows counts the stored jobs of a queue that have no progress row. Concurrent
+// calls share one count, which reads all jobs.
 func (s *Service) countRows(ctx context.Context, queue *queueconfig.Queue) Outcome {
+	counted := s.counts.DoChan(workload.PrefixAllJobs, func() (any, error) {
+		return s.countByQueue(context.WithoutCancel(ctx))
+	})
+	select {
+	case result := <-counted:
+		if result.Err != nil {
+			return rejected(result.Err.Error(), s.retryAfter())
+		}
+		return Outcome{Kind: OutcomeCount, Count: result.Val.(map[string]int)[queue.Name]}
+	case <-ctx.Done():
+		return rejected("the jobs were not counted in time", s.retryAfter())
+	}
+}
+
+// countByQueue counts the stored jobs without a progress row by queue. A job that is
+// stored under several of its keys counts once.
+func (s *Service) countByQueue(ctx context.Context) (map[string]int, error) {
 	jobs, err := s.store.Scan(ctx, workload.PrefixAllJobs)
 	if err != nil {
-		return rejected(err.Error(), s.retryAfter())
+		return nil, err
 	}
 	progress, err := s.store.Scan(ctx, workload.TableProgress+"/")
 	if err != nil {
-		return rejected(err.Error(), s.retryAfter())
+		return nil, err
 	}
 	started := map[string]bool{}
 	for _, row := range progress.Rows {
 		started[row.Key] = true
 	}
-	counted := map[model.JobID]bool{}
-	count := 0
+	seen := map[model.JobID]bool{}
+	counts := map[string]int{}
 	for _, row := range jobs.Rows {
 		var job workload.Job
 		if err := rowcodec.Decode(row.Value, &job); err != nil {
 			s.log.Error("row_malformed", zap.String("key", row.Key), logging.Err(err))
 			continue
 		}
-		if job.Queue == queue.Name && !started[workload.ProgressKey(job.ID)] && !counted[job.ID] {
-			counted[job.ID] = true
-			count++
+		if !started[workload.ProgressKey(job.ID)] && !seen[job.ID] {
+			seen[job.ID] = true
+			counts[job.Queue]++
 		}
 	}
-	return Outcome{Kind: OutcomeCount, Count: count}
+	return counts, nil
 }
--- /dev/null
+++ b/internal/jobentry/load_test.go
@@ -0,0 +1,167 @@
+package jobentry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/workload"
+)
+
+// slowStore takes a fixed time for each read that returns the configuration or counts
+// jobs, as over a slow link, and counts these reads.
+type slowStore struct {
+	*standin.Store
+	readTime time.Duration
+	// configs counts the reads that returned the configuration, and scans those of all jobs.
+	configs, scans atomic.Int64
+}
+
+func (s *slowStore) Get(ctx context.Context, key string) (storeapi.Row, error) {
+	if key == "op/config" {
+		s.configs.Add(1)
+		time.Sleep(s.readTime)
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *slowStore) Scan(ctx context.Context, prefix string) (storeapi.Snapshot, error) {
+	snapshot, err := s.Store.Scan(ctx, prefix)
+	for _, row := range snapshot.Rows {
+		if row.Key == "op/config" {
+			s.configs.Add(1)
+			time.Sleep(s.readTime)
+		}
+	}
+	if prefix == workload.PrefixAllJobs {
+		s.scans.Add(1)
+		time.Sleep(s.readTime)
+	}
+	return snapshot, err
+}
+
+func newSlowService(t *testing.T, readTime time.Duration) (*Service, *slowStore) {
+	t.Helper()
+	service, faulty := newService(t)
+	store := &slowStore{Store: faulty.Store, readTime: readTime}
+	view := NewView(service.view.rows, store, zap.NewNop())
+	return NewService(view, store, func(storeapi.Row) {}, zap.NewNop(), metrics.NewRegistry()), store
+}
+
+// inBubble runs a test with a clock that advances while all its goroutines wait.
+func inBubble(t *testing.T, run func(*testing.T)) {
+	t.Helper()
+	// The first meter of a process starts a goroutine that never ends.
+	metrics.NewMeter().Stop()
+	synctest.Test(t, run)
+}
+
+// TestUnchangedConfigurationIsReadOnce guards against reading the whole configuration
+// again while it does not change. It takes seconds over a slow link, in which calls miss
+// their deadlines.
+func TestUnchangedConfigurationIsReadOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		service, store := newSlowService(t, time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go service.view.Run(ctx)
+		synctest.Wait()
+		for i := range 200 {
+			began := time.Now()
+			got := service.Answer(testCall(CallState, "/q/"+testJob, "k"))
+			if took := time.Since(began); got.Kind != OutcomeUnknownJob || (i > 0 && took > 0) {
+				t.Fatalf("call %d: %+v after %s", i, got, took)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if n := store.configs.Load(); n != 1 {
+			t.Errorf("the configuration was read %d times, want once", n)
+		}
+	})
+}
+
+// TestChangeIsAppliedBetweenRescans guards against a scan of the evacuations that lets
+// the watch skip a change of the configuration made shortly before.
+func TestChangeIsAppliedBetweenRescans(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		service, store := newSlowService(t, 0)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go service.view.Run(ctx)
+		for version := uint64(2); version < 200; version++ {
+			putRow(t, &faultyStore{Store: store.Store}, "op/config", version)
+			putRow(t, &faultyStore{Store: store.Store}, "op/z1", version)
+			time.Sleep(watchWait)
+			service.view.mu.Lock()
+			got := service.view.config
+			service.view.mu.Unlock()
+			if got == nil || got.Version != version {
+				t.Fatalf("configuration %+v %s after version %d was written", got, watchWait, version)
+			}
+		}
+	})
+}
+
+// concurrently makes n calls at once and returns how long the slowest took.
+func concurrently(n int, call func()) time.Duration {
+	began := time.Now()
+	var calls sync.WaitGroup
+	for range n {
+		calls.Go(call)
+	}
+	calls.Wait()
+	return time.Since(began)
+}
+
+// TestCallsShareOneRead guards against calls that queue for reads of one value, each of
+// which takes as long as the one before.
+func TestCallsShareOneRead(t *testing.T) {
+	const readTime, callers = 500 * time.Millisecond, 20
+	inBubble(t, func(t *testing.T) {
+		service, store := newSlowService(t, readTime)
+		took := concurrently(callers, func() {
+			if got := service.Answer(testCall(CallState, "/q/"+testJob, "k")); got.Kind != OutcomeUnknownJob {
+				t.Errorf("state: %+v", got)
+			}
+		})
+		if n := store.configs.Load(); n != 1 || took > readTime {
+			t.Errorf("%d calls read the configuration %d times in %s, want once in %s", callers, n, took, readTime)
+		}
+		took = concurrently(callers, func() {
+			if got := service.Answer(testCall(CallCount, "/q/", "k")); got.Kind != OutcomeCount {
+				t.Errorf("count: %+v", got)
+			}
+		})
+		if n := store.scans.Load(); n != 1 || took > readTime {
+			t.Errorf("%d calls scanned the jobs %d times in %s, want once in %s", callers, n, took, readTime)
+		}
+	})
+}
+
+// TestCallsWaitForTheReadInProgress guards against reading the configuration for a call
+// while the watch reads it already: both would share the link.
+func TestCallsWaitForTheReadInProgress(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		service, store := newSlowService(t, time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go service.view.Run(ctx)
+		synctest.Wait()
+		took := concurrently(20, func() {
+			if got := service.Answer(testCall(CallState, "/q/"+testJob, "k")); got.Kind != OutcomeUnknownJob {
+				t.Errorf("state: %+v", got)
+			}
+		})
+		if n := store.configs.Load(); n != 1 || took > time.Second {
+			t.Errorf("the configuration was read %d times in %s, want once in 1s", n, took)
+		}
+	})
+}
--- a/internal/jobentry/service.go
+++ b/internal/jobentry/service.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
@@ -48,6 +49,8 @@
 	log      *zap.Logger
 	registry metrics.Registry
 	latency  metrics.Timer
+	// counts lets concurrent calls share one count of the stored jobs.
+	counts singleflight.Group
 }
 
 // NewService returns the service of an entry host. onCommit is called with the row
--- a/internal/jobentry/service_test.go
+++ b/internal/jobentry/service_test.go
@@ -65,6 +65,7 @@
 			err := rowcodec.Decode(row.Value, &version)
 			return testConfig(version), err
 		},
+		EvacuationPrefix: "op/z",
 		EvacuatedZone: func(key string) (model.AvailabilityZoneName, bool) {
 			zone := model.AvailabilityZoneName(key[len("op/"):])
 			return zone, len(zone) == 2
--- a/internal/jobentry/view.go
+++ b/internal/jobentry/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
@@ -23,6 +24,9 @@
 	Table, ConfigKey string
 	// DecodeConfig decodes the configuration row.
 	DecodeConfig func(storeapi.Row) (*queueconfig.Config, error)
+	// EvacuationPrefix is the prefix of the keys of evacuated zones; empty if there is
+	// none that leaves out the configuration.
+	EvacuationPrefix string
 	// EvacuatedZone returns the zone that the row with this key takes out of
 	// service, and false for other keys.
 	EvacuatedZone func(key string) (model.AvailabilityZoneName, bool)
@@ -30,14 +34,12 @@
 
 // Age limits and read times of the view.
 const (
-	// refreshAge is the age above which Config reads the configuration again.
-	refreshAge = 400 * time.Millisecond
 	// maxViewAge is the age above which calls are rejected. It leaves a margin
 	// within the platform's limit of 2 s for applying a new configuration.
 	maxViewAge = 1600 * time.Millisecond
-	// watchWait is how long one read of the watch waits for changes. It is well
-	// below maxViewAge.
-	watchWait = 500 * time.Millisecond
+	// watchWait is how long one read of the watch waits for changes. While the store
+	// answers, the view is younger than two such waits and two answers.
+	watchWait = 400 * time.Millisecond
 	// maxRetryPause is the maximum delay between two failing reads of the watch.
 	// Calls are rejected until a read succeeds.
 	maxRetryPause = 200 * time.Millisecond
@@ -51,8 +53,8 @@
 	store storeapi.Store
 	log   *zap.Logger
 	watch *tablewatch.Watch
-	// refreshMu serializes the reads of refresh.
-	refreshMu sync.Mutex
+	// reads lets concurrent calls share one read of the configuration.
+	reads singleflight.Group
 
 	mu            sync.Mutex
 	config        *queueconfig.Config
@@ -60,7 +62,7 @@
 	evacuated     map[model.AvailabilityZoneName]storeapi.RowVersion
 	// restored holds, by zone, the version at which its evacuation last ended.
 	restored map[model.AvailabilityZoneName]storeapi.RowVersion
-	// configAsOf is the time at which refresh sent its last successful read.
+	// configAsOf is the time at which readConfig sent its last successful read.
 	configAsOf time.Time
 }
 
@@ -73,6 +75,7 @@
 	}
 	settings := tablewatch.DefaultSettings()
 	settings.LongPollTimeout, settings.MaxBackoff = watchWait, maxRetryPause
+	settings.RescanPrefix = rows.EvacuationPrefix
 	v.watch = tablewatch.New(settings, store, rows.Table, rows.Table+"/", tablewatch.Handler{
 		OnScan:      v.applySnapshot,
 		OnChanges:   v.applyChanges,
@@ -84,8 +87,8 @@
 // Run watches the operators' rows until ctx is done.
 func (v *View) Run(ctx context.Context) { v.watch.Run(ctx, 0) }
 
-// applySnapshot applies a scan of the table and ends the evacuations that it no
-// longer shows, unless they are newer than the scan.
+// applySnapshot applies a scan of the table, or of the evacuations only, and ends the
+// evacuations that it no longer shows, unless they are newer than the scan.
 func (v *View) applySnapshot(s storeapi.Snapshot) {
 	present := map[model.AvailabilityZoneName]bool{}
 	for _, row := range s.Rows {
@@ -167,21 +170,22 @@
 	return v.configAsOf
 }
 
-// Ready reports whether a configuration is loaded and not older than maxViewAge.
+// fresh reports whether the configuration is known not to be older than maxViewAge.
+func (v *View) fresh() bool { return time.Since(v.asOf()) <= maxViewAge }
+
+// Ready reports whether a configuration is loaded and not too old.
 func (v *View) Ready() bool {
 	v.mu.Lock()
 	known := v.config != nil
 	v.mu.Unlock()
-	return known && time.Since(v.asOf()) <= maxViewAge
+	return known && v.fresh()
 }
 
-// Config returns the configuration and its age. It first reads the configuration
-// again if it is older than refreshAge, unless the watch is failing. It returns
-// false if no configuration is loaded or it is older than maxViewAge.
+// Config returns the configuration and its age. If it is too old, it first waits for a
+// read in progress, unless the watch is failing. It returns false if no configuration
+// is loaded or it is still too old.
 func (v *View) Config(ctx context.Context) (*queueconfig.Config, time.Duration, bool) {
-	if time.Since(v.asOf()) > refreshAge && !v.StoreFailing() {
-		v.refresh(ctx)
-	}
+	v.awaitFresh(ctx)
 	age := time.Since(v.asOf())
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -192,12 +196,41 @@
 // within maxRetryPause, so calls need not wait for a read of their own.
 func (v *View) StoreFailing() bool { return v.watch.Failing() }
 
-func (v *View) refresh(ctx context.Context) {
-	v.refreshMu.Lock()
-	defer v.refreshMu.Unlock()
-	if time.Since(v.asOf()) <= refreshAge {
-		return
+// awaitFresh waits until the view is fresh, the watch fails or ctx is done. Calls wait
+// for the read that the watch has in progress, and make none of their own beside it: the
+// configuration may be large and the link slow.
+func (v *View) awaitFresh(ctx context.Context) {
+	for !v.StoreFailing() {
+		round, running := v.watch.NextRound()
+		if v.fresh() {
+			return
+		}
+		if !running {
+			v.awaitRead(ctx)
+			return
+		}
+		select {
+		case <-round:
+		case <-ctx.Done():
+			return
+		}
 	}
+}
+
+// awaitRead reads the configuration, or waits for the read of another call, until ctx is
+// done.
+func (v *View) awaitRead(ctx context.Context) {
+	read := v.reads.DoChan(v.rows.ConfigKey, func() (any, error) {
+		v.readConfig(context.WithoutCancel(ctx))
+		return nil, nil
+	})
+	select {
+	case <-read:
+	case <-ctx.Done():
+	}
+}
+
+func (v *View) readConfig(ctx context.Context) {
 	sentAt := time.Now()
 	row, err := v.store.Get(ctx, v.rows.ConfigKey)
 	if err != nil {
@@ -215,7 +248,7 @@
 // SchedulerView returns the guarantees and evacuated zones for the scheduler. It is
 // the zero view while no configuration is loaded.
 func (v *View) SchedulerView() schedulerhost.ConfigView {
-	// Only the watch reads evacuations, so refresh does not make them newer.
+	// Only the watch reads evacuations, so readConfig does not make them newer.
 	out := schedulerhost.ConfigView{AsOf: v.watch.AsOf(), Evacuated: map[model.AvailabilityZoneName]bool{}}
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/tablewatch/watch.go
+++ b/internal/tablewatch/watch.go
@@ -21,6 +21,10 @@
 	// RescanInterval is the mean interval of full scans while changes are followed.
 	// Each interval is random, between half and one and a half times the value.
 	RescanInterval time.Duration
+	// RescanPrefix limits the periodic scans to the rows under it; empty for all rows of
+	// the watch. Other rows are scanned only when the feed fails. It keeps a large row
+	// that seldom changes from being read over and over.
+	RescanPrefix string
 	// GatherDelay is the pause after a read that returned changes, so that many
 	// small changes are read together.
 	GatherDelay time.Duration
@@ -40,7 +44,7 @@
 // Handler holds the callbacks of a watch. They are all called from the goroutine
 // of Run, one at a time.
 type Handler struct {
-	// OnScan receives all rows under the prefix.
+	// OnScan receives all rows under the prefix, or under Settings.RescanPrefix.
 	OnScan func(storeapi.Snapshot)
 	// OnChanges receives changes of the whole table, also of rows outside the prefix.
 	OnChanges func([]storeapi.Change)
@@ -64,12 +68,23 @@
 	// the first success and after a failed round.
 	healthySince time.Time
 	failing      bool
+	// running is set while Run runs; roundDone is closed at the end of each round.
+	running   bool
+	roundDone chan struct{}
 }
 
 // New returns a watch of the rows of a table whose keys start with prefix,
 // which begins with the table's name.
 func New(settings Settings, feed storeapi.Feed, table, prefix string, handler Handler) *Watch {
-	return &Watch{settings: settings, feed: feed, table: table, prefix: prefix, handler: handler}
+	return &Watch{settings: settings, feed: feed, table: table, prefix: prefix, handler: handler, roundDone: make(chan struct{})}
+}
+
+// NextRound returns a channel that is closed at the end of the present round of reads.
+// It returns false if the watch is not running.
+func (w *Watch) NextRound() (<-chan struct{}, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.roundDone, w.running
 }
 
 // AsOf returns a time up to which all changes were read, or zero before the first
@@ -99,10 +114,16 @@
 // Run follows the table until ctx is done. fromVersion is the version of a scan
 // that the caller has already made; 0 starts with a scan.
 func (w *Watch) Run(ctx context.Context, fromVersion storeapi.RowVersion) {
+	w.setRunning(true)
+	defer w.setRunning(false)
 	version, scanned := fromVersion, fromVersion != 0
 	backoff := w.settings.InitialBackoff
 	nextScan := time.Now().Add(w.nextRescanDelay())
 	for ctx.Err() == nil {
+		if scanned && w.settings.RescanPrefix != "" && !time.Now().Before(nextScan) {
+			w.rescan(ctx)
+			nextScan = time.Now().Add(w.nextRescanDelay())
+		}
 		sentAt := time.Now()
 		readChanges := scanned && sentAt.Before(nextScan)
 		var feedErr, err error
@@ -150,6 +171,30 @@
 	return snapshot.Version, nil
 }
 
+// rescan reads the rows under the rescan prefix. The feed goes on after the version
+// that it has reached, since the scan leaves other rows out.
+func (w *Watch) rescan(ctx context.Context) {
+	snapshot, err := w.feed.Scan(ctx, w.settings.RescanPrefix)
+	if err != nil {
+		w.reportError(err)
+		return
+	}
+	w.handler.OnScan(snapshot)
+}
+
+func (w *Watch) setRunning(running bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running = running
+	w.endRound()
+}
+
+// endRound wakes those that wait for the end of the round. The caller holds w.mu.
+func (w *Watch) endRound() {
+	close(w.roundDone)
+	w.roundDone = make(chan struct{})
+}
+
 func (w *Watch) changes(ctx context.Context, version storeapi.RowVersion) (storeapi.RowVersion, error) {
 	wait := w.settings.LongPollTimeout
 	if _, healthy := w.HealthySince(); !healthy {
@@ -180,6 +225,7 @@
 	default:
 		w.asOf = sentAt
 	}
+	w.endRound()
 	w.mu.Unlock()
 	if err != nil {
 		w.reportError(err)
