Answer the calls that a stopping process has read within its grace

Cause: after 55 % of the grace calls in progress had a fixed 1.5 s, whatever was left of the grace and of the caller's time; the feeds, pushes and probes that their answers need ended with the same step. Ruled out: SIGKILL, which comes at 20.0 s. Change: package shutdown computes the stages of a stop from the signal and the grace. What answers need ends after the last answer. The relay, the release of the scheduler's lease and the agent's servers follow the same schedule (they had fixed waits of 1.5 and 2 s). call_answered tells the time that a call waited for the view (view_wait). New: TestCallsAreAnsweredBeforeTheProcessEnds, TestStoppingRelayAnswersInTime, TestConnectionsOfAStoppingProcessAreClosed.

--- a/internal/deployed/agent.go
+++ b/internal/deployed/agent.go
@@ -33,22 +33,45 @@
 			log.Warn("heartbeat_malformed", zap.String("worker", worker), logging.Err(err))
 		},
 	})
-	group, ctx := errgroup.WithContext(ctx)
-	if err := serve(ctx, group, control, s.ControlAddress); err != nil {
+	var stop stopTimes
+	// Servers take calls while accepting; the agent goes on while finishing.
+	group, finishing := errgroup.WithContext(context.WithoutCancel(ctx))
+	finishing, finish := context.WithCancel(finishing)
+	defer finish()
+	accepting, stopAccepting := context.WithCancel(finishing)
+	defer stopAccepting()
+	run := servers{starting: ctx, group: group, stop: &stop}
+	controlDrained, err := run.serve(accepting, control, s.ControlAddress)
+	if err != nil {
 		return err
 	}
-	if err := serve(ctx, group, metricsServer(registry), s.MetricsAddress); err != nil {
+	pushDrained, err := run.serve(accepting, rowpush.NewServer(agent.OrdersPushed), s.PushAddress)
+	if err != nil {
 		return err
 	}
-	if err := serve(ctx, group, rowpush.NewServer(agent.OrdersPushed), s.PushAddress); err != nil {
+	if _, err := run.serve(finishing, metricsServer(registry), s.MetricsAddress); err != nil {
 		return err
 	}
-	group.Go(func() error { pushes.Run(ctx); return nil })
-	group.Go(func() error { book.Run(ctx); return nil })
-	group.Go(func() error { store.Probe(ctx, agentProbeEvery); return nil })
-	group.Go(func() error { reload(ctx, log, reloadSettings); return nil })
-	group.Go(func() error { return agent.Run(ctx) })
-	err := group.Wait()
+	group.Go(func() error { pushes.Run(finishing); return nil })
+	group.Go(func() error { book.Run(finishing); return nil })
+	group.Go(func() error { store.Probe(finishing, agentProbeEvery); return nil })
+	group.Go(func() error { reload(finishing, log, reloadSettings); return nil })
+	group.Go(func() error { return agent.Run(finishing) })
+	group.Go(func() error {
+		select {
+		case <-finishing.Done():
+			return nil
+		case <-ctx.Done():
+		}
+		stop.begin(s.StopGrace)
+		log.Info("process_stopping", zap.String("host", s.Host))
+		stopAccepting()
+		<-controlDrained
+		<-pushDrained
+		finish()
+		return nil
+	})
+	err = group.Wait()
 	log.Info("process_stopped", zap.String("host", s.Host), logging.Err(err))
 	return err
 }
--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -11,6 +11,7 @@
 
 	"dragonflyyard/internal/jobentry"
 	"dragonflyyard/internal/logging"
+	"dragonflyyard/internal/pause"
 	"dragonflyyard/internal/queueconfig"
 	"dragonflyyard/internal/rowpush"
 	"dragonflyyard/internal/schedulerhost"
@@ -21,10 +22,6 @@
 	"dragonflyyard/platform"
 )
 
-// drainShare is the share of the grace after SIGTERM in which callers are still
-// served, while the balancer sends no new connections.
-const drainShare = 0.55
-
 // How often a process asks a store that is away. Entry hosts are few, and callers
 // wait for them; agents are as many as workers, and their runs go on meanwhile.
 const (
@@ -57,44 +54,56 @@
 	}, log, registry)
 
 	var stopping atomic.Bool
-	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopServing()
-	group, serving := errgroup.WithContext(serving)
+	var stop stopTimes
+	// Servers take calls while accepting; what answers need goes on while answering.
+	group, answering := errgroup.WithContext(context.WithoutCancel(ctx))
+	answering, stopAnswering := context.WithCancel(answering)
+	defer stopAnswering()
+	accepting, stopAccepting := context.WithCancel(answering)
+	defer stopAccepting()
+	run := servers{starting: ctx, group: group, stop: &stop}
 	front := platform.NewFrontServer(service.Answer, stopping.Load)
-	ready := platform.NewReadinessServer(func() bool { return !stopping.Load() && view.Ready() })
-	if err := serve(serving, group, front, s.CallersAddress); err != nil {
+	frontDrained, err := run.serve(accepting, front, s.CallersAddress)
+	if err != nil {
 		return err
 	}
-	if err := serve(serving, group, ready, s.ReadinessAddress); err != nil {
+	relay := storerelay.NewServer(direct, store.DirectUnavailable, stop.answerBy)
+	relay.Handler = rowpush.Route(scheduler.HandlePushedRows, relay.Handler)
+	relayDrained, err := run.serve(accepting, relay, s.RelayAddress)
+	if err != nil {
 		return err
 	}
-	if err := serve(serving, group, metricsServer(registry), s.MetricsAddress); err != nil {
+	ready := platform.NewReadinessServer(func() bool { return !stopping.Load() && view.Ready() })
+	if _, err := run.serve(answering, ready, s.ReadinessAddress); err != nil {
 		return err
 	}
-	relay := storerelay.NewServer(direct, store.DirectUnavailable)
-	relay.Handler = rowpush.Route(scheduler.HandlePushedRows, relay.Handler)
-	if err := serve(serving, group, relay, s.RelayAddress); err != nil {
+	if _, err := run.serve(answering, metricsServer(registry), s.MetricsAddress); err != nil {
 		return err
 	}
-	group.Go(func() error { pushes.Run(serving); return nil })
-	group.Go(func() error { book.Run(serving); return nil })
-	group.Go(func() error { store.Probe(serving, entryProbeEvery); return nil })
-	group.Go(func() error { view.Run(serving); return nil })
-	group.Go(func() error { reload(serving, log, reloadSettings); return nil })
-	group.Go(func() error { return scheduler.Run(ctx) })
+	group.Go(func() error { pushes.Run(answering); return nil })
+	group.Go(func() error { book.Run(answering); return nil })
+	group.Go(func() error { store.Probe(answering, entryProbeEvery); return nil })
+	group.Go(func() error { view.Run(answering); return nil })
+	group.Go(func() error { reload(answering, log, reloadSettings); return nil })
+	group.Go(func() error { return scheduler.Run(ctx, s.StopGrace) })
 	group.Go(func() error {
 		select {
-		case <-serving.Done():
+		case <-answering.Done():
 			return nil
 		case <-ctx.Done():
 		}
+		schedule := stop.begin(s.StopGrace)
 		stopping.Store(true)
+		service.EndBy(schedule.AnswerBy)
 		log.Info("process_stopping", zap.String("host", string(s.Host)))
-		time.Sleep(time.Duration(drainShare * float64(s.StopGrace)))
-		stopServing()
+		pause.For(answering, time.Until(schedule.AcceptUntil))
+		stopAccepting()
+		<-frontDrained
+		<-relayDrained
+		stopAnswering()
 		return nil
 	})
-	err := group.Wait()
+	err = group.Wait()
 	log.Info("process_stopped", zap.String("host", string(s.Host)), logging.Err(err))
 	return err
 }
--- a/internal/deployed/serve.go
+++ b/internal/deployed/serve.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,6 +19,7 @@
 
 	"dragonflyyard/internal/httpserver"
 	"dragonflyyard/internal/logging"
+	"dragonflyyard/internal/shutdown"
 )
 
 // listen opens a listener, again while the address is still held by the former
@@ -39,26 +41,67 @@
 // listenRetry is the pause between two tries to open a listener.
 const listenRetry = 100 * time.Millisecond
 
-// shutdownWithin bounds the wait for calls under way at the end of a process.
-const shutdownWithin = 1500 * time.Millisecond
+// stopTimes holds the schedule of the process's stop once it has begun. It is safe for
+// concurrent use.
+type stopTimes struct {
+	schedule atomic.Pointer[shutdown.Schedule]
+}
+
+// begin fixes the schedule of a stop that begins now.
+func (s *stopTimes) begin(grace time.Duration) shutdown.Schedule {
+	schedule := shutdown.NewSchedule(time.Now(), grace)
+	s.schedule.Store(&schedule)
+	return schedule
+}
+
+// answerBy returns the time by which calls have to be answered, and false while the
+// process is not stopping.
+func (s *stopTimes) answerBy() (time.Time, bool) {
+	if schedule := s.schedule.Load(); schedule != nil {
+		return schedule.AnswerBy, true
+	}
+	return time.Time{}, false
+}
+
+// exitBy returns the time by which the process has ended, which is now if it ends
+// because of a failure.
+func (s *stopTimes) exitBy() time.Time {
+	if schedule := s.schedule.Load(); schedule != nil {
+		return schedule.ExitBy
+	}
+	return time.Now()
+}
+
+// servers runs the HTTP servers of a process.
+type servers struct {
+	// starting is done when the process is told to stop; a server that has no listener
+	// yet is then not started any more.
+	starting context.Context
+	group    *errgroup.Group
+	stop     *stopTimes
+}
 
-// serve runs an HTTP server until ctx is done.
-func serve(ctx context.Context, group *errgroup.Group, server *fasthttp.Server, address string) error {
-	listener, err := listen(ctx, address)
+// serve runs an HTTP server that takes calls until ctx is done. It then waits for the
+// calls in progress until the process has to end. The returned channel is closed when
+// no call is in progress any more.
+func (r servers) serve(ctx context.Context, server *fasthttp.Server, address string) (drained <-chan struct{}, err error) {
+	listener, err := listen(r.starting, address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	s := httpserver.New(server, listener)
-	group.Go(s.Serve)
-	group.Go(func() error {
+	done := make(chan struct{})
+	r.group.Go(s.Serve)
+	r.group.Go(func() error {
+		defer close(done)
 		<-ctx.Done()
-		within, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownWithin)
+		within, cancel := context.WithDeadline(context.WithoutCancel(ctx), r.stop.exitBy())
 		defer cancel()
 		// Connections that are still open then end with the process.
 		_ = s.Shutdown(within)
 		return nil
 	})
-	return nil
+	return done, nil
 }
 
 // metricsServer serves the counters and histograms of a registry as text.
--- /dev/null
+++ b/internal/deployed/stop_test.go
@@ -0,0 +1,207 @@
+package deployed
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"dragonflyyard/internal/settings"
+	"dragonflyyard/internal/shutdown"
+	"dragonflyyard/internal/standin"
+)
+
+// openConnection is a connection of one caller that is kept between calls.
+type openConnection struct {
+	client *fasthttp.HostClient
+}
+
+func openTo(address string) *openConnection {
+	return &openConnection{&fasthttp.HostClient{
+		Addr: address, MaxConns: 1, MaxIdemponentCallAttempts: 1,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+}
+
+type answer struct {
+	status     int
+	retryAfter string
+	at         time.Time
+	err        error
+}
+
+// call makes one call, for which the caller waits callerTime.
+func (c *openConnection) call(method, path, body string) answer {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + c.client.Addr + path)
+	req.Header.SetHost("h")
+	req.UseHostHeader = true
+	req.Header.Set("Credential", "k")
+	req.Header.Set("Deadline-Ms", fmt.Sprint(callerTime.Milliseconds()))
+	req.SetBodyString(body)
+	err := c.client.DoTimeout(req, resp, 2*callerTime)
+	return answer{resp.StatusCode(), string(resp.Header.Peek("Retry-After")), time.Now(), err}
+}
+
+const callerTime = 3 * time.Second
+
+// stoppableEntry is an entry host with a grace. terminate begins its stop and returns at
+// once; ended is closed when the process has ended.
+type stoppableEntry struct {
+	address   string
+	terminate func()
+	ended     <-chan struct{}
+	registry  metrics.Registry
+}
+
+func (s *site) stoppableEntry(grace time.Duration) stoppableEntry {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	e := stoppableEntry{freeAddress(s.t), cancel, ended, metrics.NewRegistry()}
+	go func() {
+		defer close(ended)
+		err := RunEntry(ctx, settings.DeployedEntry{
+			Host: "stopping", Region: "region", Zone: "z", CallersAddress: e.address, ReadinessAddress: freeAddress(s.t),
+			MetricsAddress: freeAddress(s.t), RelayAddress: freeAddress(s.t), StoreAddress: s.address, StopGrace: grace,
+		}, zap.NewNop(), e.registry, noReload)
+		if err != nil {
+			s.t.Errorf("entry host: %v", err)
+		}
+	}()
+	s.t.Cleanup(func() { cancel(); <-ended })
+	s.entries = append(s.entries, e.address)
+	return e
+}
+
+// TestCallsOfAStoppingProcessAreAnswered guards against calls that are cut off when the
+// process ends: the store is so slow that a call sent near the end of the accepting stage
+// takes longer than the rest of the grace, and less than its caller waits.
+func TestCallsOfAStoppingProcessAreAnswered(t *testing.T) {
+	const grace = 3 * time.Second
+	s := newSite(t)
+	e := s.stoppableEntry(grace)
+	caller := openTo(e.address)
+	s.call(0, "GET", "/q/", "")
+	if first := caller.call("GET", "/q/", ""); first.status != 200 {
+		t.Fatalf("before the stop: %+v", first)
+	}
+	s.store.SetFaults(standin.ServiceTable, standin.Faults{DelayMS: 500})
+	stoppedAt := time.Now()
+	schedule := shutdown.NewSchedule(stoppedAt, grace)
+	e.terminate()
+	time.Sleep(time.Until(schedule.AcceptUntil) - 150*time.Millisecond)
+	got := caller.call("GET", "/q/"+jobA, "")
+	if got.err != nil || got.status != 503 || got.retryAfter == "" {
+		t.Errorf("call in progress at the end: %+v, want 503 with a time to come back", got)
+	}
+	if took := got.at.Sub(stoppedAt); took > grace {
+		t.Errorf("answered %s after the signal, the process is killed after %s", took, grace)
+	}
+	s.store.SetFaults(standin.ServiceTable, standin.Faults{})
+	<-e.ended
+}
+
+// TestSlowCallsAreServedUntilTheGraceEnds guards against giving calls up while most of
+// the grace is left: a job that is submitted during the stop to a slow store is stored, and
+// its caller is told.
+func TestSlowCallsAreServedUntilTheGraceEnds(t *testing.T) {
+	const grace = 6 * time.Second
+	s := newSite(t)
+	e := s.stoppableEntry(grace)
+	caller := openTo(e.address)
+	s.call(0, "GET", "/q/", "")
+	if first := caller.call("GET", "/q/", ""); first.status != 200 {
+		t.Fatalf("before the stop: %+v", first)
+	}
+	s.store.SetFaults(standin.ServiceTable, standin.Faults{DelayMS: 350})
+	e.terminate()
+	time.Sleep(time.Until(shutdown.NewSchedule(time.Now(), grace).AcceptUntil) - 150*time.Millisecond)
+	// A job that isn't known is looked for in one part after the other.
+	if got := caller.call("GET", "/q/"+jobA, ""); got.err != nil || got.status != 410 {
+		t.Errorf("a call of about 2 s with 2.8 s of the grace left: %+v, want 410", got)
+	}
+	select {
+	case <-e.ended:
+		t.Error("the process ended before the answer")
+	default:
+	}
+	s.store.SetFaults(standin.ServiceTable, standin.Faults{})
+	<-e.ended
+}
+
+// TestJobsAcceptedDuringTheStopArePushed guards against pushes that end before the calls
+// that need them: the job is stored when the host has stopped accepting calls.
+func TestJobsAcceptedDuringTheStopArePushed(t *testing.T) {
+	const grace = 6 * time.Second
+	s := newSite(t)
+	s.entry("owner")
+	s.call(0, "GET", "/q/", "")
+	e := s.stoppableEntry(grace)
+	sent := metrics.GetOrRegisterCounter("push.sent", e.registry)
+	// The host pushes once it knows the scheduler and its address.
+	for i := 0; sent.Count() == 0; i++ {
+		if status, body := s.call(1, "POST", fmt.Sprintf("/q/%016x", 0xd0+i), chain); status != 200 {
+			t.Fatalf("submission: %d %s", status, body)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	caller := openTo(e.address)
+	if first := caller.call("GET", "/q/", ""); first.status != 200 {
+		t.Fatalf("before the stop: %+v", first)
+	}
+	s.store.SetFaults(standin.ServiceTable, standin.Faults{DelayMS: 500})
+	schedule := shutdown.NewSchedule(time.Now(), grace)
+	e.terminate()
+	time.Sleep(time.Until(schedule.AcceptUntil) - 150*time.Millisecond)
+	before := sent.Count()
+	if got := caller.call("POST", "/q/"+jobB, chain); got.status != 200 {
+		t.Fatalf("submission during the stop: %+v", got)
+	}
+	s.store.SetFaults(standin.ServiceTable, standin.Faults{})
+	<-e.ended
+	if sent.Count() == before {
+		t.Error("the job was not pushed")
+	}
+}
+
+// TestConnectionsOfAStoppingProcessAreClosed guards against callers that stay with a
+// stopping host: each answer closes its connection.
+func TestConnectionsOfAStoppingProcessAreClosed(t *testing.T) {
+	s := newSite(t)
+	e := s.stoppableEntry(2 * time.Second)
+	s.call(0, "GET", "/q/", "")
+	conn, err := net.Dial("tcp4", e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	e.terminate()
+	time.Sleep(100 * time.Millisecond)
+	if _, err := fmt.Fprint(conn, "GET /q/ HTTP/1.1\r\nHost: h\r\nCredential: k\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	buffer := make([]byte, 4096)
+	for {
+		n, err := conn.Read(buffer)
+		text.Write(buffer[:n])
+		if err != nil {
+			break
+		}
+	}
+	if !strings.Contains(text.String(), "200 OK") || !strings.Contains(text.String(), "Connection: close") {
+		t.Errorf("answer during the stop: %q", text.String())
+	}
+}
--- a/internal/jobentry/load_test.go
+++ b/internal/jobentry/load_test.go
@@ -165,3 +165,41 @@
 		}
 	})
 }
+
+// TestCallsAreAnsweredBeforeTheProcessEnds guards against calls in progress that are cut
+// off when a stopping process ends: each gets an answer, and one that may have taken
+// effect is not called rejected.
+func TestCallsAreAnsweredBeforeTheProcessEnds(t *testing.T) {
+	const ends = 700 * time.Millisecond
+	cases := []struct {
+		kind CallKind
+		path string
+		want OutcomeKind
+	}{
+		{CallSubmit, "/q/" + testJob, OutcomeInDoubt},
+		{CallCancel, "/q/" + testJob, OutcomeInDoubt},
+		{CallState, "/q/" + testJob, OutcomeRejected},
+		{CallCount, "/q/", OutcomeRejected},
+	}
+	for _, c := range cases {
+		t.Run(string(c.kind), func(t *testing.T) {
+			service, store := newService(t)
+			store.SetFaults(standin.ServiceTable, standin.Faults{Freeze: true})
+			defer store.SetFaults(standin.ServiceTable, standin.Faults{})
+			began := time.Now()
+			time.AfterFunc(ends/4, func() { service.EndBy(began.Add(ends)) })
+			call := testCall(c.kind, c.path, "k")
+			call.Deadline = began.Add(time.Minute)
+			got := service.Answer(call)
+			if took := time.Since(began); took > ends+ends/2 {
+				t.Errorf("answered after %s, the process ends after %s", took, ends)
+			}
+			if got.Kind != c.want || (got.Kind == OutcomeRejected) != (got.RetryAfter > 0) {
+				t.Errorf("%+v, want %s", got, c.want)
+			}
+			if late := service.Answer(call); late.Kind == "" {
+				t.Error("a call after the end has no outcome")
+			}
+		})
+	}
+}
--- a/internal/jobentry/service.go
+++ b/internal/jobentry/service.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"math/rand/v2"
 	"path"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,55 +53,110 @@
 	latency  metrics.Timer
 	// counts lets concurrent calls share one count of the stored jobs.
 	counts singleflight.Group
+	// endBy is the time by which all calls have to be answered, and ended is closed at
+	// that time; see EndBy.
+	endBy   atomic.Pointer[time.Time]
+	ended   chan struct{}
+	endOnce sync.Once
 }
 
 // NewService returns the service of an entry host. onCommit is called with the row
 // of each committed job or cancellation; it must not block.
 func NewService(view *View, store storeapi.Store, onCommit func(storeapi.Row), log *zap.Logger, registry metrics.Registry) *Service {
-	return &Service{view: view, store: store, onCommit: onCommit, log: log, registry: registry, latency: metrics.GetOrRegisterTimer("calls.latency", registry)}
+	return &Service{view: view, store: store, onCommit: onCommit, log: log, registry: registry, latency: metrics.GetOrRegisterTimer("calls.latency", registry), ended: make(chan struct{})}
+}
+
+// EndBy sets the time by which all calls, including those in progress, are answered. It
+// is called at most once, when the process stops.
+func (s *Service) EndBy(at time.Time) {
+	s.endOnce.Do(func() {
+		s.endBy.Store(&at)
+		time.AfterFunc(time.Until(at), func() { close(s.ended) })
+	})
 }
 
 // Answer handles a call and returns its outcome. Store calls are bounded by the
-// call's deadline less answerMargin. The call is logged and counted by outcome.
+// call's deadline, or the time set by EndBy, less answerMargin. The call is logged and
+// counted by outcome.
 func (s *Service) Answer(call Call) Outcome {
 	began := time.Now()
-	margin := min(answerMargin, time.Duration(maxMarginShare*float64(time.Until(call.Deadline))))
-	ctx, cancel := context.WithDeadline(context.Background(), call.Deadline.Add(-margin))
+	deadline := call.Deadline
+	if end := s.endBy.Load(); end != nil && end.Before(deadline) {
+		deadline = *end
+	}
+	margin := min(answerMargin, time.Duration(maxMarginShare*float64(time.Until(deadline))))
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(-margin))
 	defer cancel()
-	outcome, age := s.answer(ctx, call)
+	results := make(chan result, 1)
+	go func() { results <- s.answer(ctx, call) }()
+	var r result
+	select {
+	case r = <-results:
+	case <-s.ended:
+		r = result{Outcome: unanswered(call.Kind, s.retryAfter())}
+	}
+	outcome := r.Outcome
 	s.latency.UpdateSince(began)
 	metrics.GetOrRegisterCounter("calls."+string(call.Kind)+"."+string(outcome.Kind), s.registry).Inc(1)
 	s.log.Info("call_answered", zap.String("call", string(call.Kind)), zap.String("job", path.Base(call.Path)), zap.String("path", call.Path),
 		zap.String("outcome", string(outcome.Kind)), zap.String("state", string(outcome.State)), zap.String("reason", outcome.Reason),
-		zap.Duration("view_age", age), zap.Duration("took", time.Since(began)))
+		zap.Duration("view_age", r.viewAge), zap.Duration("view_wait", r.viewWait), zap.Duration("took", time.Since(began)))
 	return outcome
 }
 
-func (s *Service) answer(ctx context.Context, call Call) (Outcome, time.Duration) {
-	config, age, known := s.view.Config(ctx)
-	if known && s.view.StoreFailing() {
-		return rejected("the store is not responding", s.retryAfter()), age
+// result is an outcome with the age of the configuration that it is based on, and the
+// time that the call waited for it.
+type result struct {
+	Outcome
+	viewAge, viewWait time.Duration
+}
+
+// unanswered returns the outcome of a call that is still in progress when the process
+// ends. A write may have taken effect; a read has no effect.
+func unanswered(kind CallKind, retryAfter time.Duration) Outcome {
+	const reason = "the process stops"
+	switch kind {
+	case CallSubmit, CallCancel:
+		return Outcome{Kind: OutcomeInDoubt, Reason: reason}
+	default:
+		return rejected(reason, retryAfter)
 	}
-	if !known {
-		return rejected("the configuration is not loaded or is too old", s.retryAfter()), age
+}
+
+func (s *Service) answer(ctx context.Context, call Call) result {
+	began := time.Now()
+	config, age, known := s.view.Config(ctx)
+	r := result{viewAge: age, viewWait: time.Since(began)}
+	switch {
+	case !known:
+		r.Outcome = rejected("the configuration is not loaded or is too old", s.retryAfter())
+	case s.view.StoreFailing():
+		r.Outcome = rejected("the store is not responding", s.retryAfter())
+	default:
+		r.Outcome = s.answerUnder(ctx, config, call)
 	}
+	return r
+}
+
+// answerUnder answers a call under a configuration.
+func (s *Service) answerUnder(ctx context.Context, config *queueconfig.Config, call Call) Outcome {
 	queue, id, found := config.QueueOf(call.Host, call.Path)
 	if !found {
-		return Outcome{Kind: OutcomeUnknownQueue, Reason: "no queue is configured for this path"}, age
+		return Outcome{Kind: OutcomeUnknownQueue, Reason: "no queue is configured for this path"}
 	}
 	account, known := config.AccountOf(call.APIKey)
 	if !known && !queue.Anonymous {
-		return Outcome{Kind: OutcomeUnauthorized, Reason: "unknown API key"}, age
+		return Outcome{Kind: OutcomeUnauthorized, Reason: "unknown API key"}
 	}
 	switch call.Kind {
 	case CallSubmit:
-		return s.submit(ctx, call, queue, account, id), age
+		return s.submit(ctx, call, queue, account, id)
 	case CallCancel:
-		return s.cancel(ctx, account, model.JobID(id)), age
+		return s.cancel(ctx, account, model.JobID(id))
 	case CallState:
-		return s.state(ctx, account, model.JobID(id)), age
+		return s.state(ctx, account, model.JobID(id))
 	default:
-		return s.count(ctx, queue), age
+		return s.count(ctx, queue)
 	}
 }
 
--- a/internal/schedulerhost/lease.go
+++ b/internal/schedulerhost/lease.go
@@ -17,6 +17,7 @@
 	"dragonflyyard/internal/ownership"
 	"dragonflyyard/internal/ring"
 	"dragonflyyard/internal/rowpush"
+	"dragonflyyard/internal/shutdown"
 	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/storerelay"
 	"dragonflyyard/internal/workload"
@@ -100,12 +101,10 @@
 	return limits
 }
 
-// handoverTimeout bounds the release of the lease at a planned stop.
-const handoverTimeout = 2 * time.Second
-
 // Run competes for the lease, and schedules while it is held, until ctx is done.
-// It then releases the lease. It always returns nil.
-func (h *Host) Run(ctx context.Context) error {
+// It then releases the lease, which takes at most the time for answers of a stop with
+// the given grace. It always returns nil.
+func (h *Host) Run(ctx context.Context, stopGrace time.Duration) error {
 	callCtx, cancelCalls := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelCalls()
 	tick := time.NewTicker(candidateInterval)
@@ -117,7 +116,8 @@
 		var actions []ownership.Action
 		select {
 		case <-stopping:
-			stopping, handoverExpired = nil, time.After(handoverTimeout)
+			stopping = nil
+			handoverExpired = time.After(time.Until(shutdown.NewSchedule(time.Now(), stopGrace).AnswerBy))
 			h.endSession()
 			actions = h.candidate.Step(time.Now(), ownership.Stop{})
 		case <-handoverExpired:
--- a/internal/schedulerhost/session_test.go
+++ b/internal/schedulerhost/session_test.go
@@ -138,6 +138,35 @@
 	}
 }
 
+const testGrace = 4 * time.Second
+
+// TestHandoverEndsWithTheGrace guards against an entry host that waits for the release
+// of its lease until it is killed: the store does not answer.
+func TestHandoverEndsWithTheGrace(t *testing.T) {
+	const grace = time.Second
+	store := standin.NewStore(time.Now)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	view := func() ConfigView { return ConfigView{AsOf: time.Now()} }
+	h := New("entry-1", "region", store, view, func() storerelay.Standing { return storerelay.Standing{} }, noPushes(), zap.NewNop(), metrics.NewRegistry())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := h.Run(ctx, grace); err != nil {
+			t.Error(err)
+		}
+	}()
+	waitFor(t, store, func(keys []string) bool { return slices.Contains(keys, workload.KeyFence) })
+	store.SetFaults(standin.ServiceTable, standin.Faults{Freeze: true})
+	defer store.SetFaults(standin.ServiceTable, standin.Faults{})
+	stoppedAt := time.Now()
+	cancel()
+	<-done
+	if took := time.Since(stoppedAt); took > grace {
+		t.Errorf("stopped after %s, the grace is %s", took, grace)
+	}
+}
+
 // TestOwnerIsReplaced stops the entry host that started a task and lets a second host
 // take over. Failure: the second host does not complete the job when the end of the
 // first host's run is reported.
@@ -156,7 +185,7 @@
 		h := New(id, "region", store, view, func() storerelay.Standing { return storerelay.Standing{} }, noPushes(), zap.NewNop(), metrics.NewRegistry())
 		go func() {
 			defer close(done)
-			if err := h.Run(ctx); err != nil {
+			if err := h.Run(ctx, testGrace); err != nil {
 				t.Error(err)
 			}
 		}()
--- a/internal/settings/deployed.go
+++ b/internal/settings/deployed.go
@@ -44,6 +44,8 @@
 	StoreAddress   string `yaml:"store_address"`
 	// PushAddress (IP:port) is where the scheduler sends orders directly.
 	PushAddress string `yaml:"push_address"`
+	// StopGrace is how long after SIGTERM the platform kills the process.
+	StopGrace time.Duration `yaml:"stop_grace"`
 	// LongestLease is the longest lease that a worker accepts.
 	LongestLease time.Duration `yaml:"longest_lease"`
 	LogLevel     string        `yaml:"log_level"`
@@ -87,7 +89,7 @@
 // ParseDeployedAgent decodes and checks the settings of a deployed agent. The
 // error is of type strictyaml.Problems.
 func ParseDeployedAgent(name string, data []byte) (DeployedAgent, error) {
-	s := DeployedAgent{LongestLease: 10 * time.Second, LogLevel: "info"}
+	s := DeployedAgent{StopGrace: 6 * time.Second, LongestLease: 10 * time.Second, LogLevel: "info"}
 	err := parse(name, data, &s, func(c *checker) {
 		c.name("host", s.Host)
 		c.name("region", string(s.Region))
@@ -97,6 +99,7 @@
 		c.address("metrics_address", s.MetricsAddress)
 		c.address("store_address", s.StoreAddress)
 		c.address("push_address", s.PushAddress)
+		c.durationRange("stop_grace", s.StopGrace, shortestStopGrace, time.Minute)
 		c.durationRange("longest_lease", s.LongestLease, shortestLease, time.Minute)
 		c.level("log_level", s.LogLevel)
 	})
--- a/internal/storerelay/deadline_test.go
+++ b/internal/storerelay/deadline_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/storeapi"
 )
 
 // TestRelayedCallEndsWithItsCaller guards against waiting for silent peers, one after
@@ -46,3 +47,34 @@
 	}
 }
 
+// lateStore does not answer before the deadline of a call, and fails the test for a call
+// without one.
+type lateStore struct {
+	storeapi.Store
+	t *testing.T
+}
+
+func (s lateStore) Commit(ctx context.Context, _ storeapi.Transaction) ([]storeapi.RowVersion, error) {
+	if _, limited := ctx.Deadline(); !limited {
+		s.t.Error("a call of a stopping relay has no deadline")
+		return nil, storeapi.ErrInDoubt
+	}
+	<-ctx.Done()
+	return nil, storeapi.ErrInDoubt
+}
+
+// TestStoppingRelayAnswersInTime guards against a relay whose process ends before it has
+// answered a peer's call.
+func TestStoppingRelayAnswersInTime(t *testing.T) {
+	answerBy := time.Now().Add(200 * time.Millisecond)
+	r := &relay{store: lateStore{standin.NewStore(time.Now), t}, unavailable: func(string) bool { return false },
+		answerBy: func() (time.Time, bool) { return answerBy, true }}
+	ctx, cancel := r.callContext()
+	defer cancel()
+	if out := r.commit(ctx, request{Tx: put("t/a")}); out.Result != storeapi.ResultInDoubt {
+		t.Errorf("%+v, want in doubt", out)
+	}
+	if late := time.Since(answerBy); late > 100*time.Millisecond {
+		t.Errorf("answered %s late", late)
+	}
+}
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewServer(store, away)
+	server := NewServer(store, away, notStopping)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Shutdown() })
 	w := &relayedClient{store: store, direct: &faultyStore{Store: store}, peer: listener.Addr().String()}
@@ -106,6 +106,8 @@
 	return w
 }
 
+func notStopping() (time.Time, bool) { return time.Time{}, false }
+
 func put(key string) storeapi.Transaction {
 	return storeapi.Transaction{Checks: []storeapi.Check{{Key: key}}, Puts: []storeapi.Put{{Key: key, Value: []byte("v")}}}
 }
@@ -338,7 +340,7 @@
 func TestRejectionsAreRelayed(t *testing.T) {
 	w := newRelayedClient(t, func(string) bool { return false })
 	rejecting := &faultyStore{Store: w.store, err: errors.Wrap(storeapi.ErrRejected, "row too large")}
-	server := NewServer(rejecting, func(string) bool { return false })
+	server := NewServer(rejecting, func(string) bool { return false }, notStopping)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/storerelay/server.go
+++ b/internal/storerelay/server.go
@@ -16,9 +16,10 @@
 
 // NewServer returns the HTTP server of an entry host that relays calls to store.
 // unavailable reports whether the host's own direct calls for the part of a key
-// fail; calls for such a part are refused at once.
-func NewServer(store storeapi.Store, unavailable func(key string) bool) *fasthttp.Server {
-	r := &relay{store: store, unavailable: unavailable}
+// fail; calls for such a part are refused at once. answerBy returns the time by which
+// calls have to be answered while the process stops, and false before.
+func NewServer(store storeapi.Store, unavailable func(key string) bool, answerBy func() (time.Time, bool)) *fasthttp.Server {
+	r := &relay{store: store, unavailable: unavailable, answerBy: answerBy}
 	return &fasthttp.Server{
 		MaxRequestBodySize:    maxRequestBytes,
 		NoDefaultServerHeader: true,
@@ -30,6 +31,7 @@
 type relay struct {
 	store       storeapi.Store
 	unavailable func(key string) bool
+	answerBy    func() (time.Time, bool)
 }
 
 func (r *relay) handle(ctx *fasthttp.RequestCtx) {
@@ -47,12 +49,22 @@
 	}
 	out := response{Result: storeapi.ResultUnavailable, Detail: "direct calls of the relay to the store fail too"}
 	if !r.unavailable(in.partKey()) {
-		out = call(context.Background(), in)
+		callCtx, cancel := r.callContext()
+		defer cancel()
+		out = call(callCtx, in)
 		out.StoreMS, _ = r.store.StoreTime(time.Now())
 	}
 	ctx.SetBody(rowcodec.Encode(&out))
 }
 
+// callContext returns the context of a call that begins now.
+func (r *relay) callContext() (context.Context, context.CancelFunc) {
+	if end, stopping := r.answerBy(); stopping {
+		return context.WithDeadline(context.Background(), end)
+	}
+	return context.Background(), func() {}
+}
+
 func (r *relay) get(ctx context.Context, in request) response {
 	row, err := r.store.Get(ctx, in.Key)
 	if err != nil {
