Watch for SIGHUP from the start of a process to its end

Cause: SIGHUP was watched for from the moment that all servers ran until a stopping process took no more calls. Before and after that it ended the process at once, with the calls in progress. Change: the signal is watched for before anything else, and to the end. Test: TestReloadDuringTheStop failed before (the test's process was ended by the signal).

--- a/internal/deployed/agent.go
+++ b/internal/deployed/agent.go
@@ -20,6 +20,7 @@
 // RunAgent runs the agent beside a worker until ctx is done. reloadSettings
 // reads the settings anew.
 func RunAgent(ctx context.Context, s settings.DeployedAgent, log *zap.Logger, registry metrics.Registry, reloadSettings func() error) error {
+	reloads := watchReloads()
 	log.Info("process_started", zap.String("host", s.Host), zap.String("zone", string(s.Zone)), zap.String("role", "agent"))
 	direct := platform.NewStore(s.StoreAddress, registry)
 	book := storerelay.NewPeerDirectory(direct, workload.PrefixRelays, s.Host, storerelay.Peer{Zone: s.Zone}, log)
@@ -55,7 +56,7 @@
 	group.Go(func() error { pushes.Run(finishing); return nil })
 	group.Go(func() error { book.Run(finishing); return nil })
 	group.Go(func() error { store.Probe(finishing, agentProbeEvery); return nil })
-	group.Go(func() error { reload(finishing, log, reloadSettings); return nil })
+	group.Go(func() error { reload(finishing, reloads, log, reloadSettings); return nil })
 	group.Go(func() error { return agent.Run(finishing) })
 	group.Go(func() error {
 		select {
--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -39,6 +39,7 @@
 // RunEntry runs an entry host until ctx is done, then stops gracefully.
 // reloadSettings reads the settings anew.
 func RunEntry(ctx context.Context, s settings.DeployedEntry, log *zap.Logger, registry metrics.Registry, reloadSettings func() error) error {
+	reloads := watchReloads()
 	log.Info("process_started", zap.String("host", string(s.Host)), zap.String("zone", string(s.Zone)), zap.String("role", "entry"))
 	direct := platform.NewStore(s.StoreAddress, registry)
 	book := storerelay.NewPeerDirectory(direct, workload.PrefixRelays, string(s.Host), storerelay.Peer{Address: s.RelayAddress, Zone: s.Zone, Cores: s.Cores, LinkMbps: s.LinkMbps}, log)
@@ -84,7 +85,7 @@
 	group.Go(func() error { book.Run(answering); return nil })
 	group.Go(func() error { store.Probe(answering, entryProbeEvery); return nil })
 	group.Go(func() error { view.Run(answering); return nil })
-	group.Go(func() error { reload(answering, log, reloadSettings); return nil })
+	group.Go(func() error { reload(answering, reloads, log, reloadSettings); return nil })
 	group.Go(func() error { return scheduler.Run(ctx, s.StopGrace) })
 	group.Go(func() error {
 		select {
--- a/internal/deployed/serve.go
+++ b/internal/deployed/serve.go
@@ -116,12 +116,17 @@
 	}
 }
 
-// reload calls check on each SIGHUP until ctx is done. Addresses and names of a
-// process do not change while it runs; other changes hold from its next start.
-func reload(ctx context.Context, log *zap.Logger, check func() error) {
+// watchReloads returns a channel of SIGHUPs. It is called before a process does anything
+// else and never undone: a SIGHUP that is not watched for ends the process at once.
+func watchReloads() <-chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	return signals
+}
+
+// reload calls check on each signal until ctx is done. Addresses and names of a
+// process do not change while it runs; other changes hold from its next start.
+func reload(ctx context.Context, signals <-chan os.Signal, log *zap.Logger, check func() error) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/deployed/stop_test.go
+++ b/internal/deployed/stop_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -138,6 +140,30 @@
 	<-e.ended
 }
 
+// TestReloadDuringTheStop guards against a SIGHUP that ends a stopping process at once,
+// with the calls that it has in progress.
+func TestReloadDuringTheStop(t *testing.T) {
+	const grace = 2 * time.Second
+	s := newSite(t)
+	e := s.stoppableEntry(grace)
+	caller := openTo(e.address)
+	s.call(0, "GET", "/q/", "")
+	s.store.SetFaults(standin.ServiceTable, standin.Faults{DelayMS: 500})
+	schedule := shutdown.NewSchedule(time.Now(), grace)
+	e.terminate()
+	answered := make(chan answer)
+	go func() { answered <- caller.call("GET", "/q/"+jobA, "") }()
+	time.Sleep(time.Until(schedule.AcceptUntil) + 100*time.Millisecond)
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-answered; got.err != nil {
+		t.Errorf("call in progress: %+v", got)
+	}
+	s.store.SetFaults(standin.ServiceTable, standin.Faults{})
+	<-e.ended
+}
+
 // TestJobsAcceptedDuringTheStopArePushed guards against pushes that end before the calls
 // that need them: the job is stored when the host has stopped accepting calls.
 func TestJobsAcceptedDuringTheStopArePushed(t *testing.T) {
