Write what a stopping agent has acknowledged

Cause: at SIGTERM the agent's core ended together with its servers. A worker's departure or drain that was acknowledged in between, or while an announcement was under way, was forgotten, and the scheduler kept the worker until it counted as lost (13.5 s). Change: the servers stop first, then the core applies what it has taken and writes the announcement that follows, within the grace. Test: TestStoppingAgentWritesWhatItAnsweredFor failed before (stored as ready after its departure).

--- a/internal/deployed/agent.go
+++ b/internal/deployed/agent.go
@@ -35,7 +35,8 @@
 		},
 	})
 	var stop stopTimes
-	// Servers take calls while accepting; the agent goes on while finishing.
+	// Servers take calls while accepting; the agent goes on while finishing, so that it
+	// writes what it has answered for.
 	group, finishing := errgroup.WithContext(context.WithoutCancel(ctx))
 	finishing, finish := context.WithCancel(finishing)
 	defer finish()
@@ -57,7 +58,7 @@
 	group.Go(func() error { book.Run(finishing); return nil })
 	group.Go(func() error { store.Probe(finishing, agentProbeEvery); return nil })
 	group.Go(func() error { reload(finishing, reloads, log, reloadSettings); return nil })
-	group.Go(func() error { return agent.Run(finishing) })
+	group.Go(func() error { return agent.Run(finishing, stop.exitBy) })
 	group.Go(func() error {
 		select {
 		case <-finishing.Done():
--- a/internal/deployed/stop_test.go
+++ b/internal/deployed/stop_test.go
@@ -14,9 +14,12 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/settings"
 	"dragonflyyard/internal/shutdown"
 	"dragonflyyard/internal/standin"
+	"dragonflyyard/internal/workload"
 )
 
 // openConnection is a connection of one caller that is kept between calls.
@@ -199,6 +202,71 @@
 	}
 }
 
+// TestStoppingAgentWritesWhatItAnsweredFor guards against a worker's departure that is
+// acknowledged and then forgotten, since the agent ends before it has written it: the
+// scheduler would wait for the worker until it counts as lost.
+func TestStoppingAgentWritesWhatItAnsweredFor(t *testing.T) {
+	s := newSite(t)
+	worker := standin.NewJobWorker("i-1", "s", "z", "r1")
+	control := freeAddress(t)
+	app := listenOn(t, worker.Handle)
+	ctx, terminate := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		err := RunAgent(ctx, settings.DeployedAgent{
+			Host: "side-1", Region: "region", Zone: "z", ControlAddress: control, WorkerAddress: app, MetricsAddress: freeAddress(t),
+			StoreAddress: s.address, PushAddress: freeAddress(t), LongestLease: 10 * time.Second, StopGrace: 6 * time.Second,
+		}, zap.NewNop(), metrics.NewRegistry(), noReload)
+		if err != nil {
+			t.Errorf("agent: %v", err)
+		}
+	}()
+	defer func() { terminate(); <-ended }()
+	state := func() workload.WorkerState {
+		var announced workload.Announcement
+		row, err := s.store.Get(t.Context(), workload.WorkerKey("side-1"))
+		if err == nil {
+			err = rowcodec.Decode(row.Value, &announced)
+		}
+		if err != nil {
+			return ""
+		}
+		return announced.State
+	}
+	for sequence := 1; state() != workload.WorkerReady; sequence++ {
+		// The agent may not listen yet.
+		_ = worker.Beat(control, sequence)
+		time.Sleep(20 * time.Millisecond)
+	}
+	// A transaction takes longer than the agent's servers take to stop.
+	s.store.SetFaults(standin.ServiceTable, standin.Faults{DelayMS: 200})
+	if err := leave(control, "i-1"); err != nil {
+		t.Fatal(err)
+	}
+	terminate()
+	<-ended
+	if got := state(); got != workload.WorkerGone {
+		t.Errorf("the worker is stored as %q after its departure was acknowledged, want %q", got, workload.WorkerGone)
+	}
+}
+
+// leave deregisters a worker at its agent.
+func leave(control string, worker model.WorkerID) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodDelete)
+	req.SetRequestURI("http://" + control + "/instances/" + string(worker))
+	if err := fasthttp.DoTimeout(req, resp, time.Second); err != nil {
+		return err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode())
+	}
+	return nil
+}
+
 // TestConnectionsOfAStoppingProcessAreClosed guards against callers that stay with a
 // stopping host: each answer closes its connection.
 func TestConnectionsOfAStoppingProcessAreClosed(t *testing.T) {
--- a/internal/jobagent/agent.go
+++ b/internal/jobagent/agent.go
@@ -90,12 +90,19 @@
 	})
 }
 
-// Run runs the agent until ctx is done.
-func (a *Agent) Run(ctx context.Context) error {
+// Run runs the agent until ctx is done. It then writes what is due to be announced,
+// until the time that finishBy returns.
+func (a *Agent) Run(ctx context.Context, finishBy func() time.Time) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { a.loadRow(ctx); return nil })
 	group.Go(func() error { a.watchOrders(ctx); return nil })
-	group.Go(func() error { a.runCore(ctx, group); return nil })
+	group.Go(func() error {
+		a.runCore(ctx, group)
+		finishing, cancel := context.WithDeadline(context.WithoutCancel(ctx), finishBy())
+		defer cancel()
+		a.finish(finishing)
+		return nil
+	})
 	return group.Wait()
 }
 
@@ -122,6 +129,30 @@
 	}
 }
 
+// finish applies the inputs that the agent has accepted and writes the announcement
+// that they cause, until ctx is done. Calls to the worker are left to the next process.
+func (a *Agent) finish(ctx context.Context) {
+	for ctx.Err() == nil {
+		a.applyPending()
+		now := time.Now()
+		storeMS, known := a.store.StoreTime(now)
+		for _, action := range a.core.Step(now, storeMS, known) {
+			if announcement, ok := action.(taskrunner.Announce); ok {
+				a.announce(ctx, announcement)
+			}
+		}
+		a.logNotes()
+		if !a.core.Announcing() {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case input := <-a.inputs.Out():
+			input(time.Now())
+		}
+	}
+}
+
 // applyPending applies all queued inputs, so that one step handles them together.
 func (a *Agent) applyPending() {
 	for {
--- a/internal/taskrunner/announce.go
+++ b/internal/taskrunner/announce.go
@@ -119,6 +119,9 @@
 	}
 }
 
+// Announcing reports whether an announcement is outstanding.
+func (c *Core) Announcing() bool { return c.row.pending }
+
 // announcementDue returns the announcement that is due, if any.
 func (c *Core) announcementDue(now time.Time, storeMS int64) []Action {
 	if !c.row.known || c.row.pending || !c.statusKnown || now.Before(c.row.nextAt) || (!c.lists.known && !c.workerLeft) {
