Run a soak of planned work with open connections

Change: stops, reloads and changes of a large configuration, in series and overlapping, with a slow link of one entry host, while callers keep connections open and none may be cut off. Addresses are now given once, and a process that waits for its address ends at SIGTERM.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -93,11 +93,11 @@
 
 // disturb begins faults until ctx is done, then ends all of them. tell is given
 // the name of each.
-func disturb(ctx context.Context, s *site, random *rand.Rand, tell func(string)) {
+func disturb(ctx context.Context, s *site, kinds []fault, random *rand.Rand, tell func(string)) {
 	ends := map[time.Time]func(){}
 	for ctx.Err() == nil {
 		time.Sleep(faultEvery/2 + time.Duration(random.Int64N(int64(faultEvery))))
-		f := faults[random.IntN(len(faults))]
+		f := kinds[random.IntN(len(kinds))]
 		tell(f.name)
 		if end := f.begin(s, random); end != nil {
 			ends[time.Now().Add(time.Duration(random.Int64N(int64(faultFor))))] = end
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -46,6 +46,10 @@
 	workers   []*standin.JobWorker
 	servers   []*httpserver.Server
 	beats     context.CancelFunc
+	// taken holds the addresses that processes listen on.
+	taken map[string]bool
+	// version is that of the last configuration.
+	version int
 }
 
 func (s *site) listen(server *fasthttp.Server) (string, error) {
@@ -81,7 +85,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "soak")
 	}
-	s := &site{dir: dir, store: standin.NewStore(time.Now)}
+	s := &site{dir: dir, store: standin.NewStore(time.Now), version: 1, taken: map[string]bool{}}
 	storeAddress, err := s.listen(&fasthttp.Server{Handler: s.store.HandleRows})
 	if err != nil {
 		return nil, err
@@ -105,18 +109,18 @@
 }
 
 func (s *site) addEntry(c Config, i int, store string) error {
-	addresses, box, err := addresses(4, store)
+	addresses, box, err := s.addresses(4, store)
 	if err != nil {
 		return err
 	}
 	s.callers = append(s.callers, addresses[0])
 	return s.add(fmt.Sprintf("entry-%d", i), filepath.Join(c.Binaries, "dragonfly-entry"), box, fmt.Sprintf(
-		"host: entry-%d\nregion: r\nzone: z%d\ncallers_address: %s\nreadiness_address: %s\nmetrics_address: %s\nrelay_address: %s\nstore_address: %s\nstop_grace: 2s\n",
-		i, i%3, addresses[0], addresses[1], addresses[2], addresses[3], box.Address()))
+		"host: entry-%d\nregion: r\nzone: z%d\ncallers_address: %s\nreadiness_address: %s\nmetrics_address: %s\nrelay_address: %s\nstore_address: %s\nstop_grace: %s\n",
+		i, i%3, addresses[0], addresses[1], addresses[2], addresses[3], box.Address(), stopGrace))
 }
 
 func (s *site) addAgent(beating context.Context, c Config, i int, store string, checker *checker) error {
-	addresses, box, err := addresses(3, store)
+	addresses, box, err := s.addresses(3, store)
 	if err != nil {
 		return err
 	}
@@ -139,18 +143,26 @@
 		i, i%3, addresses[0], app, addresses[1], box.Address(), addresses[2]))
 }
 
+// stopGrace is the time between SIGTERM and SIGKILL.
+const stopGrace = 4 * time.Second
+
 // beatEvery is the interval of the workers' heartbeats.
 const beatEvery = 200 * time.Millisecond
 
 // addresses returns free addresses and a middlebox that leads to the store.
-func addresses(n int, store string) ([]string, *standin.Middlebox, error) {
-	out := make([]string, n)
-	for i := range out {
+// None was returned before: a port that is free now may be that of a process which is
+// starting.
+func (s *site) addresses(n int, store string) ([]string, *standin.Middlebox, error) {
+	var out []string
+	for len(out) < n {
 		address, err := freeAddress()
 		if err != nil {
 			return nil, nil, err
 		}
-		out[i] = address
+		if !s.taken[address] {
+			s.taken[address] = true
+			out = append(out, address)
+		}
 	}
 	box, err := standin.NewMiddlebox()
 	if err != nil {
@@ -220,6 +232,22 @@
 	_ = p.command.Process.Signal(signal)
 }
 
+// terminate sends SIGTERM, and SIGKILL to the same process when the grace is over.
+func (p *process) terminate() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	command, ended := p.command, p.ended
+	// It may have ended meanwhile.
+	_ = command.Process.Signal(syscall.SIGTERM)
+	go func() {
+		select {
+		case <-ended:
+		case <-time.After(stopGrace):
+			_ = command.Process.Kill()
+		}
+	}()
+}
+
 // stop ends the process for good.
 func (p *process) stop() {
 	p.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -20,6 +20,9 @@
 	Entries, Agents int
 	// Binaries is the folder of the programs, and Dir the one for settings and logs.
 	Binaries, Dir string
+	// Planned restricts the disturbances to planned work: stops, reloads and changes of a
+	// large configuration, with a slow link of the first entry host. No call may be cut off.
+	Planned bool
 	// Tell is given the name of each fault; it may be nil.
 	Tell func(fault string)
 }
@@ -60,7 +63,17 @@
 	go func() { call.submitAll(disturbed); close(done) }()
 	looking := make(chan struct{})
 	go func() { call.lookAround(disturbed); close(looking) }()
-	disturb(disturbed, s, rand.New(rand.NewPCG(c.Seed, 2)), func(name string) {
+	kinds := faults
+	if c.Planned {
+		kinds = plannedWork
+		s.processes[0].toStore.SetRate(slowLink)
+		for entry := range s.callers {
+			for range keptConnections {
+				go call.keepConnection(disturbed, entry)
+			}
+		}
+	}
+	disturb(disturbed, s, kinds, rand.New(rand.NewPCG(c.Seed, 2)), func(name string) {
 		report.Faults++
 		if c.Tell != nil {
 			c.Tell(name)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,25 +20,42 @@
 	{"start taken by the next life, five starts too many", 35},
 }
 
-// TestShortSoak runs the programs as processes under some seconds of faults.
-func TestShortSoak(t *testing.T) {
-	binaries := t.TempDir()
-	build := exec.Command("go", "build", "-o", binaries+string(filepath.Separator), "dragonflyyard/cmd/dragonfly-entry", "dragonflyyard/cmd/dragonfly-agent")
+func buildPrograms(t *testing.T) (folder string) {
+	t.Helper()
+	folder = t.TempDir()
+	build := exec.Command("go", "build", "-o", folder+string(filepath.Separator), "dragonflyyard/cmd/dragonfly-entry", "dragonflyyard/cmd/dragonfly-agent")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
+	return folder
+}
+
+// TestShortSoak runs the programs as processes under some seconds of faults.
+func TestShortSoak(t *testing.T) {
+	binaries := buildPrograms(t)
 	for _, c := range seeds {
 		t.Run(c.name, func(t *testing.T) {
-			report, err := Run(Config{Seed: c.seed, Disturbed: 5 * time.Second, Entries: 2, Agents: 3, Binaries: binaries, Dir: t.TempDir()})
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, broken := range report.Broken {
-				t.Error(broken)
-			}
-			if report.Accepted == 0 || report.Starts == 0 || report.Faults == 0 {
-				t.Errorf("%d jobs accepted, %d starts, %d faults: the soak does nothing", report.Accepted, report.Starts, report.Faults)
-			}
+			soak(t, Config{Seed: c.seed, Disturbed: 5 * time.Second, Entries: 2, Agents: 3, Binaries: binaries, Dir: t.TempDir()})
 		})
 	}
 }
+
+// TestPlannedWork guards against calls that are cut off by stops, reloads and changes of
+// the configuration, in series and overlapping, while their callers keep connections open.
+func TestPlannedWork(t *testing.T) {
+	soak(t, Config{Seed: 1, Planned: true, Disturbed: 10 * time.Second, Entries: 2, Agents: 3, Binaries: buildPrograms(t), Dir: t.TempDir()})
+}
+
+func soak(t *testing.T, c Config) {
+	t.Helper()
+	report, err := Run(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, broken := range report.Broken {
+		t.Error(broken)
+	}
+	if report.Accepted == 0 || report.Starts == 0 || report.Faults == 0 {
+		t.Errorf("%d jobs accepted, %d starts, %d faults: the soak does nothing", report.Accepted, report.Starts, report.Faults)
+	}
+}
--- a/internal/standin/middlebox.go
+++ b/internal/standin/middlebox.go
@@ -14,10 +14,14 @@
 type Middlebox struct {
 	listener net.Listener
 	delay    atomic.Int64
+	// rate is the bandwidth of the link in bytes per second; 0 for no limit.
+	rate atomic.Int64
 
 	mu     sync.Mutex
 	target string
 	pairs  []*forwarded
+	// linkFree is when the link has transmitted all that it took so far.
+	linkFree time.Time
 }
 
 // forwarded is one connection that passes a Middlebox.
@@ -86,6 +90,26 @@
 // SetDelay delays what passes, in each direction, by d.
 func (m *Middlebox) SetDelay(d time.Duration) { m.delay.Store(int64(d)) }
 
+// SetRate limits what passes, in both directions and over all connections together, to
+// a number of bytes per second; 0 lifts the limit.
+func (m *Middlebox) SetRate(bytesPerSecond int64) { m.rate.Store(bytesPerSecond) }
+
+// transmit takes the time that n bytes take on the link.
+func (m *Middlebox) transmit(n int) {
+	rate := m.rate.Load()
+	if rate == 0 {
+		return
+	}
+	m.mu.Lock()
+	if now := time.Now(); m.linkFree.Before(now) {
+		m.linkFree = now
+	}
+	m.linkFree = m.linkFree.Add(time.Duration(n) * time.Second / time.Duration(rate))
+	free := m.linkFree
+	m.mu.Unlock()
+	time.Sleep(time.Until(free))
+}
+
 func (m *Middlebox) serve() {
 	for {
 		near, err := m.listener.Accept()
@@ -119,6 +143,7 @@
 			return
 		}
 		time.Sleep(time.Duration(m.delay.Load()))
+		m.transmit(n)
 		if silent.Load() {
 			continue
 		}
