Hold no writes of the store in tests that end before them

Cause: the stand-in applies held writes when its switch is cleared, beside a caller that gave up: the race detector found it in two new tests. They now use a silent store, which never answers and has no effect.

--- a/internal/jobentry/load_test.go
+++ b/internal/jobentry/load_test.go
@@ -184,7 +184,7 @@
 	for _, c := range cases {
 		t.Run(string(c.kind), func(t *testing.T) {
 			service, store := newService(t)
-			store.SetFaults(standin.ServiceTable, standin.Faults{Freeze: true})
+			store.SetFaults(standin.ServiceTable, standin.Faults{Silent: true})
 			defer store.SetFaults(standin.ServiceTable, standin.Faults{})
 			began := time.Now()
 			time.AfterFunc(ends/4, func() { service.EndBy(began.Add(ends)) })
--- a/internal/schedulerhost/session_test.go
+++ b/internal/schedulerhost/session_test.go
@@ -157,7 +157,7 @@
 		}
 	}()
 	waitFor(t, store, func(keys []string) bool { return slices.Contains(keys, workload.KeyFence) })
-	store.SetFaults(standin.ServiceTable, standin.Faults{Freeze: true})
+	store.SetFaults(standin.ServiceTable, standin.Faults{Silent: true})
 	defer store.SetFaults(standin.ServiceTable, standin.Faults{})
 	stoppedAt := time.Now()
 	cancel()
