Don't take a large answer of a peer over a slow link for a lost one

Change: calls through peers without a caller's deadline may take longer while bytes arrive, as direct ones do. Test: TestLargeAnswerThroughAPeerOverASlowLink failed before (scan and changes).

--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/httpconn"
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/storeapi"
@@ -23,6 +24,8 @@
 	peerBackoff = 3 * time.Second
 	// peerDialTimeout limits connection setup to a peer.
 	peerDialTimeout = 300 * time.Millisecond
+	// maxTransfer limits the time of an answer whose bytes keep arriving.
+	maxTransfer = 10 * time.Second
 )
 
 // maxPeerConnections limits the concurrent calls to one peer.
@@ -48,7 +51,8 @@
 	// avoidUntil holds the time until which each failed peer gets no calls, by
 	// address.
 	avoidUntil map[string]time.Time
-	http       map[string]*fasthttp.HostClient
+	// http serves the calls with a deadline, and bulk those without one, by address.
+	http, bulk map[string]*fasthttp.HostClient
 }
 
 // NewClient returns a client. peers returns the relay addresses of entry hosts,
@@ -56,7 +60,7 @@
 // successful probe; see Probe.
 func NewClient(direct storeapi.Store, peers func() []string, log *zap.Logger, registry metrics.Registry) *Client {
 	return &Client{
-		direct: direct, peers: peers, log: log, failingParts: map[string]failingPart{}, attemptTimeouts: map[string]*attemptTimeout{}, avoidUntil: map[string]time.Time{}, http: map[string]*fasthttp.HostClient{},
+		direct: direct, peers: peers, log: log, failingParts: map[string]failingPart{}, attemptTimeouts: map[string]*attemptTimeout{}, avoidUntil: map[string]time.Time{}, http: map[string]*fasthttp.HostClient{}, bulk: map[string]*fasthttp.HostClient{},
 		relayed: metrics.GetOrRegisterCounter("store.relayed", registry),
 	}
 }
@@ -275,8 +279,10 @@
 		return nil, false, err
 	}
 	timeout += callMargin
+	client := c.bulkClientOf(peer)
 	if deadline, limited := ctx.Deadline(); limited {
 		timeout = min(timeout, time.Until(deadline))
+		client = c.clientOf(peer)
 	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -286,7 +292,7 @@
 	req.SetBodyRaw(rowcodec.Encode(&in))
 	sentAt := time.Now()
 	c.relayed.Inc(1)
-	if err := c.clientOf(peer).DoTimeout(req, resp, timeout); err != nil {
+	if err := client.DoTimeout(req, resp, timeout); err != nil {
 		if !ended(ctx) {
 			c.mu.Lock()
 			c.avoidUntil[peer] = time.Now().Add(peerBackoff)
@@ -312,20 +318,39 @@
 // nothing was sent.
 var errDial = errors.New("dial peer")
 
+// clientOf returns the client of a peer for calls with a deadline.
 func (c *Client) clientOf(peer string) *fasthttp.HostClient {
+	return c.cachedClient(c.http, peer, dialPeer)
+}
+
+// bulkClientOf returns the client of a peer for calls without a deadline, whose answers
+// may take longer while their bytes arrive.
+func (c *Client) bulkClientOf(peer string) *fasthttp.HostClient {
+	return c.cachedClient(c.bulk, peer, func(address string) (net.Conn, error) {
+		conn, err := dialPeer(address)
+		if err != nil {
+			return nil, err
+		}
+		return &httpconn.Progress{Conn: conn, Idle: readTimeout, Limit: maxTransfer}, nil
+	})
+}
+
+func dialPeer(address string) (net.Conn, error) {
+	conn, err := fasthttp.DialTimeout(address, peerDialTimeout)
+	return conn, errors.Mark(err, errDial)
+}
+
+func (c *Client) cachedClient(cache map[string]*fasthttp.HostClient, peer string, dial fasthttp.DialFunc) *fasthttp.HostClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if client := c.http[peer]; client != nil {
+	if client := cache[peer]; client != nil {
 		return client
 	}
 	client := &fasthttp.HostClient{
 		Addr: peer, MaxConns: maxPeerConnections, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial: func(address string) (net.Conn, error) {
-			conn, err := fasthttp.DialTimeout(address, peerDialTimeout)
-			return conn, errors.Mark(err, errDial)
-		},
+		Dial:       dial,
 	}
-	c.http[peer] = client
+	cache[peer] = client
 	return client
 }
--- a/internal/storerelay/deadline_test.go
+++ b/internal/storerelay/deadline_test.go
@@ -47,6 +47,33 @@
 	}
 }
 
+// TestLargeAnswerThroughAPeerOverASlowLink guards against taking a peer for silent while
+// its answer arrives: a host that reaches the store through peers only would never read a
+// large configuration.
+func TestLargeAnswerThroughAPeerOverASlowLink(t *testing.T) {
+	w := newRelayedClient(t, func(string) bool { return false })
+	w.direct.err = errStoreUnavailable
+	value := make([]byte, 400_000)
+	if _, err := w.store.Commit(t.Context(), storeapi.Transaction{Puts: []storeapi.Put{{Key: "t/a", Value: value}}}); err != nil {
+		t.Fatal(err)
+	}
+	link, err := standin.NewMiddlebox()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	link.SetTarget(w.peer)
+	link.SetRate(int64(len(value)) / 2)
+	w.peer = link.Address()
+	if snapshot, err := w.Scan(t.Context(), "t/"); err != nil || len(snapshot.Rows) != 1 {
+		t.Errorf("scan: %d rows, %v", len(snapshot.Rows), err)
+	}
+	changes, err := w.Changes(t.Context(), "t", 0, 0)
+	if err != nil || len(changes.Rows) != 1 {
+		t.Errorf("changes: %d rows, %v", len(changes.Rows), err)
+	}
+}
+
 // lateStore does not answer before the deadline of a call, and fails the test for a call
 // without one.
 type lateStore struct {
