Close connections without a request soon after a shutdown begins

One connection on which nothing was sent held a stop up for seconds; the caller's host or the agent was away that much longer. Change: such connections are closed 0.3 s after the shutdown began; one on which a request arrives before is answered. Test: TestShutdownWithAnUnusedConnection failed before (5.0 s).

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -15,8 +17,17 @@
 type Server struct {
 	http     *fasthttp.Server
 	listener net.Listener
+
+	mu sync.Mutex
+	// unused holds the connections on which no request has arrived yet.
+	unused map[net.Conn]bool
 }
 
+// unusedWait is how long Shutdown waits for a first request on connections that were
+// opened before. fasthttp counts a connection as idle only after its first request, or
+// after 5 s.
+const unusedWait = 300 * time.Millisecond
+
 // silentLogger discards the lines that fasthttp logs, one for each malformed
 // request. Those that matter are reported by an answer, an event or a counter.
 type silentLogger struct{}
@@ -25,12 +36,35 @@
 func (silentLogger) Printf(string, ...any) {}
 
 // New returns a server that does not accept connections yet. It discards fasthttp's
-// own log lines unless http has a logger.
+// own log lines unless http has a logger. It replaces http's ConnState.
 func New(http *fasthttp.Server, listener net.Listener) *Server {
 	if http.Logger == nil {
 		http.Logger = silentLogger{}
 	}
-	return &Server{http: http, listener: listener}
+	s := &Server{http: http, listener: listener, unused: map[net.Conn]bool{}}
+	http.ConnState = s.trackUnused
+	return s
+}
+
+// trackUnused keeps the set of unused connections.
+func (s *Server) trackUnused(conn net.Conn, state fasthttp.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == fasthttp.StateNew {
+		s.unused[conn] = true
+	} else {
+		delete(s.unused, conn)
+	}
+}
+
+// closeUnused closes the unused connections.
+func (s *Server) closeUnused() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.unused {
+		// fasthttp closes it again.
+		_ = conn.Close()
+	}
 }
 
 // Serve accepts connections until Shutdown, then returns nil. It returns the
@@ -44,6 +78,7 @@
 // Serve has registered the listener. Shutdown therefore closes the listener too, and
 // shuts fasthttp down again to wait for connections accepted in between.
 func (s *Server) Shutdown(ctx context.Context) error {
+	defer time.AfterFunc(unusedWait, s.closeUnused).Stop()
 	if err := s.shutdownRegistered(ctx); err != nil {
 		return err
 	}
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -86,3 +88,47 @@
 type countingLogger struct{ lines int }
 
 func (l *countingLogger) Printf(string, ...any) { l.lines++ }
+
+// TestShutdownWithAnUnusedConnection guards against a shutdown that waits for seconds for
+// a connection on which nothing was ever sent, and against closing one on which a request
+// arrives at the last moment.
+func TestShutdownWithAnUnusedConnection(t *testing.T) {
+	s := newServer(t)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", s.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	silent, late := dial(), dial()
+	for open := 0; open < 2; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		open = len(s.unused)
+		s.mu.Unlock()
+	}
+	began := time.Now()
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(context.Background()) }()
+	time.Sleep(unusedWait / 3)
+	if _, err := late.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := io.ReadAll(late)
+	if err != nil || !strings.HasSuffix(string(answer), "served") {
+		t.Errorf("answer %q, %v", answer, err)
+	}
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the shutdown took %s", took)
+	}
+	if n, err := silent.Read(make([]byte, 1)); err == nil {
+		t.Errorf("%d bytes on a connection without a request", n)
+	}
+	awaitEnd(t, served)
+}
