End a stopped process with its grace, also beside a slow read

Cause: a process waited for its background reads of the store after the last answer; with a slow store the stop outlasted the grace and ended by SIGKILL. Entry host and agent had the order of their stop twice. Change: run holds the stages of a process once, and ends with the schedule. Reads that are then in progress have no effect. Test: TestCallsOfAStoppingProcessAreAnswered also checks the end of the process; it failed with the wait unbounded. Tests share their set-up; the checks are the same.

--- a/internal/deployed/agent.go
+++ b/internal/deployed/agent.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"dragonflyyard/internal/jobagent"
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/rowpush"
 	"dragonflyyard/internal/settings"
+	"dragonflyyard/internal/shutdown"
 	"dragonflyyard/internal/storerelay"
 	"dragonflyyard/internal/taskrunner"
 	"dragonflyyard/internal/workload"
@@ -34,46 +35,30 @@
 			log.Warn("heartbeat_malformed", zap.String("worker", worker), logging.Err(err))
 		},
 	})
-	var stop stopTimes
-	// Servers take calls while accepting; the agent goes on while finishing, so that it
-	// writes what it has answered for.
-	group, finishing := errgroup.WithContext(context.WithoutCancel(ctx))
-	finishing, finish := context.WithCancel(finishing)
-	defer finish()
-	accepting, stopAccepting := context.WithCancel(finishing)
-	defer stopAccepting()
-	run := servers{starting: ctx, group: group, stop: &stop}
-	controlDrained, err := run.serve(accepting, control, s.ControlAddress)
+	r := newRun(ctx)
+	defer r.stopWorking()
+	controlDrained, err := r.serve(r.accepting, control, s.ControlAddress)
 	if err != nil {
 		return err
 	}
-	pushDrained, err := run.serve(accepting, rowpush.NewServer(agent.OrdersPushed), s.PushAddress)
+	pushDrained, err := r.serve(r.accepting, rowpush.NewServer(agent.OrdersPushed), s.PushAddress)
 	if err != nil {
 		return err
 	}
-	if _, err := run.serve(finishing, metricsServer(registry), s.MetricsAddress); err != nil {
+	if _, err := r.serve(r.working, metricsServer(registry), s.MetricsAddress); err != nil {
 		return err
 	}
-	group.Go(func() error { pushes.Run(finishing); return nil })
-	group.Go(func() error { book.Run(finishing); return nil })
-	group.Go(func() error { store.Probe(finishing, agentProbeEvery); return nil })
-	group.Go(func() error { reload(finishing, reloads, log, reloadSettings); return nil })
-	group.Go(func() error { return agent.Run(finishing, stop.exitBy) })
-	group.Go(func() error {
-		select {
-		case <-finishing.Done():
-			return nil
-		case <-ctx.Done():
-		}
-		stop.begin(s.StopGrace)
+	r.work(pushes.Run)
+	r.work(book.Run)
+	r.work(func(ctx context.Context) { store.Probe(ctx, agentProbeEvery) })
+	r.work(func(ctx context.Context) { reload(ctx, reloads, log, reloadSettings) })
+	// The agent outlives the servers, so that it writes what they have answered for.
+	r.group.Go(func() error { return agent.Run(r.working, r.exitBy) })
+	r.stopOnSignal(s.StopGrace, func(shutdown.Schedule) time.Time {
 		log.Info("process_stopping", zap.String("host", s.Host))
-		stopAccepting()
-		<-controlDrained
-		<-pushDrained
-		finish()
-		return nil
-	})
-	err = group.Wait()
+		return time.Now()
+	}, controlDrained, pushDrained)
+	err = r.wait()
 	log.Info("process_stopped", zap.String("host", s.Host), logging.Err(err))
 	return err
 }
--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -7,15 +7,14 @@
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"dragonflyyard/internal/jobentry"
 	"dragonflyyard/internal/logging"
-	"dragonflyyard/internal/pause"
 	"dragonflyyard/internal/queueconfig"
 	"dragonflyyard/internal/rowpush"
 	"dragonflyyard/internal/schedulerhost"
 	"dragonflyyard/internal/settings"
+	"dragonflyyard/internal/shutdown"
 	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/storerelay"
 	"dragonflyyard/internal/workload"
@@ -55,56 +54,38 @@
 	}, log, registry)
 
 	var stopping atomic.Bool
-	var stop stopTimes
-	// Servers take calls while accepting; what answers need goes on while answering.
-	group, answering := errgroup.WithContext(context.WithoutCancel(ctx))
-	answering, stopAnswering := context.WithCancel(answering)
-	defer stopAnswering()
-	accepting, stopAccepting := context.WithCancel(answering)
-	defer stopAccepting()
-	run := servers{starting: ctx, group: group, stop: &stop}
-	front := platform.NewFrontServer(service.Answer, stopping.Load)
-	frontDrained, err := run.serve(accepting, front, s.CallersAddress)
+	r := newRun(ctx)
+	defer r.stopWorking()
+	frontDrained, err := r.serve(r.accepting, platform.NewFrontServer(service.Answer, stopping.Load), s.CallersAddress)
 	if err != nil {
 		return err
 	}
-	relay := storerelay.NewServer(direct, store.DirectUnavailable, stop.answerBy)
+	relay := storerelay.NewServer(direct, store.DirectUnavailable, r.answerBy)
 	relay.Handler = rowpush.Route(scheduler.HandlePushedRows, relay.Handler)
-	relayDrained, err := run.serve(accepting, relay, s.RelayAddress)
+	relayDrained, err := r.serve(r.accepting, relay, s.RelayAddress)
 	if err != nil {
 		return err
 	}
 	ready := platform.NewReadinessServer(func() bool { return !stopping.Load() && view.Ready() })
-	if _, err := run.serve(answering, ready, s.ReadinessAddress); err != nil {
+	if _, err := r.serve(r.working, ready, s.ReadinessAddress); err != nil {
 		return err
 	}
-	if _, err := run.serve(answering, metricsServer(registry), s.MetricsAddress); err != nil {
+	if _, err := r.serve(r.working, metricsServer(registry), s.MetricsAddress); err != nil {
 		return err
 	}
-	group.Go(func() error { pushes.Run(answering); return nil })
-	group.Go(func() error { book.Run(answering); return nil })
-	group.Go(func() error { store.Probe(answering, entryProbeEvery); return nil })
-	group.Go(func() error { view.Run(answering); return nil })
-	group.Go(func() error { reload(answering, reloads, log, reloadSettings); return nil })
-	group.Go(func() error { return scheduler.Run(ctx, s.StopGrace) })
-	group.Go(func() error {
-		select {
-		case <-answering.Done():
-			return nil
-		case <-ctx.Done():
-		}
-		schedule := stop.begin(s.StopGrace)
+	r.work(pushes.Run)
+	r.work(book.Run)
+	r.work(func(ctx context.Context) { store.Probe(ctx, entryProbeEvery) })
+	r.work(view.Run)
+	r.work(func(ctx context.Context) { reload(ctx, reloads, log, reloadSettings) })
+	r.group.Go(func() error { return scheduler.Run(ctx, s.StopGrace) })
+	r.stopOnSignal(s.StopGrace, func(schedule shutdown.Schedule) time.Time {
 		stopping.Store(true)
 		service.EndBy(schedule.AnswerBy)
 		log.Info("process_stopping", zap.String("host", string(s.Host)))
-		pause.For(answering, time.Until(schedule.AcceptUntil))
-		stopAccepting()
-		<-frontDrained
-		<-relayDrained
-		stopAnswering()
-		return nil
-	})
-	err = group.Wait()
+		return schedule.AcceptUntil
+	}, frontDrained, relayDrained)
+	err = r.wait()
 	log.Info("process_stopped", zap.String("host", string(s.Host)), logging.Err(err))
 	return err
 }
--- a/internal/deployed/path_test.go
+++ b/internal/deployed/path_test.go
@@ -133,7 +133,7 @@
 	return s.run(host, func(ctx context.Context, log *zap.Logger, registry metrics.Registry) error {
 		return RunAgent(ctx, settings.DeployedAgent{
 			Host: host, Region: "region", Zone: "z", ControlAddress: control, WorkerAddress: app,
-			MetricsAddress: freeAddress(s.t), StoreAddress: s.address, PushAddress: freeAddress(s.t), LongestLease: 10 * time.Second,
+			MetricsAddress: freeAddress(s.t), StoreAddress: s.address, PushAddress: freeAddress(s.t), LongestLease: 10 * time.Second, StopGrace: 6 * time.Second,
 		}, log, registry, noReload)
 	})
 }
--- a/internal/deployed/stop_test.go
+++ b/internal/deployed/stop_test.go
@@ -87,18 +87,26 @@
 	return e
 }
 
+// servingEntry returns a stoppable entry host that serves, and a caller with an open
+// connection to it.
+func (s *site) servingEntry(grace time.Duration) (stoppableEntry, *openConnection) {
+	s.t.Helper()
+	e := s.stoppableEntry(grace)
+	caller := openTo(e.address)
+	s.call(len(s.entries)-1, "GET", "/q/", "")
+	if first := caller.call("GET", "/q/", ""); first.status != 200 {
+		s.t.Fatalf("before the stop: %+v", first)
+	}
+	return e, caller
+}
+
 // TestCallsOfAStoppingProcessAreAnswered guards against calls that are cut off when the
 // process ends: the store is so slow that a call sent near the end of the accepting stage
 // takes longer than the rest of the grace, and less than its caller waits.
 func TestCallsOfAStoppingProcessAreAnswered(t *testing.T) {
 	const grace = 3 * time.Second
 	s := newSite(t)
-	e := s.stoppableEntry(grace)
-	caller := openTo(e.address)
-	s.call(0, "GET", "/q/", "")
-	if first := caller.call("GET", "/q/", ""); first.status != 200 {
-		t.Fatalf("before the stop: %+v", first)
-	}
+	e, caller := s.servingEntry(grace)
 	s.store.SetFaults(standin.ServiceTable, standin.Faults{DelayMS: 500})
 	stoppedAt := time.Now()
 	schedule := shutdown.NewSchedule(stoppedAt, grace)
@@ -111,8 +119,11 @@
 	if took := got.at.Sub(stoppedAt); took > grace {
 		t.Errorf("answered %s after the signal, the process is killed after %s", took, grace)
 	}
-	s.store.SetFaults(standin.ServiceTable, standin.Faults{})
 	<-e.ended
+	if took := time.Since(stoppedAt); took > grace {
+		t.Errorf("ended %s after the signal, the process is killed after %s", took, grace)
+	}
+	s.store.SetFaults(standin.ServiceTable, standin.Faults{})
 }
 
 // TestSlowCallsAreServedUntilTheGraceEnds guards against giving calls up while most of
@@ -121,12 +132,7 @@
 func TestSlowCallsAreServedUntilTheGraceEnds(t *testing.T) {
 	const grace = 6 * time.Second
 	s := newSite(t)
-	e := s.stoppableEntry(grace)
-	caller := openTo(e.address)
-	s.call(0, "GET", "/q/", "")
-	if first := caller.call("GET", "/q/", ""); first.status != 200 {
-		t.Fatalf("before the stop: %+v", first)
-	}
+	e, caller := s.servingEntry(grace)
 	s.store.SetFaults(standin.ServiceTable, standin.Faults{DelayMS: 350})
 	e.terminate()
 	time.Sleep(time.Until(shutdown.NewSchedule(time.Now(), grace).AcceptUntil) - 150*time.Millisecond)
@@ -148,9 +154,7 @@
 func TestReloadDuringTheStop(t *testing.T) {
 	const grace = 2 * time.Second
 	s := newSite(t)
-	e := s.stoppableEntry(grace)
-	caller := openTo(e.address)
-	s.call(0, "GET", "/q/", "")
+	e, caller := s.servingEntry(grace)
 	s.store.SetFaults(standin.ServiceTable, standin.Faults{DelayMS: 500})
 	schedule := shutdown.NewSchedule(time.Now(), grace)
 	e.terminate()
@@ -174,7 +178,7 @@
 	s := newSite(t)
 	s.entry("owner")
 	s.call(0, "GET", "/q/", "")
-	e := s.stoppableEntry(grace)
+	e, caller := s.servingEntry(grace)
 	sent := metrics.GetOrRegisterCounter("push.sent", e.registry)
 	// The host pushes once it knows the scheduler and its address.
 	for i := 0; sent.Count() == 0; i++ {
@@ -183,10 +187,6 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	caller := openTo(e.address)
-	if first := caller.call("GET", "/q/", ""); first.status != 200 {
-		t.Fatalf("before the stop: %+v", first)
-	}
 	s.store.SetFaults(standin.ServiceTable, standin.Faults{DelayMS: 500})
 	schedule := shutdown.NewSchedule(time.Now(), grace)
 	e.terminate()
--- a/internal/jobentry/load_test.go
+++ b/internal/jobentry/load_test.go
@@ -64,16 +64,22 @@
 	synctest.Test(t, run)
 }
 
+// runView runs a view's watch, and returns when it has begun to read.
+func runView(t *testing.T, view *View) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	go view.Run(ctx)
+	synctest.Wait()
+	return cancel
+}
+
 // TestUnchangedConfigurationIsReadOnce guards against reading the whole configuration
 // again while it does not change. It takes seconds over a slow link, in which calls miss
 // their deadlines.
 func TestUnchangedConfigurationIsReadOnce(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		service, store := newSlowService(t, time.Second)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		go service.view.Run(ctx)
-		synctest.Wait()
+		defer runView(t, service.view)()
 		for i := range 200 {
 			began := time.Now()
 			got := service.Answer(testCall(CallState, "/q/"+testJob, "k"))
@@ -93,9 +99,7 @@
 func TestChangeIsAppliedBetweenRescans(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		service, store := newSlowService(t, 0)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		go service.view.Run(ctx)
+		defer runView(t, service.view)()
 		for version := uint64(2); version < 200; version++ {
 			putRow(t, &faultyStore{Store: store.Store}, "op/config", version)
 			putRow(t, &faultyStore{Store: store.Store}, "op/z1", version)
@@ -151,10 +155,7 @@
 func TestCallsWaitForTheReadInProgress(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		service, store := newSlowService(t, time.Second)
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
-		go service.view.Run(ctx)
-		synctest.Wait()
+		defer runView(t, service.view)()
 		took := concurrently(20, func() {
 			if got := service.Answer(testCall(CallState, "/q/"+testJob, "k")); got.Kind != OutcomeUnknownJob {
 				t.Errorf("state: %+v", got)
