review: case 8 is a long task with a low estimate, restarted for ever

A task that takes 8 times its estimate and ten minutes is stopped as stalled 5 to 12 s after each start, because its whole percent rises each 6 s, and its executor is left out for 4 s each time. The job is never done and has nothing running for 4 s at a time on an idle deployment.

--- a/review/harness-2/cases.go
+++ b/review/harness-2/cases.go
@@ -354,3 +354,57 @@
 	}
 	return nil
 }
+
+// playLong hands in a job of one long task whose estimate is too low, on the only executor
+// with the label that it requires, and looks at it after the end of the traffic, which is
+// this job.
+func playLong(s *site, trouble bool, v *verdict) error {
+	if err := s.small(3, func(i int, c *executorConfig) {
+		if i == 0 {
+			c.Labels = []string{"camera"}
+		}
+	}); err != nil {
+		return err
+	}
+	if err := s.settle("middle", "key-araripe", 1); err != nil {
+		return err
+	}
+	estimate := 600000
+	if trouble {
+		estimate = 75000
+	}
+	id, acked, err := s.submit("middle", "key-araripe", "work 600s", 10*time.Second, step{"count": 1, "cpu": 2000, "memory_request_mb": 512, "gpu": 1, "estimate_ms": estimate, "required_label": "camera"})
+	if err != nil {
+		return err
+	}
+	s.rec.say("end of the traffic")
+	time.Sleep(80 * time.Second)
+	s.state("middle", "key-araripe", id)
+	from, until := acked.UnixMilli()+finishS*1000, time.Now().UnixMilli()
+	idleSince, began, longest, starts, stops := acked.UnixMilli(), int64(0), int64(0), 0, 0
+	idle := func(to int64) {
+		if since := max(idleSince, from); idleSince != 0 && to-since >= idleMS {
+			v.breaks("LOST: job %s had nothing running for %.1f s, from %.1f s after the end of the traffic on; the executor with its label was ready and had nothing else to do", id, float64(to-since)/1000, float64(since-acked.UnixMilli())/1000)
+		}
+	}
+	for _, e := range s.seen() {
+		if !strings.HasPrefix(e.Task, id) {
+			continue
+		}
+		switch e.Kind {
+		case "started":
+			idle(e.UnixMS)
+			idleSince, began = 0, e.UnixMS
+			starts++
+		case "ended":
+			idleSince = e.UnixMS
+			longest = max(longest, e.UnixMS-began)
+			if e.How == "stopped" {
+				stops++
+			}
+		}
+	}
+	idle(until)
+	s.rec.say("job %s: %d starts, %d runs stopped, the longest of these after %.1f s of 600 s", id, starts, stops, float64(longest)/1000)
+	return nil
+}
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -32,6 +32,7 @@
 	"restart": playRestart,
 	"urgent":  playUrgent,
 	"crash":   playCrash,
+	"long":    playLong,
 }
 
 func main() {
