--- a/review/harness-2/cases.go
+++ b/review/harness-2/cases.go
@@ -238,38 +238,16 @@
 	return s.claimGuarantee(30*time.Second, v)
 }
 
-// playRestart lets tasks that last fail, on the only executor with the label that they
-// require.
-func playRestart(s *site, trouble bool, v *verdict) error {
-	if err := s.small(3, func(i int, c *executorConfig) {
-		if i == 0 {
-			c.Labels = []string{"camera"}
-		}
-	}); err != nil {
-		return err
-	}
-	if err := s.settle("middle", "key-araripe", 1); err != nil {
-		return err
-	}
-	spec := "last"
-	if trouble {
-		spec = "last fail 12s"
-	}
-	tasks := map[string]bool{}
-	for range 2 {
-		id, _, err := s.submit("middle", "key-araripe", spec, 10*time.Second, step{"count": 1, "cpu": 1000, "memory_request_mb": 1024, "gpu": 1, "estimate_ms": 1000, "long_running": true, "required_label": "camera"})
-		if err != nil {
-			return err
-		}
-		tasks[id+".0.0.0"] = true
-		time.Sleep(4 * time.Second)
-	}
-	time.Sleep(66 * time.Second)
-	now := time.Now().UnixMilli()
+// lastingMS is how long a task that lasts may be without a run (the rule LOST): 6 s after
+// its last run, and 3 s.
+const lastingMS = 9000
+
+// judgeLasting checks that each of the tasks, which last, is started again in time.
+func (s *site) judgeLasting(tasks map[string]bool, beside string, v *verdict) {
 	lastEnd := map[string]int64{}
 	check := func(task string, until int64, what string) {
-		if from := lastEnd[task]; from != 0 && until-from >= 9000 {
-			v.breaks("LOST: task %s, which lasts, had no run for %.1f s after its run had failed (%s); the only executor with its label was ready, with 6 of 8 GPUs or more free", task, float64(until-from)/1000, what)
+		if from := lastEnd[task]; from != 0 && until-from >= lastingMS {
+			v.breaks("LOST: task %s, which lasts, had no run for %.1f s after its run had failed (%s); %s", task, float64(until-from)/1000, what, beside)
 		}
 	}
 	for _, e := range s.seen() {
@@ -285,38 +263,122 @@
 		}
 	}
 	for task := range tasks {
-		check(task, now, "still none at the end")
+		check(task, time.Now().UnixMilli(), "still none at the end")
 	}
-	return nil
 }
 
-// finishS is the bound after the end of the traffic, and idleMS how long a job may then
-// have nothing running (the rule LOST).
-const (
-	finishS = 14
-	idleMS  = 3000
-)
+// playServing lets an urgent task that lasts, within its tenant's guarantee, fail once
+// while jobs of low priority wait for room.
+func playServing(s *site, trouble bool, v *verdict) error {
+	if err := s.small(3, nil); err != nil {
+		return err
+	}
+	if err := s.settle("middle", "key-araripe", 1); err != nil {
+		return err
+	}
+	spec := "last"
+	if trouble {
+		spec = "last fail 15s"
+	}
+	id, _, err := s.submit("urgent", "key-borborema", spec, 10*time.Second, step{"count": 1, "cpu": 2000, "memory_request_mb": 1024, "gpu": 8, "estimate_ms": 1000, "long_running": true})
+	if err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	for range 10 {
+		if _, _, err := s.submit("low", "key-araripe", "work 11s", 10*time.Second, step{"count": 4, "cpu": 2000, "memory_request_mb": 1024, "gpu": 8, "estimate_ms": 11000}); err != nil {
+			return err
+		}
+	}
+	time.Sleep(75 * time.Second)
+	s.judgeLasting(map[string]bool{id + ".0.0.0": true}, "its job has priority 0 and is within its tenant's guarantee, all else has priority 2", v)
+	return nil
+}
 
-// playCrash lets one of three executors crash for good while small jobs come, and looks
-// at the jobs after the end of the traffic.
-func playCrash(s *site, trouble bool, v *verdict) error {
+// playGang hands in small jobs while an urgent gang waits for one long task.
+func playGang(s *site, trouble bool, v *verdict) error {
 	if err := s.small(3, nil); err != nil {
 		return err
 	}
 	if err := s.settle("middle", "key-araripe", 1); err != nil {
 		return err
 	}
-	small := step{"count": 1, "cpu": 2000, "memory_request_mb": 512, "gpu": 1, "estimate_ms": 1000}
-	if _, _, err := s.submit("middle", "key-araripe", "work 1s", 10*time.Second, small); err != nil {
+	if _, _, err := s.submit("urgent", "key-borborema", "work 300s", 10*time.Second, step{"count": 1, "cpu": 2000, "memory_request_mb": 1024, "gpu": 1, "estimate_ms": 300000}); err != nil {
 		return err
 	}
 	time.Sleep(3 * time.Second)
 	if trouble {
-		x := s.lastStarter()
-		s.rec.say("executor %s crashes and stays away", x.config.ID)
-		x.kill()
+		if _, _, err := s.submit("urgent", "key-araripe", "work 11s", 10*time.Second, step{"count": 3, "cpu": 2000, "memory_request_mb": 1024, "gpu": 8, "estimate_ms": 11000, "gang": true}); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Second)
+	return s.judgeSmallJobs(v, "an urgent gang waits for all three executors; 1 of 24 GPUs is in use")
+}
+
+// playSpread lets tasks of one tenant that last fail, on any executor, and then claims the
+// guarantee of another tenant.
+func playSpread(s *site, trouble bool, v *verdict) error {
+	if err := s.small(3, nil); err != nil {
+		return err
+	}
+	if err := s.settle("middle", "key-araripe", 1); err != nil {
+		return err
+	}
+	spec := "last"
+	if trouble {
+		spec = "last fail 10s"
 	}
-	time.Sleep(12 * time.Second)
+	tasks := map[string]bool{}
+	for range 2 {
+		id, _, err := s.submit("low", "key-araripe", spec, 10*time.Second, step{"count": 3, "cpu": 1000, "memory_request_mb": 1024, "gpu": 1, "estimate_ms": 1000, "long_running": true, "max_per_server": 1})
+		if err != nil {
+			return err
+		}
+		for i := range 3 {
+			tasks[fmt.Sprintf("%s.0.0.%d", id, i)] = true
+		}
+		time.Sleep(2 * time.Second)
+	}
+	for until := time.Now().Add(60 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		if s.failedThrice(tasks) {
+			time.Sleep(time.Second)
+			break
+		}
+	}
+	if err := s.claimGuarantee(32*time.Second, v); err != nil {
+		return err
+	}
+	s.judgeLasting(tasks, "the executors were ready and mostly free", v)
+	return nil
+}
+
+// failedThrice reports whether each of the tasks has failed three times.
+func (s *site) failedThrice(tasks map[string]bool) bool {
+	failed := map[string]int{}
+	for _, e := range s.seen() {
+		if tasks[e.Task] && e.Kind == "ended" {
+			failed[e.Task]++
+		}
+	}
+	for task := range tasks {
+		if failed[task] < 3 {
+			return false
+		}
+	}
+	return true
+}
+
+// finishS is the bound after the end of the traffic, and idleMS how long a job may then
+// have nothing running (the rule LOST).
+const (
+	finishS = 14
+	idleMS  = 3000
+)
+
+// judgeSmallJobs hands in five small jobs and looks at them after the end of the traffic.
+func (s *site) judgeSmallJobs(v *verdict, beside string) error {
+	small := step{"count": 1, "cpu": 2000, "memory_request_mb": 512, "gpu": 1, "estimate_ms": 1000}
 	ids := []string{}
 	for range 5 {
 		id, _, err := s.submit("middle", "key-araripe", "work 1s", 10*time.Second, small)
@@ -349,62 +411,8 @@
 		}
 		busy = busy || len(began) > 0
 		if state != "completed" && !busy {
-			v.breaks("LOST: job %s is %s %d s after the end of the traffic and had nothing running for %d ms, after %d starts; two of three executors are ready and idle", id, state, finishS, idleMS, starts)
-		}
-	}
-	return nil
-}
-
-// playLong hands in a job of one long task whose estimate is too low, on the only executor
-// with the label that it requires, and looks at it after the end of the traffic, which is
-// this job.
-func playLong(s *site, trouble bool, v *verdict) error {
-	if err := s.small(3, func(i int, c *executorConfig) {
-		if i == 0 {
-			c.Labels = []string{"camera"}
-		}
-	}); err != nil {
-		return err
-	}
-	if err := s.settle("middle", "key-araripe", 1); err != nil {
-		return err
-	}
-	estimate := 600000
-	if trouble {
-		estimate = 75000
-	}
-	id, acked, err := s.submit("middle", "key-araripe", "work 600s", 10*time.Second, step{"count": 1, "cpu": 2000, "memory_request_mb": 512, "gpu": 1, "estimate_ms": estimate, "required_label": "camera"})
-	if err != nil {
-		return err
-	}
-	s.rec.say("end of the traffic")
-	time.Sleep(80 * time.Second)
-	s.state("middle", "key-araripe", id)
-	from, until := acked.UnixMilli()+finishS*1000, time.Now().UnixMilli()
-	idleSince, began, longest, starts, stops := acked.UnixMilli(), int64(0), int64(0), 0, 0
-	idle := func(to int64) {
-		if since := max(idleSince, from); idleSince != 0 && to-since >= idleMS {
-			v.breaks("LOST: job %s had nothing running for %.1f s, from %.1f s after the end of the traffic on; the executor with its label was ready and had nothing else to do", id, float64(to-since)/1000, float64(since-acked.UnixMilli())/1000)
-		}
-	}
-	for _, e := range s.seen() {
-		if !strings.HasPrefix(e.Task, id) {
-			continue
-		}
-		switch e.Kind {
-		case "started":
-			idle(e.UnixMS)
-			idleSince, began = 0, e.UnixMS
-			starts++
-		case "ended":
-			idleSince = e.UnixMS
-			longest = max(longest, e.UnixMS-began)
-			if e.How == "stopped" {
-				stops++
-			}
+			v.breaks("LOST: job %s is %s %d s after the end of the traffic and had nothing running for %d ms, after %d starts; %s", id, state, finishS, idleMS, starts, beside)
 		}
 	}
-	idle(until)
-	s.rec.say("job %s: %d starts, %d runs stopped, the longest of these after %.1f s of 600 s", id, starts, stops, float64(longest)/1000)
 	return nil
 }
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -29,10 +29,10 @@
 var cases = map[string]func(s *site, trouble bool, v *verdict) error{
 	"twice":   playTwice,
 	"yield":   playYield,
-	"restart": playRestart,
 	"urgent":  playUrgent,
-	"crash":   playCrash,
-	"long":    playLong,
+	"spread":  playSpread,
+	"serving": playServing,
+	"gang":    playGang,
 }
 
 func main() {
