--- a/review/harness-2/cases.go
+++ b/review/harness-2/cases.go
@@ -41,6 +41,10 @@
 // downFor is how long the executor is away: a crash and a start.
 const downFor = 1200 * time.Millisecond
 
+// restarts is how often that happens. The first pings after them are spread evenly over
+// the period of the pings.
+const restarts = 6
+
 // playTwice kills an executor and starts it again under its id while short jobs come.
 func playTwice(s *site, trouble bool, v *verdict) error {
 	if err := s.small(3, nil); err != nil {
@@ -65,7 +69,7 @@
 		}
 	}()
 	time.Sleep(5 * time.Second)
-	for range 4 {
+	for i := range restarts {
 		if trouble {
 			x := s.lastStarter()
 			s.rec.say("executor %s is killed", x.config.ID)
@@ -74,7 +78,7 @@
 			s.events = append(s.events, event{UnixMS: time.Now().UnixMilli(), Kind: "killed", ID: x.config.ID})
 			s.mu.Unlock()
 			time.Sleep(downFor)
-			x.config.FirstPingMS = int64(rand.Intn(heartbeatMS))
+			x.config.FirstPingMS = int64((2*i + 1) * heartbeatMS / (2 * restarts))
 			s.rec.say("executor %s starts again, its first ping follows after %d ms", x.config.ID, x.config.FirstPingMS)
 			if err := x.boot(); err != nil {
 				return err
@@ -82,7 +86,7 @@
 		} else {
 			time.Sleep(downFor)
 		}
-		time.Sleep(9 * time.Second)
+		time.Sleep(7 * time.Second)
 	}
 	close(stop)
 	<-stopped
@@ -295,27 +299,6 @@
 	return nil
 }
 
-// playGang hands in small jobs while an urgent gang waits for one long task.
-func playGang(s *site, trouble bool, v *verdict) error {
-	if err := s.small(3, nil); err != nil {
-		return err
-	}
-	if err := s.settle("middle", "key-araripe", 1); err != nil {
-		return err
-	}
-	if _, _, err := s.submit("urgent", "key-borborema", "work 300s", 10*time.Second, step{"count": 1, "cpu": 2000, "memory_request_mb": 1024, "gpu": 1, "estimate_ms": 300000}); err != nil {
-		return err
-	}
-	time.Sleep(3 * time.Second)
-	if trouble {
-		if _, _, err := s.submit("urgent", "key-araripe", "work 11s", 10*time.Second, step{"count": 3, "cpu": 2000, "memory_request_mb": 1024, "gpu": 8, "estimate_ms": 11000, "gang": true}); err != nil {
-			return err
-		}
-	}
-	time.Sleep(time.Second)
-	return s.judgeSmallJobs(v, "an urgent gang waits for all three executors; 1 of 24 GPUs is in use")
-}
-
 // playSpread lets tasks of one tenant that last fail, on any executor, and then claims the
 // guarantee of another tenant.
 func playSpread(s *site, trouble bool, v *verdict) error {
@@ -369,50 +352,69 @@
 	return true
 }
 
-// finishS is the bound after the end of the traffic, and idleMS how long a job may then
-// have nothing running (the rule LOST).
+// cancelMS and stopTimeoutMS are the bounds of the rule UNASKED.
 const (
-	finishS = 14
-	idleMS  = 3000
+	cancelMS      = 3000
+	stopTimeoutMS = 200
 )
 
-// judgeSmallJobs hands in five small jobs and looks at them after the end of the traffic.
-func (s *site) judgeSmallJobs(v *verdict, beside string) error {
-	small := step{"count": 1, "cpu": 2000, "memory_request_mb": 512, "gpu": 1, "estimate_ms": 1000}
-	ids := []string{}
-	for range 5 {
-		id, _, err := s.submit("middle", "key-araripe", "work 1s", 10*time.Second, small)
-		if err != nil {
-			return err
+// playCancel cancels a job whose submission got no definite answer, because the store
+// carries out the write late, and looks whether its tasks are started or run on.
+func playCancel(s *site, trouble bool, v *verdict) error {
+	if err := s.small(3, nil); err != nil {
+		return err
+	}
+	if err := s.settle("middle", "key-araripe", 1); err != nil {
+		return err
+	}
+	id := newID()
+	const lasts = 4500 * time.Millisecond
+	if trouble {
+		s.late.begin(lasts, 5*time.Second, func(body []byte) bool { return strings.Contains(writtenKeys(body), "job/"+id) })
+	}
+	over := time.Now().Add(lasts)
+	status, _ := s.do("POST", 0, "/middle/"+id, "key-araripe", map[string]any{"spec": "work 10s", "steps": []step{
+		{"count": 2, "cpu": 2000, "memory_request_mb": 512, "gpu": 1, "estimate_ms": 10000},
+		{"count": 2, "cpu": 2000, "memory_request_mb": 512, "gpu": 1, "estimate_ms": 10000, "after": []int{0}}}})
+	if status == 429 || status == 503 {
+		return fmt.Errorf("the job was rejected: %w", errNotRun)
+	}
+	acked := time.Time{}
+	for i := 0; acked.IsZero() && i < 30; i++ {
+		if status, _ := s.do("DELETE", 1+i, "/middle/"+id, "key-araripe", nil); status/100 == 2 || status == 410 {
+			acked = time.Now()
+			s.rec.say("the cancellation is acknowledged with %d", status)
+			break
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	if acked.IsZero() {
+		return fmt.Errorf("the cancellation was not acknowledged: %w", errNotRun)
+	}
+	time.Sleep(30 * time.Second)
+	s.state("middle", "key-araripe", id)
+	s.rec.say("while answers were lost: %d writes, %d of them late", s.late.writes, s.late.late)
+	// From contactMS after the disruption on, calm machines are in touch.
+	calm := max(over.Add(contactMS*time.Millisecond).UnixMilli(), acked.UnixMilli()+cancelMS)
+	began := map[string]int64{}
+	for _, e := range s.seen() {
+		if !strings.HasPrefix(e.Task, id) {
+			continue
 		}
-		ids = append(ids, id)
-		time.Sleep(3 * time.Second)
-	}
-	s.rec.say("end of the traffic")
-	time.Sleep(finishS * time.Second)
-	from := time.Now()
-	time.Sleep(idleMS * time.Millisecond)
-	for _, id := range ids {
-		state := s.state("middle", "key-araripe", id)
-		busy, starts := false, 0
-		began := map[string]int64{}
-		for _, e := range s.seen() {
-			if !strings.HasPrefix(e.Task, id) {
-				continue
+		switch e.Kind {
+		case "started":
+			began[e.Task] = e.UnixMS
+			if e.UnixMS > calm {
+				v.breaks("UNASKED: task %s was started %.1f s after the job's cancelling was acknowledged", e.Task, float64(e.UnixMS-acked.UnixMilli())/1000)
 			}
-			switch e.Kind {
-			case "started":
-				starts++
-				began[e.Task] = e.UnixMS
-			case "ended":
-				busy = busy || e.UnixMS >= from.UnixMilli()
-				delete(began, e.Task)
+		case "ended":
+			if began[e.Task] <= calm && e.UnixMS > calm+stopTimeoutMS {
+				v.breaks("UNASKED: task %s ran on until %.1f s after the job's cancelling was acknowledged, and ended %s", e.Task, float64(e.UnixMS-acked.UnixMilli())/1000, e.How)
 			}
 		}
-		busy = busy || len(began) > 0
-		if state != "completed" && !busy {
-			v.breaks("LOST: job %s is %s %d s after the end of the traffic and had nothing running for %d ms, after %d starts; %s", id, state, finishS, idleMS, starts, beside)
-		}
 	}
 	return nil
 }
+
+// contactMS is how long after a disruption calm machines are in touch again.
+const contactMS = 3000
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -32,7 +32,7 @@
 	"urgent":  playUrgent,
 	"spread":  playSpread,
 	"serving": playServing,
-	"gang":    playGang,
+	"cancel":  playCancel,
 }
 
 func main() {
--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand"
@@ -16,11 +17,10 @@
 	"path/filepath"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"dragonflyyard/internal/standin"
 )
 
@@ -60,9 +60,15 @@
 	ended   chan struct{}
 }
 
+// ending is set when the play ends: nothing is started any more.
+var ending atomic.Bool
+
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if ending.Load() {
+		return errors.New("the play ends")
+	}
 	command := exec.Command(p.argv[0], p.argv[1:]...)
 	command.Dir, command.Env = p.dir, p.env
 	log, err := os.OpenFile(p.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
@@ -122,6 +128,7 @@
 	processes []*process
 	entries   []string
 	executors []*executorProcess
+	late      lateWrites
 
 	mu     sync.Mutex
 	events []event
@@ -151,7 +158,7 @@
 		return nil, err
 	}
 	s.storeAddr = listener.Addr().String()
-	go func() { _ = (&fasthttp.Server{Handler: s.store.HandleRows}).Serve(listener) }()
+	go s.serveStore(listener)
 	return s, nil
 }
 
@@ -279,6 +286,7 @@
 }
 
 func (s *site) close() {
+	ending.Store(true)
 	for _, p := range s.processes {
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
