A row for what the scheduler learns from runs

Cause: a successor knows what its predecessor ordered, not what it learned. It holds nothing yet, so nothing is written.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -159,9 +159,6 @@
 const pendingIntervalMS = 800
 
 // WithPending adds the pending counts to the batches of a plan when they are due.
-// They go into the last main batch with space for a row, since each additional
-// transaction takes half a second on a slow store, or else into a batch of their
-// own.
 func (c *Core) WithPending(now Now, batches []*Batch) []*Batch {
 	if now.StoreMS-c.pending.writtenMS < pendingIntervalMS {
 		return batches
@@ -174,11 +171,6 @@
 	}
 	c.pending = pendingCounts{counts, now.StoreMS}
 	put := storeapi.Put{Key: workload.KeyPending, Value: encode(newPending(now.StoreMS, counts))}
-	for _, b := range slices.Backward(batches) {
-		if b.Kind == BatchMain && len(b.Tx.Puts)+len(b.Tx.Deletes) < maxBatchRows {
-			b.Tx.Puts = append(b.Tx.Puts, put)
-			return batches
-		}
-	}
-	return append(batches, &Batch{Kind: BatchMain, Tx: storeapi.Transaction{Puts: []storeapi.Put{put}}})
+	batches, _ = addRow(batches, put, true)
+	return batches
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -99,6 +99,7 @@
 	endsDeletedMS int64
 	inbox         inbox
 	pending       pendingCounts
+	learnedRow    learnedRow
 	decisions     []Decision
 	// firstPlanMS is when the first plan was made, on the store's clock.
 	firstPlanMS int64
--- /dev/null
+++ b/internal/dispatch/learned.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"bytes"
+
+	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/workload"
+)
+
+// Learned is the row of what the scheduler has learned from runs. A successor loads
+// it, so that it places work as its predecessor did. Without the row it learns anew.
+type Learned struct {
+	// AsOfMS is when the row was made, on the store's clock.
+	AsOfMS int64 `codec:"t"`
+}
+
+// learnedRow is the state of the row of Learned.
+type learnedRow struct {
+	// written is the last encoding without its time, and writtenMS when it was put.
+	written   []byte
+	writtenMS int64
+}
+
+const (
+	// learnedIntervalMS is the shortest interval between two writes of the row; what
+	// is learned in between is lost with the owner.
+	learnedIntervalMS = 2000
+	// learnedPatienceMS is how long a changed row waits for a batch that has room for
+	// it, before it takes a transaction of its own.
+	learnedPatienceMS = 8000
+)
+
+// LearnedSeen takes over what a previous owner has learned. It is called after the
+// workers and jobs were loaded, and before the first plan.
+func (c *Core) LearnedSeen(Now, Learned) {}
+
+// learned returns what is to be stored.
+func (c *Core) learned() *Learned { return &Learned{} }
+
+// WithLearned adds the row of Learned to the batches of a plan when it has changed.
+func (c *Core) WithLearned(now Now, batches []*Batch) []*Batch {
+	if now.StoreMS-c.learnedRow.writtenMS < learnedIntervalMS {
+		return batches
+	}
+	row := c.learned()
+	if unchanged := encode(row); bytes.Equal(unchanged, c.learnedRow.written) {
+		return batches
+	}
+	mayOpen := now.StoreMS-c.learnedRow.writtenMS >= learnedPatienceMS
+	stamped := *row
+	stamped.AsOfMS = now.StoreMS
+	value := encode(&stamped)
+	if len(value) > workload.MaxRowBytes {
+		return batches
+	}
+	batches, added := addRow(batches, storeapi.Put{Key: workload.KeyLearned, Value: value}, mayOpen)
+	if added {
+		c.learnedRow = learnedRow{encode(row), now.StoreMS}
+	}
+	return batches
+}
+
+// addRow adds a row to the last main batch with space for it, since each additional
+// transaction takes half a second on a slow store. If there is none, it appends a
+// batch if it may.
+func addRow(batches []*Batch, put storeapi.Put, mayAppend bool) (out []*Batch, added bool) {
+	for i := len(batches) - 1; i >= 0; i-- {
+		if b := batches[i]; b.Kind == BatchMain && len(b.Tx.Puts)+len(b.Tx.Deletes) < maxBatchRows {
+			b.Tx.Puts = append(b.Tx.Puts, put)
+			return batches, true
+		}
+	}
+	if !mayAppend {
+		return batches, false
+	}
+	return append(batches, &Batch{Kind: BatchMain, Tx: storeapi.Transaction{Puts: []storeapi.Put{put}}}), true
+}
--- a/internal/schedulerhost/load.go
+++ b/internal/schedulerhost/load.go
@@ -48,6 +48,7 @@
 	for _, table := range workload.OrderTables() {
 		tables = append(tables, table+"/")
 	}
+	learned := s.readLearned(ctx)
 	snapshots, err := s.scanAll(ctx, tables)
 	if err != nil {
 		return nil, err
@@ -64,6 +65,7 @@
 		orders += len(snapshot.Rows)
 		s.applyOrders(snapshot.Rows)
 	}
+	s.applyLearned(learned)
 	s.applyEnds(snapshots[3].Rows)
 	stats := s.core.Stats()
 	s.log.Info("scheduler_loaded", zap.Uint64("epoch", uint64(s.epoch)), zap.Int("jobs", stats.Jobs),
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -218,7 +218,7 @@
 	}
 	s.core.Configure(view.Guaranteed, view.Evacuated)
 	start := time.Now()
-	batches := s.core.WithPending(now, s.core.Plan(now))
+	batches := s.core.WithLearned(now, s.core.WithPending(now, s.core.Plan(now)))
 	s.plans.UpdateSince(start)
 	s.logDecisions()
 	voidings := map[*dispatch.Batch]*voiding{}
--- a/internal/workload/rows.go
+++ b/internal/workload/rows.go
@@ -27,8 +27,8 @@
 	TableWorkers = "workers"
 	// TableEnds holds ends of runs that the scheduler has not processed yet.
 	TableEnds = "ends"
-	// TableControl holds the scheduler's lease and fence, the relays and the counts
-	// of pending jobs.
+	// TableControl holds the scheduler's lease and fence, the relays, the counts of
+	// pending jobs and what the scheduler has learned.
 	TableControl = "control"
 	// orderTables is the number of tables that orders are spread over, so that a
 	// change wakes few agents. The store allows 100 tables.
@@ -49,6 +49,8 @@
 	PrefixRelays = TableControl + "@relay/"
 	// KeyPending is the row with the number of jobs per queue that have not started.
 	KeyPending = TableControl + "/pending"
+	// KeyLearned is the row with what the scheduler has learned from runs.
+	KeyLearned = TableControl + "/learned"
 )
 
 // LeaseKey returns the key of a row of the scheduler's lease.
