A host that the store turns away writes through peers at once

The store turned five entry hosts away in silence from 3.2 to 11.5 s. They knew so from two parts within 0.7 s, but each of the 16 parts of the inbox was found out by itself: submissions of 5.7 s and 6.3 s spent 2.84 s on direct tries and stayed in doubt, and two urgent jobs were lost to their callers. Ruled out: a store that is away for all (other hosts wrote in 15 ms). Change: storerelay, cutoff.go: from two parts that failed with no answer to any direct call since, all parts go through peers until a probe is answered. The test of the round-robin probes lets another part answer in between, so that its three parts still fail each by itself; what it checks is the same. Result: TestHostThatIsTurnedAwayWritesThroughAPeerAtOnce fails without the change (one direct try), passes with it. Two other tests failed once beside a load of 35 (TestLargeAnswerThroughAPeerOverASlowLink, TestCallsOfAStoppingProcessAreAnswered) and passed three times of three alone.

--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -44,6 +44,8 @@
 	// failingParts holds the parts whose last direct call failed, by part. The store
 	// may refuse calls for some parts only.
 	failingParts map[string]failingPart
+	// answeredAt is when the store last answered a direct call; see cutOff.
+	answeredAt time.Time
 	// attemptTimeouts tracks the latency of transactions for each part; reads tracks
 	// that of Get and List calls.
 	attemptTimeouts map[string]*attemptTimeout
@@ -65,12 +67,13 @@
 	}
 }
 
-// DirectUnavailable reports whether the last direct call for the part of a key failed.
+// DirectUnavailable reports whether direct calls for the part of a key are not worth a
+// try: the last one failed, or the store turns this host away.
 func (c *Client) DirectUnavailable(key string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, failing := c.failingParts[partOf(key)]
-	return failing
+	return failing || c.cutOff()
 }
 
 func partOf(key string) string {
@@ -130,7 +133,11 @@
 // scans the table.
 func (c *Client) Changes(ctx context.Context, table string, after storeapi.RowVersion, wait time.Duration) (storeapi.Changes, error) {
 	if !c.DirectUnavailable(table) {
-		return c.direct.Changes(ctx, table, after, wait)
+		changes, err := c.direct.Changes(ctx, table, after, wait)
+		if err == nil {
+			c.recordAnswer(time.Now())
+		}
+		return changes, err
 	}
 	var changes storeapi.Changes
 	err := c.do(ctx, func() (err error) {
@@ -244,9 +251,11 @@
 	_, before := c.failingParts[part]
 	switch {
 	case failed && !before:
-		c.failingParts[part] = failingPart{key: key, probedAt: time.Now()}
+		now := time.Now()
+		c.failingParts[part] = failingPart{key: key, since: now, probedAt: now}
 	case !failed && !doubt:
 		delete(c.failingParts, part)
+		c.answeredAt = time.Now()
 	}
 	c.mu.Unlock()
 	switch {
--- a/internal/storerelay/probe.go
+++ b/internal/storerelay/probe.go
@@ -17,6 +17,8 @@
 type failingPart struct {
 	// key is a key of the failed call; it identifies the part to probe.
 	key string
+	// since is when the first of its direct calls failed.
+	since time.Time
 	// probedAt is when the part was last probed, or when it failed.
 	probedAt time.Time
 }
@@ -53,9 +55,10 @@
 	if !failing {
 		return "", false
 	}
-	key = c.failingParts[next].key
-	c.failingParts[next] = failingPart{key: key, probedAt: now}
-	return key, true
+	probed := c.failingParts[next]
+	probed.probedAt = now
+	c.failingParts[next] = probed
+	return probed.key, true
 }
 
 // probe probes one part. If it responds, all other failing parts are probed at
--- a/internal/storerelay/probe_test.go
+++ b/internal/storerelay/probe_test.go
@@ -63,9 +63,12 @@
 // probe rate does not grow with the number of failing parts.
 func TestProbesAreRoundRobin(t *testing.T) {
 	w := newRelayedClient(t, func(string) bool { return true })
-	w.direct.err = errStoreUnavailable
 	for _, key := range []string{"t@p1/a", "t@p2/a", "t@p3/a"} {
+		w.direct.err = errStoreUnavailable
 		_, _ = w.Get(t.Context(), key)
+		// Another part answers, so that the host does not count as turned away.
+		w.direct.err = nil
+		_, _ = w.Get(t.Context(), "t@p4/a")
 	}
 	now := time.Now()
 	asked := map[string]int{}
