Runs are stopped before their worker leaves

What ran there was lost, the runs of the gangs with a member there were broken (12,263 of 22,869 core-seconds of work that the owner's log shows as thrown away), and both began again only 3 to 5 s later, when the leases had expired (notice at 5.2 s, gone at 7.1 s, known at 10.4 to 10.7 s).

A run that saves at a stop is stopped 0.7 s before, others as soon as their expected remaining time is certain to exceed the time left; a gang goes by its slowest member and stops as a whole. Workers that state no time are left alone. Nothing new is stored: the announcement holds the time.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -65,6 +65,7 @@
 	}
 	c.recordEndTimes(now)
 	c.stopStalled(now)
+	c.stopLeaving(now)
 	orders := append(c.startTasks(now), c.stopOrders()...)
 	batches := c.writeBack(orders)
 	batches = append(batches, c.declareLost(now)...)
