--- a/internal/dispatch/lending.go
+++ b/internal/dispatch/lending.go
@@ -56,10 +56,10 @@
 func (plan *preemptionPlan) yields(v *victim) bool {
 	o := v.orders[0]
 	switch {
+	case !plan.claims():
+		return v.class == yieldsToUrgent && o.earlierStops() < maxStopsForUrgent
 	case v.class == yieldsToUrgent:
 		return true
-	case !plan.claims():
-		return false
 	case v.class == yieldsLent:
 		return o.job.Account != plan.unit.job.Account
 	case v.class == yieldsRoom:
--- a/internal/dispatch/preempt.go
+++ b/internal/dispatch/preempt.go
@@ -139,33 +139,3 @@
 		delete(r.endsByWorker, o.worker)
 	}
 }
-
-// Costs of stopping a run, in seconds of its run time.
-const (
-	// stopCostSeconds is the fixed cost of a stop, for ending a run and starting
-	// it again. It makes a worker that is already being vacated cheaper than any
-	// other.
-	stopCostSeconds = 1.0
-	// checkpointLossSeconds is what a run with checkpoints loses on average.
-	checkpointLossSeconds = 0.5
-)
-
-// unsavedWork returns the work that stopping a run discards, in core seconds; for
-// a gang, that of all its members. An owner that took over a run has not seen its
-// start, so the reported progress counts as well.
-func unsavedWork(now Now, o *order) float64 {
-	since := o.firstReportMS
-	if since == 0 {
-		since = o.decidedMS
-	}
-	worked := float64(o.lastReport.Percent) / 100 * o.step().Estimate.Seconds()
-	seconds := max(now.elapsedSince(since).Seconds(), worked)
-	if o.step().Checkpoints {
-		seconds = min(seconds, checkpointLossSeconds)
-	}
-	members := 1
-	if o.step().Gang {
-		members = o.step().Tasks
-	}
-	return (seconds + stopCostSeconds) * o.demand.Cores() * float64(members)
-}
--- a/internal/dispatch/preemption_plan.go
+++ b/internal/dispatch/preemption_plan.go
@@ -25,19 +25,19 @@
 	// releasing is the demand that each worker's runs release when they end that
 	// are being stopped or that the plan has chosen.
 	releasing map[*worker]workload.Resources
-	// class is the highest class of a victim, cost the unsaved work that the plan
-	// discards, and charged the part of it that counts against the budget, both in core
-	// seconds.
+	// class is the highest class of a victim, cost what the stops cost, and charged the
+	// unsaved work that counts against the budget, both in core seconds.
 	class         yieldClass
 	cost, charged float64
 }
 
 // victimSet holds the victims on a worker that make room for one more task, their
-// highest class and their unsaved work in core seconds. It may be empty.
+// highest class, the cost of their stops and their unsaved work, in core seconds. It may be
+// empty.
 type victimSet struct {
-	victims []victim
-	class   yieldClass
-	cost    float64
+	victims       []victim
+	class         yieldClass
+	cost, unsaved float64
 }
 
 func (s *victimSet) before(o *victimSet) bool {
@@ -70,10 +70,10 @@
 		return false
 	}
 	if !plan.claims() {
-		if plan.charged+c.cost > plan.budget.coreSeconds {
+		if plan.charged+c.unsaved > plan.budget.coreSeconds {
 			return false
 		}
-		plan.charged += c.cost
+		plan.charged += c.unsaved
 	}
 	plan.class = max(plan.class, c.class)
 	plan.cost += c.cost
@@ -100,7 +100,7 @@
 	}
 	order := slices.Clone(plan.victims)
 	slices.SortStableFunc(order, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(b.class, a.class), cmp.Compare(b.unsavedWork, a.unsavedWork))
+		return cmp.Or(cmp.Compare(b.class, a.class), cmp.Compare(b.cost, a.cost))
 	})
 	for _, v := range order {
 		if targets := plan.targetsWithout(&v); targets != nil {
@@ -164,12 +164,12 @@
 	plan.victims = slices.DeleteFunc(plan.victims, func(other victim) bool { return other.orders[0] == v.orders[0] })
 	plan.class, plan.cost = yieldsToUrgent, 0
 	for _, other := range plan.victims {
-		plan.class, plan.cost = max(plan.class, other.class), plan.cost+other.unsavedWork
+		plan.class, plan.cost = max(plan.class, other.class), plan.cost+other.cost
 	}
 }
 
 // victimsOn returns the victims on a worker for one more task: those of the lowest
-// class, of these the ones with the least unsaved work, and no more than needed. It
+// class, of these the ones whose stops cost the least, and no more than needed. It
 // returns false if stopping all of them would not be enough.
 func (plan *preemptionPlan) victimsOn(w *worker) (victimSet, bool) {
 	if !plan.round.allowed(plan.unit, w) || !plan.round.underLimit(plan.unit, w) {
@@ -193,7 +193,8 @@
 	out.victims = dropUnneeded(out.victims, free, demand)
 	for _, v := range out.victims {
 		out.class = max(out.class, v.class)
-		out.cost += v.unsavedWork
+		out.cost += v.cost
+		out.unsaved += v.unsavedWork
 	}
 	return out, true
 }
@@ -204,9 +205,9 @@
 	class  yieldClass
 	orders []*order
 	demand workload.Resources
-	// unsavedWork is the work that stopping the victim discards, in core seconds,
-	// including that of the gang's members on other workers.
-	unsavedWork float64
+	// unsavedWork is the work that stopping the victim discards, and cost what the stop
+	// costs its job, both in core seconds and including the gang's members on other workers.
+	unsavedWork, cost float64
 }
 
 // groupOrders returns the orders of all runs that stop with the victim, including
@@ -214,7 +215,7 @@
 func (v *victim) groupOrders() []*order { return v.orders[0].groupOrders() }
 
 // preemptibleOn returns the runs on a worker that may be preempted, those of the lowest
-// class and with the least unsaved work first.
+// class and with the cheapest stops first.
 func (r *schedulingRound) preemptibleOn(w *worker) []victim {
 	if known, ok := r.victimsByWorker[w]; ok {
 		return known
@@ -231,10 +232,11 @@
 			continue
 		}
 		gangs[o.gangRun()] = len(out)
-		out = append(out, victim{class: r.yieldClassOf(o), orders: []*order{o}, demand: o.demand, unsavedWork: unsavedWork(r.now, o)})
+		unsaved := unsavedWork(r.now, o)
+		out = append(out, victim{class: r.yieldClassOf(o), orders: []*order{o}, demand: o.demand, unsavedWork: unsaved, cost: stopCost(o, unsaved)})
 	}
 	slices.SortStableFunc(out, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.unsavedWork, b.unsavedWork))
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.cost, b.cost))
 	})
 	r.victimsByWorker[w] = out
 	return out
