--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -65,6 +65,7 @@
 	}
 	c.recordEndTimes(now)
 	c.stopStalled(now)
+	c.stopLeaving(now)
 	orders := append(c.startTasks(now), c.stopOrders()...)
 	batches := c.writeBack(orders)
 	batches = append(batches, c.declareLost(now)...)
@@ -87,8 +88,13 @@
 func (c *Core) startTasks(now Now) []*order {
 	r := c.newRound(now)
 	var out []*order
-	for _, u := range c.units(now) {
-		placed := r.place(u)
+	units := c.units(now)
+	r.holdRoom(units, true)
+	for i, u := range units {
+		if !u.rank.claim && (i == 0 || units[i-1].rank.claim) {
+			r.holdRoom(units[i:], false)
+		}
+		placed := r.placeUnit(u)
 		if len(placed) > 0 {
 			out = append(out, c.createOrders(now, u, placed)...)
 			r.recordPlacements(u, placed)
@@ -112,6 +118,7 @@
 // which are discarded.
 func (r *schedulingRound) recordPlacements(u *unit, placed []placement) {
 	r.countUrgent(u, len(placed))
+	u.job.forgetRoom(u.key(), placed)
 	for _, p := range placed {
 		delete(r.endsByWorker, p.worker)
 	}
