job_seen says whose job it is and what it asks for

How long an account's jobs wait could not be read from the owner's log: the line named the job only. It now gives account, priority, objective and work, which decide over the job's rank.

--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 
@@ -34,12 +35,25 @@
 	}
 	j.begun = progress.Begun()
 	c.jobs[accepted.ID] = j
-	c.recordDecision(Decision{Kind: "job_seen", Job: j.ID, Reason: string(progress.State), AgeMS: -1})
+	c.recordDecision(Decision{Kind: "job_seen", Job: j.ID, Reason: j.describe(), AgeMS: -1})
 	if c.inbox.cancelled[jobOfAccount{j.ID, j.Account}] > 0 {
 		c.cancel(j)
 	}
 }
 
+// describe returns what decides over the job's rank, for the log.
+func (j *job) describe() string {
+	kind := ""
+	switch {
+	case j.LongRunning():
+		kind = ", lasts"
+	case j.Scheduled():
+		kind = ", scheduled"
+	}
+	return fmt.Sprintf("%s, account %s, priority %d, objective %d ms, %.0f core seconds%s",
+		j.progress.State, j.Account, j.Priority, j.Objective().Milliseconds(), j.Work(), kind)
+}
+
 // CancelSeen records the cancellation of a job that was read from an inbox row. It
 // cancels the job if it is of the same account, also if it is read later.
 func (c *Core) CancelSeen(now Now, key string, version storeapi.RowVersion, id model.JobID, row workload.Cancellation) {
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -206,7 +206,7 @@
 	if j.Scheduled() {
 		since = now.StoreMS - (now.UnixMS - j.DueUnixMS(k))
 	}
-	objective := j.SlackFactor*float64(j.CriticalPath().Milliseconds()) + float64(j.TargetDuration.Milliseconds())
+	objective := float64(j.Objective().Milliseconds())
 	spent := float64(now.StoreMS - since)
 	// Estimates are rough, so a job counts as too late only once that time has
 	// passed.
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -147,6 +147,22 @@
 	return longest
 }
 
+// Objective returns the time from acceptance, or from the due time of an occurrence,
+// within which the job is worth most to its caller.
+func (j *Job) Objective() time.Duration {
+	return time.Duration(j.SlackFactor*float64(j.CriticalPath())) + j.TargetDuration
+}
+
+// Work returns the estimated work of one occurrence in core seconds.
+func (j *Job) Work() float64 {
+	work := 0.0
+	for i := range j.Steps {
+		step := &j.Steps[i]
+		work += float64(step.Tasks) * step.PerTask.Cores() * step.Estimate.Seconds()
+	}
+	return work
+}
+
 // SameSubmission reports whether j and o are the same submission, as after a
 // client's retry. Fields that the entry host fills in are not compared, except
 // the account.
