--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -100,6 +100,7 @@
 	inbox         inbox
 	pending       pendingCounts
 	learnedRow    learnedRow
+	shares        shares
 	decisions     []Decision
 	// firstPlanMS is when the first plan was made, on the store's clock.
 	firstPlanMS int64
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 
+	"dragonflyyard/internal/fairshare"
 	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/workload"
 )
@@ -12,6 +13,8 @@
 type Learned struct {
 	// AsOfMS is when the row was made, on the store's clock.
 	AsOfMS int64 `codec:"t"`
+	// Shares is what accounts have used lately.
+	Shares []fairshare.Recent `codec:"f,omitempty"`
 }
 
 // learnedRow is the state of the row of Learned.
@@ -32,10 +35,12 @@
 
 // LearnedSeen takes over what a previous owner has learned. It is called after the
 // workers and jobs were loaded, and before the first plan.
-func (c *Core) LearnedSeen(Now, Learned) {}
+func (c *Core) LearnedSeen(_ Now, row Learned) {
+	c.shares.ledger.Restore(row.AsOfMS, row.Shares)
+}
 
 // learned returns what is to be stored.
-func (c *Core) learned() *Learned { return &Learned{} }
+func (c *Core) learned() *Learned { return &Learned{Shares: c.learnedShares()} }
 
 // WithLearned adds the row of Learned to the batches of a plan when it has changed.
 func (c *Core) WithLearned(now Now, batches []*Batch) []*Batch {
--- /dev/null
+++ b/internal/dispatch/shares_test.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dragonflyyard/internal/fairshare"
+	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/workload"
+)
+
+// loadReplay plays arrivals against a core: workers of 8 accelerators, and tasks that take
+// as long as estimated.
+type loadReplay struct {
+	*rig
+	random *rand.Rand
+	ends   map[int64][]workload.Order
+	took   map[model.JobID]time.Duration
+	jobs   int
+}
+
+func newLoadReplay(t *testing.T, seed uint64, guaranteed map[model.ClientAccountID]int) *loadReplay {
+	p := &loadReplay{
+		rig: newRig(t), random: rand.New(rand.NewPCG(seed, 0)), ends: map[int64][]workload.Order{},
+		took: map[model.JobID]time.Duration{},
+	}
+	p.core.Configure(guaranteed, nil)
+	return p
+}
+
+// submit adds a job of tasks with one accelerator each.
+func (p *loadReplay) submit(account model.ClientAccountID, tasks int, takes time.Duration) {
+	p.jobs++
+	j := p.job(jobID(p.jobs), func(j *workload.Job) {
+		j.Account, j.Steps[0].Tasks, j.Steps[0].Estimate = account, tasks, takes
+	})
+	p.took[j.ID] = takes
+}
+
+// step plans, lets 100 ms pass and reports the ends that are due then.
+func (p *loadReplay) step(workers int) {
+	for i := range workers {
+		p.worker(fmt.Sprintf("h%d", i), "r1", nil)
+	}
+	for _, o := range p.plan() {
+		id, _ := o.ID()
+		at := p.now.StoreMS + p.took[id.Task.Job].Milliseconds()
+		p.ends[at] = append(p.ends[at], o)
+	}
+	p.advance(100 * time.Millisecond)
+	for _, o := range p.ends[p.now.StoreMS] {
+		p.end(o, workload.EndDone, "")
+	}
+	delete(p.ends, p.now.StoreMS)
+}
+
+// inTime returns the share of each account's jobs that were completed within three times
+// their objective.
+func (p *loadReplay) inTime() map[model.ClientAccountID]float64 {
+	out, jobs := map[model.ClientAccountID]float64{}, map[model.ClientAccountID]float64{}
+	for _, j := range p.core.jobs {
+		jobs[j.Account]++
+		if j.progress.State.Final() && j.progress.EndedMS-j.AcceptedMS <= tooLateFactor*j.Objective().Milliseconds() {
+			out[j.Account]++
+		}
+	}
+	for account, n := range jobs {
+		out[account] /= n
+	}
+	return out
+}
+
+// TestShortJobsOfOneAccount: one account submits more short jobs than there is room for,
+// two submit a larger one now and then, within their guarantees. Ordered by work alone,
+// the larger ones wait until they are worthless.
+func TestShortJobsOfOneAccount(t *testing.T) {
+	guaranteed := map[model.ClientAccountID]int{"many": 8, "few-0": 8, "few-1": 8}
+	replayLoad := func(seed uint64, guaranteed map[model.ClientAccountID]int) map[model.ClientAccountID]float64 {
+		p := newLoadReplay(t, seed, guaranteed)
+		for i := range 250 {
+			for range 2 + p.random.IntN(3) {
+				p.submit("many", 1, 1200*time.Millisecond)
+			}
+			if account := p.random.IntN(2); i < 220 && i%20 == 0 {
+				p.submit(model.ClientAccountID(fmt.Sprintf("few-%d", account)), 6+p.random.IntN(5), 2500*time.Millisecond)
+			}
+			p.step(4)
+		}
+		return p.inTime()
+	}
+	t.Logf("by work alone: %.2f", replayLoad(0, nil))
+	for seed := range uint64(3) {
+		got := replayLoad(seed, guaranteed)
+		t.Logf("seed %d: jobs in time %.2f", seed, got)
+		// The other account's work takes all the room that is left, over half of its demand.
+		if got["few-0"] < 0.9 || got["few-1"] < 0.9 || got["many"] < 0.5 {
+			t.Errorf("seed %d: jobs in time %.2f, want at least 0.9 of the accounts within their share", seed, got)
+		}
+	}
+}
+
+// TestSharesAfterTakeover: a successor that reads the stored row has to put back the same
+// account; without what was used lately, each takeover would favour whoever just ran most.
+func TestSharesAfterTakeover(t *testing.T) {
+	p := newLoadReplay(t, 1, map[model.ClientAccountID]int{"a": 8, "b": 8})
+	for range 300 {
+		p.submit("a", 3, time.Second)
+		p.step(4)
+	}
+	stored := Learned{AsOfMS: p.now.StoreMS, Shares: p.core.learned().Shares}
+	next := newLoadReplay(t, 1, map[model.ClientAccountID]int{"a": 8, "b": 8})
+	next.now = p.now
+	next.core.LearnedSeen(next.now, stored)
+	next.worker("h0", "r1", nil)
+	next.submit("a", 1, time.Second)
+	next.submit("b", 1, 1500*time.Millisecond)
+	if first := next.core.units(next.now)[0].job.Account; first != "b" {
+		t.Errorf("after a takeover account %q comes first, stored shares %+v", first, stored.Shares)
+	}
+	before := p.core.shares.ledger.Recent()
+	if after := next.core.shares.ledger.Recent(); len(before) != 1 || after[0] != (fairshare.Recent{Service: "s", Account: "a", Percent: before[0].Percent}) {
+		t.Errorf("shares before the takeover %+v, after %+v", before, after)
+	}
+}
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -48,6 +48,8 @@
 	late bool
 	// work is the job's remaining estimated work in core seconds.
 	work float64
+	// overShare is set if the account uses more than its share beside accounts that wait.
+	overShare bool
 }
 
 // lateWorkWeight is the ratio of the worth of a job within its objective to that
@@ -57,7 +59,7 @@
 func (r rank) compare(o rank) int {
 	return cmp.Or(compareBool(o.claim, r.claim), cmp.Compare(o.claimedShape, r.claimedShape),
 		compareBool(r.tooLate, o.tooLate), cmp.Compare(r.priority, o.priority), r.comparePreemptions(o),
-		cmp.Compare(r.weightedWork(), o.weightedWork()))
+		compareBool(r.overShare, o.overShare), cmp.Compare(r.weightedWork(), o.weightedWork()))
 }
 
 // comparePreemptions puts units for which runs were recently preempted first, the
@@ -100,6 +102,7 @@
 		out = append(out, j.units(now)...)
 	}
 	c.markClaims(out)
+	c.weighShares(now, out)
 	slices.SortStableFunc(out, func(a, b *unit) int {
 		return cmp.Or(a.rank.compare(b.rank), cmp.Compare(a.job.AcceptedMS, b.job.AcceptedMS))
 	})
