--- a/internal/dispatch/shares_test.go
+++ b/internal/dispatch/shares_test.go
@@ -56,10 +56,10 @@
 	delete(p.ends, p.now.StoreMS)
 }
 
-// inTime returns the share of each account's jobs that were completed within three times
-// their objective.
-func (p *loadReplay) inTime() map[model.ClientAccountID]float64 {
-	out, jobs := map[model.ClientAccountID]float64{}, map[model.ClientAccountID]float64{}
+// inTime returns the percentage of each account's jobs that were completed within three
+// times their objective.
+func (p *loadReplay) inTime() map[model.ClientAccountID]int {
+	out, jobs := map[model.ClientAccountID]int{}, map[model.ClientAccountID]int{}
 	for _, j := range p.core.jobs {
 		jobs[j.Account]++
 		if j.progress.State.Final() && j.progress.EndedMS-j.AcceptedMS <= tooLateFactor*j.Objective().Milliseconds() {
@@ -67,7 +67,7 @@
 		}
 	}
 	for account, n := range jobs {
-		out[account] /= n
+		out[account] = 100 * out[account] / n
 	}
 	return out
 }
@@ -77,7 +77,7 @@
 // the larger ones wait until they are worthless.
 func TestShortJobsOfOneAccount(t *testing.T) {
 	guaranteed := map[model.ClientAccountID]int{"many": 8, "few-0": 8, "few-1": 8}
-	replayLoad := func(seed uint64, guaranteed map[model.ClientAccountID]int) map[model.ClientAccountID]float64 {
+	replayLoad := func(seed uint64, guaranteed map[model.ClientAccountID]int) map[model.ClientAccountID]int {
 		p := newLoadReplay(t, seed, guaranteed)
 		for i := range 250 {
 			for range 2 + p.random.IntN(3) {
@@ -90,13 +90,13 @@
 		}
 		return p.inTime()
 	}
-	t.Logf("by work alone: %.2f", replayLoad(0, nil))
+	t.Logf("percentage of jobs in time, by work alone: %v", replayLoad(0, nil))
 	for seed := range uint64(3) {
 		got := replayLoad(seed, guaranteed)
-		t.Logf("seed %d: jobs in time %.2f", seed, got)
+		t.Logf("seed %d: percentage of jobs in time: %v", seed, got)
 		// The other account's work takes all the room that is left, over half of its demand.
-		if got["few-0"] < 0.9 || got["few-1"] < 0.9 || got["many"] < 0.5 {
-			t.Errorf("seed %d: jobs in time %.2f, want at least 0.9 of the accounts within their share", seed, got)
+		if got["few-0"] < 90 || got["few-1"] < 90 || got["many"] < 50 {
+			t.Errorf("seed %d: percentage of jobs in time %v, want at least 90 of the accounts within their share", seed, got)
 		}
 	}
 }
