--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -78,6 +78,10 @@
 	c.shares.over = over
 }
 
+// AccountsOverShare returns the number of accounts that the last plan put back, counted
+// once for each service.
+func (c *Core) AccountsOverShare() int { return len(c.shares.over) }
+
 func sortedGroups(set map[fairshare.Group]bool) []fairshare.Group {
 	out := make([]fairshare.Group, 0, len(set))
 	for group := range set {
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -64,15 +64,17 @@
 	workers      *tablewatch.Watch
 	plans        metrics.Timer
 	commits      metrics.Timer
+	overShare    metrics.Gauge
 }
 
 func newSession(h *Host, epoch model.Epoch) *session {
 	return &session{
 		host: h, epoch: epoch, store: h.store, log: h.log,
-		core:    dispatch.New(dispatch.DefaultSettings()),
-		inputs:  ring.New[func()]("scheduler.inputs", maxSessionInputs, nil),
-		plans:   metrics.GetOrRegisterTimer("scheduler.plans", h.registry),
-		commits: metrics.GetOrRegisterTimer("scheduler.commits", h.registry),
+		core:      dispatch.New(dispatch.DefaultSettings()),
+		inputs:    ring.New[func()]("scheduler.inputs", maxSessionInputs, nil),
+		plans:     metrics.GetOrRegisterTimer("scheduler.plans", h.registry),
+		commits:   metrics.GetOrRegisterTimer("scheduler.commits", h.registry),
+		overShare: metrics.GetOrRegisterGauge("scheduler.accounts_over_share", h.registry),
 	}
 }
 
@@ -220,6 +222,7 @@
 	start := time.Now()
 	batches := s.core.WithLearned(now, s.core.WithPending(now, s.core.Plan(now)))
 	s.plans.UpdateSince(start)
+	s.overShare.Update(int64(s.core.AccountsOverShare()))
 	s.logDecisions()
 	voidings := map[*dispatch.Batch]*voiding{}
 	for _, batch := range batches {
