--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -66,7 +66,7 @@
 	if least == 0 {
 		return nil
 	}
-	total, competing, waiting := map[string]float64{}, map[string]int{}, map[string]bool{}
+	total, competing, waiting := map[string]int{}, map[string]int{}, map[string]bool{}
 	for group, use := range uses {
 		total[group.Service] += weight(group.Account, guaranteed, least)
 		competing[group.Service]++
@@ -79,7 +79,7 @@
 		}
 		out[group] = Standing{
 			Used:     max(held[group], l.recent[group]),
-			Entitled: weight(group.Account, guaranteed, least) / total[group.Service],
+			Entitled: float64(weight(group.Account, guaranteed, least)) / float64(total[group.Service]),
 		}
 	}
 	return out
@@ -141,8 +141,8 @@
 }
 
 // weight returns an account's weight: its guarantee, or the least one if it has none.
-func weight(account model.ClientAccountID, guaranteed map[model.ClientAccountID]int, least int) float64 {
-	return float64(max(guaranteed[account], least))
+func weight(account model.ClientAccountID, guaranteed map[model.ClientAccountID]int, least int) int {
+	return max(guaranteed[account], least)
 }
 
 // leastGuarantee returns the smallest positive guarantee, or 0.
