--- a/internal/dispatch/shares_test.go
+++ b/internal/dispatch/shares_test.go
@@ -19,6 +19,8 @@
 	ends   map[int64][]workload.Order
 	took   map[model.JobID]time.Duration
 	jobs   int
+	// gangs counts the starts of gangs that need a rack, inRack those that got one.
+	gangs, inRack int
 }
 
 func newLoadReplay(t *testing.T, seed uint64, guaranteed map[model.ClientAccountID]int) *loadReplay {
@@ -32,11 +34,24 @@
 
 // submit adds a job of tasks with one accelerator each.
 func (p *loadReplay) submit(account model.ClientAccountID, tasks int, takes time.Duration) {
+	p.submitStep(account, workload.Step{Tasks: tasks, Estimate: takes, PerTask: workload.Resources{MilliCores: 5000, MemoryMB: 10_000, Accelerators: 1}})
+}
+
+func (p *loadReplay) submitStep(account model.ClientAccountID, step workload.Step) {
 	p.jobs++
-	j := p.job(jobID(p.jobs), func(j *workload.Job) {
-		j.Account, j.Steps[0].Tasks, j.Steps[0].Estimate = account, tasks, takes
-	})
-	p.took[j.ID] = takes
+	j := p.job(jobID(p.jobs), func(j *workload.Job) { j.Account, j.Steps[0] = account, step })
+	p.took[j.ID] = step.Estimate
+}
+
+// oneRack reports whether all orders of a job among some go to one rack.
+func (p *loadReplay) oneRack(orders []workload.Order, job model.JobID) bool {
+	racks := map[model.RackID]bool{}
+	for _, o := range orders {
+		if id, _ := o.ID(); id.Task.Job == job {
+			racks[p.core.workers[o.Host].Rack] = true
+		}
+	}
+	return len(racks) == 1
 }
 
 // step plans, lets 100 ms pass and reports the ends that are due then.
@@ -44,9 +59,23 @@
 	for i := range workers {
 		p.worker(fmt.Sprintf("h%d", i), "r1", nil)
 	}
-	for _, o := range p.plan() {
+	orders := p.plan()
+	for _, o := range orders {
 		id, _ := o.ID()
-		at := p.now.StoreMS + p.took[id.Task.Job].Milliseconds()
+		takes := p.took[id.Task.Job]
+		if p.core.jobs[id.Task.Job].Steps[0].SameRack {
+			whole := p.oneRack(orders, id.Task.Job)
+			if !whole {
+				takes *= 3
+			}
+			if id.Task.Index == 0 {
+				p.gangs++
+				if whole {
+					p.inRack++
+				}
+			}
+		}
+		at := p.now.StoreMS + takes.Milliseconds()
 		p.ends[at] = append(p.ends[at], o)
 	}
 	p.advance(100 * time.Millisecond)
