--- /dev/null
+++ b/internal/dispatch/racks_test.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"dragonflyyard/internal/workload"
+)
+
+// TestWideJobsLeaveRacks: more gangs and wide jobs arrive than there is room for, on 64
+// workers in racks of 8. Were the wide jobs spread over all racks, gangs that need one would
+// run across racks and take three times as long.
+func TestWideJobsLeaveRacks(t *testing.T) {
+	gangs, inRack := 0, 0
+	for seed := range uint64(4) {
+		p := newLoadReplay(t, seed, nil)
+		racks := p.random.Perm(64)
+		for range 400 {
+			if p.random.Float64() < 0.2 {
+				tasks := min(40, max(1, int(math.Exp(p.random.NormFloat64()*0.8+1.7))))
+				step := workload.Step{
+					Tasks: tasks, Estimate: time.Duration(30+p.random.IntN(80)) * 100 * time.Millisecond, Gang: true,
+					SameRack: tasks <= 8 && p.random.IntN(2) == 0, PerTask: workload.Resources{MilliCores: 26_000, MemoryMB: 70_000, Accelerators: 1 << p.random.IntN(4)},
+				}
+				if p.random.IntN(4) == 0 {
+					step.Tasks, step.Gang, step.SameRack, step.PerTask = 5*tasks, false, false, workload.Resources{MilliCores: 6000, MemoryMB: 8000, Accelerators: 1}
+				}
+				p.submitStep("silver", step)
+			}
+			for n, rack := range racks {
+				p.worker(fmt.Sprintf("h%02d", n), fmt.Sprintf("r%d", rack/8), nil)
+			}
+			p.step(0)
+		}
+		gangs, inRack = gangs+p.gangs, inRack+p.inRack
+	}
+	t.Logf("%d of %d gangs ran in one rack", inRack, gangs)
+	if 10*inRack < 9*gangs {
+		t.Errorf("%d of %d gangs ran in one rack, want nine of ten", inRack, gangs)
+	}
+}
