Speeds of workers are learned from runs

Workers of uneven speed were taken for alike: a gang waited for its slowest member and expected ends were wrong. Package workerspeed compares runs of the same step on different workers; dispatch places, reserves and judges stalls by it, and the row of what is learned keeps it for a successor.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -19,6 +19,7 @@
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/quarantine"
 	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/workerspeed"
 	"dragonflyyard/internal/workload"
 )
 
@@ -42,6 +43,8 @@
 	// RemoteSlowdown is the factor by which a task runs longer outside the rack of
 	// its data.
 	RemoteSlowdown float64
+	// LearnSpeeds is set if the speeds of workers are learned from runs and used.
+	LearnSpeeds bool
 	// Quarantine holds the limits for workers on which tasks fail.
 	Quarantine quarantine.Settings
 }
@@ -59,6 +62,7 @@
 		StoreRecoveryGrace: 3 * time.Second,
 		Retention:          4 * time.Minute,
 		RemoteSlowdown:     3,
+		LearnSpeeds:        true,
 		Quarantine: quarantine.Settings{
 			JobsPerWorker: 2, WorkersPerJob: 1 << 20, FailuresPerJob: 1 << 20,
 			Window: 20 * time.Second, InitialDuration: 5 * time.Second, MaxDuration: 30 * time.Second,
@@ -90,6 +94,7 @@
 	guaranteed map[model.ClientAccountID]int
 	evacuated  map[model.AvailabilityZoneName]bool
 	quarantine *quarantine.Tracker
+	speeds     *workerspeed.Tracker
 	// processedEndKeys are the rows of processed ends, and obsoleteKeys the rows
 	// of orders and progress that are no longer needed. Both are still to be
 	// deleted.
@@ -164,6 +169,8 @@
 	lastReport    workload.RunningTask
 	lastReportMS  int64
 	firstReportMS int64
+	// paceFrom is from where on the run's pace is measured.
+	paceFrom progressPoint
 }
 
 func (o *order) step() *workload.Step { return &o.job.Steps[o.id.Task.Step] }
@@ -214,6 +221,7 @@
 		guaranteed: map[model.ClientAccountID]int{}, evacuated: map[model.AvailabilityZoneName]bool{},
 		inbox:      newInbox(),
 		quarantine: quarantine.NewTracker(settings.Quarantine, quarantine.State{}),
+		speeds:     workerspeed.NewTracker(),
 	}
 }
 
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -129,6 +129,7 @@
 		c.quarantine.Succeeded(o.Worker)
 		o.worker.suspectUntilMS = 0
 		o.worker.recordGoodStart(o, now.StoreMS)
+		c.observeEnd(now, o)
 	}
 	if j.Steps[run.Task.Step].Gang {
 		for i := range j.progress.Occurrences[run.Task.Occurrence].Steps[run.Task.Step] {
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -110,6 +110,7 @@
 		o.job.begun = true
 		o.lastReport, o.lastReportMS = running, w.SentMS
 		w.recordGoodStart(o, w.SentMS)
+		c.observeReport(o)
 	}
 }
 
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -4,6 +4,7 @@
 	"bytes"
 
 	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/workerspeed"
 	"dragonflyyard/internal/workload"
 )
 
@@ -12,10 +13,15 @@
 type Learned struct {
 	// AsOfMS is when the row was made, on the store's clock.
 	AsOfMS int64 `codec:"t"`
+	// Speeds holds the speeds of the workers where these differ.
+	Speeds *workerspeed.State `codec:"s,omitempty"`
 }
 
 // learnedRow is the state of the row of Learned.
 type learnedRow struct {
+	// speeds is the part about speeds, made at speedsMS.
+	speeds   *workerspeed.State
+	speedsMS int64
 	// written is the last encoding without its time, and writtenMS when it was put.
 	written   []byte
 	writtenMS int64
@@ -28,21 +34,34 @@
 	// learnedPatienceMS is how long a changed row waits for a batch that has room for
 	// it, before it takes a transaction of its own.
 	learnedPatienceMS = 8000
+	// learnedSpeedsIntervalMS is the interval at which speeds are taken into the row:
+	// they change a little with each run.
+	learnedSpeedsIntervalMS = 5000
 )
 
 // LearnedSeen takes over what a previous owner has learned. It is called after the
 // workers and jobs were loaded, and before the first plan.
-func (c *Core) LearnedSeen(Now, Learned) {}
+func (c *Core) LearnedSeen(now Now, row Learned) {
+	if row.Speeds != nil && c.settings.LearnSpeeds {
+		c.speeds.Restore(now.StoreMS, row.AsOfMS, *row.Speeds)
+	}
+}
 
 // learned returns what is to be stored.
-func (c *Core) learned() *Learned { return &Learned{} }
+func (c *Core) learned(now Now) *Learned {
+	l := &c.learnedRow
+	if now.StoreMS-l.speedsMS >= learnedSpeedsIntervalMS {
+		l.speeds, l.speedsMS = c.speeds.State(), now.StoreMS
+	}
+	return &Learned{Speeds: l.speeds}
+}
 
 // WithLearned adds the row of Learned to the batches of a plan when it has changed.
 func (c *Core) WithLearned(now Now, batches []*Batch) []*Batch {
 	if now.StoreMS-c.learnedRow.writtenMS < learnedIntervalMS {
 		return batches
 	}
-	row := c.learned()
+	row := c.learned(now)
 	if unchanged := encode(row); bytes.Equal(unchanged, c.learnedRow.written) {
 		return batches
 	}
@@ -55,7 +74,7 @@
 	}
 	batches, added := addRow(batches, storeapi.Put{Key: workload.KeyLearned, Value: value}, mayOpen)
 	if added {
-		c.learnedRow = learnedRow{encode(row), now.StoreMS}
+		c.learnedRow.written, c.learnedRow.writtenMS = encode(row), now.StoreMS
 	}
 	return batches
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -64,6 +64,7 @@
 		c.firstPlanMS = now.StoreMS
 	}
 	c.recordEndTimes(now)
+	c.updateSpeeds(now)
 	c.stopStalled(now)
 	orders := append(c.startTasks(now), c.stopOrders()...)
 	batches := c.writeBack(orders)
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -44,7 +44,7 @@
 // and what is reserved for a gang that starts only after the task has ended.
 func (r *schedulingRound) freeFor(u *unit, w *worker) workload.Resources {
 	free, step := r.free[w], u.spec()
-	longest := backfillSafety * step.Estimate.Seconds()
+	longest := backfillSafety * step.Estimate.Seconds() / r.core.speed(w).Factor
 	if step.PreferredRack != "" && string(w.Rack) != step.PreferredRack {
 		longest *= r.core.settings.RemoteSlowdown
 	}
@@ -136,7 +136,7 @@
 	ends := make([]expectedEnd, 0, len(w.orders))
 	for _, o := range sortedOrders(w.orders) {
 		if !o.step().LongRunning || o.stopRequested {
-			ends = append(ends, expectedEnd{remainingSeconds(r.now, o), o.demand})
+			ends = append(ends, expectedEnd{r.core.remainingSeconds(r.now, o), o.demand})
 		}
 	}
 	slices.SortStableFunc(ends, func(a, b expectedEnd) int { return cmp.Compare(a.seconds, b.seconds) })
@@ -165,7 +165,7 @@
 
 // remainingSeconds returns the expected remaining time of a run: projected from
 // its progress where that is known, else from its estimate.
-func remainingSeconds(now Now, o *order) float64 {
+func (c *Core) remainingSeconds(now Now, o *order) float64 {
 	if o.stopRequested {
 		return 0
 	}
@@ -175,10 +175,7 @@
 		left := atReport * time.Duration(100-o.lastReport.Percent) / time.Duration(o.lastReport.Percent)
 		return max(left-now.elapsedSince(o.lastReportMS), 0).Seconds()
 	}
-	estimate := o.step().Estimate
-	if estimate == 0 {
-		estimate = defaultRunTime
-	}
+	estimate := c.expectedTime(o)
 	// A run past its estimate is expected to take a quarter of the estimate
 	// longer.
 	return max(estimate-elapsed, estimate/4).Seconds()
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -107,6 +107,7 @@
 }
 
 func (r *schedulingRound) placeAllOrNone(u *unit, workers []*worker) []placement {
+	r.chooseGangClass(u, workers)
 	placed := r.placeEach(u, workers)
 	if len(placed) == len(u.tasks) {
 		return placed
@@ -141,6 +142,8 @@
 	failedJob, remote, unannounced, suspect, probing bool
 	// unproven is set at a last attempt if the worker has no recent good start.
 	unproven bool
+	// slow ranks the worker's speed, see slowness.
+	slow int
 	// leftover is the share of the worker that would stay free.
 	leftover float64
 }
@@ -148,12 +151,13 @@
 // before prefers, in this order, workers that have not failed the job, that are
 // near its data, that have announced themselves, that have no recent failure,
 // that are not on probation after a quarantine, that have a good start in case of
-// a last attempt, and that have the least capacity left over.
+// a last attempt, whose speed suits the unit, and that have the least capacity left
+// over.
 func (f *fitness) before(o *fitness) bool {
 	return cmp.Or(
 		compareBool(f.failedJob, o.failedJob), compareBool(f.remote, o.remote), compareBool(f.unannounced, o.unannounced),
 		compareBool(f.suspect, o.suspect), compareBool(f.probing, o.probing),
-		compareBool(f.unproven, o.unproven), cmp.Compare(f.leftover, o.leftover),
+		compareBool(f.unproven, o.unproven), cmp.Compare(f.slow, o.slow), cmp.Compare(f.leftover, o.leftover),
 	) < 0
 }
 
@@ -171,7 +175,7 @@
 	}
 	return fitness{
 		failedJob: r.failedOn(u, w), remote: remote, unannounced: w.SentMS < r.core.firstPlanMS, suspect: r.suspect(w), probing: r.core.quarantine.Probing(w.Worker),
-		unproven: u.lastAttempt() && !r.hasGoodStart(w),
+		unproven: u.lastAttempt() && !r.hasGoodStart(w), slow: r.slowness(u, w),
 		leftover: leftoverShare(free, w.Capacity, step.PerTask),
 	}, true
 }
--- /dev/null
+++ b/internal/dispatch/speed.go
@@ -0,0 +1,196 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"dragonflyyard/internal/workerspeed"
+)
+
+// Uneven workers. Load pattern: workers of several generations in one deployment, so
+// that a gang waits for its slowest member, and long tasks on slow workers miss their
+// objective. Speeds are learned from runs, see package workerspeed; where workers are
+// alike, all of this has no effect.
+
+const (
+	// minPacePercent and minPaceTime are the least progress and time over which a pace
+	// is measured; progress is reported in whole percents, about once a second.
+	minPacePercent = 12
+	minPaceTime    = 600 * time.Millisecond
+	// maxReportGap is the longest time from a run's last report to its end for which
+	// the time of the end is trusted: the store may be slow.
+	maxReportGap = 2 * time.Second
+	// longWork is the estimated time of a job's longest remaining chain from which its
+	// tasks prefer fast workers.
+	longWork = 4 * time.Second
+	// maxSpeedDecisions bounds the decisions about speeds that one plan records.
+	maxSpeedDecisions = 8
+)
+
+// progressPoint is a point of a run's progress: from it on the run has worked without a
+// stall. It is unset while atMS is 0.
+type progressPoint struct {
+	percent int
+	atMS    int64
+}
+
+// paceIsComparable reports whether the pace of a run tells of its worker: gangs go at the
+// pace of their slowest member, and lasting tasks have no end.
+func (o *order) paceIsComparable() bool {
+	step := o.step()
+	return !step.LongRunning && !(step.Gang && step.Tasks > 1)
+}
+
+// observeReport measures the pace of a run from the worker's report. It starts anew
+// after a stall, and while a run that resumes has not gone beyond its checkpoint.
+func (c *Core) observeReport(o *order) {
+	if !c.settings.LearnSpeeds || !o.paceIsComparable() || o.stopRequested {
+		return
+	}
+	at := progressPoint{o.lastReport.Percent, o.lastReportMS}
+	stalled := time.Duration(o.lastReport.StalledMS)*time.Millisecond >= minStall
+	if o.paceFrom.atMS == 0 || at.percent <= o.paceFrom.percent || stalled {
+		o.paceFrom = at
+		return
+	}
+	if at.percent < 100 {
+		c.observePace(o, at)
+	}
+}
+
+// observeEnd measures the pace of a run that is done.
+func (c *Core) observeEnd(now Now, o *order) {
+	if !c.settings.LearnSpeeds || !o.paceIsComparable() || o.stopRequested || now.StoreMS-o.worker.SentMS > maxReportGap.Milliseconds() {
+		return
+	}
+	if o.paceFrom.atMS == 0 && !o.takenOver && o.Checkpoint == "" {
+		o.paceFrom = progressPoint{0, o.decidedMS}
+	}
+	if o.paceFrom.atMS != 0 {
+		c.observePace(o, progressPoint{100, now.StoreMS})
+	}
+}
+
+func (c *Core) observePace(o *order, until progressPoint) {
+	percent, took := until.percent-o.paceFrom.percent, time.Duration(until.atMS-o.paceFrom.atMS)*time.Millisecond
+	if percent < minPacePercent || took < minPaceTime {
+		return
+	}
+	group := workerspeed.Group{Job: string(o.job.ID), Step: o.id.Task.Step, Remote: o.remote()}
+	c.speeds.Observe(until.atMS, o.worker.Host, o.id, group, float64(percent)/took.Seconds())
+}
+
+// remote reports whether a run is outside the rack of its data.
+func (o *order) remote() bool {
+	preferred := o.step().PreferredRack
+	return preferred != "" && string(o.worker.Rack) != preferred
+}
+
+// updateSpeeds takes over the speeds that the latest runs show.
+func (c *Core) updateSpeeds(now Now) {
+	changed := c.speeds.Estimate(now.StoreMS)
+	for i, host := range changed {
+		if i == maxSpeedDecisions {
+			break
+		}
+		s, w := c.speeds.Speed(host), c.workers[host]
+		if w == nil {
+			continue
+		}
+		c.recordDecision(Decision{
+			Kind: "speed_learned", Worker: w.Worker, AgeMS: now.StoreMS - s.NewestMS,
+			Reason: fmt.Sprintf("factor %.2f by %.1f runs, %d workers changed", s.Factor, s.Runs, len(changed)),
+		})
+	}
+}
+
+// speed returns the speed of a worker relative to the others.
+func (c *Core) speed(w *worker) workerspeed.Speed {
+	if !c.speeds.Uneven() {
+		return workerspeed.Speed{Factor: 1}
+	}
+	return c.speeds.Speed(w.Host)
+}
+
+// slowdown returns by how much longer a run takes than on an average worker: that of its
+// worker, for a gang that of the slowest member's.
+func (c *Core) slowdown(o *order) float64 {
+	if !c.speeds.Uneven() {
+		return 1
+	}
+	slowest := c.speed(o.worker).Factor
+	if !o.step().Gang {
+		return 1 / slowest
+	}
+	for _, member := range o.job.orders {
+		if member.gangRun() == o.gangRun() {
+			slowest = min(slowest, c.speed(member.worker).Factor)
+		}
+	}
+	return 1 / slowest
+}
+
+// slowness ranks a worker by its speed for a unit, the better the lower. Members of a gang
+// prefer the slowest class of workers that they need, so that none waits for another and
+// faster workers remain for others. Tasks of late jobs and of long chains prefer fast workers, and short
+// ones leave these.
+func (r *schedulingRound) slowness(u *unit, w *worker) int {
+	if !r.core.speeds.Uneven() {
+		return 0
+	}
+	class := int(r.core.speed(w).Class)
+	switch {
+	case u.gang() && len(u.tasks) > 1:
+		if class < u.gangClass {
+			return notWithGang
+		}
+		return class - u.gangClass
+	case u.job.Priority == 0 || u.rank.late || u.rank.chain >= longWork:
+		return -class
+	default:
+		return max(0, class)
+	}
+}
+
+// notWithGang is the slowness of workers that would slow down a gang.
+const notWithGang = 10
+
+// chooseGangClass chooses the class of workers for a gang: the fastest class that holds the
+// whole gang, else the fastest classes that hold it together, of which it is the slowest.
+func (r *schedulingRound) chooseGangClass(u *unit, workers []*worker) {
+	if !r.core.speeds.Uneven() {
+		return
+	}
+	slots := map[workerspeed.Class]int{}
+	for _, w := range workers {
+		if r.allowed(u, w) {
+			slots[r.core.speed(w).Class] += r.slotsFor(u, w)
+		}
+	}
+	together := 0
+	u.gangClass = int(workerspeed.Slow)
+	for class := workerspeed.Fast; class >= workerspeed.Slow; class-- {
+		if together += slots[class]; together >= len(u.tasks) {
+			u.gangClass = int(class)
+			return
+		}
+	}
+}
+
+// slotsFor returns how many of a unit's tasks fit on a worker now.
+func (r *schedulingRound) slotsFor(u *unit, w *worker) int {
+	slots := tasksThatFit(u.spec(), r.freeFor(u, w))
+	if limit := u.spec().MaxPerWorker; limit > 0 {
+		slots = min(slots, limit-r.tasksOnWorker[stepOnWorker{u.job.ID, u.key(), w}])
+	}
+	return max(0, slots)
+}
+
+// expectedTime returns the expected time of a whole run on its worker.
+func (c *Core) expectedTime(o *order) time.Duration {
+	estimate := o.step().Estimate
+	if estimate == 0 {
+		estimate = defaultRunTime
+	}
+	return time.Duration(float64(estimate) * c.slowdown(o))
+}
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -24,6 +24,8 @@
 	// avoid caches avoidedWorkers once avoidComputed is set.
 	avoid         []*worker
 	avoidComputed bool
+	// gangClass is the slowest class of workers that a gang uses, see chooseGangClass.
+	gangClass int
 }
 
 func (u *unit) spec() *workload.Step { return &u.job.Steps[u.step] }
@@ -48,6 +50,9 @@
 	late bool
 	// work is the job's remaining estimated work in core seconds.
 	work float64
+	// chain is the estimated time of the job's longest remaining chain of steps. It does
+	// not decide the order of units.
+	chain time.Duration
 }
 
 // lateWorkWeight is the ratio of the worth of a job within its objective to that
@@ -215,5 +220,6 @@
 		priority: j.Priority,
 		late:     spent+chain/2 > objective,
 		work:     work,
+		chain:    time.Duration(chain * float64(time.Millisecond)),
 	}
 }
