--- a/internal/workerspeed/model.go
+++ b/internal/workerspeed/model.go
@@ -1,6 +1,7 @@
 package workerspeed
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -214,12 +215,13 @@
 	}
 	deviation := m.standardError(i)
 	logSpeed := m.logSpeed[i] * spread * spread / (spread*spread + deviation*deviation)
-	if math.Abs(logSpeed) < max(classWidth, minDeviations*deviation) {
-		return s
+	class := Class(cmp.Compare(logSpeed, 0))
+	limit := max(classWidth, minDeviations*deviation)
+	if m.workers[i].Class == class {
+		limit *= stayShare
 	}
-	s.Factor, s.Class = math.Round(100*math.Exp(logSpeed))/100, Fast
-	if logSpeed < 0 {
-		s.Class = Slow
+	if math.Abs(logSpeed) >= limit {
+		s.Factor, s.Class = math.Round(100*math.Exp(logSpeed))/100, class
 	}
 	return s
 }
--- a/internal/workerspeed/workerspeed.go
+++ b/internal/workerspeed/workerspeed.go
@@ -65,6 +65,8 @@
 	// is fast or slow; minDeviations is that difference in standard errors.
 	classWidth    = 0.1
 	minDeviations = 1.5
+	// stayShare is the share of that difference down to which it stays so.
+	stayShare = 0.6
 	// fewestWorkers is the number of workers with evidence below which all count as
 	// alike.
 	fewestWorkers = 6
