A successor knows distrusted workers, speeds and how long runs have gone on

An owner that took over tried each faulty worker again and took the age of every run for zero. The row of what is learned now holds suspects, quarantines and failed jobs, bounded; the age of a run comes from its order's row. Unit tests of dispatch pass.

--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -46,6 +46,7 @@
 	view := jobentry.NewView(operatorRows(), store, log)
 	pushes := rowpush.NewSender(s.RelayAddress, entryPushes, log, registry)
 	scheduler := schedulerhost.New(s.Host, s.Region, store, view.SchedulerView, book.Standing, pushes, log, registry)
+	scheduler.Dispatch.LearnSpeeds = s.LearnWorkerSpeeds
 	service := jobentry.NewService(view, store, func(row storeapi.Row) {
 		rows := []storeapi.Row{row}
 		if !scheduler.HandlePushedRows("", rows) {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -156,8 +156,7 @@
 	demand workload.Resources
 	// version is the version of the order's row; 0 until it is committed.
 	version storeapi.RowVersion
-	// decidedMS is when the order was decided, or when it was read from the store
-	// if a previous owner wrote it.
+	// decidedMS is when the order was decided.
 	decidedMS int64
 	// takenOver is set if a previous owner wrote the order.
 	takenOver bool
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -106,6 +106,10 @@
 		}
 		if o.firstReportMS == 0 {
 			o.firstReportMS = w.SentMS
+			if o.takenOver {
+				// Its first report went to a previous owner.
+				o.firstReportMS = min(w.SentMS, o.decidedMS)
+			}
 		}
 		o.job.begun = true
 		o.lastReport, o.lastReportMS = running, w.SentMS
@@ -130,7 +134,7 @@
 		w = &worker{Announcement: workload.Announcement{Host: row.Host, State: workload.WorkerGone}, orders: map[workload.RunID]*order{}}
 		c.workers[row.Host] = w
 	}
-	o := &order{Order: row, id: id, job: j, worker: w, version: version, demand: j.Steps[id.Task.Step].PerTask, decidedMS: now.StoreMS, takenOver: true}
+	o := &order{Order: row, id: id, job: j, worker: w, version: version, demand: j.Steps[id.Task.Step].PerTask, decidedMS: c.decidedMS(now, row), takenOver: true}
 	j.progress.EnsureOccurrence(j.Job, id.Task.Occurrence)
 	c.link(o)
 	if task := j.progress.Task(id.Task); task != nil {
@@ -145,6 +149,15 @@
 	c.recordReports(w)
 }
 
+// decidedMS returns when an order was decided that a previous owner wrote. The worker had
+// a fixed time from then on to start the task.
+func (c *Core) decidedMS(now Now, row workload.Order) int64 {
+	if row.StartByMS <= 0 {
+		return now.StoreMS
+	}
+	return min(now.StoreMS, row.StartByMS-c.settings.StartWithin.Milliseconds())
+}
+
 func (c *Core) link(o *order) {
 	o.job.orders[o.id] = o
 	o.worker.orders[o.id] = o
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -15,6 +15,8 @@
 	AsOfMS int64 `codec:"t"`
 	// Speeds holds the speeds of the workers where these differ.
 	Speeds *workerspeed.State `codec:"s,omitempty"`
+	// Distrust holds the workers on which tasks failed or stalled.
+	Distrust *Distrust `codec:"d,omitempty"`
 }
 
 // learnedRow is the state of the row of Learned.
@@ -25,12 +27,17 @@
 	// written is the last encoding without its time, and writtenMS when it was put.
 	written   []byte
 	writtenMS int64
+	// comparedMS is when the row was last compared with what was written.
+	comparedMS int64
 }
 
 const (
 	// learnedIntervalMS is the shortest interval between two writes of the row; what
 	// is learned in between is lost with the owner.
 	learnedIntervalMS = 2000
+	// learnedCompareIntervalMS is the shortest interval between two comparisons with what
+	// was written.
+	learnedCompareIntervalMS = 250
 	// learnedPatienceMS is how long a changed row waits for a batch that has room for
 	// it, before it takes a transaction of its own.
 	learnedPatienceMS = 8000
@@ -45,6 +52,9 @@
 	if row.Speeds != nil && c.settings.LearnSpeeds {
 		c.speeds.Restore(now.StoreMS, row.AsOfMS, *row.Speeds)
 	}
+	if row.Distrust != nil {
+		c.restoreDistrust(now, row.Distrust)
+	}
 }
 
 // learned returns what is to be stored.
@@ -53,14 +63,16 @@
 	if now.StoreMS-l.speedsMS >= learnedSpeedsIntervalMS {
 		l.speeds, l.speedsMS = c.speeds.State(), now.StoreMS
 	}
-	return &Learned{Speeds: l.speeds}
+	return &Learned{Speeds: l.speeds, Distrust: c.distrust(now)}
 }
 
 // WithLearned adds the row of Learned to the batches of a plan when it has changed.
 func (c *Core) WithLearned(now Now, batches []*Batch) []*Batch {
-	if now.StoreMS-c.learnedRow.writtenMS < learnedIntervalMS {
+	l := &c.learnedRow
+	if now.StoreMS-l.writtenMS < learnedIntervalMS || now.StoreMS-l.comparedMS < learnedCompareIntervalMS {
 		return batches
 	}
+	l.comparedMS = now.StoreMS
 	row := c.learned(now)
 	if unchanged := encode(row); bytes.Equal(unchanged, c.learnedRow.written) {
 		return batches
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -63,7 +63,7 @@
 	if !c.settings.LearnSpeeds || !o.paceIsComparable() || o.stopRequested || now.StoreMS-o.worker.SentMS > maxReportGap.Milliseconds() {
 		return
 	}
-	if o.paceFrom.atMS == 0 && !o.takenOver && o.Checkpoint == "" {
+	if o.paceFrom.atMS == 0 && o.Checkpoint == "" {
 		o.paceFrom = progressPoint{0, o.decidedMS}
 	}
 	if o.paceFrom.atMS != 0 {
@@ -104,6 +104,9 @@
 	}
 }
 
+// UnevenWorkers returns the numbers of workers that are slower and faster than the average.
+func (c *Core) UnevenWorkers() (slow, fast int) { return c.speeds.Uncommon() }
+
 // speed returns the speed of a worker relative to the others.
 func (c *Core) speed(w *worker) workerspeed.Speed {
 	if !c.speeds.Uneven() {
--- a/internal/schedulerhost/lease.go
+++ b/internal/schedulerhost/lease.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/dispatch"
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ownership"
@@ -34,6 +35,8 @@
 
 // Host runs the scheduler on one entry host while the host holds the lease.
 type Host struct {
+	// Dispatch is the settings of the sessions' cores. It must not change once Run is called.
+	Dispatch    dispatch.Settings
 	id          model.EntryID
 	incarnation model.Incarnation
 	store       storeapi.Store
@@ -85,7 +88,8 @@
 func New(id model.EntryID, region model.RegionName, store storeapi.Store, view func() ConfigView, standing func() storerelay.Standing, push *rowpush.Sender, log *zap.Logger, registry metrics.Registry) *Host {
 	incarnation := model.Incarnation(time.Now().UnixMilli())
 	return &Host{
-		id: id, incarnation: incarnation, store: store, view: view, standing: standing, push: push, log: log, registry: registry,
+		Dispatch: dispatch.DefaultSettings(),
+		id:       id, incarnation: incarnation, store: store, view: view, standing: standing, push: push, log: log, registry: registry,
 		candidate: ownership.NewCandidate(leaseLimits(), region, id, incarnation),
 		inputs:    ring.New[func(now time.Time) []ownership.Action]("lease.inputs", 64, registry),
 	}
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -64,15 +64,20 @@
 	workers      *tablewatch.Watch
 	plans        metrics.Timer
 	commits      metrics.Timer
+	// slowWorkers and fastWorkers count the workers whose speed differs from the average.
+	slowWorkers, fastWorkers metrics.Gauge
 }
 
 func newSession(h *Host, epoch model.Epoch) *session {
 	return &session{
 		host: h, epoch: epoch, store: h.store, log: h.log,
-		core:    dispatch.New(dispatch.DefaultSettings()),
+		core:    dispatch.New(h.Dispatch),
 		inputs:  ring.New[func()]("scheduler.inputs", maxSessionInputs, nil),
 		plans:   metrics.GetOrRegisterTimer("scheduler.plans", h.registry),
 		commits: metrics.GetOrRegisterTimer("scheduler.commits", h.registry),
+
+		slowWorkers: metrics.GetOrRegisterGauge("scheduler.workers.slow", h.registry),
+		fastWorkers: metrics.GetOrRegisterGauge("scheduler.workers.fast", h.registry),
 	}
 }
 
@@ -220,6 +225,7 @@
 	start := time.Now()
 	batches := s.core.WithLearned(now, s.core.WithPending(now, s.core.Plan(now)))
 	s.plans.UpdateSince(start)
+	s.countSpeeds()
 	s.logDecisions()
 	voidings := map[*dispatch.Batch]*voiding{}
 	for _, batch := range batches {
@@ -240,6 +246,12 @@
 	return nil
 }
 
+func (s *session) countSpeeds() {
+	slow, fast := s.core.UnevenWorkers()
+	s.slowWorkers.Update(int64(slow))
+	s.fastWorkers.Update(int64(fast))
+}
+
 // commitBatch commits a batch. For a dispatch.BatchWorkerLost, v is what
 // startVoiding returned for the batch; it is nil for other kinds. Only a failed
 // BatchMain batch returns an error.
--- a/internal/workerspeed/workerspeed.go
+++ b/internal/workerspeed/workerspeed.go
@@ -148,6 +148,19 @@
 // Uneven reports whether the workers differ in speed.
 func (t *Tracker) Uneven() bool { return t.uneven }
 
+// Uncommon returns the numbers of slow and of fast workers.
+func (t *Tracker) Uncommon() (slow, fast int) {
+	for _, w := range t.workers {
+		switch w.Class {
+		case Slow:
+			slow++
+		case Fast:
+			fast++
+		}
+	}
+	return slow, fast
+}
+
 // Estimate computes the speeds anew if there is new evidence and the last estimate is
 // not recent. It returns the hosts whose class has changed, sorted.
 func (t *Tracker) Estimate(nowMS int64) []string {
