--- a/internal/schedulerhost/learned.go
+++ b/internal/schedulerhost/learned.go
@@ -47,3 +47,10 @@
 	now, _ := s.now()
 	s.core.LearnedSeen(now, learned)
 }
+
+// countSpeeds updates the metrics of the workers that differ in speed.
+func (s *session) countSpeeds() {
+	slow, fast := s.core.UnevenWorkers()
+	s.slowWorkers.Update(int64(slow))
+	s.fastWorkers.Update(int64(fast))
+}
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -246,12 +246,6 @@
 	return nil
 }
 
-func (s *session) countSpeeds() {
-	slow, fast := s.core.UnevenWorkers()
-	s.slowWorkers.Update(int64(slow))
-	s.fastWorkers.Update(int64(fast))
-}
-
 // commitBatch commits a batch. For a dispatch.BatchWorkerLost, v is what
 // startVoiding returned for the batch; it is nil for other kinds. Only a failed
 // BatchMain batch returns an error.
