--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -20,9 +20,6 @@
 	// maxReportGap is the longest time from a run's last report to its end for which
 	// the time of the end is trusted: the store may be slow.
 	maxReportGap = 2 * time.Second
-	// longWork is the estimated time of a job's longest remaining chain from which its
-	// tasks prefer fast workers.
-	longWork = 4 * time.Second
 	// maxSpeedDecisions bounds the decisions about speeds that one plan records.
 	maxSpeedDecisions = 8
 )
@@ -135,49 +132,72 @@
 
 // slowness ranks a worker by its speed for a unit, the better the lower. Members of a gang
 // prefer the slowest class of workers that they need, so that none waits for another and
-// faster workers remain for others. Tasks of late jobs and of long chains prefer fast workers, and short
-// ones leave these.
+// faster workers remain for others. Other tasks prefer fast workers. Small tasks don't open
+// a worker for its speed: whole workers are scarce.
 func (r *schedulingRound) slowness(u *unit, w *worker) int {
 	if !r.core.speeds.Uneven() {
 		return 0
 	}
-	class := int(r.core.speed(w).Class)
+	class, opening := r.core.speed(w).Class, 0
+	if !u.gangOpens && r.opens(u, w) {
+		opening = opensWorker
+	}
 	switch {
-	case u.gang() && len(u.tasks) > 1:
-		if class < u.gangClass {
-			return notWithGang
-		}
-		return class - u.gangClass
-	case u.job.Priority == 0 || u.rank.late || u.rank.chain >= longWork:
-		return -class
+	case u.gang() && class < u.gangClass:
+		return opening + notWithGang
+	case u.gang():
+		return opening + int(class-u.gangClass)
 	default:
-		return max(0, class)
+		return opening - int(class)
 	}
 }
 
-// notWithGang is the slowness of workers that would slow down a gang.
-const notWithGang = 10
+// Slowness of workers that would slow down a gang, and of idle ones that a small task would
+// open; both outweigh all classes of speed.
+const (
+	notWithGang = 10
+	opensWorker = 100
+)
+
+// opens reports whether a task that needs at most half of a worker would be the first there.
+func (r *schedulingRound) opens(u *unit, w *worker) bool {
+	demand := u.spec().PerTask
+	return r.free[w] == w.Capacity && demand.Add(demand).Fits(w.Capacity)
+}
 
-// chooseGangClass chooses the class of workers for a gang: the fastest class that holds the
-// whole gang, else the fastest classes that hold it together, of which it is the slowest.
+// chooseGangClass chooses the class of workers for a gang: the fastest classes that hold it
+// together, of which it is the slowest. It counts workers that the gang would open only if
+// the others don't hold it.
 func (r *schedulingRound) chooseGangClass(u *unit, workers []*worker) {
 	if !r.core.speeds.Uneven() {
 		return
 	}
-	slots := map[workerspeed.Class]int{}
+	used, all := map[workerspeed.Class]int{}, map[workerspeed.Class]int{}
 	for _, w := range workers {
-		if r.allowed(u, w) {
-			slots[r.core.speed(w).Class] += r.slotsFor(u, w)
+		if !r.allowed(u, w) {
+			continue
+		}
+		class, slots := r.core.speed(w).Class, r.slotsFor(u, w)
+		all[class] += slots
+		if !r.opens(u, w) {
+			used[class] += slots
 		}
 	}
-	together := 0
-	u.gangClass = int(workerspeed.Slow)
-	for class := workerspeed.Fast; class >= workerspeed.Slow; class-- {
-		if together += slots[class]; together >= len(u.tasks) {
-			u.gangClass = int(class)
-			return
+	u.gangClass, u.gangOpens = slowestNeeded(used, len(u.tasks))
+	if u.gangOpens {
+		u.gangClass, _ = slowestNeeded(all, len(u.tasks))
+	}
+}
+
+// slowestNeeded returns the slowest class that is needed to place tasks in slots of the
+// fastest classes. tooFew is set if all slots are too few.
+func slowestNeeded(slots map[workerspeed.Class]int, tasks int) (class workerspeed.Class, tooFew bool) {
+	for class = workerspeed.Fast; class >= workerspeed.Slow; class-- {
+		if tasks -= slots[class]; tasks <= 0 {
+			return class, false
 		}
 	}
+	return workerspeed.Slow, true
 }
 
 // slotsFor returns how many of a unit's tasks fit on a worker now.
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"dragonflyyard/internal/workerspeed"
 	"dragonflyyard/internal/workload"
 )
 
@@ -25,7 +26,9 @@
 	avoid         []*worker
 	avoidComputed bool
 	// gangClass is the slowest class of workers that a gang uses, see chooseGangClass.
-	gangClass int
+	gangClass workerspeed.Class
+	// gangOpens is set if the gang needs workers that are idle.
+	gangOpens bool
 }
 
 func (u *unit) spec() *workload.Step { return &u.job.Steps[u.step] }
@@ -50,9 +53,6 @@
 	late bool
 	// work is the job's remaining estimated work in core seconds.
 	work float64
-	// chain is the estimated time of the job's longest remaining chain of steps. It does
-	// not decide the order of units.
-	chain time.Duration
 }
 
 // lateWorkWeight is the ratio of the worth of a job within its objective to that
@@ -220,6 +220,5 @@
 		priority: j.Priority,
 		late:     spent+chain/2 > objective,
 		work:     work,
-		chain:    time.Duration(chain * float64(time.Millisecond)),
 	}
 }
