--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -7,6 +7,7 @@
 
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/workerspeed"
 	"dragonflyyard/internal/workload"
 )
 
@@ -51,11 +52,37 @@
 	}
 }
 
+// speedMix is the percentages that workers have in turn as their speeds; nil where workers
+// are alike.
+type speedMix []int
+
+func (m speedMix) String() string {
+	if m == nil {
+		return ""
+	}
+	return fmt.Sprint("/speeds=", []int(m))
+}
+
+func (m speedMix) state(workers int) workerspeed.State {
+	var out workerspeed.State
+	for i := range workers {
+		if len(m) > 0 {
+			percent := m[i%len(m)]
+			out.Workers = append(out.Workers, workerspeed.Record{Host: fmt.Sprintf("h%03d", i), FittedPercent: percent, FactorPercent: percent, Runs: 10})
+		}
+	}
+	return out
+}
+
 // BenchmarkPlan measures a plan with a backlog of jobs on a large deployment.
 func BenchmarkPlan(b *testing.B) {
-	for _, size := range []struct{ workers, jobs int }{{70, 60}, {240, 60}, {240, 150}, {240, 300}} {
-		b.Run(fmt.Sprintf("workers=%d/jobs=%d", size.workers, size.jobs), func(b *testing.B) {
+	for _, size := range []struct {
+		workers, jobs int
+		speeds        speedMix
+	}{{70, 60, nil}, {240, 60, nil}, {240, 150, nil}, {240, 300, nil}, {240, 300, speedMix{80, 100, 125}}} {
+		b.Run(fmt.Sprintf("workers=%d/jobs=%d%s", size.workers, size.jobs, size.speeds), func(b *testing.B) {
 			c, now := largeCore(size.workers, size.jobs)
+			c.speeds.Restore(now.StoreMS, now.StoreMS, size.speeds.state(size.workers))
 			for b.Loop() {
 				now.StoreMS++
 				c.Plan(now)
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -194,6 +194,8 @@
 	lastGoodStartMS int64
 	// quarantinedMS is when the worker's last quarantine began.
 	quarantinedMS int64
+	// speed is the worker's speed as of the last plan.
+	speed workerspeed.Speed
 	// declaringLost is set while the batch that declares the worker lost is being
 	// committed.
 	declaringLost bool
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -44,7 +44,7 @@
 // and what is reserved for a gang that starts only after the task has ended.
 func (r *schedulingRound) freeFor(u *unit, w *worker) workload.Resources {
 	free, step := r.free[w], u.spec()
-	longest := backfillSafety * step.Estimate.Seconds() / r.core.speed(w).Factor
+	longest := backfillSafety * step.Estimate.Seconds() / w.speed.Factor
 	if step.PreferredRack != "" && string(w.Rack) != step.PreferredRack {
 		longest *= r.core.settings.RemoteSlowdown
 	}
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -86,6 +86,9 @@
 // updateSpeeds takes over the speeds that the latest runs show.
 func (c *Core) updateSpeeds(now Now) {
 	changed := c.speeds.Estimate(now.StoreMS)
+	for host, w := range c.workers {
+		w.speed = c.speeds.Speed(host)
+	}
 	for i, host := range changed {
 		if i == maxSpeedDecisions {
 			break
@@ -104,27 +107,19 @@
 // UnevenWorkers returns the numbers of workers that are slower and faster than the average.
 func (c *Core) UnevenWorkers() (slow, fast int) { return c.speeds.Uncommon() }
 
-// speed returns the speed of a worker relative to the others.
-func (c *Core) speed(w *worker) workerspeed.Speed {
-	if !c.speeds.Uneven() {
-		return workerspeed.Speed{Factor: 1}
-	}
-	return c.speeds.Speed(w.Host)
-}
-
 // slowdown returns by how much longer a run takes than on an average worker: that of its
 // worker, for a gang that of the slowest member's.
 func (c *Core) slowdown(o *order) float64 {
 	if !c.speeds.Uneven() {
 		return 1
 	}
-	slowest := c.speed(o.worker).Factor
+	slowest := o.worker.speed.Factor
 	if !o.step().Gang {
 		return 1 / slowest
 	}
 	for _, member := range o.job.orders {
 		if member.gangRun() == o.gangRun() {
-			slowest = min(slowest, c.speed(member.worker).Factor)
+			slowest = min(slowest, member.worker.speed.Factor)
 		}
 	}
 	return 1 / slowest
@@ -138,7 +133,7 @@
 	if !r.core.speeds.Uneven() {
 		return 0
 	}
-	class, opening := r.core.speed(w).Class, 0
+	class, opening := w.speed.Class, 0
 	if !u.gangOpens && r.opens(u, w) {
 		opening = opensWorker
 	}
@@ -177,7 +172,7 @@
 		if !r.allowed(u, w) {
 			continue
 		}
-		class, slots := r.core.speed(w).Class, r.slotsFor(u, w)
+		class, slots := w.speed.Class, r.slotsFor(u, w)
 		all[class] += slots
 		if !r.opens(u, w) {
 			used[class] += slots
