--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -5,6 +5,7 @@
 
 	"dragonflyyard/internal/fairshare"
 	"dragonflyyard/internal/storeapi"
+	"dragonflyyard/internal/workerspeed"
 	"dragonflyyard/internal/workload"
 )
 
@@ -15,39 +16,68 @@
 	AsOfMS int64 `codec:"t"`
 	// Shares is what accounts have used lately.
 	Shares []fairshare.Recent `codec:"f,omitempty"`
+	// Speeds holds the speeds of the workers where these differ.
+	Speeds *workerspeed.State `codec:"s,omitempty"`
+	// Distrust holds the workers on which tasks failed or stalled.
+	Distrust *Distrust `codec:"d,omitempty"`
 }
 
 // learnedRow is the state of the row of Learned.
 type learnedRow struct {
+	// speeds is the part about speeds, made at speedsMS.
+	speeds   *workerspeed.State
+	speedsMS int64
 	// written is the last encoding without its time, and writtenMS when it was put.
 	written   []byte
 	writtenMS int64
+	// comparedMS is when the row was last compared with what was written.
+	comparedMS int64
 }
 
 const (
 	// learnedIntervalMS is the shortest interval between two writes of the row; what
 	// is learned in between is lost with the owner.
 	learnedIntervalMS = 2000
+	// learnedCompareIntervalMS is the shortest interval between two comparisons with what
+	// was written.
+	learnedCompareIntervalMS = 250
 	// learnedPatienceMS is how long a changed row waits for a batch that has room for
 	// it, before it takes a transaction of its own.
 	learnedPatienceMS = 8000
+	// learnedSpeedsIntervalMS is the interval at which speeds are taken into the row:
+	// they change a little with each run.
+	learnedSpeedsIntervalMS = 5000
 )
 
 // LearnedSeen takes over what a previous owner has learned. It is called after the
 // workers and jobs were loaded, and before the first plan.
-func (c *Core) LearnedSeen(_ Now, row Learned) {
+func (c *Core) LearnedSeen(now Now, row Learned) {
 	c.shares.ledger.Restore(row.AsOfMS, row.Shares)
+	if row.Speeds != nil && c.settings.LearnSpeeds {
+		c.speeds.Restore(now.StoreMS, row.AsOfMS, *row.Speeds)
+	}
+	if row.Distrust != nil {
+		c.restoreDistrust(now, row.Distrust)
+	}
 }
 
 // learned returns what is to be stored.
-func (c *Core) learned() *Learned { return &Learned{Shares: c.learnedShares()} }
+func (c *Core) learned(now Now) *Learned {
+	l := &c.learnedRow
+	if now.StoreMS-l.speedsMS >= learnedSpeedsIntervalMS {
+		l.speeds, l.speedsMS = c.speeds.State(), now.StoreMS
+	}
+	return &Learned{Shares: c.learnedShares(), Speeds: l.speeds, Distrust: c.distrust(now)}
+}
 
 // WithLearned adds the row of Learned to the batches of a plan when it has changed.
 func (c *Core) WithLearned(now Now, batches []*Batch) []*Batch {
-	if now.StoreMS-c.learnedRow.writtenMS < learnedIntervalMS {
+	l := &c.learnedRow
+	if now.StoreMS-l.writtenMS < learnedIntervalMS || now.StoreMS-l.comparedMS < learnedCompareIntervalMS {
 		return batches
 	}
-	row := c.learned()
+	l.comparedMS = now.StoreMS
+	row := c.learned(now)
 	if unchanged := encode(row); bytes.Equal(unchanged, c.learnedRow.written) {
 		return batches
 	}
@@ -60,7 +90,7 @@
 	}
 	batches, added := addRow(batches, storeapi.Put{Key: workload.KeyLearned, Value: value}, mayOpen)
 	if added {
-		c.learnedRow = learnedRow{encode(row), now.StoreMS}
+		c.learnedRow.written, c.learnedRow.writtenMS = encode(row), now.StoreMS
 	}
 	return batches
 }
--- a/internal/dispatch/leaving.go
+++ b/internal/dispatch/leaving.go
@@ -45,7 +45,7 @@
 		}
 		left := time.Duration(w.leavesAtMS-now.StoreMS) * time.Millisecond
 		for _, o := range sortedOrders(w.orders) {
-			if o.stopRequested || o.version == 0 || !lostWithWorker(now, o, left) {
+			if o.stopRequested || o.version == 0 || !c.lostWithWorker(now, o, left) {
 				continue
 			}
 			o.requestStop("the worker leaves before the run ends")
@@ -59,11 +59,11 @@
 
 // lostWithWorker reports whether a run is to be stopped because its worker leaves after
 // the given time.
-func lostWithWorker(now Now, o *order, left time.Duration) bool {
+func (c *Core) lostWithWorker(now Now, o *order, left time.Duration) bool {
 	if o.step().LongRunning {
 		return left <= stopLead
 	}
-	remaining := time.Duration(groupRemainingSeconds(now, o) * float64(time.Second))
+	remaining := time.Duration(c.groupRemainingSeconds(now, o) * float64(time.Second))
 	if o.step().Checkpoints {
 		return left <= stopLead && remaining > left
 	}
@@ -72,10 +72,10 @@
 
 // groupRemainingSeconds returns the expected remaining time of a run; of a gang, that of
 // its slowest member, since its members end together.
-func groupRemainingSeconds(now Now, o *order) float64 {
+func (c *Core) groupRemainingSeconds(now Now, o *order) float64 {
 	longest := 0.0
 	for _, member := range o.groupOrders() {
-		longest = max(longest, remainingSeconds(now, member))
+		longest = max(longest, c.remainingSeconds(now, member))
 	}
 	return longest
 }
--- a/internal/dispatch/preemption_plan.go
+++ b/internal/dispatch/preemption_plan.go
@@ -240,7 +240,7 @@
 		}
 		gangs[o.gangRun()] = len(out)
 		unsaved := unsavedWork(r.now, o)
-		out = append(out, victim{class: r.yieldClassOf(o), orders: []*order{o}, demand: o.demand, unsavedWork: unsaved, cost: stopCost(o, unsaved), endsSoon: endsSoon(r.now, o)})
+		out = append(out, victim{class: r.yieldClassOf(o), orders: []*order{o}, demand: o.demand, unsavedWork: unsaved, cost: stopCost(o, unsaved), endsSoon: r.core.endsSoon(r.now, o)})
 	}
 	slices.SortStableFunc(out, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.cost, b.cost))
--- a/internal/dispatch/shares_test.go
+++ b/internal/dispatch/shares_test.go
@@ -138,7 +138,7 @@
 		p.submit("a", 3, time.Second)
 		p.step(4)
 	}
-	stored := Learned{AsOfMS: p.now.StoreMS, Shares: p.core.learned().Shares}
+	stored := Learned{AsOfMS: p.now.StoreMS, Shares: p.core.learned(p.now).Shares}
 	next := newLoadReplay(t, 1, map[model.ClientAccountID]int{"a": 8, "b": 8})
 	next.now = p.now
 	next.core.LearnedSeen(next.now, stored)
--- a/internal/dispatch/stopcost.go
+++ b/internal/dispatch/stopcost.go
@@ -76,14 +76,14 @@
 }
 
 // endsSoon reports whether a run is about to end by itself, by reports that are recent.
-func endsSoon(now Now, o *order) bool {
+func (c *Core) endsSoon(now Now, o *order) bool {
 	if o.step().LongRunning {
 		return false
 	}
 	for _, member := range o.groupOrders() {
 		fresh := member.lastReport.Percent >= minPercentForProjection && now.elapsedSince(member.lastReportMS) < minStall
 		stalled := time.Duration(member.lastReport.StalledMS)*time.Millisecond >= minStall
-		if !fresh || stalled || remainingSeconds(now, member) > soonEnds.Seconds() {
+		if !fresh || stalled || c.remainingSeconds(now, member) > soonEnds.Seconds() {
 			return false
 		}
 	}
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"dragonflyyard/internal/workerspeed"
 	"dragonflyyard/internal/workload"
 )
 
@@ -24,6 +25,10 @@
 	// avoid caches avoidedWorkers once avoidComputed is set.
 	avoid         []*worker
 	avoidComputed bool
+	// gangClass is the slowest class of workers that a gang uses, see chooseGangClass.
+	gangClass workerspeed.Class
+	// gangOpens is set if the gang needs workers that are idle.
+	gangOpens bool
 }
 
 func (u *unit) spec() *workload.Step { return &u.job.Steps[u.step] }
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -65,16 +65,21 @@
 	plans        metrics.Timer
 	commits      metrics.Timer
 	overShare    metrics.Gauge
+	// slowWorkers and fastWorkers count the workers whose speed differs from the average.
+	slowWorkers, fastWorkers metrics.Gauge
 }
 
 func newSession(h *Host, epoch model.Epoch) *session {
 	return &session{
 		host: h, epoch: epoch, store: h.store, log: h.log,
-		core:      dispatch.New(dispatch.DefaultSettings()),
-		inputs:    ring.New[func()]("scheduler.inputs", maxSessionInputs, nil),
-		plans:     metrics.GetOrRegisterTimer("scheduler.plans", h.registry),
-		commits:   metrics.GetOrRegisterTimer("scheduler.commits", h.registry),
-		overShare: metrics.GetOrRegisterGauge("scheduler.accounts_over_share", h.registry),
+		core:    dispatch.New(h.Dispatch),
+		inputs:  ring.New[func()]("scheduler.inputs", maxSessionInputs, nil),
+		plans:   metrics.GetOrRegisterTimer("scheduler.plans", h.registry),
+		commits: metrics.GetOrRegisterTimer("scheduler.commits", h.registry),
+
+		slowWorkers: metrics.GetOrRegisterGauge("scheduler.workers.slow", h.registry),
+		fastWorkers: metrics.GetOrRegisterGauge("scheduler.workers.fast", h.registry),
+		overShare:   metrics.GetOrRegisterGauge("scheduler.accounts_over_share", h.registry),
 	}
 }
 
@@ -223,6 +228,7 @@
 	batches := s.core.WithLearned(now, s.core.WithPending(now, s.core.Plan(now)))
 	s.plans.UpdateSince(start)
 	s.overShare.Update(int64(s.core.AccountsOverShare()))
+	s.countSpeeds()
 	s.logDecisions()
 	voidings := map[*dispatch.Batch]*voiding{}
 	for _, batch := range batches {
