A run is lost with its worker only if it takes 1.5 s longer than the worker stays

Cause: workers state the least time that they stay. The margin is a constant now, 1.5 s beyond the stated time, in place of half of the time that is left.

--- a/internal/dispatch/leaving.go
+++ b/internal/dispatch/leaving.go
@@ -14,10 +14,10 @@
 	// stopLead is how long before a worker leaves a run is stopped that saves its work at a
 	// stop: the order, the stop and the report of what was saved take less.
 	stopLead = 700 * time.Millisecond
-	// Other runs are stopped once they are certain to be lost: their expected remaining
-	// time exceeds lostRunRatio times the time that the worker has left, and lostRunMargin.
-	lostRunRatio  = 1.5
-	lostRunMargin = 500 * time.Millisecond
+	// lostRunMargin is by how much the expected remaining time of other runs exceeds the time
+	// that the worker has left at least when they are stopped. Workers may stay longer than
+	// they say, and then a run that goes on loses nothing.
+	lostRunMargin = 1500 * time.Millisecond
 )
 
 // recordLeave records when a worker leaves at the earliest. Announcements repeat the time
@@ -67,7 +67,7 @@
 	if o.step().Checkpoints {
 		return left <= stopLead && remaining > left
 	}
-	return remaining > max(0, time.Duration(lostRunRatio*float64(left)))+lostRunMargin
+	return remaining > max(0, left)+lostRunMargin
 }
 
 // groupRemainingSeconds returns the expected remaining time of a run; of a gang, that of
