--- a/internal/workerspeed/model.go
+++ b/internal/workerspeed/model.go
@@ -126,15 +126,18 @@
 // worth of freedom.
 func (m *speedModel) fitNoise() {
 	var squares, weight float64
-	used := map[int]bool{}
+	used, fitted := make([]bool, len(m.workers)), m.groups
 	for _, o := range m.observations {
 		r := m.clipped(o)
 		squares += o.weight * r * r
 		weight += o.weight
-		used[o.worker] = true
+		if !used[o.worker] {
+			used[o.worker] = true
+			fitted++
+		}
 	}
 	n := float64(len(m.observations))
-	free := n - float64(m.groups) - float64(len(used))
+	free := n - float64(fitted)
 	if free < 1 {
 		m.noise = math.Inf(1)
 		return
--- a/internal/workerspeed/workerspeed.go
+++ b/internal/workerspeed/workerspeed.go
@@ -60,7 +60,7 @@
 	halfLifeMS = 60_000
 	maxAgeMS   = 10 * halfLifeMS
 	// estimateIntervalMS is the shortest interval between two estimates.
-	estimateIntervalMS = 500
+	estimateIntervalMS = 1000
 	// classWidth is the difference of log(speed) from the average from which a worker
 	// is fast or slow; minDeviations is that difference in standard errors.
 	classWidth    = 0.1
