A preemption names the member of a gang that makes room

The runs that were stopped were right; the decision named the wrong worker. Change: after a plan is pruned, a gang that has no member on the victim's worker among the plan's targets is named by its members on a target.

--- a/internal/dispatch/preemption_plan.go
+++ b/internal/dispatch/preemption_plan.go
@@ -107,6 +107,24 @@
 			plan.drop(&v, targets)
 		}
 	}
+	plan.nameVictims()
+}
+
+// nameVictims lets the members of a gang that run on a target of the plan stand for it, so
+// that a decision names the worker on which room is made.
+func (plan *preemptionPlan) nameVictims() {
+	for i := range plan.victims {
+		v := &plan.victims[i]
+		if slices.Contains(plan.targets, v.orders[0].worker) {
+			continue
+		}
+		members := slices.Clone(v.groupOrders())
+		at := slices.IndexFunc(members, func(o *order) bool { return slices.Contains(plan.targets, o.worker) })
+		if at >= 0 {
+			target := members[at].worker
+			v.orders = slices.DeleteFunc(members, func(o *order) bool { return o.worker != target })
+		}
+	}
 }
 
 // targetsWithout returns workers for all tasks of the plan if a victim is not stopped, or
