--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -16,6 +16,7 @@
 import (
 	"time"
 
+	"dragonflyyard/internal/interference"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/quarantine"
 	"dragonflyyard/internal/storeapi"
@@ -44,6 +45,9 @@
 	RemoteSlowdown float64
 	// Quarantine holds the limits for workers on which tasks fail.
 	Quarantine quarantine.Settings
+	// SeparateDisturbing keeps tasks that are known to slow each other down on different
+	// workers where there is room.
+	SeparateDisturbing bool
 }
 
 // DefaultSettings returns the settings of the deployed scheduler.
@@ -63,6 +67,7 @@
 			JobsPerWorker: 2, WorkersPerJob: 1 << 20, FailuresPerJob: 1 << 20,
 			Window: 20 * time.Second, InitialDuration: 5 * time.Second, MaxDuration: 30 * time.Second,
 		},
+		SeparateDisturbing: true,
 	}
 }
 
@@ -100,6 +105,7 @@
 	inbox         inbox
 	pending       pendingCounts
 	learnedRow    learnedRow
+	disturbances  disturbances
 	decisions     []Decision
 	// firstPlanMS is when the first plan was made, on the store's clock.
 	firstPlanMS int64
@@ -138,6 +144,8 @@
 	movedForRoom map[stepKey]bool
 	// lastPreemptionMS is when runs were last preempted for each step.
 	lastPreemptionMS map[stepKey]int64
+	// taskKinds caches the result of taskKind, by step; nil before.
+	taskKinds []string
 }
 
 type stepKey struct{ occurrence, step int }
@@ -164,6 +172,8 @@
 	lastReport    workload.RunningTask
 	lastReportMS  int64
 	firstReportMS int64
+	// trace is the run's progress beside its neighbours.
+	trace interference.Trace
 }
 
 func (o *order) step() *workload.Step { return &o.job.Steps[o.id.Task.Step] }
@@ -191,6 +201,9 @@
 	// declaringLost is set while the batch that declares the worker lost is being
 	// committed.
 	declaringLost bool
+	// observedMS is when the last announcement from which the progress of its runs was
+	// taken was sent.
+	observedMS int64
 }
 
 // Decision is an entry for the log: a decision, or a change of state that the
@@ -212,8 +225,9 @@
 	return &Core{
 		settings: settings, jobs: map[model.JobID]*job{}, workers: map[string]*worker{},
 		guaranteed: map[model.ClientAccountID]int{}, evacuated: map[model.AvailabilityZoneName]bool{},
-		inbox:      newInbox(),
-		quarantine: quarantine.NewTracker(settings.Quarantine, quarantine.State{}),
+		inbox:        newInbox(),
+		quarantine:   quarantine.NewTracker(settings.Quarantine, quarantine.State{}),
+		disturbances: disturbances{model: interference.New()},
 	}
 }
 
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -43,6 +43,7 @@
 	j.begun = j.begun || end.Kind != workload.EndNotStarted
 	c.recordDecision(Decision{Kind: "run_ended", Job: j.ID, Task: end.Task, Run: end.Run, Worker: workerOf(o), Reason: string(end.Kind) + " " + end.Detail, AgeMS: -1})
 	if o != nil {
+		c.learnFrom(now, o)
 		c.unlink(o)
 		c.obsoleteKeys = append(c.obsoleteKeys, o.Key())
 	}
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -91,6 +91,7 @@
 	}
 	w.Announcement, w.version = a, version
 	c.recordReports(w)
+	c.observeNeighbours(w)
 }
 
 // recordReports records the worker's reports of its runs.
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 
+	"dragonflyyard/internal/interference"
 	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/workload"
 )
@@ -12,6 +13,8 @@
 type Learned struct {
 	// AsOfMS is when the row was made, on the store's clock.
 	AsOfMS int64 `codec:"t"`
+	// Interference is the evidence on tasks that slow each other down.
+	Interference interference.State `codec:"i"`
 }
 
 // learnedRow is the state of the row of Learned.
@@ -32,17 +35,19 @@
 
 // LearnedSeen takes over what a previous owner has learned. It is called after the
 // workers and jobs were loaded, and before the first plan.
-func (c *Core) LearnedSeen(Now, Learned) {}
+func (c *Core) LearnedSeen(now Now, row Learned) { c.restoreDisturbances(now, row.Interference) }
 
 // learned returns what is to be stored.
-func (c *Core) learned() *Learned { return &Learned{} }
+func (c *Core) learned(now Now) *Learned {
+	return &Learned{Interference: c.disturbances.toStore(now)}
+}
 
 // WithLearned adds the row of Learned to the batches of a plan when it has changed.
 func (c *Core) WithLearned(now Now, batches []*Batch) []*Batch {
 	if now.StoreMS-c.learnedRow.writtenMS < learnedIntervalMS {
 		return batches
 	}
-	row := c.learned()
+	row := c.learned(now)
 	if unchanged := encode(row); bytes.Equal(unchanged, c.learnedRow.written) {
 		return batches
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -87,7 +87,9 @@
 func (c *Core) startTasks(now Now) []*order {
 	r := c.newRound(now)
 	var out []*order
-	for _, u := range c.units(now) {
+	units := c.units(now)
+	r.countWideTasks(units)
+	for _, u := range units {
 		placed := r.place(u)
 		if len(placed) > 0 {
 			out = append(out, c.createOrders(now, u, placed)...)
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -33,6 +33,8 @@
 	victimsByWorker map[*worker][]victim
 	// lent caches the result of lentOrders; nil before.
 	lent map[*order]bool
+	// neighbours is nil unless tasks are to be kept apart.
+	neighbours *neighbours
 }
 
 type stepOnWorker struct {
@@ -60,6 +62,7 @@
 		r.workers = append(r.workers, w)
 		r.free[w] = w.Capacity.Sub(w.used)
 	}
+	r.countNeighbours()
 	return r
 }
 
@@ -79,11 +82,13 @@
 func (r *schedulingRound) allocate(u *unit, w *worker) {
 	r.free[w] = r.free[w].Sub(u.spec().PerTask)
 	r.tasksOnWorker[stepOnWorker{u.job.ID, stepKey{u.occurrence, u.step}, w}]++
+	r.addNeighbour(u, w, 1)
 }
 
 func (r *schedulingRound) release(u *unit, w *worker) {
 	r.free[w] = r.free[w].Add(u.spec().PerTask)
 	r.tasksOnWorker[stepOnWorker{u.job.ID, stepKey{u.occurrence, u.step}, w}]--
+	r.addNeighbour(u, w, -1)
 }
 
 // placement assigns one task of a unit to a worker.
@@ -118,13 +123,16 @@
 }
 
 func (r *schedulingRound) placeEach(u *unit, workers []*worker) []placement {
+	r.weighRoom(u)
 	candidates := newScoredWorkers(workers, func(w *worker) (fitness, bool) { return r.fitness(u, w) }, (*fitness).before)
+	defer r.recordSeparation(u)
 	var placed []placement
 	for _, task := range u.tasks {
-		w, _ := candidates.best()
+		w, chosen := candidates.best()
 		if w == nil {
 			return placed
 		}
+		u.disturbance.count(candidates, chosen)
 		r.allocate(u, w)
 		candidates.rescore(w)
 		placed = append(placed, placement{task, w})
@@ -141,6 +149,10 @@
 	failedJob, remote, unannounced, suspect, probing bool
 	// unproven is set at a last attempt if the worker has no recent good start.
 	unproven bool
+	// disturbance is the time that the task and the worker's other tasks are expected to
+	// lose through each other, as a share of their run times. spared is the same while idle
+	// workers are scarce; it decides only between workers with the same leftover.
+	disturbance, spared float64
 	// leftover is the share of the worker that would stay free.
 	leftover float64
 }
@@ -148,15 +160,24 @@
 // before prefers, in this order, workers that have not failed the job, that are
 // near its data, that have announced themselves, that have no recent failure,
 // that are not on probation after a quarantine, that have a good start in case of
-// a last attempt, and that have the least capacity left over.
+// a last attempt, that have no tasks which the task disturbs or is disturbed by, and
+// that have the least capacity left over.
 func (f *fitness) before(o *fitness) bool {
 	return cmp.Or(
 		compareBool(f.failedJob, o.failedJob), compareBool(f.remote, o.remote), compareBool(f.unannounced, o.unannounced),
 		compareBool(f.suspect, o.suspect), compareBool(f.probing, o.probing),
-		compareBool(f.unproven, o.unproven), cmp.Compare(f.leftover, o.leftover),
+		compareBool(f.unproven, o.unproven), cmp.Compare(f.disturbance, o.disturbance), cmp.Compare(f.leftover, o.leftover),
+		cmp.Compare(f.spared, o.spared),
 	) < 0
 }
 
+// beforeUndisturbed is before without the disturbance by other tasks.
+func (f *fitness) beforeUndisturbed(o *fitness) bool {
+	a, b := *f, *o
+	a.disturbance, a.spared, b.disturbance, b.spared = 0, 0, 0, 0
+	return a.before(&b)
+}
+
 // fitness returns the score of a worker for a task of the unit, and false if the
 // task can't be placed there now.
 func (r *schedulingRound) fitness(u *unit, w *worker) (fitness, bool) {
@@ -169,9 +190,11 @@
 	if remote && !r.mayLeaveRack(u) {
 		return fitness{}, false
 	}
+	disturbance, spared := r.disturbanceOf(u, w)
 	return fitness{
 		failedJob: r.failedOn(u, w), remote: remote, unannounced: w.SentMS < r.core.firstPlanMS, suspect: r.suspect(w), probing: r.core.quarantine.Probing(w.Worker),
-		unproven: u.lastAttempt() && !r.hasGoodStart(w),
+		unproven:    u.lastAttempt() && !r.hasGoodStart(w),
+		disturbance: disturbance, spared: spared,
 		leftover: leftoverShare(free, w.Capacity, step.PerTask),
 	}, true
 }
--- a/internal/dispatch/scored_workers.go
+++ b/internal/dispatch/scored_workers.go
@@ -34,17 +34,31 @@
 // best returns the worker with the best score, and that score; the first one of
 // equal workers. It returns nil if no worker can take a task.
 func (s *scoredWorkers[S]) best() (*worker, S) {
+	if found := s.find(s.better); found >= 0 {
+		return s.workers[found], s.scores[found]
+	}
+	var none S
+	return nil, none
+}
+
+// bestBy returns the best score by another order, and false if no worker can take a task.
+func (s *scoredWorkers[S]) bestBy(better func(a, b *S) bool) (S, bool) {
+	if found := s.find(better); found >= 0 {
+		return s.scores[found], true
+	}
+	var none S
+	return none, false
+}
+
+// find returns the index of the best worker by an order, -1 if none can take a task.
+func (s *scoredWorkers[S]) find(better func(a, b *S) bool) int {
 	found := -1
 	for i := range s.workers {
-		if s.feasible[i] && (found < 0 || s.better(&s.scores[i], &s.scores[found])) {
+		if s.feasible[i] && (found < 0 || better(&s.scores[i], &s.scores[found])) {
 			found = i
 		}
 	}
-	if found < 0 {
-		var none S
-		return nil, none
-	}
-	return s.workers[found], s.scores[found]
+	return found
 }
 
 // rescore computes the score of a worker again.
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -24,6 +24,8 @@
 	// avoid caches avoidedWorkers once avoidComputed is set.
 	avoid         []*worker
 	avoidComputed bool
+	// disturbance caches what disturbanceOf needs.
+	disturbance unitDisturbance
 }
 
 func (u *unit) spec() *workload.Step { return &u.job.Steps[u.step] }
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -86,6 +86,9 @@
 	// MaxPerWorker is the maximum number of the step's tasks on one worker; 0 means
 	// no limit.
 	MaxPerWorker int `codec:"w,omitempty"`
+	// Program names what the tasks run; tasks of the same program behave alike. Empty if
+	// the submitter does not say.
+	Program string `codec:"i,omitempty"`
 }
 
 // Job is a job of a client account as it was accepted. What changes later is in
@@ -155,7 +158,12 @@
 		return false
 	}
 	for i := range j.Steps {
-		if fmt.Sprint(j.Steps[i]) != fmt.Sprint(o.Steps[i]) {
+		a, b := j.Steps[i], o.Steps[i]
+		if a.Program == "" || b.Program == "" {
+			// Earlier versions did not store the program.
+			a.Program, b.Program = "", ""
+		}
+		if fmt.Sprint(a) != fmt.Sprint(b) {
 			return false
 		}
 	}
