--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -79,7 +79,7 @@
 		},
 		Commands: []*cli.Command{
 			a.accountCommand(), a.guaranteeCommand(), a.zoneCommand(), a.configCommand(), a.jobCommand(),
-			a.requestCommand(), a.timelineCommand(), a.logsCommand(), a.stopCommand(), a.questionnaireCommand(), a.versionCommand(),
+			a.requestCommand(), a.timelineCommand(), a.logsCommand(), a.disturbancesCommand(), a.stopCommand(), a.questionnaireCommand(), a.versionCommand(),
 		},
 	}
 }
--- a/internal/deployed/agent.go
+++ b/internal/deployed/agent.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := r.serve(r.working, metricsServer(registry), s.MetricsAddress); err != nil {
+	if _, err := r.serve(r.working, metricsServer(registry, nil), s.MetricsAddress); err != nil {
 		return err
 	}
 	r.work(pushes.Run)
--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -46,6 +46,7 @@
 	view := jobentry.NewView(operatorRows(), store, log)
 	pushes := rowpush.NewSender(s.RelayAddress, entryPushes, log, registry)
 	scheduler := schedulerhost.New(s.Host, s.Region, store, view.SchedulerView, book.Standing, pushes, log, registry)
+	scheduler.SeparateDisturbing(s.SeparateDisturbingTasks)
 	service := jobentry.NewService(view, store, func(row storeapi.Row) {
 		rows := []storeapi.Row{row}
 		if !scheduler.HandlePushedRows("", rows) {
@@ -70,7 +71,7 @@
 	if _, err := r.serve(r.working, ready, s.ReadinessAddress); err != nil {
 		return err
 	}
-	if _, err := r.serve(r.working, metricsServer(registry), s.MetricsAddress); err != nil {
+	if _, err := r.serve(r.working, metricsServer(registry, scheduler.AnswerDisturbances), s.MetricsAddress); err != nil {
 		return err
 	}
 	r.work(pushes.Run)
--- a/internal/deployed/serve.go
+++ b/internal/deployed/serve.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/interference"
 	"dragonflyyard/internal/logging"
 )
 
@@ -37,12 +38,17 @@
 // listenRetry is the pause between two tries to open a listener.
 const listenRetry = 100 * time.Millisecond
 
-// metricsServer serves the counters and histograms of a registry as text.
-func metricsServer(registry metrics.Registry) *fasthttp.Server {
+// metricsServer serves the counters and histograms of a registry as text, and what answer
+// gives at interference.ReportPath; nil for none.
+func metricsServer(registry metrics.Registry, answer fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 		Handler: func(ctx *fasthttp.RequestCtx) {
+			if answer != nil && string(ctx.Path()) == interference.ReportPath {
+				answer(ctx)
+				return
+			}
 			ctx.SetContentType("text/plain; charset=utf-8")
 			metrics.WriteOnce(registry, ctx)
 		},
--- a/internal/dispatch/interference.go
+++ b/internal/dispatch/interference.go
@@ -53,6 +53,9 @@
 	return DisturbanceStats{c.disturbances.model.KnownPairs(), c.disturbances.separated}
 }
 
+// Separates reports whether tasks that disturb each other are kept apart.
+func (c *Core) Separates() bool { return c.settings.SeparateDisturbing }
+
 // restoreDisturbances takes over the evidence of a previous owner. Evidence that can't be
 // read is dropped, and tasks are placed as without it.
 func (c *Core) restoreDisturbances(now Now, state interference.State) {
@@ -126,7 +129,7 @@
 		if gap > maxReportGap {
 			o.trace.Skip()
 		}
-		o.trace.Observe(c.disturbances.model, interference.Report{
+		o.trace.Observe(c.disturbances.model, interference.Sample{
 			SentMS: w.SentMS, StalledMS: w.Running[i].StalledMS, Percent: w.Running[i].Percent, Neighbours: neighbours,
 		})
 	}
--- a/internal/dispatch/interference_test.go
+++ b/internal/dispatch/interference_test.go
@@ -186,7 +186,7 @@
 	for i := range int64(40) {
 		var run interference.Trace
 		for s := range int64(10) {
-			r := interference.Report{SentMS: 1000*s + 100_000*i + 1, Percent: int(10 * s)}
+			r := interference.Sample{SentMS: 1000*s + 100_000*i + 1, Percent: int(10 * s)}
 			if s >= 5 {
 				r.Percent, r.Neighbours = int(50+5*(s-5)), interference.Set(0).With(n)
 			}
--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -319,16 +319,19 @@
 
 // Pair is what is known of a pair of kinds.
 type Pair struct {
-	Victim, Neighbour string
+	Victim    string `json:"victim"`
+	Neighbour string `json:"neighbour"`
 	// Factor is the estimated ratio of the victim's run time beside the neighbour to that
 	// without it. Low and High bound its interval.
-	Factor, Low, High float64
+	Factor float64 `json:"factor"`
+	Low    float64 `json:"low"`
+	High   float64 `json:"high"`
 	// Runs is the number of runs behind the estimate, of which older ones count less.
-	Runs float64
+	Runs float64 `json:"runs"`
 	// AgeMS is the time since the evidence on the victim last changed.
-	AgeMS int64
+	AgeMS int64 `json:"age_ms"`
 	// Known is set if the factor is large enough, with confidence, to place tasks apart.
-	Known bool
+	Known bool `json:"known"`
 }
 
 func (m *Model) pair(nowMS int64, victim, neighbour int) Pair {
--- a/internal/interference/model_test.go
+++ b/internal/interference/model_test.go
@@ -113,7 +113,7 @@
 				neighbours = neighbours.With(l.model.Index(l.nowMS, other.kind))
 			}
 		}
-		t.trace.Observe(l.model, Report{SentMS: l.nowMS, StalledMS: l.nowMS - t.lastChangeMS, Percent: t.percent, Neighbours: neighbours})
+		t.trace.Observe(l.model, Sample{SentMS: l.nowMS, StalledMS: l.nowMS - t.lastChangeMS, Percent: t.percent, Neighbours: neighbours})
 	}
 }
 
@@ -225,7 +225,7 @@
 func TestTraceLeavesOutStallsAndRepeatedWork(t *testing.T) {
 	m := New()
 	var run Trace
-	for i, r := range []Report{
+	for i, r := range []Sample{
 		{SentMS: 1000, Percent: 10}, {SentMS: 2000, Percent: 20}, {SentMS: 3000, Percent: 30},
 		{SentMS: 4000, Percent: 30, StalledMS: 1000, Neighbours: 1}, {SentMS: 9000, Percent: 30, StalledMS: 6000, Neighbours: 1},
 		{SentMS: 10_000, Percent: 40, Neighbours: 1}, {SentMS: 11_000, Percent: 50, Neighbours: 1},
--- a/internal/interference/trace.go
+++ b/internal/interference/trace.go
@@ -13,8 +13,8 @@
 	maxGroups = 24
 )
 
-// Report is a worker's report on a run.
-type Report struct {
+// Sample is what a worker reports on a run.
+type Sample struct {
 	// SentMS is the time of the report, and StalledMS the time since Percent last changed.
 	SentMS, StalledMS int64
 	// Percent is the share of the run's work that is done.
@@ -60,7 +60,7 @@
 }
 
 // Observe adds a report. Reports must come in the order in which they were sent.
-func (t *Trace) Observe(m *Model, r Report) {
+func (t *Trace) Observe(m *Model, r Sample) {
 	if t.firstMS == 0 || t.generation != m.generation {
 		*t = Trace{generation: m.generation, firstMS: r.SentMS}
 	}
@@ -78,7 +78,7 @@
 }
 
 // stalled reports whether the run has made no progress for longer than its pace explains.
-func (t *Trace) stalled(r Report) bool {
+func (t *Trace) stalled(r Sample) bool {
 	patience := int64(stallMS)
 	if worked := t.last.percent - t.start.percent; t.open && worked > 0 {
 		patience = max(patience, stallPaces*(t.last.atMS-t.start.atMS)/int64(worked))
--- a/internal/schedulerhost/lease.go
+++ b/internal/schedulerhost/lease.go
@@ -43,6 +43,8 @@
 	push     *rowpush.Sender
 	log      *zap.Logger
 	registry metrics.Registry
+	// separateDisturbing is dispatch.Settings.SeparateDisturbing of its sessions.
+	separateDisturbing bool
 
 	// owner is the model.EntryID of the last known holder of the lease.
 	owner atomic.Value
@@ -86,8 +88,8 @@
 	incarnation := model.Incarnation(time.Now().UnixMilli())
 	return &Host{
 		id: id, incarnation: incarnation, store: store, view: view, standing: standing, push: push, log: log, registry: registry,
-		candidate: ownership.NewCandidate(leaseLimits(), region, id, incarnation),
-		inputs:    ring.New[func(now time.Time) []ownership.Action]("lease.inputs", 64, registry),
+		candidate: ownership.NewCandidate(leaseLimits(), region, id, incarnation), separateDisturbing: true,
+		inputs: ring.New[func(now time.Time) []ownership.Action]("lease.inputs", 64, registry),
 	}
 }
 
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -67,9 +67,11 @@
 }
 
 func newSession(h *Host, epoch model.Epoch) *session {
+	settings := dispatch.DefaultSettings()
+	settings.SeparateDisturbing = h.separateDisturbing
 	return &session{
 		host: h, epoch: epoch, store: h.store, log: h.log,
-		core:    dispatch.New(dispatch.DefaultSettings()),
+		core:    dispatch.New(settings),
 		inputs:  ring.New[func()]("scheduler.inputs", maxSessionInputs, nil),
 		plans:   metrics.GetOrRegisterTimer("scheduler.plans", h.registry),
 		commits: metrics.GetOrRegisterTimer("scheduler.commits", h.registry),
@@ -221,6 +223,7 @@
 	batches := s.core.WithLearned(now, s.core.WithPending(now, s.core.Plan(now)))
 	s.plans.UpdateSince(start)
 	s.logDecisions()
+	s.countDisturbances()
 	voidings := map[*dispatch.Batch]*voiding{}
 	for _, batch := range batches {
 		if batch.Kind == dispatch.BatchWorkerLost {
--- a/internal/settings/deployed.go
+++ b/internal/settings/deployed.go
@@ -28,7 +28,10 @@
 	// a host that knows a much stronger one leaves the scheduler to it.
 	Cores    float64 `yaml:"cores"`
 	LinkMbps float64 `yaml:"link_mbps"`
-	LogLevel string  `yaml:"log_level"`
+	// SeparateDisturbingTasks keeps tasks that were seen to slow each other down on
+	// different workers where there is room. Without such evidence it has no effect.
+	SeparateDisturbingTasks bool   `yaml:"separate_disturbing_tasks"`
+	LogLevel                string `yaml:"log_level"`
 }
 
 // DeployedAgent is the settings of an agent on a deployment of the platform.
@@ -68,7 +71,7 @@
 // ParseDeployedEntry decodes and checks the settings of a deployed entry host.
 // The error is of type strictyaml.Problems.
 func ParseDeployedEntry(name string, data []byte) (DeployedEntry, error) {
-	s := DeployedEntry{StopGrace: 6 * time.Second, Cores: 1, LinkMbps: 1000, LogLevel: "info"}
+	s := DeployedEntry{StopGrace: 6 * time.Second, Cores: 1, LinkMbps: 1000, SeparateDisturbingTasks: true, LogLevel: "info"}
 	err := parse(name, data, &s, func(c *checker) {
 		c.name("host", string(s.Host))
 		c.name("region", string(s.Region))
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -29,6 +29,8 @@
 	// MaxCheckpointBytes is the maximum length of a checkpoint that is stored. Longer
 	// ones are ignored.
 	MaxCheckpointBytes = 4000
+	// MaxProgramBytes is the length of Step.Program that is stored.
+	MaxProgramBytes = 128
 )
 
 // Resources is a vector of compute resources: a request, a capacity or a free amount.
--- a/internal/workload/occurrences_test.go
+++ b/internal/workload/occurrences_test.go
@@ -108,3 +108,21 @@
 		t.Errorf("%v, want three occurrences", p.Occurrences)
 	}
 }
+
+// Guards against a client's retry that is refused as another job after an update: earlier
+// versions stored jobs without the program.
+func TestSameSubmissionAcrossVersions(t *testing.T) {
+	job := func(program string, tasks int) *Job {
+		return &Job{ID: "a", Account: "b", Occurrences: 1, Steps: []Step{{Tasks: tasks, Program: program}}}
+	}
+	for _, c := range []struct {
+		stored, sent *Job
+		same         bool
+	}{
+		{job("", 1), job("image", 1), true}, {job("image", 1), job("image", 1), true}, {job("image", 1), job("other", 1), false}, {job("", 1), job("image", 2), false},
+	} {
+		if got := c.stored.SameSubmission(c.sent); got != c.same {
+			t.Errorf("%+v and %+v: same %v, want %v", c.stored.Steps, c.sent.Steps, got, c.same)
+		}
+	}
+}
