--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"dragonflyyard/internal/interference"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/workload"
@@ -51,6 +52,26 @@
 	}
 }
 
+// BenchmarkPlanKeepingApart measures the same plan while a known pair concerns all jobs.
+func BenchmarkPlanKeepingApart(b *testing.B) {
+	c, now := largeCore(240, 300)
+	var state interference.State
+	for i := range 4 {
+		kind := interference.KindOf("", "q", workload.Resources{MilliCores: 7_000, MemoryMB: 15_000, Accelerators: 1 << i})
+		state.Kinds = append(state.Kinds, interference.KindState{
+			Name: kind, AsOfMS: now.StoreMS, Products: []float32{9, 0, 9, 0, 0, 9, 0, 0, 0, 9}, Rates: []float32{-9, -9, -9, -9}, Runs: []float32{50, 50, 50, 50}, Freedom: 50, Known: 15,
+		})
+	}
+	c.LearnedSeen(now, Learned{Interference: state})
+	if c.DisturbanceStats().KnownPairs != 16 {
+		b.Fatal("the pairs are not known")
+	}
+	for b.Loop() {
+		now.StoreMS++
+		c.Plan(now)
+	}
+}
+
 // BenchmarkPlan measures a plan with a backlog of jobs on a large deployment.
 func BenchmarkPlan(b *testing.B) {
 	for _, size := range []struct{ workers, jobs int }{{70, 60}, {240, 60}, {240, 150}, {240, 300}} {
--- a/internal/interference/model_test.go
+++ b/internal/interference/model_test.go
@@ -146,7 +146,7 @@
 			l.run(12, 200)
 			for _, p := range l.model.Pairs(l.nowMS) {
 				pair := [2]string{p.Victim, p.Neighbour}
-				if _, real := truth[pair]; real {
+				if _, disturbs := truth[pair]; disturbs {
 					continue
 				}
 				if examined++; l.foundAfter[pair] > 0 {
