--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -21,6 +21,7 @@
 			&cli.BoolFlag{Name: "prune", Usage: "delete objects that the file does not have"},
 			&cli.BoolFlag{Name: "dry-run", Usage: "only print the changes"},
 		}, Action: a.setConfig},
+		a.checkConfigCommand(),
 		{Name: "history", Usage: "list the accepted changes, newest first", Flags: []cli.Flag{
 			&cli.IntFlag{Name: "limit", Usage: "number of changes", Value: 20},
 			&cli.Uint64Flag{Name: "before", Usage: "only changes before this version"},
--- a/internal/jobentry/view.go
+++ b/internal/jobentry/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"sync"
 	"time"
@@ -150,6 +151,7 @@
 		v.log.Error("configuration_malformed", zap.Uint64("row_version", uint64(row.Version)), logging.Err(err))
 		return
 	}
+	findings := queueconfig.Check(config, queueconfig.Capacity{})
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if row.Version <= v.configVersion {
@@ -157,6 +159,11 @@
 	}
 	v.config, v.configVersion = config, row.Version
 	v.log.Info("configuration_taken", zap.Uint64("version", config.Version), zap.Int("queues", len(config.Queues)), zap.Int("accounts", len(config.Accounts)))
+	if len(findings) > 0 {
+		first := findings[0]
+		v.log.Warn("configuration_questionable", zap.Uint64("version", config.Version), zap.Int("findings", len(findings)),
+			zap.String("key", fmt.Sprintf("%s %d %s", first.Object, first.Index, first.Field)), zap.String("reason", first.Message))
+	}
 }
 
 // asOf returns the latest time at which the configuration was known to be current.
--- a/internal/queueconfig/config.go
+++ b/internal/queueconfig/config.go
@@ -43,6 +43,8 @@
 	Version  uint64
 	Queues   []Queue
 	Accounts []Account
+	// Services are the names of the services that the configuration declares.
+	Services []string
 	// MaxBodyBytes bounds the body of a call.
 	MaxBodyBytes int
 
