--- a/internal/dispatch/interference.go
+++ b/internal/dispatch/interference.go
@@ -27,9 +27,8 @@
 	// disturbancesStoredEvery is the interval at which changed evidence is stored. A pair
 	// that becomes known is stored at once.
 	disturbancesStoredEvery = 10 * time.Second
-	// wideShare is the share of a worker above which a task needs an idle worker, and
-	// idleReserve the share of the workers that is left idle for later tasks of that kind.
-	wideShare   = 0.5
+	// idleReserve is the share of the workers that is left idle for later tasks that need a
+	// whole worker.
 	idleReserve = 0.05
 )
 
@@ -233,6 +232,8 @@
 	// kind is the index of the unit's kind, and concerned whether it is part of a known pair.
 	kind      int
 	concerned bool
+	// idleNeeded is the result of idleWorkersNeeded.
+	idleNeeded int
 	// roomy is set while placing the unit leaves enough idle workers.
 	roomy bool
 	// separated counts the unit's tasks that were placed apart, and avoided the largest
@@ -257,22 +258,25 @@
 		return
 	}
 	for _, u := range units {
-		if r.idleWorkersNeeded(u) == len(u.tasks) {
+		needed, wide := r.idleWorkersNeeded(u)
+		if u.disturbance.idleNeeded = needed; wide {
 			r.neighbours.wide += len(u.tasks)
 		}
 	}
 }
 
 // idleWorkersNeeded returns how many idle workers a unit's tasks would fill, at most one
-// each. A task above wideShare of a worker needs one for itself.
-func (r *schedulingRound) idleWorkersNeeded(u *unit) int {
-	perWorker := 1
+// each. wide is set if no worker has the capacity for two of the tasks.
+func (r *schedulingRound) idleWorkersNeeded(u *unit) (needed int, wide bool) {
+	perWorker, wide := 1, true
+	two := u.spec().PerTask.Add(u.spec().PerTask)
 	for _, w := range r.workers {
 		if eligible(u, w) {
 			perWorker = max(perWorker, tasksThatFit(u.spec(), w.Capacity))
+			wide = wide && !two.Fits(w.Capacity)
 		}
 	}
-	return (len(u.tasks) + perWorker - 1) / perWorker
+	return (len(u.tasks) + perWorker - 1) / perWorker, wide
 }
 
 // weighRoom decides whether keeping the unit's tasks apart may take idle workers: only if
@@ -281,8 +285,9 @@
 	if r.neighbours == nil || !r.disturbanceUnit(u).concerned {
 		return
 	}
+	u.disturbance.separated, u.disturbance.avoided = 0, 0
 	reserve := 1 + int(idleReserve*float64(len(r.workers)))
-	u.disturbance.roomy = r.neighbours.idle-r.idleWorkersNeeded(u) >= r.neighbours.wide+reserve
+	u.disturbance.roomy = r.neighbours.idle-u.disturbance.idleNeeded >= r.neighbours.wide+reserve
 }
 
 // disturbanceOf returns fitness.disturbance and fitness.spared of a worker. Both are 0
@@ -330,5 +335,4 @@
 	r.core.disturbances.separated += d.separated
 	r.core.recordDecision(Decision{Kind: "tasks_kept_apart", Job: u.job.ID, AgeMS: -1, Reason: fmt.Sprintf(
 		"%d of %d tasks of step %d; avoids up to %.2f of a run time beside others", d.separated, len(u.tasks), u.step, d.avoided)})
-	d.separated, d.avoided = 0, 0
 }
--- a/internal/dispatch/interference_test.go
+++ b/internal/dispatch/interference_test.go
@@ -224,13 +224,14 @@
 // are apart while enough workers are idle, and together when the idle ones are needed.
 func TestTasksAreApartOnlyWhereThereIsRoom(t *testing.T) {
 	for _, c := range []struct {
-		name          string
-		workers, wide int
-		apart         bool
+		name                 string
+		workers, wide, small int
+		apart                bool
 	}{
-		{"room", 6, 0, true},
-		{"the idle workers are needed by a gang", 6, 3, false},
-		{"no room", 2, 0, false},
+		{"room", 6, 0, 0, true},
+		{"room beside small tasks", 5, 0, 3, true},
+		{"the idle workers are needed by a gang", 6, 3, 0, false},
+		{"no room", 2, 0, 0, false},
 	} {
 		r := restored(t, c.workers)
 		first := r.program(1, "scan", nil)
@@ -240,8 +241,11 @@
 				s.Gang, s.Tasks, s.PerTask.Accelerators = true, c.workers, 8
 			})
 		}
+		for i := range c.small {
+			r.job(jobID(10+i), func(j *workload.Job) { j.Queue, j.Steps[0].Estimate = "other", time.Minute })
+		}
 		second := r.program(3, "index", nil)
-		if len(first) != 1 || len(second) != 1 {
+		if second = second[:min(1, len(second))]; len(first) != 1 || len(second) != 1 {
 			t.Fatalf("%s: %d and %d orders, want 1 each", c.name, len(first), len(second))
 		}
 		if apart := first[0].Host != second[0].Host; apart != c.apart {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -114,6 +114,7 @@
 // which are discarded.
 func (r *schedulingRound) recordPlacements(u *unit, placed []placement) {
 	r.countUrgent(u, len(placed))
+	r.recordSeparation(u)
 	for _, p := range placed {
 		delete(r.endsByWorker, p.worker)
 	}
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -125,7 +125,6 @@
 func (r *schedulingRound) placeEach(u *unit, workers []*worker) []placement {
 	r.weighRoom(u)
 	candidates := newScoredWorkers(workers, func(w *worker) (fitness, bool) { return r.fitness(u, w) }, (*fitness).before)
-	defer r.recordSeparation(u)
 	var placed []placement
 	for _, task := range u.tasks {
 		w, chosen := candidates.best()
--- a/internal/interference/state.go
+++ b/internal/interference/state.go
@@ -96,6 +96,8 @@
 		}
 	}
 	m.countKnown()
+	// Traces of runs that were observed before refer to the indexes of another model.
+	m.generation = 1
 	return m, nil
 }
 
