--- a/internal/dispatch/interference.go
+++ b/internal/dispatch/interference.go
@@ -24,9 +24,11 @@
 	// resumeTime is the time after the first report of a run that resumes from a checkpoint
 	// in which it makes no progress of its own.
 	resumeTime = 1500 * time.Millisecond
-	// disturbancesStoredEvery is the interval at which changed evidence is stored. A pair
-	// that becomes known is stored at once.
+	// disturbancesStoredEvery is the interval at which changed evidence is stored, and
+	// harmlessStoredEvery that while it suggests no slowdown, so that its loss costs
+	// little. A pair that becomes known is stored at once.
 	disturbancesStoredEvery = 10 * time.Second
+	harmlessStoredEvery     = time.Minute
 	// idleReserve is the share of the workers that is left idle for later tasks that need a
 	// whole worker.
 	idleReserve = 0.05
@@ -68,7 +70,14 @@
 
 // toStore returns the evidence to store, at an interval unless a pair became known.
 func (d *disturbances) toStore(now Now) interference.State {
-	if d.changed || now.StoreMS-d.storedMS >= disturbancesStoredEvery.Milliseconds() {
+	interval := harmlessStoredEvery
+	if d.storedMS == 0 {
+		d.storedMS = now.StoreMS
+	}
+	if now.StoreMS-d.storedMS >= disturbancesStoredEvery.Milliseconds() && d.model.Suspects() {
+		interval = disturbancesStoredEvery
+	}
+	if d.changed || now.StoreMS-d.storedMS >= interval.Milliseconds() {
 		d.stored, d.storedMS, d.changed = d.model.State(), now.StoreMS, false
 	}
 	return d.stored
--- a/internal/dispatch/interference_test.go
+++ b/internal/dispatch/interference_test.go
@@ -277,6 +277,7 @@
 	l := newMixedLoad(t, 1, map[[2]string]float64{{"index", "scan"}: 1.5}, true)
 	writes := 0
 	var last []byte
+	l.core.learned(l.now)
 	for range 60 {
 		l.run(time.Second)
 		if row := encode(l.core.learned(l.now)); !slices.Equal(row, last) {
@@ -286,6 +287,11 @@
 	if most := 60/int(disturbancesStoredEvery.Seconds()) + 3; writes < 3 || writes > most {
 		t.Errorf("%d writes in a minute, want 3 to %d", writes, most)
 	}
+	harmless := newMixedLoad(t, 1, nil, true)
+	harmless.run(harmlessStoredEvery - time.Second)
+	if row := harmless.core.learned(harmless.now); len(row.Interference.Kinds) > 0 {
+		t.Errorf("evidence of %d kinds is stored, although nothing disturbs", len(row.Interference.Kinds))
+	}
 	r := newRig(t)
 	r.worker("h1", "r1", nil)
 	r.core.LearnedSeen(r.now, Learned{Interference: interference.State{Kinds: make([]interference.KindState, 99)}})
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -14,7 +14,7 @@
 	// AsOfMS is when the row was made, on the store's clock.
 	AsOfMS int64 `codec:"t"`
 	// Interference is the evidence on tasks that slow each other down.
-	Interference interference.State `codec:"i"`
+	Interference interference.State `codec:"i,omitempty"`
 }
 
 // learnedRow is the state of the row of Learned.
--- a/internal/interference/model.go
+++ b/internal/interference/model.go
@@ -60,6 +60,10 @@
 	// its interval. With MaxKinds*MaxKinds pairs and normal errors, less than one table in
 	// 30 has a false pair even if knownFactor were 1.
 	confidence = 3.5
+	// suspectFactor and suspicion take the place of knownFactor and confidence where a
+	// false alarm costs little.
+	suspectFactor = 1.05
+	suspicion     = 2
 	// priorDeviation and priorRuns are the assumed deviation of a rate over one second and
 	// its weight, so that a few runs that agree by chance are not taken for certain.
 	priorDeviation = 0.15
@@ -292,6 +296,18 @@
 // KnownPairs returns the number of pairs that are known to disturb.
 func (m *Model) KnownPairs() int { return m.knownPairs }
 
+// Suspects reports whether the evidence on any pair, known or not, suggests a slowdown.
+func (m *Model) Suspects() bool {
+	for victim := range m.kinds {
+		for _, e := range m.kinds[victim].effects {
+			if e.known || e.slowdown-suspicion*e.deviation > math.Log(suspectFactor) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // AnyKnown reports whether any pair is known to disturb.
 func (m *Model) AnyKnown() bool { return m.knownPairs > 0 }
 
