--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -16,6 +16,7 @@
 import (
 	"time"
 
+	"dragonflyyard/internal/interference"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/quarantine"
 	"dragonflyyard/internal/storeapi"
@@ -47,6 +48,9 @@
 	LearnSpeeds bool
 	// Quarantine holds the limits for workers on which tasks fail.
 	Quarantine quarantine.Settings
+	// SeparateDisturbing keeps tasks that are known to slow each other down on different
+	// workers where there is room.
+	SeparateDisturbing bool
 }
 
 // DefaultSettings returns the settings of the deployed scheduler.
@@ -67,6 +71,7 @@
 			JobsPerWorker: 2, WorkersPerJob: 1 << 20, FailuresPerJob: 1 << 20,
 			Window: 20 * time.Second, InitialDuration: 5 * time.Second, MaxDuration: 30 * time.Second,
 		},
+		SeparateDisturbing: true,
 	}
 }
 
@@ -106,6 +111,7 @@
 	pending       pendingCounts
 	learnedRow    learnedRow
 	shares        shares
+	disturbances  disturbances
 	decisions     []Decision
 	// firstPlanMS is when the first plan was made, on the store's clock.
 	firstPlanMS int64
@@ -146,6 +152,8 @@
 	room map[stepKey][]*worker
 	// lastPreemptionMS is when runs were last preempted for each step.
 	lastPreemptionMS map[stepKey]int64
+	// taskKinds caches the result of taskKind, by step; nil before.
+	taskKinds []string
 }
 
 type stepKey struct{ occurrence, step int }
@@ -173,6 +181,8 @@
 	firstReportMS int64
 	// paceFrom is from where on the run's pace is measured.
 	paceFrom progressPoint
+	// trace is the run's progress beside its neighbours.
+	trace interference.Trace
 }
 
 func (o *order) step() *workload.Step { return &o.job.Steps[o.id.Task.Step] }
@@ -204,6 +214,9 @@
 	// declaringLost is set while the batch that declares the worker lost is being
 	// committed.
 	declaringLost bool
+	// observedMS is when the last announcement from which the progress of its runs was
+	// taken was sent.
+	observedMS int64
 }
 
 // Decision is an entry for the log: a decision, or a change of state that the
@@ -225,9 +238,10 @@
 	return &Core{
 		settings: settings, jobs: map[model.JobID]*job{}, workers: map[string]*worker{},
 		guaranteed: map[model.ClientAccountID]int{}, evacuated: map[model.AvailabilityZoneName]bool{},
-		inbox:      newInbox(),
-		quarantine: quarantine.NewTracker(settings.Quarantine, quarantine.State{}),
-		speeds:     workerspeed.NewTracker(),
+		inbox:        newInbox(),
+		quarantine:   quarantine.NewTracker(settings.Quarantine, quarantine.State{}),
+		speeds:       workerspeed.NewTracker(),
+		disturbances: disturbances{model: interference.New()},
 	}
 }
 
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -106,6 +106,7 @@
 	w.Announcement, w.version = a, version
 	w.recordLeave()
 	c.recordReports(w)
+	c.observeNeighbours(w)
 }
 
 // recordReports records the worker's reports of its runs.
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -4,6 +4,7 @@
 	"bytes"
 
 	"dragonflyyard/internal/fairshare"
+	"dragonflyyard/internal/interference"
 	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/workerspeed"
 	"dragonflyyard/internal/workload"
@@ -20,6 +21,8 @@
 	Speeds *workerspeed.State `codec:"s,omitempty"`
 	// Distrust holds the workers on which tasks failed or stalled.
 	Distrust *Distrust `codec:"d,omitempty"`
+	// Interference is the evidence on tasks that slow each other down.
+	Interference interference.State `codec:"i,omitempty"`
 }
 
 // learnedRow is the state of the row of Learned.
@@ -53,6 +56,7 @@
 // workers and jobs were loaded, and before the first plan.
 func (c *Core) LearnedSeen(now Now, row Learned) {
 	c.shares.ledger.Restore(row.AsOfMS, row.Shares)
+	c.restoreDisturbances(now, row.Interference)
 	if row.Speeds != nil && c.settings.LearnSpeeds {
 		c.speeds.Restore(now.StoreMS, row.AsOfMS, *row.Speeds)
 	}
@@ -67,7 +71,7 @@
 	if now.StoreMS-l.speedsMS >= learnedSpeedsIntervalMS {
 		l.speeds, l.speedsMS = c.speeds.State(), now.StoreMS
 	}
-	return &Learned{Shares: c.learnedShares(), Speeds: l.speeds, Distrust: c.distrust(now)}
+	return &Learned{Shares: c.learnedShares(), Speeds: l.speeds, Distrust: c.distrust(now), Interference: c.disturbances.toStore(now)}
 }
 
 // WithLearned adds the row of Learned to the batches of a plan when it has changed.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -90,6 +90,7 @@
 	r := c.newRound(now)
 	var out []*order
 	units := c.units(now)
+	r.countWideTasks(units)
 	r.holdRoom(units, true)
 	for i, u := range units {
 		if !u.rank.claim && (i == 0 || units[i-1].rank.claim) {
@@ -120,6 +121,7 @@
 func (r *schedulingRound) recordPlacements(u *unit, placed []placement) {
 	r.countUrgent(u, len(placed))
 	u.job.forgetRoom(u.key(), placed)
+	r.recordSeparation(u)
 	for _, p := range placed {
 		delete(r.endsByWorker, p.worker)
 	}
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -39,6 +39,8 @@
 	// that need a rack beside wide jobs that don't; spread over all racks, the wide ones
 	// leave no rack for a gang.
 	idleInRack map[model.RackID]*int
+	// neighbours is nil unless tasks are to be kept apart.
+	neighbours *neighbours
 }
 
 type stepOnWorker struct {
@@ -71,6 +73,7 @@
 		}
 		r.countIdle(w, 1)
 	}
+	r.countNeighbours()
 	return r
 }
 
@@ -99,6 +102,7 @@
 	r.free[w] = r.free[w].Sub(u.spec().PerTask)
 	r.countIdle(w, 1)
 	r.tasksOnWorker[stepOnWorker{u.job.ID, stepKey{u.occurrence, u.step}, w}]++
+	r.addNeighbour(u, w, 1)
 }
 
 func (r *schedulingRound) release(u *unit, w *worker) {
@@ -106,6 +110,7 @@
 	r.free[w] = r.free[w].Add(u.spec().PerTask)
 	r.countIdle(w, 1)
 	r.tasksOnWorker[stepOnWorker{u.job.ID, stepKey{u.occurrence, u.step}, w}]--
+	r.addNeighbour(u, w, -1)
 }
 
 // placement assigns one task of a unit to a worker.
@@ -141,13 +146,15 @@
 }
 
 func (r *schedulingRound) placeEach(u *unit, workers []*worker) []placement {
+	r.weighRoom(u)
 	candidates := newScoredWorkers(workers, func(w *worker) (fitness, bool) { return r.fitness(u, w) }, (*fitness).before)
 	var placed []placement
 	for _, task := range u.tasks {
-		w, _ := candidates.best()
+		w, chosen := candidates.best()
 		if w == nil {
 			return placed
 		}
+		u.disturbance.count(candidates, chosen)
 		r.allocate(u, w)
 		candidates.rescore(w)
 		placed = append(placed, placement{task, w})
@@ -166,6 +173,10 @@
 	unproven bool
 	// slow ranks the worker's speed, see slowness.
 	slow int
+	// disturbance is the time that the task and the worker's other tasks are expected to
+	// lose through each other, as a share of their run times. spared is the same while idle
+	// workers are scarce; it decides only between workers with the same leftover.
+	disturbance, spared float64
 	// leftover is the share of the worker that would stay free.
 	leftover float64
 	// idleInRack counts the idle workers of the worker's rack, as the plan goes on.
@@ -175,16 +186,25 @@
 // before prefers, in this order, workers that have not failed the job, that are
 // near its data, that have announced themselves, that have no recent failure,
 // that are not on probation after a quarantine, that have a good start in case of
-// a last attempt, whose speed suits the unit, that have the least capacity left over,
-// and whose rack has the fewest idle workers.
+// a last attempt, whose speed suits the unit, that have no tasks which the task disturbs
+// or is disturbed by, that have the least capacity left over, and whose rack has the
+// fewest idle workers.
 func (f *fitness) before(o *fitness) bool {
 	return cmp.Or(
 		compareBool(f.failedJob, o.failedJob), compareBool(f.remote, o.remote), compareBool(f.unannounced, o.unannounced),
 		compareBool(f.suspect, o.suspect), compareBool(f.probing, o.probing),
-		compareBool(f.unproven, o.unproven), cmp.Compare(f.slow, o.slow), cmp.Compare(f.leftover, o.leftover), cmp.Compare(*f.idleInRack, *o.idleInRack),
+		compareBool(f.unproven, o.unproven), cmp.Compare(f.slow, o.slow), cmp.Compare(f.disturbance, o.disturbance), cmp.Compare(f.leftover, o.leftover),
+		cmp.Compare(*f.idleInRack, *o.idleInRack), cmp.Compare(f.spared, o.spared),
 	) < 0
 }
 
+// beforeUndisturbed is before without the disturbance by other tasks.
+func (f *fitness) beforeUndisturbed(o *fitness) bool {
+	a, b := *f, *o
+	a.disturbance, a.spared, b.disturbance, b.spared = 0, 0, 0, 0
+	return a.before(&b)
+}
+
 // fitness returns the score of a worker for a task of the unit, and false if the
 // task can't be placed there now.
 func (r *schedulingRound) fitness(u *unit, w *worker) (fitness, bool) {
@@ -197,9 +217,10 @@
 	if remote && !r.mayLeaveRack(u) {
 		return fitness{}, false
 	}
+	disturbance, spared := r.disturbanceOf(u, w)
 	return fitness{
 		failedJob: r.failedOn(u, w), remote: remote, unannounced: w.SentMS < r.core.firstPlanMS, suspect: r.suspect(w), probing: r.core.quarantine.Probing(w.Worker),
-		unproven: u.lastAttempt() && !r.hasGoodStart(w), slow: r.slowness(u, w),
+		unproven: u.lastAttempt() && !r.hasGoodStart(w), slow: r.slowness(u, w), disturbance: disturbance, spared: spared,
 		leftover: leftoverShare(free, w.Capacity, step.PerTask), idleInRack: r.idleInRack[w.Rack],
 	}, true
 }
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -17,9 +17,9 @@
 	// is measured; progress is reported in whole percents, about once a second.
 	minPacePercent = 12
 	minPaceTime    = 600 * time.Millisecond
-	// maxReportGap is the longest time from a run's last report to its end for which
+	// maxEndReportGap is the longest time from a run's last report to its end for which
 	// the time of the end is trusted: the store may be slow.
-	maxReportGap = 2 * time.Second
+	maxEndReportGap = 2 * time.Second
 	// maxSpeedDecisions bounds the decisions about speeds that one plan records.
 	maxSpeedDecisions = 8
 )
@@ -57,7 +57,7 @@
 
 // observeEnd measures the pace of a run that is done.
 func (c *Core) observeEnd(now Now, o *order) {
-	if !c.settings.LearnSpeeds || !o.paceIsComparable() || o.stopRequested || now.StoreMS-o.worker.SentMS > maxReportGap.Milliseconds() {
+	if !c.settings.LearnSpeeds || !o.paceIsComparable() || o.stopRequested || now.StoreMS-o.worker.SentMS > maxEndReportGap.Milliseconds() {
 		return
 	}
 	if o.paceFrom.atMS == 0 && o.Checkpoint == "" {
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -29,6 +29,8 @@
 	gangClass workerspeed.Class
 	// gangOpens is set if the gang needs workers that are idle.
 	gangOpens bool
+	// disturbance caches what disturbanceOf needs.
+	disturbance unitDisturbance
 }
 
 func (u *unit) spec() *workload.Step { return &u.job.Steps[u.step] }
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -230,6 +230,7 @@
 	s.overShare.Update(int64(s.core.AccountsOverShare()))
 	s.countSpeeds()
 	s.logDecisions()
+	s.countDisturbances()
 	voidings := map[*dispatch.Batch]*voiding{}
 	for _, batch := range batches {
 		if batch.Kind == dispatch.BatchWorkerLost {
--- a/internal/settings/deployed.go
+++ b/internal/settings/deployed.go
@@ -30,8 +30,11 @@
 	LinkMbps float64 `yaml:"link_mbps"`
 	// LearnWorkerSpeeds is set if the scheduler learns from runs how fast each worker is,
 	// and places tasks by it.
-	LearnWorkerSpeeds bool   `yaml:"learn_worker_speeds"`
-	LogLevel          string `yaml:"log_level"`
+	LearnWorkerSpeeds bool `yaml:"learn_worker_speeds"`
+	// SeparateDisturbingTasks keeps tasks that were seen to slow each other down on
+	// different workers where there is room. Without such evidence it has no effect.
+	SeparateDisturbingTasks bool   `yaml:"separate_disturbing_tasks"`
+	LogLevel                string `yaml:"log_level"`
 }
 
 // DeployedAgent is the settings of an agent on a deployment of the platform.
@@ -71,7 +74,7 @@
 // ParseDeployedEntry decodes and checks the settings of a deployed entry host.
 // The error is of type strictyaml.Problems.
 func ParseDeployedEntry(name string, data []byte) (DeployedEntry, error) {
-	s := DeployedEntry{StopGrace: 6 * time.Second, Cores: 1, LinkMbps: 1000, LearnWorkerSpeeds: true, LogLevel: "info"}
+	s := DeployedEntry{StopGrace: 6 * time.Second, Cores: 1, LinkMbps: 1000, LearnWorkerSpeeds: true, SeparateDisturbingTasks: true, LogLevel: "info"}
 	err := parse(name, data, &s, func(c *checker) {
 		c.name("host", string(s.Host))
 		c.name("region", string(s.Region))
