--- a/internal/dispatch/racks_test.go
+++ b/internal/dispatch/racks_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -10,29 +9,26 @@
 )
 
 // TestWideJobsLeaveRacks: more gangs and wide jobs arrive than there is room for, on 64
-// workers in racks of 8. Were the wide jobs spread over all racks, gangs that need one would
-// run across racks and take three times as long.
+// workers in racks of 8. Wide jobs spread over all racks would leave none to gangs.
 func TestWideJobsLeaveRacks(t *testing.T) {
 	gangs, inRack := 0, 0
 	for seed := range uint64(4) {
 		p := newLoadReplay(t, seed, nil)
 		racks := p.random.Perm(64)
+		for n := range racks {
+			racks[n] /= 8
+		}
 		for range 400 {
 			if p.random.Float64() < 0.2 {
 				tasks := min(40, max(1, int(math.Exp(p.random.NormFloat64()*0.8+1.7))))
-				step := workload.Step{
-					Tasks: tasks, Estimate: time.Duration(30+p.random.IntN(80)) * 100 * time.Millisecond, Gang: true,
-					SameRack: tasks <= 8 && p.random.IntN(2) == 0, PerTask: workload.Resources{MilliCores: 26_000, MemoryMB: 70_000, Accelerators: 1 << p.random.IntN(4)},
-				}
-				if p.random.IntN(4) == 0 {
-					step.Tasks, step.Gang, step.SameRack, step.PerTask = 5*tasks, false, false, workload.Resources{MilliCores: 6000, MemoryMB: 8000, Accelerators: 1}
+				step := small(5*tasks, time.Duration(30+p.random.IntN(80))*100*time.Millisecond)
+				if p.random.IntN(4) > 0 {
+					step.Tasks, step.Gang, step.SameRack = tasks, true, tasks <= 8 && p.random.IntN(2) == 0
+					step.PerTask = workload.Resources{MilliCores: 26_000, MemoryMB: 70_000, Accelerators: 1 << p.random.IntN(4)}
 				}
-				p.submitStep("silver", step)
-			}
-			for n, rack := range racks {
-				p.worker(fmt.Sprintf("h%02d", n), fmt.Sprintf("r%d", rack/8), nil)
+				p.submit("silver", step)
 			}
-			p.step(0)
+			p.step(racks)
 		}
 		gangs, inRack = gangs+p.gangs, inRack+p.inRack
 	}
