Shares apply to work that waits, below urgent work

Urgent work is shared by guarantees already. An account now competes once work of it has waited for a second.

--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	"dragonflyyard/internal/fairshare"
 	"dragonflyyard/internal/workload"
@@ -16,8 +17,12 @@
 	over map[fairshare.Group]bool
 }
 
+// contendedAfter is how long a unit waits before its account competes for a larger share.
+// Units that wait for less are held up by stops and starts, not by other accounts.
+const contendedAfter = time.Second
+
 // weighShares marks the units of accounts that use more than their share. Claims and
-// priorities go before it, work decides within it.
+// priorities go before it, work decides within it. Urgent work is shared by guarantees.
 func (c *Core) weighShares(now Now, units []*unit) {
 	uses := map[fairshare.Group]fairshare.Use{}
 	for _, j := range c.jobs {
@@ -32,12 +37,12 @@
 	}
 	for _, u := range units {
 		use := uses[u.job.group()]
-		use.Waiting = true
+		use.Waiting = use.Waiting || (u.job.Priority > 0 && now.elapsedSince(u.readyMS) >= contendedAfter)
 		uses[u.job.group()] = use
 	}
 	standings := c.shares.ledger.Weigh(now.StoreMS, c.capacityByService(), uses, c.guaranteed)
 	for _, u := range units {
-		u.rank.overShare = standings[u.job.group()].Over()
+		u.rank.overShare = u.job.Priority > 0 && standings[u.job.group()].Over()
 	}
 	c.recordShares(standings)
 }
--- a/internal/dispatch/shares_test.go
+++ b/internal/dispatch/shares_test.go
@@ -123,9 +123,11 @@
 	next := newLoadReplay(t, 1, guaranteed)
 	next.now = p.now
 	next.core.LearnedSeen(next.now, Learned{AsOfMS: p.now.StoreMS, Shares: p.core.learned().Shares})
-	next.worker("h0", "r1", nil)
 	next.submit("a", small(1, time.Second))
 	next.submit("b", small(1, 1500*time.Millisecond))
+	next.plan()
+	next.advance(contendedAfter)
+	next.worker("h0", "r1", nil)
 	if first := next.core.units(next.now)[0].job.Account; first != "b" {
 		t.Errorf("after a takeover account %q comes first", first)
 	}
