--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -33,10 +33,10 @@
 	victimsByWorker map[*worker][]victim
 	// lent caches the result of lentOrders; nil before.
 	lent map[*order]bool
-	// idleInRack counts the workers of each rack that run nothing. Load pattern: gangs
-	// that need a rack beside wide jobs that don't; spread over all racks, the wide ones
-	// leave no rack for a gang.
-	idleInRack map[model.RackID]*int
+	// busyInRack counts the usable workers of each rack that run something. Load pattern:
+	// gangs that need a rack beside wide jobs that don't; spread over all racks, the wide
+	// ones leave no rack for a gang. A rack that loses workers does not count as full.
+	busyInRack map[model.RackID]*int
 }
 
 type stepOnWorker struct {
@@ -49,7 +49,7 @@
 	r := &schedulingRound{
 		core: c, now: now, free: map[*worker]workload.Resources{}, tasksOnWorker: map[stepOnWorker]int{}, urgentAccelerators: c.urgentInUse(),
 		releasing: map[*worker]workload.Resources{}, reservedOn: map[*worker]reservation{}, endsByWorker: map[*worker][]expectedEnd{}, victimsByWorker: map[*worker][]victim{},
-		idleInRack: map[model.RackID]*int{},
+		busyInRack: map[model.RackID]*int{},
 	}
 	quarantined := c.quarantined(now)
 	for _, w := range c.sortedWorkers() {
@@ -64,10 +64,10 @@
 		}
 		r.workers = append(r.workers, w)
 		r.free[w] = w.Capacity.Sub(w.used)
-		if r.idleInRack[w.Rack] == nil {
-			r.idleInRack[w.Rack] = new(int)
+		if r.busyInRack[w.Rack] == nil {
+			r.busyInRack[w.Rack] = new(int)
 		}
-		r.countIdle(w, 1)
+		r.countBusy(w, 1)
 	}
 	return r
 }
@@ -85,24 +85,24 @@
 	return limit == 0 || r.tasksOnWorker[stepOnWorker{u.job.ID, stepKey{u.occurrence, u.step}, w}] < limit
 }
 
-// countIdle adds to the count of idle workers of a worker's rack if the worker runs nothing.
-func (r *schedulingRound) countIdle(w *worker, n int) {
-	if count := r.idleInRack[w.Rack]; count != nil && r.free[w] == w.Capacity {
+// countBusy adds to the count of busy workers of a worker's rack if the worker runs something.
+func (r *schedulingRound) countBusy(w *worker, n int) {
+	if count := r.busyInRack[w.Rack]; count != nil && r.free[w] != w.Capacity {
 		*count += n
 	}
 }
 
 func (r *schedulingRound) allocate(u *unit, w *worker) {
-	r.countIdle(w, -1)
+	r.countBusy(w, -1)
 	r.free[w] = r.free[w].Sub(u.spec().PerTask)
-	r.countIdle(w, 1)
+	r.countBusy(w, 1)
 	r.tasksOnWorker[stepOnWorker{u.job.ID, stepKey{u.occurrence, u.step}, w}]++
 }
 
 func (r *schedulingRound) release(u *unit, w *worker) {
-	r.countIdle(w, -1)
+	r.countBusy(w, -1)
 	r.free[w] = r.free[w].Add(u.spec().PerTask)
-	r.countIdle(w, 1)
+	r.countBusy(w, 1)
 	r.tasksOnWorker[stepOnWorker{u.job.ID, stepKey{u.occurrence, u.step}, w}]--
 }
 
@@ -163,20 +163,20 @@
 	unproven bool
 	// leftover is the share of the worker that would stay free.
 	leftover float64
-	// idleInRack counts the idle workers of the worker's rack, as the plan goes on.
-	idleInRack *int
+	// busyInRack counts the busy workers of the worker's rack, as the plan goes on.
+	busyInRack *int
 }
 
 // before prefers, in this order, workers that have not failed the job, that are
 // near its data, that have announced themselves, that have no recent failure,
 // that are not on probation after a quarantine, that have a good start in case of
 // a last attempt, that have the least capacity left over, and whose rack has the
-// fewest idle workers.
+// most busy workers.
 func (f *fitness) before(o *fitness) bool {
 	return cmp.Or(
 		compareBool(f.failedJob, o.failedJob), compareBool(f.remote, o.remote), compareBool(f.unannounced, o.unannounced),
 		compareBool(f.suspect, o.suspect), compareBool(f.probing, o.probing),
-		compareBool(f.unproven, o.unproven), cmp.Compare(f.leftover, o.leftover), cmp.Compare(*f.idleInRack, *o.idleInRack),
+		compareBool(f.unproven, o.unproven), cmp.Compare(f.leftover, o.leftover), cmp.Compare(*o.busyInRack, *f.busyInRack),
 	) < 0
 }
 
@@ -195,7 +195,7 @@
 	return fitness{
 		failedJob: r.failedOn(u, w), remote: remote, unannounced: w.SentMS < r.core.firstPlanMS, suspect: r.suspect(w), probing: r.core.quarantine.Probing(w.Worker),
 		unproven: u.lastAttempt() && !r.hasGoodStart(w),
-		leftover: leftoverShare(free, w.Capacity, step.PerTask), idleInRack: r.idleInRack[w.Rack],
+		leftover: leftoverShare(free, w.Capacity, step.PerTask), busyInRack: r.busyInRack[w.Rack],
 	}, true
 }
 
