Keep clients within the machine: connections, bodies, times and what they decode to

Cause, from the red tests: the servers allotted each body by its announced length and kept up to 4 MB of it for any number of connections, without a time limit; JSON and CBOR lists of tiny elements grew to a hundred times their bytes; forms were parsed into memory and files; an accept without a descriptor ended the process.

- internal/intake (pure): connections and bytes of bodies that a machine allows, and whose connection goes first (unfinished for 1 s, never used, idle, just begun; never a call in progress).
- internal/httpserver.NewGuarded: one guard for all servers of a process.
Bodies are refused by what they announce (413), and read into memory that is taken from the budget first (503 with Retry-After: not run); those up to 8 KB belong to their connection and need no budget.
Time limits for headers (config + 2 s), bodies (Deadline-Ms + 2 s), idle connections and answers.
A lack of descriptors closes the connection that is needed least.
Forms are not parsed.
Headers up to 16 KiB are taken (4 KB before: a header that the configuration allows was refused).
- The configuration's limits are followed: max_header_bytes, max_body_bytes, header_timeout_ms, idle_timeout_ms.
- Lists are decoded element by element up to their bound; messages between processes are bounded to 20,000 values before anything is allocated; refusals quote at most 300 bytes.
- Settings memory_mb and file_descriptors, from the platform's limits; the garbage collector works harder above four fifths of the memory.
- Counters clients.FACE.REASON, and clients_refused once a second and kind.

--- a/internal/deployed/agent.go
+++ b/internal/deployed/agent.go
@@ -7,6 +7,8 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/httpserver"
+	"dragonflyyard/internal/intake"
 	"dragonflyyard/internal/jobagent"
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/rowpush"
@@ -35,17 +37,17 @@
 			log.Warn("heartbeat_malformed", zap.String("worker", worker), logging.Err(err))
 		},
 	})
-	r := newRun(ctx)
+	r := newRun(ctx, httpserver.NewGuard(intake.Machine{MemoryMB: s.MemoryMB, Descriptors: s.FileDescriptors}, log, registry))
 	defer r.stopWorking()
-	controlDrained, err := r.serve(r.accepting, control, s.ControlAddress)
+	controlDrained, err := r.serve(r.accepting, control, platform.ControlFace(), s.ControlAddress)
 	if err != nil {
 		return err
 	}
-	pushDrained, err := r.serve(r.accepting, rowpush.NewServer(agent.OrdersPushed), s.PushAddress)
+	pushDrained, err := r.serve(r.accepting, rowpush.NewServer(agent.OrdersPushed), platform.PushFace(), s.PushAddress)
 	if err != nil {
 		return err
 	}
-	if _, err := r.serve(r.working, metricsServer(registry), s.MetricsAddress); err != nil {
+	if _, err := r.serve(r.working, metricsServer(registry), platform.MetricsFace(), s.MetricsAddress); err != nil {
 		return err
 	}
 	r.work(pushes.Run)
--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -8,6 +8,8 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/httpserver"
+	"dragonflyyard/internal/intake"
 	"dragonflyyard/internal/jobentry"
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/queueconfig"
@@ -54,23 +56,23 @@
 	}, log, registry)
 
 	var stopping atomic.Bool
-	r := newRun(ctx)
+	r := newRun(ctx, httpserver.NewGuard(intake.Machine{MemoryMB: s.MemoryMB, Descriptors: s.FileDescriptors}, log, registry))
 	defer r.stopWorking()
-	frontDrained, err := r.serve(r.accepting, platform.NewFrontServer(service.Answer, stopping.Load), s.CallersAddress)
+	frontDrained, err := r.serve(r.accepting, platform.NewFrontServer(service.Answer, stopping.Load), platform.CallersFace(view.Limits), s.CallersAddress)
 	if err != nil {
 		return err
 	}
 	relay := storerelay.NewServer(direct, store.DirectUnavailable, r.answerBy)
 	relay.Handler = rowpush.Route(scheduler.HandlePushedRows, relay.Handler)
-	relayDrained, err := r.serve(r.accepting, relay, s.RelayAddress)
+	relayDrained, err := r.serve(r.accepting, relay, platform.RelayFace(), s.RelayAddress)
 	if err != nil {
 		return err
 	}
 	ready := platform.NewReadinessServer(func() bool { return !stopping.Load() && view.Ready() })
-	if _, err := r.serve(r.working, ready, s.ReadinessAddress); err != nil {
+	if _, err := r.serve(r.working, ready, platform.ReadinessFace(), s.ReadinessAddress); err != nil {
 		return err
 	}
-	if _, err := r.serve(r.working, metricsServer(registry), s.MetricsAddress); err != nil {
+	if _, err := r.serve(r.working, metricsServer(registry), platform.MetricsFace(), s.MetricsAddress); err != nil {
 		return err
 	}
 	r.work(pushes.Run)
--- a/internal/deployed/run.go
+++ b/internal/deployed/run.go
@@ -19,6 +19,8 @@
 	// signalled is done when the process is told to stop.
 	signalled context.Context
 	group     *errgroup.Group
+	// guard keeps the clients of all servers within the machine.
+	guard *httpserver.Guard
 	// accepting is done when the servers take no more calls. working is done when the last
 	// call has its answer, or when a part of the process has failed.
 	accepting, working         context.Context
@@ -28,8 +30,8 @@
 	expired chan struct{}
 }
 
-func newRun(signalled context.Context) *run {
-	r := &run{signalled: signalled, expired: make(chan struct{})}
+func newRun(signalled context.Context, guard *httpserver.Guard) *run {
+	r := &run{signalled: signalled, guard: guard, expired: make(chan struct{})}
 	r.group, r.working = errgroup.WithContext(context.WithoutCancel(signalled))
 	r.working, r.stopWorking = context.WithCancel(r.working)
 	r.accepting, r.stopAccepting = context.WithCancel(r.working)
@@ -44,12 +46,12 @@
 // serve runs an HTTP server that takes calls until ctx is done. It then waits for the
 // calls in progress until the process has to end. The returned channel is closed when
 // no call is in progress any more.
-func (r *run) serve(ctx context.Context, server *fasthttp.Server, address string) (drained <-chan struct{}, err error) {
+func (r *run) serve(ctx context.Context, server *fasthttp.Server, face httpserver.Face, address string) (drained <-chan struct{}, err error) {
 	listener, err := listen(r.signalled, address)
 	if err != nil {
 		return nil, err
 	}
-	s := httpserver.New(server, listener)
+	s := httpserver.NewGuarded(server, listener, r.guard, face)
 	done := make(chan struct{})
 	r.group.Go(s.Serve)
 	r.group.Go(func() error {
--- a/internal/deployed/serve.go
+++ b/internal/deployed/serve.go
@@ -37,10 +37,14 @@
 // listenRetry is the pause between two tries to open a listener.
 const listenRetry = 100 * time.Millisecond
 
+// metricsWriteTimeout is how long a reader of the metrics may take.
+const metricsWriteTimeout = 10 * time.Second
+
 // metricsServer serves the counters and histograms of a registry as text.
 func metricsServer(registry metrics.Registry) *fasthttp.Server {
 	return &fasthttp.Server{
 		NoDefaultServerHeader: true,
+		WriteTimeout:          metricsWriteTimeout,
 		CloseOnShutdown:       true,
 		Handler: func(ctx *fasthttp.RequestCtx) {
 			ctx.SetContentType("text/plain; charset=utf-8")
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -47,13 +47,16 @@
 }
 
 // trackUnused keeps the set of unused connections.
-func (s *Server) trackUnused(conn net.Conn, state fasthttp.ConnState) {
+func (s *Server) trackUnused(c net.Conn, state fasthttp.ConnState) {
+	if guarded, ok := c.(*conn); ok {
+		guarded.follow(state)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == fasthttp.StateNew {
-		s.unused[conn] = true
+		s.unused[c] = true
 	} else {
-		delete(s.unused, conn)
+		delete(s.unused, c)
 	}
 }
 
--- a/internal/jobentry/view.go
+++ b/internal/jobentry/view.go
@@ -192,6 +192,17 @@
 	return v.config, age, v.config != nil && age <= maxViewAge
 }
 
+// Limits returns what the newest configuration allows for a call, whatever its age. What
+// is 0 is not limited.
+func (v *View) Limits() (maxBodyBytes int, header queueconfig.HeaderLimits) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.config == nil {
+		return 0, queueconfig.HeaderLimits{}
+	}
+	return v.config.MaxBodyBytes, v.config.Header
+}
+
 // StoreFailing reports whether the last read of the watch failed. The watch retries
 // within maxRetryPause, so calls need not wait for a read of their own.
 func (v *View) StoreFailing() bool { return v.watch.Failing() }
--- a/internal/queueconfig/config.go
+++ b/internal/queueconfig/config.go
@@ -43,12 +43,22 @@
 	Version  uint64
 	Queues   []Queue
 	Accounts []Account
-	// MaxBodyBytes bounds the body of a call.
+	// MaxBodyBytes bounds the body of a call; 0 if the configuration does not.
 	MaxBodyBytes int
+	Header       HeaderLimits
 
 	accountByKey map[string]model.ClientAccountID
 }
 
+// HeaderLimits bounds what comes before the body of a call. What is 0 is not limited by
+// the configuration.
+type HeaderLimits struct {
+	MaxBytes int
+	// Time limits the arrival of a header, and IdleTime the wait for one on an open
+	// connection.
+	Time, IdleTime time.Duration
+}
+
 // New returns a configuration with its indexes.
 func New(version uint64, queues []Queue, accounts []Account, maxBodyBytes int) *Config {
 	c := &Config{Version: version, Queues: queues, Accounts: accounts, MaxBodyBytes: maxBodyBytes,
--- a/internal/rowcodec/nesting.go
+++ b/internal/rowcodec/nesting.go
@@ -20,12 +20,15 @@
 )
 
 // checkNesting returns an error if the first value in data is nested more deeply than
-// maxNesting, is cut off, or has an indefinite length, which Encode never writes.
-func checkNesting(data []byte) error {
+// maxNesting, is cut off, consists of more than a number of values, or has an indefinite length, which Encode never writes.
+func checkNesting(data []byte, mostValues int) error {
 	// open holds the number of values that are left at each level.
 	var open [maxNesting]uint64
 	depth := 0
-	for at := 0; ; {
+	for at, values := 0, 0; ; values++ {
+		if values == mostValues {
+			return errors.Newf("more than %d values", mostValues)
+		}
 		major, argument, size, err := readHead(data[at:])
 		if err != nil {
 			return err
--- a/internal/rowcodec/rowcodec.go
+++ b/internal/rowcodec/rowcodec.go
@@ -2,6 +2,8 @@
 package rowcodec
 
 import (
+	"math"
+
 	"github.com/cockroachdb/errors"
 	"github.com/ugorji/go/codec"
 )
@@ -31,8 +33,18 @@
 
 // Decode decodes a row's value into target. It returns ErrMalformed if the value
 // does not decode, is nested too deeply, or if bytes follow it.
-func Decode(data []byte, target any) error {
-	if err := checkNesting(data); err != nil {
+func Decode(data []byte, target any) error { return decode(data, target, math.MaxInt) }
+
+// DecodeMessage is like Decode for a message that anyone may have sent: one of more than
+// MaxMessageValues values is malformed, and takes no memory.
+func DecodeMessage(data []byte, target any) error { return decode(data, target, MaxMessageValues) }
+
+// MaxMessageValues bounds the values of a message. A row has 7, and a transaction at most
+// 100 entries.
+const MaxMessageValues = 20_000
+
+func decode(data []byte, target any, mostValues int) error {
+	if err := checkNesting(data, mostValues); err != nil {
 		return errors.CombineErrors(errors.Wrap(ErrMalformed, "check"), err)
 	}
 	decoder := codec.NewDecoderBytes(data, handle)
--- a/internal/rowpush/receive.go
+++ b/internal/rowpush/receive.go
@@ -40,7 +40,7 @@
 
 func receive(ctx *fasthttp.RequestCtx, handle Handler) {
 	var in message
-	switch err := rowcodec.Decode(ctx.PostBody(), &in); {
+	switch err := rowcodec.DecodeMessage(ctx.PostBody(), &in); {
 	case err != nil:
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 	case !handle(in.From, in.Rows):
--- a/internal/settings/deployed.go
+++ b/internal/settings/deployed.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dragonflyyard/internal/intake"
 	"dragonflyyard/internal/model"
 )
 
@@ -28,7 +29,10 @@
 	// a host that knows a much stronger one leaves the scheduler to it.
 	Cores    float64 `yaml:"cores"`
 	LinkMbps float64 `yaml:"link_mbps"`
-	LogLevel string  `yaml:"log_level"`
+	// MemoryMB (2^20 bytes) and FileDescriptors are what the process may use.
+	MemoryMB        int    `yaml:"memory_mb"`
+	FileDescriptors int    `yaml:"file_descriptors"`
+	LogLevel        string `yaml:"log_level"`
 }
 
 // DeployedAgent is the settings of an agent on a deployment of the platform.
@@ -48,7 +52,10 @@
 	StopGrace time.Duration `yaml:"stop_grace"`
 	// LongestLease is the longest lease that a worker accepts.
 	LongestLease time.Duration `yaml:"longest_lease"`
-	LogLevel     string        `yaml:"log_level"`
+	// MemoryMB (2^20 bytes) and FileDescriptors are what the process may use.
+	MemoryMB        int    `yaml:"memory_mb"`
+	FileDescriptors int    `yaml:"file_descriptors"`
+	LogLevel        string `yaml:"log_level"`
 }
 
 // Bounds of the times of a deployment.
@@ -57,6 +64,10 @@
 	shortestLease     = 2 * time.Second
 	mostCores         = 1024
 	mostLinkMbps      = 1e6
+	leastMemoryMB     = 32
+	mostMemoryMB      = 1 << 20
+	leastDescriptors  = 64
+	mostDescriptors   = 1 << 20
 )
 
 // LoadDeployedEntry reads and checks the settings of a deployed entry host.
@@ -68,7 +79,7 @@
 // ParseDeployedEntry decodes and checks the settings of a deployed entry host.
 // The error is of type strictyaml.Problems.
 func ParseDeployedEntry(name string, data []byte) (DeployedEntry, error) {
-	s := DeployedEntry{StopGrace: 6 * time.Second, Cores: 1, LinkMbps: 1000, LogLevel: "info"}
+	s := DeployedEntry{StopGrace: 6 * time.Second, Cores: 1, LinkMbps: 1000, MemoryMB: intake.DefaultMemoryMB, FileDescriptors: intake.DefaultDescriptors, LogLevel: "info"}
 	err := parse(name, data, &s, func(c *checker) {
 		c.name("host", string(s.Host))
 		c.name("region", string(s.Region))
@@ -81,6 +92,7 @@
 		c.durationRange("stop_grace", s.StopGrace, shortestStopGrace, time.Minute)
 		c.positiveUpTo("cores", s.Cores, mostCores)
 		c.positiveUpTo("link_mbps", s.LinkMbps, mostLinkMbps)
+		c.machine(s.MemoryMB, s.FileDescriptors)
 		c.level("log_level", s.LogLevel)
 	})
 	return s, err
@@ -89,7 +101,7 @@
 // ParseDeployedAgent decodes and checks the settings of a deployed agent. The
 // error is of type strictyaml.Problems.
 func ParseDeployedAgent(name string, data []byte) (DeployedAgent, error) {
-	s := DeployedAgent{StopGrace: 6 * time.Second, LongestLease: 10 * time.Second, LogLevel: "info"}
+	s := DeployedAgent{StopGrace: 6 * time.Second, LongestLease: 10 * time.Second, MemoryMB: intake.DefaultMemoryMB, FileDescriptors: intake.DefaultDescriptors, LogLevel: "info"}
 	err := parse(name, data, &s, func(c *checker) {
 		c.name("host", s.Host)
 		c.name("region", string(s.Region))
@@ -101,7 +113,14 @@
 		c.address("push_address", s.PushAddress)
 		c.durationRange("stop_grace", s.StopGrace, shortestStopGrace, time.Minute)
 		c.durationRange("longest_lease", s.LongestLease, shortestLease, time.Minute)
+		c.machine(s.MemoryMB, s.FileDescriptors)
 		c.level("log_level", s.LogLevel)
 	})
 	return s, err
 }
+
+// machine checks the limits of the machine.
+func (c *checker) machine(memoryMB, descriptors int) {
+	c.intRange("memory_mb", memoryMB, leastMemoryMB, mostMemoryMB)
+	c.intRange("file_descriptors", descriptors, leastDescriptors, mostDescriptors)
+}
--- a/internal/storerelay/server.go
+++ b/internal/storerelay/server.go
@@ -43,7 +43,7 @@
 		return
 	}
 	var in request
-	if err := rowcodec.Decode(ctx.PostBody(), &in); err != nil {
+	if err := rowcodec.DecodeMessage(ctx.PostBody(), &in); err != nil {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
