Tests of unread scans through a relay, and of unfinished bodies inside the limit

Afterwards a call with a body of exactly 256 KiB is answered while the crowd's bodies are unfinished.

--- a/internal/hostile/crowd_test.go
+++ b/internal/hostile/crowd_test.go
@@ -223,3 +223,33 @@
 		}
 	}
 }
+
+// TestUnreadScans guards against a relay that holds a large answer for each of many
+// clients, which ask for a whole table and don't read it.
+func TestUnreadScans(t *testing.T) {
+	p := startEntry(t, buildPrograms(t), startStore(t))
+	relay := p.faces["relay"]
+	scan := relay
+	scan.path, scan.body = "/store/scan", rowcodec.Encode(map[string]any{"k": "big/"})
+	crowd(t, scan, 1, func(c net.Conn, f face) {
+		write(c, bytes.Repeat(append(f.head(fmt.Sprintf("Content-Length: %d\r\n", len(f.body))), f.body...), 3))
+		time.Sleep(scansTake)
+	})
+	p.survives(t, relay)
+}
+
+// scansTake is how long clients leave their scans unread before the process is looked at.
+const scansTake = 2 * time.Second
+
+// TestUnfinishedBodiesInsideTheLimit guards against bodies that keep to the limits and
+// never end, and so keep out large bodies of ordinary clients.
+func TestUnfinishedBodiesInsideTheLimit(t *testing.T) {
+	p := startEntry(t, buildPrograms(t), startStore(t))
+	callers := p.faces["callers"]
+	crowd(t, callers, 1, func(c net.Conn, f face) {
+		write(c, f.head("Content-Length: 262144\r\n"))
+		write(c, make([]byte, 262143))
+	})
+	callers.body = append(callers.body, bytes.Repeat([]byte(" "), 262144-len(callers.body))...)
+	p.survives(t, callers)
+}
--- a/internal/hostile/site_test.go
+++ b/internal/hostile/site_test.go
@@ -78,9 +78,20 @@
 	if err := store.Seed("op/config", []byte(configuration)); err != nil {
 		t.Fatal(err)
 	}
+	for i := range bigRows {
+		if err := store.Seed(fmt.Sprintf("big/p/%04d", i), make([]byte, bigRowBytes)); err != nil {
+			t.Fatal(err)
+		}
+	}
 	return serve(t, store.HandleRows)
 }
 
+// A table of the store that a relay reads for anyone who asks.
+const (
+	bigRows     = 80
+	bigRowBytes = 48 << 10
+)
+
 // freeAddresses returns addresses of this process's own that nothing listens on.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
