Scans of a relay wait for each other's memory; large answers take of the budget

Cause: an answer took nothing of the budget, so 16 clients that asked for a table of 4 MB held it three times each. What was left is the program's own pages, which the collector's limit does not count: 16 MB are kept for them.

--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -56,13 +56,14 @@
 	}, log, registry)
 
 	var stopping atomic.Bool
-	r := newRun(ctx, httpserver.NewGuard(intake.Machine{MemoryMB: s.MemoryMB, Descriptors: s.FileDescriptors}, log, registry))
+	machine := intake.Machine{MemoryMB: s.MemoryMB, Descriptors: s.FileDescriptors}
+	r := newRun(ctx, httpserver.NewGuard(machine, log, registry))
 	defer r.stopWorking()
 	frontDrained, err := r.serve(r.accepting, platform.NewFrontServer(service.Answer, stopping.Load), platform.CallersFace(view.Limits), s.CallersAddress)
 	if err != nil {
 		return err
 	}
-	relay := storerelay.NewServer(direct, store.DirectUnavailable, r.answerBy)
+	relay := storerelay.NewServer(direct, store.DirectUnavailable, r.answerBy, machine.BodyBytes())
 	relay.Handler = rowpush.Route(scheduler.HandlePushedRows, relay.Handler)
 	relayDrained, err := r.serve(r.accepting, relay, platform.RelayFace(), s.RelayAddress)
 	if err != nil {
--- a/internal/httpserver/guarded.go
+++ b/internal/httpserver/guarded.go
@@ -22,6 +22,8 @@
 	// bytesPerBodyByte is the memory for a byte of a body while it is handled: the body
 	// and what is decoded from it.
 	bytesPerBodyByte = 2
+	// largeAnswerBytes is the size of an answer that takes of the budget for bodies.
+	largeAnswerBytes = 64 << 10
 	// spareWorkers is how many connections that are being closed fasthttp may still serve.
 	spareWorkers = 64
 	// retryAfterSeconds is what a client is told that is refused for lack of room.
@@ -61,6 +63,10 @@
 		c.turn(intake.Serving)
 		handle(ctx)
 		c.turn(intake.Answering)
+		if !c.takeAnswer(len(ctx.Response.Body())) {
+			ctx.Response.Reset()
+			guard.refuse(ctx, &face, errNoRoomToAnswer)
+		}
 	}
 	return New(http, &listener{Listener: l, guard: guard, face: &face, most: most})
 }
@@ -79,6 +85,7 @@
 var (
 	errHeaderTooLarge = errors.New("the header is too large")
 	errNoRoom         = errors.New("there is no room for the body at present; the call has not run")
+	errNoRoomToAnswer = errors.New("there is no room for the answer at present")
 )
 
 // readRequest checks the header and reads the body, for which it takes memory first.
@@ -101,6 +108,15 @@
 	return nil
 }
 
+// takeAnswer charges a large answer to the connection until it is sent. Only reads have
+// large answers. One that is alone has room, whatever its size.
+func (c *conn) takeAnswer(bytes int) bool {
+	if bytes <= largeAnswerBytes {
+		return true
+	}
+	return c.take(min(bytes, int(c.guard.machine.BodyBytes()/2)))
+}
+
 // readBody reads a body of an announced length, or one in chunks if that is negative.
 func (c *conn) readBody(stream io.Reader, announced, limit int) ([]byte, error) {
 	if announced < 0 {
@@ -146,7 +162,7 @@
 		status, reason = fasthttp.StatusRequestEntityTooLarge, reasonBody
 	case errors.Is(err, errHeaderTooLarge), errors.As(err, &small):
 		status, reason = fasthttp.StatusRequestHeaderFieldsTooLarge, reasonHeader
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, errNoRoom), errors.Is(err, errNoRoomToAnswer):
 		status, reason = fasthttp.StatusServiceUnavailable, reasonMemory
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(retryAfterSeconds))
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -30,8 +30,10 @@
 	// Shares of the memory: a quarter for connections, an eighth for bodies.
 	connectionsPart = 4
 	bodiesPart      = 8
-	// The garbage collector works harder above four fifths of the memory.
+	// The garbage collector works harder above four fifths of the memory, less the pages of
+	// the program itself, which it does not count.
 	collectAbove, collectOf = 4, 5
+	programBytes            = 16 << 20
 )
 
 func (m Machine) withDefaults() Machine {
@@ -56,7 +58,7 @@
 
 // CollectAbove returns the bytes above which the garbage collector works harder.
 func (m Machine) CollectAbove() int64 {
-	return int64(m.withDefaults().MemoryMB) * mebibyte * collectAbove / collectOf
+	return max(programBytes, int64(m.withDefaults().MemoryMB)*mebibyte*collectAbove/collectOf-programBytes)
 }
 
 // Phase is what a connection is doing.
@@ -137,8 +139,8 @@
 	c.phase, c.since = phase, now
 }
 
-// Take charges bytes of a body to a connection until its answer is sent. If there is no
-// room, connections that read a body slowly are removed; the caller has to call their
+// Take charges bytes of a body to a connection until its call is answered, or of an
+// answer until it is sent. If there is no room, connections that are slow are removed; the caller has to call their
 // Hangup. ok is false if there is no room even so, or the connection itself is removed.
 func (l *Ledger) Take(c *Client, bytes int64, now time.Time) (removed []*Client, ok bool) {
 	bound := l.bodyBytes
@@ -146,7 +148,7 @@
 		bound -= bound / 4
 	}
 	for l.used+bytes > bound {
-		slow := l.slowestReader(c, now)
+		slow := l.slowest(c, now)
 		if slow == nil || bytes > bound {
 			return removed, false
 		}
@@ -208,12 +210,12 @@
 	return out
 }
 
-// slowestReader returns the connection whose body has been arriving for the longest
-// time, if it is slow.
-func (l *Ledger) slowestReader(except *Client, now time.Time) *Client {
+// slowest returns the connection whose body or answer has been on its way for the
+// longest time, if it is slow.
+func (l *Ledger) slowest(except *Client, now time.Time) *Client {
 	var out *Client
 	for c := range l.clients {
-		slow := c.phase == Reading && c.held > 0 && now.Sub(c.since) >= slowAfter
+		slow := (c.phase == Reading || c.phase == Answering) && c.held > 0 && now.Sub(c.since) >= slowAfter
 		if slow && c != except && (out == nil || c.since.Before(out.since)) {
 			out = c
 		}
--- a/internal/storerelay/server.go
+++ b/internal/storerelay/server.go
@@ -17,9 +17,10 @@
 // NewServer returns the HTTP server of an entry host that relays calls to store.
 // unavailable reports whether the host's own direct calls for the part of a key
 // fail; calls for such a part are refused at once. answerBy returns the time by which
-// calls have to be answered while the process stops, and false before.
-func NewServer(store storeapi.Store, unavailable func(key string) bool, answerBy func() (time.Time, bool)) *fasthttp.Server {
-	r := &relay{store: store, unavailable: unavailable, answerBy: answerBy}
+// calls have to be answered while the process stops, and false before. scanBytes is the
+// memory for scans that are read at the same time.
+func NewServer(store storeapi.Store, unavailable func(key string) bool, answerBy func() (time.Time, bool), scanBytes int64) *fasthttp.Server {
+	r := &relay{store: store, unavailable: unavailable, answerBy: answerBy, scans: newScanGate(scanBytes)}
 	return &fasthttp.Server{
 		MaxRequestBodySize:    maxRequestBytes,
 		NoDefaultServerHeader: true,
@@ -32,6 +33,7 @@
 	store       storeapi.Store
 	unavailable func(key string) bool
 	answerBy    func() (time.Time, bool)
+	scans       *scanGate
 }
 
 func (r *relay) handle(ctx *fasthttp.RequestCtx) {
@@ -51,10 +53,19 @@
 	if !r.unavailable(in.partKey()) {
 		callCtx, cancel := r.callContext()
 		defer cancel()
+		if string(ctx.Path()) == pathScan {
+			leave, err := r.scans.enter(callCtx, in.Key)
+			if err != nil {
+				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+				return
+			}
+			// The gate stays taken until the answer is encoded.
+			defer func() { leave(&out) }()
+		}
 		out = call(callCtx, in)
 		out.StoreMS, _ = r.store.StoreTime(time.Now())
 	}
-	ctx.SetBody(rowcodec.Encode(&out))
+	ctx.Response.SetBodyRaw(rowcodec.Encode(&out))
 }
 
 // callContext returns the context of a call that begins now.
