--- a/internal/hostile/crowd_test.go
+++ b/internal/hostile/crowd_test.go
@@ -238,6 +238,19 @@
 	p.survives(t, relay)
 }
 
+// TestHeldPolls guards against clients that let a relay wait for changes for ever, and so
+// hold its connections and those to the store.
+func TestHeldPolls(t *testing.T) {
+	p := startEntry(t, buildPrograms(t), startStore(t))
+	relay := p.faces["relay"]
+	poll := relay
+	poll.path, poll.body = "/store/changes", rowcodec.Encode(map[string]any{"k": "idle", "f": 1 << 30, "w": 1_000_000_000})
+	crowd(t, poll, 1, func(c net.Conn, f face) {
+		write(c, append(f.head(fmt.Sprintf("Content-Length: %d\r\n", len(f.body))), f.body...))
+	})
+	p.survives(t, relay)
+}
+
 // scansTake is how long clients leave their scans unread before the process is looked at.
 const scansTake = 2 * time.Second
 
