Polls of a relay use half of its connections at most; others ask after a pause

Cause: a poll may wait for 30 s and was never closed, so a crowd held the relay's connections and those of the process to the store. Beyond half of the relay's connections, and of those to the store, a poll waits 0.4 s at the relay and asks the store once; its connection is idle in between and can be closed for another.

--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	relay := storerelay.NewServer(direct, store.DirectUnavailable, r.answerBy, machine.BodyBytes())
+	relay := storerelay.NewServer(direct, store.DirectUnavailable, r.answerBy, platform.RelayRoom(machine))
 	relay.Handler = rowpush.Route(scheduler.HandlePushedRows, relay.Handler)
 	relayDrained, err := r.serve(r.accepting, relay, platform.RelayFace(), s.RelayAddress)
 	if err != nil {
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewServer(store, away, notStopping, 16<<20)
+	server := NewServer(store, away, notStopping, Room{16 << 20, 64})
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Shutdown() })
 	w := &relayedClient{store: store, direct: &faultyStore{Store: store}, peer: listener.Addr().String()}
@@ -340,7 +340,7 @@
 func TestRejectionsAreRelayed(t *testing.T) {
 	w := newRelayedClient(t, func(string) bool { return false })
 	rejecting := &faultyStore{Store: w.store, err: errors.Wrap(storeapi.ErrRejected, "row too large")}
-	server := NewServer(rejecting, func(string) bool { return false }, notStopping, 16<<20)
+	server := NewServer(rejecting, func(string) bool { return false }, notStopping, Room{16 << 20, 64})
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/storerelay/server.go
+++ b/internal/storerelay/server.go
@@ -6,7 +6,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
 
+	"dragonflyyard/internal/pause"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/storeapi"
 )
@@ -17,10 +19,12 @@
 // NewServer returns the HTTP server of an entry host that relays calls to store.
 // unavailable reports whether the host's own direct calls for the part of a key
 // fail; calls for such a part are refused at once. answerBy returns the time by which
-// calls have to be answered while the process stops, and false before. scanBytes is the
-// memory for scans that are read at the same time.
-func NewServer(store storeapi.Store, unavailable func(key string) bool, answerBy func() (time.Time, bool), scanBytes int64) *fasthttp.Server {
-	r := &relay{store: store, unavailable: unavailable, answerBy: answerBy, scans: newScanGate(scanBytes)}
+// calls have to be answered while the process stops, and false before.
+func NewServer(store storeapi.Store, unavailable func(key string) bool, answerBy func() (time.Time, bool), room Room) *fasthttp.Server {
+	r := &relay{
+		store: store, unavailable: unavailable, answerBy: answerBy,
+		scans: newScanGate(room.ScanBytes), polls: semaphore.NewWeighted(int64(room.Polls)),
+	}
 	return &fasthttp.Server{
 		MaxRequestBodySize:    maxRequestBytes,
 		NoDefaultServerHeader: true,
@@ -34,8 +38,22 @@
 	unavailable func(key string) bool
 	answerBy    func() (time.Time, bool)
 	scans       *scanGate
+	polls       *semaphore.Weighted
+}
+
+// Room is what a relay may use for calls that are large or long.
+type Room struct {
+	// ScanBytes is the memory for scans that are read at the same time.
+	ScanBytes int64
+	// Polls is the number of calls that may wait for changes at the store.
+	Polls int
 }
 
+// crowdedPoll is how long a poll waits that finds no room, before it asks the store once.
+// Load pattern: more processes wait for changes than the relay has connections to the
+// store. Their connections become idle in between, and so can be closed for others.
+const crowdedPoll = 400 * time.Millisecond
+
 func (r *relay) handle(ctx *fasthttp.RequestCtx) {
 	call, known := map[string]func(context.Context, request) response{
 		pathGet: r.get, pathList: r.list, pathScan: r.scan, pathChanges: r.changes, pathCommit: r.commit,
@@ -101,7 +119,14 @@
 }
 
 func (r *relay) changes(ctx context.Context, in request) response {
-	changes, err := r.store.Changes(ctx, in.Key, in.From, time.Duration(in.WaitMS)*time.Millisecond)
+	wait := time.Duration(in.WaitMS) * time.Millisecond
+	if r.polls.TryAcquire(1) {
+		defer r.polls.Release(1)
+	} else {
+		pause.For(ctx, min(max(wait, 0), crowdedPoll))
+		wait = 0
+	}
+	changes, err := r.store.Changes(ctx, in.Key, in.From, wait)
 	if err != nil {
 		return errorResponse(err)
 	}
