--- a/internal/jobentry/service.go
+++ b/internal/jobentry/service.go
@@ -100,8 +100,8 @@
 	outcome := r.Outcome
 	s.latency.UpdateSince(began)
 	metrics.GetOrRegisterCounter("calls."+string(call.Kind)+"."+string(outcome.Kind), s.registry).Inc(1)
-	s.log.Info("call_answered", zap.String("call", string(call.Kind)), zap.String("job", path.Base(call.Path)), zap.String("path", call.Path),
-		zap.String("outcome", string(outcome.Kind)), zap.String("state", string(outcome.State)), zap.String("reason", outcome.Reason),
+	s.log.Info("call_answered", zap.String("call", string(call.Kind)), zap.String("job", logging.Shorten(path.Base(call.Path))), zap.String("path", logging.Shorten(call.Path)),
+		zap.String("outcome", string(outcome.Kind)), zap.String("state", string(outcome.State)), zap.String("reason", logging.Shorten(outcome.Reason)),
 		zap.Duration("view_age", r.viewAge), zap.Duration("view_wait", r.viewWait), zap.Duration("took", time.Since(began)))
 	return outcome
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -46,6 +46,8 @@
 	workers   []*standin.JobWorker
 	servers   []*httpserver.Server
 	beats     context.CancelFunc
+	// faces are all addresses that processes listen on.
+	faces []string
 	// taken holds the addresses that processes listen on.
 	taken map[string]bool
 	// version is that of the last configuration.
@@ -114,6 +116,7 @@
 		return err
 	}
 	s.callers = append(s.callers, addresses[0])
+	s.faces = append(s.faces, addresses...)
 	return s.add(fmt.Sprintf("entry-%d", i), filepath.Join(c.Binaries, "dragonfly-entry"), box, fmt.Sprintf(
 		"host: entry-%d\nregion: r\nzone: z%d\ncallers_address: %s\nreadiness_address: %s\nmetrics_address: %s\nrelay_address: %s\nstore_address: %s\nstop_grace: %s\n",
 		i, i%3, addresses[0], addresses[1], addresses[2], addresses[3], box.Address(), stopGrace))
@@ -124,6 +127,7 @@
 	if err != nil {
 		return err
 	}
+	s.faces = append(s.faces, addresses...)
 	worker := standin.NewJobWorker(fmt.Sprintf("i-%d", i), "s", fmt.Sprintf("z%d", i%3), fmt.Sprintf("rack-%d", i%2))
 	worker.Observe(checker.event)
 	s.workers = append(s.workers, worker)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -26,6 +26,8 @@
 	// LateWrites lets the store carry some writes out seconds later, among them all that
 	// submit certain jobs, which their callers cancel.
 	LateWrites bool
+	// Hostile lets clients that keep to no limit send to all processes meanwhile.
+	Hostile bool
 	// Tell is given the name of each fault; it may be nil.
 	Tell func(fault string)
 }
@@ -84,6 +86,9 @@
 			}
 		}
 	}
+	if c.Hostile {
+		besiege(disturbed, s, c.Seed)
+	}
 	disturb(disturbed, s, kinds, rand.New(rand.NewPCG(c.Seed, 2)), func(name string) {
 		report.Faults++
 		if c.Tell != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -52,6 +52,12 @@
 	soak(t, Config{Seed: 3, LateWrites: true, Disturbed: 5 * time.Second, Entries: 2, Agents: 3, Binaries: buildPrograms(t), Dir: t.TempDir()})
 }
 
+// TestHostileClients guards against jobs that are lost or started twice while clients that
+// keep to no limit send to all processes beside the faults.
+func TestHostileClients(t *testing.T) {
+	soak(t, Config{Seed: 5, Hostile: true, Disturbed: 5 * time.Second, Entries: 2, Agents: 3, Binaries: buildPrograms(t), Dir: t.TempDir()})
+}
+
 func soak(t *testing.T, c Config) {
 	t.Helper()
 	report, err := Run(c)
