--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -176,6 +176,7 @@
 		"listen.control": fmt.Sprintf("%s:%d", ip, portControl), "app": fmt.Sprintf("%s:%d", ip, portApp),
 		"internal_ports.0": fmt.Sprint(portInternal), "bounds.grace_s": "6", "bounds.hold_max_ms": fmt.Sprint(holdMax.Milliseconds()),
 		"limits.cpu_share": "0.4", "limits.link_mbps": "1000.0",
+		"limits.memory_mb": "284", "limits.file_descriptors": "4100",
 	}
 }
 
