A scan whose size is not known takes memory as it grows

Now each page is told to the scan's room; a scan that needs more than is free ends as unavailable, and its next try waits until it is alone. Ruled out: all of the room for unknown scans, since after a loss of the store each first scan would wait for the others.

--- a/internal/storerelay/server.go
+++ b/internal/storerelay/server.go
@@ -72,13 +72,14 @@
 		callCtx, cancel := r.callContext()
 		defer cancel()
 		if string(ctx.Path()) == pathScan {
-			leave, err := r.scans.enter(callCtx, in.Key)
+			room, err := r.scans.enter(callCtx, in.Key)
 			if err != nil {
 				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 				return
 			}
-			// The gate stays taken until the answer is encoded.
-			defer func() { leave(&out) }()
+			// The room stays taken until the answer is encoded.
+			defer func() { room.leave(out.Result != storeapi.ResultOK) }()
+			callCtx = storeapi.WithMeter(callCtx, room.take)
 		}
 		out = call(callCtx, in)
 		out.StoreMS, _ = r.store.StoreTime(time.Now())
