--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -8,6 +8,8 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/httpserver"
+	"dragonflyyard/internal/intake"
 	"dragonflyyard/internal/jobentry"
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/queueconfig"
@@ -56,23 +58,24 @@
 	}, log, registry)
 
 	var stopping atomic.Bool
-	r := newRun(ctx)
+	machine := intake.Machine{MemoryMB: s.MemoryMB, Descriptors: s.FileDescriptors}
+	r := newRun(ctx, httpserver.NewGuard(machine, log, registry))
 	defer r.stopWorking()
-	frontDrained, err := r.serve(r.accepting, platform.NewFrontServer(service.Answer, stopping.Load), s.CallersAddress)
+	frontDrained, err := r.serve(r.accepting, platform.NewFrontServer(service.Answer, stopping.Load), platform.CallersFace(view.Limits), s.CallersAddress)
 	if err != nil {
 		return err
 	}
-	relay := storerelay.NewServer(direct, store.DirectUnavailable, r.answerBy)
+	relay := storerelay.NewServer(direct, store.DirectUnavailable, r.answerBy, platform.RelayRoom(machine))
 	relay.Handler = rowpush.Route(scheduler.HandlePushedRows, relay.Handler)
-	relayDrained, err := r.serve(r.accepting, relay, s.RelayAddress)
+	relayDrained, err := r.serve(r.accepting, relay, platform.RelayFace(), s.RelayAddress)
 	if err != nil {
 		return err
 	}
 	ready := platform.NewReadinessServer(func() bool { return !stopping.Load() && view.Ready() })
-	if _, err := r.serve(r.working, ready, s.ReadinessAddress); err != nil {
+	if _, err := r.serve(r.working, ready, platform.ReadinessFace(), s.ReadinessAddress); err != nil {
 		return err
 	}
-	if _, err := r.serve(r.working, metricsServer(registry, scheduler.AnswerDisturbances), s.MetricsAddress); err != nil {
+	if _, err := r.serve(r.working, metricsServer(registry, scheduler.AnswerDisturbances), platform.MetricsFace(), s.MetricsAddress); err != nil {
 		return err
 	}
 	r.work(pushes.Run)
--- a/internal/settings/deployed.go
+++ b/internal/settings/deployed.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dragonflyyard/internal/intake"
 	"dragonflyyard/internal/model"
 )
 
@@ -33,8 +34,11 @@
 	LearnWorkerSpeeds bool `yaml:"learn_worker_speeds"`
 	// SeparateDisturbingTasks keeps tasks that were seen to slow each other down on
 	// different workers where there is room. Without such evidence it has no effect.
-	SeparateDisturbingTasks bool   `yaml:"separate_disturbing_tasks"`
-	LogLevel                string `yaml:"log_level"`
+	SeparateDisturbingTasks bool `yaml:"separate_disturbing_tasks"`
+	// MemoryMB (2^20 bytes) and FileDescriptors are what the process may use.
+	MemoryMB        int    `yaml:"memory_mb"`
+	FileDescriptors int    `yaml:"file_descriptors"`
+	LogLevel        string `yaml:"log_level"`
 }
 
 // DeployedAgent is the settings of an agent on a deployment of the platform.
@@ -54,7 +58,10 @@
 	StopGrace time.Duration `yaml:"stop_grace"`
 	// LongestLease is the longest lease that a worker accepts.
 	LongestLease time.Duration `yaml:"longest_lease"`
-	LogLevel     string        `yaml:"log_level"`
+	// MemoryMB (2^20 bytes) and FileDescriptors are what the process may use.
+	MemoryMB        int    `yaml:"memory_mb"`
+	FileDescriptors int    `yaml:"file_descriptors"`
+	LogLevel        string `yaml:"log_level"`
 }
 
 // Bounds of the times of a deployment.
@@ -63,6 +70,10 @@
 	shortestLease     = 2 * time.Second
 	mostCores         = 1024
 	mostLinkMbps      = 1e6
+	leastMemoryMB     = 32
+	mostMemoryMB      = 1 << 20
+	leastDescriptors  = 64
+	mostDescriptors   = 1 << 20
 )
 
 // LoadDeployedEntry reads and checks the settings of a deployed entry host.
@@ -74,7 +85,7 @@
 // ParseDeployedEntry decodes and checks the settings of a deployed entry host.
 // The error is of type strictyaml.Problems.
 func ParseDeployedEntry(name string, data []byte) (DeployedEntry, error) {
-	s := DeployedEntry{StopGrace: 6 * time.Second, Cores: 1, LinkMbps: 1000, LearnWorkerSpeeds: true, SeparateDisturbingTasks: true, LogLevel: "info"}
+	s := DeployedEntry{StopGrace: 6 * time.Second, Cores: 1, LinkMbps: 1000, LearnWorkerSpeeds: true, SeparateDisturbingTasks: true, MemoryMB: intake.DefaultMemoryMB, FileDescriptors: intake.DefaultDescriptors, LogLevel: "info"}
 	err := parse(name, data, &s, func(c *checker) {
 		c.name("host", string(s.Host))
 		c.name("region", string(s.Region))
@@ -87,6 +98,7 @@
 		c.durationRange("stop_grace", s.StopGrace, shortestStopGrace, time.Minute)
 		c.positiveUpTo("cores", s.Cores, mostCores)
 		c.positiveUpTo("link_mbps", s.LinkMbps, mostLinkMbps)
+		c.machine(s.MemoryMB, s.FileDescriptors)
 		c.level("log_level", s.LogLevel)
 	})
 	return s, err
@@ -95,7 +107,7 @@
 // ParseDeployedAgent decodes and checks the settings of a deployed agent. The
 // error is of type strictyaml.Problems.
 func ParseDeployedAgent(name string, data []byte) (DeployedAgent, error) {
-	s := DeployedAgent{StopGrace: 6 * time.Second, LongestLease: 10 * time.Second, LogLevel: "info"}
+	s := DeployedAgent{StopGrace: 6 * time.Second, LongestLease: 10 * time.Second, MemoryMB: intake.DefaultMemoryMB, FileDescriptors: intake.DefaultDescriptors, LogLevel: "info"}
 	err := parse(name, data, &s, func(c *checker) {
 		c.name("host", s.Host)
 		c.name("region", string(s.Region))
@@ -107,7 +119,14 @@
 		c.address("push_address", s.PushAddress)
 		c.durationRange("stop_grace", s.StopGrace, shortestStopGrace, time.Minute)
 		c.durationRange("longest_lease", s.LongestLease, shortestLease, time.Minute)
+		c.machine(s.MemoryMB, s.FileDescriptors)
 		c.level("log_level", s.LogLevel)
 	})
 	return s, err
 }
+
+// machine checks the limits of the machine.
+func (c *checker) machine(memoryMB, descriptors int) {
+	c.intRange("memory_mb", memoryMB, leastMemoryMB, mostMemoryMB)
+	c.intRange("file_descriptors", descriptors, leastDescriptors, mostDescriptors)
+}
