--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -62,7 +62,6 @@
 		StoreRecoveryGrace: 3 * time.Second,
 		Retention:          4 * time.Minute,
 		RemoteSlowdown:     3,
-		LearnSpeeds:        true,
 		Quarantine: quarantine.Settings{
 			JobsPerWorker: 2, WorkersPerJob: 1 << 20, FailuresPerJob: 1 << 20,
 			Window: 20 * time.Second, InitialDuration: 5 * time.Second, MaxDuration: 30 * time.Second,
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -193,6 +193,7 @@
 func (d *unevenDay) successor(value []byte) *rig {
 	next := newRig(d.t)
 	next.now, next.version = d.now, d.version
+	next.core.settings.LearnSpeeds = true
 	for _, w := range d.core.sortedWorkers() {
 		next.core.WorkerSeen(w.Announcement, w.version)
 	}
--- a/internal/dispatch/stall.go
+++ b/internal/dispatch/stall.go
@@ -62,8 +62,8 @@
 // than its estimated run time explains, and than its progress so far does. Estimates may be
 // missing or far too low. Each run of the task that was stopped before doubles it, so that
 // a slow task gets past the point at which its first runs were stopped.
-func (c *Core) patience(o *order) time.Duration {
-	longest := max(minStall, time.Duration(stallShare*float64(o.step().Estimate)*max(1, c.slowdown(o))))
+func patience(o *order) time.Duration {
+	longest := max(minStall, time.Duration(stallShare*float64(o.step().Estimate)))
 	if done := o.lastReport.Percent; done > 0 {
 		worked := time.Duration(o.lastReportMS-o.firstReportMS-o.lastReport.StalledMS) * time.Millisecond
 		longest = max(longest, stallPaces*worked/time.Duration(done))
@@ -77,7 +77,7 @@
 	if step.LongRunning || o.lastReportMS == 0 || o.lastReport.Percent >= 100 {
 		return false
 	}
-	if stall := time.Duration(o.lastReport.StalledMS) * time.Millisecond; stall < minStall || stall < c.patience(o) {
+	if time.Duration(o.lastReport.StalledMS)*time.Millisecond < patience(o) {
 		return false
 	}
 	return !step.Gang || c.allMembersReported(o)
--- a/internal/schedulerhost/learned_test.go
+++ b/internal/schedulerhost/learned_test.go
@@ -41,6 +41,9 @@
 				}
 			}
 			s := testSession(t, store)
+			settings := dispatch.DefaultSettings()
+			settings.LearnSpeeds = true
+			s.core = dispatch.New(settings)
 			if _, err := s.load(t.Context()); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/settings/deployed.go
+++ b/internal/settings/deployed.go
@@ -71,7 +71,7 @@
 // ParseDeployedEntry decodes and checks the settings of a deployed entry host.
 // The error is of type strictyaml.Problems.
 func ParseDeployedEntry(name string, data []byte) (DeployedEntry, error) {
-	s := DeployedEntry{StopGrace: 6 * time.Second, Cores: 1, LinkMbps: 1000, LearnWorkerSpeeds: true, LogLevel: "info"}
+	s := DeployedEntry{StopGrace: 6 * time.Second, Cores: 1, LinkMbps: 1000, LogLevel: "info"}
 	err := parse(name, data, &s, func(c *checker) {
 		c.name("host", string(s.Host))
 		c.name("region", string(s.Region))
