--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -163,10 +163,18 @@
 	unproven bool
 	// leftover is the share of the worker that would stay free.
 	leftover float64
-	// busyInRack counts the busy workers of the worker's rack, as the plan goes on.
+	// busyInRack counts the busy workers of the worker's rack, as the plan goes on. It is
+	// nil for urgent work: that goes where room was made for it.
 	busyInRack *int
 }
 
+func (f *fitness) busyWorkers() int {
+	if f.busyInRack == nil {
+		return 0
+	}
+	return *f.busyInRack
+}
+
 // before prefers, in this order, workers that have not failed the job, that are
 // near its data, that have announced themselves, that have no recent failure,
 // that are not on probation after a quarantine, that have a good start in case of
@@ -176,7 +184,7 @@
 	return cmp.Or(
 		compareBool(f.failedJob, o.failedJob), compareBool(f.remote, o.remote), compareBool(f.unannounced, o.unannounced),
 		compareBool(f.suspect, o.suspect), compareBool(f.probing, o.probing),
-		compareBool(f.unproven, o.unproven), cmp.Compare(f.leftover, o.leftover), cmp.Compare(*o.busyInRack, *f.busyInRack),
+		compareBool(f.unproven, o.unproven), cmp.Compare(f.leftover, o.leftover), cmp.Compare(o.busyWorkers(), f.busyWorkers()),
 	) < 0
 }
 
@@ -192,10 +200,14 @@
 	if remote && !r.mayLeaveRack(u) {
 		return fitness{}, false
 	}
+	var busyInRack *int
+	if u.job.Priority > 0 {
+		busyInRack = r.busyInRack[w.Rack]
+	}
 	return fitness{
 		failedJob: r.failedOn(u, w), remote: remote, unannounced: w.SentMS < r.core.firstPlanMS, suspect: r.suspect(w), probing: r.core.quarantine.Probing(w.Worker),
 		unproven: u.lastAttempt() && !r.hasGoodStart(w),
-		leftover: leftoverShare(free, w.Capacity, step.PerTask), busyInRack: r.busyInRack[w.Rack],
+		leftover: leftoverShare(free, w.Capacity, step.PerTask), busyInRack: busyInRack,
 	}, true
 }
 
