--- a/internal/dispatch/interference_test.go
+++ b/internal/dispatch/interference_test.go
@@ -280,7 +280,7 @@
 	l.core.learned(l.now)
 	for range 60 {
 		l.run(time.Second)
-		if row := encode(l.core.learned(l.now)); !slices.Equal(row, last) {
+		if row := encode(l.core.learned(l.now).Interference); !slices.Equal(row, last) {
 			writes, last = writes+1, row
 		}
 	}
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -27,9 +27,10 @@
 
 // learnedRow is the state of the row of Learned.
 type learnedRow struct {
-	// speeds is the part about speeds, made at speedsMS.
-	speeds   *workerspeed.State
-	speedsMS int64
+	// speeds and shares are the parts about them, made at gradualMS.
+	speeds    *workerspeed.State
+	shares    []fairshare.Recent
+	gradualMS int64
 	// written is the last encoding without its time, and writtenMS when it was put.
 	written   []byte
 	writtenMS int64
@@ -47,9 +48,9 @@
 	// learnedPatienceMS is how long a changed row waits for a batch that has room for
 	// it, before it takes a transaction of its own.
 	learnedPatienceMS = 8000
-	// learnedSpeedsIntervalMS is the interval at which speeds are taken into the row:
-	// they change a little with each run.
-	learnedSpeedsIntervalMS = 5000
+	// learnedGradualIntervalMS is the interval at which speeds and shares are taken into
+	// the row: they change a little with each run.
+	learnedGradualIntervalMS = 5000
 )
 
 // LearnedSeen takes over what a previous owner has learned. It is called after the
@@ -68,10 +69,10 @@
 // learned returns what is to be stored.
 func (c *Core) learned(now Now) *Learned {
 	l := &c.learnedRow
-	if now.StoreMS-l.speedsMS >= learnedSpeedsIntervalMS {
-		l.speeds, l.speedsMS = c.speeds.State(), now.StoreMS
+	if now.StoreMS-l.gradualMS >= learnedGradualIntervalMS {
+		l.speeds, l.shares, l.gradualMS = c.speeds.State(), c.learnedShares(), now.StoreMS
 	}
-	return &Learned{Shares: c.learnedShares(), Speeds: l.speeds, Distrust: c.distrust(now), Interference: c.disturbances.toStore(now)}
+	return &Learned{Shares: l.shares, Speeds: l.speeds, Distrust: c.distrust(now), Interference: c.disturbances.toStore(now)}
 }
 
 // WithLearned adds the row of Learned to the batches of a plan when it has changed.
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -179,10 +179,18 @@
 	disturbance, spared float64
 	// leftover is the share of the worker that would stay free.
 	leftover float64
-	// busyInRack counts the busy workers of the worker's rack, as the plan goes on.
+	// busyInRack counts the busy workers of the worker's rack, as the plan goes on. It is
+	// nil for urgent work: that goes where room was made for it.
 	busyInRack *int
 }
 
+func (f *fitness) busyWorkers() int {
+	if f.busyInRack == nil {
+		return 0
+	}
+	return *f.busyInRack
+}
+
 // before prefers, in this order, workers that have not failed the job, that are
 // near its data, that have announced themselves, that have no recent failure,
 // that are not on probation after a quarantine, that have a good start in case of
@@ -194,7 +202,7 @@
 		compareBool(f.failedJob, o.failedJob), compareBool(f.remote, o.remote), compareBool(f.unannounced, o.unannounced),
 		compareBool(f.suspect, o.suspect), compareBool(f.probing, o.probing),
 		compareBool(f.unproven, o.unproven), cmp.Compare(f.slow, o.slow), cmp.Compare(f.disturbance, o.disturbance), cmp.Compare(f.leftover, o.leftover),
-		cmp.Compare(*o.busyInRack, *f.busyInRack), cmp.Compare(f.spared, o.spared),
+		cmp.Compare(o.busyWorkers(), f.busyWorkers()), cmp.Compare(f.spared, o.spared),
 	) < 0
 }
 
@@ -217,11 +225,15 @@
 	if remote && !r.mayLeaveRack(u) {
 		return fitness{}, false
 	}
+	var busyInRack *int
+	if u.job.Priority > 0 {
+		busyInRack = r.busyInRack[w.Rack]
+	}
 	disturbance, spared := r.disturbanceOf(u, w)
 	return fitness{
 		failedJob: r.failedOn(u, w), remote: remote, unannounced: w.SentMS < r.core.firstPlanMS, suspect: r.suspect(w), probing: r.core.quarantine.Probing(w.Worker),
 		unproven: u.lastAttempt() && !r.hasGoodStart(w), slow: r.slowness(u, w), disturbance: disturbance, spared: spared,
-		leftover: leftoverShare(free, w.Capacity, step.PerTask), busyInRack: r.busyInRack[w.Rack],
+		leftover: leftoverShare(free, w.Capacity, step.PerTask), busyInRack: busyInRack,
 	}, true
 }
 
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -163,7 +163,7 @@
 	d.job(jobID(6000), func(j *workload.Job) { j.Steps[0].Tasks, j.Steps[0].Estimate = 20, time.Minute })
 	running := d.plan()
 	d.advance(3 * time.Second)
-	d.core.learnedRow.speedsMS = 0
+	d.core.learnedRow.gradualMS = 0
 	value := encode(d.core.learned(d.now))
 	if limit := workload.MaxRowBytes / 4 * len(d.core.workers) / 240; len(value) > limit {
 		t.Errorf("the row takes %d bytes for %d workers, want at most %d", len(value), len(d.core.workers), limit)
