Crowds of clients are tested after all other packages

Cause: these tests bound the memory of processes and are to run with nothing beside them; go test runs packages in parallel. Change: make race runs internal/hostile by itself, after the others.

--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,10 @@
 	$(GO) tool staticcheck ./...
 	$(GO) tool revive -config revive.toml -set_exit_status ./...
 
+# Crowds of clients are played after all other tests, with nothing beside them.
 race:
-	$(GO) run ./internal/tools/knownred -list KNOWN-RED.txt -- -race -count=1 -timeout 20m ./...
+	$(GO) run ./internal/tools/knownred -list KNOWN-RED.txt -- -race -count=1 -timeout 20m $$($(GO) list ./... | grep -v '/internal/hostile$$')
+	$(GO) run ./internal/tools/knownred -list KNOWN-RED.txt -- -race -count=1 -timeout 10m ./internal/hostile
 
 # Runs the fault matrix, prints its counts and writes docs/FAULTS.md.
 faults:
