--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -85,14 +85,14 @@
 // recordFailure records that a run of the worker failed.
 func (w *worker) recordFailure(o *order, atMS int64) {
 	w.suspectUntilMS = atMS + suspectDuration.Milliseconds()
-	if atMS-o.decidedMS < fastFailureLimit.Milliseconds() {
+	if !o.ageUnknown && atMS-o.decidedMS < fastFailureLimit.Milliseconds() {
 		w.fastFailureUntilMS = w.suspectUntilMS
 	}
 }
 
 // recordGoodStart records that a run of the worker was still in progress at atMS.
 func (w *worker) recordGoodStart(o *order, atMS int64) {
-	if atMS-o.decidedMS >= goodStartAfter.Milliseconds() {
+	if atMS-o.decidedMS >= goodStartAfter.Milliseconds() && !o.ageUnknown {
 		w.lastGoodStartMS = max(w.lastGoodStartMS, o.decidedMS)
 	}
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -43,7 +43,8 @@
 	// RemoteSlowdown is the factor by which a task runs longer outside the rack of
 	// its data.
 	RemoteSlowdown float64
-	// LearnSpeeds is set if the speeds of workers are learned from runs and used.
+	// LearnSpeeds is set if the speeds of workers are learned from runs and used, and if a
+	// successor takes over distrusted workers and the age of runs.
 	LearnSpeeds bool
 	// Quarantine holds the limits for workers on which tasks fail.
 	Quarantine quarantine.Settings
@@ -159,6 +160,8 @@
 	decidedMS int64
 	// takenOver is set if a previous owner wrote the order.
 	takenOver bool
+	// ageUnknown is set if decidedMS is when the order was read.
+	ageUnknown bool
 	// stopRequested is set when the run is to be stopped, for stopReason.
 	stopRequested bool
 	stopReason    string
--- a/internal/dispatch/distrust_test.go
+++ b/internal/dispatch/distrust_test.go
@@ -14,6 +14,7 @@
 // have been set now, and unknown hosts and jobs are ignored.
 func TestOddDistrustKeepsNoWorkerOut(t *testing.T) {
 	r := newRig(t)
+	r.core.settings.LearnSpeeds = true
 	r.worker("h1", "r1", nil)
 	forever := int64(math.MaxInt64)
 	r.core.LearnedSeen(r.now, Learned{AsOfMS: forever, Distrust: &Distrust{
@@ -41,6 +42,7 @@
 // nothing is stored any more: 1,000 workers on which jobs failed take under half of it.
 func TestRowOfLearnedStaysSmall(t *testing.T) {
 	c, now := largeCore(1000, 100)
+	c.settings.LearnSpeeds = true
 	var ends []*order
 	for _, j := range c.sortedJobs() {
 		ends = append(ends, sortedOrders(j.orders)...)
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -106,7 +106,7 @@
 		}
 		if o.firstReportMS == 0 {
 			o.firstReportMS = w.SentMS
-			if o.takenOver {
+			if o.takenOver && !o.ageUnknown {
 				// Its first report went to a previous owner.
 				o.firstReportMS = min(w.SentMS, o.decidedMS)
 			}
@@ -134,7 +134,7 @@
 		w = &worker{Announcement: workload.Announcement{Host: row.Host, State: workload.WorkerGone}, orders: map[workload.RunID]*order{}}
 		c.workers[row.Host] = w
 	}
-	o := &order{Order: row, id: id, job: j, worker: w, version: version, demand: j.Steps[id.Task.Step].PerTask, decidedMS: c.decidedMS(now, row), takenOver: true}
+	o := &order{Order: row, id: id, job: j, worker: w, version: version, demand: j.Steps[id.Task.Step].PerTask, decidedMS: c.decidedMS(now, row), takenOver: true, ageUnknown: !c.settings.LearnSpeeds}
 	j.progress.EnsureOccurrence(j.Job, id.Task.Occurrence)
 	c.link(o)
 	if task := j.progress.Task(id.Task); task != nil {
@@ -152,7 +152,7 @@
 // decidedMS returns when an order was decided that a previous owner wrote. The worker had
 // a fixed time from then on to start the task.
 func (c *Core) decidedMS(now Now, row workload.Order) int64 {
-	if row.StartByMS <= 0 {
+	if row.StartByMS <= 0 || !c.settings.LearnSpeeds {
 		return now.StoreMS
 	}
 	return min(now.StoreMS, row.StartByMS-c.settings.StartWithin.Milliseconds())
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -52,7 +52,7 @@
 	if row.Speeds != nil && c.settings.LearnSpeeds {
 		c.speeds.Restore(now.StoreMS, row.AsOfMS, *row.Speeds)
 	}
-	if row.Distrust != nil {
+	if row.Distrust != nil && c.settings.LearnSpeeds {
 		c.restoreDistrust(now, row.Distrust)
 	}
 }
@@ -63,7 +63,11 @@
 	if now.StoreMS-l.speedsMS >= learnedSpeedsIntervalMS {
 		l.speeds, l.speedsMS = c.speeds.State(), now.StoreMS
 	}
-	return &Learned{Speeds: l.speeds, Distrust: c.distrust(now)}
+	out := &Learned{Speeds: l.speeds}
+	if c.settings.LearnSpeeds {
+		out.Distrust = c.distrust(now)
+	}
+	return out
 }
 
 // WithLearned adds the row of Learned to the batches of a plan when it has changed.
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -26,7 +26,7 @@
 // failure tells nothing about the worker.
 func (o *order) workedLong(now Now) bool {
 	since := o.firstReportMS
-	if since == 0 {
+	if since == 0 && !o.ageUnknown {
 		since = o.decidedMS
 	}
 	return o.step().LongRunning && now.elapsedSince(since) >= lastingSuccessAfter
