--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -61,7 +61,7 @@
 	if row.Speeds != nil && c.settings.LearnSpeeds {
 		c.speeds.Restore(now.StoreMS, row.AsOfMS, *row.Speeds)
 	}
-	if row.Distrust != nil {
+	if row.Distrust != nil && c.settings.LearnSpeeds {
 		c.restoreDistrust(now, row.Distrust)
 	}
 }
@@ -72,7 +72,11 @@
 	if now.StoreMS-l.gradualMS >= learnedGradualIntervalMS {
 		l.speeds, l.shares, l.gradualMS = c.speeds.State(), c.learnedShares(), now.StoreMS
 	}
-	return &Learned{Shares: l.shares, Speeds: l.speeds, Distrust: c.distrust(now), Interference: c.disturbances.toStore(now)}
+	out := &Learned{Shares: l.shares, Speeds: l.speeds, Interference: c.disturbances.toStore(now)}
+	if c.settings.LearnSpeeds {
+		out.Distrust = c.distrust(now)
+	}
+	return out
 }
 
 // WithLearned adds the row of Learned to the batches of a plan when it has changed.
