--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -42,6 +42,9 @@
 	// RemoteSlowdown is the factor by which a task runs longer outside the rack of
 	// its data.
 	RemoteSlowdown float64
+	// FairShares is set if accounts share the workers in proportion to their guarantees;
+	// see package fairshare.
+	FairShares bool
 	// Quarantine holds the limits for workers on which tasks fail.
 	Quarantine quarantine.Settings
 }
--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -24,6 +24,9 @@
 // weighShares marks the units of accounts that use more than their share. Claims and
 // priorities go before it, work decides within it. Urgent work is shared by guarantees.
 func (c *Core) weighShares(now Now, units []*unit) {
+	if !c.settings.FairShares {
+		return
+	}
 	uses := map[fairshare.Group]fairshare.Use{}
 	for _, j := range c.jobs {
 		if len(j.orders) == 0 {
@@ -102,7 +105,7 @@
 // where no account is guaranteed anything.
 func (c *Core) learnedShares() []fairshare.Recent {
 	for _, g := range c.guaranteed {
-		if g > 0 {
+		if g > 0 && c.settings.FairShares {
 			recent := c.shares.ledger.Recent()
 			slices.SortFunc(recent, func(a, b fairshare.Recent) int {
 				return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Account, b.Account))
--- a/internal/dispatch/shares_test.go
+++ b/internal/dispatch/shares_test.go
@@ -23,6 +23,7 @@
 
 func newLoadReplay(t *testing.T, seed uint64, guaranteed map[model.ClientAccountID]int) *loadReplay {
 	p := &loadReplay{rig: newRig(t), random: rand.New(rand.NewPCG(seed, 0)), ends: map[int64][]workload.Order{}}
+	p.core.settings.FairShares = true
 	p.core.Configure(guaranteed, nil)
 	return p
 }
