--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -47,6 +47,9 @@
 	// LearnSpeeds is set if the speeds of workers are learned from runs and used, and if a
 	// successor takes over distrusted workers and the age of runs.
 	LearnSpeeds bool
+	// FairShares is set if accounts share the workers in proportion to their guarantees;
+	// see package fairshare.
+	FairShares bool
 	// Quarantine holds the limits for workers on which tasks fail.
 	Quarantine quarantine.Settings
 	// SeparateDisturbing keeps tasks that are known to slow each other down on different
