--- a/internal/deployed/entry.go
+++ b/internal/deployed/entry.go
@@ -50,6 +50,7 @@
 	scheduler := schedulerhost.New(s.Host, s.Region, store, view.SchedulerView, book.Standing, pushes, log, registry)
 	scheduler.Dispatch.LearnSpeeds = s.LearnWorkerSpeeds
 	scheduler.Dispatch.SeparateDisturbing = s.SeparateDisturbingTasks
+	scheduler.Dispatch.FairShares = s.FairShares
 	service := jobentry.NewService(view, store, func(row storeapi.Row) {
 		rows := []storeapi.Row{row}
 		if !scheduler.HandlePushedRows("", rows) {
--- a/internal/settings/deployed.go
+++ b/internal/settings/deployed.go
@@ -32,6 +32,9 @@
 	// LearnWorkerSpeeds is set if the scheduler learns from runs how fast each worker is,
 	// and places tasks by it.
 	LearnWorkerSpeeds bool `yaml:"learn_worker_speeds"`
+	// FairShares orders work below urgent by what its account is due beside others; see
+	// package fairshare.
+	FairShares bool `yaml:"fair_shares"`
 	// SeparateDisturbingTasks keeps tasks that were seen to slow each other down on
 	// different workers where there is room. Without such evidence it has no effect.
 	SeparateDisturbingTasks bool `yaml:"separate_disturbing_tasks"`
