--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -210,8 +210,6 @@
 	fastFailureUntilMS int64
 	// lastGoodStartMS is when the newest run that started well was ordered.
 	lastGoodStartMS int64
-	// leavesAtMS is when a draining worker leaves at the earliest; 0 for others.
-	leavesAtMS int64
 	// quarantinedMS is when the worker's last quarantine began.
 	quarantinedMS int64
 	// speed is the worker's speed as of the last plan.
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -104,7 +104,6 @@
 		c.recordDecision(Decision{Kind: "worker_" + string(a.State), Worker: a.Worker, Reason: "announced by " + a.Host, AgeMS: -1})
 	}
 	w.Announcement, w.version = a, version
-	w.recordLeave()
 	c.recordReports(w)
 	c.observeNeighbours(w)
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -66,7 +66,6 @@
 	c.recordEndTimes(now)
 	c.updateSpeeds(now)
 	c.stopStalled(now)
-	c.stopLeaving(now)
 	orders := append(c.startTasks(now), c.stopOrders()...)
 	batches := c.writeBack(orders)
 	batches = append(batches, c.declareLost(now)...)
@@ -91,11 +90,8 @@
 	var out []*order
 	units := c.units(now)
 	r.countWideTasks(units)
-	r.holdRoom(units, true)
-	for i, u := range units {
-		if !u.rank.claim && (i == 0 || units[i-1].rank.claim) {
-			r.holdRoom(units[i:], false)
-		}
+	r.holdRoom(units)
+	for _, u := range units {
 		placed := r.placeUnit(u)
 		if len(placed) > 0 {
 			out = append(out, c.createOrders(now, u, placed)...)
--- a/internal/dispatch/preemption_plan.go
+++ b/internal/dispatch/preemption_plan.go
@@ -201,10 +201,6 @@
 		if demand.Fits(free) {
 			break
 		}
-		if !plan.claims() && v.endsSoon {
-			free = free.Add(v.demand)
-			continue
-		}
 		if o := v.orders[0]; !o.stopRequested && !plan.chosen[o] && plan.yields(&v) {
 			out.victims = append(out.victims, v)
 			free = free.Add(v.demand)
@@ -231,8 +227,6 @@
 	// unsavedWork is the work that stopping the victim discards, and cost what the stop
 	// costs its job, both in core seconds and including the gang's members on other workers.
 	unsavedWork, cost float64
-	// endsSoon is set if the runs are about to end by themselves.
-	endsSoon bool
 }
 
 // groupOrders returns the orders of all runs that stop with the victim, including
@@ -258,7 +252,7 @@
 		}
 		gangs[o.gangRun()] = len(out)
 		unsaved := unsavedWork(r.now, o)
-		out = append(out, victim{class: r.yieldClassOf(o), orders: []*order{o}, demand: o.demand, unsavedWork: unsaved, cost: stopCost(o, unsaved), endsSoon: r.core.endsSoon(r.now, o)})
+		out = append(out, victim{class: r.yieldClassOf(o), orders: []*order{o}, demand: o.demand, unsavedWork: unsaved, cost: stopCost(o, unsaved)})
 	}
 	slices.SortStableFunc(out, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.cost, b.cost))
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -35,10 +35,6 @@
 	held map[*unit][]*worker
 	// lent caches the result of lentOrders; nil before.
 	lent map[*order]bool
-	// busyInRack counts the usable workers of each rack that run something. Load pattern:
-	// gangs that need a rack beside wide jobs that don't; spread over all racks, the wide
-	// ones leave no rack for a gang. A rack that loses workers does not count as full.
-	busyInRack map[model.RackID]*int
 	// neighbours is nil unless tasks are to be kept apart.
 	neighbours *neighbours
 }
@@ -53,7 +49,6 @@
 	r := &schedulingRound{
 		core: c, now: now, free: map[*worker]workload.Resources{}, tasksOnWorker: map[stepOnWorker]int{}, urgentAccelerators: c.urgentInUse(),
 		releasing: map[*worker]workload.Resources{}, reservedOn: map[*worker]reservation{}, held: map[*unit][]*worker{}, endsByWorker: map[*worker][]expectedEnd{}, victimsByWorker: map[*worker][]victim{},
-		busyInRack: map[model.RackID]*int{},
 	}
 	quarantined := c.quarantined(now)
 	for _, w := range c.sortedWorkers() {
@@ -68,10 +63,6 @@
 		}
 		r.workers = append(r.workers, w)
 		r.free[w] = w.Capacity.Sub(w.used)
-		if r.busyInRack[w.Rack] == nil {
-			r.busyInRack[w.Rack] = new(int)
-		}
-		r.countBusy(w, 1)
 	}
 	r.countNeighbours()
 	return r
@@ -90,25 +81,14 @@
 	return limit == 0 || r.tasksOnWorker[stepOnWorker{u.job.ID, stepKey{u.occurrence, u.step}, w}] < limit
 }
 
-// countBusy adds to the count of busy workers of a worker's rack if the worker runs something.
-func (r *schedulingRound) countBusy(w *worker, n int) {
-	if count := r.busyInRack[w.Rack]; count != nil && r.free[w] != w.Capacity {
-		*count += n
-	}
-}
-
 func (r *schedulingRound) allocate(u *unit, w *worker) {
-	r.countBusy(w, -1)
 	r.free[w] = r.free[w].Sub(u.spec().PerTask)
-	r.countBusy(w, 1)
 	r.tasksOnWorker[stepOnWorker{u.job.ID, stepKey{u.occurrence, u.step}, w}]++
 	r.addNeighbour(u, w, 1)
 }
 
 func (r *schedulingRound) release(u *unit, w *worker) {
-	r.countBusy(w, -1)
 	r.free[w] = r.free[w].Add(u.spec().PerTask)
-	r.countBusy(w, 1)
 	r.tasksOnWorker[stepOnWorker{u.job.ID, stepKey{u.occurrence, u.step}, w}]--
 	r.addNeighbour(u, w, -1)
 }
@@ -179,30 +159,19 @@
 	disturbance, spared float64
 	// leftover is the share of the worker that would stay free.
 	leftover float64
-	// busyInRack counts the busy workers of the worker's rack, as the plan goes on. It is
-	// nil for urgent work: that goes where room was made for it.
-	busyInRack *int
-}
-
-func (f *fitness) busyWorkers() int {
-	if f.busyInRack == nil {
-		return 0
-	}
-	return *f.busyInRack
 }
 
 // before prefers, in this order, workers that have not failed the job, that are
 // near its data, that have announced themselves, that have no recent failure,
 // that are not on probation after a quarantine, that have a good start in case of
 // a last attempt, whose speed suits the unit, that have no tasks which the task disturbs
-// or is disturbed by, that have the least capacity left over, and whose rack has the
-// most busy workers.
+// or is disturbed by, and that have the least capacity left over.
 func (f *fitness) before(o *fitness) bool {
 	return cmp.Or(
 		compareBool(f.failedJob, o.failedJob), compareBool(f.remote, o.remote), compareBool(f.unannounced, o.unannounced),
 		compareBool(f.suspect, o.suspect), compareBool(f.probing, o.probing),
 		compareBool(f.unproven, o.unproven), cmp.Compare(f.slow, o.slow), cmp.Compare(f.disturbance, o.disturbance), cmp.Compare(f.leftover, o.leftover),
-		cmp.Compare(o.busyWorkers(), f.busyWorkers()), cmp.Compare(f.spared, o.spared),
+		cmp.Compare(f.spared, o.spared),
 	) < 0
 }
 
@@ -225,15 +194,11 @@
 	if remote && !r.mayLeaveRack(u) {
 		return fitness{}, false
 	}
-	var busyInRack *int
-	if u.job.Priority > 0 {
-		busyInRack = r.busyInRack[w.Rack]
-	}
 	disturbance, spared := r.disturbanceOf(u, w)
 	return fitness{
 		failedJob: r.failedOn(u, w), remote: remote, unannounced: w.SentMS < r.core.firstPlanMS, suspect: r.suspect(w), probing: r.core.quarantine.Probing(w.Worker),
 		unproven: u.lastAttempt() && !r.hasGoodStart(w), slow: r.slowness(u, w), disturbance: disturbance, spared: spared,
-		leftover: leftoverShare(free, w.Capacity, step.PerTask), busyInRack: busyInRack,
+		leftover: leftoverShare(free, w.Capacity, step.PerTask),
 	}, true
 }
 
--- a/internal/dispatch/stopcost.go
+++ b/internal/dispatch/stopcost.go
@@ -1,7 +1,5 @@
 package dispatch
 
-import "time"
-
 // What a stop costs the job that is stopped. Load pattern: urgent jobs that come every
 // second, each of which finds the job that was stopped last to have the least unsaved work,
 // so that the same gang is stopped again and again.
@@ -15,19 +13,11 @@
 	// checkpointLossSeconds is what a run with checkpoints loses on average: its work is
 	// saved at the stop, but has to be restored.
 	checkpointLossSeconds = 0.5
-	// gangRestartSeconds is how long a stopped gang waits until there is room for all of
-	// its members again; single tasks start again at once.
-	gangRestartSeconds = 3.0
 )
 
-const (
-	// maxStopsForUrgent is the number of stops after which a task or a gang is stopped for
-	// claims only.
-	maxStopsForUrgent = 2
-	// soonEnds is the remaining time of a run below which stopping it gains nothing: a stop
-	// takes as long.
-	soonEnds = 400 * time.Millisecond
-)
+// maxStopsForUrgent is the number of stops after which a task or a gang is stopped for
+// claims only.
+const maxStopsForUrgent = 2
 
 // unsavedWork returns the work that stopping a run discards, in core seconds; for
 // a gang, that of all its members. An owner that took over a run has not seen its
@@ -54,14 +44,9 @@
 }
 
 // stopCost returns what a stop costs a job that loses the given unsaved work, in core
-// seconds: a gang waits for its restart, and each stop that a task or gang had before
-// counts as much again.
+// seconds: each stop that a task or gang had before counts as much again.
 func stopCost(o *order, unsavedWork float64) float64 {
-	cost := unsavedWork
-	if o.step().Gang {
-		cost += gangRestartSeconds * o.groupCores()
-	}
-	return cost * float64(1+o.earlierStops())
+	return unsavedWork * float64(1+o.earlierStops())
 }
 
 // earlierStops returns how many earlier runs of the order's task or gang have ended
@@ -74,18 +59,3 @@
 	}
 	return max(0, o.id.Run-1-failures)
 }
-
-// endsSoon reports whether a run is about to end by itself, by reports that are recent.
-func (c *Core) endsSoon(now Now, o *order) bool {
-	if o.step().LongRunning {
-		return false
-	}
-	for _, member := range o.groupOrders() {
-		fresh := member.lastReport.Percent >= minPercentForProjection && now.elapsedSince(member.lastReportMS) < minStall
-		stalled := time.Duration(member.lastReport.StalledMS)*time.Millisecond >= minStall
-		if !fresh || stalled || c.remainingSeconds(now, member) > soonEnds.Seconds() {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/dispatch/vacated.go
+++ b/internal/dispatch/vacated.go
@@ -12,11 +12,11 @@
 //
 // Load pattern: several urgent jobs within a second on workers that are all in use.
 
-// holdRoom allocates the workers that are being vacated for units, so that no other unit
-// takes them: for claims before the plan, and for others once the claims are placed.
-func (r *schedulingRound) holdRoom(units []*unit, claims bool) {
+// holdRoom allocates the workers that are being vacated for claims before the plan, so that
+// no other unit takes them.
+func (r *schedulingRound) holdRoom(units []*unit) {
 	for _, u := range units {
-		if u.rank.claim == claims {
+		if u.rank.claim {
 			r.held[u] = r.allocateRoom(u, len(u.tasks))
 		}
 	}
