Shares of a row from a time to come decay; tests share their server and successor

Cause: a row of what was learned whose time lies ahead, by a wrong clock or another writer, kept shares from decaying until then. Besides, four test packages had the same server, two tests their own successor, and the replay of shares kept racks of a part that was taken out. Change: the time is at most the reader's; coretest.Serve, rig.successor (which takes over the settings) and unevenSpeeds are used by all; no check is changed, TestSharesAfterTakeover now reads a row from an hour ahead and wants decay, too.

--- a/internal/agent/backend_contract_test.go
+++ b/internal/agent/backend_contract_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/executor"
 	"dragonflyyard/internal/httpconn"
 	"dragonflyyard/internal/model"
@@ -163,7 +164,7 @@
 // work undone, so that the request may go elsewhere.
 func TestBackendServerIsNotCalled(t *testing.T) {
 	server := standin.NewBackendServer(0)
-	address := startBackend(t, server.Serve)
+	address := coretest.Serve(t, server.Serve)
 	late := testRequest("r")
 	late.Deadline = time.Now()
 	cases := []struct {
--- a/internal/agent/backend_test.go
+++ b/internal/agent/backend_test.go
@@ -8,25 +8,13 @@
 
 	"github.com/valyala/fasthttp"
 
+	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/executor"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/settings"
 	"dragonflyyard/internal/standin"
 )
 
-// startBackend serves a handler on a free port.
-func startBackend(t *testing.T, handler fasthttp.RequestHandler) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &fasthttp.Server{Handler: handler}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = listener.Close() })
-	return listener.Addr().String()
-}
-
 func newTestAgent(t *testing.T, backend string) *Process {
 	t.Helper()
 	s := settings.DefaultAgent()
@@ -46,7 +34,7 @@
 // TestBackendServerContract tells what the agent makes of each way in which a
 // call of the backend server can end, and that it never repeats a call.
 func TestBackendServerContract(t *testing.T) {
-	closed := startBackend(t, func(ctx *fasthttp.RequestCtx) {
+	closed := coretest.Serve(t, func(ctx *fasthttp.RequestCtx) {
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
 	})
@@ -83,7 +71,7 @@
 			server.SetFaults(c.faults)
 			address := c.address
 			if address == "" {
-				address = startBackend(t, server.Serve)
+				address = coretest.Serve(t, server.Serve)
 			}
 			b := newBackendCaller(newTestAgent(t, address))
 			done := b.call(model.Request{ID: "r", Account: "cheese", Deadline: time.Now().Add(time.Minute), Body: []byte(c.body)})
@@ -103,7 +91,7 @@
 func TestClosedIdleConnectionIsNotRepeated(t *testing.T) {
 	server := standin.NewBackendServer(0)
 	var calls atomic.Int64
-	address := startBackend(t, func(ctx *fasthttp.RequestCtx) {
+	address := coretest.Serve(t, func(ctx *fasthttp.RequestCtx) {
 		if calls.Add(1) == 2 {
 			ctx.HijackSetNoResponse(true)
 			ctx.Hijack(func(c net.Conn) { _ = c.Close() })
--- a/internal/coretest/coretest.go
+++ b/internal/coretest/coretest.go
@@ -1,6 +1,6 @@
-// Package coretest is what the tests of several deterministic cores have in
-// common: results that reach a core late, and calls that do not wait. Only
-// tests import it.
+// Package coretest is what the tests of several packages have in common: results that
+// reach a core late, calls that do not wait, and a server on loopback. Only tests
+// import it.
 package coretest
 
 import (
--- a/internal/deployed/path_test.go
+++ b/internal/deployed/path_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/settings"
 	"dragonflyyard/internal/standin"
@@ -34,18 +35,6 @@
 	scans sync.Map
 }
 
-func listenOn(t *testing.T, handler fasthttp.RequestHandler) string {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &fasthttp.Server{Handler: handler}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Shutdown() })
-	return listener.Addr().String()
-}
-
 // freeAddress returns a loopback address that nothing listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
@@ -60,7 +49,7 @@
 func newSite(t *testing.T) *site {
 	t.Helper()
 	s := &site{t: t, store: standin.NewStore(time.Now)}
-	s.address = listenOn(t, func(ctx *fasthttp.RequestCtx) {
+	s.address = coretest.Serve(t, func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) == "/rows-parts" {
 			s.scansOf(string(ctx.QueryArgs().Peek("table"))).Add(1)
 		}
@@ -120,7 +109,7 @@
 
 // agentOf runs an agent beside a worker, which sends heartbeats to it.
 func (s *site) agentOf(host string, worker *standin.JobWorker) (stop func()) {
-	control, app := freeAddress(s.t), listenOn(s.t, worker.Handle)
+	control, app := freeAddress(s.t), coretest.Serve(s.t, worker.Handle)
 	beating, cancel := context.WithCancel(context.Background())
 	s.t.Cleanup(cancel)
 	go func() {
--- a/internal/deployed/stop_test.go
+++ b/internal/deployed/stop_test.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/settings"
@@ -209,7 +210,7 @@
 	s := newSite(t)
 	worker := standin.NewJobWorker("i-1", "s", "z", "r1")
 	control := freeAddress(t)
-	app := listenOn(t, worker.Handle)
+	app := coretest.Serve(t, worker.Handle)
 	ctx, terminate := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -53,24 +53,11 @@
 	}
 }
 
-// speedMix is the percentages that workers have in turn as their speeds; nil where workers
-// are alike.
-type speedMix []int
-
-func (m speedMix) String() string {
-	if m == nil {
-		return ""
-	}
-	return fmt.Sprint("/speeds=", []int(m))
-}
-
-func (m speedMix) state(workers int) workerspeed.State {
-	var out workerspeed.State
+// unevenSpeeds returns speeds of 0.8, 1 and 1.25 in turn.
+func unevenSpeeds(workers int) (out workerspeed.State) {
 	for i := range workers {
-		if len(m) > 0 {
-			percent := m[i%len(m)]
-			out.Workers = append(out.Workers, workerspeed.Record{Host: fmt.Sprintf("h%03d", i), FittedPercent: percent, FactorPercent: percent, Runs: 10})
-		}
+		percent := []int{80, 100, 125}[i%3]
+		out.Workers = append(out.Workers, workerspeed.Record{Host: fmt.Sprintf("h%03d", i), FittedPercent: percent, FactorPercent: percent, Runs: 10})
 	}
 	return out
 }
@@ -99,11 +86,13 @@
 func BenchmarkPlan(b *testing.B) {
 	for _, size := range []struct {
 		workers, jobs int
-		speeds        speedMix
-	}{{70, 60, nil}, {240, 60, nil}, {240, 150, nil}, {240, 300, nil}, {240, 300, speedMix{80, 100, 125}}} {
-		b.Run(fmt.Sprintf("workers=%d/jobs=%d%s", size.workers, size.jobs, size.speeds), func(b *testing.B) {
+		uneven        string
+	}{{70, 60, ""}, {240, 60, ""}, {240, 150, ""}, {240, 300, ""}, {240, 300, "/uneven"}} {
+		b.Run(fmt.Sprintf("workers=%d/jobs=%d%s", size.workers, size.jobs, size.uneven), func(b *testing.B) {
 			c, now := largeCore(size.workers, size.jobs)
-			c.speeds.Restore(now.StoreMS, now.StoreMS, size.speeds.state(size.workers))
+			if size.uneven != "" {
+				c.speeds.Restore(now.StoreMS, now.StoreMS, unevenSpeeds(size.workers))
+			}
 			for b.Loop() {
 				now.StoreMS++
 				c.Plan(now)
--- a/internal/dispatch/distrust_test.go
+++ b/internal/dispatch/distrust_test.go
@@ -50,7 +50,7 @@
 	for _, o := range ends {
 		c.EndSeen(now, workload.EndKey(o.Host, o.id), workload.End{Task: o.Task, Run: o.Run, Host: o.Host, Kind: workload.EndFailed})
 	}
-	c.speeds.Restore(now.StoreMS, now.StoreMS, speedMix{80, 100, 125}.state(1000))
+	c.speeds.Restore(now.StoreMS, now.StoreMS, unevenSpeeds(1000))
 	row := c.learned(Now{StoreMS: now.StoreMS + 1})
 	if size := len(encode(row)); row.Distrust == nil || row.Speeds == nil || size > workload.MaxRowBytes/2 {
 		t.Errorf("the row takes %d bytes, want at most %d", size, workload.MaxRowBytes/2)
--- a/internal/dispatch/guarantee_test.go
+++ b/internal/dispatch/guarantee_test.go
@@ -37,7 +37,7 @@
 func (r *rig) successor() *rig {
 	r.t.Helper()
 	next := newRig(r.t)
-	next.now, next.version = r.now, r.version
+	next.now, next.version, next.core.settings = r.now, r.version, r.core.settings
 	for _, w := range r.core.sortedWorkers() {
 		next.worker(w.Host, string(w.Rack), nil)
 	}
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -56,7 +56,8 @@
 // LearnedSeen takes over what a previous owner has learned. It is called after the
 // workers and jobs were loaded, and before the first plan.
 func (c *Core) LearnedSeen(now Now, row Learned) {
-	c.shares.ledger.Restore(row.AsOfMS, row.Shares)
+	// A time to come, by a wrong clock or another writer, would keep shares from decaying.
+	c.shares.ledger.Restore(min(row.AsOfMS, now.StoreMS), row.Shares)
 	c.restoreDisturbances(now, row.Interference)
 	if row.Speeds != nil && c.settings.LearnSpeeds {
 		c.speeds.Restore(now.StoreMS, row.AsOfMS, *row.Speeds)
--- a/internal/dispatch/shares_test.go
+++ b/internal/dispatch/shares_test.go
@@ -10,15 +10,12 @@
 	"dragonflyyard/internal/workload"
 )
 
-// loadReplay plays arrivals against a core, with tasks that take as long as estimated, and
-// gangs three times as long that are not in the one rack that they need.
+// loadReplay plays arrivals against a core, with tasks that take as long as estimated.
 type loadReplay struct {
 	*rig
 	random *rand.Rand
 	ends   map[int64][]workload.Order
 	jobs   int
-	// gangs counts the starts of gangs that need a rack, inRack those that got one.
-	gangs, inRack int
 }
 
 func newLoadReplay(t *testing.T, seed uint64, guaranteed map[model.ClientAccountID]int) *loadReplay {
@@ -38,33 +35,15 @@
 	return workload.Step{Tasks: tasks, Estimate: takes, PerTask: workload.Resources{MilliCores: 5000, MemoryMB: 10_000, Accelerators: 1}}
 }
 
-// step announces workers in racks, plans, lets 100 ms pass and reports the ends that are due.
-func (p *loadReplay) step(racks []int) {
-	for n, rack := range racks {
-		p.worker(fmt.Sprintf("h%02d", n), fmt.Sprintf("r%d", rack), nil)
+// step announces workers, plans, lets 100 ms pass and reports the ends that are due.
+func (p *loadReplay) step(workers int) {
+	for n := range workers {
+		p.worker(fmt.Sprintf("h%02d", n), "r0", nil)
 	}
-	orders := p.plan()
-	usedRacks := map[model.JobID]map[model.RackID]bool{}
-	for _, o := range orders {
+	for _, o := range p.plan() {
 		id, _ := o.ID()
-		if usedRacks[id.Task.Job] == nil {
-			usedRacks[id.Task.Job] = map[model.RackID]bool{}
-		}
-		usedRacks[id.Task.Job][p.core.workers[o.Host].Rack] = true
-	}
-	for _, o := range orders {
-		id, _ := o.ID()
-		spec := p.core.jobs[id.Task.Job].Steps[0]
-		takes := spec.Estimate.Milliseconds()
-		if whole := len(usedRacks[id.Task.Job]) == 1; spec.SameRack && !whole {
-			takes *= 3
-		} else if spec.SameRack && id.Task.Index == 0 {
-			p.inRack++
-		}
-		if spec.SameRack && id.Task.Index == 0 {
-			p.gangs++
-		}
-		p.ends[p.now.StoreMS+takes] = append(p.ends[p.now.StoreMS+takes], o)
+		end := p.now.StoreMS + p.core.jobs[id.Task.Job].Steps[0].Estimate.Milliseconds()
+		p.ends[end] = append(p.ends[end], o)
 	}
 	p.advance(100 * time.Millisecond)
 	for _, o := range p.ends[p.now.StoreMS] {
@@ -101,7 +80,7 @@
 			if i < 220 && i%20 == 0 {
 				p.submit(model.ClientAccountID(fmt.Sprintf("few-%d", i/20%2)), small(6+p.random.IntN(5), 2500*time.Millisecond))
 			}
-			p.step(make([]int, 4))
+			p.step(4)
 		}
 		many, few := p.inTime("many"), min(p.inTime("few-0"), p.inTime("few-1"))
 		t.Logf("seed %d: percentage of jobs in time: %d and %d of the accounts within their share, %d of the other", seed, p.inTime("few-0"), p.inTime("few-1"), many)
@@ -119,11 +98,11 @@
 	p := newLoadReplay(t, 1, guaranteed)
 	for range 300 {
 		p.submit("a", small(3, time.Second))
-		p.step(make([]int, 4))
+		p.step(4)
 	}
 	next := newLoadReplay(t, 1, guaranteed)
 	next.now = p.now
-	next.core.LearnedSeen(next.now, Learned{AsOfMS: p.now.StoreMS, Shares: p.core.learned(p.now).Shares})
+	next.core.LearnedSeen(next.now, Learned{AsOfMS: p.now.StoreMS + time.Hour.Milliseconds(), Shares: p.core.learned(p.now).Shares})
 	next.submit("a", small(1, time.Second))
 	next.submit("b", small(1, 1500*time.Millisecond))
 	next.plan()
@@ -132,4 +111,10 @@
 	if first := next.core.units(next.now)[0].job.Account; first != "b" {
 		t.Errorf("after a takeover account %q comes first", first)
 	}
+	// The row's time was wrong; what was used must decay all the same.
+	next.advance(time.Minute)
+	next.worker("h0", "r1", nil)
+	if first := next.core.units(next.now)[0].job.Account; first != "a" {
+		t.Errorf("a minute later account %q comes first", first)
+	}
 }
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -188,21 +188,9 @@
 	}
 }
 
-// successor returns a rig whose core loads what the store holds, with the row of what was
-// learned.
+// successor returns the rig of a new owner that reads the row of what was learned.
 func (d *unevenDay) successor(value []byte) *rig {
-	next := newRig(d.t)
-	next.now, next.version = d.now, d.version
-	next.core.settings.LearnSpeeds = true
-	for _, w := range d.core.sortedWorkers() {
-		next.core.WorkerSeen(w.Announcement, w.version)
-	}
-	for _, j := range d.core.sortedJobs() {
-		next.stored(j.Job, j.progress)
-	}
-	for _, o := range d.rig.orders {
-		next.core.OrderSeen(next.now, o, 1)
-	}
+	next := d.rig.successor()
 	var row Learned
 	if err := rowcodec.Decode(value, &row); err != nil {
 		d.t.Fatal(err)
--- a/internal/hostile/site_test.go
+++ b/internal/hostile/site_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/settings"
 	"dragonflyyard/internal/standin"
@@ -58,19 +59,6 @@
 	return folder
 }
 
-func serve(t *testing.T, handler fasthttp.RequestHandler) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &fasthttp.Server{Handler: handler}
-	go func() { _ = server.Serve(listener) }()
-	// Calls in progress are long polls of processes that have ended.
-	t.Cleanup(func() { _ = listener.Close() })
-	return listener.Addr().String()
-}
-
 // startStore starts a stand-in store with a configuration.
 func startStore(t *testing.T) (address string) {
 	t.Helper()
@@ -83,7 +71,7 @@
 			t.Fatal(err)
 		}
 	}
-	return serve(t, store.HandleRows)
+	return coretest.Serve(t, store.HandleRows)
 }
 
 // A table of the store that a relay reads for anyone who asks.
@@ -176,7 +164,7 @@
 	a := freeAddresses(t, 3)
 	worker := standin.NewJobWorker("i-0", "s", "z", "rack")
 	return start(t, filepath.Join(binaries, "dragonfly-agent"), fmt.Sprintf(
-		"host: side\nregion: r\nzone: z\ncontrol_address: %s\nworker_address: %s\nmetrics_address: %s\nstore_address: %s\npush_address: %s\n", a[0], serve(t, worker.Handle), a[1], store, a[2]),
+		"host: side\nregion: r\nzone: z\ncontrol_address: %s\nworker_address: %s\nmetrics_address: %s\nstore_address: %s\npush_address: %s\n", a[0], coretest.Serve(t, worker.Handle), a[1], store, a[2]),
 		map[string]face{
 			"control": {name: "control", address: a[0], method: "PUT", path: "/instances/i-0", headers: "Host: h\r\n", limit: 4 << 20, swells: swellingHeartbeat(),
 				body: []byte(`{"service":"s","address":"127.0.0.1:1","zone":"z","state":"ready","capacity":{"cpu":64000,"memory_request_mb":131072,"gpu":8},"labels":["a","rack"],"sequence":1,"born":1}`)},
--- a/internal/rowcodec/nesting.go
+++ b/internal/rowcodec/nesting.go
@@ -20,7 +20,8 @@
 )
 
 // checkNesting returns an error if the first value in data is nested more deeply than
-// maxNesting, is cut off, consists of more than a number of values, or has an indefinite length, which Encode never writes.
+// maxNesting, is cut off, consists of more than mostValues values, or has an indefinite
+// length, which Encode never writes.
 func checkNesting(data []byte, mostValues int) error {
 	// open holds the number of values that are left at each level.
 	var open [maxNesting]uint64
--- a/internal/rowpush/rowpush_test.go
+++ b/internal/rowpush/rowpush_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/coretest"
 	"dragonflyyard/internal/storeapi"
 )
 
@@ -17,19 +17,6 @@
 	rows []storeapi.Row
 }
 
-// startServer serves handler until the end of the test and returns its address.
-func startServer(t *testing.T, handler fasthttp.RequestHandler) string {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &fasthttp.Server{Handler: handler}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Shutdown() })
-	return listener.Addr().String()
-}
-
 // startSender returns a sender that runs until the end of the test.
 func startSender(t *testing.T, self string) *Sender {
 	t.Helper()
@@ -43,7 +30,7 @@
 
 func TestPushArrivesWhole(t *testing.T) {
 	got := make(chan receivedPush, 1)
-	to := startServer(t, Route(func(from string, rows []storeapi.Row) bool { got <- receivedPush{from, rows}; return true }, nil))
+	to := coretest.Serve(t, Route(func(from string, rows []storeapi.Row) bool { got <- receivedPush{from, rows}; return true }, nil))
 	startSender(t, "10.0.0.1:7000").Push(to, []storeapi.Row{{Key: "inbox@3/job/a", Value: []byte("v"), Version: 9}})
 	p := <-got
 	if p.from != "10.0.0.1:7000" || len(p.rows) != 1 || p.rows[0].Key != "inbox@3/job/a" || string(p.rows[0].Value) != "v" || p.rows[0].Version != 9 {
@@ -57,9 +44,9 @@
 // delivered, although one push runs at a time.
 func TestFailedPushesDoNotAffectOthers(t *testing.T) {
 	got := make(chan receivedPush, 1)
-	refusing := startServer(t, Route(func(string, []storeapi.Row) bool { return false }, nil))
-	withoutPushes := startServer(t, func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusNotFound) })
-	accepting := startServer(t, Route(func(from string, rows []storeapi.Row) bool { got <- receivedPush{from, rows}; return true }, nil))
+	refusing := coretest.Serve(t, Route(func(string, []storeapi.Row) bool { return false }, nil))
+	withoutPushes := coretest.Serve(t, func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusNotFound) })
+	accepting := coretest.Serve(t, Route(func(from string, rows []storeapi.Row) bool { got <- receivedPush{from, rows}; return true }, nil))
 	s := NewSender("", 1, zap.NewNop(), metrics.NewRegistry())
 	rows := []storeapi.Row{{Key: "k"}}
 	for _, to := range []string{"", refusing, withoutPushes, "127.0.0.1:1", accepting} {
