Replays of speeds and of disturbance share how runs work and are reported

Cause: both had their own runs, paces, ends and announcements. Change: replay_test.go has them once; bounds and draws are the same.

--- a/internal/dispatch/interference_test.go
+++ b/internal/dispatch/interference_test.go
@@ -11,32 +11,26 @@
 	"dragonflyyard/internal/workload"
 )
 
-// mixedLoad drives a rig with jobs of three programs on workers of different speed. It
-// knows how much the programs truly slow each other down.
+// mixedLoad replays jobs of three programs on workers of different speed. It knows how much
+// the programs truly slow each other down.
 type mixedLoad struct {
-	*rig
+	*replay
 	rng   *rand.Rand
 	truth map[[2]string]float64
 	hosts []string
 	speed map[string]float64
-	runs  map[workload.RunID]*mixedRun
 	jobs  int
-	// orders lists all orders, and excess the extra run time of the ended runs of each
+	// ordered lists all orders, and excess the extra run time of the ended runs of each
 	// program, as a share of what they take alone on their worker.
 	ordered []string
 	excess  map[string][]float64
 }
 
-type mixedRun struct {
-	order        workload.Order
-	program      string
-	alone        float64
-	done, worked float64
-	changedMS    int64
-}
-
 func newMixedLoad(t *testing.T, seed uint64, truth map[[2]string]float64, separate bool) *mixedLoad {
-	l := &mixedLoad{rig: newRig(t), rng: rand.New(rand.NewPCG(seed, 2)), truth: truth, speed: map[string]float64{}, runs: map[workload.RunID]*mixedRun{}, excess: map[string][]float64{}}
+	l := &mixedLoad{rng: rand.New(rand.NewPCG(seed, 2)), truth: truth, speed: map[string]float64{}, excess: map[string][]float64{}}
+	l.replay = &replay{rig: newRig(t), pace: l.pace, ended: func(r *replayRun) {
+		l.excess[l.programOf(r)] = append(l.excess[l.programOf(r)], float64(l.now.StoreMS-r.startedMS)/1000/r.work-1)
+	}}
 	l.core.settings.SeparateDisturbing = separate
 	for i := range 20 {
 		host := "h" + string(rune('a'+i))
@@ -46,6 +40,20 @@
 	return l
 }
 
+func (l *mixedLoad) programOf(r *replayRun) string {
+	return l.core.jobs[r.id.Task.Job].Steps[0].Program
+}
+
+// pace returns the pace of a run beside its neighbours, as a share of that alone.
+func (l *mixedLoad) pace(r *replayRun) float64 {
+	for _, other := range l.runs {
+		if factor, disturbs := l.truth[[2]string{l.programOf(r), l.programOf(other)}]; disturbs && other.Host == r.Host {
+			return 1 / factor
+		}
+	}
+	return 1
+}
+
 // sizeOf draws a task's size from its name, so that runs with and without separation have
 // the same tasks.
 func sizeOf(task string) float64 {
@@ -63,16 +71,14 @@
 		if l.rng.Float64() < 0.3 {
 			l.submit()
 		}
+		l.pass(tick)
 		for at, host := range l.hosts {
-			l.work(host, tick)
 			if i%4 == at%4 {
-				l.announce(host)
+				l.report(host, "r1")
 			}
 		}
-		for _, o := range l.plan() {
-			id, _ := o.ID()
-			l.ordered = append(l.ordered, id.String()+"@"+o.Host)
-			l.runs[id] = &mixedRun{order: o, program: l.core.jobs[id.Task.Job].Steps[0].Program, alone: sizeOf(o.Task) / l.speed[o.Host], changedMS: l.now.StoreMS}
+		for _, o := range l.begin(func(o workload.Order) float64 { return sizeOf(o.Task) / l.speed[o.Host] }) {
+			l.ordered = append(l.ordered, o.Task+"@"+o.Host)
 		}
 	}
 }
@@ -85,54 +91,6 @@
 	})
 }
 
-func (l *mixedLoad) on(host string) []*mixedRun {
-	var out []*mixedRun
-	for _, r := range l.runs {
-		if r.order.Host == host {
-			out = append(out, r)
-		}
-	}
-	slices.SortFunc(out, func(a, b *mixedRun) int {
-		x, _ := a.order.ID()
-		y, _ := b.order.ID()
-		return compareRuns(x, y)
-	})
-	return out
-}
-
-func (l *mixedLoad) work(host string, tick time.Duration) {
-	running := l.on(host)
-	for _, r := range running {
-		rate := 1 / r.alone
-		for _, other := range running {
-			if factor, disturbs := l.truth[[2]string{r.program, other.program}]; disturbs {
-				rate /= factor
-				break
-			}
-		}
-		before := int(100 * r.done)
-		r.done += rate * tick.Seconds()
-		r.worked += tick.Seconds()
-		if int(100*r.done) != before {
-			r.changedMS = l.now.StoreMS
-		}
-		if r.done >= 1 {
-			id, _ := r.order.ID()
-			delete(l.runs, id)
-			l.excess[r.program] = append(l.excess[r.program], r.worked/r.alone-1)
-			l.end(r.order, workload.EndDone, "")
-		}
-	}
-}
-
-func (l *mixedLoad) announce(host string) {
-	l.worker(host, "r1", func(a *workload.Announcement) {
-		for _, r := range l.on(host) {
-			a.Running = append(a.Running, workload.RunningTask{Task: r.order.Task, Run: r.order.Run, Percent: min(int(100*r.done), 99), StalledMS: l.now.StoreMS - r.changedMS})
-		}
-	})
-}
-
 func (l *mixedLoad) meanExcess(program string) float64 {
 	var sum float64
 	for _, e := range l.excess[program] {
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -11,20 +11,13 @@
 	"dragonflyyard/internal/workload"
 )
 
-// unevenRun is a run of the replay, with the share of its work that is left.
-type unevenRun struct {
-	order      workload.Order
-	work, left float64
-}
-
 // unevenDay replays two minutes on 48 workers of the given speeds: wide steps of short
 // tasks and gangs of whole workers, with estimates that are off by up to 0.9. Tasks of a
 // step differ by 30 percent. It keeps the times of jobs and all placements.
 type unevenDay struct {
-	*rig
+	*replay
 	rng    *rand.Rand
 	speeds []float64
-	runs   []*unevenRun
 	placed []string
 	// accepted holds the times of acceptance of the jobs that are under way.
 	accepted map[string]int64
@@ -33,7 +26,8 @@
 }
 
 func replayUnevenDay(t *testing.T, seed uint64, learn bool, speeds ...float64) *unevenDay {
-	d := &unevenDay{rig: newRig(t), rng: rand.New(rand.NewPCG(seed, 5)), speeds: speeds, accepted: map[string]int64{}}
+	d := &unevenDay{rng: rand.New(rand.NewPCG(seed, 5)), speeds: speeds, accepted: map[string]int64{}}
+	d.replay = &replay{rig: newRig(t), pace: d.pace, ended: d.countJob}
 	d.core.settings.LearnSpeeds = learn
 	for tick := range 1200 {
 		if tick%10 == 0 {
@@ -42,12 +36,10 @@
 		if tick%7 == 0 && tick < 900 {
 			d.submit(tick)
 		}
-		for _, o := range d.plan() {
-			work := d.work(o.Task)
-			d.runs = append(d.runs, &unevenRun{o, work, work})
+		for _, o := range d.begin(func(o workload.Order) float64 { return d.work(o.Task) }) {
 			d.placed = append(d.placed, fmt.Sprint(tick, " ", o.Task, " ", o.Host))
 		}
-		d.work100ms()
+		d.pass(100 * time.Millisecond)
 		d.advance(100 * time.Millisecond)
 	}
 	return d
@@ -89,44 +81,28 @@
 }
 
 // pace returns the speed of a run; a gang is as fast as its slowest member.
-func (d *unevenDay) pace(run *unevenRun) float64 {
-	id, _ := run.order.ID()
-	out := d.speed(run.order.Host)
-	if d.core.jobs[id.Task.Job].Steps[0].Gang {
-		for o := range d.core.jobs[id.Task.Job].orders {
-			out = min(out, d.speed(d.core.jobs[id.Task.Job].orders[o].Host))
+func (d *unevenDay) pace(run *replayRun) float64 {
+	out, job := d.speed(run.Host), d.core.jobs[run.id.Task.Job]
+	if job.Steps[0].Gang {
+		for _, o := range job.orders {
+			out = min(out, d.speed(o.Host))
 		}
 	}
 	return out
 }
 
-func (d *unevenDay) work100ms() {
-	for _, run := range d.runs {
-		run.left -= 0.1 * d.pace(run)
+// countJob counts the time of a job that is completed with a run.
+func (d *unevenDay) countJob(run *replayRun) {
+	if job := string(run.id.Task.Job); d.core.jobs[run.id.Task.Job].progress.State.Final() && d.accepted[job] > 0 {
+		d.total += float64(d.now.StoreMS-d.accepted[job]) / 1000
+		d.jobs++
+		d.accepted[job] = 0
 	}
-	d.runs = slices.DeleteFunc(d.runs, func(run *unevenRun) bool {
-		if run.left > 0 {
-			return false
-		}
-		d.end(run.order, workload.EndDone, "")
-		id, _ := run.order.ID()
-		if job := string(id.Task.Job); d.core.jobs[id.Task.Job].progress.State.Final() && d.accepted[job] > 0 {
-			d.total += float64(d.now.StoreMS-d.accepted[job]) / 1000
-			d.jobs++
-			d.accepted[job] = 0
-		}
-		return true
-	})
 }
 
 func (d *unevenDay) announce() {
-	running := map[string][]workload.RunningTask{}
-	for _, run := range d.runs {
-		running[run.order.Host] = append(running[run.order.Host], workload.RunningTask{Task: run.order.Task, Run: run.order.Run, Percent: int(100 * (1 - run.left/run.work))})
-	}
 	for i := range 48 {
-		host := fmt.Sprintf("h%d", i)
-		d.worker(host, fmt.Sprint("r", i/12), func(a *workload.Announcement) { a.Running = running[host] })
+		d.report(fmt.Sprint("h", i), fmt.Sprint("r", i/12))
 	}
 }
 
