Replays of stops, shares and taken-over evidence use the same runs

Cause: they had their own copies of what replay_test.go does. Change: stream, loadReplay and restored use it; bounds are the same.

--- a/internal/dispatch/interference_test.go
+++ b/internal/dispatch/interference_test.go
@@ -136,35 +136,21 @@
 	}
 }
 
-// knownPair returns evidence by which the first program is slowed down by the second.
-func knownPair(t *testing.T, victim, neighbour string) interference.State {
+// restored returns a rig that took over the evidence of a load on which scan slows down
+// index.
+func restored(t *testing.T, workers int) *rig {
 	t.Helper()
-	m := interference.New()
-	v, n := m.Index(1, victim), m.Index(1, neighbour)
-	for i := range int64(40) {
-		var run interference.Trace
-		for s := range int64(10) {
-			r := interference.Sample{SentMS: 1000*s + 100_000*i + 1, Percent: int(10 * s)}
-			if s >= 5 {
-				r.Percent, r.Neighbours = int(50+5*(s-5)), interference.Set(0).With(n)
-			}
-			run.Observe(m, r)
-		}
-		m.Learn(100_000*(i+1), v, &run)
-	}
-	if !m.AnyKnown() {
-		t.Fatalf("the pair is not known: %+v", m.Pairs(0))
+	l := newMixedLoad(t, 0, map[[2]string]float64{{"index", "scan"}: 1.5}, true)
+	l.run(90 * time.Second)
+	if l.core.DisturbanceStats().KnownPairs != 1 {
+		t.Fatal("the pair is not known")
 	}
-	return m.State()
-}
-
-func restored(t *testing.T, workers int) *rig {
 	r := newRig(t)
-	r.advance(time.Hour)
+	r.now = l.now
 	for i := range workers {
 		r.worker("h"+string(rune('a'+i)), "r1", nil)
 	}
-	r.core.LearnedSeen(r.now, Learned{Interference: knownPair(t, "index", "scan")})
+	r.core.LearnedSeen(r.now, Learned{Interference: l.core.disturbances.model.State()})
 	return r
 }
 
--- a/internal/dispatch/replay_test.go
+++ b/internal/dispatch/replay_test.go
@@ -11,11 +11,15 @@
 type replay struct {
 	*rig
 	runs []*replayRun
-	// pace returns the work that a run does in a second. ended is called with a run that is done.
+	// pace returns the work that a run does in a second. ended, if set, is called with a
+	// run that is done.
 	pace  func(*replayRun) float64
 	ended func(*replayRun)
 }
 
+// roundingError is the work that is lost in sums, in seconds.
+const roundingError = 1e-9
+
 // replayRun is a run with its work and what is left of it, in seconds at a pace of 1.
 type replayRun struct {
 	workload.Order
@@ -45,11 +49,13 @@
 		}
 	}
 	r.runs = slices.DeleteFunc(r.runs, func(run *replayRun) bool {
-		if run.left > 0 {
+		if run.left > roundingError {
 			return false
 		}
 		r.end(run.Order, workload.EndDone, "")
-		r.ended(run)
+		if r.ended != nil {
+			r.ended(run)
+		}
 		return true
 	})
 }
@@ -64,3 +70,12 @@
 		}
 	})
 }
+
+// estimated returns the work of tasks that take as long as estimated.
+func (r *replay) estimated(o workload.Order) float64 {
+	id, _ := o.ID()
+	return r.core.jobs[id.Task.Job].Steps[0].Estimate.Seconds()
+}
+
+// atOnePace is the pace of runs that nothing slows down.
+func atOnePace(*replayRun) float64 { return 1 }
--- a/internal/dispatch/shares_test.go
+++ b/internal/dispatch/shares_test.go
@@ -12,14 +12,13 @@
 
 // loadReplay plays arrivals against a core, with tasks that take as long as estimated.
 type loadReplay struct {
-	*rig
+	*replay
 	random *rand.Rand
-	ends   map[int64][]workload.Order
 	jobs   int
 }
 
 func newLoadReplay(t *testing.T, seed uint64, guaranteed map[model.ClientAccountID]int) *loadReplay {
-	p := &loadReplay{rig: newRig(t), random: rand.New(rand.NewPCG(seed, 0)), ends: map[int64][]workload.Order{}}
+	p := &loadReplay{replay: &replay{rig: newRig(t), pace: atOnePace}, random: rand.New(rand.NewPCG(seed, 0))}
 	p.core.settings.FairShares = true
 	p.core.Configure(guaranteed, nil)
 	return p
@@ -40,16 +39,9 @@
 	for n := range workers {
 		p.worker(fmt.Sprintf("h%02d", n), "r0", nil)
 	}
-	for _, o := range p.plan() {
-		id, _ := o.ID()
-		end := p.now.StoreMS + p.core.jobs[id.Task.Job].Steps[0].Estimate.Milliseconds()
-		p.ends[end] = append(p.ends[end], o)
-	}
+	p.begin(p.estimated)
 	p.advance(100 * time.Millisecond)
-	for _, o := range p.ends[p.now.StoreMS] {
-		p.end(o, workload.EndDone, "")
-	}
-	delete(p.ends, p.now.StoreMS)
+	p.pass(100 * time.Millisecond)
 }
 
 // inTime returns the percentage of an account's jobs that were completed within three
--- a/internal/dispatch/stopcost_test.go
+++ b/internal/dispatch/stopcost_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,11 +12,11 @@
 
 // stream is a replay of jobs whose runs end after their estimate and report how far they are.
 type stream struct {
-	*rig
-	random          *rand.Rand
-	jobs            int
-	begun, stopping map[workload.RunID]int64
-	stops           map[workload.TaskRef]int
+	*replay
+	random   *rand.Rand
+	jobs     int
+	stopping map[workload.RunID]int64
+	stops    map[workload.TaskRef]int
 	// discarded is the work that stops discard, in core seconds.
 	discarded float64
 }
@@ -29,44 +30,38 @@
 	})
 }
 
-func (s *stream) announce(host string) {
-	s.worker(host, "r1", func(a *workload.Announcement) {
-		for id, o := range s.orders {
-			if estimate := s.core.jobs[id.Task.Job].Steps[0].Estimate; o.Host == host && s.begun[id] > 0 {
-				done := 100 * (s.now.StoreMS - s.begun[id]) / estimate.Milliseconds()
-				a.Running = append(a.Running, workload.RunningTask{Task: o.Task, Run: o.Run, Percent: int(min(100, done))})
-			}
-		}
-	})
-}
-
-// endRuns ends the runs that are done, and those that are being stopped after 0.3 s.
-func (s *stream) endRuns() {
-	for id, o := range s.orders {
-		step := s.core.jobs[id.Task.Job].Steps[0]
-		ran := time.Duration(s.now.StoreMS-s.begun[id]) * time.Millisecond
+// endStopped ends the runs that are being stopped, after 0.3 s.
+func (s *stream) endStopped() {
+	s.runs = slices.DeleteFunc(s.runs, func(run *replayRun) bool {
+		step := s.core.jobs[run.id.Task.Job].Steps[0]
 		switch {
-		case o.Stop && s.stopping[id] == 0:
-			s.stopping[id] = s.now.StoreMS
-			s.discarded += ran.Seconds() * step.PerTask.Cores()
-			if !step.Gang || id.Task.Index == 0 {
-				s.stops[id.Task]++
+		case !s.orders[run.id].Stop:
+			return false
+		case s.stopping[run.id] == 0:
+			s.stopping[run.id] = s.now.StoreMS
+			s.discarded += (run.work - run.left) * step.PerTask.Cores()
+			if !step.Gang || run.id.Task.Index == 0 {
+				s.stops[run.id.Task]++
 			}
-		case o.Stop && s.now.StoreMS-s.stopping[id] >= 300:
-			s.end(o, workload.EndStopped, "")
-		case !o.Stop && ran >= step.Estimate:
-			s.end(o, workload.EndDone, "")
+			return false
+		case s.now.StoreMS-s.stopping[run.id] < 300:
+			return false
 		}
-	}
+		s.end(run.Order, workload.EndStopped, "")
+		return true
+	})
 }
 
 // urgentStream replays urgent jobs beyond a guarantee that take whole workers, one each 0.8
 // s or so, on six workers full of gangs and of single tasks.
 func urgentStream(t *testing.T, seed uint64) *stream {
-	s := &stream{
-		rig: newRig(t), random: rand.New(rand.NewPCG(seed, 0)),
-		begun: map[workload.RunID]int64{}, stopping: map[workload.RunID]int64{}, stops: map[workload.TaskRef]int{},
-	}
+	s := &stream{random: rand.New(rand.NewPCG(seed, 0)), stopping: map[workload.RunID]int64{}, stops: map[workload.TaskRef]int{}}
+	s.replay = &replay{rig: newRig(t), pace: func(run *replayRun) float64 {
+		if s.orders[run.id].Stop {
+			return 0
+		}
+		return 1
+	}}
 	for i := range 6 {
 		s.submit(1, 2, 4, true, time.Duration(8+i)*time.Second)
 		s.submit(2, 10, 1, false, time.Duration(3+i)*time.Second)
@@ -77,14 +72,12 @@
 			s.submit(1+s.random.IntN(2), 3, 2, s.random.IntN(2) == 0, 5*time.Second)
 		}
 		for i := range 6 {
-			s.announce(fmt.Sprintf("h%d", i))
-		}
-		for _, o := range s.plan() {
-			id, _ := o.ID()
-			s.begun[id] = s.now.StoreMS
+			s.report(fmt.Sprintf("h%d", i), "r1")
 		}
-		s.endRuns()
+		s.begin(s.estimated)
+		s.endStopped()
 		s.advance(100 * time.Millisecond)
+		s.pass(100 * time.Millisecond)
 	}
 	return s
 }
