--- a/review/harness-3/lasting.go
+++ b/review/harness-3/lasting.go
@@ -96,17 +96,20 @@
 	return broken, nil
 }
 
-// playReserved runs tasks of 40 s that leave more than half of each executor free, then a
-// gang that needs all executors whole, and then a task that lasts and needs one accelerator.
-func playReserved(r *record, trouble bool) (string, error) {
-	const busy, gang, small = "00000000000000c1", "00000000000000c2", "00000000000000c3"
-	r.lasts = func(task string) bool { return strings.HasPrefix(task, small) }
-	s, err := newSite(3, []string{"r0", "r0", "r0", "r1", "r1", "r1"}, func(task string, _ int) (time.Duration, string) {
-		switch {
-		case strings.HasPrefix(task, busy):
-			return 40 * time.Second, "done"
-		case strings.HasPrefix(task, gang):
-			return 5 * time.Second, "done"
+// playQuarantined runs two jobs with one task each that lasts and fails 2 s after each
+// start. Three of four executors are full; the fourth has nothing else to run.
+func playQuarantined(r *record, trouble bool) (string, error) {
+	const filler, first, second = "00000000000000c1", "00000000000000c2", "00000000000000c3"
+	need := func(task string) int {
+		if strings.HasPrefix(task, filler) {
+			return 8
+		}
+		return 1
+	}
+	r.lasts = func(string) bool { return true }
+	s, err := newSite(3, []string{"r0", "r0", "r1", "r1"}, func(task string, _ int) (time.Duration, string) {
+		if trouble && !strings.HasPrefix(task, filler) {
+			return 2 * time.Second, "failed"
 		}
 		return 0, ""
 	}, r)
@@ -115,22 +118,19 @@
 	}
 	defer s.close()
 	time.Sleep(5 * time.Second)
-	if err := s.submit("large", busy, `{"spec":"works","steps":[{"count":6,"cpu":1000,"memory_request_mb":1000,"gpu":3,"estimate_ms":40000,"max_per_server":1}]}`); err != nil {
+	if err := s.submit("batch", filler, `{"spec":"serves","steps":[{"count":3,"cpu":1000,"memory_request_mb":1000,"gpu":8,"long_running":true}]}`); err != nil {
 		return "", err
 	}
-	time.Sleep(2 * time.Second)
-	if trouble {
-		if err := s.submit("large", gang, `{"spec":"works","steps":[{"count":6,"cpu":1000,"memory_request_mb":1000,"gpu":8,"estimate_ms":5000,"gang":true}]}`); err != nil {
+	if !await(10*time.Second, func() bool { return s.freeAccelerators(need) == 8 }) {
+		return "", errNotReady
+	}
+	var tasks []lastingTask
+	for _, job := range []string{first, second} {
+		if err := s.submit("batch", job, `{"spec":"serves","steps":[{"count":1,"cpu":1000,"memory_request_mb":1000,"gpu":1,"long_running":true}]}`); err != nil {
 			return "", err
 		}
+		tasks = append(tasks, lastingTask{job + ".0.0.0", time.Now()})
 	}
-	time.Sleep(5 * time.Second)
-	if err := s.submit("batch", small, `{"spec":"serves","steps":[{"count":1,"cpu":1000,"memory_request_mb":1000,"gpu":1,"long_running":true}]}`); err != nil {
-		return "", err
-	}
-	need := map[string]int{busy: 3, gang: 8, small: 1}
-	broken := watchLasting(r, []lastingTask{{small + ".0.0.0", time.Now()}}, 25*time.Second, func() bool {
-		return s.freeAccelerators(func(task string) int { return need[task[:16]] }) >= 2
-	})
+	broken := watchLasting(r, tasks, 70*time.Second, func() bool { return s.freeAccelerators(need) >= 2 })
 	return broken, nil
 }
