--- a/review/harness-3/silent.go
+++ b/review/harness-3/silent.go
@@ -39,8 +39,8 @@
 	time.Sleep(3 * time.Second)
 	if trouble {
 		r.say("the open channels to the executors go silent; new ones work")
-		for _, box := range s.toExecutors {
-			box.Silence(true, true)
+		for _, way := range s.toExecutors {
+			way.silence()
 		}
 	}
 	broken := watchLasting(r, tasks, 30*time.Second, func() bool {
--- a/review/harness-3/site.go
+++ b/review/harness-3/site.go
@@ -47,8 +47,8 @@
 	callers   []string
 	agents    []*process
 	executors []*executor
-	// toStore and toExecutors are the networks between the processes and what they call.
-	toStore, toExecutors []*standin.Middlebox
+	// toExecutors are the networks between the agents and their executors.
+	toExecutors []*network
 }
 
 // newSite starts a deployment. racks holds the rack of each executor.
@@ -73,13 +73,9 @@
 		if err != nil {
 			return nil, err
 		}
-		box, err := through(storeAddress, &s.toStore)
-		if err != nil {
-			return nil, err
-		}
 		p, err := s.run(fmt.Sprintf("entry-%d", i), "dragonfly-entry", fmt.Sprintf(
 			"host: entry-%d\nregion: r\nzone: z%d\ncallers_address: %s\nreadiness_address: %s\nmetrics_address: %s\nrelay_address: %s\nstore_address: %s\nstop_grace: 6s\ncores: 0.4\nlink_mbps: 1000\nmemory_mb: 284\nfile_descriptors: 4100\nlog_level: info\n",
-			i, i%3, a[0], a[1], a[2], a[3], box))
+			i, i%3, a[0], a[1], a[2], a[3], storeAddress))
 		if err != nil {
 			return nil, err
 		}
@@ -95,16 +91,14 @@
 		if err != nil {
 			return nil, err
 		}
-		box, err := through(storeAddress, &s.toStore)
+		way, err := newNetwork(app)
 		if err != nil {
 			return nil, err
 		}
-		if app, err = through(app, &s.toExecutors); err != nil {
-			return nil, err
-		}
+		s.toExecutors = append(s.toExecutors, way)
 		p, err := s.run(fmt.Sprintf("side-%d", i), "dragonfly-agent", fmt.Sprintf(
 			"host: side-%d\nregion: r\nzone: z%d\ncontrol_address: %s\nworker_address: %s\nmetrics_address: %s\nstore_address: %s\npush_address: %s\nstop_grace: 6s\nlongest_lease: 10000ms\nmemory_mb: 152\nfile_descriptors: 4096\nlog_level: info\n",
-			i, i%3, a[0], app, a[1], box, a[2]))
+			i, i%3, a[0], way.address(), a[1], storeAddress, a[2]))
 		if err != nil {
 			return nil, err
 		}
@@ -115,17 +109,6 @@
 	return s, nil
 }
 
-// through returns the address of a new network that leads to an address, and adds it to list.
-func through(address string, list *[]*standin.Middlebox) (string, error) {
-	box, err := standin.NewMiddlebox()
-	if err != nil {
-		return "", err
-	}
-	box.SetTarget(address)
-	*list = append(*list, box)
-	return box.Address(), nil
-}
-
 // answerRows answers a call to the store after the times of the pages: 4 ms for a reading
 // call and 8 ms for a transaction.
 func (s *site) answerRows(ctx *fasthttp.RequestCtx) {
@@ -168,8 +151,8 @@
 		<-p.ended
 	}
 	close(s.stop)
-	for _, box := range append(append([]*standin.Middlebox(nil), s.toStore...), s.toExecutors...) {
-		box.Close()
+	for _, way := range s.toExecutors {
+		_ = way.listener.Close()
 	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(s.dir)
