--- a/review/harness-3/executor.go
+++ b/review/harness-3/executor.go
@@ -75,7 +75,7 @@
 		e.mu.Lock()
 		body, _ := json.Marshal(map[string]any{
 			"service": "s", "address": "127.0.0.1:1", "zone": e.zone, "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
-			"capacity": map[string]int{"cpu": 64000, "memory_request_mb": 131072, "gpu": 8},
+			"capacity": map[string]int{"cpu": 64000, "memory_request_mb": 262144, "gpu": 8},
 			"labels":   []string{"a", e.rack}, "clock_ms": e.clock(), "sequence": sequence, "born": e.born,
 		})
 		e.mu.Unlock()
@@ -88,7 +88,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(500 * time.Millisecond):
+		case <-time.After(1500 * time.Millisecond):
 		}
 	}
 }
@@ -150,7 +150,7 @@
 }
 
 // longestLease is hold_max_ms of the settings.
-const longestLease = 10_000
+const longestLease = 6000
 
 // grant notes the fencing token and extends the lease.
 func (e *executor) grant(in orderCall) {
--- a/review/harness-3/pending.go
+++ b/review/harness-3/pending.go
@@ -16,7 +16,11 @@
 // playPending asks for the pending jobs of a queue while the owner of the scheduler is
 // gone. The jobs that wait were ordered on an unhealthy executor, which refused each start.
 func playPending(r *record, trouble bool) (string, error) {
-	const unhealthyFor, judgedAfter = 6400 * time.Millisecond, 5 * time.Second // visible_ms + 2 s
+	const (
+		unhealthyFor = 6400 * time.Millisecond
+		judgedAfter  = 5 * time.Second // visible_ms + 2 s
+		darkFor      = 3500 * time.Millisecond
+	)
 	forever := func(string, int) (time.Duration, string) { return 0, "" }
 	r.lasts = func(string) bool { return true }
 	s, err := newSite(3, []string{"r0", "r0", "r0", "r1", "r1", "r1", "r2", "r2", "r2", "r3"}, forever, r)
@@ -64,7 +68,7 @@
 	accepted := time.Now()
 	time.Sleep(time.Until(accepted.Add(judgedAfter + 100*time.Millisecond)))
 	if trouble {
-		r.say("SIGKILL to %s, which schedules", s.entries[owner].name)
+		r.say("the machine of %s, which schedules, loses power for %v", s.entries[owner].name, darkFor)
 		s.entries[owner].signal(syscall.SIGKILL)
 	}
 	waiting := func() int {
@@ -77,7 +81,7 @@
 		return n
 	}
 	broken, wrong, asked := "", 0, 0
-	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(40 * time.Millisecond) {
+	for end := time.Now().Add(darkFor); time.Now().Before(end); time.Sleep(40 * time.Millisecond) {
 		if trouble && time.Since(began) > unhealthyFor {
 			s.executors[idle].refuse(false)
 		}
@@ -101,6 +105,12 @@
 			broken = fmt.Sprintf("MIXED: %d of %d answers give under half of the jobs that have not begun; the last one %d of %d", wrong, asked, *answer.Pending, least)
 		}
 	}
+	if trouble {
+		if err := s.again(owner); err != nil {
+			return "", err
+		}
+		r.say("%s starts again", s.entries[owner].name)
+	}
 	return broken, nil
 }
 
--- a/review/harness-3/site.go
+++ b/review/harness-3/site.go
@@ -34,9 +34,11 @@
 	name    string
 	command *exec.Cmd
 	ended   chan struct{}
+	// program and settings are what it was started with.
+	program, settings string
 }
 
-// site is a small deployment on loopback addresses: entry hosts and agents as processes,
+// site is a small deployment like tsukushi-yard on loopback addresses: entry hosts and agents as processes,
 // the platform's store and the executors as stand-ins.
 type site struct {
 	dir       string
@@ -97,7 +99,7 @@
 		}
 		s.toExecutors = append(s.toExecutors, way)
 		p, err := s.run(fmt.Sprintf("side-%d", i), "dragonfly-agent", fmt.Sprintf(
-			"host: side-%d\nregion: r\nzone: z%d\ncontrol_address: %s\nworker_address: %s\nmetrics_address: %s\nstore_address: %s\npush_address: %s\nstop_grace: 6s\nlongest_lease: 10000ms\nmemory_mb: 152\nfile_descriptors: 4096\nlog_level: info\n",
+			"host: side-%d\nregion: r\nzone: z%d\ncontrol_address: %s\nworker_address: %s\nmetrics_address: %s\nstore_address: %s\npush_address: %s\nstop_grace: 6s\nlongest_lease: 6000ms\nmemory_mb: 152\nfile_descriptors: 4096\nlog_level: info\n",
 			i, i%3, a[0], way.address(), a[1], storeAddress, a[2]))
 		if err != nil {
 			return nil, err
@@ -126,7 +128,7 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(s.dir, name+".log"))
+	log, err := os.OpenFile(filepath.Join(s.dir, name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
@@ -136,13 +138,24 @@
 	if err := command.Start(); err != nil {
 		return nil, err
 	}
-	p := &process{name: name, command: command, ended: make(chan struct{})}
+	p := &process{name: name, command: command, ended: make(chan struct{}), program: program, settings: settings}
 	go func() { _ = command.Wait(); _ = log.Close(); close(p.ended) }()
 	return p, nil
 }
 
 func (p *process) signal(signal syscall.Signal) { _ = p.command.Process.Signal(signal) }
 
+// again starts an entry host anew after it has ended.
+func (s *site) again(entry int) error {
+	old := s.entries[entry]
+	<-old.ended
+	p, err := s.run(old.name, old.program, old.settings)
+	if err == nil {
+		s.entries[entry] = p
+	}
+	return err
+}
+
 // close ends all that was started.
 func (s *site) close() {
 	for _, p := range append(append([]*process(nil), s.entries...), s.agents...) {
