--- a/review/harness-3/executor.go
+++ b/review/harness-3/executor.go
@@ -38,6 +38,12 @@
 	// refused counts the starts that it refused so.
 	refused int
 	changed chan struct{}
+	// draining is set before a planned end, and away between that and the next start.
+	draining, away bool
+	sequence       int
+	lastStart      time.Time
+	// pings is the client of the calls to the agent.
+	pings *http.Client
 }
 
 type runID struct {
@@ -55,7 +61,7 @@
 	now := time.Now()
 	return &executor{
 		id: id, zone: zone, rack: rack, plan: p, record: r, began: now, born: now.UnixMilli(),
-		runs: map[runID]time.Time{}, highest: map[string]int{}, changed: make(chan struct{}),
+		runs: map[runID]time.Time{}, highest: map[string]int{}, changed: make(chan struct{}), pings: newPings(),
 	}
 }
 
@@ -70,21 +76,8 @@
 
 // beat sends pings to an agent until stop is closed.
 func (e *executor) beat(control string, stop <-chan struct{}) {
-	client := &http.Client{Timeout: time.Second}
-	for sequence := 1; ; sequence++ {
-		e.mu.Lock()
-		body, _ := json.Marshal(map[string]any{
-			"service": "s", "address": "127.0.0.1:1", "zone": e.zone, "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
-			"capacity": map[string]int{"cpu": 64000, "memory_request_mb": 262144, "gpu": 8},
-			"labels":   []string{"a", e.rack}, "clock_ms": e.clock(), "sequence": sequence, "born": e.born,
-		})
-		e.mu.Unlock()
-		request, err := http.NewRequest(http.MethodPut, "http://"+control+"/instances/"+e.id, strings.NewReader(string(body)))
-		if err == nil {
-			if answer, err := client.Do(request); err == nil {
-				answer.Body.Close()
-			}
-		}
+	for {
+		e.ping(control)
 		select {
 		case <-stop:
 			return
@@ -93,6 +86,85 @@
 	}
 }
 
+// ping sends one ping, unless the executor is away, and reports whether it was acknowledged.
+func (e *executor) ping(control string) bool {
+	e.mu.Lock()
+	if e.away {
+		e.mu.Unlock()
+		return false
+	}
+	e.sequence++
+	state := "ready"
+	if e.draining {
+		state = "draining"
+	}
+	body, _ := json.Marshal(map[string]any{
+		"service": "s", "address": "127.0.0.1:1", "zone": e.zone, "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
+		"capacity": map[string]int{"cpu": 64000, "memory_request_mb": 262144, "gpu": 8},
+		"labels":   []string{"a", e.rack}, "clock_ms": e.clock(), "sequence": e.sequence, "born": e.born,
+	})
+	client := e.pings
+	e.mu.Unlock()
+	return e.callAgent(client, http.MethodPut, control, string(body))
+}
+
+// callAgent calls the agent about this executor, and reports whether the answer is a 2xx.
+func (e *executor) callAgent(client *http.Client, method, control, body string) bool {
+	request, err := http.NewRequest(method, "http://"+control+"/instances/"+e.id, strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	answer, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode/100 == 2
+}
+
+// newPings returns a client that waits a second for an answer, as for a ping.
+func newPings() *http.Client {
+	return &http.Client{Timeout: time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+}
+
+// drain says that the executor drains, until that is acknowledged.
+func (e *executor) drain(control string) {
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	for !e.ping(control) {
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// leave sends the deregistration and ends, with all that runs on the executor.
+func (e *executor) leave(control string) {
+	e.mu.Lock()
+	e.away = true
+	for run := range e.runs {
+		e.record.ended(e.id, run, "its executor leaves")
+	}
+	e.runs = map[runID]time.Time{}
+	client := e.pings
+	e.mu.Unlock()
+	e.record.say("%s sends DELETE /instances/%s and ends", e.id, e.id)
+	go func() {
+		acknowledged := e.callAgent(client, http.MethodDelete, control, "")
+		e.record.say("the DELETE of %s was acknowledged within a second: %v", e.id, acknowledged)
+		client.CloseIdleConnections()
+	}()
+}
+
+// startAgain starts the executor under its id. It holds and knows nothing of before.
+func (e *executor) startAgain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.began, e.born, e.token, e.lease, e.number, e.sequence = now, now.UnixMilli(), 0, 0, 0, 0
+	e.highest, e.ended, e.draining, e.away, e.pings = map[string]int{}, nil, false, false, newPings()
+	e.record.say("%s starts again under its id, born %d", e.id, e.born)
+}
+
 type orderCall struct {
 	Task       string `json:"task"`
 	Run        int    `json:"run"`
@@ -115,6 +187,10 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.away {
+		// Nothing listens: the connection is reset.
+		panic(http.ErrAbortHandler)
+	}
 	e.settle()
 	if e.refusing && r.URL.Path == "/run-start" {
 		e.refused++
@@ -169,7 +245,7 @@
 	case in.DeadlineMS <= e.clock():
 		return "late"
 	}
-	e.runs[run] = time.Now()
+	e.runs[run], e.lastStart = time.Now(), time.Now()
 	e.record.began(e.id, run)
 	return ""
 }
--- a/review/harness-3/record.go
+++ b/review/harness-3/record.go
@@ -20,6 +20,8 @@
 	running, starts map[string]int
 	lastEnd         map[string]time.Time
 	lasts           func(task string) bool
+	// twice is the first task that began while another run of it was on an executor.
+	twice string
 }
 
 func newRecord(path string) (*record, error) {
@@ -47,6 +49,12 @@
 	r.running[run.task]++
 	r.starts[run.task]++
 	r.line("%s starts %s run %d", executor, run.task, run.run)
+	if r.running[run.task] > 1 {
+		r.line("two runs of %s are on executors that are up", run.task)
+		if r.twice == "" {
+			r.twice = run.task
+		}
+	}
 }
 
 func (r *record) ended(executor string, run runID, how string) {
--- a/review/harness-3/site.go
+++ b/review/harness-3/site.go
@@ -49,8 +49,9 @@
 	callers   []string
 	agents    []*process
 	executors []*executor
-	// toExecutors are the networks between the agents and their executors.
-	toExecutors []*network
+	// toExecutors are the networks between the agents and their executors, and toAgents
+	// those for the executors' own calls.
+	toExecutors, toAgents []*network
 }
 
 // newSite starts a deployment. racks holds the rack of each executor.
@@ -105,7 +106,12 @@
 			return nil, err
 		}
 		s.agents, s.executors = append(s.agents, p), append(s.executors, e)
-		go e.beat(a[0], s.stop)
+		control, err := newNetwork(a[0])
+		if err != nil {
+			return nil, err
+		}
+		s.toAgents = append(s.toAgents, control)
+		go e.beat(control.address(), s.stop)
 		go e.tick(s.stop)
 	}
 	return s, nil
@@ -164,7 +170,7 @@
 		<-p.ended
 	}
 	close(s.stop)
-	for _, way := range s.toExecutors {
+	for _, way := range append(s.toAgents, s.toExecutors...) {
 		_ = way.listener.Close()
 	}
 	if os.Getenv("KEEP") == "" {
