--- a/review/harness-3/lasting.go
+++ b/review/harness-3/lasting.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -94,3 +95,42 @@
 	})
 	return broken, nil
 }
+
+// playQuarantined runs two jobs with one task each that lasts and fails 2 s after each
+// start. Three of four executors are full; the fourth has nothing else to run.
+func playQuarantined(r *record, trouble bool) (string, error) {
+	const filler, first, second = "00000000000000c1", "00000000000000c2", "00000000000000c3"
+	need := func(task string) int {
+		if strings.HasPrefix(task, filler) {
+			return 8
+		}
+		return 1
+	}
+	r.lasts = func(string) bool { return true }
+	s, err := newSite(3, []string{"r0", "r0", "r1", "r1"}, func(task string, _ int) (time.Duration, string) {
+		if trouble && !strings.HasPrefix(task, filler) {
+			return 2 * time.Second, "failed"
+		}
+		return 0, ""
+	}, r)
+	if err != nil {
+		return "", err
+	}
+	defer s.close()
+	time.Sleep(5 * time.Second)
+	if err := s.submit("batch", filler, `{"spec":"serves","steps":[{"count":3,"cpu":1000,"memory_request_mb":1000,"gpu":8,"long_running":true}]}`); err != nil {
+		return "", err
+	}
+	if !await(10*time.Second, func() bool { return s.freeAccelerators(need) == 8 }) {
+		return "", errNotReady
+	}
+	var tasks []lastingTask
+	for _, job := range []string{first, second} {
+		if err := s.submit("batch", job, `{"spec":"serves","steps":[{"count":1,"cpu":1000,"memory_request_mb":1000,"gpu":1,"long_running":true}]}`); err != nil {
+			return "", err
+		}
+		tasks = append(tasks, lastingTask{job + ".0.0.0", time.Now()})
+	}
+	broken := watchLasting(r, tasks, 70*time.Second, func() bool { return s.freeAccelerators(need) >= 2 })
+	return broken, nil
+}
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -13,7 +13,7 @@
 // play plays a case. It returns what broke the rule, or "".
 type play func(r *record, trouble bool) (broken string, err error)
 
-var plays = map[string]play{"pending": playPending, "starved": playStarved, "silent": playSilent, "left": playLeft}
+var plays = map[string]play{"quarantined": playQuarantined, "starved": playStarved, "silent": playSilent, "left": playLeft}
 
 func main() {
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
