A step of the time of day declares no worker lost within its lease

Cause: the estimate of the store's clock advanced by the longer of the steady clock and the time of day, so that a suspended host loses no time. It is an upper bound, and a step raised it until the next answer of the store; the scheduler compared it where only a lower bound is safe. An answer of a change feed that waited could raise it by up to 1 s in the same way.

The estimate is an interval now, and the time of day is no part of it: the upper bound follows the clock since boot, which counts suspensions, the lower bound the steady clock. Events are dated by the upper bound. Lost workers, the retention of jobs and of cancellations, and the age of the pending counts go by the lower one. Relays pass on both. The scheduler's lease runs on the clock since boot: after a suspension its owner doesn't take it for valid any more (the fence kept such an owner from writing before, too).

Looked at without a change: the agent's leases (deadlines are on the worker's clock, and its reading errs low after a suspension), start deadlines (the upper bound gives up sooner), occurrences (due by the time of day, as the platform defines them), permits and links (no process of the platform uses them).

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -82,7 +82,7 @@
 			continue
 		}
 		w.declaringLost = true
-		c.recordDecision(Decision{Kind: "worker_lapsing", Worker: w.Worker, Reason: "no announcement within the lease", AgeMS: now.StoreMS - w.SentMS})
+		c.recordDecision(Decision{Kind: "worker_lapsing", Worker: w.Worker, Reason: "no announcement within the lease", AgeMS: now.storeEarliestMS() - w.SentMS})
 		lost := w.Announcement
 		lost.State, lost.Running = workload.WorkerGone, nil
 		b := &Batch{Kind: BatchWorkerLost, Host: w.Host}
@@ -103,7 +103,7 @@
 	if w.MaxLeaseMS > 0 {
 		longest = min(longest, w.MaxLeaseMS)
 	}
-	return now.StoreMS-w.SentMS > longest
+	return now.storeEarliestMS()-w.SentMS > longest
 }
 
 // workerLost ends the runs of a worker that was declared lost. The ends that the
@@ -116,7 +116,7 @@
 		c.unlink(o)
 		c.obsoleteKeys = append(c.obsoleteKeys, o.Key())
 		end := workload.End{Task: o.Task, Run: o.Run, Kind: workload.EndLeaseExpired, Checkpoint: o.lastReport.Checkpoint}
-		c.recordDecision(Decision{Kind: "run_ended", Job: o.job.ID, Task: o.Task, Run: o.Run, Worker: o.Worker, Reason: "worker lost", AgeMS: now.StoreMS - w.SentMS})
+		c.recordDecision(Decision{Kind: "run_ended", Job: o.job.ID, Task: o.Task, Run: o.Run, Worker: o.Worker, Reason: "worker lost", AgeMS: now.storeEarliestMS() - w.SentMS})
 		c.applyEnd(now, o.job, o.id, end, nil)
 	}
 }
@@ -130,7 +130,7 @@
 // Pending is the row with the number of jobs of each queue of which no task has started,
 // also if one was ordered.
 type Pending struct {
-	// AsOfMS is when the jobs were counted, on the store's clock.
+	// AsOfMS is when the jobs were counted, at the earliest, on the store's clock.
 	AsOfMS  int64          `codec:"t"`
 	ByQueue map[string]int `codec:"q"`
 	// Partial is set if queues with jobs are left out because the row has no room.
@@ -170,7 +170,7 @@
 		}
 	}
 	c.pending = pendingCounts{counts, now.StoreMS}
-	put := storeapi.Put{Key: workload.KeyPending, Value: encode(newPending(now.StoreMS, counts))}
+	put := storeapi.Put{Key: workload.KeyPending, Value: encode(newPending(now.storeEarliestMS(), counts))}
 	batches, _ = addRow(batches, put, true)
 	return batches
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -80,8 +80,10 @@
 
 // Now is the time at which a decision is made, by each clock that it depends on.
 type Now struct {
-	// StoreMS is the store's monotonic clock in milliseconds.
+	// StoreMS is an upper bound of the store's monotonic clock in milliseconds.
 	StoreMS int64
+	// StoreAheadMS is the most by which StoreMS may be ahead of the store's clock.
+	StoreAheadMS int64
 	// UnixMS is the wall clock, which tells when scheduled occurrences are due.
 	UnixMS int64
 	// StoreHealthySinceMS is when the store's current period of uninterrupted
@@ -89,6 +91,10 @@
 	StoreHealthySinceMS int64
 }
 
+// storeEarliestMS returns a lower bound of the store's clock. What must not happen before
+// a certain time is decided by this bound.
+func (n Now) storeEarliestMS() int64 { return n.StoreMS - n.StoreAheadMS }
+
 func (n Now) time() time.Time { return time.UnixMilli(n.StoreMS) }
 
 // Core is the scheduling state of the owner of the scheduler lease. It is not
--- a/internal/dispatch/inbox.go
+++ b/internal/dispatch/inbox.go
@@ -135,7 +135,7 @@
 func (c *Core) replaceExpiredJobs(now Now) []*Batch {
 	var out []*Batch
 	for _, j := range c.sortedJobs() {
-		age := now.StoreMS - j.progress.EndedMS
+		age := now.storeEarliestMS() - j.progress.EndedMS
 		if !j.progress.State.Final() || len(j.orders) > 0 || j.progress.EndedMS == 0 || j.deletions > 0 || j.setAside || age < c.settings.Retention.Milliseconds() {
 			continue
 		}
@@ -204,7 +204,7 @@
 	for key, row := range c.inbox.cancellations {
 		j := c.jobs[row.target.id]
 		stored := j != nil && j.Account == row.target.account
-		if !stored && !row.deleting && now.StoreMS-row.requestedMS >= workload.CancellationRetention.Milliseconds() {
+		if !stored && !row.deleting && now.storeEarliestMS()-row.requestedMS >= workload.CancellationRetention.Milliseconds() {
 			expired = append(expired, key)
 		}
 	}
--- a/internal/dispatch/inbox_test.go
+++ b/internal/dispatch/inbox_test.go
@@ -173,3 +173,32 @@
 		t.Errorf("%d cancellations and %d jobs are left", len(r.core.inbox.cancellations), len(r.core.jobs))
 	}
 }
+
+// TestClockAheadDeletesNothing: the estimate of the store's clock may be ahead of it. A job or
+// a cancellation that is deleted within its retention is unknown to callers, or takes no effect.
+func TestClockAheadDeletesNothing(t *testing.T) {
+	r := newRig(t)
+	r.worker("h1", "r1", nil)
+	r.job(jobID(1), nil)
+	r.cancel(jobID(1), "silver")
+	r.cancel(jobID(2), "silver")
+	r.plan()
+	r.advance(workload.CancellationRetention - time.Second)
+	r.now.StoreMS += 2000
+	r.now.StoreAheadMS = 2000
+	deletions := func() (n int) {
+		for _, b := range r.core.Plan(r.now) {
+			if b.Kind == BatchInbox || b.Kind == BatchCancellations {
+				n++
+			}
+		}
+		return n
+	}
+	if n := deletions(); n != 0 {
+		t.Errorf("%d batches delete rows within their retention", n)
+	}
+	r.advance(2 * time.Second)
+	if n := deletions(); n != 2 {
+		t.Errorf("%d batches delete rows after their retention, want one for the job and one for the cancellation", n)
+	}
+}
--- a/internal/dispatch/lost_workers_test.go
+++ b/internal/dispatch/lost_workers_test.go
@@ -66,3 +66,20 @@
 		t.Errorf("%v are declared lost, want the other two workers", hosts)
 	}
 }
+
+// TestClockAheadDeclaresNothingLost: the estimate of the store's clock may be ahead of it. A
+// worker whose lease may still last must not be declared lost, or its tasks run twice.
+func TestClockAheadDeclaresNothingLost(t *testing.T) {
+	r := newRig(t)
+	r.worker("silent", "r1", nil)
+	r.advance(r.core.settings.LeaseExpiredAfter - time.Second)
+	r.now.StoreMS += 2000
+	r.now.StoreAheadMS = 2000
+	if hosts := lostHosts(r.core.Plan(r.now)); len(hosts) != 0 {
+		t.Errorf("%v are declared lost within their lease", hosts)
+	}
+	r.advance(2 * time.Second)
+	if hosts := lostHosts(r.core.Plan(r.now)); len(hosts) != 1 {
+		t.Errorf("%v are declared lost after the lease has expired for certain, want the worker", hosts)
+	}
+}
--- a/internal/jobagent/agent.go
+++ b/internal/jobagent/agent.go
@@ -121,8 +121,8 @@
 			a.applyPending()
 		}
 		now := time.Now()
-		storeMS, known := a.store.StoreTime(now)
-		for _, action := range a.core.Step(now, storeMS, known) {
+		storeTime, known := a.store.StoreTime()
+		for _, action := range a.core.Step(now, storeTime.LatestMS, known) {
 			group.Go(func() error { a.perform(ctx, action); return nil })
 		}
 		a.logNotes()
@@ -135,8 +135,8 @@
 	for ctx.Err() == nil {
 		a.applyPending()
 		now := time.Now()
-		storeMS, known := a.store.StoreTime(now)
-		for _, action := range a.core.Step(now, storeMS, known) {
+		storeTime, known := a.store.StoreTime()
+		for _, action := range a.core.Step(now, storeTime.LatestMS, known) {
 			if announcement, ok := action.(taskrunner.Announce); ok {
 				a.announce(ctx, announcement)
 			}
--- a/internal/jobentry/cancel.go
+++ b/internal/jobentry/cancel.go
@@ -35,11 +35,11 @@
 }
 
 func (s *Service) storeCancellation(ctx context.Context, account model.ClientAccountID, id model.JobID) Outcome {
-	nowMS, known := s.store.StoreTime(time.Now())
+	now, known := s.store.StoreTime()
 	if !known {
 		return rejected("the store's time is not known", s.retryAfter())
 	}
-	value := rowcodec.Encode(&workload.Cancellation{Account: account, RequestedMS: nowMS})
+	value := rowcodec.Encode(&workload.Cancellation{Account: account, RequestedMS: now.LatestMS})
 	var outcome Outcome
 	for _, key := range workload.CancelKeys(id, account) {
 		_, outcome = s.write(ctx, storeapi.Transaction{Puts: []storeapi.Put{{Key: key, Value: value}}})
--- a/internal/jobentry/count.go
+++ b/internal/jobentry/count.go
@@ -34,8 +34,8 @@
 			return rejected("cannot decode the pending job counts: "+err.Error(), s.retryAfter())
 		}
 	}
-	nowMS, known := s.store.StoreTime(time.Now())
-	if known && pending.AsOfMS > 0 && nowMS-pending.AsOfMS <= maxCountAge.Milliseconds() {
+	now, known := s.store.StoreTime()
+	if known && pending.AsOfMS > 0 && now.LatestMS-pending.AsOfMS <= maxCountAge.Milliseconds() {
 		if count, listed := pending.ByQueue[queue.Name]; listed || !pending.Partial {
 			return Outcome{Kind: OutcomeCount, Count: count}
 		}
--- a/internal/jobentry/service.go
+++ b/internal/jobentry/service.go
@@ -181,7 +181,8 @@
 	}
 	job.Account, job.Queue, job.Service, job.Priority = account, queue.Name, queue.Service, queue.Priority
 	job.MaxAttempts, job.SlackFactor, job.TargetDuration = queue.MaxAttempts, queue.SlackFactor, queue.TargetDuration
-	job.AcceptedMS, _ = s.store.StoreTime(time.Now())
+	now, _ := s.store.StoreTime()
+	job.AcceptedMS = now.LatestMS
 	value := rowcodec.Encode(job)
 	if len(value) > workload.MaxRowBytes {
 		return Outcome{Kind: OutcomeInvalid, Reason: fmt.Sprintf("the job takes %d bytes to store (allowed: %d)", len(value), workload.MaxRowBytes)}
--- a/internal/schedulerhost/inbox_test.go
+++ b/internal/schedulerhost/inbox_test.go
@@ -27,7 +27,10 @@
 
 func (s *clockedStore) now() time.Time { return time.Now().Add(time.Duration(s.ahead.Load())) }
 
-func (s *clockedStore) StoreTime(time.Time) (int64, bool) { return s.now().UnixMilli(), true }
+func (s *clockedStore) StoreTime() (storeapi.TimeBounds, bool) {
+	now := s.now().UnixMilli()
+	return storeapi.TimeBounds{EarliestMS: now, LatestMS: now}, true
+}
 
 func (s *clockedStore) advance(d time.Duration) { s.ahead.Add(int64(d)) }
 
--- a/internal/schedulerhost/interference.go
+++ b/internal/schedulerhost/interference.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
@@ -53,9 +52,9 @@
 	if err := rowcodec.Decode(row.Value, &learned); err != nil {
 		return report, errors.Wrapf(err, "decode %s", workload.KeyLearned)
 	}
-	nowMS, known := h.store.StoreTime(time.Now())
-	if !known {
-		nowMS = learned.AsOfMS
+	nowMS := learned.AsOfMS
+	if now, known := h.store.StoreTime(); known {
+		nowMS = now.LatestMS
 	}
 	m, err := interference.Restore(nowMS, learned.Interference)
 	if err != nil {
--- a/internal/schedulerhost/lease.go
+++ b/internal/schedulerhost/lease.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"dragonflyyard/internal/dispatch"
+	"dragonflyyard/internal/hostclock"
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/ownership"
@@ -52,6 +53,7 @@
 	// active is the session in progress; nil for none.
 	active atomic.Pointer[session]
 
+	// candidate gets times of hostclock.BootTime: a lease does not outlast a suspension.
 	candidate *ownership.Candidate
 	// inputs holds the results of store calls for the candidate.
 	inputs *ring.Ring[func(now time.Time) []ownership.Action]
@@ -123,15 +125,15 @@
 			stopping = nil
 			handoverExpired = time.After(time.Until(shutdown.NewSchedule(time.Now(), stopGrace).AnswerBy))
 			h.endSession()
-			actions = h.candidate.Step(time.Now(), ownership.Stop{})
+			actions = h.candidate.Step(hostclock.BootTime(), ownership.Stop{})
 		case <-handoverExpired:
 			return nil
 		case <-tick.C:
 			h.applyStanding()
-			actions = h.candidate.Step(time.Now(), ownership.Tick{})
+			actions = h.candidate.Step(hostclock.BootTime(), ownership.Tick{})
 			h.restartEndedSession(callCtx)
 		case input := <-h.inputs.Out():
-			actions = input(time.Now())
+			actions = input(hostclock.BootTime())
 		}
 		if done := h.perform(callCtx, actions); done {
 			return nil
@@ -246,7 +248,7 @@
 // restartEndedSession starts a new session if the last one has ended while the
 // lease is held.
 func (h *Host) restartEndedSession(ctx context.Context) {
-	epoch, held := h.candidate.Holds(time.Now())
+	epoch, held := h.candidate.Holds(hostclock.BootTime())
 	if held && h.cancelSession != nil && !h.sessionRunning() && time.Since(h.sessionStart) > sessionRestartDelay {
 		h.beginSession(ctx, epoch)
 	}
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -360,13 +360,16 @@
 // now returns the current time for a decision, and false while the store's clock is unknown.
 func (s *session) now() (dispatch.Now, bool) {
 	at := time.Now()
-	storeMS, known := s.store.StoreTime(at)
-	now := dispatch.Now{StoreMS: storeMS, UnixMS: at.UnixMilli(), StoreHealthySinceMS: storeMS}
+	storeTime, known := s.store.StoreTime()
+	now := dispatch.Now{
+		StoreMS: storeTime.LatestMS, StoreAheadMS: max(0, storeTime.LatestMS-storeTime.EarliestMS),
+		UnixMS: at.UnixMilli(), StoreHealthySinceMS: storeTime.LatestMS,
+	}
 	if s.workers == nil {
 		return now, known
 	}
 	if since, well := s.workers.HealthySince(); well {
-		now.StoreHealthySinceMS = storeMS - at.Sub(since).Milliseconds()
+		now.StoreHealthySinceMS = now.StoreMS - at.Sub(since).Milliseconds()
 	}
 	return now, known
 }
--- a/internal/standin/feed.go
+++ b/internal/standin/feed.go
@@ -98,7 +98,10 @@
 }
 
 // StoreTime implements storeapi.Clock.
-func (s *Store) StoreTime(now time.Time) (int64, bool) { return now.UnixMilli(), true }
+func (s *Store) StoreTime() (storeapi.TimeBounds, bool) {
+	now := time.Now().UnixMilli()
+	return storeapi.TimeBounds{EarliestMS: now, LatestMS: now}, true
+}
 
 // record keeps a change for feeds and wakes those that wait.
 func (s *Store) record(change storeapi.Change) {
--- a/internal/standin/rows_http.go
+++ b/internal/standin/rows_http.go
@@ -145,7 +145,7 @@
 }
 
 func (s *Store) answer(ctx *fasthttp.RequestCtx, out rowsAnswer) {
-	out.NowMS, _ = s.StoreTime(time.Now())
+	out.NowMS = time.Now().UnixMilli()
 	body, err := json.Marshal(out)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
--- a/internal/storeapi/feed.go
+++ b/internal/storeapi/feed.go
@@ -66,11 +66,15 @@
 	Changes(ctx context.Context, table string, after RowVersion, wait time.Duration) (Changes, error)
 }
 
+// TimeBounds are bounds of a time on the store's own monotonic clock, in
+// milliseconds.
+type TimeBounds struct{ EarliestMS, LatestMS int64 }
+
 // Clock provides the time of the store's own monotonic clock.
 type Clock interface {
-	// StoreTime returns an upper bound of the store's time at now in
-	// milliseconds, and false before the store's first answer.
-	StoreTime(now time.Time) (ms int64, known bool)
+	// StoreTime returns bounds of the store's present time, and false before the
+	// store's first answer.
+	StoreTime() (now TimeBounds, known bool)
 }
 
 // Store combines the store interfaces that the processes of a deployment use.
--- a/internal/storeclock/clock.go
+++ b/internal/storeclock/clock.go
@@ -1,58 +1,67 @@
-// Package storeclock maintains an upper bound of the store's monotonic clock,
-// derived from the store times in its answers.
+// Package storeclock maintains bounds of the store's monotonic clock, derived from
+// the store times in its answers.
 package storeclock
 
 import (
 	"sync"
 	"time"
+
+	"dragonflyyard/internal/hostclock"
+	"dragonflyyard/internal/storeapi"
 )
 
-// Clock holds the upper bound. It is safe for concurrent use. The zero value is
-// ready to use and has no bound until the first Observe.
+// Clock holds the bounds. It is safe for concurrent use. The zero value is ready
+// to use and has no bounds until the first Observe.
+//
+// Neither bound depends on the host's time of day. While the host is suspended, the
+// upper bound advances and the lower one does not.
 type Clock struct {
 	mu sync.Mutex
-	// storeMS is the store's time in milliseconds as of an answer, and sentAt the
-	// local time at which the request of that answer was sent.
-	storeMS int64
-	sentAt  time.Time
+	// latestMS bounds the store's time from above when a request was sent, which was
+	// latestAt after the host booted.
+	latestMS int64
+	latestAt time.Duration
+	// earliestMS bounds the store's time from below when an answer was received, at
+	// earliestAt on the host's steady clock.
+	earliestMS int64
+	earliestAt time.Time
 }
 
-// Observe updates the bound from an answer received at now that carries the
-// store's time storeMS; its request was sent at sentAt. The answer with the
-// shortest round trip gives the tightest bound; a change feed call that waited
-// gives a loose one. If the bound is below storeMS, the clocks have drifted apart
-// and the bound is replaced. A storeMS of zero or less is ignored.
-func (c *Clock) Observe(storeMS int64, sentAt, now time.Time) {
+// Observe updates the bounds from an answer that says what the store's time was
+// when it was given. The answer with the shortest round trip gives the tightest
+// upper bound; a change feed call that waited gives a loose one. A bound that
+// contradicts the answer is replaced, since the clocks have drifted apart. An answer
+// whose latest time is zero or less is ignored.
+func (c *Clock) Observe(answer storeapi.TimeBounds, sent, received hostclock.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if storeMS <= 0 {
+	if answer.LatestMS <= 0 {
 		return
 	}
-	currentBound, known := c.time(now)
-	newBound := storeMS + elapsedMS(sentAt, now)
-	if !known || newBound < currentBound || currentBound < storeMS {
-		c.storeMS, c.sentAt = storeMS, sentAt
+	known, ok := c.time(received)
+	latestMS := answer.LatestMS + (received.SinceBoot - sent.SinceBoot).Milliseconds()
+	if !ok || latestMS < known.LatestMS || known.LatestMS < answer.EarliestMS {
+		c.latestMS, c.latestAt = answer.LatestMS, sent.SinceBoot
+	}
+	if !ok || answer.EarliestMS > known.EarliestMS || known.EarliestMS > latestMS {
+		c.earliestMS, c.earliestAt = answer.EarliestMS, received.Steady
 	}
 }
 
-// Time returns an upper bound of the store's time at now in milliseconds, and
-// false before the first observed answer.
-func (c *Clock) Time(now time.Time) (int64, bool) {
+// Time returns the bounds of the store's time at now, and false before the first
+// observed answer.
+func (c *Clock) Time(now hostclock.Instant) (storeapi.TimeBounds, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.time(now)
 }
 
-func (c *Clock) time(now time.Time) (int64, bool) {
-	if c.sentAt.IsZero() {
-		return 0, false
+func (c *Clock) time(now hostclock.Instant) (storeapi.TimeBounds, bool) {
+	if c.earliestAt.IsZero() {
+		return storeapi.TimeBounds{}, false
 	}
-	return c.storeMS + elapsedMS(c.sentAt, now), true
-}
-
-// elapsedMS returns the milliseconds from since to now. The local monotonic clock
-// stops while the machine is suspended and the wall clock does not, so the longer
-// of the two durations counts.
-func elapsedMS(since, now time.Time) int64 {
-	return max(now.Sub(since), now.Round(0).Sub(since.Round(0))).Milliseconds()
+	return storeapi.TimeBounds{
+		EarliestMS: c.earliestMS + now.Steady.Sub(c.earliestAt).Milliseconds(),
+		LatestMS:   c.latestMS + (now.SinceBoot - c.latestAt).Milliseconds(),
+	}, true
 }
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/hostclock"
 	"dragonflyyard/internal/httpconn"
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/rowcodec"
@@ -81,16 +82,18 @@
 	return part
 }
 
-// StoreTime implements storeapi.Clock. It returns the tighter bound of those known
+// StoreTime implements storeapi.Clock. It returns the tighter bounds of those known
 // from direct and from relayed calls.
-func (c *Client) StoreTime(now time.Time) (int64, bool) {
-	direct, known := c.direct.StoreTime(now)
-	relayed, alsoKnown := c.clock.Time(now)
+func (c *Client) StoreTime() (storeapi.TimeBounds, bool) {
+	direct, known := c.direct.StoreTime()
+	relayed, alsoKnown := c.clock.Time(hostclock.Now())
 	switch {
 	case !known:
 		return relayed, alsoKnown
 	case alsoKnown:
-		return min(direct, relayed), true
+		return storeapi.TimeBounds{
+			EarliestMS: max(direct.EarliestMS, relayed.EarliestMS), LatestMS: min(direct.LatestMS, relayed.LatestMS),
+		}, true
 	default:
 		return direct, true
 	}
@@ -299,7 +302,7 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + peer + path)
 	req.SetBodyRaw(rowcodec.Encode(&in))
-	sentAt := time.Now()
+	sentAt := hostclock.Now()
 	c.relayed.Inc(1)
 	if err := client.DoTimeout(req, resp, timeout); err != nil {
 		if !ended(ctx) {
@@ -319,7 +322,7 @@
 	if path == pathGet && out.Result == storeapi.ResultOK && len(out.Rows) != 1 {
 		return nil, true, errors.New("response without the requested row")
 	}
-	c.clock.Observe(out.StoreMS, sentAt, time.Now())
+	c.clock.Observe(storeapi.TimeBounds{EarliestMS: out.StoreEarliestMS, LatestMS: out.StoreMS}, sentAt, hostclock.Now())
 	return out, true, nil
 }
 
--- a/internal/storerelay/message.go
+++ b/internal/storerelay/message.go
@@ -62,9 +62,10 @@
 	Changes  []storeapi.Change     `codec:"c,omitempty"`
 	Version  storeapi.RowVersion   `codec:"v,omitempty"`
 	Versions []storeapi.RowVersion `codec:"s,omitempty"`
-	// StoreMS is the relay's bound on the store's time in Unix milliseconds at the
-	// response; 0 if unknown.
-	StoreMS int64 `codec:"m,omitempty"`
+	// StoreMS is the relay's upper bound of the store's time in milliseconds at the
+	// response, and StoreEarliestMS its lower bound; 0 if unknown.
+	StoreMS         int64 `codec:"m,omitempty"`
+	StoreEarliestMS int64 `codec:"e,omitempty"`
 }
 
 // errorResponse encodes an error of a store call as a response.
--- a/internal/storerelay/peers.go
+++ b/internal/storerelay/peers.go
@@ -131,10 +131,11 @@
 // time, because readers ignore rows without a write time.
 func (d *PeerDirectory) write(ctx context.Context) bool {
 	row := d.self
-	var known bool
-	if row.SentMS, known = d.store.StoreTime(time.Now()); !known {
+	now, known := d.store.StoreTime()
+	if !known {
 		return false
 	}
+	row.SentMS = now.LatestMS
 	_, err := d.store.Commit(ctx, storeapi.Transaction{Puts: []storeapi.Put{{Key: d.prefix + d.host, Value: rowcodec.Encode(&row)}}})
 	if err != nil {
 		d.log.Warn("relay_row_not_written", logging.Err(err))
@@ -148,7 +149,7 @@
 		d.log.Warn("relay_rows_not_read", logging.Err(err))
 		return false
 	}
-	nowMS, _ := d.store.StoreTime(time.Now())
+	now, _ := d.store.StoreTime()
 	var found []Peer
 	addresses := map[string]string{}
 	for _, row := range snapshot.Rows {
@@ -162,7 +163,7 @@
 			continue
 		}
 		// A write time far ahead is as wrong as an old one: the row would never expire.
-		recent := peer.SentMS > nowMS-maxRowAge.Milliseconds() && peer.SentMS < nowMS+maxRowAge.Milliseconds()
+		recent := peer.SentMS > now.LatestMS-maxRowAge.Milliseconds() && peer.SentMS < now.LatestMS+maxRowAge.Milliseconds()
 		if row.Key != d.prefix+d.host && recent {
 			found = append(found, peer)
 			addresses[strings.TrimPrefix(row.Key, d.prefix)] = peer.Address
--- a/internal/storerelay/peers_test.go
+++ b/internal/storerelay/peers_test.go
@@ -27,11 +27,11 @@
 	return snapshot, err
 }
 
-func (s *clockedStore) StoreTime(now time.Time) (int64, bool) {
+func (s *clockedStore) StoreTime() (storeapi.TimeBounds, bool) {
 	if !s.scanned {
-		return 0, false
+		return storeapi.TimeBounds{}, false
 	}
-	return s.Store.StoreTime(now)
+	return s.Store.StoreTime()
 }
 
 // TestFirstPeerRowHasWriteTime: a host that has just started must not write its row
--- a/internal/storerelay/server.go
+++ b/internal/storerelay/server.go
@@ -82,7 +82,8 @@
 			callCtx = storeapi.WithMeter(callCtx, room.take)
 		}
 		out = call(callCtx, in)
-		out.StoreMS, _ = r.store.StoreTime(time.Now())
+		storeTime, _ := r.store.StoreTime()
+		out.StoreMS, out.StoreEarliestMS = storeTime.LatestMS, storeTime.EarliestMS
 	}
 	ctx.Response.SetBodyRaw(rowcodec.Encode(&out))
 }
