A deregistration is settled by the worker: one of a former start ends no runs

The agent took all runs of the new incarnation for ended, reported them as lost while they went on, and ignored the worker's heartbeats from then on.

Cause: a deregistration names neither an incarnation nor a sequence, and WorkerLeft believed it at once and for good.

The worker decides now. After a deregistration the agent polls it and sends no orders before an answer. A refused connection, or an answer of another worker, proves that it has left, and ends its runs within tenths of a second as before; a worker that still answers after 2 s has not left; one that doesn't answer keeps its runs until its lease has expired. A deregistration that reaches an agent before it knows its worker is kept, and a newer heartbeat of a worker that has left is probed like any other claim.

On the same path: answers to starts and stops of a former incarnation no longer count for the present one, and the sequence of the newest heartbeat lies in the worker's row, so that an older heartbeat is known as such after a restart of the agent. Answers to polls and probes were checked before.

The case "the worker left" of TestEndsWithoutTheWorker rested on the former rule: it asks for the same end in the same time, now from a worker whose address refuses connections.

--- a/internal/jobagent/agent.go
+++ b/internal/jobagent/agent.go
@@ -71,10 +71,10 @@
 	return a.inputs.TryPush(func(time.Time) { a.core.HeartbeatSeen(h) })
 }
 
-// WorkerLeft queues the worker's departure. It returns false when the queue is
+// WorkerLeft queues a deregistration of the worker. It returns false when the queue is
 // full.
 func (a *Agent) WorkerLeft(worker model.WorkerID) bool {
-	return a.inputs.TryPush(func(time.Time) { a.core.WorkerLeft(worker) })
+	return a.inputs.TryPush(func(now time.Time) { a.core.WorkerLeft(now, worker) })
 }
 
 // OrdersPushed queues orders that the scheduler at the address from pushed. It
--- a/internal/taskrunner/announce.go
+++ b/internal/taskrunner/announce.go
@@ -110,7 +110,7 @@
 	c.incarnation = row.Incarnation
 	c.status = Heartbeat{
 		Worker: row.Worker, Incarnation: row.Incarnation, Service: row.Service, Zone: row.Zone, Rack: row.Rack,
-		Labels: row.Labels, Capacity: row.Capacity, Draining: row.State == workload.WorkerDraining,
+		Labels: row.Labels, Capacity: row.Capacity, Draining: row.State == workload.WorkerDraining, Sequence: row.Sequence,
 	}
 	c.statusKnown, c.drainSeen = true, c.status.Draining
 	if claimed := c.claim; claimed.known {
@@ -130,7 +130,7 @@
 	row := workload.Announcement{
 		Host: c.host, Worker: c.status.Worker, Incarnation: c.status.Incarnation, Service: c.status.Service,
 		Zone: c.status.Zone, Rack: c.status.Rack, Labels: c.status.Labels, Capacity: c.status.Capacity,
-		State: workload.WorkerReady, Generation: c.generation, SentMS: storeMS, Running: c.nextReports(),
+		State: workload.WorkerReady, Generation: c.generation, Sequence: c.status.Sequence, SentMS: storeMS, Running: c.nextReports(),
 	}
 	switch {
 	case c.workerLeft:
--- a/internal/taskrunner/core.go
+++ b/internal/taskrunner/core.go
@@ -27,6 +27,7 @@
 
 	generation uint64
 	claim      claim
+	departure  departure
 	row        announcedRow
 
 	lists workerLists
@@ -92,8 +93,10 @@
 	// stopConfirmedAt is when the worker confirmed the stop; zero until then.
 	stopConfirmedAt time.Time
 	inFlight        bool
-	retryAt         time.Time
-	refusals        int
+	// calledIncarnation is the incarnation to which the last start or stop was sent.
+	calledIncarnation model.Incarnation
+	retryAt           time.Time
+	refusals          int
 	// end is set once the run has ended. endNumber is the number of the end in the
 	// worker's list, 0 for an end that the worker does not list.
 	end       *workload.End
@@ -222,36 +225,22 @@
 		c.recordOutdatedPoll(now, sent, result)
 		return
 	}
-	c.poll.failed = result == PollFailed || result == PollNotSent
+	c.poll.failed = !result.answered()
 	checked := c.reached
 	c.setReached(now, result == PollAnswered)
-	if result == PollAnswered {
-		c.poll.failures = 0
-	}
-	if result != PollNotSent {
+	if result.mayHaveArrived() {
 		c.recordGrant(now, sent.LeaseEndMS)
 	}
-	switch result {
-	case PollFailed, PollNotSent:
-		c.poll.nextAt = now.Add(c.backoff(c.poll.failures))
-		c.poll.failures++
-		return
-	case PollFenced:
-		// Another process of this agent has used a higher fencing token since.
-		c.note("worker_fenced", nil, "")
-		c.generation++
-		c.reregister()
-		c.poll.nextAt = now.Add(c.settings.RetryDelay)
-		return
-	case PollOtherIncarnation:
-		c.poll.nextAt = now.Add(c.backoff(c.poll.failures))
-		c.poll.failures++
-		c.statusKnown = false
+	if result != PollAnswered {
+		c.settleDeparture(now, result)
+		c.recordUnansweredPoll(now, result)
 		return
 	}
+	c.poll.failures = 0
 	if lists.Incarnation != c.incarnation {
 		c.beginIncarnation(lists.Incarnation, "lists")
 	}
+	c.settleDeparture(now, result)
 	c.poll.nextAt = now
 	if checked && now.Sub(sentAt) < c.settings.RetryDelay && len(lists.Ended) == 0 {
 		// The worker answers without waiting, as it does while it stops.
@@ -260,3 +249,20 @@
 	c.lists.fenced = c.lists.fenced || sent.Generation == c.generation
 	c.applyLists(now, sentAt, lists)
 }
+
+// recordUnansweredPoll plans the next poll after one that brought no lists.
+func (c *Core) recordUnansweredPoll(now time.Time, result PollResult) {
+	if result == PollFenced {
+		// Another process of this agent has used a higher fencing token since.
+		c.note("worker_fenced", nil, "")
+		c.generation++
+		c.reregister()
+		c.poll.nextAt = now.Add(c.settings.RetryDelay)
+		return
+	}
+	c.poll.nextAt = now.Add(c.backoff(c.poll.failures))
+	c.poll.failures++
+	if result == PollOtherIncarnation && !c.workerLeft {
+		c.statusKnown = false
+	}
+}
--- a/internal/taskrunner/core_test.go
+++ b/internal/taskrunner/core_test.go
@@ -129,7 +129,10 @@
 			r.incarnation, r.running = 6, nil
 			r.heartbeat(func(h *Heartbeat) { h.Incarnation = 6 })
 		}, workload.EndLost},
-		{"the worker left", func(r *rig) { r.core.WorkerLeft("w-1") }, workload.EndLost},
+		{"the worker left", func(r *rig) {
+			r.core.WorkerLeft(r.now, "w-1")
+			r.pollResult = PollNoListener
+		}, workload.EndLost},
 		{"the worker is unreachable until its lease has expired", func(r *rig) {
 			r.advance(15 * time.Second)
 			r.core.poll.failed = true
--- a/internal/taskrunner/identity.go
+++ b/internal/taskrunner/identity.go
@@ -27,7 +27,13 @@
 		c.claimSeen(h)
 		return
 	}
-	if c.workerLeft || (c.statusKnown && h.Sequence < c.status.Sequence) {
+	if h.Sequence < c.status.Sequence && (c.statusKnown || c.workerLeft) {
+		return
+	}
+	if c.workerLeft {
+		if h.Sequence > c.status.Sequence {
+			c.claimSeen(h)
+		}
 		return
 	}
 	if !c.statusKnown || c.status.Draining != h.Draining {
@@ -67,7 +73,7 @@
 	}
 	h := c.claim.heartbeat
 	switch {
-	case sent.Worker == c.status.Worker && sent.Incarnation == c.incarnation:
+	case sent.Worker == c.status.Worker && sent.Incarnation == c.incarnation && !c.workerLeft:
 		// A poll has found the new incarnation meanwhile.
 		c.claim = claim{}
 		c.HeartbeatSeen(h)
@@ -75,7 +81,7 @@
 		c.claim = claim{}
 		c.beginIncarnation(h.Incarnation, "heartbeat")
 		c.status, c.statusKnown, c.drainSeen = h, true, h.Draining
-	case result == PollAnswered || result == PollOtherIncarnation:
+	case result == PollAnswered || result == PollOtherIncarnation || (result == PollNoListener && c.departure.worker == sent.Worker):
 		c.note("heartbeat_refuted", nil, string(sent.Worker))
 		c.claim = claim{}
 	default:
@@ -92,7 +98,7 @@
 // recordOutdatedPoll records the result of a poll that was sent to a former incarnation.
 // One that reached the present incarnation may have extended its lease.
 func (c *Core) recordOutdatedPoll(now time.Time, sent Poll, result PollResult) {
-	if result == PollNotSent || sent.LeaseEndMS == 0 || sent.Worker != c.status.Worker {
+	if !result.mayHaveArrived() || sent.LeaseEndMS == 0 || sent.Worker != c.status.Worker {
 		return
 	}
 	if end := now.Add(c.settings.LeaseBound); end.After(c.lease.endsAt) {
@@ -110,7 +116,7 @@
 	c.formerIncarnations[c.incarnation] = true
 	delete(c.formerIncarnations, incarnation)
 	c.incarnation, c.workerLeft, c.drainSeen, c.statusKnown = incarnation, false, false, false
-	c.lists, c.lease = workerLists{}, lease{}
+	c.lists, c.lease, c.departure = workerLists{}, lease{}, departure{}
 	c.strays = map[workload.RunID]time.Time{}
 	c.reregister()
 	for _, r := range c.runs {
@@ -120,16 +126,50 @@
 	c.poll.nextAt = time.Time{}
 }
 
-// WorkerLeft processes the worker's departure: all runs on it have ended.
-func (c *Core) WorkerLeft(worker model.WorkerID) {
-	if c.claim.known && c.claim.heartbeat.Worker == worker {
-		c.claim.known = false
+// departure is a deregistration that is not settled yet. It names no incarnation, and it may
+// have been held up until the worker has started again under its ID.
+type departure struct {
+	// worker is empty for none.
+	worker model.WorkerID
+	// until is when a worker that still answers has not left.
+	until time.Time
+}
+
+// departureTime is how long a worker may go on answering after its deregistration.
+const departureTime = 2 * time.Second
+
+// WorkerLeft processes a deregistration of the worker. The worker itself decides whether it
+// has left: until it answers again, it gets no orders, and its runs have ended as soon as
+// nothing listens on its address or another worker answers there. A worker that doesn't
+// answer at all keeps its runs until its lease has expired.
+func (c *Core) WorkerLeft(now time.Time, worker model.WorkerID) {
+	if c.workerLeft || worker == "" || (c.status.Worker != "" && worker != c.status.Worker) {
+		return
 	}
-	if !c.statusKnown || worker != c.status.Worker || c.workerLeft {
+	c.note("worker_deregistered", nil, string(worker))
+	c.departure = departure{worker, now.Add(departureTime)}
+	c.setReached(now, false)
+	c.poll.nextAt, c.poll.failures = time.Time{}, 0
+}
+
+// settleDeparture applies the result of a poll to an open deregistration.
+func (c *Core) settleDeparture(now time.Time, result PollResult) {
+	if c.departure.worker == "" || c.departure.worker != c.status.Worker {
 		return
 	}
-	c.workerLeft = true
-	c.note("worker_left", nil, string(worker))
+	switch {
+	case result == PollNoListener || result == PollOtherIncarnation:
+		c.endLeftRuns()
+	case result == PollAnswered && !now.Before(c.departure.until):
+		c.note("deregistration_refuted", nil, string(c.departure.worker))
+		c.departure = departure{}
+	}
+}
+
+// endLeftRuns ends all runs on a worker that has left.
+func (c *Core) endLeftRuns() {
+	c.note("worker_left", nil, string(c.departure.worker))
+	c.workerLeft, c.departure = true, departure{}
 	c.row.announceNow()
 	for _, r := range c.runs {
 		c.recordEnd(r, workload.EndLost, r.checkpoint, "worker left")
--- a/internal/taskrunner/rig_test.go
+++ b/internal/taskrunner/rig_test.go
@@ -25,6 +25,8 @@
 	incarnation model.Incarnation
 	running     []workload.RunningTask
 	ended       []EndedRun
+	// pollResult is that of all polls, if it is set; else they are answered.
+	pollResult PollResult
 	// reported holds the ends that were committed.
 	reported []PendingEnd
 }
@@ -84,6 +86,10 @@
 }
 
 func (r *rig) answerPoll(poll Poll) {
+	if r.pollResult != "" {
+		r.core.Polled(r.now, r.now, poll, r.pollResult, RunLists{})
+		return
+	}
 	if poll.Worker != "w-1" {
 		r.core.Polled(r.now, r.now, poll, PollOtherIncarnation, RunLists{})
 		return
--- a/internal/taskrunner/step.go
+++ b/internal/taskrunner/step.go
@@ -133,7 +133,7 @@
 }
 
 func (c *Core) beginCall(r *run) {
-	r.inFlight = true
+	r.inFlight, r.calledIncarnation = true, c.incarnation
 	c.callsInFlight++
 }
 
@@ -169,17 +169,24 @@
 func (c *Core) Started(now time.Time, id workload.RunID, result OrderResult) {
 	c.callsInFlight--
 	c.startsInFlight--
-	c.recordReached(now, result)
 	if result != OrderRefused && result != OrderNotSent {
 		// The lease covers all runs of the worker, so the grant counts even if this
 		// run's order has been removed.
 		c.recordGrant(now, c.lease.requestedMS)
 	}
 	r := c.runs[id]
+	if r != nil {
+		r.inFlight = false
+	}
+	if r != nil && r.calledIncarnation != c.incarnation {
+		// The answer is that of a former incarnation. What became of the run follows from
+		// the lists of this one.
+		return
+	}
+	c.recordReached(now, result)
 	if r == nil {
 		return
 	}
-	r.inFlight = false
 	r.retryAt = now.Add(c.backoff(r.refusals))
 	switch result {
 	case OrderAccepted:
@@ -202,16 +209,21 @@
 // Stopped processes the result of a StopRun.
 func (c *Core) Stopped(now time.Time, task string, number int, result OrderResult) {
 	c.callsInFlight--
-	c.recordReached(now, result)
 	ref, err := workload.ParseTaskRef(task)
 	if err != nil {
 		return
 	}
 	r := c.runs[workload.RunID{Task: ref, Run: number}]
+	if r != nil {
+		r.inFlight = false
+	}
+	if r != nil && r.calledIncarnation != c.incarnation {
+		return
+	}
+	c.recordReached(now, result)
 	if r == nil {
 		return
 	}
-	r.inFlight = false
 	switch result {
 	case OrderAccepted, OrderStale:
 		r.stopConfirmedAt = now
@@ -248,7 +260,7 @@
 		return nil
 	}
 	wait := c.settings.PollWait
-	if c.hasUncommittedEnd() || !c.ordersLoaded || !c.row.confirmed {
+	if c.hasUncommittedEnd() || !c.ordersLoaded || !c.row.confirmed || c.departure.worker != "" {
 		// The worker answers without waiting while it lists ends, so polls are spaced
 		// by RetryDelay.
 		if now.Sub(c.lists.receivedAt) < c.settings.RetryDelay && c.lists.known {
--- a/internal/taskrunner/types.go
+++ b/internal/taskrunner/types.go
@@ -102,8 +102,17 @@
 	PollFailed PollResult = "failed"
 	// PollNotSent means that the request never reached the worker.
 	PollNotSent PollResult = "not_sent"
+	// PollNoListener means the same, because the worker's machine answered that nothing
+	// listens on the worker's address.
+	PollNoListener PollResult = "no_listener"
 )
 
+// mayHaveArrived reports whether the worker may have processed the poll.
+func (r PollResult) mayHaveArrived() bool { return r != PollNotSent && r != PollNoListener }
+
+// answered reports whether the poll got an answer of any kind.
+func (r PollResult) answered() bool { return r != PollFailed && r.mayHaveArrived() }
+
 // Action is one of StartRun, StopRun, Poll, Announce and ReportEnds.
 type Action interface{ isAction() }
 
--- a/internal/workload/rows.go
+++ b/internal/workload/rows.go
@@ -250,6 +250,8 @@
 	// Generation increases with each incarnation of the agent and of the worker. It
 	// is the fencing token of the agent's calls to the worker.
 	Generation uint64 `codec:"g"`
+	// Sequence is that of the worker's newest heartbeat.
+	Sequence uint64 `codec:"n,omitempty"`
 	// MaxLeaseMS is the maximum time after SentMS for which the worker's lease may
 	// last, assuming the slowest clock; 0 selects the default of dispatch.Settings.
 	MaxLeaseMS int64 `codec:"f,omitempty"`
