A call without an answer closes the idle connections beside its own

Cause: a client keeps the connections of its last concurrent calls open. A connection that the other side had closed cost a failed call, too.

A call that gets no answer now closes the idle connections to the same address, so the next call opens one. No call is repeated by it. The same for the other clients: the store (calls with and without a deadline have connections of their own, both are renewed), peers (after a direct call or one through a peer got no answer), pushes. Heartbeats of workers arrive at a server, which accepts new connections beside an old one. The clients of the request path (agent/hostclient, tablestore) run in no process of the platform and were left as they are.

--- a/internal/rowpush/rowpush_test.go
+++ b/internal/rowpush/rowpush_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"dragonflyyard/internal/coretest"
+	"dragonflyyard/internal/standin"
 	"dragonflyyard/internal/storeapi"
 )
 
@@ -92,3 +95,32 @@
 		t.Errorf("a body that is not a message gives status %d", ctx.Response.StatusCode())
 	}
 }
+
+// TestSilentConnectionsOfPushes guards against losing one push for each old connection when all
+// connections to a process have gone silent: its orders would arrive with the feed only.
+func TestSilentConnectionsOfPushes(t *testing.T) {
+	got := make(chan receivedPush, 8)
+	m, err := standin.NewMiddlebox()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(m.Close)
+	m.SetTarget(coretest.Serve(t, Route(func(from string, rows []storeapi.Row) bool {
+		got <- receivedPush{from, rows}
+		time.Sleep(30 * time.Millisecond)
+		return true
+	}, nil)))
+	s := NewSender("", 4, zap.NewNop(), metrics.NewRegistry())
+	next := push{m.Address(), []storeapi.Row{{Key: "k"}}}
+	var group sync.WaitGroup
+	for range 4 {
+		group.Go(func() { s.send(next) })
+	}
+	group.Wait()
+	m.Silence(true, true)
+	s.send(next)
+	s.send(next)
+	if s.sent.Count() != 5 || s.failed.Count() != 1 || len(got) != 5 {
+		t.Errorf("%d sent, %d failed, %d arrived; want only the first push after the silence to fail", s.sent.Count(), s.failed.Count(), len(got))
+	}
+}
--- a/internal/rowpush/send.go
+++ b/internal/rowpush/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,8 +34,10 @@
 	log           *zap.Logger
 	queue         *ring.Ring[push]
 	client        *fasthttp.Client
-	sent          metrics.Counter
-	failed        metrics.Counter
+	// connections holds the *fasthttp.HostClient of each address.
+	connections sync.Map
+	sent        metrics.Counter
+	failed      metrics.Counter
 }
 
 type push struct {
@@ -46,7 +49,7 @@
 // process receives pushes, empty if it receives none. maxConcurrent bounds the
 // pushes in progress. The counters "push.sent" and "push.failed" count pushes.
 func NewSender(ownAddress string, maxConcurrent int, log *zap.Logger, registry metrics.Registry) *Sender {
-	return &Sender{
+	s := &Sender{
 		ownAddress: ownAddress, maxConcurrent: maxConcurrent, log: log, queue: ring.New[push]("push", maxQueued, registry),
 		client: &fasthttp.Client{
 			NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: maxConcurrent,
@@ -55,6 +58,11 @@
 		sent:   metrics.GetOrRegisterCounter("push.sent", registry),
 		failed: metrics.GetOrRegisterCounter("push.failed", registry),
 	}
+	s.client.ConfigureClient = func(client *fasthttp.HostClient) error {
+		s.connections.Store(client.Addr, client)
+		return nil
+	}
+	return s
 }
 
 // Push queues rows to be sent to the process at the address to (IP:port). It does
@@ -98,6 +106,10 @@
 	req.SetRequestURI("http://" + p.to + path)
 	req.SetBodyRaw(rowcodec.Encode(&message{From: s.ownAddress, Rows: p.rows}))
 	if err := s.client.DoTimeout(req, resp, sendTimeout); err != nil {
+		// The other connections to this address may have gone silent, too.
+		if client, known := s.connections.Load(p.to); known {
+			client.(*fasthttp.HostClient).CloseIdleConnections()
+		}
 		return err
 	}
 	if status := resp.StatusCode(); status != fasthttp.StatusOK {
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -14,6 +14,7 @@
 	"dragonflyyard/internal/hostclock"
 	"dragonflyyard/internal/httpconn"
 	"dragonflyyard/internal/logging"
+	"dragonflyyard/internal/partscan"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/storeapi"
 	"dragonflyyard/internal/storeclock"
@@ -214,6 +215,7 @@
 			// The caller's time ended, which is no evidence of a store failure.
 			return err
 		}
+		c.renewAfter(err)
 		if path == pathGet || path == pathList {
 			c.recordRead(time.Since(sentAt), err)
 		}
@@ -305,6 +307,7 @@
 	sentAt := hostclock.Now()
 	c.relayed.Inc(1)
 	if err := client.DoTimeout(req, resp, timeout); err != nil {
+		c.closeIdle()
 		if !ended(ctx) {
 			c.mu.Lock()
 			c.avoidUntil[peer] = time.Now().Add(peerBackoff)
@@ -326,6 +329,25 @@
 	return out, true, nil
 }
 
+// renewAfter closes the idle connections to peers after a direct call that got no answer.
+func (c *Client) renewAfter(direct error) {
+	if errors.Is(direct, partscan.ErrLost) || errors.Is(direct, storeapi.ErrInDoubt) {
+		c.closeIdle()
+	}
+}
+
+// closeIdle closes the connections to peers that no call uses. They may have gone silent
+// together with that of a call that got no answer, to the store or to any peer.
+func (c *Client) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, clients := range []map[string]*fasthttp.HostClient{c.http, c.bulk} {
+		for _, client := range clients {
+			client.CloseIdleConnections()
+		}
+	}
+}
+
 // errDial marks calls whose connection to the peer could not be opened, so that
 // nothing was sent.
 var errDial = errors.New("dial peer")
