A task's wait for its rack no longer begins anew when another task of its step ends

Cause: the wait of up to 6 s was kept for the step (readySinceMS), and each end of a run of any of its tasks deleted it. The reservation for wide units and the accounts' waiting shares go by the same time.

Each task waits for itself, a gang as a whole. Within a unit, tasks whose wait is over are placed anywhere, the others near their data only, so a task that fails keeps its own preference. A task that is done leaves its place to the others of its step, and these wait anew as before: the rack frees up.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -143,8 +143,8 @@
 	// counts the batches in progress that delete one of them.
 	inboxRows map[string]storeapi.RowVersion
 	deletions int
-	// readySinceMS holds when each step became ready to start.
-	readySinceMS map[stepKey]int64
+	// readySinceMS holds when each task became ready to start; for a gang, its first task.
+	readySinceMS map[taskKey]int64
 	// notBeforeMS is the end of a step's backoff after a worker did not start one
 	// of its tasks.
 	notBeforeMS map[stepKey]int64
@@ -167,6 +167,12 @@
 
 type stepKey struct{ occurrence, step int }
 
+// taskKey identifies a task of a step by its index, or a gang by index 0.
+type taskKey struct {
+	stepKey
+	index int
+}
+
 // order is the order to a worker to run a task, as the scheduler tracks it.
 type order struct {
 	workload.Order
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -90,7 +90,7 @@
 	}
 	if !j.movedForRoom[group] {
 		// Tasks that were moved have waited for their rack before.
-		delete(j.readySinceMS, stepKey{run.Task.Occurrence, run.Task.Step})
+		j.endWait(run.Task)
 	}
 }
 
--- a/internal/dispatch/input.go
+++ b/internal/dispatch/input.go
@@ -30,7 +30,7 @@
 	j := &job{
 		Job: accepted, progress: progress, orders: map[workload.RunID]*order{}, seenEnds: map[string]bool{},
 		inboxRows:    map[string]storeapi.RowVersion{key: version},
-		readySinceMS: map[stepKey]int64{}, notBeforeMS: map[stepKey]int64{}, preemptedWork: map[stepKey]float64{}, lastPreemptionMS: map[stepKey]int64{}, room: map[stepKey][]*worker{},
+		readySinceMS: map[taskKey]int64{}, notBeforeMS: map[stepKey]int64{}, preemptedWork: map[stepKey]float64{}, lastPreemptionMS: map[stepKey]int64{}, room: map[stepKey][]*worker{},
 		movedForRoom: map[workload.TaskRef]bool{}, stalledRuns: map[workload.TaskRef]int{},
 	}
 	j.begun = progress.Begun()
--- a/internal/dispatch/round.go
+++ b/internal/dispatch/round.go
@@ -127,16 +127,28 @@
 
 func (r *schedulingRound) placeEach(u *unit, workers []*worker) []placement {
 	r.weighRoom(u)
-	candidates := newScoredWorkers(workers, func(w *worker) (fitness, bool) { return r.fitness(u, w) }, (*fitness).before)
+	// Tasks that may leave the unit's rack have other candidates than those that may not.
+	mayLeave := r.tasksThatMayLeaveRack(u)
+	candidates, full := map[bool]*scoredWorkers[fitness]{}, map[bool]bool{}
 	var placed []placement
 	for _, task := range u.tasks {
-		w, chosen := candidates.best()
+		leaves := mayLeave(task)
+		if full[leaves] {
+			continue
+		}
+		if candidates[leaves] == nil {
+			candidates[leaves] = newScoredWorkers(workers, func(w *worker) (fitness, bool) { return r.fitness(u, w, leaves) }, (*fitness).before)
+		}
+		w, chosen := candidates[leaves].best()
 		if w == nil {
-			return placed
+			full[leaves] = true
+			continue
 		}
-		u.disturbance.count(candidates, chosen)
+		u.disturbance.count(candidates[leaves], chosen)
 		r.allocate(u, w)
-		candidates.rescore(w)
+		for _, scored := range candidates {
+			scored.rescore(w)
+		}
 		placed = append(placed, placement{task, w})
 	}
 	return placed
@@ -183,15 +195,16 @@
 }
 
 // fitness returns the score of a worker for a task of the unit, and false if the
-// task can't be placed there now.
-func (r *schedulingRound) fitness(u *unit, w *worker) (fitness, bool) {
+// task can't be placed there now. leavesRack is set if the task may be placed outside the
+// preferred rack.
+func (r *schedulingRound) fitness(u *unit, w *worker, leavesRack bool) (fitness, bool) {
 	step := u.spec()
 	free := r.freeFor(u, w)
 	if !step.PerTask.Fits(free) || !r.allowed(u, w) || !r.underLimit(u, w) {
 		return fitness{}, false
 	}
 	remote := step.PreferredRack != "" && string(w.Rack) != step.PreferredRack
-	if remote && !r.mayLeaveRack(u) {
+	if remote && !leavesRack {
 		return fitness{}, false
 	}
 	disturbance, spared := r.disturbanceOf(u, w)
@@ -244,16 +257,32 @@
 )
 
 // mayLeaveRack reports whether a unit may be placed outside the racks that suit
-// it: it has waited long enough, or no such rack could hold it.
+// it: one of its tasks has waited long enough, or no such rack could hold it.
 func (r *schedulingRound) mayLeaveRack(u *unit) bool {
+	return r.now.elapsedSince(u.readyMS) > r.rackWait(u) || !r.rackCouldHold(u)
+}
+
+// tasksThatMayLeaveRack returns a function that reports the same for one of the unit's
+// tasks.
+func (r *schedulingRound) tasksThatMayLeaveRack(u *unit) func(task int) bool {
+	if u.spec().PreferredRack == "" || !r.rackCouldHold(u) {
+		return func(int) bool { return true }
+	}
+	longest := r.rackWait(u)
+	return func(task int) bool {
+		return r.now.elapsedSince(u.job.readySinceMS[u.taskKey(task)]) > longest
+	}
+}
+
+// rackWait returns how long a task of a unit waits for capacity in the racks that suit it.
+func (r *schedulingRound) rackWait(u *unit) time.Duration {
 	step := u.spec()
 	extra := time.Duration((r.core.settings.RemoteSlowdown - 1) * rackWaitShare * float64(step.Estimate))
 	maxWait := max(min(extra, maxRackWait), minRackWait)
 	if u.job.Priority == 0 && r.budgetOf(u).guaranteedTasks >= len(u.tasks) {
 		maxWait = min(extra, guaranteedRackWait)
 	}
-	waited := time.Duration(r.now.StoreMS-u.readyMS) * time.Millisecond
-	return waited > maxWait || !r.rackCouldHold(u)
+	return maxWait
 }
 
 // usesAllRacks reports whether a unit may be placed on the workers of all racks together.
--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -17,7 +17,7 @@
 	occurrence int
 	step       int
 	tasks      []int
-	// readyMS is when the unit became ready to start.
+	// readyMS is when the first of the tasks became ready to start.
 	readyMS int64
 	rank    rank
 	// failures is the highest failure count among the tasks.
@@ -37,6 +37,14 @@
 func (u *unit) gang() bool           { return u.spec().Gang }
 func (u *unit) key() stepKey         { return stepKey{u.occurrence, u.step} }
 
+// taskKey returns the key of one of the unit's tasks, that of the gang if it is one.
+func (u *unit) taskKey(task int) taskKey {
+	if u.gang() {
+		task = 0
+	}
+	return taskKey{u.key(), task}
+}
+
 // rank is the position of a unit in a plan; lower ranks are placed first.
 type rank struct {
 	// claim is set if the job's account is guaranteed what the unit needs. claimedShape is
@@ -138,10 +146,7 @@
 			if now.StoreMS < j.notBeforeMS[key] {
 				continue
 			}
-			if _, known := j.readySinceMS[key]; !known {
-				j.readySinceMS[key] = now.StoreMS
-			}
-			u.rank, u.readyMS = r, j.readySinceMS[key]
+			u.rank, u.readyMS = r, j.waitingSince(now, u)
 			if u.spec().LongRunning {
 				// The age of the job says nothing about tasks that run until it is cancelled.
 				u.rank.tooLate, u.rank.late = false, false
@@ -155,6 +160,38 @@
 	return out
 }
 
+// waitingSince returns when the first of a unit's tasks became ready to start, and begins
+// the wait of those that became so just now.
+func (j *job) waitingSince(now Now, u *unit) int64 {
+	first := now.StoreMS
+	for _, task := range u.tasks {
+		key := u.taskKey(task)
+		since, known := j.readySinceMS[key]
+		if !known {
+			since = now.StoreMS
+			j.readySinceMS[key] = since
+		}
+		first = min(first, since)
+	}
+	return first
+}
+
+// endWait ends the wait of a task whose run has ended; the next one begins when it is ready
+// again. If the task is done, its place is left to the other tasks of its step, and they wait
+// for such places anew. The place of any other end is for the task itself, so the others go
+// on waiting.
+func (j *job) endWait(task workload.TaskRef) {
+	step := stepKey{task.Occurrence, task.Step}
+	if j.Steps[task.Step].Gang {
+		task = firstMember(task)
+	}
+	if state := j.progress.Task(task); state != nil && !state.Done {
+		delete(j.readySinceMS, taskKey{step, task.Index})
+		return
+	}
+	maps.DeleteFunc(j.readySinceMS, func(key taskKey, _ int64) bool { return key.stepKey == step })
+}
+
 // unit returns the tasks of a step that can start, or nil if there are none.
 func (j *job) unit(occurrence *workload.OccurrenceProgress, k, step int) *unit {
 	if !occurrence.StepReady(j.Job, step) {
