A stopping agent settles the deregistrations that it has acknowledged

Cause: since an agent asks its worker before it believes a deregistration, and a stopping agent makes no more calls to its worker. A departure that was acknowledged just before the stop was forgotten, and the scheduler waited until the worker counted as lost.

--- a/internal/jobagent/agent.go
+++ b/internal/jobagent/agent.go
@@ -14,6 +14,7 @@
 
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
+	"dragonflyyard/internal/pause"
 	"dragonflyyard/internal/ring"
 	"dragonflyyard/internal/rowpush"
 	"dragonflyyard/internal/storeapi"
@@ -129,11 +130,21 @@
 	}
 }
 
+// departurePollInterval is the time between two polls of a worker that has deregistered.
+const departurePollInterval = 100 * time.Millisecond
+
 // finish applies the inputs that the agent has accepted and writes the announcement
-// that they cause, until ctx is done. Calls to the worker are left to the next process.
+// that they cause, until ctx is done. Calls to the worker are left to the next process, but
+// for those that settle a deregistration, which that one doesn't know.
 func (a *Agent) finish(ctx context.Context) {
 	for ctx.Err() == nil {
 		a.applyPending()
+		poll, departing := a.core.DeparturePoll()
+		if departing {
+			sentAt := time.Now()
+			lists, result, _ := a.worker.Hold(poll)
+			a.core.Polled(time.Now(), sentAt, poll, result, lists)
+		}
 		now := time.Now()
 		storeTime, known := a.store.StoreTime()
 		for _, action := range a.core.Step(now, storeTime.LatestMS, known) {
@@ -143,7 +154,11 @@
 		}
 		a.logNotes()
 		if !a.core.Announcing() {
-			return
+			if !departing {
+				return
+			}
+			pause.For(ctx, departurePollInterval)
+			continue
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/taskrunner/identity.go
+++ b/internal/taskrunner/identity.go
@@ -152,6 +152,13 @@
 	c.poll.nextAt, c.poll.failures = time.Time{}, 0
 }
 
+// DeparturePoll returns the poll that settles a deregistration, and false if none is open. It
+// extends no lease and acknowledges nothing.
+func (c *Core) DeparturePoll() (Poll, bool) {
+	open := c.departure.worker != "" && c.departure.worker == c.status.Worker && c.statusKnown
+	return Poll{Worker: c.status.Worker, Incarnation: c.incarnation, Generation: c.generation}, open
+}
+
 // settleDeparture applies the result of a poll to an open deregistration.
 func (c *Core) settleDeparture(now time.Time, result PollResult) {
 	if c.departure.worker == "" || c.departure.worker != c.status.Worker {
