An owner plans by no configuration view from before its host was suspended

After the suspension an owner could order tasks into a zone that was evacuated meanwhile, if no other entry host had acquired the fence.

A session that finds its host was suspended for longer than a view may be old waits for a view that was read after it. TestViewFromBeforeASuspension fails if the check is the age alone ("a view from before the suspension is taken for current").

--- a/internal/hostclock/hostclock.go
+++ b/internal/hostclock/hostclock.go
@@ -24,6 +24,12 @@
 	return Instant{Steady: i.Steady.Add(d), SinceBoot: i.SinceBoot + d}
 }
 
+// SuspendedSince returns for how long the host was suspended between an earlier reading and
+// this one.
+func (i Instant) SuspendedSince(earlier Instant) time.Duration {
+	return max(0, i.SinceBoot-earlier.SinceBoot-i.Steady.Sub(earlier.Steady))
+}
+
 // BootTime returns the present time on a clock that also counts the time for which the host
 // was suspended. Only differences between its results have a meaning.
 func BootTime() time.Time { return time.Unix(0, 0).Add(sinceBoot()) }
--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"dragonflyyard/internal/dispatch"
+	"dragonflyyard/internal/hostclock"
 	"dragonflyyard/internal/logging"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/pause"
@@ -60,6 +61,10 @@
 	sequence     uint64
 	// rejectedRows counts the rows that the store rejected.
 	rejectedRows int
+	// checkedAt is when the age of the configuration view was last checked, and resumedAt
+	// when the host was found to have been suspended; zero before.
+	checkedAt hostclock.Instant
+	resumedAt time.Time
 	inputs       *ring.Ring[func()]
 	workers      *tablewatch.Watch
 	plans        metrics.Timer
@@ -215,12 +220,22 @@
 	}
 }
 
+// current reports whether a configuration view is recent enough for a plan. The age of a view
+// from before the host was suspended is not known.
+func (s *session) current(view ConfigView, now hostclock.Instant) bool {
+	if !s.checkedAt.Steady.IsZero() && now.SuspendedSince(s.checkedAt) > maxViewAge {
+		s.resumedAt = now.Steady
+	}
+	s.checkedAt = now
+	return now.Steady.Sub(view.AsOf) <= maxViewAge && view.AsOf.After(s.resumedAt)
+}
+
 // plan makes one plan and commits its batches. It does nothing while the store's
 // clock is unknown or the configuration view is too old.
 func (s *session) plan(ctx context.Context) error {
 	now, ready := s.now()
 	view := s.host.view()
-	if !ready || time.Since(view.AsOf) > maxViewAge {
+	if !ready || !s.current(view, hostclock.Now()) {
 		return nil
 	}
 	s.core.Configure(view.Guaranteed, view.Evacuated)
--- a/internal/schedulerhost/session_test.go
+++ b/internal/schedulerhost/session_test.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"dragonflyyard/internal/hostclock"
 	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/rowcodec"
 	"dragonflyyard/internal/rowpush"
@@ -230,3 +231,27 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// TestViewFromBeforeASuspension guards against plans by a configuration view that is older than
+// its age on the steady clock, which stood still while the host was suspended: tasks would be
+// started in a zone that was evacuated meanwhile.
+func TestViewFromBeforeASuspension(t *testing.T) {
+	var s session
+	begin := hostclock.Now()
+	view := ConfigView{AsOf: begin.Steady}
+	if !s.current(view, begin.Add(time.Second)) {
+		t.Error("a view of one second ago is refused")
+	}
+	resumed := begin.Add(1100 * time.Millisecond)
+	resumed.SinceBoot += 6 * time.Second
+	if s.current(view, resumed) || s.current(view, resumed.Add(100*time.Millisecond)) {
+		t.Error("a view from before the suspension is taken for current")
+	}
+	view.AsOf = resumed.Steady.Add(200 * time.Millisecond)
+	if !s.current(view, resumed.Add(300*time.Millisecond)) {
+		t.Error("a view from after the suspension is refused")
+	}
+	if s.current(view, resumed.Add(3*time.Second)) {
+		t.Error("a view of almost three seconds ago is taken for current")
+	}
+}
