--- a/internal/schedulerhost/session.go
+++ b/internal/schedulerhost/session.go
@@ -65,11 +65,11 @@
 	// when the host was found to have been suspended; zero before.
 	checkedAt hostclock.Instant
 	resumedAt time.Time
-	inputs       *ring.Ring[func()]
-	workers      *tablewatch.Watch
-	plans        metrics.Timer
-	commits      metrics.Timer
-	overShare    metrics.Gauge
+	inputs    *ring.Ring[func()]
+	workers   *tablewatch.Watch
+	plans     metrics.Timer
+	commits   metrics.Timer
+	overShare metrics.Gauge
 	// slowWorkers and fastWorkers count the workers whose speed differs from the average.
 	slowWorkers, fastWorkers metrics.Gauge
 }
