--- a/internal/dispatch/rackwait_test.go
+++ b/internal/dispatch/rackwait_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"dragonflyyard/internal/model"
 	"dragonflyyard/internal/workload"
 )
 
@@ -141,3 +142,33 @@
 		}
 	}
 }
+
+// TestTaskIsPlacedOnceIntoRoomThatIsMade guards against ordering a task twice in one plan, and
+// leaving another one out: of the tasks of an urgent unit only the later one may leave its rack
+// for the room that was made there.
+func TestTaskIsPlacedOnceIntoRoomThatIsMade(t *testing.T) {
+	r, announce := rackWaitRig(t)
+	r.job(jobID(1), func(j *workload.Job) {
+		step := &j.Steps[0]
+		j.Account, j.Priority = "bronze", 0
+		step.Tasks, step.LongRunning, step.PreferredRack, step.Estimate = 9, true, "r0", 6*time.Second
+	})
+	orders := r.plan()
+	if len(orders) != 8 {
+		t.Fatalf("%d tasks are started in the rack, want 8", len(orders))
+	}
+	r.advance(6100 * time.Millisecond)
+	announce()
+	r.end(orders[3], workload.EndFailed, "")
+	r.core.workers["near"].used = r.core.workers["near"].Capacity
+	key := stepKey{0, 0}
+	j := r.core.jobs[model.JobID(jobID(1))]
+	j.room[key], j.lastPreemptionMS[key] = []*worker{r.core.workers["far"]}, r.now.StoreMS
+	placed := map[string]int{}
+	for _, o := range r.plan() {
+		placed[o.Task]++
+	}
+	if len(placed) != 1 || placed[jobID(1)+".0.0.8"] != 1 {
+		t.Errorf("ordered %v, want task 8 once", placed)
+	}
+}
--- a/internal/dispatch/vacated.go
+++ b/internal/dispatch/vacated.go
@@ -76,13 +76,24 @@
 	}
 	placed := r.placeEach(u, room)
 	rest := *u
-	rest.tasks = u.tasks[len(placed):]
+	rest.tasks = u.unplaced(placed)
 	if len(rest.tasks) > 0 {
 		placed = append(placed, r.place(&rest)...)
 	}
 	return placed
 }
 
+// unplaced returns the unit's tasks that are not among the placed ones.
+func (u *unit) unplaced(placed []placement) []int {
+	var out []int
+	for _, task := range u.tasks {
+		if !slices.ContainsFunc(placed, func(p placement) bool { return p.task == task }) {
+			out = append(out, task)
+		}
+	}
+	return out
+}
+
 // unique returns the workers without repetitions, in their order.
 func (r *schedulingRound) unique(workers []*worker) []*worker {
 	var out []*worker
