Tasks of a step that ends wait for their rack anew at each end again

Such a step frees one place after the other, and its failures are limited by the queue's attempts; what the rule forbids concerns tasks that last, which take their places again.

--- a/internal/dispatch/units.go
+++ b/internal/dispatch/units.go
@@ -177,19 +177,19 @@
 }
 
 // endWait ends the wait of a task whose run has ended; the next one begins when it is ready
-// again. If the task is done, its place is left to the other tasks of its step, and they wait
-// for such places anew. The place of any other end is for the task itself, so the others go
-// on waiting.
+// again. A task that lasts takes its place again, so the others of its step go on waiting.
+// Those of a step that ends leave one place after the other to the rest of the step, which
+// waits for these anew.
 func (j *job) endWait(task workload.TaskRef) {
 	step := stepKey{task.Occurrence, task.Step}
-	if j.Steps[task.Step].Gang {
-		task = firstMember(task)
-	}
-	if state := j.progress.Task(task); state != nil && !state.Done {
+	switch {
+	case !j.Steps[task.Step].LongRunning:
+		maps.DeleteFunc(j.readySinceMS, func(key taskKey, _ int64) bool { return key.stepKey == step })
+	case j.Steps[task.Step].Gang:
+		delete(j.readySinceMS, taskKey{step, 0})
+	default:
 		delete(j.readySinceMS, taskKey{step, task.Index})
-		return
 	}
-	maps.DeleteFunc(j.readySinceMS, func(key taskKey, _ int64) bool { return key.stepKey == step })
 }
 
 // unit returns the tasks of a step that can start, or nil if there are none.
